--- /dev/null
+++ b/proving/day.py
@@ -0,0 +1,101 @@
+"""Runs a deployment's mixed traffic over a local fleet while things fail; prints the report."""
+
+import json
+import random
+import time
+
+import click
+import gevent
+
+from proving import callers
+from proving.localfleet import LocalFleet
+
+MIXES = {
+    "ferrowa": [
+        (10, lambda e, c, r: callers.stream_call(
+            e, c, r, time.monotonic, c.choice(("wayfinding", "wayfinding-lounge")), "short")),
+        (25, lambda e, c, r: callers.tile_call(e, c, r, "tiles")),
+        (1, lambda e, c, r: callers.stream_call(
+            e, c, r, time.monotonic, "tagging", "long", 200)),
+        (0.5, lambda e, c, r: callers.lot_call(e, c, r, "gate-notices")),
+    ],
+    "kilele": [
+        (10, lambda e, c, r: callers.stream_call(
+            e, c, r, time.monotonic, c.choice(("price-hints", "seller-hints")), "short")),
+        (25, lambda e, c, r: callers.seat_call(e, c, r, "seats")),
+        (1, lambda e, c, r: callers.stream_call(
+            e, c, r, time.monotonic, "seller-reviews", "long", 200)),
+        (0.5, lambda e, c, r: callers.lot_call(e, c, r, "fraud-reports")),
+    ],
+}
+
+
+def run_traffic(fleet, mix, seconds, seed, record, scale=1.0):
+    """Send the mix at its rates; return once every call has its outcome."""
+    edges = [fleet.http(name) for name in fleet.names("edge")]
+    calls = []
+
+    def send_kind(number, rate, call):
+        chance = random.Random(f"{seed}/{number}")
+        endTime = time.monotonic() + seconds
+        while time.monotonic() < endTime:
+            calls.append(gevent.spawn(call, edges, random.Random(chance.random()), record))
+            gevent.sleep(chance.expovariate(rate * scale))
+
+    gevent.joinall([
+        gevent.spawn(send_kind, n, rate, call) for n, (rate, call) in enumerate(mix)])
+    gevent.joinall(calls, timeout=120, raise_error=True)
+
+
+def break_things(fleet, seconds, log):
+    """Kill one core, one store and one replica, and cut one pair, spread over the time."""
+    steps = [
+        ("kill core-2", lambda: fleet.kill("core-2")),
+        ("cut edge-1 from core-1", lambda: fleet.cut(("edge-1", "core-1"))),
+        ("kill store-3", lambda: fleet.kill("store-3")),
+        ("kill words-2", lambda: fleet.kill("words-2")),
+        ("heal the cut", lambda: fleet.cut()),
+        ("start core-2 empty", lambda: fleet.start("core-2")),
+        ("start store-3 again", lambda: fleet.start("store-3")),
+        ("start words-2 again", lambda: fleet.start("words-2")),
+    ]
+    startTime = time.monotonic()
+    for text, step in steps:
+        gevent.sleep(seconds / (len(steps) + 2))
+        log.append([round(time.monotonic() - startTime, 1), text])
+        step()
+
+
+@click.command()
+@click.argument("name", type=click.Choice(sorted(MIXES)))
+@click.option("--run-folder", default="run", show_default=True)
+@click.option("--seconds", default=60.0, show_default=True)
+@click.option("--scale", default=1.0, show_default=True, help="Traffic against today's sizes.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--calm", is_flag=True, help="Let nothing fail.")
+def main(name, run_folder, seconds, scale, seed, calm):
+    """Run NAME's traffic on a full local fleet and report what callers saw."""
+    fleet = LocalFleet(f"examples/{name}", run_folder)
+    record, log = callers.Record(), []
+    try:
+        fleet.start_all()
+        fleet.found()
+        tasks = [gevent.spawn(run_traffic, fleet, MIXES[name], seconds, seed, record, scale)]
+        if not calm:
+            tasks.append(gevent.spawn(break_things, fleet, seconds, log))
+        gevent.joinall(tasks, raise_error=True)
+        states = {}
+        for replica in fleet.replicas.values():
+            _, states[replica["name"]] = callers.ask(replica["address"], "GET", "/state")
+        report = {**record.to_json(), "steps": log, "replicas": {
+            n: {k: s.get(k) for k in ("ran", "hits", "misses", "overloads", "lateStarts")}
+            for n, s in states.items()}}
+        click.echo(json.dumps(report, indent=1))
+        (fleet.runFolder / "report.json").write_text(json.dumps(report, indent=1))
+    finally:
+        fleet.stop_all()
+    raise SystemExit(1 if record.violations else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/proving/deployments.py
@@ -0,0 +1,125 @@
+"""The two example deployments: writes their settings, replicas and layouts under examples/."""
+
+import json
+import pathlib
+
+DOMAINS = ("north", "east", "south", "west")
+MODEL_CLASS = {"resumable": True, "repeatable": True}
+
+
+def promise(first, left, urgency, share, queue=64, **more):
+    """Return a class of service."""
+    return {
+        "first_piece_ms": first, "time_left_ms": left, "urgency": urgency, "share": share,
+        "queue": queue, **more,
+    }
+
+
+def entry(service, className, prefix=None):
+    """Return an entry."""
+    return {"service": service, "class": className, **({"prefix": prefix} if prefix else {})}
+
+
+DEPLOYMENTS = {
+    "ferrowa": {
+        "net": 41,
+        "sizes": {"edge": 7, "core": 4, "store": 4},
+        "replicas": [("words", 6, 8), ("map", 4, 16)],
+        "layout": {
+            "classes": {
+                "traveller": promise(1500, 20_000, 8, 0.5, 128, **MODEL_CLASS),
+                "tile": promise(1000, 3000, 9, 0.2, 128, repeatable=True),
+                "boarding": promise(5000, 60_000, 6, 0.2, 64, repeatable=True),
+                "overnight": promise(60_000, 600_000, 2, 0.1, 256, **MODEL_CLASS),
+            },
+            "services": {
+                "words": {"kind": "model", "warm_up_ms": 4000, "stall_ms": 2000},
+                "map": {"kind": "map", "warm_up_ms": 4000, "stall_ms": 1000},
+            },
+            "entries": {
+                "wayfinding": entry("words", "traveller", "You guide travellers in Ferrowa. "),
+                "wayfinding-lounge": entry("words", "traveller", "You guide lounge guests. "),
+                "tagging": entry("words", "overnight", "You tag listings of shops. "),
+                "gate-notices": entry("words", "boarding", "You rephrase gate changes. "),
+                "tiles": entry("map", "tile"),
+            },
+        },
+    },
+    "kilele": {
+        "net": 42,
+        "sizes": {"edge": 8, "core": 4, "store": 4},
+        "replicas": [("words", 9, 6), ("checkout", 4, 16)],
+        "layout": {
+            "classes": {
+                "hint": promise(1500, 20_000, 8, 0.5, 128, **MODEL_CLASS),
+                "seat": promise(1000, 4000, 9, 0.2, 128, repeatable=True),
+                "fraud": promise(5000, 60_000, 6, 0.2, 64, repeatable=True),
+                "review": promise(60_000, 600_000, 2, 0.1, 256, **MODEL_CLASS),
+            },
+            "services": {
+                "words": {"kind": "model", "warm_up_ms": 4000, "stall_ms": 2000},
+                "checkout": {"kind": "checkout", "warm_up_ms": 4000, "stall_ms": 1000},
+            },
+            "entries": {
+                "price-hints": entry("words", "hint", "You hint at prices in Kilele. "),
+                "seller-hints": entry("words", "hint", "You advise sellers in Kilele. "),
+                "seller-reviews": entry("words", "review", "You review sellers. "),
+                "fraud-reports": entry("words", "fraud", "You judge fraud reports. "),
+                "seats": entry("checkout", "seat"),
+            },
+        },
+    },
+}
+
+
+def settings_of(deployment):
+    """Yield the settings of every process; each machine has a loopback address of its own."""
+    net, number, seeds = deployment["net"], 0, []
+    for role in ("core", "store", "edge"):
+        for i in range(deployment["sizes"][role]):
+            number += 1
+            host = f"127.0.{net}.{number}"
+            fields = {
+                "name": f"{role}-{i + 1}", "role": role, "domain": DOMAINS[i % 4],
+                "address": f"{host}:7400", "http_address": f"{host}:8400", "seeds": seeds,
+                "log_file": f"run/{role}-{i + 1}.log",
+            }
+            if role == "store":
+                fields["folder"] = f"run/data/{role}-{i + 1}"
+            if len(seeds) < 3:
+                seeds.append(fields["address"])
+            yield fields
+
+
+def replicas_of(deployment):
+    """Yield the replicas."""
+    number = 100
+    for service, count, slots in deployment["replicas"]:
+        for i in range(count):
+            number += 1
+            yield {
+                "name": f"{service}-{i + 1}", "service": service, "domain": DOMAINS[i % 4],
+                "address": f"127.0.{deployment['net']}.{number}:9400", "slots": slots,
+            }
+
+
+def layout_of(deployment):
+    """Return the example layout."""
+    return {**deployment["layout"], "domains": {name: {"emptied": False} for name in DOMAINS}}
+
+
+def write_examples(folder):
+    """Write the example files of both deployments."""
+    for name, deployment in DEPLOYMENTS.items():
+        target = pathlib.Path(folder) / name
+        (target / "settings").mkdir(parents=True, exist_ok=True)
+        for fields in settings_of(deployment):
+            path = target / "settings" / f"{fields['name']}.json"
+            path.write_text(json.dumps(fields, indent=2) + "\n")
+        rows = list(replicas_of(deployment))
+        (target / "replicas.json").write_text(json.dumps(rows, indent=2) + "\n")
+        (target / "layout.json").write_text(json.dumps(layout_of(deployment), indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    write_examples("examples")
--- /dev/null
+++ b/proving/faulty.py
@@ -0,0 +1,55 @@
+"""Runs the quillring program with a network whose pairs can be cut by a file; a test aid."""
+
+import json
+import os
+
+from quillring.kernel.gevent_world import GeventWorld
+from quillring.verbs import cli, process
+
+CUTS_FILE = os.environ.get("PROVING_CUTS", "")
+
+
+class FaultyWorld(GeventWorld):
+    """Drops what would cross a cut; the file lists [from address, to address] pairs."""
+
+    def __init__(self, *fields):
+        super().__init__(*fields)
+        self.cuts, self.stamp, self.home = frozenset(), None, None
+
+    def listen(self, host, port, on_datagram, on_frame):
+        """Listen, and remember the own address."""
+        self.home = f"{host}:{port}"
+        return super().listen(host, port, on_datagram, on_frame)
+
+    def is_cut(self, address):
+        """Tell whether the way to the address is cut now."""
+        try:
+            stamp = os.stat(CUTS_FILE).st_mtime_ns
+        except OSError:
+            return False
+        if stamp != self.stamp:
+            with open(CUTS_FILE, encoding="utf-8") as cutsFile:
+                self.cuts = frozenset(tuple(pair) for pair in json.load(cutsFile))
+            self.stamp = stamp
+        return (self.home, f"{address[0]}:{address[1]}") in self.cuts
+
+    def datagram(self, address, data):
+        """Send unless cut."""
+        if not self.is_cut(address):
+            super().datagram(address, data)
+
+    def frame(self, address, data):
+        """Send unless cut."""
+        if not self.is_cut(address):
+            super().frame(address, data)
+
+
+def main():
+    """Run the program on the faulty world."""
+    realRun = process.run_process
+    cli.run_process = lambda settings: realRun(settings, FaultyWorld)
+    cli.main()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/proving/localfleet.py
@@ -0,0 +1,160 @@
+"""The local fleet: starts and stops every process of a deployment on loopback; a test aid."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from proving.callers import ask
+
+
+class LocalFleet:
+    """The processes of one deployment, each started, stopped, frozen or killed by name."""
+
+    def __init__(self, example, runFolder, freePorts=False, only=None):
+        self.example = pathlib.Path(example)
+        self.runFolder = pathlib.Path(runFolder).absolute()
+        self.runFolder.mkdir(parents=True, exist_ok=True)
+        self.cutsFile = self.runFolder / "cuts.json"
+        self.cutsFile.write_text("[]")
+        self.processes = {}
+        rows = [json.loads(p.read_text()) for p in sorted(self.example.glob("settings/*.json"))]
+        self.settings = {row["name"]: row for row in rows if only is None or row["name"] in only}
+        replicaRows = json.loads((self.example / "replicas.json").read_text())
+        self.replicas = {r["name"]: r for r in replicaRows if only is None or r["name"] in only}
+        if freePorts:
+            self._move_ports()
+        for row in self.settings.values():
+            row["log_file"] = str(self.runFolder / f"{row['name']}.log")
+            if "folder" in row:
+                row["folder"] = str(self.runFolder / "data" / row["name"])
+
+    def _move_ports(self):
+        moved = {}
+        for row in [*self.settings.values(), *self.replicas.values()]:
+            for field in ("address", "http_address"):
+                if field in row:
+                    moved[row[field]] = free_address(row[field].rsplit(":", 1)[0])
+                    row[field] = moved[row[field]]
+        for row in self.settings.values():
+            row["seeds"] = [moved[seed] for seed in row["seeds"] if seed in moved] or [
+                row["address"]]
+
+    def names(self, role):
+        """Return the names of the nodes of a role."""
+        return [name for name, row in self.settings.items() if row["role"] == role]
+
+    def http(self, name):
+        """Return the HTTP address of a node."""
+        return self.settings[name]["http_address"]
+
+    def start(self, name):
+        """Start one process."""
+        outFile = open(self.runFolder / f"{name}.out", "ab")
+        if name in self.settings:
+            row = self.settings[name]
+            path = self.runFolder / f"{name}.json"
+            path.write_text(json.dumps(row))
+            words = ["-m", "proving.faulty", row["role"], "--settings", str(path)]
+        else:
+            row = self.replicas[name]
+            nodes = [self.http(n) for n in self.settings if not n.startswith("store")]
+            turn = sorted(self.replicas).index(name) % len(nodes)
+            words = ["-m", "proving.standin"]
+            for field in ("name", "service", "domain", "address", "slots"):
+                words += [f"--{field}", str(row[field])]
+            for node in nodes[turn:] + nodes[:turn]:
+                words += ["--node", node]
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *words], stdout=outFile, stderr=outFile, start_new_session=True,
+            env={**os.environ, "PROVING_CUTS": str(self.cutsFile)},
+        )
+
+    def start_all(self):
+        """Start every process."""
+        for name in [*self.settings, *self.replicas]:
+            self.start(name)
+
+    def signal(self, name, number):
+        """Send a signal to one of the processes started here."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        """Kill a process as a power cut would."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name, seconds=60):
+        """Stop a process as planned; return its exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(seconds)
+
+    def cut(self, *pairs):
+        """Cut the pairs of nodes both ways; no pairs heals all."""
+        addresses = [[self.settings[n]["address"] for n in pair] for pair in pairs]
+        freshFile = self.cutsFile.with_suffix(".new")
+        freshFile.write_text(json.dumps([*addresses, *(pair[::-1] for pair in addresses)]))
+        freshFile.replace(self.cutsFile)
+
+    def stop_all(self):
+        """End everything that still runs."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.processes = {}
+
+    def wait_for(self, what, isDone, seconds=90):
+        """Wait until the condition holds; a generous limit, no assertion on how long."""
+        endTime = time.monotonic() + seconds
+        while not isDone():
+            if time.monotonic() > endTime:
+                raise TimeoutError(f"{what}; see {self.runFolder}")
+            time.sleep(0.1)
+
+    def found(self):
+        """Found the fleet and apply the example layout; wait until every edge is ready."""
+        cores = self.names("core")
+        storeCount = len(self.names("store"))
+
+        def knows_stores():
+            status, answer = ask(self.http(cores[0]), "GET", "/v1/members")
+            roles = [m["role"] for m in answer.get("members", ())] if status == 200 else []
+            return roles.count("store") == storeCount
+
+        self.wait_for("stores known", knows_stores)
+        self.wait_for("founded", lambda: ask(
+            self.http(cores[0]), "POST", "/v1/found", {"parts": 4})[0] == 200)
+        layout = json.loads((self.example / "layout.json").read_text())
+        body = {"base_version": 0, "layout": layout, "whole": True, "id": "first"}
+        self.wait_for("layout", lambda: ask(
+            self.http(cores[0]), "PUT", "/v1/layout", body)[0] == 200)
+        self.wait_ready()
+
+    def wait_ready(self):
+        """Wait until every running edge is ready and knows every running replica."""
+        runningReplicas = {n for n in self.replicas if n in self.processes}
+
+        def is_ready(name):
+            if ask(self.http(name), "GET", "/v1/ready")[0] != 200:
+                return False
+            _, answer = ask(self.http(name), "GET", "/v1/replicas")
+            return runningReplicas <= {
+                r["name"] for r in answer.get("replicas", ()) if r["may_get_work"]}
+
+        for name in self.names("edge"):
+            if name in self.processes:
+                self.wait_for(f"{name} ready", lambda name=name: is_ready(name))
+
+
+def free_address(host):
+    """Return the host with a port that nobody uses now."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
--- /dev/null
+++ b/quillring/duty/duty.py
@@ -0,0 +1,152 @@
+"""Who owns which part: cores take the parts they rank first for; anyone can ask an owner."""
+
+from quillring.duty.rank import ranked_cores
+from quillring.kernel.effects import Sleep
+from quillring.kernel.registry import Registry
+from quillring.kernel.troubles import (
+    Fenced,
+    NoMajority,
+    NotFounded,
+    NotOwner,
+    TimedOut,
+    Trouble,
+    Unreachable,
+)
+from quillring.quorum.owner import Owner, wait_for_owner
+
+QUERIES = Registry("query")
+LOOK_ELSEWHERE = (Fenced, NotOwner, TimedOut, Unreachable)
+
+
+class Duty:
+    """The table of parts as one node sees it; on a core also the owners it runs."""
+
+    __slots__ = ("node", "owners", "on_owner")
+
+    def __init__(self, node):
+        self.node = node
+        self.owners = {}
+        self.on_owner = []
+        if node.me.role == "core":
+            node.handle("part.submit", self.on_submit)
+            node.handle("part.read", self.on_read)
+
+    def founding(self):
+        """Return the founding record, or raise NotFounded."""
+        record = self.node.find("gossip").get("founding")
+        if record is None:
+            raise NotFounded()
+        return record
+
+    def parts(self):
+        """Return the names of all parts."""
+        return sorted(self.founding()["groups"])
+
+    def group(self, part):
+        """Return the stores of a part as last heard."""
+        news = self.node.find("gossip").get(f"group/{part}")
+        return news or self.founding()["groups"][part]
+
+    def cores(self):
+        """Return the names of all core nodes of the roster."""
+        members = self.node.find("nifty").roster.members.values()
+        return sorted(m.name for m in members if m.role == "core")
+
+    def rank(self, part):
+        """Return the reachable cores in the order of their claim to the part."""
+        return ranked_cores(part, self.cores(), self.node.find("nifty").graph)
+
+    def run(self):
+        """Script, on a core: take the parts it ranks first for, hand over the others."""
+        attempts = {}
+        while True:
+            yield Sleep(self.node.bounds.beat * (0.8 + 0.4 * self.node.world.random.random()))
+            if self.node.find("gossip").get("founding") is None:
+                continue
+            for part in self.parts():
+                owner = self.owners.get(part)
+                holdsPart = owner is not None and owner.is_owner
+                isFirst = self.rank(part)[:1] == [self.node.me.name] and not self.node.is_draining
+                if isFirst and not holdsPart and attempts.get(part) is None:
+                    attempts[part] = True
+                    self.node.spawn(self._take(part, attempts))
+                elif holdsPart and not isFirst and not owner.queue and self._successor(part):
+                    owner.step_down(NotOwner(part=part))
+
+    def _successor(self, part):
+        return [name for name in self.rank(part)[:1] if name != self.node.me.name]
+
+    def _take(self, part, attempts):
+        owner = self.owners.get(part)
+        if owner is None:
+            owner = self.owners[part] = Owner(self.node, part, self.group(part))
+            owner.listeners.extend(self.on_owner)
+            owner.listeners.append(self._publish)
+        try:
+            yield from owner.take()
+        except Trouble as trouble:
+            self.node.log("warning", "take %s: %s", part, trouble)
+            yield from wait_for_owner(self.node, self.node.bounds.beat)
+            return
+        finally:
+            attempts[part] = None
+        self.node.spawn(owner.run())
+
+    def _publish(self, owner, batch):
+        gossip = self.node.find("gossip")
+        if owner.is_owner:
+            news = {"owner": owner.node.me.name, "ballot": list(owner.ballot)}
+            gossip.put(f"owner/{owner.part}", [owner.ballot[0]], news)
+            if gossip.get(f"group/{owner.part}") != owner.state["group"]:
+                gossip.put(f"group/{owner.part}", [owner.index], owner.state["group"])
+
+    def on_submit(self, body, origin):
+        """Commit a command in a part owned here."""
+        return self._owner(body["part"]).submit(body["command"])
+
+    def on_read(self, body, origin):
+        """Answer a query from a part owned here, under its fence."""
+        readState = yield from self._owner(body["part"]).fenced_state()
+        return QUERIES.find(body["query"]["ask"])(readState, body["query"])
+
+    def _owner(self, part):
+        owner = self.owners.get(part)
+        if owner is None or not owner.is_owner:
+            raise NotOwner(part=part)
+        return owner
+
+    def submit(self, part, command, seconds=None):
+        """Script: commit a command that carries its own id, at whichever core owns the part."""
+        answer = yield from self._ask(part, "part.submit", {"command": command}, seconds)
+        return answer
+
+    def read(self, part, query, seconds=None):
+        """Script: read a part's state from its owner."""
+        answer = yield from self._ask(part, "part.read", {"query": query}, seconds)
+        return answer
+
+    def _ask(self, part, service, body, seconds):
+        bounds = self.node.bounds
+        endTime = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
+        self.founding()
+        lastTrouble, rounds = NotOwner(part=part), 0
+        while self.node.now() < endTime:
+            candidates = self._candidates(part)
+            if candidates:
+                try:
+                    answer = yield from self.node.call(
+                        candidates[rounds % len(candidates)], service, {"part": part, **body},
+                        min(bounds.news, endTime - self.node.now()),
+                    )
+                    return answer
+                except (*LOOK_ELSEWHERE, NoMajority) as trouble:
+                    lastTrouble = trouble
+            rounds += 1
+            yield from wait_for_owner(self.node, bounds.beat / 4)
+        raise lastTrouble
+
+    def _candidates(self, part):
+        news = self.node.find("gossip").get(f"owner/{part}")
+        rankedNames = self.rank(part)
+        namedOwner = [news["owner"]] if news and news["owner"] in rankedNames else []
+        return [*namedOwner, *(name for name in rankedNames[:2] if name not in namedOwner)]
--- /dev/null
+++ b/quillring/duty/rank.py
@@ -0,0 +1,12 @@
+"""Rendezvous rank of the live cores for a key; bridges come first while the graph is cut."""
+
+from quillring.nifty.graph import score
+
+
+def ranked_cores(key, cores, graph):
+    """Return the reachable core names, the one whose duty the key is first."""
+    reachedCores = [name for name in cores if name in graph.reachable()]
+    bridgeNames = set(graph.bridge_nodes()) if graph.is_cut else set()
+    return sorted(
+        reachedCores, key=lambda name: (name in bridgeNames, score(key, name)), reverse=True
+    )
--- /dev/null
+++ b/quillring/edge/__init__.py
@@ -0,0 +1,7 @@
+"""Serving inquiries: replicas, dispatch, the stream journal, resume tokens."""
+
+from quillring.edge.dispatch import Dispatch
+from quillring.edge.journal import Journal
+from quillring.edge.replicas import Replicas
+
+__all__ = ["Dispatch", "Journal", "Replicas"]
--- /dev/null
+++ b/quillring/edge/journal.py
@@ -0,0 +1,166 @@
+"""The stream journal: each piece is held on a second node before a sender sees it."""
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import Fenced, NotFound, Refused, Trouble
+from quillring.nifty.graph import score
+
+KEPT_STREAMS = 20_000
+
+
+class Stream:
+    """One stream: the inquiry, its pieces so far, and the round that may add to it."""
+
+    __slots__ = ("name", "inquiry", "sender", "pieces", "ended", "round", "touchedAt", "holder")
+
+    def __init__(self, name, inquiry, sender, now, round_=(1, "")):
+        self.name = name
+        self.inquiry = inquiry
+        self.sender = sender
+        self.pieces = ()
+        self.ended = False
+        self.round = tuple(round_)
+        self.touchedAt = now
+        self.holder = None
+
+
+class Journal:
+    """The streams this node runs or holds for another."""
+
+    __slots__ = ("node", "streams")
+
+    def __init__(self, node):
+        self.node = node
+        self.streams = {}
+        node.handle("journal.append", self.on_append)
+        node.handle("journal.find", self.on_find)
+        node.handle("journal.claim", self.on_claim)
+
+    def run(self, keptSeconds):
+        """Script: drop streams that nobody touched for long, the oldest first when too many."""
+        while True:
+            yield Sleep(self.node.bounds.news)
+            edgeTime = self.node.now() - keptSeconds
+            keptStreams = {n: s for n, s in self.streams.items() if s.touchedAt > edgeTime}
+            if len(keptStreams) > KEPT_STREAMS:
+                newest = sorted(keptStreams.values(), key=lambda s: -s.touchedAt)[:KEPT_STREAMS]
+                keptStreams = {s.name: s for s in newest}
+            self.streams = keptStreams
+
+    def open(self, name, inquiry, sender):
+        """Begin the journal of a stream here."""
+        stream = Stream(name, inquiry, sender, self.node.now(), (1, self.node.me.name))
+        self.streams[name] = stream
+        return stream
+
+    def holders(self, name, avoided=()):
+        """Return the reachable nodes in other domains that may hold it, edges first."""
+        me, nifty = self.node.me, self.node.find("nifty")
+        members = [
+            m for m in nifty.roster.members.values()
+            if m.role in ("edge", "core") and m.domain != me.domain and nifty.reaches(m.name)
+            and m.name not in avoided
+        ]
+        return [
+            m.name for m in sorted(
+                members, key=lambda m: (m.role == "edge", score(name, m.name)), reverse=True
+            )
+        ]
+
+    def keep(self, stream, newPieces, ended=False):
+        """Script: add pieces here and at a second holder; return once both have them."""
+        if self.streams.get(stream.name) is not stream:
+            raise Fenced(stream=stream.name)
+        oldCount = len(stream.pieces)
+        stream.pieces = (*stream.pieces, *newPieces)
+        stream.ended = ended or stream.ended
+        stream.touchedAt = self.node.now()
+        avoidedNames = set()
+        while True:
+            if stream.holder is None:
+                candidates = self.holders(stream.name, avoidedNames)
+                if not candidates:
+                    raise Refused(reason="no second holder in another domain")
+                stream.holder, oldCount = candidates[0], 0
+            try:
+                yield from self.node.call(stream.holder, "journal.append", {
+                    "stream": stream.name, "inquiry": stream.inquiry, "sender": stream.sender,
+                    "from": oldCount, "pieces": list(stream.pieces[oldCount:]),
+                    "ended": stream.ended, "round": list(stream.round),
+                })
+                return
+            except Fenced:
+                self.streams.pop(stream.name, None)
+                raise
+            except Trouble as trouble:
+                self.node.count("holder_changes")
+                self.node.log("warning", "holder %s: %s", stream.holder, trouble)
+                avoidedNames.add(stream.holder)
+                stream.holder = None
+
+    def on_append(self, body, origin):
+        """Hold pieces for another node; a lower round is fenced off, a gap refused."""
+        known = self.streams.get(body["stream"])
+        streamRound = tuple(body["round"])
+        if known is not None and known.round > streamRound:
+            raise Fenced(stream=body["stream"])
+        stream = known
+        if known is None or known.round < streamRound:
+            stream = Stream(
+                body["stream"], body["inquiry"], body["sender"], self.node.now(), streamRound
+            )
+            stream.pieces = known.pieces if known is not None else ()
+        start = body["from"]
+        if start > len(stream.pieces):
+            raise NotFound(stream=body["stream"], held=len(stream.pieces))
+        stream.pieces = (*stream.pieces[:start], *body["pieces"])
+        stream.ended, stream.touchedAt = body["ended"], self.node.now()
+        self.streams[stream.name] = stream
+        return len(stream.pieces)
+
+    def on_find(self, body, origin):
+        """Tell the round and length of a stream held here for this sender."""
+        stream = self.streams.get(body["stream"])
+        if stream is None or stream.sender != body["sender"]:
+            raise NotFound(field="stream")
+        return [list(stream.round), len(stream.pieces)]
+
+    def on_claim(self, body, origin):
+        """Hand a stream over to a higher round; the former round can add no more."""
+        stream = self.streams.get(body["stream"])
+        if stream is None or stream.sender != body["sender"]:
+            raise NotFound(field="stream")
+        claimRound = tuple(body["round"])
+        if stream.round >= claimRound:
+            raise Fenced(stream=stream.name)
+        claimed = Stream(stream.name, stream.inquiry, stream.sender, self.node.now(), claimRound)
+        claimed.pieces, claimed.ended = stream.pieces, stream.ended
+        self.streams[stream.name] = claimed
+        return [stream.inquiry, list(stream.pieces), stream.ended]
+
+    def claim(self, name, sender):
+        """Script: find a stream wherever it is held, fence its former round, run it here."""
+        nifty = self.node.find("nifty")
+        names = [
+            m.name for m in nifty.roster.members.values()
+            if m.role in ("edge", "core") and nifty.reaches(m.name)
+        ]
+        question = {"stream": name, "sender": sender}
+        found = yield from self.node.gather(
+            [(n, "journal.find", question) for n in names], len(names)
+        )
+        holders = {n: reply for n, reply in found.items() if not isinstance(reply, Trouble)}
+        if not holders:
+            raise NotFound(field="stream")
+        claimRound = (max(reply[0][0] for reply in holders.values()) + 1, self.node.me.name)
+        claims = yield from self.node.gather(
+            [(n, "journal.claim", {**question, "round": list(claimRound)}) for n in holders],
+            len(holders),
+        )
+        goodClaims = [reply for reply in claims.values() if not isinstance(reply, Trouble)]
+        if not goodClaims:
+            raise Fenced(stream=name)
+        inquiry, pieces, ended = max(goodClaims, key=lambda reply: (len(reply[1]), reply[2]))
+        stream = Stream(name, inquiry, sender, self.node.now(), claimRound)
+        stream.pieces, stream.ended = tuple(pieces), ended
+        self.streams[name] = stream
+        return stream
--- /dev/null
+++ b/quillring/edge/replicas.py
@@ -0,0 +1,123 @@
+"""Replicas as the nodes see them: their beats, their silence, their stalls."""
+
+import jsonschema
+
+from quillring.kernel.troubles import BadInquiry, Conflict
+from quillring.kernel.wsgi import check_body
+
+NAME = {"type": "string", "pattern": "^[a-z][a-z0-9-]{0,40}$"}
+BEAT = jsonschema.Draft202012Validator({
+    "type": "object",
+    "additionalProperties": False,
+    "required": [
+        "name", "service", "domain", "address", "slots", "state", "incarnation", "sequence",
+    ],
+    "properties": {
+        "name": NAME, "service": {"type": "string", "maxLength": 41}, "domain": NAME,
+        "address": {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"},
+        "slots": {"type": "integer", "minimum": 1, "maximum": 10_000},
+        "busy": {"type": "integer", "minimum": 0},
+        "state": {"enum": ["cold", "ready", "leaving", "gone"]},
+        "incarnation": {"type": "integer", "minimum": 0},
+        "sequence": {"type": "integer", "minimum": 0},
+    },
+})
+AWAY = ("leaving", "gone")
+
+
+class Replica:
+    """One replica as this node sees it."""
+
+    __slots__ = (
+        "name", "service", "domain", "address", "slots", "state", "incarnation", "sequence",
+        "heardAt", "bornAt", "inFlight", "stalledUntil",
+    )
+
+    def __init__(self, beat, now, former=None):
+        self.name = beat["name"]
+        self.service = beat["service"]
+        self.domain = beat["domain"]
+        host, port = beat["address"].rsplit(":", 1)
+        self.address = (host, int(port))
+        self.slots = beat["slots"]
+        self.state = beat["state"]
+        self.incarnation = beat["incarnation"]
+        self.sequence = beat["sequence"]
+        isSame = former is not None and former.incarnation == self.incarnation
+        self.heardAt = now
+        self.bornAt = former.bornAt if isSame else now
+        self.inFlight = former.inFlight if former is not None else 0
+        self.stalledUntil = former.stalledUntil if isSame else 0
+
+    def to_json(self, now):
+        """Return the replica as operators see it."""
+        return {
+            "name": self.name, "service": self.service, "domain": self.domain,
+            "address": f"{self.address[0]}:{self.address[1]}", "state": self.state,
+            "slots": self.slots, "in_flight_here": self.inFlight,
+            "silent_s": round(now - self.heardAt, 3),
+        }
+
+
+class Replicas:
+    """The table of replicas, fed by beats that any node took and gossip passed on."""
+
+    __slots__ = ("node", "table", "on_change")
+
+    def __init__(self, node):
+        self.node = node
+        self.table = {}
+        self.on_change = []
+        node.find("gossip").listen("replica/", self._on_news)
+
+    def on_beat(self, beat):
+        """Take a beat that reached this node; an older incarnation is refused."""
+        check_body(BEAT, beat)
+        known = self.table.get(beat["name"])
+        if known is not None and known.incarnation > beat["incarnation"]:
+            raise Conflict(field="incarnation", winning_incarnation=known.incarnation)
+        self.node.find("gossip").put(
+            f"replica/{beat['name']}", [beat["incarnation"], beat["sequence"]], beat
+        )
+        return {"taken": True}
+
+    def _on_news(self, key, beat):
+        try:
+            check_body(BEAT, beat)
+        except BadInquiry:
+            self.node.count("bad_replica_news")
+            return
+        former = self.table.get(beat["name"])
+        if former is not None and former.state in AWAY and former.incarnation == beat[
+                "incarnation"] and beat["state"] not in AWAY:
+            return
+        self.table[beat["name"]] = Replica(beat, self.node.now(), former)
+        for listener in self.on_change:
+            listener()
+
+    def find(self, name):
+        """Return the replica of this name, or None."""
+        return self.table.get(name)
+
+    def may_get_work(self, replica):
+        """Tell whether a replica may get something new by all that this node knows."""
+        now = self.node.now()
+        return (
+            replica.state not in AWAY
+            and now - replica.heardAt < self.node.bounds.silent
+            and now >= replica.stalledUntil
+            and not self.node.find("layout").is_emptied(replica.domain)
+        )
+
+    def working(self, service):
+        """Return the replicas of a service that may get something new."""
+        return [
+            replica for replica in self.table.values()
+            if replica.service == service and self.may_get_work(replica)
+        ]
+
+    def stalled(self, replica):
+        """Keep new work from a replica that stalled or broke off, for one news bound."""
+        known = self.table.get(replica.name)
+        if known is not None and known.incarnation == replica.incarnation:
+            known.stalledUntil = self.node.now() + self.node.bounds.news
--- /dev/null
+++ b/quillring/edge/short.py
@@ -0,0 +1,93 @@
+"""Short inquiries: map tiles and seat confirmations."""
+
+import jsonschema
+
+from quillring.edge.streams import check_before_sending
+from quillring.kernel.effects import Fetch
+from quillring.kernel.troubles import (
+    BackendTrouble,
+    BadInquiry,
+    NotFound,
+    NotSent,
+    OutcomeUnknown,
+    Refused,
+)
+from quillring.kernel.wsgi import check_body, route
+
+SEAT = jsonschema.Draft202012Validator({
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["entry", "key", "seat"],
+    "properties": {
+        "entry": {"type": "string", "maxLength": 41},
+        "key": {"type": "string", "minLength": 1, "maxLength": 200},
+        "seat": {"type": "string", "minLength": 1, "maxLength": 200},
+    },
+})
+
+
+@route("GET", "/v1/tiles/{entry}/{zoom}/{column}/{row}")
+def serve_tile(node, inquiry):
+    """Serve one map tile."""
+    words = inquiry.words
+    faultyNames = [n for n in ("zoom", "column", "row") if not words[n].isdigit()]
+    if faultyNames:
+        raise BadInquiry(
+            field=faultyNames[0],
+            faults=[{"field": name, "fault": "not a number"} for name in faultyNames],
+        )
+    path = f"/v1/tiles/{words['zoom']}/{words['column']}/{words['row']}"
+    answer = yield from ask_replica(node, words["entry"], "map", "GET", path, None, path)
+    return {"tile": answer["tile"]}
+
+
+@route("POST", "/v1/seats")
+def serve_seat(node, inquiry):
+    """Confirm one seat; the checkout app may repeat the call under the same key."""
+    check_body(SEAT, inquiry.body)
+    body = {"key": inquiry.body["key"], "seat": inquiry.body["seat"], "sender": inquiry.sender}
+    answer = yield from ask_replica(
+        node, inquiry.body["entry"], "checkout", "POST", "/v1/seats", body, body["key"]
+    )
+    return {"key": body["key"], "seat": body["seat"], "confirmed": answer["confirmed"]}
+
+
+def ask_replica(node, entryName, kind, method, path, body, affinity):
+    """Script: ask one replica; another only when that is allowed or the first got nothing."""
+    node.find("freshness").check()
+    if node.is_draining:
+        raise Refused(reason="draining")
+    entry, service, promise = node.find("layout").entry(entryName)
+    if service["kind"] != kind:
+        raise NotFound(field="entry", entry=entryName)
+    endTime = node.now() + promise["time_left_ms"] / 1000
+    name = f"{node.me.name}-{node.world.random.getrandbits(64):016x}"
+    avoidedNames, lastTrouble = set(), None
+    while True:
+        try:
+            lease = yield from node.find("dispatch").acquire(
+                entry["service"], entry["class"], promise, affinity, endTime, avoidedNames
+            )
+        except Refused as refusal:
+            raise lastTrouble or refusal from refusal
+        try:
+            check_before_sending(node, lease.replica, endTime)
+            status, answer = yield Fetch(
+                lease.replica.address, method, f"{path}?inquiry={name}",
+                body and {**body, "inquiry": name}, endTime - node.now(),
+            )
+            if status == 503:
+                raise NotSent(reason="busy")
+            if status == 200 and isinstance(answer, dict) and answer.get("inquiry") == name:
+                return answer
+            raise BackendTrouble(reason="strange answer", status=status)
+        except BackendTrouble as trouble:
+            node.count("replica_troubles")
+            avoidedNames.add(lease.replica.name)
+            if not isinstance(trouble, NotSent):
+                node.find("replicas").stalled(lease.replica)
+                lastTrouble = OutcomeUnknown(reason="the replica broke off")
+                if not promise.get("repeatable", True):
+                    raise lastTrouble from trouble
+        finally:
+            lease.release()
--- /dev/null
+++ b/quillring/edge/streams.py
@@ -0,0 +1,177 @@
+"""Model inquiries: streamed, numbered, journalled, resumed."""
+
+import jsonschema
+
+from quillring.edge.dispatch import prefix_key
+from quillring.edge.tokens import make_token, read_token
+from quillring.kernel.effects import Emit, Next, Open
+from quillring.kernel.troubles import (
+    BackendTrouble,
+    BadInquiry,
+    Conflict,
+    NotSent,
+    OutcomeUnknown,
+    Refused,
+    TimedOut,
+    Trouble,
+)
+from quillring.kernel.wsgi import check_body, route
+
+MODEL_INQUIRY = jsonschema.Draft202012Validator({
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["entry", "prompt"],
+    "properties": {
+        "entry": {"type": "string", "maxLength": 41},
+        "prompt": {"type": "string", "maxLength": 200_000},
+        "max_pieces": {"type": "integer", "minimum": 1, "maximum": 100_000},
+        "time_left_ms": {"type": "integer", "minimum": 1, "maximum": 86_400_000},
+    },
+})
+STALL_MS = 4000
+
+
+@route("POST", "/v1/inquiries")
+def serve_model(node, inquiry):
+    """Serve one streamed model inquiry."""
+    check_body(MODEL_INQUIRY, inquiry.body)
+    node.find("freshness").check()
+    _, service, promise = node.find("layout").entry(inquiry.body["entry"])
+    if service["kind"] != "model":
+        raise BadInquiry(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
+    if node.is_draining:
+        raise Refused(reason="draining")
+    timeLeft = min(inquiry.body.get("time_left_ms", 1 << 40), promise["time_left_ms"]) / 1000
+    streamName = f"{node.me.name}-{node.world.random.getrandbits(96):024x}"
+    stream = node.find("journal").open(streamName, inquiry.body, inquiry.sender)
+    yield from run_stream(node, stream, 0, node.now() + timeLeft)
+
+
+@route("GET", "/v1/streams/{token}")
+def resume_stream(node, inquiry):
+    """Serve what follows the last piece the sender has."""
+    secret = node.find("duty").founding()["secret"]
+    streamName = read_token(secret, inquiry.words["token"], inquiry.sender, node.world.wall())
+    afterTexts = inquiry.query.get("after", ["0"])
+    if not afterTexts[0].isdigit():
+        raise BadInquiry(field="after", faults=[{"field": "after", "fault": "not a count"}])
+    sentCount = int(afterTexts[0])
+    stream = yield from node.find("journal").claim(streamName, inquiry.sender)
+    if len(stream.pieces) < sentCount:
+        raise Conflict(field="after", held=len(stream.pieces))
+    node.count("resumes")
+    _, _, promise = node.find("layout").entry(stream.inquiry["entry"])
+    if not stream.ended:
+        node.find("freshness").check()
+        if not promise.get("resumable", True):
+            raise NotResumable(class_name="resumable")
+    yield from run_stream(node, stream, sentCount, node.now() + promise["time_left_ms"] / 1000)
+
+
+class NotResumable(Trouble):
+    """The class of this stream forbids resuming it."""
+
+    kind = "not_resumable"
+    status = 410
+
+
+class Sending:
+    """How far one answer has gone out to its sender."""
+
+    __slots__ = ("count", "headLine", "hasHead")
+
+    def __init__(self, count, headLine):
+        self.count = count
+        self.headLine = headLine
+        self.hasHead = False
+
+
+def run_stream(node, stream, sentCount, endTime):
+    """Script: emit what the journal holds, then go on at replicas until the end."""
+    secret = node.find("duty").founding()["secret"]
+    token = make_token(secret, stream.name, stream.sender, node.world.wall())
+    sending = Sending(sentCount, {"stream": stream.name, "resume": token, "after": sentCount})
+    avoidedNames = set()
+    try:
+        yield from emit_held(stream, sending)
+        while not stream.ended:
+            yield from one_round(node, stream, sending, endTime, avoidedNames)
+    except Trouble as trouble:
+        if not sending.hasHead:
+            raise
+        node.count("broken_streams")
+        yield Emit({"end": False, **trouble.to_json(), "pieces": sending.count})
+        return
+    yield Emit({"end": True, "pieces": len(stream.pieces)})
+
+
+def emit_held(stream, sending):
+    """Script: emit the pieces that two nodes hold and the sender lacks."""
+    if not sending.hasHead and (stream.ended or sending.count < len(stream.pieces)):
+        sending.hasHead = True
+        yield Emit(sending.headLine)
+    while sending.count < len(stream.pieces):
+        sending.count += 1
+        yield Emit({"n": sending.count, "piece": stream.pieces[sending.count - 1]})
+
+
+def one_round(node, stream, sending, endTime, avoidedNames):
+    """Script: run or continue the stream on one replica until it ends or breaks."""
+    entry, service, promise = node.find("layout").entry(stream.inquiry["entry"])
+    prefix = entry.get("prefix", "")
+    waitEnd = min(endTime, node.now() + promise["first_piece_ms"] / 1000)
+    lease = yield from node.find("dispatch").acquire(
+        entry["service"], entry["class"], promise, prefix_key(prefix), waitEnd, avoidedNames
+    )
+    replica, handle = lease.replica, None
+    try:
+        check_before_sending(node, replica, endTime)
+        handle = yield Open(replica.address, "/v1/generate", {
+            "inquiry": stream.name, "prefix": prefix, "prompt": stream.inquiry["prompt"],
+            "from": len(stream.pieces), "max_pieces": stream.inquiry.get("max_pieces", 64),
+        }, min(endTime - node.now(), service.get("stall_ms", STALL_MS) / 1000))
+        if handle.status == 503:
+            raise NotSent(replica=replica.name, reason="busy")
+        yield from read_pieces(node, stream, sending, handle, service, endTime)
+    except BackendTrouble as trouble:
+        node.count("replica_troubles")
+        node.log("warning", "replica %s: %s", replica.name, trouble)
+        avoidedNames.add(replica.name)
+        if not isinstance(trouble, NotSent):
+            node.find("replicas").stalled(replica)
+            if node.now() >= endTime:
+                raise TimedOut(stream=stream.name) from trouble
+            if not promise.get("resumable", True):
+                raise OutcomeUnknown(stream=stream.name) from trouble
+    finally:
+        lease.release()
+        if handle is not None:
+            handle.close()
+
+
+def check_before_sending(node, replica, endTime):
+    """Refuse when this node slept or the world moved on since the replica was chosen."""
+    node.find("freshness").check()
+    if node.now() >= endTime:
+        raise Refused(reason="no time left")
+    if not node.find("replicas").may_get_work(replica):
+        raise NotSent(replica=replica.name, reason="left")
+
+
+def read_pieces(node, stream, sending, handle, service, endTime):
+    """Script: take the replica's numbered pieces, each one kept twice before it is emitted."""
+    journal, stallSeconds = node.find("journal"), service.get("stall_ms", STALL_MS) / 1000
+    while True:
+        line = yield Next(handle, max(0.001, min(endTime - node.now(), stallSeconds)))
+        if not isinstance(line, dict) or line.get("inquiry") != stream.name:
+            raise BackendTrouble(reason="broken off" if line is None else "strange line")
+        if line.get("end"):
+            if line.get("pieces") != len(stream.pieces):
+                raise BackendTrouble(reason="pieces are missing")
+            yield from journal.keep(stream, (), ended=True)
+            yield from emit_held(stream, sending)
+            return
+        if line.get("n") != len(stream.pieces) + 1 or not isinstance(line.get("piece"), str):
+            raise BackendTrouble(reason="strange piece")
+        yield from journal.keep(stream, (line["piece"],))
+        yield from emit_held(stream, sending)
--- /dev/null
+++ b/quillring/edge/tokens.py
@@ -0,0 +1,44 @@
+"""Resume tokens: signed with the fleet's secret, bound to one sender, ending in time."""
+
+import base64
+import hashlib
+import hmac
+
+import cbor2
+
+from quillring.kernel.troubles import Trouble
+
+LIFE_SECONDS = 600
+
+
+class BadToken(Trouble):
+    """The resume token is not valid for this sender; nothing more is disclosed."""
+
+    kind = "bad_token"
+    status = 403
+
+
+def make_token(secret, stream, sender, now):
+    """Return the token under which the sender may resume the stream."""
+    body = cbor2.dumps([stream, int(now) + LIFE_SECONDS])
+    return base64.urlsafe_b64encode(_sign(secret, sender, body) + body).decode().rstrip("=")
+
+
+def read_token(secret, token, sender, now):
+    """Return the stream's name, or raise BadToken."""
+    try:
+        data = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))
+        signature, body = data[:16], data[16:]
+        if not hmac.compare_digest(signature, _sign(secret, sender, body)):
+            raise BadToken()
+        stream, endTime = cbor2.loads(body)
+    except (ValueError, TypeError, cbor2.CBORError) as error:
+        raise BadToken() from error
+    if now > endTime:
+        raise BadToken()
+    return stream
+
+
+def _sign(secret, sender, body):
+    message = len(sender.encode()).to_bytes(4, "big") + sender.encode() + body
+    return hmac.new(secret, message, hashlib.sha256).digest()[:16]
--- /dev/null
+++ b/quillring/fleet.py
@@ -0,0 +1,88 @@
+"""Assembly: which services a node of each role is made of; the same in every world."""
+
+from quillring.duty import Duty
+from quillring.edge import Dispatch, Journal, Replicas
+from quillring.edge.tokens import LIFE_SECONDS
+from quillring.gossip import Gossip
+from quillring.kernel.node import Node
+from quillring.kernel.registry import Registry
+from quillring.lots import LotRunner
+from quillring.nifty import Member, Nifty
+from quillring.quorum import Acceptors
+from quillring.rollout import Freshness, LayoutImage
+from quillring.rollout import commands as rollout_commands
+from quillring.store import SlotStore
+from quillring.verbs import routes as verb_routes
+
+ROLES = Registry("role")
+PLUGINS = (rollout_commands, verb_routes)
+
+
+def make_node(me, world, seeds, bounds, log=None):
+    """Return a node with the services every role has; nothing runs yet."""
+    node = Node(me, world, bounds, log)
+    nifty = node.offer("nifty", Nifty(node, seeds))
+    gossip = node.offer("gossip", Gossip(node))
+    node.offer("duty", Duty(node))
+    node.offer("layout", LayoutImage(node))
+    node.offer("freshness", Freshness(node))
+    node.offer("replicas", Replicas(node))
+
+    def put_member(member):
+        gossip.put(f"member/{member.name}", [member.incarnation], member.to_list())
+
+    nifty.on_member = put_member
+    nifty.on_strange_roster = gossip.mend_with
+    gossip.listen("member/", lambda key, fields: nifty.learn(Member.from_list(fields)))
+    put_member(me)
+    return node
+
+
+def start_node(node, acceptors=None):
+    """Start the scripts of a node's role; a store brings its recovered acceptors."""
+    ROLES.find(node.me.role)(node, acceptors)
+    for name in ("nifty", "gossip", "freshness"):
+        node.spawn(node.find(name).run())
+
+
+@ROLES.entry("edge")
+def start_edge(node, acceptors):
+    """An edge serves inquiries."""
+    _start_serving(node)
+
+
+@ROLES.entry("core")
+def start_core(node, acceptors):
+    """A core owns parts, runs lots and holds journals."""
+    _start_serving(node)
+    runner = node.offer("lots", LotRunner(node))
+    node.spawn(node.find("duty").run())
+    node.spawn(runner.run())
+
+
+def _start_serving(node):
+    dispatch = node.offer("dispatch", Dispatch(node))
+    journal = node.offer("journal", Journal(node))
+    node.spawn(dispatch.run())
+    node.spawn(journal.run(LIFE_SECONDS))
+
+
+@ROLES.entry("store")
+def start_store(node, acceptors):
+    """A store keeps the parts it is a member of."""
+    acceptors = node.offer("acceptors", acceptors)
+    acceptors.attach(node)
+    node.find("nifty").stampSource = acceptors.stamp
+    node.spawn(acceptors.slots.run(node.bounds.beat))
+    if acceptors.founding is not None:
+        node.find("gossip").put("founding", [1], acceptors.founding)
+
+
+def open_store(disk, name, makeIdentity):
+    """Recover the acceptors of a data folder, or begin it; return them with their identity."""
+    acceptors = Acceptors()
+    acceptors.slots = SlotStore(disk, acceptors)
+    if not acceptors.slots.recover():
+        acceptors.identity = f"{name}.{makeIdentity()}"
+        acceptors.slots.turn()
+    return acceptors
--- /dev/null
+++ b/quillring/gossip/gossip.py
@@ -0,0 +1,121 @@
+"""Versioned news: pushed to a few, mended by digest comparison."""
+
+import hashlib
+import math
+
+import cbor2
+
+from quillring.kernel.effects import Sleep
+
+FANOUT = 3
+
+
+class Gossip:
+    """The news table of a node; a key only ever moves to a higher version."""
+
+    __slots__ = ("node", "table", "fresh", "listeners", "digest", "syncedAt")
+
+    def __init__(self, node):
+        self.node = node
+        self.table = {}
+        self.fresh = {}
+        self.listeners = {}
+        self.digest = None
+        self.syncedAt = {}
+        node.handle("gossip.news", self.on_news)
+        node.handle("gossip.digest", self.on_digest)
+        node.handle("gossip.versions", self.on_versions)
+
+    def listen(self, prefix, listener):
+        """Call listener(key, value) whenever a key under the prefix moves on."""
+        self.listeners.setdefault(prefix, []).append(listener)
+
+    def get(self, key):
+        """Return the value of a key, or None."""
+        return self.table[key][1] if key in self.table else None
+
+    def under(self, prefix):
+        """Return {key: value} of all keys under the prefix."""
+        return {k: value for k, (_, value) in self.table.items() if k.startswith(prefix)}
+
+    def put(self, key, version, value):
+        """Take news; False when the version is no newer than the known one."""
+        version = tuple(version)
+        if key in self.table and self.table[key][0] >= version:
+            return False
+        self.table[key] = (version, value)
+        self.digest = None
+        memberCount = len(self.node.find("nifty").roster.names)
+        self.fresh[key] = math.ceil(math.log2(memberCount + 1)) + 1
+        for prefix, prefixListeners in self.listeners.items():
+            if key.startswith(prefix):
+                for listener in prefixListeners:
+                    listener(key, value)
+        return True
+
+    def run(self):
+        """Script: pass fresh news on, and compare digests once a beat."""
+        ticks = 0
+        while True:
+            yield Sleep(self.node.bounds.chatter)
+            ticks += 1
+            self.push_news()
+            if ticks % round(self.node.bounds.beat / self.node.bounds.chatter) == 0:
+                for name in self._some_members(1):
+                    self.node.cast(name, "gossip.digest", self.table_digest())
+
+    def push_news(self):
+        """Send the fresh keys to a few members; each key goes out a few times."""
+        if not self.fresh:
+            return
+        items = [[key, list(self.table[key][0]), self.table[key][1]] for key in self.fresh]
+        for name in self._some_members(FANOUT):
+            self.node.cast(name, "gossip.news", items)
+        self.fresh = {key: left - 1 for key, left in self.fresh.items() if left > 1}
+
+    def _some_members(self, count):
+        reachedNames = sorted(self.node.find("nifty").graph.routes)
+        return self.node.world.random.sample(reachedNames, min(count, len(reachedNames)))
+
+    def table_digest(self):
+        """Return the digest over all keys and versions."""
+        if self.digest is None:
+            versions = sorted((key, list(version)) for key, (version, _) in self.table.items())
+            self.digest = hashlib.sha256(cbor2.dumps(versions)).digest()[:8]
+        return self.digest
+
+    def mend_with(self, name):
+        """Compare the whole table with one member, at most once a beat."""
+        now = self.node.now()
+        if now - self.syncedAt.get(name, -math.inf) >= self.node.bounds.beat / 2:
+            self.syncedAt[name] = now
+            self.node.cast(name, "gossip.digest", self.table_digest())
+
+    def on_news(self, items, origin):
+        """Take pushed news."""
+        for key, version, value in items:
+            self.put(key, version, value)
+
+    def on_digest(self, digest, origin):
+        """Answer a differing digest with the versions held here."""
+        if digest != self.table_digest():
+            versions = {key: list(version) for key, (version, _) in self.table.items()}
+            self.node.cast(origin, "gossip.versions", [versions, True])
+
+    def on_versions(self, body, origin):
+        """Send what the other side lacks; let it send what is lacking here."""
+        otherVersions, wantsBack = body
+        newerItems = [
+            [key, list(version), value]
+            for key, (version, value) in self.table.items()
+            if tuple(otherVersions.get(key, ())) < version
+        ]
+        if newerItems:
+            self.node.cast(origin, "gossip.news", newerItems)
+        isBehind = any(
+            key not in self.table or self.table[key][0] < tuple(version)
+            for key, version in otherVersions.items()
+        )
+        if wantsBack and isBehind:
+            versions = {key: list(version) for key, (version, _) in self.table.items()}
+            self.node.cast(origin, "gossip.versions", [versions, False])
--- /dev/null
+++ b/quillring/kernel/backend.py
@@ -0,0 +1,82 @@
+"""HTTP/1.1 + JSON towards back ends, by geventhttpclient."""
+
+import json
+
+import gevent
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPConnectionClosed, HTTPProtocolViolationError
+
+from quillring.kernel.troubles import BackendTrouble, NotSent
+
+HEADERS = {"Content-Type": "application/json"}
+READ_ERRORS = (OSError, HTTPConnectionClosed, HTTPProtocolViolationError, ValueError)
+
+
+class Handle:
+    """An open streamed answer."""
+
+    __slots__ = ("client", "response", "status", "kept")
+
+    def __init__(self, client, response):
+        self.client = client
+        self.response = response
+        self.status = response.status_code
+        self.kept = b""
+
+    def close(self):
+        """Close the connection, which tells the replica to stop."""
+        self.client.close()
+
+
+def _connect(address, seconds):
+    client = HTTPClient(
+        address[0], address[1], connection_timeout=min(seconds, 1.0),
+        network_timeout=max(seconds, 0.01), concurrency=1,
+    )
+    try:
+        sock = client._connection_pool.get_socket()
+    except OSError as error:
+        raise NotSent(address=list(address), reason=type(error).__name__) from error
+    client._connection_pool.return_socket(sock)
+    return client
+
+
+def _request(client, method, path, body):
+    data = b"" if body is None else json.dumps(body).encode()
+    return client.request(method, path, body=data, headers=HEADERS)
+
+
+def fetch(effect):
+    """Send an inquiry and return (status, JSON body)."""
+    client = _connect(effect.address, effect.seconds)
+    try:
+        with gevent.Timeout(effect.seconds, BackendTrouble(reason="time")):
+            response = _request(client, effect.method, effect.path, effect.body)
+            return response.status_code, json.loads(response.read() or b"null")
+    except READ_ERRORS as error:
+        raise BackendTrouble(reason=type(error).__name__) from error
+    finally:
+        client.close()
+
+
+def open_stream(effect):
+    """Send an inquiry and return the handle of its streamed answer."""
+    client = _connect(effect.address, effect.seconds)
+    try:
+        with gevent.Timeout(effect.seconds, BackendTrouble(reason="time")):
+            return Handle(client, _request(client, "POST", effect.path, effect.body))
+    except (*READ_ERRORS, BackendTrouble) as error:
+        client.close()
+        if isinstance(error, BackendTrouble):
+            raise
+        raise BackendTrouble(reason=type(error).__name__) from error
+
+
+def next_line(effect):
+    """Return the next JSON line, or None at the end."""
+    try:
+        with gevent.Timeout(effect.seconds, BackendTrouble(reason="stall")):
+            line = effect.handle.response.readline(b"\n")
+            return json.loads(line) if line else None
+    except READ_ERRORS as error:
+        raise BackendTrouble(reason=type(error).__name__) from error
--- /dev/null
+++ b/quillring/kernel/effects.py
@@ -0,0 +1,78 @@
+"""What a script may ask of the world that drives it.
+
+A script is a generator: the state machine of one job. It yields an effect, is sent the effect's
+outcome, and reads the time only through its node. gevent drives scripts in production, simpy in
+the simulator.
+"""
+
+
+class Effect:
+    """Base of all effects; the fields are the slots, in order."""
+
+    __slots__ = ()
+
+    def __init__(self, *fields):
+        for slot, field in zip(self.__slots__, fields, strict=True):
+            setattr(self, slot, field)
+
+
+class Sleep(Effect):
+    """Resume after so many seconds."""
+
+    __slots__ = ("seconds",)
+
+
+class Wait(Effect):
+    """Resume with True once the signal is set, with False after so many seconds."""
+
+    __slots__ = ("signal", "seconds")
+
+
+class Sync(Effect):
+    """Resume once the records are durable in the node's own log."""
+
+    __slots__ = ("records",)
+
+
+class Fetch(Effect):
+    """Send one HTTP inquiry to a back end; resume with (status, body)."""
+
+    __slots__ = ("address", "method", "path", "body", "seconds")
+
+
+class Open(Effect):
+    """Open a streamed HTTP answer of a back end; resume with its handle."""
+
+    __slots__ = ("address", "path", "body", "seconds")
+
+
+class Next(Effect):
+    """Resume with the next line of an open stream, or None at its end."""
+
+    __slots__ = ("handle", "seconds")
+
+
+class Emit(Effect):
+    """Hand one line to the sender of the inquiry."""
+
+    __slots__ = ("line",)
+
+
+class Signal:
+    """A one-shot event with a value that any world can wait for."""
+
+    __slots__ = ("is_set", "value", "watchers")
+
+    def __init__(self):
+        self.is_set = False
+        self.value = None
+        self.watchers = []
+
+    def set(self, value=None):
+        """Set the signal; a second call changes nothing."""
+        if self.is_set:
+            return
+        self.is_set, self.value = True, value
+        wokenWatchers, self.watchers = self.watchers, []
+        for watcher in wokenWatchers:
+            watcher()
--- /dev/null
+++ b/quillring/kernel/gevent_world.py
@@ -0,0 +1,181 @@
+"""The production world: gevent drives the scripts, sockets carry datagrams and frames."""
+
+import os
+import random
+import struct
+import time
+
+import gevent
+import gevent.event
+import gevent.queue
+import gevent.server
+import gevent.socket
+
+from quillring.kernel import backend
+from quillring.kernel.effects import Emit, Fetch, Next, Open, Sleep, Wait
+from quillring.kernel.troubles import Trouble
+
+FRAME_HEAD = struct.Struct(">I")
+FRAME_LIMIT = 64 * 1024 * 1024
+QUEUE_LIMIT = 1024
+
+
+class GeventWorld:
+    """Time, chance, network and scripts of one process."""
+
+    __slots__ = ("random", "udpSocket", "channels", "report", "frameTimeout")
+
+    def __init__(self, report, frameTimeout):
+        self.random = random.Random(os.urandom(16))
+        self.udpSocket = None
+        self.channels = {}
+        self.report = report
+        self.frameTimeout = frameTimeout
+
+    def now(self):
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+    def wall(self):
+        """Return seconds of the wall clock, for what outlives a process."""
+        return time.time()
+
+    def secret(self, count):
+        """Return bytes nobody can guess."""
+        return os.urandom(count)
+
+    def listen(self, host, port, on_datagram, on_frame):
+        """Take datagrams and frames at the address."""
+        self.udpSocket = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
+        self.udpSocket.bind((host, port))
+        gevent.spawn(self._read_datagrams, on_datagram)
+        server = gevent.server.StreamServer(
+            (host, port), lambda conn, _: self._read_frames(conn, on_frame)
+        )
+        server.start()
+        return server
+
+    def _read_datagrams(self, on_datagram):
+        while True:
+            try:
+                data, _ = self.udpSocket.recvfrom(65535)
+            except OSError:
+                continue
+            self._guard(on_datagram, data)
+
+    def _read_frames(self, conn, on_frame):
+        with conn, conn.makefile("rb") as reader:
+            while True:
+                try:
+                    head = reader.read(FRAME_HEAD.size)
+                    if len(head) < FRAME_HEAD.size:
+                        return
+                    (length,) = FRAME_HEAD.unpack(head)
+                    data = reader.read(length) if length <= FRAME_LIMIT else b""
+                except OSError:
+                    return
+                self._guard(on_frame, data)
+                if len(data) < length:
+                    return
+
+    def _guard(self, handler, data):
+        try:
+            handler(data)
+        except Exception as error:
+            self.report(error)
+
+    def datagram(self, address, data):
+        """Send a datagram; it may be lost."""
+        try:
+            self.udpSocket.sendto(data, tuple(address))
+        except OSError:
+            return
+
+    def frame(self, address, data):
+        """Queue a frame on the channel to the address; it may be lost."""
+        channel = self.channels.get(address)
+        if channel is None:
+            channel = self.channels[address] = gevent.queue.Queue()
+            gevent.spawn(self._write_frames, address, channel)
+        if channel.qsize() < QUEUE_LIMIT:
+            channel.put(data)
+
+    def _write_frames(self, address, channel):
+        conn = None
+        while True:
+            data = channel.get()
+            for _ in range(2):
+                try:
+                    if conn is None:
+                        conn = gevent.socket.create_connection(address, self.frameTimeout)
+                        conn.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+                    conn.sendall(FRAME_HEAD.pack(len(data)) + data)
+                    break
+                except OSError:
+                    conn = conn and conn.close()
+
+    def spawn(self, script):
+        """Run a script in its own greenlet."""
+        return gevent.spawn(self._run, script)
+
+    def _run(self, script):
+        try:
+            return self.drive(script)
+        except Trouble as trouble:
+            self.report(trouble)
+        except Exception as error:
+            self.report(error)
+
+    def drive(self, script):
+        """Run a script to its end here and return its value."""
+        lines = self.lines(script)
+        try:
+            while True:
+                next(lines)
+        except StopIteration as stop:
+            return stop.value
+
+    def lines(self, script):
+        """Run a script here; yield each line that it emits; return its value."""
+        value, trouble = None, None
+        try:
+            while True:
+                try:
+                    effect = script.throw(trouble) if trouble else script.send(value)
+                except StopIteration as stop:
+                    return stop.value
+                value, trouble = None, None
+                if isinstance(effect, Emit):
+                    yield effect.line
+                    continue
+                try:
+                    value = self.perform(effect)
+                except Trouble as raisedTrouble:
+                    trouble = raisedTrouble
+        finally:
+            script.close()
+
+    def perform(self, effect):
+        """Bring about one effect and return its outcome."""
+        match effect:
+            case Sleep():
+                gevent.sleep(effect.seconds)
+                return None
+            case Wait():
+                return self._wait(effect.signal, effect.seconds)
+            case Fetch():
+                return backend.fetch(effect)
+            case Open():
+                return backend.open_stream(effect)
+            case Next():
+                return backend.next_line(effect)
+
+    def _wait(self, signal, seconds):
+        if signal.is_set:
+            return True
+        wakeEvent = gevent.event.Event()
+        signal.watchers.append(wakeEvent.set)
+        wakeEvent.wait(max(0, seconds))
+        if not signal.is_set and wakeEvent.set in signal.watchers:
+            signal.watchers.remove(wakeEvent.set)
+        return signal.is_set
--- /dev/null
+++ b/quillring/kernel/node.py
@@ -0,0 +1,149 @@
+"""A node: services that find each other by name, and calls between nodes over nifty."""
+
+import inspect
+
+from quillring.kernel.bounds import Bounds
+from quillring.kernel.effects import Signal, Wait
+from quillring.kernel.troubles import TimedOut, Trouble, UnknownService, Unreachable, rebuild
+
+
+class Node:
+    """The micro-kernel of one process; the world gives time, chance, network and disk."""
+
+    __slots__ = (
+        "me", "world", "bounds", "services", "handlers", "pending", "nextCall", "log", "counts",
+        "is_draining",
+    )
+
+    def __init__(self, me, world, bounds=None, log=None):
+        self.me = me
+        self.world = world
+        self.bounds = bounds or Bounds()
+        self.services = {}
+        self.handlers = {}
+        self.pending = {}
+        self.nextCall = 0
+        self.log = log or (lambda level, text, *fields: None)
+        self.counts = {}
+        self.is_draining = False
+
+    def now(self):
+        """Return the world's monotonic time in seconds."""
+        return self.world.now()
+
+    def count(self, name, amount=1):
+        """Add to one of the node's counters."""
+        self.counts[name] = self.counts.get(name, 0) + amount
+
+    def offer(self, name, service):
+        """Make a service known under a name."""
+        self.services[name] = service
+        return service
+
+    def find(self, name):
+        """Return the service of this name, or None."""
+        return self.services.get(name)
+
+    def handle(self, name, handler):
+        """Let other nodes call the handler: handler(body, origin) gives a value or a script."""
+        self.handlers[name] = handler
+
+    def spawn(self, script):
+        """Run a script beside the others."""
+        return self.world.spawn(script)
+
+    def cast(self, target, service, body):
+        """Send a message that wants no answer; it may be lost."""
+        self._send(target, {"s": service, "b": body})
+
+    def call(self, target, service, body, seconds=None):
+        """Script: call a service of another node and return its answer, or raise its trouble."""
+        callId, replySignal = self._begin(target, service, body)
+        try:
+            yield Wait(replySignal, self.bounds.round if seconds is None else seconds)
+        finally:
+            self.pending.pop(callId, None)
+        if not replySignal.is_set:
+            raise TimedOut(target=target, service=service)
+        if isinstance(replySignal.value, Trouble):
+            raise replySignal.value
+        return replySignal.value
+
+    def gather(self, calls, need, seconds=None):
+        """Script: make all calls at once; return {target: answer or trouble}.
+
+        Returns as soon as `need` of them went well, or all have ended, or the time is over.
+        """
+        gatheredReplies, doneSignal, begunCalls = {}, Signal(), {}
+
+        def settle(target, signal):
+            gatheredReplies[target] = signal.value
+            goodCount = sum(not isinstance(r, Trouble) for r in gatheredReplies.values())
+            if goodCount >= need or len(gatheredReplies) == len(calls):
+                doneSignal.set()
+
+        for target, service, body in calls:
+            begunCalls[target] = self._begin(target, service, body)
+        for target, (_, signal) in begunCalls.items():
+            signal.watchers.append(lambda t=target, s=signal: settle(t, s))
+            if signal.is_set:
+                settle(target, signal)
+        if calls:
+            yield Wait(doneSignal, self.bounds.round if seconds is None else seconds)
+        for callId, _ in begunCalls.values():
+            self.pending.pop(callId, None)
+        return {
+            target: gatheredReplies.get(target, TimedOut(target=target))
+            for target, _, _ in calls
+        }
+
+    def _begin(self, target, service, body):
+        self.nextCall += 1
+        callId, replySignal = self.nextCall, Signal()
+        if target == self.me.name:
+            self.spawn(self._answer(service, body, target, replySignal.set))
+            return callId, replySignal
+        self.pending[callId] = replySignal
+        if not self._send(target, {"s": service, "b": body, "c": callId}):
+            replySignal.set(Unreachable(target=target))
+        return callId, replySignal
+
+    def _send(self, target, message):
+        return self.find("nifty").send(target, message)
+
+    def on_message(self, origin, message):
+        """Take a message that nifty delivered once."""
+        if "r" in message:
+            replySignal = self.pending.pop(message["r"], None)
+            if replySignal is not None:
+                kind = message.get("t")
+                replySignal.set(rebuild(kind, message["b"]) if kind else message["b"])
+            return
+        callId = message.get("c")
+        if callId is None:
+            self.spawn(self._answer(message["s"], message["b"], origin, lambda reply: None))
+            return
+
+        def send_reply(reply):
+            if isinstance(reply, Trouble):
+                self._send(origin, {"r": callId, "t": reply.kind, "b": reply.detail})
+            else:
+                self._send(origin, {"r": callId, "b": reply})
+
+        self.spawn(self._answer(message["s"], message["b"], origin, send_reply))
+
+    def _answer(self, service, body, origin, send_reply):
+        handler = self.handlers.get(service)
+        try:
+            if handler is None:
+                raise UnknownService(service=service)
+            answer = handler(body, origin)
+            if inspect.isgenerator(answer):
+                answer = yield from answer
+        except Trouble as trouble:
+            answer = trouble
+        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+            self.log("error", "handler %s: %r", service, error)
+            self.count("handler_errors")
+            answer = Trouble(service=service)
+        send_reply(answer)
--- /dev/null
+++ b/quillring/kernel/ringlog.py
@@ -0,0 +1,38 @@
+"""Logs: a ring in memory that is written out when something goes wrong."""
+
+import collections
+import logging
+
+
+class RingHandler(logging.Handler):
+    """Keeps the last records in memory and writes them out at the first error."""
+
+    def __init__(self, path=None, room=2000):
+        super().__init__()
+        self.ring = collections.deque(maxlen=room)
+        self.path = path
+
+    def emit(self, record):
+        """Keep the record; at an error write the whole ring to the file."""
+        self.ring.append(self.format(record))
+        if record.levelno >= logging.ERROR:
+            self.dump()
+
+    def dump(self):
+        """Write the ring to its file and start it anew."""
+        if self.path is None:
+            return
+        with open(self.path, "a", encoding="utf-8") as logFile:
+            logFile.write("\n".join(self.ring) + "\n")
+        self.ring.clear()
+
+
+def ring_log(name, path=None):
+    """Return the logger of the node and its ring."""
+    nodeLogger = logging.getLogger(f"quillring.{name}")
+    nodeLogger.setLevel(logging.DEBUG)
+    nodeLogger.propagate = False
+    ringHandler = RingHandler(path)
+    ringHandler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
+    nodeLogger.handlers = [ringHandler]
+    return nodeLogger, ringHandler
--- /dev/null
+++ b/quillring/kernel/settings.py
@@ -0,0 +1,128 @@
+"""Settings of one process, from a file or flags, checked by schema; all faults at once."""
+
+import json
+
+import jsonschema
+
+from quillring.kernel.bounds import Bounds
+from quillring.kernel.troubles import BadSettings
+
+ADDRESS = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
+SECONDS = {"type": "number", "exclusiveMinimum": 0, "maximum": 3600}
+SCHEMA = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["name", "role", "domain", "address", "http_address", "seeds"],
+    "properties": {
+        "name": {
+            "type": "string", "pattern": "^[a-z][a-z0-9-]{0,40}$",
+            "description": "Name of the node, one of its own in the fleet.",
+        },
+        "role": {"enum": ["edge", "core", "store"], "description": "What the process does."},
+        "domain": {
+            "type": "string", "pattern": "^[a-z][a-z0-9-]{0,40}$",
+            "description": "The domain (zone) the machine stands in.",
+        },
+        "address": {**ADDRESS, "description": "IP and port of heartbeats and messages."},
+        "http_address": {**ADDRESS, "description": "IP and port of the HTTP interface."},
+        "seeds": {
+            "type": "array", "items": ADDRESS, "minItems": 1, "maxItems": 3,
+            "description": "Addresses of other processes; they may be down later.",
+        },
+        "folder": {"type": "string", "minLength": 1, "description": "Data folder of a store."},
+        "log_file": {"type": "string", "description": "Where the ring log is written out."},
+        "parts": {
+            "type": "integer", "minimum": 1, "maximum": 64,
+            "description": "Parts of the state beside the config part; used when founding.",
+        },
+        "bounds": {
+            "type": "object", "additionalProperties": False,
+            "description": "The bounds promised to users, in seconds.",
+            "properties": {
+                "news": SECONDS, "emptying": SECONDS, "ending": SECONDS, "reading": SECONDS,
+                "return_": SECONDS,
+            },
+        },
+    },
+}
+
+
+class Settings:
+    """The checked settings of one process."""
+
+    __slots__ = (
+        "name", "role", "domain", "address", "http_address", "seeds", "folder", "log_file",
+        "parts", "bounds",
+    )
+
+    def __init__(self, fields):
+        self.name = fields["name"]
+        self.role = fields["role"]
+        self.domain = fields["domain"]
+        self.address = split_address(fields["address"])
+        self.http_address = split_address(fields["http_address"])
+        self.seeds = tuple(split_address(seed) for seed in fields["seeds"])
+        self.folder = fields.get("folder")
+        self.log_file = fields.get("log_file")
+        self.parts = fields.get("parts", 4)
+        self.bounds = Bounds(**fields.get("bounds", {}))
+
+
+def split_address(text):
+    """Return (host, port) of a checked address text."""
+    host, port = text.rsplit(":", 1)
+    return host, int(port)
+
+
+def find_faults(fields):
+    """Return one clear line for each fault of the settings."""
+    validator = jsonschema.Draft202012Validator(SCHEMA)
+    faults = [
+        f"{'.'.join(str(s) for s in error.absolute_path) or 'settings'}: {error.message}"
+        for error in validator.iter_errors(fields)
+    ]
+    if not isinstance(fields, dict):
+        return faults
+    addresses = [fields.get("address"), fields.get("http_address"), *listed(fields.get("seeds"))]
+    faults.extend(
+        f"address {address}: no such IP number or port"
+        for address in addresses
+        if isinstance(address, str) and not is_real_address(address)
+    )
+    if fields.get("role") == "store" and not fields.get("folder"):
+        faults.append("folder: a store needs a data folder")
+    if fields.get("role") in ("edge", "core") and fields.get("folder"):
+        faults.append(f"folder: a {fields['role']} keeps nothing on disk")
+    if fields.get("address") and fields.get("address") == fields.get("http_address"):
+        faults.append("http_address: must differ from address")
+    return sorted(faults)
+
+
+def listed(value):
+    """Return the value if it is a list, else an empty one."""
+    return value if isinstance(value, list) else []
+
+
+def is_real_address(address):
+    """Tell whether the text holds four bytes and a port that exists."""
+    host, _, port = address.rpartition(":")
+    numbers = host.split(".")
+    isHost = len(numbers) == 4 and all(n.isdigit() and int(n) < 256 for n in numbers)
+    return isHost and port.isdigit() and 0 < int(port) < 65536
+
+
+def read_settings(path, flags):
+    """Read a settings file, lay the flags over it, and check the whole."""
+    fields = {}
+    if path is not None:
+        try:
+            with open(path, encoding="utf-8") as settingsFile:
+                fields = json.load(settingsFile)
+        except (OSError, ValueError) as error:
+            raise BadSettings(faults=[f"settings file {path}: {error}"]) from error
+    if isinstance(fields, dict):
+        fields = {**fields, **{name: value for name, value in flags.items() if value}}
+    faults = find_faults(fields)
+    if faults:
+        raise BadSettings(faults=faults)
+    return Settings(fields)
--- /dev/null
+++ b/quillring/kernel/wsgi.py
@@ -0,0 +1,145 @@
+"""HTTP/1.1 + JSON towards callers, back ends and operators, by gevent's WSGI server."""
+
+import inspect
+import json
+import re
+from urllib.parse import parse_qs
+
+from quillring.kernel.registry import Registry
+from quillring.kernel.troubles import BadInquiry, NotFound, TooLarge, Trouble
+
+ROUTES = Registry("route")
+BODY_LIMIT = 1 << 20
+STATUS_WORDS = {
+    200: "OK", 201: "Created", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
+    405: "Method Not Allowed", 409: "Conflict", 410: "Gone", 413: "Content Too Large",
+    422: "Unprocessable Content", 500: "Internal Server Error", 502: "Bad Gateway",
+    503: "Service Unavailable", 504: "Gateway Timeout", 507: "Insufficient Storage",
+}
+
+
+class Inquiry:
+    """One inquiry of a sender: path words, query, body and who sent it."""
+
+    __slots__ = ("method", "words", "query", "body", "sender")
+
+    def __init__(self, method, words, query, body, sender):
+        self.method = method
+        self.words = words
+        self.query = query
+        self.body = body
+        self.sender = sender
+
+
+def route(method, pattern, limit=BODY_LIMIT):
+    """Register a function(node, inquiry) for a path such as /v1/lots/{lot}."""
+    names = re.findall(r"{(\w+)}", pattern)
+    matcher = re.compile(re.sub(r"{\w+}", "([^/]+)", pattern))
+
+    def enter(function):
+        return ROUTES.entry((method, pattern))((matcher, names, limit, function))
+
+    return enter
+
+
+def check_body(validator, body):
+    """Refuse a body that breaks its schema, naming every faulty field."""
+    faults = sorted(
+        (".".join(str(step) for step in error.absolute_path) or "body", error.message)
+        for error in validator.iter_errors(body)
+    )
+    if faults:
+        raise BadInquiry(
+            field=faults[0][0], faults=[{"field": f, "fault": text[:200]} for f, text in faults]
+        )
+
+
+def find_route(method, path):
+    """Return (function, path words, body limit) of an inquiry, or raise NotFound."""
+    for (routeMethod, _), (matcher, names, limit, function) in ROUTES.entries.items():
+        found = matcher.fullmatch(path)
+        if found and routeMethod == method:
+            return function, dict(zip(names, found.groups(), strict=True)), limit
+    raise NotFound(path=path, method=method)
+
+
+def read_body(environ, limit):
+    """Read and parse the JSON body within the limit."""
+    try:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+    except ValueError as error:
+        raise BadInquiry(field="Content-Length") from error
+    if length > limit:
+        raise TooLarge(limit=limit, field="body")
+    data = environ["wsgi.input"].read(min(length, limit + 1) if length else limit + 1)
+    if len(data) > limit:
+        raise TooLarge(limit=limit, field="body")
+    try:
+        return json.loads(data) if data else None
+    except (ValueError, RecursionError) as error:
+        raise BadInquiry(field="body", faults=[{"field": "body", "fault": "not JSON"}]) from error
+
+
+def make_app(node):
+    """Return the WSGI application of a node."""
+
+    def app(environ, start_response):
+        try:
+            function, words, limit = find_route(environ["REQUEST_METHOD"], environ["PATH_INFO"])
+            inquiry = Inquiry(
+                environ["REQUEST_METHOD"], words, parse_qs(environ.get("QUERY_STRING", "")),
+                read_body(environ, limit), environ.get("HTTP_X_SENDER", ""),
+            )
+            answer = function(node, inquiry)
+            if not inspect.isgenerator(answer):
+                return send_whole(start_response, answer)
+            return send_lines(node, start_response, answer)
+        except Trouble as trouble:
+            return send_trouble(node, start_response, trouble)
+        except Exception as error:
+            node.log("error", "inquiry %s: %r", environ.get("PATH_INFO"), error)
+            return send_trouble(node, start_response, Trouble())
+
+    return app
+
+
+def send_whole(start_response, answer, status=200, headers=()):
+    """Send one JSON body."""
+    body = json.dumps(answer).encode()
+    start_response(f"{status} {STATUS_WORDS.get(status, 'Status')}", [
+        ("Content-Type", "application/json"), ("Content-Length", str(len(body))), *headers,
+    ])
+    return [body]
+
+
+def send_trouble(node, start_response, trouble):
+    """Send a trouble at once; a refusal says when to come back, spread so crowds do not."""
+    headers = []
+    body = trouble.to_json()
+    if trouble.comes_back:
+        seconds = trouble.detail.get("come_back_s") or node.bounds.news
+        spreadSeconds = max(1, round(seconds * (0.5 + node.world.random.random())))
+        headers = [("Retry-After", str(spreadSeconds))]
+        body["come_back_s"] = spreadSeconds
+    return send_whole(start_response, body, trouble.status, headers)
+
+
+def send_lines(node, start_response, script):
+    """Drive a script: its return value is a whole body, its emitted lines a streamed one."""
+    lines = node.world.lines(script)
+    try:
+        firstLine = next(lines)
+    except StopIteration as stop:
+        return send_whole(start_response, stop.value)
+    start_response("200 OK", [("Content-Type", "application/x-ndjson")])
+    return stream_lines(firstLine, lines)
+
+
+def stream_lines(firstLine, lines):
+    """Yield the encoded lines; closing it closes the script."""
+    try:
+        yield json.dumps(firstLine).encode() + b"\n"
+        for line in lines:
+            yield json.dumps(line).encode() + b"\n"
+    finally:
+        lines.close()
--- /dev/null
+++ b/quillring/lots/commands.py
@@ -0,0 +1,93 @@
+"""Commands and queries of lots in the part that their service hashes to."""
+
+from quillring.duty.duty import QUERIES
+from quillring.kernel.troubles import Conflict, NotFound
+from quillring.quorum.commands import COMMANDS
+
+OPEN, ENDED, CANCELLED = "open", "ended", "cancelled"
+
+
+@COMMANDS.entry("lot.accept")
+def accept_lot(state, command):
+    """Accept a lot; the same lot again is the same acceptance."""
+    known = state["lots"].get(command["lot"])
+    if known is not None:
+        isSame = all(known[f] == command[f] for f in ("sender", "entry", "items"))
+        if not isSame:
+            raise Conflict(field="lot", lot=command["lot"])
+        return state, {"lot": command["lot"], "items": len(known["items"]), "repeated": True}
+    lot = {
+        "sender": command["sender"], "entry": command["entry"], "items": command["items"],
+        "results": {}, "started": {}, "phase": OPEN,
+    }
+    newState = {**state, "lots": {**state["lots"], command["lot"]: lot}}
+    return newState, {"lot": command["lot"], "items": len(command["items"])}
+
+
+def _with_lot(state, name, **changes):
+    return {**state, "lots": {**state["lots"], name: {**state["lots"][name], **changes}}}
+
+
+@COMMANDS.entry("lot.start")
+def start_item(state, command):
+    """Mark an item that may not repeat as begun, before it is sent anywhere."""
+    lot = state["lots"].get(command["lot"])
+    if lot is None or lot["phase"] != OPEN or command["n"] in lot["results"]:
+        return state, {"may_run": False}
+    if command["n"] in lot["started"]:
+        if command["was_unsent"] and lot["started"][command["n"]] == command["by"]:
+            return state, {"may_run": True}
+        return state, {"may_run": False}
+    started = {**lot["started"], command["n"]: command["by"]}
+    return _with_lot(state, command["lot"], started=started), {"may_run": True}
+
+
+@COMMANDS.entry("lot.result")
+def write_result(state, command):
+    """Write the result at its position, once; a second one changes nothing."""
+    lot = state["lots"].get(command["lot"])
+    if lot is None or lot["phase"] != OPEN or command["n"] in lot["results"]:
+        return state, {"written": False}
+    results = {**lot["results"], command["n"]: command["result"]}
+    phase = ENDED if len(results) == len(lot["items"]) else OPEN
+    newState = _with_lot(state, command["lot"], results=results, phase=phase)
+    return newState, {"written": True}
+
+
+@COMMANDS.entry("lot.cancel")
+def cancel_lot(state, command):
+    """End a lot early; results that stand keep standing."""
+    lot = state["lots"].get(command["lot"])
+    if lot is None or lot["sender"] != command["sender"]:
+        raise NotFound(field="lot")
+    if lot["phase"] != OPEN:
+        return state, {"phase": lot["phase"]}
+    return _with_lot(state, command["lot"], phase=CANCELLED), {"phase": CANCELLED}
+
+
+def _find_lot(state, query):
+    lot = state["lots"].get(query["lot"])
+    if lot is None or lot["sender"] != query["sender"]:
+        raise NotFound(field="lot")
+    return lot
+
+
+@QUERIES.entry("lot.status")
+def lot_status(state, query):
+    """Return how far a lot is."""
+    lot = _find_lot(state, query)
+    return {
+        "lot": query["lot"], "phase": lot["phase"], "items": len(lot["items"]),
+        "results": len(lot["results"]),
+    }
+
+
+@QUERIES.entry("lot.results")
+def lot_results(state, query):
+    """Return the results from a position on, each with its position."""
+    lot = _find_lot(state, query)
+    numbers = range(query["from"], min(len(lot["items"]), query["from"] + query["count"]))
+    return {
+        "lot": query["lot"], "phase": lot["phase"], "items": len(lot["items"]),
+        "results": [{"n": n, **lot["results"][n]} for n in numbers if n in lot["results"]],
+    }
--- /dev/null
+++ b/quillring/lots/front.py
@@ -0,0 +1,83 @@
+"""Lots over HTTP: submit, status, results, cancel."""
+
+import jsonschema
+
+from quillring.kernel.troubles import BadInquiry, Refused
+from quillring.kernel.wsgi import check_body, route
+from quillring.quorum.parts import part_of
+
+LOT_LIMIT = 8 << 20
+LOT = jsonschema.Draft202012Validator({
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["entry", "items"],
+    "properties": {
+        "entry": {"type": "string", "maxLength": 41},
+        "key": {"type": "string", "pattern": "^[A-Za-z0-9_-]{1,64}$"},
+        "items": {
+            "type": "array", "minItems": 1, "maxItems": 10_000,
+            "items": {"type": "string", "maxLength": 100_000},
+        },
+    },
+})
+
+
+@route("POST", "/v1/lots", limit=LOT_LIMIT)
+def submit_lot(node, inquiry):
+    """Accept a lot; the answer comes once two domains have synced it."""
+    check_body(LOT, inquiry.body)
+    node.find("freshness").check()
+    if node.is_draining:
+        raise Refused(reason="draining")
+    entry, service, _ = node.find("layout").entry(inquiry.body["entry"])
+    if service["kind"] != "model":
+        raise BadInquiry(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
+    part = part_of(entry["service"], len(node.find("duty").parts()) - 1)
+    ownKey = f"{node.world.random.getrandbits(96):024x}"
+    lotName = f"{part}.{inquiry.body.get('key') or ownKey}"
+    answer = yield from node.find("duty").submit(part, {
+        "do": "lot.accept", "lot": lotName, "sender": inquiry.sender,
+        "entry": inquiry.body["entry"], "items": inquiry.body["items"],
+    })
+    return answer
+
+
+def part_of_lot(node, lotName):
+    """Return the part a lot's name points to, or refuse the name."""
+    part = lotName.partition(".")[0]
+    if part not in node.find("duty").parts():
+        raise BadInquiry(field="lot", faults=[{"field": "lot", "fault": "unknown lot name"}])
+    return part
+
+
+@route("GET", "/v1/lots/{lot}")
+def show_lot(node, inquiry):
+    """Tell how far a lot is."""
+    lotName = inquiry.words["lot"]
+    query = {"ask": "lot.status", "lot": lotName, "sender": inquiry.sender}
+    return (yield from node.find("duty").read(part_of_lot(node, lotName), query))
+
+
+@route("GET", "/v1/lots/{lot}/results")
+def show_results(node, inquiry):
+    """Return the results from a position on."""
+    lotName = inquiry.words["lot"]
+    texts = [inquiry.query.get(n, [d])[0] for n, d in (("from", "0"), ("count", "1000"))]
+    faultyNames = [n for n, text in zip(("from", "count"), texts) if not text.isdigit()]
+    if faultyNames:
+        raise BadInquiry(field=faultyNames[0], faults=[
+            {"field": name, "fault": "not a number"} for name in faultyNames
+        ])
+    query = {
+        "ask": "lot.results", "lot": lotName, "sender": inquiry.sender,
+        "from": int(texts[0]), "count": min(int(texts[1]), 1000),
+    }
+    return (yield from node.find("duty").read(part_of_lot(node, lotName), query))
+
+
+@route("DELETE", "/v1/lots/{lot}")
+def cancel_lot(node, inquiry):
+    """End a lot early."""
+    lotName = inquiry.words["lot"]
+    command = {"do": "lot.cancel", "lot": lotName, "sender": inquiry.sender}
+    return (yield from node.find("duty").submit(part_of_lot(node, lotName), command))
--- /dev/null
+++ b/quillring/lots/runner.py
@@ -0,0 +1,144 @@
+"""Running the items of open lots, on the core that owns their part, on room left idle."""
+
+from quillring.edge.dispatch import prefix_key
+from quillring.edge.streams import STALL_MS, check_before_sending
+from quillring.kernel.effects import Next, Open, Signal, Sleep, Wait
+from quillring.kernel.troubles import BackendTrouble, NotSent, Trouble
+from quillring.lots.commands import OPEN
+
+ITEMS_AT_ONCE = 4
+
+
+class RunningItem:
+    """One item under way; stopping it closes the replica's stream."""
+
+    __slots__ = ("stopSignal", "handle")
+
+    def __init__(self):
+        self.stopSignal = Signal()
+        self.handle = None
+
+    def stop(self):
+        """Stop the item now; the replica sees its connection close."""
+        self.stopSignal.set()
+        if self.handle is not None:
+            self.handle.close()
+
+
+class LotRunner:
+    """Keeps items of the lots of the owned parts running until each has a result."""
+
+    __slots__ = ("node", "running", "unsent")
+
+    def __init__(self, node):
+        self.node = node
+        self.running = {}
+        self.unsent = set()
+
+    def run(self):
+        """Script: start items while there is room, and stop those of ended lots."""
+        while True:
+            yield Sleep(self.node.bounds.beat / 5)
+            owners = self.node.find("duty").owners.values()
+            for owner in owners:
+                if owner.may_act() and not self.node.is_draining:
+                    self._start_items(owner)
+            self._stop_ended()
+
+    def _start_items(self, owner):
+        openLots = [(n, lot) for n, lot in owner.state["lots"].items() if lot["phase"] == OPEN]
+        for name, lot in openLots:
+            running = sum(key[:2] == (owner.part, name) for key in self.running)
+            waitingNumbers = (
+                n for n in range(len(lot["items"]))
+                if n not in lot["results"] and (owner.part, name, n) not in self.running
+            )
+            for number in waitingNumbers:
+                if running >= ITEMS_AT_ONCE:
+                    break
+                running += 1
+                key = (owner.part, name, number)
+                self.running[key] = RunningItem()
+                self.node.spawn(self._run_item(owner, key, lot))
+
+    def _is_wanted(self, owner, key):
+        lot = owner.state["lots"].get(key[1]) if owner.may_act() else None
+        return lot is not None and lot["phase"] == OPEN and key[2] not in lot["results"]
+
+    def _stop_ended(self):
+        owners = self.node.find("duty").owners
+        for key, item in list(self.running.items()):
+            if not self._is_wanted(owners[key[0]], key):
+                item.stop()
+
+    def _run_item(self, owner, key, lot):
+        try:
+            result = yield from self._item_result(owner, key, lot)
+            if result is not None:
+                yield from owner.submit({
+                    "do": "lot.result", "lot": key[1], "n": key[2], "result": result,
+                })
+        except Trouble as trouble:
+            self.node.count("item_troubles")
+            self.node.log("debug", "item %s: %s", key, trouble)
+            yield Wait(self.running[key].stopSignal, self.node.bounds.beat)
+        finally:
+            self.running.pop(key, None)
+
+    def _item_result(self, owner, key, lot):
+        node, (_, lotName, number) = self.node, key
+        entry, service, promise = node.find("layout").entry(lot["entry"])
+        endTime = node.now() + promise["time_left_ms"] / 1000
+        prefix = entry.get("prefix", "")
+        lease = yield from node.find("dispatch").acquire(
+            entry["service"], entry["class"], promise, prefix_key(prefix),
+            node.now() + node.bounds.news,
+        )
+        handle = None
+        try:
+            if not promise.get("repeatable", True):
+                answer = yield from owner.submit({
+                    "do": "lot.start", "lot": lotName, "n": number, "by": list(owner.ballot),
+                    "was_unsent": key in self.unsent,
+                })
+                if not answer["may_run"]:
+                    return {"trouble": "outcome_unknown"}
+            check_before_sending(node, lease.replica, endTime)
+            if not self._is_wanted(owner, key):
+                return None
+            stallSeconds = service.get("stall_ms", STALL_MS) / 1000
+            inquiryName = f"{lotName}-{number}"
+            self.unsent.discard(key)
+            handle = self.running[key].handle = yield Open(lease.replica.address, "/v1/generate", {
+                "inquiry": inquiryName, "prefix": prefix, "prompt": lot["items"][number],
+                "from": 0, "max_pieces": 64,
+            }, stallSeconds)
+            if handle.status == 503:
+                raise NotSent(reason="busy")
+            return (yield from self._read_result(handle, inquiryName, stallSeconds, key))
+        except NotSent:
+            self.unsent.add(key)
+            raise
+        except BackendTrouble:
+            if not self.running[key].stopSignal.is_set:
+                node.find("replicas").stalled(lease.replica)
+            raise
+        finally:
+            lease.release()
+            if handle is not None:
+                handle.close()
+
+    def _read_result(self, handle, inquiryName, stallSeconds, key):
+        pieces = []
+        while not self.running[key].stopSignal.is_set:
+            line = yield Next(handle, stallSeconds)
+            if not isinstance(line, dict) or line.get("inquiry") != inquiryName:
+                raise BackendTrouble(reason="strange line")
+            if line.get("end"):
+                if line.get("pieces") != len(pieces):
+                    raise BackendTrouble(reason="pieces are missing")
+                return {"text": "".join(pieces)}
+            if line.get("n") != len(pieces) + 1:
+                raise BackendTrouble(reason="strange piece")
+            pieces.append(line["piece"])
+        return None
--- /dev/null
+++ b/quillring/nifty/nifty.py
@@ -0,0 +1,215 @@
+"""NIFTY in a process: heartbeats to all, bitmaps, graph, routes, relays, deduplication."""
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import BadWire
+from quillring.nifty.graph import Graph
+from quillring.nifty.member import Member, Roster
+from quillring.nifty.seen import SeenWindow
+from quillring.nifty.wire import pack, unpack
+
+HOP_LIMIT = 6
+KEPT_ROSTERS = 8
+
+
+class Heard:
+    """What a node last heard from a cohort member."""
+
+    __slots__ = ("at", "incarnation", "sequence", "row", "echoAt", "stamp")
+
+    def __init__(self, at, incarnation, sequence):
+        self.at = at
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.row = frozenset()
+        self.echoAt = None
+        self.stamp = None
+
+
+class Nifty:
+    """The peer layer of one node."""
+
+    __slots__ = (
+        "node", "roster", "oldRosters", "seeds", "heard", "graph", "sequence", "beatSequence",
+        "beatTimes", "seen", "listeners", "stampSource", "on_member", "on_strange_roster",
+    )
+
+    def __init__(self, node, seeds):
+        self.node = node
+        self.seeds = tuple(seeds)
+        self.roster = Roster([node.me])
+        self.oldRosters = {self.roster.digest: self.roster}
+        self.heard = {}
+        self.graph = Graph(node.me.name, {})
+        self.sequence = 0
+        self.beatSequence = 0
+        self.beatTimes = {}
+        self.seen = {}
+        self.listeners = []
+        self.stampSource = lambda: None
+        self.on_member = lambda member: None
+        self.on_strange_roster = lambda name: None
+
+    def run(self):
+        """Script: send a heartbeat to all in every period, the lost ones included."""
+        while True:
+            self.send_beats()
+            self.refresh()
+            yield Sleep(self.node.bounds.beat)
+
+    def send_beats(self):
+        """Send one heartbeat to every member and to each seed not yet known."""
+        now = self.node.now()
+        self.beatSequence += 1
+        self.beatTimes = {
+            s: at for s, at in self.beatTimes.items() if now - at < self.node.bounds.news * 3
+        }
+        self.beatTimes[self.beatSequence] = now
+        me = self.node.me
+        commonPart = [
+            me.to_list(), self.beatSequence, self.roster.digest,
+            self.roster.to_bitmap(self.heard_names()), self.stampSource(),
+        ]
+        memberAddresses = {m.address: m.name for m in self.roster.members.values()}
+        for address in {*memberAddresses, *self.seeds} - {me.address}:
+            heard = self.heard.get(memberAddresses.get(address))
+            echo = [heard.incarnation, heard.sequence] if heard else None
+            self._datagram(address, pack([*commonPart, echo]))
+
+    def _datagram(self, address, data):
+        self.node.count("beats_sent")
+        self.node.count("beat_bytes", len(data))
+        self.node.world.datagram(address, data)
+
+    def heard_names(self):
+        """Return the names heard within three beats."""
+        edgeTime = self.node.now() - self.node.bounds.broken
+        return frozenset(name for name, heard in self.heard.items() if heard.at > edgeTime)
+
+    def on_datagram(self, data):
+        """Take a heartbeat; garbage is counted and dropped."""
+        try:
+            record, sequence, digest, bitmap, stamp, echo = unpack(data)
+            member = Member.from_list(record)
+            if not isinstance(sequence, int) or not isinstance(bitmap, bytes):
+                raise BadWire(reason="beat")
+            echoPair = None if echo is None else (int(echo[0]), int(echo[1]))
+        except (BadWire, ValueError, TypeError, IndexError):
+            self.node.count("bad_datagrams")
+            return
+        if member.name == self.node.me.name:
+            return
+        heard = self.heard.get(member.name)
+        if heard is not None:
+            if member.incarnation < heard.incarnation:
+                return
+            if member.incarnation == heard.incarnation and sequence <= heard.sequence:
+                return
+        wasHeard = heard is not None and heard.at > self.node.now() - self.node.bounds.broken
+        if heard is None or heard.incarnation != member.incarnation:
+            heard = self.heard[member.name] = Heard(0, member.incarnation, sequence)
+        heard.at, heard.sequence, heard.stamp = self.node.now(), sequence, stamp
+        if echoPair is not None and echoPair[0] == self.node.me.incarnation:
+            heard.echoAt = self.beatTimes.get(echoPair[1], heard.echoAt)
+        self.learn(member)
+        matchingRoster = self.oldRosters.get(digest)
+        if digest != self.roster.digest:
+            self.on_strange_roster(member.name)
+        if matchingRoster is not None:
+            newRow = matchingRoster.from_bitmap(bitmap)
+            if newRow != heard.row or not wasHeard:
+                heard.row = newRow
+                self.refresh()
+        elif not wasHeard:
+            self.refresh()
+
+    def learn(self, member):
+        """Take a member record; a newer incarnation renews the address."""
+        known = self.roster.members.get(member.name)
+        if known is not None and known.incarnation >= member.incarnation:
+            return
+        if member.name == self.node.me.name:
+            return
+        self._swap_roster(self.roster.with_member(member))
+        self.on_member(member)
+
+    def forget(self, name):
+        """Drop a retired member for good."""
+        if name in self.roster.members and name != self.node.me.name:
+            self._swap_roster(self.roster.without(name))
+            self.heard.pop(name, None)
+
+    def _swap_roster(self, newRoster):
+        self.roster = newRoster
+        keptDigests = [*self.oldRosters, newRoster.digest][-KEPT_ROSTERS:]
+        self.oldRosters = {**self.oldRosters, newRoster.digest: newRoster}
+        self.oldRosters = {digest: self.oldRosters[digest] for digest in keptDigests}
+        self.refresh()
+
+    def refresh(self):
+        """Make the graph anew from what was heard; a changed one is told to the listeners."""
+        heardNames = self.heard_names()
+        rows = {name: self.heard[name].row for name in heardNames}
+        rows[self.node.me.name] = heardNames
+        for name in heardNames:
+            if not self.heard[name].row:
+                rows[name] = rows[name] | {self.node.me.name}
+        newGraph = Graph(self.node.me.name, rows)
+        if newGraph.links != self.graph.links:
+            self.graph = newGraph
+            self.node.count("graph_changes")
+            for listener in self.listeners:
+                listener(newGraph)
+
+    def bridge_nodes(self):
+        """Return the current bridge list (paper, listing 5.1)."""
+        return self.graph.bridge_nodes()
+
+    def sides(self):
+        """Return the sides of the current cut."""
+        return self.graph.sides()
+
+    def reaches(self, name):
+        """Tell whether a message can get to the node, directly or relayed."""
+        return name == self.node.me.name or name in self.graph.routes
+
+    def send(self, target, message):
+        """Send a message by the best route; False when no route is known."""
+        self.sequence += 1
+        me = self.node.me
+        return self._forward([me.name, me.incarnation, self.sequence, target, HOP_LIMIT, message])
+
+    def _forward(self, envelope):
+        origin, _, _, target, hopsLeft, _ = envelope
+        hop = self.graph.next_hop(target, origin)
+        hopMember = self.roster.members.get(hop)
+        if hopMember is None or hopsLeft <= 0:
+            self.node.count("unrouted")
+            return False
+        self.node.world.frame(hopMember.address, pack(envelope))
+        return True
+
+    def on_frame(self, data):
+        """Take a frame: deliver it once here, or relay it."""
+        try:
+            origin, incarnation, sequence, target, hopsLeft, message = envelope = unpack(data)
+            wellFormed = isinstance(message, dict) and ("s" in message or "r" in message)
+            numbers = (incarnation, sequence, hopsLeft)
+            if not wellFormed or not all(isinstance(n, int) for n in numbers):
+                raise BadWire(reason="frame")
+            if not isinstance(origin, str) or not isinstance(target, str):
+                raise BadWire(reason="frame")
+        except (BadWire, ValueError, TypeError):
+            self.node.count("bad_frames")
+            return
+        if target != self.node.me.name:
+            self.node.count("relayed")
+            self.node.count("relayed_bytes", len(data))
+            self._forward([*envelope[:4], hopsLeft - 1, message])
+            return
+        window = self.seen.get(origin)
+        if window is None or incarnation > window.incarnation:
+            window = self.seen[origin] = SeenWindow(incarnation)
+        if incarnation < window.incarnation or not window.first_time(sequence):
+            self.node.count("duplicates")
+            return
+        self.node.on_message(origin, message)
--- /dev/null
+++ b/quillring/quorum/acceptor.py
@@ -0,0 +1,202 @@
+"""The acceptors on a store machine: promises, accepted entries, applied state, per part."""
+
+from quillring.kernel.troubles import Conflict, Fenced, NotFounded, Trouble
+from quillring.quorum.commands import apply_batch, first_state
+from quillring.quorum.parts import CONFIG
+
+
+class WrongIdentity(Trouble):
+    """The store is not the member that the group names."""
+
+    kind = "wrong_identity"
+    status = 409
+
+
+class PartRecord:
+    """What one acceptor holds of a part."""
+
+    __slots__ = ("promised", "applied", "state", "entries", "committed")
+
+    def __init__(self, promised=(0, ""), applied=0, state=None, entries=None, committed=0):
+        self.promised = tuple(promised)
+        self.applied = applied
+        self.state = state
+        self.entries = entries or {}
+        self.committed = committed
+
+    def to_list(self):
+        """Return the record for a slot or a prepare answer."""
+        tail = [[i, list(b), batch] for i, (b, batch) in sorted(self.entries.items())]
+        return [list(self.promised), self.applied, self.state, tail, self.committed]
+
+    @classmethod
+    def from_list(cls, fields):
+        """Read a record from a slot."""
+        promised, applied, state, tail, committed = fields
+        return cls(promised, applied, state, {i: (tuple(b), v) for i, b, v in tail}, committed)
+
+    def learn(self, ballot, committed):
+        """Apply what the ballot's owner says is committed; stop at a gap."""
+        while self.applied < committed:
+            entry = self.entries.get(self.applied + 1)
+            if entry is None or entry[0] != ballot or self.state is None:
+                break
+            self.state, _ = apply_batch(self.state, entry[1])
+            self.applied += 1
+            del self.entries[self.applied]
+        self.committed = max(self.committed, self.applied)
+
+
+class Acceptors:
+    """The store's side of every part; all that it answers is durable first."""
+
+    __slots__ = ("node", "identity", "parts", "founding", "slots", "hints", "listeners")
+
+    def __init__(self):
+        self.node = None
+        self.identity = None
+        self.parts = {}
+        self.founding = None
+        self.slots = None
+        self.hints = {}
+        self.listeners = []
+
+    def attach(self, node):
+        """Join the node, whose member record carries the identity found on disk."""
+        self.node = node
+        for name in ("found", "prepare", "accept", "commit", "install", "image", "confirm"):
+            node.handle(f"quorum.{name}", getattr(self, f"on_{name}"))
+
+    def image(self):
+        """Return all state for a slot."""
+        return {
+            "identity": self.identity, "founding": self.founding,
+            "parts": {name: record.to_list() for name, record in self.parts.items()},
+            "hints": self.hints,
+        }
+
+    def load(self, image):
+        """Take the state of a slot."""
+        self.identity, self.founding = image["identity"], image["founding"]
+        self.parts = {n: PartRecord.from_list(fields) for n, fields in image["parts"].items()}
+        self.hints = image["hints"]
+
+    def replay(self, record):
+        """Take one log record; the running store changes its memory by the same function."""
+        verb, part, *rest = record
+        if verb == "found":
+            self.founding = part
+            for name, group in part["groups"].items():
+                if any(store[1] == self.identity for store in group):
+                    self.parts[name] = PartRecord(state=first_state(group))
+            return
+        if verb == "hint":
+            self.hints = {**self.hints, part: [*self.hints.get(part, ()), rest[0]]}
+            return
+        if verb == "handed":
+            self.hints = {name: kept for name, kept in self.hints.items() if name != part}
+            return
+        partRecord = self.parts.setdefault(part, PartRecord())
+        ballot = tuple(rest[0])
+        partRecord.promised = max(partRecord.promised, ballot)
+        if verb == "accept" and rest[1] > partRecord.applied:
+            partRecord.entries[rest[1]] = (ballot, rest[2])
+        if verb == "commit":
+            partRecord.learn(ballot, rest[1])
+        if verb == "install" and rest[1] > partRecord.applied:
+            partRecord.applied, partRecord.state = rest[1], rest[2]
+            partRecord.committed = max(partRecord.committed, rest[1])
+            partRecord.entries = {i: e for i, e in partRecord.entries.items() if i > rest[1]}
+
+    def _keep(self, record, sync=True):
+        self.replay(record)
+        if sync:
+            yield from self.slots.commit([record])
+
+    def _check(self, body, isVote=True):
+        if body["identity"] != self.identity:
+            raise WrongIdentity(store=self.node.me.name, identity=self.identity)
+        if self.slots.trouble is not None:
+            raise self.slots.trouble
+        partRecord = self.parts.get(body["part"])
+        if partRecord is None:
+            if not isVote:
+                raise NotFounded(part=body["part"], store=self.node.me.name)
+            partRecord = PartRecord()
+        ballot = tuple(body["ballot"])
+        if ballot < partRecord.promised:
+            raise Fenced(part=body["part"], ballot=list(partRecord.promised))
+        return partRecord, ballot
+
+    def on_found(self, body, origin):
+        """Take the founding record; another founding is answered with a conflict."""
+        if self.founding is None:
+            if body["identity"] != self.identity:
+                raise WrongIdentity(store=self.node.me.name, identity=self.identity)
+            yield from self._keep(["found", body["founding"]])
+        elif self.founding["fleet"] != body["founding"]["fleet"]:
+            raise Conflict(founding=self.founding)
+        return self.founding["fleet"]
+
+    def on_prepare(self, body, origin):
+        """Promise a ballot and tell what was accepted."""
+        partRecord, ballot = self._check(body, isVote=False)
+        if ballot == partRecord.promised:
+            raise Fenced(part=body["part"], ballot=list(ballot))
+        yield from self._keep(["promise", body["part"], list(ballot)])
+        partRecord = self.parts[body["part"]]
+        if partRecord.promised != ballot:
+            raise Fenced(part=body["part"], ballot=list(partRecord.promised))
+        return partRecord.to_list()
+
+    def on_accept(self, body, origin):
+        """Accept an entry of the ballot, and apply what its owner says is committed."""
+        _, ballot = self._check(body)
+        record = ["accept", body["part"], list(ballot), body["index"], body["batch"]]
+        commitRecord = ["commit", body["part"], list(ballot), body["committed"]]
+        self.replay(record)
+        self.replay(commitRecord)
+        yield from self.slots.commit([record, commitRecord])
+        self._tell(body["part"])
+        return self.parts[body["part"]].applied
+
+    def on_commit(self, body, origin):
+        """Mark entries of the ballot as committed, durably."""
+        self._check(body)
+        yield from self._keep(["commit", body["part"], list(body["ballot"]), body["committed"]])
+        self._tell(body["part"])
+        return self.parts[body["part"]].applied
+
+    def on_install(self, body, origin):
+        """Take the owner's whole state of a part in place of missed entries."""
+        self._check(body)
+        yield from self._keep(
+            ["install", body["part"], list(body["ballot"]), body["index"], body["state"]]
+        )
+        self._tell(body["part"])
+        return self.parts[body["part"]].applied
+
+    def on_confirm(self, body, origin):
+        """Tell an owner that no higher ballot was promised here; writes nothing."""
+        partRecord, ballot = self._check(body, isVote=False)
+        if partRecord.promised != ballot:
+            raise Fenced(part=body["part"], ballot=list(partRecord.promised))
+        return True
+
+    def on_image(self, body, origin):
+        """Give the applied state of a part to any reader."""
+        partRecord = self.parts.get(body["part"])
+        if partRecord is None or partRecord.state is None:
+            raise NotFounded(part=body["part"], store=self.node.me.name)
+        return [partRecord.applied, partRecord.state]
+
+    def stamp(self):
+        """Return the config part's ballot and committed index for the heartbeats."""
+        configRecord = self.parts.get(CONFIG)
+        if configRecord is None or configRecord.state is None or self.slots.trouble is not None:
+            return None
+        return [list(configRecord.promised), configRecord.committed, self.identity]
+
+    def _tell(self, part):
+        for listener in self.listeners:
+            listener(part, self.parts[part])
--- /dev/null
+++ b/quillring/quorum/commands.py
@@ -0,0 +1,33 @@
+"""The commands of the logs: pure functions found by their entry in a registry."""
+
+from quillring.kernel.registry import Registry
+from quillring.kernel.troubles import Trouble
+
+COMMANDS = Registry("command")
+
+
+def first_state(group):
+    """Return the state of a part that was just founded."""
+    return {"group": group, "lots": {}, "layout": None, "version": 0}
+
+
+def apply_batch(state, batch):
+    """Return (new state, answers); a refused command changes nothing and answers a trouble."""
+    answers = []
+    for command in batch:
+        try:
+            state, answer = COMMANDS.find(command["do"])(state, command)
+        except Trouble as trouble:
+            answer = trouble
+        answers.append(answer)
+    return state, answers
+
+
+@COMMANDS.entry("group.change")
+def change_group(state, command):
+    """Change the part's stores by one member at a time."""
+    oldNames = {tuple(store) for store in state["group"]}
+    newNames = {tuple(store) for store in command["group"]}
+    if len(oldNames ^ newNames) != 1:
+        raise Trouble(reason="one member at a time", group=state["group"])
+    return {**state, "group": command["group"]}, {"group": command["group"]}
--- /dev/null
+++ b/quillring/quorum/owner.py
@@ -0,0 +1,197 @@
+"""A core node's ownership of one part: won by ballot, fenced by ballot, one entry at a time."""
+
+from quillring.kernel.effects import Signal, Sleep, Wait
+from quillring.kernel.troubles import Fenced, NoMajority, NotOwner, Trouble
+from quillring.quorum.commands import apply_batch
+from quillring.quorum.parts import CONFIG, majority
+
+BATCH_LIMIT = 64
+
+
+class Owner:
+    """Proposer of a part while its ballot holds; `group` is [[store, identity, domain], ...]."""
+
+    __slots__ = (
+        "node", "part", "group", "ballot", "index", "state", "queue", "queueSignal", "is_owner",
+        "listeners", "confirmedAt", "higher", "behind",
+    )
+
+    def __init__(self, node, part, group):
+        self.node = node
+        self.part = part
+        self.group = group
+        self.ballot = (0, "")
+        self.index = 0
+        self.state = None
+        self.queue = []
+        self.queueSignal = Signal()
+        self.is_owner = False
+        self.listeners = []
+        self.confirmedAt = None
+        self.higher = 0
+        self.behind = set()
+
+    def _calls(self, service, **body):
+        return [
+            (
+                store[0], f"quorum.{service}",
+                {"part": self.part, "ballot": list(self.ballot), "identity": store[1], **body},
+            )
+            for store in self.group
+        ]
+
+    def _round(self, service, **body):
+        """Script: ask the group; return good answers of a majority, or raise."""
+        replies = yield from self.node.gather(
+            self._calls(service, **body), majority(self.group), self.node.bounds.round
+        )
+        fences = [r.detail["ballot"] for r in replies.values() if isinstance(r, Fenced)]
+        if fences:
+            self.higher = max(self.higher, *(int(ballot[0]) for ballot in fences))
+            raise Fenced(part=self.part, ballot=max(fences))
+        goodReplies = {t: r for t, r in replies.items() if not isinstance(r, Trouble)}
+        if len(goodReplies) < majority(self.group):
+            raise NoMajority(part=self.part, heard=sorted(goodReplies))
+        return goodReplies
+
+    def take(self):
+        """Script: win a ballot at a majority, finish what others began; then own the part."""
+        self.is_owner = False
+        self.ballot = (max(self.higher, self.ballot[0]) + 1, self.node.me.name)
+        while True:
+            promises = yield from self._round("prepare")
+            bestRecord = max(promises.values(), key=lambda record: record[1])
+            _, self.index, self.state, _, _ = bestRecord
+            if self._adopt_group(self.state["group"]):
+                self.ballot = (self.ballot[0] + 1, self.ballot[1])
+                continue
+            if (yield from self._finish_tail(promises)):
+                break
+            self.ballot = (self.ballot[0] + 1, self.ballot[1])
+        self.confirmedAt = self.node.now()
+        self.is_owner = True
+        self.node.count("takeovers")
+        self._tell([])
+
+    def _adopt_group(self, knownGroup):
+        if [list(s) for s in knownGroup] == [list(s) for s in self.group]:
+            return False
+        self.group = [list(store) for store in knownGroup]
+        return True
+
+    def _finish_tail(self, promises):
+        """Propose again every entry that may have been chosen; False after a group change."""
+        bestEntries = {}
+        for record in promises.values():
+            for index, ballot, batch in record[3]:
+                if index > self.index and tuple(ballot) >= bestEntries.get(index, ((0, ""),))[0]:
+                    bestEntries[index] = (tuple(ballot), batch)
+        while self.index + 1 in bestEntries:
+            yield from self._decide(bestEntries[self.index + 1][1])
+            if self._adopt_group(self.state["group"]):
+                return False
+        yield from self._decide([])
+        return True
+
+    def _decide(self, batch):
+        """Script: have a majority accept the next entry; apply it; return the answers."""
+        yield from self._round(
+            "accept", index=self.index + 1, batch=batch, committed=self.index
+        )
+        self.index += 1
+        self.state, answers = apply_batch(self.state, batch)
+        self.confirmedAt = self.node.now()
+        if self.part == CONFIG:
+            yield from self._round("commit", committed=self.index)
+        else:
+            self._cast_commit()
+        return answers
+
+    def _cast_commit(self):
+        for target, service, body in self._calls("commit", committed=self.index):
+            self.node.cast(target, service, body)
+
+    def run(self):
+        """Script: write what is queued while the ballot holds; a lost fence ends it."""
+        try:
+            while self.is_owner:
+                if not self.queue:
+                    self.queueSignal = Signal()
+                    yield Wait(self.queueSignal, self.node.bounds.beat)
+                if self.queue:
+                    yield from self._write_queue()
+                else:
+                    yield from self._round("confirm")
+                    self.confirmedAt = self.node.now()
+                    yield from self._mend_behind()
+        except Trouble as trouble:
+            self.step_down(trouble)
+
+    def _write_queue(self):
+        batch, self.queue = self.queue[:BATCH_LIMIT], self.queue[BATCH_LIMIT:]
+        try:
+            answers = yield from self._decide([command for command, _ in batch])
+        except Trouble as trouble:
+            for _, answerSignal in batch:
+                answerSignal.set(NoMajority(part=self.part, reason=trouble.kind))
+            raise
+        self._adopt_group(self.state["group"])
+        self._tell([command for command, _ in batch])
+        for (_, answerSignal), answer in zip(batch, answers, strict=True):
+            answerSignal.set(answer)
+
+    def _mend_behind(self):
+        """Script: give the whole state to a member of the group that misses entries."""
+        replies = yield from self.node.gather(
+            self._calls("commit", committed=self.index), len(self.group)
+        )
+        lateStores = {t for t, r in replies.items() if isinstance(r, int) and r < self.index}
+        calls = self._calls("install", index=self.index, state=self.state)
+        for target, service, body in calls:
+            if target in lateStores:
+                self.node.count("installs")
+                yield from self.node.gather([(target, service, body)], 1)
+
+    def step_down(self, trouble):
+        """Write nothing more; everything queued ends with its trouble."""
+        self.is_owner = False
+        queued, self.queue = self.queue, []
+        for _, answerSignal in queued:
+            answerSignal.set(NotOwner(part=self.part, reason=trouble.kind))
+        self.queueSignal.set()
+        self._tell([])
+
+    def submit(self, command):
+        """Script: commit one command and return its answer."""
+        if not self.is_owner:
+            raise NotOwner(part=self.part)
+        answerSignal = Signal()
+        self.queue.append((command, answerSignal))
+        self.queueSignal.set()
+        yield Wait(answerSignal, self.node.bounds.news)
+        if not answerSignal.is_set:
+            raise NoMajority(part=self.part)
+        if isinstance(answerSignal.value, Trouble):
+            raise answerSignal.value
+        return answerSignal.value
+
+    def fenced_state(self):
+        """Script: return the state after a majority confirmed that the ballot still holds."""
+        if not self.is_owner:
+            raise NotOwner(part=self.part)
+        readState = self.state
+        yield from self._round("confirm")
+        return readState
+
+    def may_act(self):
+        """Tell whether the ballot was confirmed lately enough to start work on its behalf."""
+        return self.is_owner and self.node.now() - self.confirmedAt < self.node.bounds.beat * 2
+
+    def _tell(self, batch):
+        for listener in self.listeners:
+            listener(self, batch)
+
+
+def wait_for_owner(node, seconds):
+    """Script: a pause between two rounds of finding a part's owner."""
+    yield Sleep(seconds * (0.5 + node.world.random.random()))
--- /dev/null
+++ b/quillring/rollout/__init__.py
@@ -0,0 +1,6 @@
+"""Roll-out of layouts: checked, committed in the config part, fresh on every live node."""
+
+from quillring.rollout.freshness import Freshness
+from quillring.rollout.image import LayoutImage
+
+__all__ = ["Freshness", "LayoutImage"]
--- /dev/null
+++ b/quillring/rollout/commands.py
@@ -0,0 +1,46 @@
+"""Commands and queries of the config part that change and show the layout."""
+
+from quillring.duty.duty import QUERIES
+from quillring.kernel.troubles import Conflict, Trouble
+from quillring.quorum.commands import COMMANDS
+from quillring.rollout.schema import EMPTY, find_faults, merge
+
+KEPT_CHANGES = 64
+
+
+class BadLayout(Trouble):
+    """The layout was refused, with every reason; no node changes."""
+
+    kind = "bad_layout"
+    status = 422
+
+
+@COMMANDS.entry("layout.adopt")
+def adopt_layout(state, command):
+    """Adopt a whole or partial layout that was made against the current version."""
+    changes = state.get("changes", {})
+    if command["id"] in changes:
+        return state, {"version": changes[command["id"]], "repeated": True}
+    if command["base_version"] != state["version"]:
+        raise Conflict(
+            winning_version=state["version"], base_version=command["base_version"],
+            winning_change=state.get("last_change"),
+        )
+    currentLayout = state["layout"] or EMPTY
+    layout = command["change"] if command["whole"] else merge(currentLayout, command["change"])
+    faults = find_faults(layout)
+    if faults:
+        raise BadLayout(faults=faults)
+    version = state["version"] + 1
+    keptChanges = dict([*changes.items(), (command["id"], version)][-KEPT_CHANGES:])
+    newState = {
+        **state, "layout": layout, "version": version, "changes": keptChanges,
+        "last_change": command["id"],
+    }
+    return newState, {"version": version}
+
+
+@QUERIES.entry("layout")
+def show_layout(state, query):
+    """Return the layout and its version."""
+    return {"version": state["version"], "layout": state["layout"]}
--- /dev/null
+++ b/quillring/rollout/freshness.py
@@ -0,0 +1,97 @@
+"""Freshness: an edge serves new work only on fresh word of a majority of config stores."""
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import NotFounded, Refused, Trouble
+from quillring.quorum.parts import CONFIG, majority
+
+
+class Freshness:
+    """Judges how old the word of the config stores is, by this node's own clock."""
+
+    __slots__ = ("node", "words")
+
+    def __init__(self, node):
+        self.node = node
+        self.words = {}
+        node.handle("quorum.stamp", self.on_stamp)
+
+    def on_stamp(self, body, origin):
+        """Give the stamp to a node that hears no heartbeats from this store."""
+        return self.node.find("nifty").stampSource()
+
+    def _store_words(self):
+        """Yield (index, time the word is from) of each config store."""
+        nifty = self.node.find("nifty")
+        for name, identity, _ in self.node.find("duty").group(CONFIG):
+            words = [self.words[name]] if name in self.words else []
+            heard = nifty.heard.get(name)
+            if heard is not None and heard.stamp is not None and heard.echoAt is not None:
+                words.append((heard.stamp, heard.echoAt))
+            yield name, max(
+                ((at, stamp[1]) for stamp, at in words if stamp[2] == identity),
+                default=(None, 0),
+            )
+
+    def is_fresh(self):
+        """Tell whether a majority lately confirmed that no newer layout is committed."""
+        image = self.node.find("layout")
+        if image.layout is None:
+            return False
+        try:
+            storeWords = list(self._store_words())
+        except NotFounded:
+            return False
+        edgeTime = self.node.now() - self.node.bounds.fresh
+        goodCount = sum(
+            at is not None and at > edgeTime and index <= image.index
+            for _, (at, index) in storeWords
+        )
+        return goodCount >= majority(storeWords)
+
+    def check(self):
+        """Refuse new work honestly while the layout may be old."""
+        if not self.is_fresh():
+            raise Refused(reason="no fresh word of the layout")
+
+    def run(self):
+        """Script: ask silent stores over relays, and fetch a layout that is newer."""
+        while True:
+            yield Sleep(self.node.bounds.beat / 2)
+            try:
+                storeWords = list(self._store_words())
+            except NotFounded:
+                continue
+            yield from self._probe(storeWords)
+            yield from self._fetch_newer()
+
+    def _probe(self, storeWords):
+        askTime = self.node.now()
+        silentNames = [
+            name for name, (at, _) in storeWords
+            if at is None or at < askTime - self.node.bounds.beat * 1.5
+        ]
+        if not silentNames:
+            return
+        calls = [(name, "quorum.stamp", None) for name in silentNames]
+        replies = yield from self.node.gather(calls, len(calls), self.node.bounds.beat)
+        goodWords = {
+            name: (stamp, askTime) for name, stamp in replies.items()
+            if stamp is not None and not isinstance(stamp, Trouble)
+        }
+        self.words = {**self.words, **goodWords}
+
+    def _fetch_newer(self):
+        image = self.node.find("layout")
+        newerWords = [
+            (index, name) for name, (at, index) in self._store_words()
+            if index > image.index or (image.layout is None and index)
+        ]
+        if not newerWords:
+            return
+        try:
+            index, state = yield from self.node.call(
+                max(newerWords)[1], "quorum.image", {"part": CONFIG}, self.node.bounds.beat
+            )
+            image.take(index, state)
+        except Trouble:
+            return
--- /dev/null
+++ b/quillring/rollout/image.py
@@ -0,0 +1,52 @@
+"""The layout on a node: an immutable image, swapped whole, that never goes back."""
+
+from quillring.kernel.troubles import NotFound
+from quillring.quorum.parts import CONFIG
+
+
+class LayoutImage:
+    """The newest layout that this node heard of."""
+
+    __slots__ = ("node", "index", "version", "layout", "takenAt")
+
+    def __init__(self, node):
+        self.node = node
+        self.index = 0
+        self.version = 0
+        self.layout = None
+        self.takenAt = None
+        gossip = node.find("gossip")
+        gossip.listen("layout", lambda key, news: self._swap(news))
+        if node.me.role == "core":
+            node.find("duty").on_owner.append(self._publish)
+
+    def _publish(self, owner, batch):
+        if owner.part == CONFIG and owner.is_owner:
+            self.take(owner.index, owner.state)
+
+    def take(self, index, state):
+        """Take a config state read from its owner or a store, and pass it on as news."""
+        news = [index, state["version"], state["layout"], state["group"]]
+        gossip = self.node.find("gossip")
+        gossip.put("group/config", [index], state["group"])
+        gossip.put("layout", [index], news)
+
+    def _swap(self, news):
+        index, version, layout, _ = news
+        if index > self.index:
+            if version != self.version:
+                self.takenAt = self.node.now()
+            self.index, self.version, self.layout = index, version, layout
+
+    def entry(self, name):
+        """Return (entry, service, class) by the entry's name, or raise NotFound."""
+        entries = (self.layout or {}).get("entries", {})
+        if name not in entries:
+            raise NotFound(field="entry", entry=name)
+        entry = entries[name]
+        return entry, self.layout["services"][entry["service"]], self.layout["classes"][
+            entry["class"]]
+
+    def is_emptied(self, domain):
+        """Tell whether operators want the domain emptied."""
+        return bool((self.layout or {}).get("domains", {}).get(domain, {}).get("emptied"))
--- /dev/null
+++ b/quillring/store/slots.py
@@ -0,0 +1,178 @@
+"""Two slots written in turn and a short checksummed log between them."""
+
+import hashlib
+import struct
+import zlib
+
+import cbor2
+
+from quillring.kernel.effects import Signal, Sleep, Wait
+from quillring.kernel.troubles import Damaged, DiskTrouble
+
+HEADER = struct.Struct(">4sQI32s")
+RECORD = struct.Struct(">II")
+MAGIC = b"QSL1"
+REPAIR = "keep a copy, empty the folder, start the store as a new member; hints refill it"
+
+
+class SlotStore:
+    """The recoverable state of one store machine.
+
+    `holder` has image() -> value, load(image) and replay(record); records reach the disk in the
+    order of commit(), in batches under one fsync.
+    """
+
+    __slots__ = (
+        "disk", "holder", "generation", "logSize", "logLimit", "waiting", "dirtySignal",
+        "trouble", "syncs",
+    )
+
+    def __init__(self, disk, holder, logLimit=1 << 20):
+        self.disk = disk
+        self.holder = holder
+        self.generation = 0
+        self.logSize = 0
+        self.logLimit = logLimit
+        self.waiting = []
+        self.dirtySignal = Signal()
+        self.trouble = None
+        self.syncs = 0
+
+    def recover(self):
+        """Load the newest slot and its log; False when the folder was empty."""
+        slotBodies = [self._read_slot(parity) for parity in (0, 1)]
+        goodSlots = [body for body in slotBodies if isinstance(body, tuple)]
+        logGenerations = [self._log_generation(parity) for parity in (0, 1)]
+        if not goodSlots:
+            if any(body == "torn" for body in slotBodies) and any(logGenerations):
+                raise Damaged(file="slot", reason="no slot is readable", repair=REPAIR)
+            return False
+        self.generation, image = max(goodSlots, key=lambda slot: slot[0])
+        if any(generation > self.generation for generation in logGenerations):
+            raise Damaged(file="slot", reason="a log is newer than any slot", repair=REPAIR)
+        self.holder.load(image)
+        self._replay_log()
+        return True
+
+    def _read_slot(self, parity):
+        data = self.disk.read(f"slot.{parity}")
+        if data is None:
+            return None
+        try:
+            magic, generation, length, digest = HEADER.unpack_from(data)
+            body = data[HEADER.size:HEADER.size + length]
+            if magic != MAGIC or hashlib.sha256(body).digest() != digest:
+                return "torn"
+            return generation, cbor2.loads(body)
+        except (struct.error, ValueError, cbor2.CBORError):
+            return "torn"
+
+    def _log_generation(self, parity):
+        records, _ = self._read_log(parity)
+        return records[0] if records and isinstance(records[0], int) else 0
+
+    def _read_log(self, parity):
+        data = self.disk.read(f"log.{parity}") or b""
+        records, offset = [], 0
+        while (record := read_record(data, offset)) is not None:
+            value, offset = record
+            records.append(value)
+        if offset < len(data) and has_record_after(data, offset):
+            raise Damaged(file=f"log.{parity}", reason="a record amid the log", repair=REPAIR)
+        return records, offset
+
+    def _replay_log(self):
+        parity = self.generation % 2
+        records, goodSize = self._read_log(parity)
+        if not records or records[0] != self.generation:
+            self._start_log()
+            return
+        for record in records[1:]:
+            self.holder.replay(record)
+        self.disk.cut(f"log.{parity}", goodSize)
+        self.logSize = goodSize
+
+    def _start_log(self):
+        headRecord = pack_record(self.generation)
+        self.disk.write(f"log.{self.generation % 2}", headRecord)
+        self.logSize = len(headRecord)
+
+    def turn(self):
+        """Write the whole image to the other slot and start its log."""
+        body = cbor2.dumps(self.holder.image())
+        head = HEADER.pack(MAGIC, self.generation + 1, len(body), hashlib.sha256(body).digest())
+        self.disk.write(f"slot.{(self.generation + 1) % 2}", head + body)
+        self.generation += 1
+        self._start_log()
+
+    def commit(self, records):
+        """Script: return once the records are durable; DiskTrouble when they can't be."""
+        if self.trouble is not None:
+            raise self.trouble
+        doneSignal = Signal()
+        self.waiting.append((records, doneSignal))
+        self.dirtySignal.set()
+        while not doneSignal.is_set:
+            yield Wait(doneSignal, 3600)
+        if doneSignal.value is not None:
+            raise doneSignal.value
+
+    def run(self, retrySeconds):
+        """Script: write what waits in batches; a failed disk is tried again by a new slot."""
+        while True:
+            if self.trouble is None and not self.waiting:
+                yield Wait(self.dirtySignal, 3600)
+            self.dirtySignal = Signal()
+            batch, self.waiting = self.waiting, []
+            yield from self._pause()
+            outcome = self._write(batch)
+            for _, doneSignal in batch:
+                doneSignal.set(outcome)
+            if outcome is not None:
+                yield Sleep(retrySeconds)
+
+    def _pause(self):
+        seconds = self.disk.pause()
+        if seconds:
+            yield Sleep(seconds)
+
+    def _write(self, batch):
+        logName = f"log.{self.generation % 2}"
+        data = b"".join(pack_record(record) for records, _ in batch for record in records)
+        try:
+            if self.trouble is not None or self.logSize + len(data) > self.logLimit:
+                self.turn()
+            elif data:
+                self.disk.append(logName, data)
+                self.disk.sync(logName)
+                self.logSize += len(data)
+            self.syncs += 1
+            self.trouble = None
+        except DiskTrouble as trouble:
+            self.trouble = trouble
+        return self.trouble
+
+
+def pack_record(value):
+    """Return the bytes of one log record."""
+    body = cbor2.dumps(value)
+    return RECORD.pack(len(body), zlib.crc32(body)) + body
+
+
+def read_record(data, offset):
+    """Return (value, next offset) of the record there, or None when it is torn."""
+    if offset + RECORD.size > len(data):
+        return None
+    length, checksum = RECORD.unpack_from(data, offset)
+    body = data[offset + RECORD.size:offset + RECORD.size + length]
+    if len(body) != length or zlib.crc32(body) != checksum or not length:
+        return None
+    return cbor2.loads(body), offset + RECORD.size + length
+
+
+def has_record_after(data, offset):
+    """Tell whether the unreadable record is followed by a readable one: not a torn tail."""
+    if offset + RECORD.size > len(data):
+        return False
+    length, _ = RECORD.unpack_from(data, offset)
+    return read_record(data, offset + RECORD.size + length) is not None
--- /dev/null
+++ b/quillring/verbs/cli.py
@@ -0,0 +1,138 @@
+"""The program: roles as subcommands, and the operator's verbs."""
+
+import json
+import os
+import sys
+
+import click
+
+from quillring.kernel.settings import read_settings
+from quillring.kernel.troubles import BadSettings, DiskTrouble, Trouble
+from quillring.verbs.client import ask
+from quillring.verbs.process import run_process
+from quillring.verbs.show import show_table
+
+USAGE_FAULT, REFUSED_FAULT, UNREACHABLE_FAULT = 2, 3, 4
+
+
+@click.group()
+@click.version_option(package_name="quillring")
+def main():
+    """quillring: a serving tier with a batch interface."""
+
+
+def role_command(role, text):
+    """Make the subcommand that runs a role."""
+
+    @click.option("--settings", "path", type=click.Path(), help="Settings file (JSON).")
+    @click.option("--name", help="Name of the node.")
+    @click.option("--domain", help="Domain the machine stands in.")
+    @click.option("--address", help="IP:port of heartbeats and messages.")
+    @click.option("--http-address", "http_address", help="IP:port of the HTTP interface.")
+    @click.option("--seed", "seeds", multiple=True, help="IP:port of another process; up to 3.")
+    @click.option("--folder", help="Data folder (store only).")
+    @click.option("--log-file", "log_file", help="Where the ring log is written out.")
+    def run_role(path, **flags):
+        flags = {**flags, "role": role, "seeds": list(flags["seeds"])}
+        try:
+            run_process(read_settings(path, flags))
+        except BadSettings as trouble:
+            for fault in trouble.detail["faults"]:
+                click.echo(f"quillring {role}: {fault}", err=True)
+            sys.exit(USAGE_FAULT)
+        except DiskTrouble as trouble:
+            click.echo(f"quillring {role}: {trouble}", err=True)
+            sys.exit(REFUSED_FAULT)
+        except OSError as error:
+            click.echo(f"quillring {role}: {error}", err=True)
+            sys.exit(REFUSED_FAULT)
+
+    main.command(role, help=text)(run_role)
+
+
+role_command("edge", "Run an edge: it serves callers.")
+role_command("core", "Run a core: it owns parts of the state and decides what runs where.")
+role_command("store", "Run a store: it keeps lots, results and layouts on disk.")
+
+
+def node_options(function):
+    """Add the options every operator's verb has."""
+    function = click.option("--json", "as_json", is_flag=True, help="Print JSON.")(function)
+    return click.option(
+        "--node", required=True, metavar="IP:PORT", help="HTTP address of any live node.",
+    )(function)
+
+
+def run_verb(node, method, path, body, as_json):
+    """Ask a node and print its answer; exit 3 on a refusal, 4 when it can't be reached."""
+    try:
+        answer = ask(node, method, path, body)
+    except Trouble as trouble:
+        click.echo(json.dumps(trouble.to_json()) if as_json else str(trouble), err=True)
+        sys.exit(UNREACHABLE_FAULT if trouble.kind == "not_sent" else REFUSED_FAULT)
+    click.echo(json.dumps(answer) if as_json else show_table(answer))
+
+
+def show_command(name, path, text):
+    """Make a verb that shows one view of the fleet."""
+
+    @node_options
+    def run_show(node, as_json):
+        run_verb(node, "GET", path, None, as_json)
+
+    main.command(name, help=text)(run_show)
+
+
+show_command("members", "/v1/members", "Show the cohort members.")
+show_command("graph", "/v1/graph", "Show the graph, routes, sides and bridges.")
+show_command("parts", "/v1/parts", "Show the parts with owners and ballots.")
+show_command("replicas", "/v1/replicas", "Show the replicas.")
+show_command("counts", "/v1/counts", "Show a node's counters.")
+
+
+@main.command()
+@node_options
+@click.option("--parts", default=4, show_default=True, help="Parts beside the config part.")
+def found(node, as_json, parts):
+    """Found the fleet on the stores now known; safe to repeat."""
+    run_verb(node, "POST", "/v1/found", {"parts": parts}, as_json)
+
+
+@main.group()
+def layout():
+    """Show and change the layout."""
+
+
+@layout.command("show")
+@node_options
+def show_layout(node, as_json):
+    """Show the layout a node acts on."""
+    run_verb(node, "GET", "/v1/layout", None, as_json)
+
+
+@layout.command("apply")
+@node_options
+@click.argument("path", type=click.Path(exists=True))
+@click.option("--base-version", type=int, required=True, help="Version it was made against.")
+@click.option("--whole", is_flag=True, help="Replace the layout instead of merging into it.")
+def apply_layout(node, as_json, path, base_version, whole):
+    """Apply a layout file."""
+    try:
+        with open(path, encoding="utf-8") as layoutFile:
+            change = json.load(layoutFile)
+    except ValueError as error:
+        raise click.UsageError(f"{path}: {error}") from error
+    body = {
+        "base_version": base_version, "layout": change, "whole": whole, "id": os.urandom(8).hex(),
+    }
+    run_verb(node, "PUT", "/v1/layout", body, as_json)
+
+
+@main.command()
+@node_options
+@click.argument("domain")
+@click.option("--undo", is_flag=True, help="Let the domain get work again.")
+def empty(node, as_json, domain, undo):
+    """Empty a domain: its replicas get nothing new."""
+    method = "DELETE" if undo else "POST"
+    run_verb(node, method, f"/v1/domains/{domain}/emptying", {}, as_json)
--- /dev/null
+++ b/quillring/verbs/client.py
@@ -0,0 +1,21 @@
+"""The verbs' side of the HTTP interface."""
+
+from quillring.kernel import backend
+from quillring.kernel.effects import Fetch
+from quillring.kernel.settings import is_real_address, split_address
+from quillring.kernel.troubles import BadInquiry, rebuild
+
+PATIENCE_SECONDS = 15
+
+
+def ask(node, method, path, body=None):
+    """Return a node's JSON answer, or raise the trouble it reports."""
+    if not is_real_address(node):
+        raise BadInquiry(field="--node", reason="not an IP:PORT")
+    status, answer = backend.fetch(
+        Fetch(split_address(node), method, path, body, PATIENCE_SECONDS)
+    )
+    if status >= 400:
+        detail = {n: v for n, v in (answer or {}).items() if n != "trouble"}
+        raise rebuild((answer or {}).get("trouble", "trouble"), detail)
+    return answer
--- /dev/null
+++ b/quillring/verbs/process.py
@@ -0,0 +1,51 @@
+"""Running one process: settings to node, sockets, HTTP server, signals."""
+
+import logging
+import os
+import signal
+import time
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from quillring.fleet import make_node, open_store, start_node
+from quillring.kernel.gevent_world import GeventWorld
+from quillring.kernel.ringlog import ring_log
+from quillring.kernel.wsgi import make_app
+from quillring.nifty import Member
+from quillring.store import FolderDisk
+
+LEVELS = {"debug": logging.DEBUG, "warning": logging.WARNING, "error": logging.ERROR}
+
+
+def run_process(settings, makeWorld=GeventWorld):
+    """Run a node until the platform stops it; a planned stop finishes what is under way."""
+    nodeLogger, ringHandler = ring_log(settings.name, settings.log_file)
+
+    def log(level, text, *fields):
+        nodeLogger.log(LEVELS[level], text, *fields)
+
+    acceptors = None
+    if settings.role == "store":
+        acceptors = open_store(
+            FolderDisk(settings.folder), settings.name, lambda: os.urandom(6).hex()
+        )
+    me = Member(
+        settings.name, time.time_ns() // 1000, settings.role, settings.domain,
+        *settings.address, settings.http_address[1], acceptors.identity if acceptors else "",
+    )
+    world = makeWorld(lambda error: nodeLogger.error("failure", exc_info=error), 1.0)
+    node = make_node(me, world, settings.seeds, settings.bounds, log)
+    node.offer("ring", ringHandler)
+    start_node(node, acceptors)
+    nifty = node.find("nifty")
+    world.listen(*settings.address, nifty.on_datagram, nifty.on_frame)
+    server = WSGIServer(settings.http_address, make_app(node), log=None, error_log=nodeLogger)
+    server.start()
+    stopEvent = gevent.event.Event()
+    for signalNumber in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(signalNumber, stopEvent.set)
+    stopEvent.wait()
+    node.is_draining = True
+    gevent.sleep(settings.bounds.beat)
+    server.stop(timeout=settings.bounds.return_ * 5)
--- /dev/null
+++ b/quillring/verbs/routes.py
@@ -0,0 +1,146 @@
+"""HTTP routes for operators, back ends and the platform."""
+
+import jsonschema
+
+from quillring.edge import short, streams
+from quillring.kernel.troubles import NotFounded, Refused
+from quillring.kernel.wsgi import check_body, route
+from quillring.lots import front
+from quillring.quorum.founding import found_fleet
+from quillring.quorum.parts import CONFIG
+
+PLUGINS = (short, streams, front)
+CHANGE = jsonschema.Draft202012Validator({
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["base_version", "layout"],
+    "properties": {
+        "base_version": {"type": "integer", "minimum": 0},
+        "layout": {"type": "object"},
+        "whole": {"type": "boolean"},
+        "id": {"type": "string", "minLength": 1, "maxLength": 64},
+    },
+})
+FOUND = jsonschema.Draft202012Validator({
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["parts"],
+    "properties": {"parts": {"type": "integer", "minimum": 1, "maximum": 64}},
+})
+
+
+@route("POST", "/v1/replicas/beats")
+def take_beat(node, inquiry):
+    """Take a replica's beat at any node."""
+    return node.find("replicas").on_beat(inquiry.body)
+
+
+@route("GET", "/v1/alive")
+def show_alive(node, inquiry):
+    """Tell that the process lives."""
+    return {"name": node.me.name, "incarnation": node.me.incarnation}
+
+
+@route("GET", "/v1/ready")
+def show_ready(node, inquiry):
+    """Tell whether the platform may hand new connections to this node."""
+    if node.is_draining:
+        raise Refused(reason="draining")
+    if node.me.role == "edge":
+        node.find("freshness").check()
+    elif node.find("gossip").get("founding") is None:
+        raise NotFounded()
+    return {"ready": True}
+
+
+@route("POST", "/v1/found")
+def found(node, inquiry):
+    """Found the fleet on the stores now known."""
+    check_body(FOUND, inquiry.body)
+    return (yield from found_fleet(node, inquiry.body["parts"]))
+
+
+@route("GET", "/v1/members")
+def show_members(node, inquiry):
+    """Return the cohort members as this node sees them."""
+    nifty = node.find("nifty")
+    return {"members": [
+        {**member.to_json(), "hops": nifty.graph.hops(member.name)}
+        for member in nifty.roster.members.values()
+    ]}
+
+
+@route("GET", "/v1/graph")
+def show_graph(node, inquiry):
+    """Return graph, routes, sides and bridges."""
+    return node.find("nifty").graph.to_json()
+
+
+@route("GET", "/v1/parts")
+def show_parts(node, inquiry):
+    """Return each part with its group, owner and ballot as last heard."""
+    duty, gossip = node.find("duty"), node.find("gossip")
+    return {"parts": [
+        {
+            "part": part, "group": [store[0] for store in duty.group(part)],
+            **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
+        }
+        for part in duty.parts()
+    ]}
+
+
+@route("GET", "/v1/replicas")
+def show_replicas(node, inquiry):
+    """Return the replicas as this node sees them."""
+    replicas = node.find("replicas")
+    return {"replicas": [
+        {**replica.to_json(node.now()), "may_get_work": replicas.may_get_work(replica)}
+        for _, replica in sorted(replicas.table.items())
+    ]}
+
+
+@route("GET", "/v1/layout")
+def show_layout(node, inquiry):
+    """Return the layout this node acts on."""
+    image = node.find("layout")
+    return {"version": image.version, "index": image.index, "layout": image.layout}
+
+
+@route("PUT", "/v1/layout")
+def change_layout(node, inquiry):
+    """Adopt a whole or partial layout made against a version."""
+    check_body(CHANGE, inquiry.body)
+    ownId = f"{node.world.random.getrandbits(96):024x}"
+    return (yield from node.find("duty").submit(CONFIG, {
+        "do": "layout.adopt", "id": inquiry.body.get("id", ownId),
+        "base_version": inquiry.body["base_version"], "change": inquiry.body["layout"],
+        "whole": inquiry.body.get("whole", False),
+    }))
+
+
+@route("POST", "/v1/domains/{domain}/emptying")
+def empty_domain(node, inquiry):
+    """Empty a domain: no replica in it gets anything new."""
+    return (yield from _mark_domain(node, inquiry, True))
+
+
+@route("DELETE", "/v1/domains/{domain}/emptying")
+def refill_domain(node, inquiry):
+    """Let a domain get work again."""
+    return (yield from _mark_domain(node, inquiry, False))
+
+
+def _mark_domain(node, inquiry, isEmptied):
+    query = {"ask": "layout"}
+    current = yield from node.find("duty").read(CONFIG, query)
+    return (yield from node.find("duty").submit(CONFIG, {
+        "do": "layout.adopt", "id": f"{node.world.random.getrandbits(96):024x}",
+        "base_version": current["version"], "whole": False,
+        "change": {"domains": {inquiry.words["domain"]: {"emptied": isEmptied}}},
+    }))
+
+
+@route("GET", "/v1/counts")
+def show_counts(node, inquiry):
+    """Return the node's counters."""
+    return {"name": node.me.name, "counts": dict(sorted(node.counts.items()))}
