--- /dev/null
+++ b/proving/sim/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator: simpy drives the very state machines and scripts that production runs."""
--- /dev/null
+++ b/proving/sim/backends.py
@@ -0,0 +1,162 @@
+"""Simulated replicas: the stand-in logic with simulated time, network and deaths."""
+
+from proving.standin_logic import StandIn, piece_count, piece_text, seat_word, tile_word
+from quillring.kernel.effects import Signal
+from quillring.kernel.troubles import BackendTrouble, NotSent, Trouble
+
+PIECE_SECONDS = 0.03
+
+
+class SimHandle:
+    """An open streamed answer."""
+
+    def __init__(self, status):
+        self.status = status
+        self.lines = []
+        self.isClosed = False
+        self.signal = Signal()
+
+    def put(self, line):
+        """Hand a line over."""
+        self.lines.append(line)
+        self.signal.set()
+
+    def close(self):
+        """Close the connection."""
+        self.isClosed = True
+        self.signal.set()
+
+
+class SimReplica:
+    """One replica process."""
+
+    def __init__(self, sim, row, incarnation):
+        self.sim = sim
+        self.row = row
+        self.incarnation = incarnation
+        host, port = row["address"].rsplit(":", 1)
+        self.address = (host, int(port))
+        self.logic = StandIn(row["name"], row["slots"], row.get("warm", 3.0), sim.env.now)
+        self.is_dead = False
+        self.is_dark = False
+        self.sequence = 0
+        sim.env.process(self._beat())
+
+    def _beat(self):
+        chance = self.sim.chance
+        while not self.is_dead:
+            self.logic.bearable(self.sim.env.now)
+            self.send_beat()
+            yield self.sim.env.timeout(0.4 * chance.uniform(0.9, 1.1))
+
+    def send_beat(self):
+        """Send a beat to whichever node takes it."""
+        if self.is_dark or self.is_dead:
+            return
+        self.sequence += 1
+        body = self.logic.beat(
+            self.row["service"], self.row["domain"], self.row["address"], self.incarnation,
+            self.sequence,
+        )
+        nodes = [n for n in self.sim.nodes.values() if self.sim.is_up(n)]
+        self.sim.chance.shuffle(nodes)
+        for node in nodes:
+            if self.sim.net.passes(self.address, node.me.address):
+                try:
+                    node.find("replicas").on_beat(body)
+                except Trouble:
+                    continue
+                return
+
+    def leave(self):
+        """Say that it is leaving, then finish what is under way."""
+        self.logic.leave(self.sim.env.now)
+        self.send_beat()
+
+    def kill(self):
+        """Die at once."""
+        self.is_dead = True
+
+
+class Backends:
+    """The HTTP side of all replicas, by address."""
+
+    def __init__(self, sim):
+        self.sim = sim
+        self.replicas = {}
+
+    def _find(self, world, effect):
+        replica = self.replicas.get(tuple(effect.address))
+        yield self.sim.env.timeout(self.sim.net.delay())
+        if replica is None or replica.is_dead:
+            raise NotSent(reason="refused")
+        if replica.is_dark or not self.sim.net.passes(world.address, replica.address):
+            yield self.sim.env.timeout(min(1.0, max(0, effect.seconds)))
+            raise NotSent(reason="connect")
+        return replica
+
+    def _start(self, replica, name, prefix, work):
+        seconds = replica.logic.begin(name, prefix, self.sim.env.now)
+        if seconds is not None:
+            self.sim.history.ran(work, replica, name)
+        return seconds
+
+    def fetch(self, world, effect):
+        """Serve a tile or a seat."""
+        replica = yield from self._find(world, effect)
+        path, _, name = effect.path.partition("?inquiry=")
+        work = effect.body["key"] if effect.body else path
+        if self._start(replica, name, "", work) is None:
+            return 503, {"trouble": "busy"}
+        yield self.sim.env.timeout(0.003)
+        replica.logic.finish()
+        if replica.is_dead or replica.is_dark:
+            yield self.sim.env.timeout(0 if replica.is_dead else max(0, effect.seconds))
+            raise BackendTrouble(reason="broken off")
+        if effect.body:
+            return 200, {"inquiry": name, "confirmed": seat_word(work, effect.body["seat"])}
+        return 200, {"inquiry": name, "tile": tile_word(path)}
+
+    def open(self, world, effect):
+        """Open a generation."""
+        replica = yield from self._find(world, effect)
+        body = effect.body
+        seconds = self._start(replica, body["inquiry"], body["prefix"], body["prompt"])
+        if seconds is None:
+            return SimHandle(503)
+        handle = SimHandle(200)
+        self.sim.env.process(self._generate(replica, handle, body, seconds))
+        return handle
+
+    def _generate(self, replica, handle, body, seconds):
+        yield self.sim.env.timeout(seconds)
+        count = piece_count(body["prompt"], body["max_pieces"])
+        number = body["from"]
+        while not handle.isClosed and not replica.is_dead and number < count:
+            yield self.sim.env.timeout(PIECE_SECONDS)
+            number += 1
+            if replica.is_dead or replica.is_dark:
+                break
+            handle.put({
+                "inquiry": body["inquiry"], "n": number,
+                "piece": piece_text(body["prompt"], number),
+            })
+        replica.logic.finish()
+        self.sim.history.stopped(body["prompt"], replica)
+        if number == count and not replica.is_dark and not replica.is_dead:
+            handle.put({"inquiry": body["inquiry"], "end": True, "pieces": count})
+        elif replica.is_dead:
+            handle.close()
+
+    def next(self, world, effect):
+        """Return the next line."""
+        handle = effect.handle
+        if not handle.lines:
+            handle.signal = Signal()
+            if not handle.isClosed:
+                yield from world.wait(handle.signal, effect.seconds)
+        if handle.lines:
+            return handle.lines.pop(0)
+        if handle.isClosed:
+            return None
+        raise BackendTrouble(reason="stall")
--- /dev/null
+++ b/proving/sim/chaos.py
@@ -0,0 +1,241 @@
+"""Random faults from a seed: every kind the brief names, healed in the end."""
+
+from quillring.kernel.troubles import Conflict
+from quillring.quorum.parts import CONFIG
+
+
+class Chaos:
+    """Brings faults about at random times, then heals everything."""
+
+    def __init__(self, sim, monitor):
+        self.sim = sim
+        self.monitor = monitor
+        self.disksLost = 0
+        self.kinds = [
+            self.kill_edge, self.kill_core, self.kill_store, self.power_store, self.freeze_any,
+            self.cut_pair, self.cut_partial, self.cut_one_way, self.isolate_store, self.lossy,
+            self.kill_replica, self.dark_replica, self.leave_replica, self.full_disk,
+            self.race_operators, self.empty_domain, self.flap, self.split_whole,
+            self.bad_layout, self.isolate_core, self.lose_domain,
+        ]
+
+    def run(self, startTime, endTime, count):
+        """Process: bring about `count` faults, then heal."""
+        chance = self.sim.chance
+        times = sorted(chance.uniform(startTime, endTime) for _ in range(count))
+        for at in times:
+            yield self.sim.env.timeout(max(0, at - self.sim.env.now))
+            fault = chance.choice(self.kinds)
+            self.sim.history.count(f"fault {fault.__name__}")
+            self.sim.env.process(fault())
+        yield self.sim.env.timeout(max(0, endTime - self.sim.env.now))
+        self.sim.heal()
+        for disk in self.sim.disks.values():
+            disk.is_full = False
+        for name, node in list(self.sim.nodes.items()):
+            node.world.thaw()
+            if node.world.is_dead:
+                self.sim.start(name)
+        for name, replica in list(self.sim.replicas.items()):
+            if replica.is_dead or replica.logic.leftAt is not None:
+                self.sim.start_replica(name)
+            replica.is_dark = False
+
+    def _pick(self, role):
+        nodes = self.sim.up_nodes(role)
+        return self.sim.chance.choice(nodes).me.name if len(nodes) > 1 else None
+
+    def _back(self, name, seconds):
+        yield self.sim.env.timeout(seconds)
+        if self.sim.nodes[name].world.is_dead:
+            self.sim.start(name)
+
+    def _kill(self, role, **options):
+        name = self._pick(role)
+        if name is not None:
+            self.sim.kill(name, **options)
+            yield from self._back(name, self.sim.chance.uniform(0.2, 8))
+
+    def kill_edge(self):
+        """An edge dies and comes back."""
+        yield from self._kill("edge")
+
+    def kill_core(self):
+        """A core dies and an empty one comes back."""
+        yield from self._kill("core")
+
+    def kill_store(self):
+        """A store process dies and comes back."""
+        yield from self._kill("store")
+
+    def power_store(self):
+        """A store loses power with unsynced writes."""
+        yield from self._kill("store", losesPower=True)
+
+    def lose_domain(self):
+        """All nodes of a domain die at once and come back."""
+        domain = self.sim.chance.choice(["north", "east", "south", "west"])
+        names = [
+            n.me.name for n in self.sim.nodes.values()
+            if n.me.domain == domain and not n.world.is_dead
+        ]
+        self.sim.history.mark(f"domain {domain} lost")
+        for name in names:
+            self.sim.kill(name, losesPower=True)
+        for name in names:
+            yield from self._back(name, self.sim.chance.uniform(0.2, 2))
+
+    def freeze_any(self):
+        """A process freezes and wakes."""
+        name = self._pick(self.sim.chance.choice(["edge", "core", "store"]))
+        if name is not None:
+            self.sim.freeze(name, self.sim.chance.uniform(0.3, 7))
+        yield self.sim.env.timeout(0)
+
+    def _names(self):
+        return sorted(self.sim.nodes)
+
+    def _cut_for(self, names, others, bothWays=True):
+        sim = self.sim
+        before = set(sim.net.cuts)
+        sim.cut(names, others, bothWays)
+        added = sim.net.cuts - before
+        yield sim.env.timeout(sim.chance.uniform(1, 9))
+        sim.history.mark("cut healed")
+        sim.net.cuts -= added
+
+    def cut_pair(self):
+        """One pair is cut."""
+        yield from self._cut_for(*[[n] for n in self.sim.chance.sample(self._names(), 2)])
+
+    def cut_partial(self):
+        """Two groups are cut, a third reaches both."""
+        names = self._names()
+        self.sim.chance.shuffle(names)
+        third = len(names) // 3
+        yield from self._cut_for(names[:third], names[third:2 * third])
+
+    def cut_one_way(self):
+        """One direction is lost."""
+        first, second = self.sim.chance.sample(self._names(), 2)
+        yield from self._cut_for([first], [second], bothWays=False)
+
+    def split_whole(self):
+        """Two sides with no bridge."""
+        names = self._names()
+        self.sim.chance.shuffle(names)
+        half = self.sim.chance.randrange(1, len(names))
+        yield from self._cut_for(names[:half], names[half:])
+
+    def isolate_store(self):
+        """A store reaches nobody."""
+        name = self.sim.chance.choice(self.sim.names("store"))
+        yield from self._cut_for([name], [n for n in self._names() if n != name])
+
+    def isolate_core(self):
+        """All cores are cut off from the rest, or one core is."""
+        cores = self.sim.names("core")
+        names = cores if self.sim.chance.random() < 0.3 else [self.sim.chance.choice(cores)]
+        yield from self._cut_for(names, [n for n in self._names() if n not in names])
+
+    def flap(self):
+        """A link goes and comes."""
+        first, second = self.sim.chance.sample(self._names(), 2)
+        for _ in range(5):
+            yield from self._cut_for([first], [second])
+
+    def lossy(self):
+        """Packets are lost, doubled and reordered for a while."""
+        net, chance = self.sim.net, self.sim.chance
+        net.lossShare, net.doubleShare, net.reorderShare = 0.05, 0.05, 0.1
+        yield self.sim.env.timeout(chance.uniform(1, 6))
+        net.lossShare = net.doubleShare = net.reorderShare = 0.0
+
+    def _replica(self):
+        names = [n for n, r in self.sim.replicas.items() if not r.is_dead]
+        return self.sim.chance.choice(names)
+
+    def kill_replica(self):
+        """A replica crashes; a cold one takes its place."""
+        name = self._replica()
+        self.sim.history.mark(f"kill replica {name}")
+        self.sim.replicas[name].kill()
+        yield self.sim.env.timeout(self.sim.chance.uniform(0.5, 6))
+        self.sim.start_replica(name)
+
+    def dark_replica(self):
+        """A replica goes dark and comes back."""
+        name = self._replica()
+        replica = self.sim.replicas[name]
+        self.sim.history.mark(f"dark replica {name}")
+        replica.is_dark = True
+        yield self.sim.env.timeout(self.sim.chance.uniform(1, 6))
+        replica.is_dark = False
+
+    def leave_replica(self):
+        """A replica says that it leaves; a new one comes later."""
+        name = self._replica()
+        self.sim.history.mark(f"leave replica {name}")
+        self.sim.replicas[name].leave()
+        yield self.sim.env.timeout(self.sim.chance.uniform(4, 8))
+        self.sim.replicas[name].kill()
+        self.sim.start_replica(name)
+
+    def full_disk(self):
+        """A disk fills up and is cleared."""
+        disk = self.sim.chance.choice(list(self.sim.disks.values()))
+        self.sim.history.mark("disk full")
+        disk.is_full = True
+        yield self.sim.env.timeout(self.sim.chance.uniform(1, 6))
+        disk.is_full = False
+
+    def adopt(self, change, label):
+        """Process: an operator changes the layout; return (answer, trouble)."""
+        sim = self.sim
+        node = sim.chance.choice(sim.up_nodes("core") or sim.up_nodes("edge"))
+        command = {
+            "do": "layout.adopt", "id": f"{label} {sim.env.now}", "whole": False,
+            "base_version": node.find("layout").version, "change": change,
+        }
+        answer, trouble = yield from sim.run_script(node, node.find("duty").submit(CONFIG, command))
+        if answer:
+            self.monitor.accept(answer["version"])
+        return answer, trouble
+
+    def race_operators(self):
+        """Two operators change the layout at once."""
+        changes = [{"classes": {}, "entries": {f"extra-{i}": {
+            "service": "words", "class": next(iter(self.sim.layout["classes"])),
+        }}} for i in (1, 2)]
+        tasks = [self.sim.env.process(self.adopt(c, f"op{i}")) for i, c in enumerate(changes)]
+        outcomes = yield self.sim.env.all_of(tasks)
+        answers = [answer for answer, _ in outcomes.values() if answer]
+        versions = [answer["version"] for answer in answers]
+        if len(set(versions)) != len(versions):
+            self.sim.history.violate(f"two operators won version {versions}")
+        if any(isinstance(t, Conflict) for _, t in outcomes.values()):
+            self.sim.history.count("operator conflicts")
+
+    def bad_layout(self):
+        """An operator hands in a layout with a dangling entry."""
+        change = {"entries": {"dangling": {"service": "none", "class": "none"}}}
+        answer, _ = yield from self.adopt(change, "bad")
+        if answer:
+            self.sim.history.violate("an invalid layout was adopted")
+
+    def empty_domain(self):
+        """A domain is emptied and refilled."""
+        domain = self.sim.chance.choice(["north", "east", "south", "west"])
+        answer, _ = yield from self.adopt({"domains": {domain: {"emptied": True}}}, "empty")
+        if not answer:
+            return
+        self.sim.history.mark(f"empty {domain}")
+        self.sim.history.emptied.setdefault(domain, self.sim.env.now)
+        yield self.sim.env.timeout(self.sim.chance.uniform(6, 10))
+        self.sim.history.emptied.pop(domain, None)
+        for _ in range(20):
+            answer, trouble = yield from self.adopt(
+                {"domains": {domain: {"emptied": False}}}, "fill")
+            if answer:
+                return
+            yield self.sim.env.timeout(0.5)
--- /dev/null
+++ b/proving/sim/fleet.py
@@ -0,0 +1,170 @@
+"""A simulated fleet: nodes, replicas, disks, and the faults that befall them."""
+
+import random
+
+import simpy
+
+from proving.deployments import DEPLOYMENTS, layout_of, replicas_of, settings_of
+from proving.sim.backends import Backends, SimReplica
+from proving.sim.disk import SimDisk
+from proving.sim.history import History
+from proving.sim.net import SimNet
+from proving.sim.world import SimWorld
+from quillring.fleet import make_node, open_store, start_node
+from quillring.kernel.bounds import Bounds
+from quillring.kernel.settings import split_address
+from quillring.nifty import Member
+from quillring.rollout.commands import QUERIES  # noqa: F401
+
+FOUNDED_AT = 6.0
+
+
+class SimFleet:
+    """All processes of one deployment in simulated time, from one seed."""
+
+    def __init__(self, deployment, seed, sizes=None):
+        self.seed = seed
+        self.chance = random.Random(f"fleet {seed}")
+        self.env = simpy.Environment()
+        self.net = SimNet(self.env, random.Random(f"net {seed}"))
+        self.history = History(self.env)
+        self.backends = Backends(self)
+        source = DEPLOYMENTS[deployment]
+        if sizes:
+            source = {**source, **sizes}
+        self.layout = layout_of(source)
+        self.rows = {row["name"]: row for row in settings_of(source)}
+        self.replicaRows = {row["name"]: row for row in replicas_of(source)}
+        self.bounds = Bounds()
+        self.nodes = {}
+        self.disks = {}
+        self.replicas = {}
+        self.starts = 0
+        self.faults = []
+
+    def names(self, role):
+        """Return the node names of a role."""
+        return [name for name, row in self.rows.items() if row["role"] == role]
+
+    def is_up(self, node):
+        """Tell whether a node runs and is not frozen."""
+        return not node.world.is_dead and node.world.thawEvent is None
+
+    def up_nodes(self, role):
+        """Return the running nodes of a role."""
+        return [
+            node for name, node in self.nodes.items()
+            if node.me.role == role and self.is_up(node)
+        ]
+
+    def start(self, name):
+        """Start a node from its settings and whatever its disk holds."""
+        row = self.rows[name]
+        self.starts += 1
+        address = split_address(row["address"])
+        world = SimWorld(
+            self.env, self.net, self.backends, address, f"{self.seed} {name} {self.starts}",
+            self.faults,
+        )
+        acceptors = None
+        if row["role"] == "store":
+            disk = self.disks.setdefault(name, SimDisk(random.Random(f"{self.seed} {name}")))
+            acceptors = open_store(disk, name, lambda: f"{self.starts:04d}")
+        me = Member(
+            name, self.starts, row["role"], row["domain"], *address, 8400,
+            acceptors.identity if acceptors else "",
+        )
+        seeds = [split_address(seed) for seed in row["seeds"]]
+        node = make_node(me, world, seeds, self.bounds, self._logger(name))
+        start_node(node, acceptors)
+        world.listen(node.find("nifty").on_datagram, node.find("nifty").on_frame)
+        self.nodes[name] = node
+        return node
+
+    def _logger(self, name):
+        def log(level, text, *fields):
+            if level == "error":
+                self.history.violate(f"{name}: {text % fields}")
+        return log
+
+    def kill(self, name, losesPower=False):
+        """Kill a node; with the power gone, unsynced writes are dropped."""
+        self.history.mark(f"kill {name}{' by power' if losesPower else ''}")
+        self.nodes[name].world.kill()
+        disk = self.disks.get(name)
+        if disk is not None:
+            torn = self.chance.randbytes(self.chance.randrange(0, 30)) if losesPower else b""
+            disk.lose_power(torn)
+
+    def lose_disk(self, name):
+        """Kill a store and empty its disk."""
+        self.kill(name, losesPower=True)
+        self.disks[name].lose_all()
+
+    def freeze(self, name, seconds):
+        """Freeze a node for some seconds."""
+        self.history.mark(f"freeze {name} for {seconds:.1f}")
+        world = self.nodes[name].world
+        world.freeze()
+        self.env.timeout(seconds).callbacks.append(lambda _: world.thaw())
+
+    def cut(self, names, otherNames, bothWays=True):
+        """Cut every pair between two groups of nodes."""
+        self.history.mark(f"cut {sorted(names)} from {sorted(otherNames)}")
+        for name in names:
+            for otherName in otherNames:
+                self.net.cut(
+                    self.nodes[name].me.address, self.nodes[otherName].me.address, bothWays
+                )
+
+    def heal(self):
+        """Heal the network."""
+        self.history.mark("heal")
+        self.net.heal()
+
+    def start_replica(self, name):
+        """Start a replica, cold."""
+        self.starts += 1
+        row = self.replicaRows[name]
+        replica = SimReplica(self, row, self.starts)
+        self.replicas[name] = replica
+        self.backends.replicas[replica.address] = replica
+        return replica
+
+    def start_all(self):
+        """Start everything, a few moments apart."""
+        for name in self.rows:
+            self.start(name)
+        for name in self.replicaRows:
+            self.start_replica(name)
+
+    def run_script(self, node, script, sink=None):
+        """Process: run a script on a node; return (its value, None) or (None, its trouble)."""
+        from quillring.kernel.troubles import Trouble
+        try:
+            value = yield from node.world.drive(script, sink)
+        except Trouble as trouble:
+            return None, trouble
+        return value, None
+
+    def found(self):
+        """Process: found the fleet and adopt the example layout."""
+        from quillring.quorum.founding import found_fleet
+        from quillring.quorum.parts import CONFIG
+        while True:
+            yield self.env.timeout(0.5)
+            node = self.nodes[self.names("core")[0]]
+            _, trouble = yield from self.run_script(node, found_fleet(node, 2))
+            if trouble is None:
+                break
+        command = {
+            "do": "layout.adopt", "id": "first", "base_version": 0, "change": self.layout,
+            "whole": True,
+        }
+        while True:
+            answer, trouble = yield from self.run_script(
+                node, node.find("duty").submit(CONFIG, command))
+            if trouble is None:
+                break
+            yield self.env.timeout(0.3)
+        self.history.mark(f"founded, layout {answer}")
--- /dev/null
+++ b/proving/sim/monitor.py
@@ -0,0 +1,65 @@
+"""Looks at the whole fleet all the time: layouts, parts, queues."""
+
+import hashlib
+
+import cbor2
+
+
+class Monitor:
+    """Checks what no single caller can see."""
+
+    def __init__(self, sim):
+        self.sim = sim
+        self.accepted = []
+        self.servedVersions = {}
+        self.layouts = {}
+        self.images = {}
+        sim.env.process(self.run())
+
+    def accept(self, version):
+        """An operator was told that this version is accepted."""
+        self.accepted.append((self.sim.env.now, version))
+
+    def run(self):
+        """Process: check everything ten times a second."""
+        while True:
+            yield self.sim.env.timeout(0.1)
+            for name, node in self.sim.nodes.items():
+                if self.sim.is_up(node):
+                    self._check_layout(name, node)
+                    if node.me.role == "store":
+                        self._check_parts(name, node.find("acceptors"))
+                    self._check_room(name, node)
+
+    def _check_layout(self, name, node):
+        image, now = node.find("layout"), self.sim.env.now
+        if image.layout is None:
+            return
+        digest = hashlib.sha256(cbor2.dumps(image.layout)).hexdigest()
+        if self.layouts.setdefault(image.version, digest) != digest:
+            self.sim.history.violate(f"{name}: two layouts under version {image.version}")
+        if node.me.role != "edge" or not node.find("freshness").is_fresh():
+            return
+        dueVersion = max((v for at, v in self.accepted if now > at + 2.0), default=0)
+        if image.version < dueVersion:
+            self.sim.history.violate(f"{name} serves layout {image.version}, due {dueVersion}")
+        if image.version < self.servedVersions.get(name, 0):
+            self.sim.history.violate(f"{name} fell back to layout {image.version}")
+        self.servedVersions[name] = image.version
+
+    def _check_parts(self, name, acceptors):
+        for part, record in acceptors.parts.items():
+            if record.state is None:
+                continue
+            key = (part, record.applied)
+            if self.images.get((name, key)) is record.state:
+                continue
+            self.images[(name, key)] = record.state
+            digest = hashlib.sha256(cbor2.dumps(record.state, canonical=True)).hexdigest()
+            if self.images.setdefault(key, digest) != digest:
+                self.sim.history.violate(f"{name}: {part} differs at {record.applied}")
+
+    def _check_room(self, name, node):
+        dispatch = node.find("dispatch")
+        if dispatch is not None and len(dispatch.waiting) > 2000:
+            self.sim.history.violate(f"{name}: {len(dispatch.waiting)} wait")
--- /dev/null
+++ b/proving/sim/run.py
@@ -0,0 +1,81 @@
+"""One simulated run from one seed: traffic, chaos, healing, the final look."""
+
+from proving.sim.callers import SimCallers
+from proving.sim.chaos import Chaos
+from proving.sim.fleet import SimFleet
+from proving.sim.monitor import Monitor
+
+HEAL_AT, BACK_WITHIN, LAST_LOOK = 40.0, 12.0, 45.0
+ONCE_CLASS = {
+    "first_piece_ms": 1500, "time_left_ms": 15_000, "urgency": 5, "share": 0.0,
+    "resumable": False, "repeatable": False,
+}
+SMALL = {"sizes": {"edge": 4, "core": 3, "store": 4}}
+
+
+def start_fleet(deployment, seed, sizes=None):
+    """Return a fleet that is being founded, with one class that may not repeat."""
+    sim = SimFleet(deployment, seed, sizes)
+    sim.layout = {
+        **sim.layout, "classes": {**sim.layout["classes"], "once": ONCE_CLASS},
+        "entries": {**sim.layout["entries"], "once": {"service": "words", "class": "once"}},
+    }
+    sim.start_all()
+    sim.env.process(sim.found())
+    return sim
+
+
+def start_traffic(sim, deployment, scale=1.0):
+    """Start every kind of caller."""
+    callers = SimCallers(sim)
+    short, long, lots = {
+        "ferrowa": ("wayfinding", "tagging", "gate-notices"),
+        "kilele": ("price-hints", "seller-reviews", "fraud-reports"),
+    }[deployment]
+    env = sim.env
+    env.process(callers.generate(6 * scale, callers.stream, short, "short"))
+    env.process(callers.generate(1 * scale, callers.stream, long, "long", 60))
+    env.process(callers.generate(2 * scale, callers.stream, "once", "once", 12, True))
+    env.process(callers.generate(0.5 * scale, callers.lot, lots))
+    if deployment == "ferrowa":
+        env.process(callers.generate(10 * scale, callers.tile, "tiles"))
+    else:
+        env.process(callers.generate(10 * scale, callers.seat, "seats"))
+    return callers
+
+
+def probe_service(sim, callers, deadline):
+    """Process: after the heal every kind of inquiry must work again by the deadline."""
+    yield sim.env.timeout(max(0, deadline - sim.env.now))
+    before = dict(callers.record.outcomes)
+    entry = "wayfinding" if "wayfinding" in sim.layout["entries"] else "price-hints"
+    lots = "gate-notices" if "gate-notices" in sim.layout["entries"] else "fraud-reports"
+    for _ in range(6):
+        yield sim.env.process(callers.stream(entry, "probe"))
+        sim.env.process(callers.lot(lots, 2, 0.0))
+    outcomes = {
+        o: n - before.get((k, o), 0) for (k, o), n in callers.record.outcomes.items()
+        if k == "probe"
+    }
+    if outcomes.get("complete") != 6:
+        sim.history.violate(f"service is not back: {outcomes}")
+
+
+def run_seed(deployment, seed, faultCount=10, sizes=None):
+    """Run one seed; return the history and the callers' record."""
+    sim = start_fleet(deployment, seed, sizes)
+    monitor = Monitor(sim)
+    sim.env.run(until=6)
+    callers = start_traffic(sim, deployment)
+    chaos = Chaos(sim, monitor)
+    sim.env.process(chaos.run(8, HEAL_AT, faultCount))
+    callers.stopAt = HEAL_AT
+    sim.env.run(until=HEAL_AT + 0.001)
+    sim.env.process(probe_service(sim, callers, HEAL_AT + BACK_WITHIN))
+    sim.env.run(until=HEAL_AT + LAST_LOOK)
+    for lot, known in callers.lots.items():
+        if known["phase"] == "open":
+            sim.history.violate(f"lot {lot} has no end: {len(known['seen'])} results")
+    for replica in sim.replicas.values():
+        sim.history.count("overloads", replica.logic.overloads)
+    return sim, callers
--- /dev/null
+++ b/proving/sim/world.py
@@ -0,0 +1,144 @@
+"""The world of one simulated process: simpy drives its scripts."""
+
+import random
+
+from quillring.kernel.effects import Emit, Fetch, Next, Open, Sleep, Wait
+from quillring.kernel.troubles import Trouble
+
+
+class ScriptFailure(Exception):
+    """A script ended in something that is no trouble: a fault of the program."""
+
+
+class SimWorld:
+    """Time, chance, network and scripts of one simulated process."""
+
+    def __init__(self, env, net, backends, address, seed, faults):
+        self.env = env
+        self.net = net
+        self.backends = backends
+        self.address = address
+        self.random = random.Random(seed)
+        self.faults = faults
+        self.skew = self.random.uniform(0, 1000)
+        self.is_dead = False
+        self.thawEvent = None
+        self.held = []
+        self.on_datagram = self.on_frame = None
+
+    def now(self):
+        """Return this process's own monotonic time."""
+        return self.env.now + self.skew
+
+    def wall(self):
+        """Return the wall clock."""
+        return self.env.now + 1_800_000_000
+
+    def secret(self, count):
+        """Return seeded bytes."""
+        return self.random.randbytes(count)
+
+    def listen(self, on_datagram, on_frame):
+        """Receive at the own address."""
+        self.on_datagram, self.on_frame = on_datagram, on_frame
+        self.net.attach(self.address, self)
+
+    def receive(self, kind, data):
+        """Take a packet; a frozen process finds it when it wakes."""
+        if self.is_dead:
+            return
+        if self.thawEvent is not None:
+            if len(self.held) < 500:
+                self.held.append((kind, data))
+            return
+        handler = self.on_datagram if kind == "datagram" else self.on_frame
+        handler(data)
+
+    def datagram(self, address, data):
+        """Send a datagram."""
+        self.net.carry(self.address, tuple(address), data, "datagram")
+
+    def frame(self, address, data):
+        """Send a frame."""
+        self.net.carry(self.address, tuple(address), data, "frame")
+
+    def kill(self):
+        """End the process; none of its scripts goes on."""
+        self.is_dead = True
+        self.thaw()
+
+    def freeze(self):
+        """Stop every script where it is; time goes on outside."""
+        if self.thawEvent is None:
+            self.thawEvent = self.env.event()
+
+    def thaw(self):
+        """Wake a frozen process; what was held arrives, in a burst."""
+        if self.thawEvent is None:
+            return
+        event, self.thawEvent = self.thawEvent, None
+        event.succeed()
+        heldPackets, self.held = self.held, []
+        for kind, data in heldPackets:
+            self.receive(kind, data)
+
+    def spawn(self, script):
+        """Run a script as a process of its own."""
+        return self.env.process(self._guard(script))
+
+    def _guard(self, script):
+        try:
+            return (yield from self.drive(script))
+        except Trouble as trouble:
+            self.faults.append(("trouble", str(trouble)))
+        except ScriptFailure:
+            raise
+        except Exception as error:
+            raise ScriptFailure(f"{script.__qualname__}: {error!r}") from error
+
+    def drive(self, script, sink=None):
+        """Run a script; lines it emits go to the sink, which may refuse them."""
+        value, trouble = None, None
+        while True:
+            while self.thawEvent is not None:
+                yield self.thawEvent
+            if self.is_dead:
+                script.close()
+                return None
+            try:
+                effect = script.throw(trouble) if trouble else script.send(value)
+            except StopIteration as stop:
+                return stop.value
+            value, trouble = None, None
+            if isinstance(effect, Emit):
+                if not sink(effect.line):
+                    script.close()
+                    return None
+                continue
+            try:
+                value = yield from self.perform(effect)
+            except Trouble as raisedTrouble:
+                trouble = raisedTrouble
+
+    def perform(self, effect):
+        """Bring about one effect."""
+        match effect:
+            case Sleep():
+                yield self.env.timeout(effect.seconds)
+            case Wait():
+                return (yield from self.wait(effect.signal, effect.seconds))
+            case Fetch():
+                return (yield from self.backends.fetch(self, effect))
+            case Open():
+                return (yield from self.backends.open(self, effect))
+            case Next():
+                return (yield from self.backends.next(self, effect))
+        return None
+
+    def wait(self, signal, seconds):
+        """Wait for a signal of the kernel's."""
+        if not signal.is_set:
+            wokenEvent = self.env.event()
+            signal.watchers.append(lambda: wokenEvent.triggered or wokenEvent.succeed())
+            yield wokenEvent | self.env.timeout(max(0, seconds))
+        return signal.is_set
--- /dev/null
+++ b/proving/sweep.py
@@ -0,0 +1,74 @@
+"""The sweep: many simulator seeds, on all cores; failing seeds print their replay command."""
+
+import json
+import multiprocessing
+import sys
+import time
+import traceback
+
+import click
+
+from proving.sim.run import SMALL, run_seed
+
+
+def run_one(job):
+    """Run one seed in a worker."""
+    deployment, seed, faults, small = job
+    startTime = time.perf_counter()
+    try:
+        sim, callers = run_seed(deployment, seed, faults, SMALL if small else None)
+        violations, marks = sim.history.violations, sim.history.marks
+        outcomes = {f"{k}/{o}": n for (k, o), n in callers.record.outcomes.items()}
+        counts = sim.history.counts
+    except Exception as error:
+        place = traceback.format_exc().splitlines()[-12:]
+        violations, marks, outcomes, counts = [f"failure: {error!r}", *place], [], {}, {}
+    return {
+        "deployment": deployment, "seed": seed, "violations": violations, "marks": marks,
+        "outcomes": outcomes, "counts": counts, "seconds": time.perf_counter() - startTime,
+    }
+
+
+def replay_command(result, faults, small):
+    """Return the command that replays a seed."""
+    sizeFlag = " --small" if small else ""
+    return (
+        f"python -m proving.sweep --deployment {result['deployment']} --first "
+        f"{result['seed']} --count 1 --faults {faults}{sizeFlag} --verbose"
+    )
+
+
+@click.command()
+@click.option("--deployment", "deployments", multiple=True, default=("ferrowa", "kilele"))
+@click.option("--first", default=1, show_default=True, help="First seed.")
+@click.option("--count", default=20, show_default=True, help="Seeds a deployment.")
+@click.option("--faults", default=10, show_default=True, help="Faults a run.")
+@click.option("--small", is_flag=True, help="Fewer edges and cores.")
+@click.option("--workers", default=8, show_default=True)
+@click.option("--verbose", is_flag=True, help="Print the steps of every run.")
+def main(deployments, first, count, faults, small, workers, verbose):
+    """Run many seeds; exit 1 when any has a violation."""
+    jobs = [(d, seed, faults, small) for seed in range(first, first + count) for d in deployments]
+    outcomes, counts, failed = {}, {}, 0
+    with multiprocessing.Pool(min(workers, len(jobs))) as pool:
+        for result in pool.imap_unordered(run_one, jobs):
+            for total, part in ((outcomes, result["outcomes"]), (counts, result["counts"])):
+                for name, number in part.items():
+                    total[name] = total.get(name, 0) + number
+            if result["violations"]:
+                failed += 1
+                click.echo(f"{result['deployment']} seed {result['seed']} failed:")
+                for text in result["violations"][:16]:
+                    click.echo(f"  {text[:300]}")
+                click.echo(f"  replay: {replay_command(result, faults, small)}")
+            if verbose:
+                click.echo("\n".join(result["marks"]))
+    click.echo(json.dumps({
+        "runs": len(jobs), "failed": failed, "outcomes": dict(sorted(outcomes.items())),
+        "counts": dict(sorted(counts.items())),
+    }, indent=1))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/quillring/kernel/wsgi.py
+++ b/quillring/kernel/wsgi.py
@@ -37,7 +37,8 @@
     matcher = re.compile(re.sub(r"{\w+}", "([^/]+)", pattern))
 
     def enter(function):
-        return ROUTES.entry((method, pattern))((matcher, names, limit, function))
+        ROUTES.entry((method, pattern))((matcher, names, limit, function))
+        return function
 
     return enter
 
