Grants for cold replicas and classes, repair of groups, hints, claims that say out of reach

Ruled out: a lower ramp per node (still adds up with node count), asking the replica (it may be cut off). Changed: the core that owns a service's part grants cold slots under its fence, never one that another taker may still hold; a claim that missed a keeper is a refusal that may come back; owners change groups one member at a time and mend them.

--- a/proving/sim/callers.py
+++ b/proving/sim/callers.py
@@ -86,7 +86,8 @@
         connection = Connection(self.sim, node, script)
         yield from connection.next(PATIENCE)
         connection.isOpen = False
-        return connection.outcome or (None, Trouble(reason="no answer"))
+        answer, trouble = connection.outcome or (None, None)
+        return answer, trouble or (None if answer else Trouble(reason="no answer"))
 
     def _name(self, kind):
         self.number += 1
--- a/proving/sim/chaos.py
+++ b/proving/sim/chaos.py
@@ -16,7 +16,7 @@
             self.cut_pair, self.cut_partial, self.cut_one_way, self.isolate_store, self.lossy,
             self.kill_replica, self.dark_replica, self.leave_replica, self.full_disk,
             self.race_operators, self.empty_domain, self.flap, self.split_whole,
-            self.bad_layout, self.isolate_core, self.lose_domain,
+            self.bad_layout, self.isolate_core, self.lose_domain, self.lose_disk,
         ]
 
     def run(self, startTime, endTime, count):
@@ -72,6 +72,16 @@
         """A store loses power with unsynced writes."""
         yield from self._kill("store", losesPower=True)
 
+    def lose_disk(self):
+        """A store loses its disk and comes back empty; at most one a run."""
+        name = self._pick("store")
+        if name is not None and not self.disksLost:
+            self.disksLost += 1
+            self.sim.history.mark(f"disk of {name} lost")
+            self.sim.lose_disk(name)
+            yield from self._back(name, self.sim.chance.uniform(0.2, 4))
+        yield self.sim.env.timeout(0)
+
     def lose_domain(self):
         """All nodes of a domain die at once and come back."""
         domain = self.sim.chance.choice(["north", "east", "south", "west"])
@@ -234,7 +244,7 @@
         yield self.sim.env.timeout(self.sim.chance.uniform(6, 10))
         self.sim.history.emptied.pop(domain, None)
         for _ in range(20):
-            answer, trouble = yield from self.adopt(
+            answer, _ = yield from self.adopt(
                 {"domains": {domain: {"emptied": False}}}, "fill")
             if answer:
                 return
--- a/proving/sim/run.py
+++ b/proving/sim/run.py
@@ -61,6 +61,21 @@
         sim.history.violate(f"service is not back: {outcomes}")
 
 
+def check_groups(sim):
+    """In the end every part has three live members in three domains, with one state."""
+    identities = {node.find("acceptors").identity for node in sim.up_nodes("store")}
+    duty = sim.up_nodes("core")[0].find("duty")
+    for part in duty.parts():
+        group = duty.group(part)
+        if len(group) != 3 or len({s[2] for s in group}) != 3:
+            sim.history.violate(f"{part} has the group {group}")
+        if not {s[1] for s in group} <= identities:
+            sim.history.violate(f"{part} has members that are gone: {group}")
+    hinted = {n.me.name: n.find("acceptors").hints for n in sim.up_nodes("store")}
+    if any(hinted.values()):
+        sim.history.violate(f"hints are left over: {[n for n, h in hinted.items() if h]}")
+
+
 def run_seed(deployment, seed, faultCount=10, sizes=None):
     """Run one seed; return the history and the callers' record."""
     sim = start_fleet(deployment, seed, sizes)
@@ -76,6 +91,7 @@
     for lot, known in callers.lots.items():
         if known["phase"] == "open":
             sim.history.violate(f"lot {lot} has no end: {len(known['seen'])} results")
+    check_groups(sim)
     for replica in sim.replicas.values():
         sim.history.count("overloads", replica.logic.overloads)
     return sim, callers
--- /dev/null
+++ b/quillring/classes/granter.py
@@ -0,0 +1,113 @@
+"""The deciding core of a service: grants class room to takers, and cold replicas' slots."""
+
+from quillring.classes.shares import divide, ramp, split
+from quillring.kernel.troubles import NotOwner
+from quillring.nifty.graph import score
+from quillring.quorum.parts import part_of
+
+WARM_UP_MS = 8000
+
+
+class Asked:
+    """What a taker last asked for a service, and the cold slots it may hold until when."""
+
+    __slots__ = ("at", "demands", "cold", "coldUntil")
+
+    def __init__(self, at, demands, cold, coldUntil):
+        self.at = at
+        self.demands = demands
+        self.cold = cold
+        self.coldUntil = coldUntil
+
+
+class Granter:
+    """Answers takers for the services whose part this core owns, while its fence holds."""
+
+    __slots__ = ("node", "asked", "ownedSince")
+
+    def __init__(self, node):
+        self.node = node
+        self.asked = {}
+        self.ownedSince = {}
+        node.find("duty").on_owner.append(self._on_owner)
+        node.handle("grants.ask", self.on_ask)
+
+    @property
+    def lease(self):
+        """Seconds for which a grant of cold slots holds."""
+        return self.node.bounds.news
+
+    def _on_owner(self, owner, batch):
+        if not owner.is_owner:
+            self.ownedSince.pop(owner.part, None)
+        elif owner.part not in self.ownedSince:
+            self.ownedSince[owner.part] = self.node.now()
+
+    def on_ask(self, body, origin):
+        """Grant a taker its class limits and cold slots for one service."""
+        service = body["service"]
+        duty = self.node.find("duty")
+        part = part_of(service, len(duty.parts()) - 1)
+        owner = duty.owners.get(part)
+        if owner is None or not owner.may_act():
+            raise NotOwner(part=part)
+        now = self.node.now()
+        former = self.asked.get((service, origin))
+        heldCold = dict(body["cold"])
+        self.asked[(service, origin)] = Asked(now, body["demands"], heldCold, now + self.lease)
+        cold = self._cold_slots(service, origin, now, former, now - self.ownedSince[part])
+        asked = self.asked[(service, origin)]
+        asked.cold = {n: max(cold.get(n, 0), heldCold.get(n, 0)) for n in sorted({*cold, *heldCold})}
+        return {"limits": self._limits(service, origin, now), "cold": cold, "lease": self.lease}
+
+    def _limits(self, service, taker, now):
+        layout = self.node.find("layout").layout or {"classes": {}}
+        replicas = self.node.find("replicas").working(service)
+        room = sum(self.bearable(replica) for replica in replicas)
+        takers = {
+            name: asked.demands for (s, name), asked in self.asked.items()
+            if s == service and now - asked.at < self.node.bounds.news / 2
+        }
+        classNames = sorted(
+            {c for demands in takers.values() for c in demands} & set(layout["classes"]))
+        demands = {c: sum(d.get(c, 0) for d in takers.values()) for c in classNames}
+        granted = divide(room, layout["classes"], demands)
+        idlePart = max(0, room - sum(granted.values())) // max(1, len(takers))
+        return {
+            c: split(granted[c], {n: d.get(c, 0) for n, d in takers.items()})[taker] + idlePart
+            for c in classNames
+        }
+
+    def bearable(self, replica):
+        """Return how much a replica bears now, by the ramp while it is cold."""
+        if replica.state != "cold":
+            return replica.slots
+        services = (self.node.find("layout").layout or {}).get("services", {})
+        warmUp = services.get(replica.service, {}).get("warm_up_ms", WARM_UP_MS) / 1000
+        return ramp(replica.slots, self.node.now() - replica.bornAt, warmUp)
+
+    def _cold_slots(self, service, taker, now, former, ownedFor):
+        """Return {replica: slots}; what others may still hold is never granted twice."""
+        coldReplicas = [
+            r for r in self.node.find("replicas").working(service) if r.state == "cold"
+        ]
+        held = self.asked[(service, taker)].cold
+        if ownedFor < self.lease:
+            return {r.name: held[r.name] for r in coldReplicas if held.get(r.name)}
+        takers = {
+            name: asked for (s, name), asked in self.asked.items()
+            if s == service and asked.coldUntil > now
+        }
+        slots = {}
+        for replica in coldReplicas:
+            elsewhere = sum(
+                asked.cold.get(replica.name, 0) for n, asked in takers.items() if n != taker
+            )
+            wanted = split(self.bearable(replica), {
+                name: sum(asked.demands.values()) + 1 for name, asked in takers.items()
+            })[taker]
+            rankedTakers = sorted(takers, key=lambda n: score(replica.name, n), reverse=True)
+            if self.bearable(replica) < len(takers):
+                wanted = int(taker in rankedTakers[:self.bearable(replica)])
+            slots[replica.name] = max(0, min(wanted, self.bearable(replica) - elsewhere))
+        return {name: count for name, count in slots.items() if count}
--- /dev/null
+++ b/quillring/classes/taker.py
@@ -0,0 +1,79 @@
+"""An edge's or lot runner's side of the grants: asks, holds limits, tells who must pause."""
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import NotFounded, Trouble
+from quillring.quorum.parts import part_of
+
+
+class Taker:
+    """The grant entries of this node, per service."""
+
+    __slots__ = ("node", "limits", "limitsUntil", "cold", "coldUntil", "on_grant")
+
+    def __init__(self, node):
+        self.node = node
+        self.limits = {}
+        self.limitsUntil = {}
+        self.cold = {}
+        self.coldUntil = {}
+        self.on_grant = lambda: None
+
+    def run(self):
+        """Script: ask the deciding core of each service a few times a beat."""
+        while True:
+            yield Sleep(self.node.bounds.beat / 4)
+            layout = self.node.find("layout").layout
+            if layout is None or self.node.is_draining:
+                continue
+            for service in sorted(layout["services"]):
+                self.node.spawn(self._ask(service))
+
+    def _ask(self, service):
+        duty, dispatch = self.node.find("duty"), self.node.find("dispatch")
+        try:
+            part = part_of(service, len(duty.parts()) - 1)
+        except NotFounded:
+            return
+        news = self.node.find("gossip").get(f"owner/{part}")
+        if news is None or not self.node.find("nifty").reaches(news["owner"]):
+            return
+        askTime = self.node.now()
+        body = {
+            "service": service, "demands": dispatch.demands(service),
+            "cold": self._held_cold(service),
+        }
+        try:
+            grant = yield from self.node.call(
+                news["owner"], "grants.ask", body, self.node.bounds.beat)
+        except Trouble:
+            return
+        self.limits = {**self.limits, service: grant["limits"]}
+        self.limitsUntil = {**self.limitsUntil, service: askTime + self.node.bounds.news * 2}
+        self.cold = {**self.cold, service: grant["cold"]}
+        self.coldUntil = {**self.coldUntil, service: askTime + grant["lease"]}
+        self.on_grant()
+
+    def _held_cold(self, service):
+        """Return what may be in use here: running at cold replicas, or granted and not over."""
+        granted = self.cold.get(service, {}) if self._holds_cold(service) else {}
+        replicas = [r for r in self.node.find("replicas").table.values() if r.state == "cold"]
+        held = {
+            r.name: max(r.inFlight, granted.get(r.name, 0))
+            for r in replicas if r.service == service
+        }
+        return {name: count for name, count in held.items() if count}
+
+    def _holds_cold(self, service):
+        return self.node.now() < self.coldUntil.get(service, 0)
+
+    def cold_room(self, replica):
+        """Return how many inquiries this node may have at a cold replica."""
+        if not self._holds_cold(replica.service):
+            return 0
+        return self.cold.get(replica.service, {}).get(replica.name, 0)
+
+    def limit(self, service, className):
+        """Return how many inquiries of the class may run from here, None without a grant."""
+        if self.node.now() >= self.limitsUntil.get(service, 0):
+            return None
+        return self.limits[service].get(className)
--- a/quillring/edge/dispatch.py
+++ b/quillring/edge/dispatch.py
@@ -1,4 +1,4 @@
-"""Dispatch: bounded queues by urgency, prefix affinity, warm-up ramp."""
+"""Dispatch: bounded queues by urgency, prefix affinity, grants, pausing of borrowers."""
 
 import hashlib
 
@@ -8,51 +8,57 @@
 
 SPILL = 0.75
 DEFAULT_QUEUE = 64
-WARM_UP_MS = 8000
 
 
 class Lease:
-    """The right to run one inquiry on a replica."""
+    """The right to run one inquiry on a replica; its room may be wanted back."""
 
-    __slots__ = ("dispatch", "replica", "is_held")
+    __slots__ = ("dispatch", "replica", "className", "mayPause", "isHeld", "isWantedBack")
 
-    def __init__(self, dispatch, replica):
+    def __init__(self, dispatch, replica, className, mayPause):
         self.dispatch = dispatch
         self.replica = replica
-        self.is_held = True
+        self.className = className
+        self.mayPause = mayPause
+        self.isHeld = True
+        self.isWantedBack = False
 
     def release(self):
         """Give the room back, once."""
-        if self.is_held:
-            self.is_held = False
-            self.dispatch.give_back(self.replica)
+        if self.isHeld:
+            self.isHeld = False
+            self.dispatch.give_back(self)
 
 
 class Waiter:
     """One inquiry that waits for room."""
 
-    __slots__ = ("urgency", "order", "service", "prefix", "avoided", "signal", "className")
+    __slots__ = ("urgency", "order", "service", "prefix", "avoided", "signal", "className",
+                 "mayPause")
 
-    def __init__(self, urgency, order, service, prefix, avoided, className):
-        self.urgency = urgency
+    def __init__(self, promise, order, service, prefix, avoided, className):
+        self.urgency = promise["urgency"]
         self.order = order
         self.service = service
         self.prefix = prefix
-        self.avoided = avoided
+        self.avoided = frozenset(avoided)
         self.className = className
+        self.mayPause = promise.get("resumable", False)
         self.signal = Signal()
 
 
 class Dispatch:
     """Chooses replicas for inquiries on this node."""
 
-    __slots__ = ("node", "waiting", "order")
+    __slots__ = ("node", "waiting", "order", "leases")
 
     def __init__(self, node):
         self.node = node
         self.waiting = []
         self.order = 0
+        self.leases = {}
         node.find("replicas").on_change.append(self.wake)
+        node.find("taker").on_grant = self.wake
 
     def run(self):
         """Script: look for room now and then, since ramps and stalls move with time."""
@@ -60,20 +66,31 @@
             yield Sleep(self.node.bounds.chatter * 2)
             self.wake()
 
-    def acquire(self, serviceName, className, promise, prefix, endTime, avoided=()):
+    def demands(self, service):
+        """Return {class: inquiries running or waiting here} for a service."""
+        counts = {}
+        for lease in self.leases:
+            if lease.replica.service == service:
+                counts[lease.className] = counts.get(lease.className, 0) + 1
+        for waiter in self.waiting:
+            if waiter.service == service:
+                counts[waiter.className] = counts.get(waiter.className, 0) + 1
+        return counts
+
+    def acquire(
+        self, serviceName, className, promise, prefix, endTime, avoided=(), isPaused=False
+    ):
         """Script: return a lease, or refuse at once when waiting is hopeless or over."""
         replicas = self.node.find("replicas")
         if not [r for r in replicas.working(serviceName) if r.name not in avoided]:
             raise Refused(reason="no replica", service=serviceName)
         self.order += 1
-        waiter = Waiter(
-            promise["urgency"], self.order, serviceName, prefix, frozenset(avoided), className
-        )
+        waiter = Waiter(promise, self.order, serviceName, prefix, avoided, className)
         chosenReplica = None if self._is_outranked(waiter) else self._choose(waiter)
         if chosenReplica is not None:
-            return self._lease(chosenReplica)
+            return self._lease(waiter, chosenReplica)
         queued = sum(w.className == className for w in self.waiting)
-        if queued >= promise.get("queue", DEFAULT_QUEUE):
+        if not isPaused and queued >= promise.get("queue", DEFAULT_QUEUE):
             self.node.count("queue_refusals")
             raise Refused(reason="queue full", class_name=className)
         self.waiting.append(waiter)
@@ -97,35 +114,56 @@
         )
 
     def wake(self):
-        """Give free room to those who wait, the urgent first, then by arrival."""
+        """Give free room to those who wait, the urgent first; ask borrowers to pause."""
         for waiter in sorted(self.waiting, key=lambda w: (-w.urgency, w.order)):
             chosenReplica = self._choose(waiter)
             if chosenReplica is not None:
                 self.waiting.remove(waiter)
-                waiter.signal.set(self._lease(chosenReplica))
-
-    def _lease(self, replica):
+                waiter.signal.set(self._lease(waiter, chosenReplica))
+        for service in sorted({x.replica.service for x in self.leases if x.mayPause}):
+            self._pause_borrowers(service)
+
+    def _pause_borrowers(self, service):
+        """Want room back from resumable work of the classes that run over their limit."""
+        taker = self.node.find("taker")
+        byClass = {}
+        for lease in self.leases:
+            if lease.replica.service == service:
+                byClass.setdefault(lease.className, []).append(lease)
+        for className, classLeases in byClass.items():
+            limit = taker.limit(service, className)
+            if limit is None:
+                continue
+            over = len(classLeases) - limit - sum(lease.isWantedBack for lease in classLeases)
+            pausable = [x for x in classLeases if x.mayPause and not x.isWantedBack]
+            for lease in pausable[:max(0, over)]:
+                lease.isWantedBack = True
+                self.node.count("pauses")
+
+    def _lease(self, waiter, replica):
         replica.inFlight += 1
-        return Lease(self, replica)
+        lease = Lease(self, replica, waiter.className, waiter.mayPause)
+        self.leases[lease] = None
+        return lease
 
-    def give_back(self, replica):
+    def give_back(self, lease):
         """Take back the room of an ended inquiry."""
-        known = self.node.find("replicas").find(replica.name)
-        if known is not None:
+        self.leases.pop(lease, None)
+        known = self.node.find("replicas").find(lease.replica.name)
+        if known is not None and known.incarnation == lease.replica.incarnation:
             known.inFlight = max(0, known.inFlight - 1)
         self.wake()
 
     def room(self, replica):
-        """Return how many inquiries this node may have at the replica: less while cold."""
-        layout = self.node.find("layout").layout or {}
-        service = layout.get("services", {}).get(replica.service, {})
-        warmUp = service.get("warm_up_ms", WARM_UP_MS) / 1000
-        age = self.node.now() - replica.bornAt
+        """Return how many inquiries this node may have at the replica; cold ones by grant."""
         if replica.state == "cold":
-            return min(replica.slots, max(1, int(replica.slots * min(1, age / warmUp))))
+            return self.node.find("taker").cold_room(replica)
         return replica.slots
 
     def _choose(self, waiter):
+        limit = self.node.find("taker").limit(waiter.service, waiter.className)
+        if limit is not None and self._running(waiter) >= limit:
+            return None
         candidates = [
             replica for replica in self.node.find("replicas").working(waiter.service)
             if replica.name not in waiter.avoided and replica.inFlight < self.room(replica)
@@ -138,6 +176,12 @@
                 return likedReplica
         return min(candidates, key=lambda r: (r.inFlight / self.room(r), score(r.name)))
 
+    def _running(self, waiter):
+        return sum(
+            lease.className == waiter.className and lease.replica.service == waiter.service
+            for lease in self.leases
+        )
+
 
 def prefix_key(text):
     """Return the short key of a shared prompt prefix."""
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -66,6 +66,11 @@
             )
         ]
 
+    def keepers(self):
+        """Return the names of all nodes that may hold streams."""
+        members = self.node.find("nifty").roster.members.values()
+        return [m.name for m in members if m.role in ("edge", "core")]
+
     def keep(self, stream, newPieces, ended=False):
         """Script: add pieces here and at a second holder; return once both have them."""
         if self.streams.get(stream.name) is not stream:
@@ -140,16 +145,16 @@
     def claim(self, name, sender):
         """Script: find a stream wherever it is held, fence its former round, run it here."""
         nifty = self.node.find("nifty")
-        names = [
-            m.name for m in nifty.roster.members.values()
-            if m.role in ("edge", "core") and nifty.reaches(m.name)
-        ]
+        names = [name for name in self.keepers() if nifty.reaches(name)]
         question = {"stream": name, "sender": sender}
         found = yield from self.node.gather(
             [(n, "journal.find", question) for n in names], len(names)
         )
         holders = {n: reply for n, reply in found.items() if not isinstance(reply, Trouble)}
         if not holders:
+            missed = any(not isinstance(reply, NotFound) for reply in found.values())
+            if missed or len(names) < len(self.keepers()):
+                raise Refused(reason="the stream's holders are out of reach")
             raise NotFound(field="stream")
         claimRound = (max(reply[0][0] for reply in holders.values()) + 1, self.node.me.name)
         claims = yield from self.node.gather(
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -46,7 +46,7 @@
         isSame = former is not None and former.incarnation == self.incarnation
         self.heardAt = now
         self.bornAt = former.bornAt if isSame else now
-        self.inFlight = former.inFlight if former is not None else 0
+        self.inFlight = former.inFlight if isSame else 0
         self.stalledUntil = former.stalledUntil if isSame else 0
 
     def to_json(self, now):
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -78,12 +78,13 @@
 class Sending:
     """How far one answer has gone out to its sender."""
 
-    __slots__ = ("count", "headLine", "hasHead")
+    __slots__ = ("count", "headLine", "hasHead", "isPaused")
 
     def __init__(self, count, headLine):
         self.count = count
         self.headLine = headLine
         self.hasHead = False
+        self.isPaused = False
 
 
 def run_stream(node, stream, sentCount, endTime):
@@ -119,10 +120,12 @@
     """Script: run or continue the stream on one replica until it ends or breaks."""
     entry, service, promise = node.find("layout").entry(stream.inquiry["entry"])
     prefix = entry.get("prefix", "")
-    waitEnd = min(endTime, node.now() + promise["first_piece_ms"] / 1000)
+    firstEnd = endTime if stream.pieces else node.now() + promise["first_piece_ms"] / 1000
     lease = yield from node.find("dispatch").acquire(
-        entry["service"], entry["class"], promise, prefix_key(prefix), waitEnd, avoidedNames
+        entry["service"], entry["class"], promise, prefix_key(prefix), min(endTime, firstEnd),
+        avoidedNames, sending.isPaused,
     )
+    sending.isPaused = False
     replica, handle = lease.replica, None
     try:
         check_before_sending(node, replica, endTime)
@@ -132,7 +135,7 @@
         }, min(endTime - node.now(), service.get("stall_ms", STALL_MS) / 1000))
         if handle.status == 503:
             raise NotSent(replica=replica.name, reason="busy")
-        yield from read_pieces(node, stream, sending, handle, service, endTime)
+        yield from read_pieces(node, stream, sending, handle, lease, service, endTime)
     except BackendTrouble as trouble:
         node.count("replica_troubles")
         node.log("warning", "replica %s: %s", replica.name, trouble)
@@ -158,8 +161,11 @@
         raise NotSent(replica=replica.name, reason="left")
 
 
-def read_pieces(node, stream, sending, handle, service, endTime):
-    """Script: take the replica's numbered pieces, each one kept twice before it is emitted."""
+def read_pieces(node, stream, sending, handle, lease, service, endTime):
+    """Script: take the replica's numbered pieces, each one kept twice before it is emitted.
+
+    Returns at the stream's end, or between two pieces when its room is wanted back.
+    """
     journal, stallSeconds = node.find("journal"), service.get("stall_ms", STALL_MS) / 1000
     while True:
         line = yield Next(handle, max(0.001, min(endTime - node.now(), stallSeconds)))
@@ -175,3 +181,6 @@
             raise BackendTrouble(reason="strange piece")
         yield from journal.keep(stream, (line["piece"],))
         yield from emit_held(stream, sending)
+        if lease.isWantedBack:
+            sending.isPaused = True
+            return
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -1,5 +1,6 @@
 """Assembly: which services a node of each role is made of; the same in every world."""
 
+from quillring.classes import Granter, Taker
 from quillring.duty import Duty
 from quillring.edge import Dispatch, Journal, Replicas
 from quillring.edge.tokens import LIFE_SECONDS
@@ -9,6 +10,8 @@
 from quillring.lots import LotRunner
 from quillring.nifty import Member, Nifty
 from quillring.quorum import Acceptors
+from quillring.quorum.hints import Hints
+from quillring.quorum.repair import Repair
 from quillring.rollout import Freshness, LayoutImage
 from quillring.rollout import commands as rollout_commands
 from quillring.store import SlotStore
@@ -56,14 +59,19 @@
     """A core owns parts, runs lots and holds journals."""
     _start_serving(node)
     runner = node.offer("lots", LotRunner(node))
+    node.offer("granter", Granter(node))
+    repair = node.offer("repair", Repair(node))
+    node.spawn(repair.run())
     node.spawn(node.find("duty").run())
     node.spawn(runner.run())
 
 
 def _start_serving(node):
+    taker = node.offer("taker", Taker(node))
     dispatch = node.offer("dispatch", Dispatch(node))
     journal = node.offer("journal", Journal(node))
     node.spawn(dispatch.run())
+    node.spawn(taker.run())
     node.spawn(journal.run(LIFE_SECONDS))
 
 
@@ -73,7 +81,9 @@
     acceptors = node.offer("acceptors", acceptors)
     acceptors.attach(node)
     node.find("nifty").stampSource = acceptors.stamp
+    hints = node.offer("hints", Hints(node, acceptors))
     node.spawn(acceptors.slots.run(node.bounds.beat))
+    node.spawn(hints.run())
     if acceptors.founding is not None:
         node.find("gossip").put("founding", [1], acceptors.founding)
 
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -70,7 +70,9 @@
             self.roster.to_bitmap(self.heard_names()), self.stampSource(),
         ]
         memberAddresses = {m.address: m.name for m in self.roster.members.values()}
-        for address in {*memberAddresses, *self.seeds} - {me.address}:
+        for address in dict.fromkeys((*memberAddresses, *self.seeds)):
+            if address == me.address:
+                continue
             heard = self.heard.get(memberAddresses.get(address))
             echo = [heard.incarnation, heard.sequence] if heard else None
             self._datagram(address, pack([*commonPart, echo]))
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -88,13 +88,17 @@
             self.founding = part
             for name, group in part["groups"].items():
                 if any(store[1] == self.identity for store in group):
-                    self.parts[name] = PartRecord(state=first_state(group))
+                    partRecord = self.parts.setdefault(name, PartRecord())
+                    if partRecord.state is None:
+                        partRecord.state = first_state(group)
             return
         if verb == "hint":
             self.hints = {**self.hints, part: [*self.hints.get(part, ()), rest[0]]}
             return
         if verb == "handed":
-            self.hints = {name: kept for name, kept in self.hints.items() if name != part}
+            leftHints = self.hints.get(part, [])[rest[0]:]
+            others = {name: kept for name, kept in self.hints.items() if name != part}
+            self.hints = {**others, part: leftHints} if leftHints else others
             return
         partRecord = self.parts.setdefault(part, PartRecord())
         ballot = tuple(rest[0])
@@ -108,21 +112,17 @@
             partRecord.committed = max(partRecord.committed, rest[1])
             partRecord.entries = {i: e for i, e in partRecord.entries.items() if i > rest[1]}
 
-    def _keep(self, record, sync=True):
+    def keep(self, record):
+        """Script: change the memory, and return once the record is durable."""
         self.replay(record)
-        if sync:
-            yield from self.slots.commit([record])
+        yield from self.slots.commit([record])
 
-    def _check(self, body, isVote=True):
+    def _check(self, body):
         if body["identity"] != self.identity:
             raise WrongIdentity(store=self.node.me.name, identity=self.identity)
         if self.slots.trouble is not None:
             raise self.slots.trouble
-        partRecord = self.parts.get(body["part"])
-        if partRecord is None:
-            if not isVote:
-                raise NotFounded(part=body["part"], store=self.node.me.name)
-            partRecord = PartRecord()
+        partRecord = self.parts.get(body["part"]) or PartRecord()
         ballot = tuple(body["ballot"])
         if ballot < partRecord.promised:
             raise Fenced(part=body["part"], ballot=list(partRecord.promised))
@@ -133,17 +133,17 @@
         if self.founding is None:
             if body["identity"] != self.identity:
                 raise WrongIdentity(store=self.node.me.name, identity=self.identity)
-            yield from self._keep(["found", body["founding"]])
+            yield from self.keep(["found", body["founding"]])
         elif self.founding["fleet"] != body["founding"]["fleet"]:
             raise Conflict(founding=self.founding)
         return self.founding["fleet"]
 
     def on_prepare(self, body, origin):
         """Promise a ballot and tell what was accepted."""
-        partRecord, ballot = self._check(body, isVote=False)
+        partRecord, ballot = self._check(body)
         if ballot == partRecord.promised:
             raise Fenced(part=body["part"], ballot=list(ballot))
-        yield from self._keep(["promise", body["part"], list(ballot)])
+        yield from self.keep(["promise", body["part"], list(ballot)])
         partRecord = self.parts[body["part"]]
         if partRecord.promised != ballot:
             raise Fenced(part=body["part"], ballot=list(partRecord.promised))
@@ -163,14 +163,14 @@
     def on_commit(self, body, origin):
         """Mark entries of the ballot as committed, durably."""
         self._check(body)
-        yield from self._keep(["commit", body["part"], list(body["ballot"]), body["committed"]])
+        yield from self.keep(["commit", body["part"], list(body["ballot"]), body["committed"]])
         self._tell(body["part"])
         return self.parts[body["part"]].applied
 
     def on_install(self, body, origin):
         """Take the owner's whole state of a part in place of missed entries."""
         self._check(body)
-        yield from self._keep(
+        yield from self.keep(
             ["install", body["part"], list(body["ballot"]), body["index"], body["state"]]
         )
         self._tell(body["part"])
@@ -178,7 +178,7 @@
 
     def on_confirm(self, body, origin):
         """Tell an owner that no higher ballot was promised here; writes nothing."""
-        partRecord, ballot = self._check(body, isVote=False)
+        partRecord, ballot = self._check(body)
         if partRecord.promised != ballot:
             raise Fenced(part=body["part"], ballot=list(partRecord.promised))
         return True
--- /dev/null
+++ b/quillring/quorum/hints.py
@@ -0,0 +1,70 @@
+"""Hints: a spare store keeps what a missing acceptor should have had, and hands it over."""
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import Conflict, Fenced, Refused, Trouble
+from quillring.nifty.graph import score
+from quillring.quorum.acceptor import WrongIdentity
+
+KEPT_HINTS = 10_000
+FINAL = (Fenced, WrongIdentity, Conflict)
+
+
+class Hints:
+    """The spare's side; hints add durability, they are no votes."""
+
+    __slots__ = ("node", "acceptors")
+
+    def __init__(self, node, acceptors):
+        self.node = node
+        self.acceptors = acceptors
+        node.handle("quorum.hint", self.on_hint)
+
+    def on_hint(self, body, origin):
+        """Keep a record for a missing acceptor, durably."""
+        kept = sum(len(records) for records in self.acceptors.hints.values())
+        if kept >= KEPT_HINTS:
+            raise Refused(reason="too many hints")
+        yield from self.acceptors.keep(["hint", body["for"], body["record"]])
+        return True
+
+    def run(self):
+        """Script: hand hints over to each acceptor that is back, then drop them."""
+        while True:
+            yield Sleep(self.node.bounds.beat)
+            for name in list(self.acceptors.hints):
+                if self.node.find("nifty").reaches(name):
+                    yield from self._hand_over(name)
+
+    def _hand_over(self, name):
+        records = self.acceptors.hints.get(name, ())
+        for record in records:
+            try:
+                yield from self.node.call(name, "quorum.accept", record)
+            except FINAL:
+                continue
+            except Trouble:
+                return
+        self.node.count("hints_handed", len(records))
+        try:
+            yield from self.acceptors.keep(["handed", name, len(records)])
+        except Trouble as trouble:
+            self.node.log("warning", "hints: %s", trouble)
+
+
+def send_hints(owner, calls):
+    """Send the accept calls of unreachable acceptors to the part's spare store."""
+    nifty = owner.node.find("nifty")
+    missing = [call for call in calls if not nifty.reaches(call[0])]
+    if not missing:
+        return
+    groupNames = {store[0] for store in owner.group}
+    spares = [
+        m.name for m in nifty.roster.members.values()
+        if m.role == "store" and m.name not in groupNames and nifty.reaches(m.name)
+    ]
+    if not spares:
+        return
+    spareName = max(spares, key=lambda name: score(owner.part, name))
+    for target, _, body in missing:
+        owner.node.count("hints_sent")
+        owner.node.cast(spareName, "quorum.hint", {"for": target, "record": body})
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -1,8 +1,9 @@
 """A core node's ownership of one part: won by ballot, fenced by ballot, one entry at a time."""
 
 from quillring.kernel.effects import Signal, Sleep, Wait
-from quillring.kernel.troubles import Fenced, NoMajority, NotOwner, Trouble
+from quillring.kernel.troubles import Fenced, NoMajority, NotFounded, NotOwner, Trouble
 from quillring.quorum.commands import apply_batch
+from quillring.quorum.hints import send_hints
 from quillring.quorum.parts import CONFIG, majority
 
 BATCH_LIMIT = 64
@@ -13,7 +14,7 @@
 
     __slots__ = (
         "node", "part", "group", "ballot", "index", "state", "queue", "queueSignal", "is_owner",
-        "listeners", "confirmedAt", "higher", "behind",
+        "listeners", "confirmedAt", "higher",
     )
 
     def __init__(self, node, part, group):
@@ -29,7 +30,6 @@
         self.listeners = []
         self.confirmedAt = None
         self.higher = 0
-        self.behind = set()
 
     def _calls(self, service, **body):
         return [
@@ -60,8 +60,10 @@
         self.ballot = (max(self.higher, self.ballot[0]) + 1, self.node.me.name)
         while True:
             promises = yield from self._round("prepare")
-            bestRecord = max(promises.values(), key=lambda record: record[1])
-            _, self.index, self.state, _, _ = bestRecord
+            known = [record for record in promises.values() if record[2] is not None]
+            if not known:
+                raise NotFounded(part=self.part)
+            _, self.index, self.state, _, _ = max(known, key=lambda record: record[1])
             if self._adopt_group(self.state["group"]):
                 self.ballot = (self.ballot[0] + 1, self.ballot[1])
                 continue
@@ -95,9 +97,9 @@
 
     def _decide(self, batch):
         """Script: have a majority accept the next entry; apply it; return the answers."""
-        yield from self._round(
-            "accept", index=self.index + 1, batch=batch, committed=self.index
-        )
+        entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
+        send_hints(self, self._calls("accept", **entry))
+        yield from self._round("accept", **entry)
         self.index += 1
         self.state, answers = apply_batch(self.state, batch)
         self.confirmedAt = self.node.now()
@@ -142,16 +144,21 @@
 
     def _mend_behind(self):
         """Script: give the whole state to a member of the group that misses entries."""
-        replies = yield from self.node.gather(
-            self._calls("commit", committed=self.index), len(self.group)
-        )
-        lateStores = {t for t, r in replies.items() if isinstance(r, int) and r < self.index}
+        applied = yield from self.applied_by_store()
+        lateStores = {name for name, index in applied.items() if index < self.index}
         calls = self._calls("install", index=self.index, state=self.state)
         for target, service, body in calls:
             if target in lateStores:
                 self.node.count("installs")
                 yield from self.node.gather([(target, service, body)], 1)
 
+    def applied_by_store(self):
+        """Script: tell every member what is committed; return {store: index it applied}."""
+        replies = yield from self.node.gather(
+            self._calls("commit", committed=self.index), len(self.group)
+        )
+        return {t: r for t, r in replies.items() if not isinstance(r, Trouble)}
+
     def step_down(self, trouble):
         """Write nothing more; everything queued ends with its trouble."""
         self.is_owner = False
--- /dev/null
+++ b/quillring/quorum/repair.py
@@ -0,0 +1,102 @@
+"""Repair: a part's group gets back to three members by itself, one change at a time."""
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import Trouble
+from quillring.nifty.graph import score
+from quillring.quorum.parts import GROUP_SIZE
+
+PATIENCE = 5
+
+
+class Repair:
+    """Runs beside the owners of a core and mends the groups of their parts."""
+
+    __slots__ = ("node", "lostSince")
+
+    def __init__(self, node):
+        self.node = node
+        self.lostSince = {}
+
+    def run(self):
+        """Script: look at every owned part in turn."""
+        while True:
+            yield Sleep(self.node.bounds.beat * 2)
+            self._note_lost()
+            for owner in list(self.node.find("duty").owners.values()):
+                if owner.may_act():
+                    change = self._next_group(owner)
+                    if change is not None and (yield from self._is_sound(owner)):
+                        yield from self._change(owner, change)
+
+    def _note_lost(self):
+        nifty, now = self.node.find("nifty"), self.node.now()
+        storeNames = [m.name for m in nifty.roster.members.values() if m.role == "store"]
+        self.lostSince = {
+            name: self.lostSince.get(name, now)
+            for name in storeNames if not nifty.reaches(name)
+        }
+
+    def _change(self, owner, group):
+        self.node.log("warning", "group of %s becomes %s", owner.part, group)
+        self.node.count("group_changes")
+        try:
+            yield from owner.submit({"do": "group.change", "group": group})
+        except Trouble as trouble:
+            self.node.log("warning", "group of %s: %s", owner.part, trouble)
+
+    def _is_sound(self, owner):
+        """Script: tell whether all live members have all entries, so that one may change."""
+        applied = yield from owner.applied_by_store()
+        nifty = self.node.find("nifty")
+        return all(
+            applied.get(store[0]) == owner.index for store in owner.group
+            if nifty.reaches(store[0]) and not self.is_emptied(store)
+        )
+
+    def is_emptied(self, store):
+        """Tell whether the store came back as a new member with an empty disk."""
+        member = self.node.find("nifty").roster.members.get(store[0])
+        return member is not None and member.identity != store[1]
+
+    def is_lost(self, store):
+        """Tell whether the store has been out of reach for long."""
+        patience = self.node.bounds.return_ * PATIENCE
+        since = self.lostSince.get(store[0])
+        return since is not None and self.node.now() - since > patience
+
+    def is_retired(self, store):
+        """Tell whether operators want the store machine out of every part."""
+        stores = (self.node.find("layout").layout or {}).get("stores", {})
+        return bool(stores.get(store[0], {}).get("retired"))
+
+    def _next_group(self, owner):
+        group = [list(store) for store in owner.group]
+        spare = self._spare(owner.part, group)
+        emptied = [s for s in group if self.is_emptied(s)]
+        leaving = [s for s in group if self.is_retired(s) or self.is_lost(s)]
+        if len(group) > GROUP_SIZE:
+            surplus = emptied or leaving or self._doubled(group) or group[-1:]
+            return [s for s in group if s != surplus[0]]
+        if len(group) < GROUP_SIZE:
+            return [*group, spare] if spare else None
+        if emptied:
+            return [s for s in group if s != emptied[0]]
+        return [*group, spare] if leaving and spare else None
+
+    def _doubled(self, group):
+        """Return members whose domain another one of a full group stands in too."""
+        domains = [store[2] for store in group]
+        return [s for s in group if domains.count(s[2]) > 1]
+
+    def _spare(self, part, group):
+        nifty = self.node.find("nifty")
+        staying = [s for s in group if not (self.is_retired(s) or self.is_lost(s))]
+        usedDomains = {s[2] for s in staying if not self.is_emptied(s)}
+        names = {s[0] for s in group}
+        candidates = [
+            [m.name, m.identity, m.domain] for m in nifty.roster.members.values()
+            if m.role == "store" and m.name not in names and nifty.reaches(m.name)
+            and m.domain not in usedDomains
+        ]
+        candidates = [c for c in candidates if not self.is_retired(c)]
+        return max(candidates, key=lambda c: score(part, c[0])) if candidates else None
--- a/quillring/rollout/schema.py
+++ b/quillring/rollout/schema.py
@@ -40,6 +40,7 @@
     "weight": {"type": "number", "exclusiveMinimum": 0, "maximum": 1000},
     "prefix": {"type": "string", "maxLength": 100_000},
 }, ["service", "class"])
+STORE = section({"retired": {"type": "boolean"}}, [])
 DOMAIN = section({"emptied": {"type": "boolean"}}, [])
 SCHEMA = {
     "type": "object",
@@ -47,6 +48,7 @@
     "required": ["classes", "services", "entries", "domains"],
     "properties": {
         "classes": CLASS, "services": SERVICE, "entries": ENTRY, "domains": DOMAIN,
+        "stores": STORE,
     },
 }
 VALIDATOR = jsonschema.Draft202012Validator(SCHEMA)
