--- a/proving/callers.py
+++ b/proving/callers.py
@@ -3,7 +3,7 @@
 import json
 
 import gevent
-from geventhttpclient import HTTPClient
+from geventhttpclient import HTTPClient, HTTPParseError
 
 from proving.standin_logic import piece_count, piece_text, seat_word, tile_word
 from quillring.kernel.settings import split_address
@@ -52,7 +52,7 @@
     try:
         client, response = send(address, method, path, body, sender, seconds)
         return response.status_code, json.loads(response.read() or b"null")
-    except (OSError, ValueError) as error:
+    except (OSError, HTTPParseError, ValueError) as error:
         return 0, {"trouble": type(error).__name__}
     finally:
         if client is not None:
@@ -104,11 +104,11 @@
             return
 
 
-def stream_call(edges, chance, record, clock, entry, kind, maxPieces=20):
+def stream_call(edges, chance, record, clock, entry, kind, maxPieces=20, dropShare=0.2):
     """One streamed inquiry; a cut stream is resumed at any edge with the resume token."""
     sender = f"sender-{chance.random():.9f}"
     answer = Answer(f"{entry} {sender}", maxPieces)
-    dropAfter = chance.randrange(1, 6) if chance.random() < 0.2 else None
+    dropAfter = chance.randrange(1, 6) if chance.random() < dropShare else None
     body = {"entry": entry, "prompt": answer.prompt, "max_pieces": maxPieces}
     method, path, startTime, rounds = "POST", "/v1/inquiries", clock(), 0
     while answer.outcome is None and rounds < 8:
@@ -121,7 +121,7 @@
                 dropAfter = None
             else:
                 answer.outcome = refusal(response)
-        except (OSError, ValueError):
+        except (OSError, HTTPParseError, ValueError):
             if answer.token is None and rounds > 3:
                 answer.outcome = "no_answer"
         finally:
--- /dev/null
+++ b/proving/points.py
@@ -0,0 +1,37 @@
+"""What must never happen, point by point: each scenario, with its guard and without it."""
+
+import json
+import sys
+import time
+
+import click
+
+from proving import points_cuts, points_serving, points_state
+from proving.points_base import without
+
+POINTS = [*points_serving.POINTS, *points_state.POINTS, *points_cuts.POINTS]
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--only", default="", help="Only the points whose text holds this.")
+def main(seed, only):
+    """Run every scenario as it is and with its guard taken out; exit 1 on a violation."""
+    failed = 0
+    for text, scenario, guards in POINTS:
+        if only not in text:
+            continue
+        startTime = time.perf_counter()
+        violations, figures = scenario(seed)
+        foundWithout = len(without(guards, lambda s=scenario: s(seed))[0]) if guards else None
+        failed += bool(violations) or foundWithout == 0
+        click.echo(json.dumps({
+            "point": text, "scenario": scenario.__name__, "violations": violations,
+            "without_guard": foundWithout, "figures": figures,
+            "seconds": round(time.perf_counter() - startTime, 1),
+        }))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/proving/points_base.py
@@ -0,0 +1,73 @@
+"""Small fleets and helpers for the scenarios that provoke one point each."""
+
+from contextlib import ExitStack
+from unittest import mock
+
+from proving.sim.callers import SimCallers
+from proving.sim.fleet import SimFleet
+from proving.sim.monitor import Monitor
+from proving.sim.run import ONCE_CLASS
+
+SMALL = {
+    "sizes": {"edge": 4, "core": 3, "store": 4}, "replicas": [("words", 4, 4), ("map", 2, 4)],
+}
+
+
+class Stage:
+    """A small founded fleet with callers and monitor, at second 8 of its life."""
+
+    def __init__(self, seed, deployment="ferrowa", sizes=SMALL, readyAt=8):
+        self.sim = SimFleet(deployment, seed, sizes)
+        layout = self.sim.layout
+        self.sim.layout = {
+            **layout, "classes": {**layout["classes"], "once": ONCE_CLASS},
+            "entries": {**layout["entries"], "once": {"service": "words", "class": "once"}},
+        }
+        self.sim.start_all()
+        self.env = self.sim.env
+        self.env.process(self.sim.found())
+        self.monitor = Monitor(self.sim)
+        self.callers = SimCallers(self.sim)
+        self.env.run(until=readyAt)
+
+    def run(self, seconds):
+        """Let time pass."""
+        self.env.run(until=self.env.now + seconds)
+
+    def start(self, process):
+        """Start a caller or operator."""
+        return self.env.process(process)
+
+    def finish(self, process, seconds=60):
+        """Let time pass until a process has ended; return its value."""
+        limit = self.env.timeout(seconds)
+        self.env.run(until=process | limit)
+        return process.value if process.triggered else None
+
+    def node(self, name):
+        """Return a node."""
+        return self.sim.nodes[name]
+
+    def only_edge(self, name):
+        """Let the platform hand new connections to this edge alone."""
+        self.callers.edge = lambda: self.node(name)
+
+    def any_edge(self):
+        """Let the platform use every live edge again."""
+        del self.callers.edge
+
+    def outcomes(self):
+        """Return {kind/outcome: count} of the callers."""
+        return {f"{k}/{o}": n for (k, o), n in sorted(self.callers.record.outcomes.items())}
+
+
+def no_check(*words):
+    """Stand-in for a check that is taken out."""
+
+
+def without(guards, run):
+    """Run a scenario with its guards taken out; `guards` are (object, name, stand-in)."""
+    with ExitStack() as stack:
+        for target, name, replacement in guards:
+            stack.enter_context(mock.patch.object(target, name, replacement))
+        return run()
--- /dev/null
+++ b/proving/points_cuts.py
@@ -0,0 +1,221 @@
+"""Scenarios about cuts, repair, full disks and borrowed room."""
+
+from unittest import mock
+
+from proving.points_base import Stage, no_check
+from proving.points_state import FRESH, adopt, names_but
+from proving.sim import backends
+from quillring.edge.dispatch import Dispatch
+from quillring.nifty.graph import Graph
+from quillring.quorum.hints import Hints
+from quillring.store.slots import SlotStore
+
+
+def traffic(stage, seconds):
+    """Let every kind of inquiry run for some seconds; return the outcomes of that time."""
+    before = stage.outcomes()
+    stage.callers.stopAt = stage.env.now + seconds
+    callers = stage.callers
+    stage.start(callers.generate(6, callers.stream, "wayfinding", "short", 10))
+    stage.start(callers.generate(1, callers.lot, "gate-notices", 3, 0.0))
+    stage.start(callers.generate(6, callers.tile, "tiles"))
+    stage.run(seconds + 12)
+    after = stage.outcomes()
+    return {name: n - before.get(name, 0) for name, n in after.items() if n > before.get(name, 0)}
+
+
+def partial_cut(seed):
+    """Edges and two cores on one side, stores on the other; one core reaches both."""
+    stage = Stage(seed)
+    left = [*stage.sim.names("edge"), "core-1"]
+    stage.sim.cut(left, [*stage.sim.names("store"), "core-2"])
+    stage.run(4)
+    outcomes = traffic(stage, 8)
+    node = stage.node("edge-1")
+    bridges, sides = node.find("nifty").bridge_nodes(), node.find("nifty").sides()
+    if bridges != ("core-3",):
+        stage.sim.history.violate(f"bridges {bridges}, sides {sides}")
+    refused = {name: n for name, n in outcomes.items() if not name.endswith(("complete", "ended"))}
+    if refused or not outcomes.get("lot/ended"):
+        stage.sim.history.violate(f"service did not continue: {outcomes}")
+    relayed = {n.me.name: n.counts.get("relayed", 0) for n in stage.sim.nodes.values()}
+    return stage.sim.history.violations, {
+        **outcomes, "relayed": {n: c for n, c in relayed.items() if c}}
+
+
+def several_bridges(seed):
+    """The same cut with two cores that reach both sides share the relaying."""
+    stage = Stage(seed)
+    stage.sim.cut([*stage.sim.names("edge")], stage.sim.names("store"))
+    stage.run(4)
+    before = {n.me.name: n.counts.get("relayed", 0) for n in stage.sim.nodes.values()}
+    outcomes = traffic(stage, 8)
+    relayed = {
+        n.me.name: n.counts.get("relayed", 0) - before[n.me.name]
+        for n in stage.sim.nodes.values() if n.me.role == "core"
+    }
+    if min(relayed.values()) * 6 < max(relayed.values()):
+        stage.sim.history.violate(f"relay weight is not spread: {relayed}")
+    return stage.sim.history.violations, {**outcomes, "relayed": relayed}
+
+
+def one_hop(self, target, origin):
+    """Stand-in for the guard: of several bridges always the first one relays."""
+    knownRoute = self.routes.get(target)
+    return knownRoute[1][0] if knownRoute else None
+
+
+def cut_without_bridge(seed):
+    """Two sides, no bridge: the side without a majority refuses, at once and honestly."""
+    stage = Stage(seed)
+    minority = ["edge-1", "edge-2", "core-1", "store-1"]
+    stage.sim.cut(minority, names_but(stage, *minority))
+    change = {"entries": {"extra-1": {"service": "words", "class": "traveller"}}}
+    stage.run(3)
+    adopt(stage, "core-2", change)
+    stage.run(2)
+    slow, outcomes = [], {}
+    for side, names in (("minority", minority[:2]), ("majority", ["edge-3", "edge-4"])):
+        for number in range(20):
+            stage.only_edge(names[number % 2])
+            startTime = stage.env.now
+            stage.finish(stage.start(stage.callers.stream("wayfinding", side, 8)))
+            if side == "minority" and stage.env.now - startTime > 0.1:
+                slow.append(round(stage.env.now - startTime, 3))
+    outcomes = stage.outcomes()
+    if outcomes.get("minority/refused") != 20 or slow:
+        stage.sim.history.violate(f"no honest refusal at once: {outcomes}, slow {slow}")
+    if outcomes.get("majority/complete") != 20:
+        stage.sim.history.violate(f"the majority stopped: {outcomes}")
+    return stage.sim.history.violations, outcomes
+
+
+def closing_fault(seed):
+    """Cores are cut in two, a store is down, an edge freezes; all heals; how soon is it back?"""
+    stage = Stage(seed)
+    stage.sim.cut(["core-1", "store-1", "edge-1"], names_but(stage, "core-1", "store-1", "edge-1"))
+    stage.sim.kill("store-2")
+    stage.sim.kill("core-2")
+    stage.sim.freeze("edge-2", 6)
+    stage.run(6)
+    stage.sim.heal()
+    stage.sim.start("store-2")
+    stage.sim.start("core-2")
+    healedAt, goodAt, inARow = stage.env.now, None, 0
+    for _ in range(120):
+        stage.run(0.1)
+        done = sum(n for name, n in stage.outcomes().items() if name in (
+            "probe/complete", "lot/ended"))
+        stage.finish(stage.start(stage.callers.stream("wayfinding", "probe", 4)))
+        lot = stage.start(stage.callers.lot("gate-notices", 1, 0.0))
+        stage.finish(lot, 3)
+        good = sum(n for name, n in stage.outcomes().items() if name in (
+            "probe/complete", "lot/ended")) - done
+        inARow = inARow + 1 if good >= 2 else 0
+        if inARow == 4:
+            goodAt = stage.env.now
+            break
+    backAfter = None if goodAt is None else round(goodAt - healedAt, 2)
+    if backAfter is None or backAfter > 12 + 4:
+        stage.sim.history.violate(f"service is not back: {backAfter}")
+    return stage.sim.history.violations, {"four_good_rounds_after_s": backAfter}
+
+
+def hinted_handoff(seed):
+    """A store is isolated while lots are accepted; the spare keeps its records meanwhile."""
+    stage = Stage(seed)
+    group = [s[0] for s in stage.node("core-1").find("duty").group("part-1")]
+    stage.sim.cut([group[0]], names_but(stage, group[0]))
+    stage.run(3)
+    outcomes = traffic(stage, 4)
+    kept = sum(
+        len(records) for n in stage.sim.up_nodes("store")
+        for records in n.find("acceptors").hints.values())
+    stage.sim.heal()
+    stage.run(8)
+    left = sum(len(n.find("acceptors").hints) for n in stage.sim.up_nodes("store"))
+    applied = {n: stage.node(n).find("acceptors").parts["part-1"].applied for n in group}
+    if left or not kept or len(set(applied.values())) != 1:
+        stage.sim.history.violate(f"kept {kept}, left {left}, applied {applied}")
+    return stage.sim.history.violations, {**outcomes, "hints_kept": kept}
+
+
+def full_disks(seed):
+    """Every disk fills up: lots are refused, nothing is accepted; then there is room again."""
+    stage = Stage(seed)
+    for disk in stage.sim.disks.values():
+        disk.is_full = True
+    tasks = [stage.start(stage.callers.lot("gate-notices", 3, 0.0)) for _ in range(4)]
+    for task in tasks:
+        stage.finish(task, 60)
+    accepted = stage.sim.history.counts.get("accepted_lots", 0)
+    for name in stage.sim.names("store"):
+        stage.sim.kill(name, losesPower=True)
+    for disk in stage.sim.disks.values():
+        disk.is_full = False
+    for name in stage.sim.names("store"):
+        stage.sim.start(name)
+    stage.run(5)
+    stage.finish(stage.start(stage.callers.lot("gate-notices", 3, 0.0)))
+    outcomes = stage.outcomes()
+    if accepted or not outcomes.get("lot/ended"):
+        stage.sim.history.violate(f"{accepted} accepted on full disks; {outcomes}")
+    return stage.sim.history.violations, outcomes
+
+
+def write_nothing(self, batch):
+    """Stand-in for the guard: a failed write is taken for a good one."""
+
+
+def retired_store(seed):
+    """An operator retires a store machine under traffic."""
+    stage = Stage(seed)
+    group = [s[0] for s in stage.node("core-1").find("duty").group("part-1")]
+    adopt(stage, "core-1", {"stores": {group[0]: {"retired": True}}})
+    outcomes = traffic(stage, 10)
+    duty = stage.node("core-1").find("duty")
+    groups = {part: [s[0] for s in duty.group(part)] for part in duty.parts()}
+    if any(group[0] in names or len(names) != 3 for names in groups.values()):
+        stage.sim.history.violate(f"{group[0]} is still a member: {groups}")
+    return stage.sim.history.violations, outcomes
+
+
+def borrowed_room(seed):
+    """Overnight streams fill all idle room; then travellers come and want theirs back."""
+    stage = Stage(seed)
+    stage.only_edge("edge-1")
+    with mock.patch.object(backends, "PIECE_SECONDS", 0.1):
+        for _ in range(16):
+            stage.start(stage.callers.stream("tagging", "long", 200))
+        stage.run(2)
+        used = sum(r.logic.busy for r in stage.sim.replicas.values())
+        stage.callers.record.firstPieces.clear()
+        for _ in range(8):
+            stage.start(stage.callers.stream("wayfinding", "short", 10))
+        stage.run(2)
+        firsts = sorted(stage.callers.record.firstPieces)
+        stage.run(70)
+    outcomes = stage.outcomes()
+    if outcomes.get("short/complete") != 8 or outcomes.get("long/complete") != 16:
+        stage.sim.history.violate(f"room was not given back in time: {outcomes}")
+    pauses = stage.node("edge-1").counts.get("pauses", 0)
+    slots = sum(r.row["slots"] for r in stage.sim.replicas.values() if r.row["service"] == "words")
+    return stage.sim.history.violations, {
+        **outcomes, "used_of_idle": f"{used}/{slots}", "pauses": pauses,
+        "first_piece_s": [round(f, 2) for f in (firsts[0], firsts[-1])] if firsts else None}
+
+
+POINTS = [
+    ("a partial cut with a bridge goes on serving", partial_cut,
+     [(Graph, "_bellman_ford", lambda self: {
+         name: (1, (name,)) for name in self.links.get(self.home, ())})]),
+    ("several bridges share the relaying", several_bridges, [(Graph, "next_hop", one_hop)]),
+    ("a cut without a bridge is refused honestly", cut_without_bridge, FRESH),
+    ("service returns after a closing fault", closing_fault, []),
+    ("hints are handed over and dropped", hinted_handoff, [(Hints, "_hand_over", no_script := (
+        lambda self, name: iter(())))]),
+    ("full disks accept nothing", full_disks, [(SlotStore, "_write", write_nothing)]),
+    ("a retired store leaves every part", retired_store, []),
+    ("borrowed room is given back by pausing", borrowed_room,
+     [(Dispatch, "_pause_borrowers", no_check)]),
+]
--- /dev/null
+++ b/proving/points_serving.py
@@ -0,0 +1,332 @@
+"""Scenarios about streams, replicas and inquiries; each returns its violations and figures."""
+
+from itertools import count, pairwise
+from unittest import mock
+
+from proving.callers import Answer
+from proving.points_base import Stage, no_check
+from proving.sim import callers
+from quillring.classes.taker import Taker
+from quillring.edge import dispatch, journal, replicas, streams
+from quillring.kernel.troubles import Trouble
+from quillring.rollout.freshness import Freshness
+
+
+def mixed_answers(seed):
+    """A replica mixes in another inquiry's pieces; another one ends before the end."""
+    stage = Stage(seed)
+    for number, replica in enumerate(r for r in stage.sim.replicas.values()
+                                     if r.row["service"] == "words"):
+        replica.mixesUp, replica.breaksOff = number % 2 == 0, number == 1
+    for _ in range(30):
+        stage.start(stage.callers.stream("wayfinding", "short"))
+        stage.run(0.2)
+    stage.run(20)
+    return stage.sim.history.violations, stage.outcomes()
+
+
+def edge_dies(seed):
+    """Edges die in the middle of streams; senders resume elsewhere."""
+    stage = Stage(seed)
+    for _ in range(14):
+        stage.start(stage.callers.stream("wayfinding", "short", 100))
+    stage.run(0.6)
+    stage.sim.kill("edge-1")
+    stage.run(3)
+    stage.sim.kill("edge-2")
+    stage.run(40)
+    outcomes = stage.outcomes()
+    if outcomes.get("short/complete", 0) != 14:
+        stage.sim.history.violate(f"conversations were dropped: {outcomes}")
+    return stage.sim.history.violations, {
+        **outcomes, "resumes": stage.sim.history.counts.get("resumes", 0)}
+
+
+def holder_dies(seed):
+    """The journal's second holders die mid-stream, then the edge that runs the streams."""
+    stage = Stage(seed)
+    stage.only_edge("edge-1")
+    tasks = [stage.start(stage.callers.stream("wayfinding", "short", 100)) for _ in range(8)]
+    stage.run(0.6)
+    holders = sorted({
+        s.holder for s in stage.node("edge-1").find("journal").streams.values() if s.holder})
+    for holder in holders[:1]:
+        stage.sim.kill(holder)
+    stage.run(1.2)
+    stage.any_edge()
+    stage.sim.kill("edge-1")
+    stage.run(40)
+    outcomes = stage.outcomes()
+    if outcomes.get("short/complete", 0) != len(tasks):
+        stage.sim.history.violate(f"conversations were dropped: {outcomes}")
+    return stage.sim.history.violations, {**outcomes, "holders": len(holders)}
+
+
+def half_open(seed):
+    """A sender resumes at another edge; the first one never sees its connection close."""
+    stage = Stage(seed)
+    with mock.patch.object(callers.Connection, "_take", half_open_take):
+        stage.only_edge("edge-1")
+        stage.start(stage.callers.stream("wayfinding", "short", 200, dropAfter=10))
+        stage.run(0.6)
+        stage.only_edge("edge-2")
+        stage.run(2.5)
+        running = [n for n in stage.sim.names("edge") if stage.node(n).find("dispatch").leases]
+        if running != ["edge-2"]:
+            stage.sim.history.violate(f"{running} run one stream")
+        stage.run(20)
+    return stage.sim.history.violations, stage.outcomes()
+
+
+def stale_holder(seed):
+    """The first edge goes on behind a cut with a holder of its own; then the second edge dies.
+
+    The replicas are noisy: a piece tells the run it is of, and where that run began. A sender's
+    answer may change runs only where the next one began.
+    """
+    stage = Stage(seed)
+    for replica in stage.sim.replicas.values():
+        replica.isNoisy = replica.row["service"] == "words"
+    stage.callers.record.violate = lambda text: None
+    answers = []
+    realTake = Answer.take
+
+    def take(answer, line, record):
+        if answer not in answers:
+            answers.append(answer)
+        return realTake(answer, line, record)
+
+    with mock.patch.object(Answer, "take", take), mock.patch.object(
+            callers.Connection, "_take", half_open_take):
+        stage.only_edge("edge-1")
+        stage.start(stage.callers.stream("wayfinding", "short", 300, dropAfter=10))
+        stage.run(0.55)
+        stage.sim.cut(["edge-1", "edge-3"], [
+            n for n in stage.sim.nodes if n not in ("edge-1", "edge-3")])
+        stage.only_edge("edge-2")
+        stage.run(4.5)
+        stage.sim.heal()
+        stage.run(1.2)
+        stage.sim.kill("edge-2")
+        stage.only_edge("edge-4")
+        stage.run(40)
+    changes = 0
+    for answer in answers:
+        words = [piece.split() for piece in answer.pieces]
+        for before, after in pairwise(words):
+            changes += before[1] != after[1]
+            if before[1] != after[1] and int(after[3]) != int(before[5]):
+                stage.sim.history.violate(f"piece {after} follows {before}")
+    return stage.sim.history.violations, {**stage.outcomes(), "changes of run": changes}
+
+
+def half_open_take(connection, line):
+    """Stand-in for a connection whose other end left without a word."""
+    if connection.isOpen:
+        connection.lines.append(line)
+        connection.signal.set()
+    return True
+
+
+def lost_reply(seed):
+    """A replica goes dark after it began work that may not repeat."""
+    stage = Stage(seed)
+    for _ in range(16):
+        stage.start(stage.callers.stream("once", "once", 30, True))
+    stage.run(0.4)
+    for name in ("words-1", "words-2"):
+        stage.sim.replicas[name].is_dark = True
+    stage.run(30)
+    return stage.sim.history.violations, stage.outcomes()
+
+
+def frozen_before_sending(seed):
+    """An edge freezes while work that may not repeat waits for room; it wakes too late."""
+    stage = Stage(seed)
+    stage.only_edge("edge-1")
+    for replica in stage.sim.replicas.values():
+        replica.logic.busy = replica.logic.slots
+    edge = stage.node("edge-1")
+    for replica in edge.find("replicas").table.values():
+        replica.inFlight = replica.slots
+    told = []
+    for _ in range(3):
+        told.append(stage.start(stage.callers.stream("once", "once", 8, True)))
+    stage.run(0.3)
+    for prompt in list(stage.sim.history.single):
+        stage.sim.history.refused(prompt)
+    stage.sim.freeze("edge-1", 3)
+    for replica in stage.sim.replicas.values():
+        replica.logic.busy = 0
+    for replica in edge.find("replicas").table.values():
+        replica.inFlight = 0
+    stage.run(20)
+    return stage.sim.history.violations, stage.outcomes()
+
+
+def replica_leaves(seed):
+    """An edge that hears no news still reaches a replica that says it is leaving."""
+    stage = Stage(seed)
+    others = [name for name in stage.sim.nodes if name != "edge-1"]
+    stage.only_edge("edge-1")
+    stage.start(stage.callers.generate(20, stage.callers.stream, "wayfinding", "short", 8))
+    stage.run(1)
+    stage.sim.cut(["edge-1"], others)
+    for replica in stage.sim.replicas.values():
+        if replica.row["service"] == "words":
+            replica.leave()
+    stage.run(8)
+    return stage.sim.history.violations, stage.outcomes()
+
+
+def cold_replicas(seed):
+    """Replicas are replaced one after another while crowds call."""
+    stage = Stage(seed)
+    stage.start(stage.callers.generate(25, stage.callers.stream, "wayfinding", "short", 12))
+    for number in range(1, 5):
+        stage.run(2)
+        stage.sim.replicas[f"words-{number}"].kill()
+        stage.run(0.3)
+        stage.sim.start_replica(f"words-{number}")
+    stage.run(6)
+    overloads = sum(r.logic.overloads for r in stage.sim.replicas.values())
+    if overloads:
+        stage.sim.history.violate(f"cold replicas got too much {overloads} times")
+    return stage.sim.history.violations, stage.outcomes()
+
+
+def crowd(seed):
+    """A crowd arrives all at once: bounded queues, refusals at once, urgent ones served."""
+    stage = Stage(seed)
+    stage.only_edge("edge-1")
+    env, refusalTimes, waiting = stage.env, [], []
+
+    def caller(entry, kind):
+        startTime = env.now
+        before = stage.callers.record.outcomes.get((kind, "refused"), 0)
+        yield from stage.callers.stream(entry, kind, 12)
+        if stage.callers.record.outcomes.get((kind, "refused"), 0) > before:
+            refusalTimes.append(env.now - startTime)
+
+    for _ in range(400):
+        stage.start(caller("gate-notices", "crowd"))
+    stage.run(0.2)
+    for _ in range(20):
+        stage.start(stage.callers.stream("wayfinding", "urgent", 8))
+    for _ in range(200):
+        stage.run(0.1)
+        waiting.append(len(stage.node("edge-1").find("dispatch").waiting))
+    stage.run(30)
+    if max(waiting) > 64 + 128:
+        stage.sim.history.violate(f"{max(waiting)} wait in queues of 64 and 128")
+    outcomes = stage.outcomes()
+    if outcomes.get("urgent/complete", 0) < 20:
+        stage.sim.history.violate(f"urgent ones lost: {outcomes}")
+    early = sorted(refusalTimes)[:100]
+    return stage.sim.history.violations, {
+        **outcomes, "most_waiting": max(waiting),
+        "refusal_median_ms": round(1000 * early[len(early) // 2], 1) if early else None,
+    }
+
+
+def local_keep(self, stream, newPieces, ended=False):
+    """Stand-in for the guard: pieces are kept on the own node only."""
+    stream.pieces = (*stream.pieces, *newPieces)
+    stream.ended = ended or stream.ended
+    return
+    yield
+
+
+def append_unfenced(self, body, origin):
+    """Stand-in for the guard: an append of any round is taken."""
+    stream = self.streams.get(body["stream"]) or journal.Stream(
+        body["stream"], body["inquiry"], body["sender"], self.node.now(), body["round"])
+    stream.pieces = (*stream.pieces[:body["from"]], *body["pieces"])
+    stream.ended = body["ended"]
+    self.streams[stream.name] = stream
+    return len(stream.pieces)
+
+
+def claim_longest(self, name, sender, servedRound):
+    """Stand-in for the guard: the longest copy counts, of whatever round."""
+    question = {"stream": name, "sender": sender}
+    reached = [n for n in self.keepers() if self.node.find("nifty").reaches(n)]
+    claimRound = [next(CLAIM_ROUNDS), ""]
+    calls = [(n, "journal.claim", {**question, "round": claimRound}) for n in reached]
+    claims = yield from self.node.gather(calls, len(calls))
+    good = [reply for reply in claims.values() if not isinstance(reply, Trouble)]
+    inquiry, pieces, ended, _ = max(good, key=lambda reply: len(reply[1]))
+    stream = journal.Stream(name, inquiry, sender, self.node.now(), claimRound)
+    stream.pieces, stream.ended = tuple(pieces), ended
+    self.streams[name] = stream
+    return stream
+
+
+def all_working(self, replica):
+    """Stand-in for the guard: every known replica may get work."""
+    return replica.state not in ("leaving", "gone")
+
+
+def all_slots(self, replica):
+    """Stand-in for the guard: a cold replica's slots are free for all."""
+    return replica.slots
+
+
+def endless(self, *words, **options):
+    """Stand-in for the guard: a queue without a bound."""
+    promise = {**words[2], "queue": 1 << 30}
+    return (yield from REAL_ACQUIRE(self, words[0], words[1], promise, *words[3:], **options))
+
+
+CLAIM_ROUNDS = count(9)
+REAL_ACQUIRE = dispatch.Dispatch.acquire
+
+
+def rerun_round(node, stream, sending, endTime, avoidedNames):
+    """Stand-in for the guard: work that may not repeat is tried elsewhere all the same."""
+    layout = node.find("layout")
+    realEntry = layout.entry
+    entry, service, promise = realEntry(stream.inquiry["entry"])
+    patched = (entry, service, {**promise, "resumable": True})
+    holder = type("Image", (), {"entry": staticmethod(lambda name: patched)})
+    node.services["layout"], kept = _Facade(layout, holder), layout
+    try:
+        yield from REAL_ROUND(node, stream, sending, endTime, avoidedNames)
+    finally:
+        node.services["layout"] = kept
+
+
+class _Facade:
+    """A layout image whose entries claim to be resumable."""
+
+    def __init__(self, real, holder):
+        self.real = real
+        self.holder = holder
+
+    def __getattr__(self, name):
+        return getattr(self.holder if name == "entry" else self.real, name)
+
+
+REAL_ROUND = streams.one_round
+FRESH = (Freshness, "check", no_check)
+POINTS = [
+    ("no answer mixed or complete when it is not", mixed_answers,
+     [(streams, "check_line", lambda line, name, count: None)]),
+    ("no conversation dropped when an edge dies", edge_dies,
+     [(journal.Journal, "keep", local_keep)]),
+    ("no conversation dropped when the second holder dies too", holder_dies,
+     [(journal.Journal, "keep", local_keep)]),
+    ("a resumed stream is run by one edge", half_open,
+     [(journal.Journal, "on_append", append_unfenced),
+      (journal.Journal, "_check_round", no_check)]),
+    ("no answer is mixed from two runs", stale_holder,
+     [(journal.Journal, "claim", claim_longest)]),
+    ("what may not repeat never runs twice", lost_reply, [(streams, "one_round", rerun_round)]),
+    ("nothing runs after a refusal", frozen_before_sending,
+     [(streams, "check_before_sending", no_check)]),
+    ("a leaving replica gets nothing after 2 s", replica_leaves,
+     [(replicas.Replicas, "may_get_work", all_working), FRESH]),
+    ("a cold replica never gets more than it can bear", cold_replicas,
+     [(Taker, "cold_room", all_slots)]),
+    ("crowds meet bounded queues", crowd, [(dispatch.Dispatch, "acquire", endless)]),
+]
--- a/proving/sim/backends.py
+++ b/proving/sim/backends.py
@@ -39,6 +39,9 @@
         self.logic = StandIn(row["name"], row["slots"], row.get("warm", 3.0), sim.env.now)
         self.is_dead = False
         self.is_dark = False
+        self.mixesUp = False
+        self.breaksOff = False
+        self.isNoisy = False
         self.sequence = 0
         sim.env.process(self._beat())
 
@@ -137,10 +140,10 @@
             number += 1
             if replica.is_dead or replica.is_dark:
                 break
-            handle.put({
-                "inquiry": body["inquiry"], "n": number,
-                "piece": piece_text(body["prompt"], number),
-            })
+            handle.put(self._line(replica, body, number))
+            if replica.breaksOff and number >= count // 2:
+                handle.put({"inquiry": body["inquiry"], "end": True, "pieces": count})
+                break
         replica.logic.finish()
         self.sim.history.stopped(body["prompt"], replica)
         if number == count and not replica.is_dark and not replica.is_dead:
@@ -148,6 +151,15 @@
         elif replica.is_dead:
             handle.close()
 
+    def _line(self, replica, body, number):
+        name, piece = body["inquiry"], piece_text(body["prompt"], number)
+        if replica.mixesUp and number % 3 == 0:
+            name, piece = "another-inquiry", "another sender's piece "
+        if replica.isNoisy:
+            run = len(self.sim.history.runs[body["prompt"]])
+            piece = f"run {body.setdefault('run', run)} from {body['from']} at {number}"
+        return {"inquiry": name, "n": number, "piece": piece}
+
     def next(self, world, effect):
         """Return the next line."""
         handle = effect.handle
--- a/proving/sim/callers.py
+++ b/proving/sim/callers.py
@@ -93,13 +93,14 @@
         self.number += 1
         return f"{kind}-{self.number}"
 
-    def stream(self, entry, kind, maxPieces=20, isSingle=False):
+    def stream(self, entry, kind, maxPieces=20, isSingle=False, dropAfter=None):
         """Process: one streamed inquiry, resumed when it is cut."""
         chance, sender = self.sim.chance, self._name(kind)
         answer = Answer(f"{entry} {sender}", maxPieces)
         if isSingle:
             self.history.single.add(answer.prompt)
-        dropAfter = chance.randrange(1, 8) if chance.random() < 0.2 and not isSingle else None
+        if dropAfter is None and chance.random() < 0.2 and not isSingle:
+            dropAfter = chance.randrange(1, 8)
         startTime, rounds = self.sim.env.now, 0
         while answer.outcome is None and rounds < 12:
             rounds += 1
--- a/proving/standin_logic.py
+++ b/proving/standin_logic.py
@@ -14,6 +14,8 @@
 
 def piece_count(prompt, maxPieces):
     """Return how many pieces the right answer has."""
+    if maxPieces >= 100:
+        return maxPieces - hashlib.sha256(prompt.encode()).digest()[0] % 30
     return min(maxPieces, 3 + hashlib.sha256(prompt.encode()).digest()[0] % 30)
 
 
--- a/quillring/classes/granter.py
+++ b/quillring/classes/granter.py
@@ -57,7 +57,8 @@
         self.asked[(service, origin)] = Asked(now, body["demands"], heldCold, now + self.lease)
         cold = self._cold_slots(service, origin, now, former, now - self.ownedSince[part])
         asked = self.asked[(service, origin)]
-        asked.cold = {n: max(cold.get(n, 0), heldCold.get(n, 0)) for n in sorted({*cold, *heldCold})}
+        names = dict.fromkeys((*cold, *heldCold))
+        asked.cold = {name: max(cold.get(name, 0), heldCold.get(name, 0)) for name in names}
         return {"limits": self._limits(service, origin, now), "cold": cold, "lease": self.lease}
 
     def _limits(self, service, taker, now):
--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -96,7 +96,7 @@
         gossip = self.node.find("gossip")
         if owner.is_owner:
             news = {"owner": owner.node.me.name, "ballot": list(owner.ballot)}
-            gossip.put(f"owner/{owner.part}", [owner.ballot[0]], news)
+            gossip.put(f"owner/{owner.part}", owner.ballot, news)
             if gossip.get(f"group/{owner.part}") != owner.state["group"]:
                 gossip.put(f"group/{owner.part}", [owner.index], owner.state["group"])
 
--- a/quillring/edge/dispatch.py
+++ b/quillring/edge/dispatch.py
@@ -164,9 +164,11 @@
         limit = self.node.find("taker").limit(waiter.service, waiter.className)
         if limit is not None and self._running(waiter) >= limit:
             return None
+        now = self.node.now()
         candidates = [
             replica for replica in self.node.find("replicas").working(waiter.service)
             if replica.name not in waiter.avoided and replica.inFlight < self.room(replica)
+            and now >= replica.busyUntil
         ]
         if not candidates:
             return None
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -5,6 +5,7 @@
 from quillring.nifty.graph import score
 
 KEPT_STREAMS = 20_000
+HANDED_AGE = 5
 
 
 class Stream:
@@ -23,6 +24,15 @@
         self.holder = None
 
 
+def append_body(stream, start):
+    """Return the message that makes another node hold the stream from a piece on."""
+    return {
+        "stream": stream.name, "inquiry": stream.inquiry, "sender": stream.sender,
+        "from": start, "pieces": list(stream.pieces[start:]), "ended": stream.ended,
+        "round": list(stream.round),
+    }
+
+
 class Journal:
     """The streams this node runs or holds for another."""
 
@@ -66,6 +76,19 @@
             )
         ]
 
+    def hand_over(self):
+        """Script: before a planned stop, give every stream touched lately to another node."""
+        edgeTime = self.node.now() - self.node.bounds.return_ * HANDED_AGE
+        lateStreams = [s for s in self.streams.values() if s.touchedAt > edgeTime]
+        for stream in lateStreams:
+            for holder in self.holders(stream.name, {stream.holder})[:2]:
+                try:
+                    yield from self.node.call(holder, "journal.append", append_body(stream, 0))
+                    break
+                except Trouble as trouble:
+                    self.node.log("warning", "hand over %s: %s", stream.name, trouble)
+        self.node.count("streams_handed", len(lateStreams))
+
     def keepers(self):
         """Return the names of all nodes that may hold streams."""
         members = self.node.find("nifty").roster.members.values()
@@ -73,8 +96,7 @@
 
     def keep(self, stream, newPieces, ended=False):
         """Script: add pieces here and at a second holder; return once both have them."""
-        if self.streams.get(stream.name) is not stream:
-            raise Fenced(stream=stream.name)
+        self._check_round(stream)
         oldCount = len(stream.pieces)
         stream.pieces = (*stream.pieces, *newPieces)
         stream.ended = ended or stream.ended
@@ -87,11 +109,8 @@
                     raise Refused(reason="no second holder in another domain")
                 stream.holder, oldCount = candidates[0], 0
             try:
-                yield from self.node.call(stream.holder, "journal.append", {
-                    "stream": stream.name, "inquiry": stream.inquiry, "sender": stream.sender,
-                    "from": oldCount, "pieces": list(stream.pieces[oldCount:]),
-                    "ended": stream.ended, "round": list(stream.round),
-                })
+                body = append_body(stream, oldCount)
+                yield from self.node.call(stream.holder, "journal.append", body)
                 return
             except Fenced:
                 self.streams.pop(stream.name, None)
@@ -102,6 +121,10 @@
                 avoidedNames.add(stream.holder)
                 stream.holder = None
 
+    def _check_round(self, stream):
+        if self.streams.get(stream.name) is not stream:
+            raise Fenced(stream=stream.name)
+
     def on_append(self, body, origin):
         """Hold pieces for another node; a lower round is fenced off, a gap refused."""
         known = self.streams.get(body["stream"])
@@ -117,8 +140,9 @@
         start = body["from"]
         if start > len(stream.pieces):
             raise NotFound(stream=body["stream"], held=len(stream.pieces))
-        stream.pieces = (*stream.pieces[:start], *body["pieces"])
-        stream.ended, stream.touchedAt = body["ended"], self.node.now()
+        if start + len(body["pieces"]) >= len(stream.pieces):
+            stream.pieces = (*stream.pieces[:start], *body["pieces"])
+        stream.ended, stream.touchedAt = body["ended"] or stream.ended, self.node.now()
         self.streams[stream.name] = stream
         return len(stream.pieces)
 
@@ -140,10 +164,14 @@
         claimed = Stream(stream.name, stream.inquiry, stream.sender, self.node.now(), claimRound)
         claimed.pieces, claimed.ended = stream.pieces, stream.ended
         self.streams[stream.name] = claimed
-        return [stream.inquiry, list(stream.pieces), stream.ended]
+        return [stream.inquiry, list(stream.pieces), stream.ended, list(stream.round)]
 
-    def claim(self, name, sender):
-        """Script: find a stream wherever it is held, fence its former round, run it here."""
+    def claim(self, name, sender, servedRound):
+        """Script: find a stream wherever it is held, fence its former round, run it here.
+
+        A holder may be left with an older round that went its own way; the newest round counts,
+        and one older than the sender was served in is as good as none.
+        """
         nifty = self.node.find("nifty")
         names = [name for name in self.keepers() if nifty.reaches(name)]
         question = {"stream": name, "sender": sender}
@@ -161,10 +189,14 @@
             [(n, "journal.claim", {**question, "round": list(claimRound)}) for n in holders],
             len(holders),
         )
-        goodClaims = [reply for reply in claims.values() if not isinstance(reply, Trouble)]
+        goodClaims = [
+            reply for reply in claims.values()
+            if not isinstance(reply, Trouble) and tuple(reply[3]) >= servedRound
+        ]
         if not goodClaims:
-            raise Fenced(stream=name)
-        inquiry, pieces, ended = max(goodClaims, key=lambda reply: (len(reply[1]), reply[2]))
+            raise Refused(reason="the stream's newest holders are out of reach")
+        inquiry, pieces, ended, _ = max(
+            goodClaims, key=lambda reply: (tuple(reply[3]), len(reply[1])))
         stream = Stream(name, inquiry, sender, self.node.now(), claimRound)
         stream.pieces, stream.ended = tuple(pieces), ended
         self.streams[name] = stream
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -30,7 +30,7 @@
 
     __slots__ = (
         "name", "service", "domain", "address", "slots", "state", "incarnation", "sequence",
-        "heardAt", "bornAt", "inFlight", "stalledUntil",
+        "heardAt", "bornAt", "inFlight", "stalledUntil", "busyUntil",
     )
 
     def __init__(self, beat, now, former=None):
@@ -47,6 +47,7 @@
         self.heardAt = now
         self.bornAt = former.bornAt if isSame else now
         self.inFlight = former.inFlight if isSame else 0
+        self.busyUntil = former.busyUntil if isSame else 0
         self.stalledUntil = former.stalledUntil if isSame else 0
 
     def to_json(self, now):
@@ -116,6 +117,12 @@
             if replica.service == service and self.may_get_work(replica)
         ]
 
+    def busy(self, replica):
+        """Keep new work for a moment from a replica that had no room left."""
+        known = self.table.get(replica.name)
+        if known is not None:
+            known.busyUntil = self.node.now() + self.node.bounds.chatter
+
     def stalled(self, replica):
         """Keep new work from a replica that stalled or broke off, for one news bound."""
         known = self.table.get(replica.name)
--- a/quillring/edge/short.py
+++ b/quillring/edge/short.py
@@ -7,6 +7,7 @@
 from quillring.kernel.troubles import (
     BackendTrouble,
     BadInquiry,
+    Busy,
     NotFound,
     NotSent,
     OutcomeUnknown,
@@ -77,10 +78,12 @@
                 body and {**body, "inquiry": name}, endTime - node.now(),
             )
             if status == 503:
-                raise NotSent(reason="busy")
+                raise Busy(replica=lease.replica.name)
             if status == 200 and isinstance(answer, dict) and answer.get("inquiry") == name:
                 return answer
             raise BackendTrouble(reason="strange answer", status=status)
+        except Busy:
+            node.find("replicas").busy(lease.replica)
         except BackendTrouble as trouble:
             node.count("replica_troubles")
             avoidedNames.add(lease.replica.name)
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -8,6 +8,7 @@
 from quillring.kernel.troubles import (
     BackendTrouble,
     BadInquiry,
+    Busy,
     Conflict,
     NotSent,
     OutcomeUnknown,
@@ -51,12 +52,13 @@
 def resume_stream(node, inquiry):
     """Serve what follows the last piece the sender has."""
     secret = node.find("duty").founding()["secret"]
-    streamName = read_token(secret, inquiry.words["token"], inquiry.sender, node.world.wall())
+    streamName, tokenRound = read_token(
+        secret, inquiry.words["token"], inquiry.sender, node.world.wall())
     afterTexts = inquiry.query.get("after", ["0"])
     if not afterTexts[0].isdigit():
         raise BadInquiry(field="after", faults=[{"field": "after", "fault": "not a count"}])
     sentCount = int(afterTexts[0])
-    stream = yield from node.find("journal").claim(streamName, inquiry.sender)
+    stream = yield from node.find("journal").claim(streamName, inquiry.sender, tokenRound)
     if len(stream.pieces) < sentCount:
         raise Conflict(field="after", held=len(stream.pieces))
     node.count("resumes")
@@ -78,10 +80,11 @@
 class Sending:
     """How far one answer has gone out to its sender."""
 
-    __slots__ = ("count", "headLine", "hasHead", "isPaused")
+    __slots__ = ("count", "headLine", "hasHead", "isPaused", "firstEnd")
 
-    def __init__(self, count, headLine):
+    def __init__(self, count, headLine, firstEnd):
         self.count = count
+        self.firstEnd = firstEnd
         self.headLine = headLine
         self.hasHead = False
         self.isPaused = False
@@ -90,8 +93,10 @@
 def run_stream(node, stream, sentCount, endTime):
     """Script: emit what the journal holds, then go on at replicas until the end."""
     secret = node.find("duty").founding()["secret"]
-    token = make_token(secret, stream.name, stream.sender, node.world.wall())
-    sending = Sending(sentCount, {"stream": stream.name, "resume": token, "after": sentCount})
+    token = make_token(secret, stream, node.world.wall())
+    headLine = {"stream": stream.name, "resume": token, "after": sentCount}
+    _, _, promise = node.find("layout").entry(stream.inquiry["entry"])
+    sending = Sending(sentCount, headLine, node.now() + promise["first_piece_ms"] / 1000)
     avoidedNames = set()
     try:
         yield from emit_held(stream, sending)
@@ -120,10 +125,10 @@
     """Script: run or continue the stream on one replica until it ends or breaks."""
     entry, service, promise = node.find("layout").entry(stream.inquiry["entry"])
     prefix = entry.get("prefix", "")
-    firstEnd = endTime if stream.pieces else node.now() + promise["first_piece_ms"] / 1000
+    waitEnd = endTime if stream.pieces else min(endTime, sending.firstEnd)
     lease = yield from node.find("dispatch").acquire(
-        entry["service"], entry["class"], promise, prefix_key(prefix), min(endTime, firstEnd),
-        avoidedNames, sending.isPaused,
+        entry["service"], entry["class"], promise, prefix_key(prefix), waitEnd, avoidedNames,
+        sending.isPaused,
     )
     sending.isPaused = False
     replica, handle = lease.replica, None
@@ -134,8 +139,11 @@
             "from": len(stream.pieces), "max_pieces": stream.inquiry.get("max_pieces", 64),
         }, min(endTime - node.now(), service.get("stall_ms", STALL_MS) / 1000))
         if handle.status == 503:
-            raise NotSent(replica=replica.name, reason="busy")
+            raise Busy(replica=replica.name)
         yield from read_pieces(node, stream, sending, handle, lease, service, endTime)
+    except Busy:
+        node.count("busy_replicas")
+        node.find("replicas").busy(replica)
     except BackendTrouble as trouble:
         node.count("replica_troubles")
         node.log("warning", "replica %s: %s", replica.name, trouble)
@@ -161,6 +169,17 @@
         raise NotSent(replica=replica.name, reason="left")
 
 
+def check_line(line, inquiryName, count):
+    """Refuse a replica's line unless it is the very next one of this inquiry."""
+    if not isinstance(line, dict) or line.get("inquiry") != inquiryName:
+        raise BackendTrouble(reason="broken off" if line is None else "strange line")
+    if line.get("end"):
+        if line.get("pieces") != count:
+            raise BackendTrouble(reason="pieces are missing")
+    elif line.get("n") != count + 1 or not isinstance(line.get("piece"), str):
+        raise BackendTrouble(reason="strange piece")
+
+
 def read_pieces(node, stream, sending, handle, lease, service, endTime):
     """Script: take the replica's numbered pieces, each one kept twice before it is emitted.
 
@@ -169,16 +188,11 @@
     journal, stallSeconds = node.find("journal"), service.get("stall_ms", STALL_MS) / 1000
     while True:
         line = yield Next(handle, max(0.001, min(endTime - node.now(), stallSeconds)))
-        if not isinstance(line, dict) or line.get("inquiry") != stream.name:
-            raise BackendTrouble(reason="broken off" if line is None else "strange line")
+        check_line(line, stream.name, len(stream.pieces))
         if line.get("end"):
-            if line.get("pieces") != len(stream.pieces):
-                raise BackendTrouble(reason="pieces are missing")
             yield from journal.keep(stream, (), ended=True)
             yield from emit_held(stream, sending)
             return
-        if line.get("n") != len(stream.pieces) + 1 or not isinstance(line.get("piece"), str):
-            raise BackendTrouble(reason="strange piece")
         yield from journal.keep(stream, (line["piece"],))
         yield from emit_held(stream, sending)
         if lease.isWantedBack:
--- a/quillring/edge/tokens.py
+++ b/quillring/edge/tokens.py
@@ -18,25 +18,26 @@
     status = 403
 
 
-def make_token(secret, stream, sender, now):
-    """Return the token under which the sender may resume the stream."""
-    body = cbor2.dumps([stream, int(now) + LIFE_SECONDS])
-    return base64.urlsafe_b64encode(_sign(secret, sender, body) + body).decode().rstrip("=")
+def make_token(secret, stream, now):
+    """Return the token under which the stream's sender may resume it."""
+    body = cbor2.dumps([stream.name, list(stream.round), int(now) + LIFE_SECONDS])
+    signature = _sign(secret, stream.sender, body)
+    return base64.urlsafe_b64encode(signature + body).decode().rstrip("=")
 
 
 def read_token(secret, token, sender, now):
-    """Return the stream's name, or raise BadToken."""
+    """Return the stream's name and the round it was served in, or raise BadToken."""
     try:
         data = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))
         signature, body = data[:16], data[16:]
         if not hmac.compare_digest(signature, _sign(secret, sender, body)):
             raise BadToken()
-        stream, endTime = cbor2.loads(body)
+        name, servedRound, endTime = cbor2.loads(body)
     except (ValueError, TypeError, cbor2.CBORError) as error:
         raise BadToken() from error
     if now > endTime:
         raise BadToken()
-    return stream
+    return name, tuple(servedRound)
 
 
 def _sign(secret, sender, body):
--- a/quillring/kernel/backend.py
+++ b/quillring/kernel/backend.py
@@ -3,13 +3,12 @@
 import json
 
 import gevent
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPConnectionClosed, HTTPProtocolViolationError
+from geventhttpclient import HTTPClient, HTTPParseError
 
 from quillring.kernel.troubles import BackendTrouble, NotSent
 
 HEADERS = {"Content-Type": "application/json"}
-READ_ERRORS = (OSError, HTTPConnectionClosed, HTTPProtocolViolationError, ValueError)
+READ_ERRORS = (OSError, HTTPParseError, ValueError)
 
 
 class Handle:
--- a/quillring/kernel/node.py
+++ b/quillring/kernel/node.py
@@ -12,7 +12,7 @@
 
     __slots__ = (
         "me", "world", "bounds", "services", "handlers", "pending", "nextCall", "log", "counts",
-        "is_draining",
+        "is_draining", "underWay",
     )
 
     def __init__(self, me, world, bounds=None, log=None):
@@ -26,6 +26,7 @@
         self.log = log or (lambda level, text, *fields: None)
         self.counts = {}
         self.is_draining = False
+        self.underWay = 0
 
     def now(self):
         """Return the world's monotonic time in seconds."""
--- a/quillring/kernel/troubles.py
+++ b/quillring/kernel/troubles.py
@@ -160,6 +160,12 @@
     status = 502
 
 
+class Busy(BackendTrouble):
+    """The replica had no room and took nothing."""
+
+    kind = "busy"
+
+
 class NotSent(BackendTrouble):
     """The inquiry provably never reached the replica."""
 
--- a/quillring/kernel/wsgi.py
+++ b/quillring/kernel/wsgi.py
@@ -85,16 +85,19 @@
     """Return the WSGI application of a node."""
 
     def app(environ, start_response):
+        return UnderWay(node, answer(environ, start_response))
+
+    def answer(environ, start_response):
         try:
             function, words, limit = find_route(environ["REQUEST_METHOD"], environ["PATH_INFO"])
             inquiry = Inquiry(
                 environ["REQUEST_METHOD"], words, parse_qs(environ.get("QUERY_STRING", "")),
                 read_body(environ, limit), environ.get("HTTP_X_SENDER", ""),
             )
-            answer = function(node, inquiry)
-            if not inspect.isgenerator(answer):
-                return send_whole(start_response, answer)
-            return send_lines(node, start_response, answer)
+            outcome = function(node, inquiry)
+            if not inspect.isgenerator(outcome):
+                return send_whole(start_response, outcome)
+            return send_lines(node, start_response, outcome)
         except Trouble as trouble:
             return send_trouble(node, start_response, trouble)
         except Exception as error:
@@ -104,6 +107,28 @@
     return app
 
 
+class UnderWay:
+    """An answer that counts as under way until the server has sent it or given up."""
+
+    def __init__(self, node, chunks):
+        self.node = node
+        self.chunks = chunks
+        self.isOpen = True
+        node.underWay += 1
+
+    def __iter__(self):
+        return iter(self.chunks)
+
+    def close(self):
+        """End the answer; called by the server in every case."""
+        if self.isOpen:
+            self.isOpen = False
+            self.node.underWay -= 1
+            close = getattr(self.chunks, "close", None)
+            if close is not None:
+                close()
+
+
 def send_whole(start_response, answer, status=200, headers=()):
     """Send one JSON body."""
     body = json.dumps(answer).encode()
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -1,9 +1,9 @@
 """Running the items of open lots, on the core that owns their part, on room left idle."""
 
 from quillring.edge.dispatch import prefix_key
-from quillring.edge.streams import STALL_MS, check_before_sending
+from quillring.edge.streams import STALL_MS, check_before_sending, check_line
 from quillring.kernel.effects import Next, Open, Signal, Sleep, Wait
-from quillring.kernel.troubles import BackendTrouble, NotSent, Trouble
+from quillring.kernel.troubles import BackendTrouble, Busy, NotSent, Trouble
 from quillring.lots.commands import OPEN
 
 ITEMS_AT_ONCE = 4
@@ -114,10 +114,12 @@
                 "from": 0, "max_pieces": 64,
             }, stallSeconds)
             if handle.status == 503:
-                raise NotSent(reason="busy")
+                raise Busy(replica=lease.replica.name)
             return (yield from self._read_result(handle, inquiryName, stallSeconds, key))
-        except NotSent:
+        except (Busy, NotSent) as trouble:
             self.unsent.add(key)
+            if isinstance(trouble, Busy):
+                node.find("replicas").busy(lease.replica)
             raise
         except BackendTrouble:
             if not self.running[key].stopSignal.is_set:
@@ -132,13 +134,8 @@
         pieces = []
         while not self.running[key].stopSignal.is_set:
             line = yield Next(handle, stallSeconds)
-            if not isinstance(line, dict) or line.get("inquiry") != inquiryName:
-                raise BackendTrouble(reason="strange line")
+            check_line(line, inquiryName, len(pieces))
             if line.get("end"):
-                if line.get("pieces") != len(pieces):
-                    raise BackendTrouble(reason="pieces are missing")
                 return {"text": "".join(pieces)}
-            if line.get("n") != len(pieces) + 1:
-                raise BackendTrouble(reason="strange piece")
             pieces.append(line["piece"])
         return None
--- a/quillring/nifty/graph.py
+++ b/quillring/nifty/graph.py
@@ -14,14 +14,30 @@
     __slots__ = ("links", "live", "routes", "home")
 
     def __init__(self, home, rows):
-        """Make the graph from {name: names it hears}; a link counts when both ends hear."""
+        """Make the graph from {name: names it reaches}.
+
+        The home's own links are what it sees itself; other pairs must both tell of their link,
+        and of a node that is not heard the others tell.
+        """
         self.home = home
+        ownRow = rows.get(home, frozenset())
+        rows = {
+            name: reached | {home} if name in ownRow else reached - {home}
+            for name, reached in rows.items()
+        }
+        told = {}
+        for name, reached in rows.items():
+            for other in reached:
+                if other not in rows:
+                    told.setdefault(other, set()).add(name)
         self.links = {
             name: frozenset(
-                other for other in heard if other != name and name in rows.get(other, ())
+                other for other in reached
+                if other != name and (other not in rows or name in rows[other])
             )
-            for name, heard in rows.items()
+            for name, reached in rows.items()
         }
+        self.links.update((name, frozenset(ends)) for name, ends in told.items())
         self.live = frozenset(name for name, ends in self.links.items() if ends) | {home}
         self.routes = self._bellman_ford()
 
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -20,7 +20,7 @@
         self.at = at
         self.incarnation = incarnation
         self.sequence = sequence
-        self.row = frozenset()
+        self.row = None
         self.echoAt = None
         self.stamp = None
 
@@ -30,7 +30,7 @@
 
     __slots__ = (
         "node", "roster", "oldRosters", "seeds", "heard", "graph", "sequence", "beatSequence",
-        "beatTimes", "seen", "listeners", "stampSource", "on_member", "on_strange_roster",
+        "beatTimes", "rows", "seen", "listeners", "stampSource", "on_member", "on_strange_roster",
     )
 
     def __init__(self, node, seeds):
@@ -43,6 +43,7 @@
         self.sequence = 0
         self.beatSequence = 0
         self.beatTimes = {}
+        self.rows = {}
         self.seen = {}
         self.listeners = []
         self.stampSource = lambda: None
@@ -67,14 +68,15 @@
         me = self.node.me
         commonPart = [
             me.to_list(), self.beatSequence, self.roster.digest,
-            self.roster.to_bitmap(self.heard_names()), self.stampSource(),
+            self.roster.to_bitmap(self.reached_names()), self.stampSource(),
         ]
         memberAddresses = {m.address: m.name for m in self.roster.members.values()}
         for address in dict.fromkeys((*memberAddresses, *self.seeds)):
             if address == me.address:
                 continue
             heard = self.heard.get(memberAddresses.get(address))
-            echo = [heard.incarnation, heard.sequence] if heard else None
+            isHeard = heard is not None and self.is_heard(heard)
+            echo = [heard.incarnation, heard.sequence] if isHeard else None
             self._datagram(address, pack([*commonPart, echo]))
 
     def _datagram(self, address, data):
@@ -82,10 +84,17 @@
         self.node.count("beat_bytes", len(data))
         self.node.world.datagram(address, data)
 
-    def heard_names(self):
-        """Return the names heard within three beats."""
-        edgeTime = self.node.now() - self.node.bounds.broken
-        return frozenset(name for name, heard in self.heard.items() if heard.at > edgeTime)
+    def is_heard(self, heard):
+        """Tell whether fewer than three beats were missed."""
+        return heard.at > self.node.now() - self.node.bounds.broken
+
+    def reached_names(self):
+        """Return the names heard lately that lately heard this node too, by their echo."""
+        edgeTime = self.node.now() - self.node.bounds.broken - self.node.bounds.beat
+        return frozenset(
+            name for name, heard in self.heard.items()
+            if self.is_heard(heard) and heard.echoAt is not None and heard.echoAt > edgeTime
+        )
 
     def on_datagram(self, data):
         """Take a heartbeat; garbage is counted and dropped."""
@@ -106,7 +115,7 @@
                 return
             if member.incarnation == heard.incarnation and sequence <= heard.sequence:
                 return
-        wasHeard = heard is not None and heard.at > self.node.now() - self.node.bounds.broken
+        wasReached = member.name in self.graph.links.get(self.node.me.name, ())
         if heard is None or heard.incarnation != member.incarnation:
             heard = self.heard[member.name] = Heard(0, member.incarnation, sequence)
         heard.at, heard.sequence, heard.stamp = self.node.now(), sequence, stamp
@@ -118,10 +127,10 @@
             self.on_strange_roster(member.name)
         if matchingRoster is not None:
             newRow = matchingRoster.from_bitmap(bitmap)
-            if newRow != heard.row or not wasHeard:
+            if newRow != heard.row or not wasReached:
                 heard.row = newRow
                 self.refresh()
-        elif not wasHeard:
+        elif not wasReached:
             self.refresh()
 
     def learn(self, member):
@@ -149,12 +158,14 @@
 
     def refresh(self):
         """Make the graph anew from what was heard; a changed one is told to the listeners."""
-        heardNames = self.heard_names()
-        rows = {name: self.heard[name].row for name in heardNames}
-        rows[self.node.me.name] = heardNames
-        for name in heardNames:
-            if not self.heard[name].row:
-                rows[name] = rows[name] | {self.node.me.name}
+        rows = {
+            name: heard.row for name, heard in self.heard.items()
+            if heard.row is not None and self.is_heard(heard)
+        }
+        rows[self.node.me.name] = self.reached_names()
+        if rows == self.rows:
+            return
+        self.rows = rows
         newGraph = Graph(self.node.me.name, rows)
         if newGraph.links != self.graph.links:
             self.graph = newGraph
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -15,9 +15,23 @@
 from quillring.nifty import Member
 from quillring.store import FolderDisk
 
+DRAIN_PATIENCE = 50
 LEVELS = {"debug": logging.DEBUG, "warning": logging.WARNING, "error": logging.ERROR}
 
 
+def drain(node, server):
+    """Take nothing new, finish what is under way, hand the journal over, end."""
+    node.is_draining = True
+    deadline = node.now() + node.bounds.return_ * DRAIN_PATIENCE
+    gevent.sleep(node.bounds.beat)
+    while node.underWay and node.now() < deadline:
+        gevent.sleep(node.bounds.chatter)
+    journal = node.find("journal")
+    if journal is not None:
+        node.world.drive(journal.hand_over())
+    server.stop(timeout=node.bounds.beat)
+
+
 def run_process(settings, makeWorld=GeventWorld):
     """Run a node until the platform stops it; a planned stop finishes what is under way."""
     nodeLogger, ringHandler = ring_log(settings.name, settings.log_file)
@@ -46,6 +60,4 @@
     for signalNumber in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signalNumber, stopEvent.set)
     stopEvent.wait()
-    node.is_draining = True
-    gevent.sleep(settings.bounds.beat)
-    server.stop(timeout=settings.bounds.return_ * 5)
+    drain(node, server)
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,125 @@
+import json
+import random
+import signal
+import socket
+import time
+
+import pytest
+
+from proving.callers import Record, ask, follow_lot, lot_call, stream_call
+from proving.localfleet import LocalFleet
+
+NAMES = [
+    "core-1", "core-2", "store-1", "store-2", "store-3", "edge-1", "edge-2", "words-1",
+    "words-2", "map-1",
+]
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    made = LocalFleet("examples/ferrowa", tmp_path_factory.mktemp("fleet"), True, set(NAMES))
+    try:
+        made.start_all()
+        made.found()
+        yield made
+    finally:
+        made.stop_all()
+
+
+def edges(fleet):
+    return [fleet.http(name) for name in fleet.names("edge")]
+
+
+def test_every_kind_of_call_is_served_while_a_store_is_down(fleet):
+    record = Record()
+    fleet.kill("store-2")
+    for number in range(6):
+        chance = random.Random(number)
+        stream_call(edges(fleet), chance, record, time.monotonic, "wayfinding", "short")
+    lot_call(edges(fleet), random.Random(9), record, "gate-notices", 4)
+    fleet.start("store-2")
+    assert record.violations == []
+    assert record.outcomes == {("short", "complete"): 6, ("lot", "complete"): 1}
+    assert ask(edges(fleet)[0], "GET", "/v1/tiles/tiles/12/3/7")[0] == 200
+
+
+def test_a_lot_outlives_its_owner_and_a_restart_of_all_stores(fleet):
+    body = {"entry": "gate-notices", "key": "outlives", "items": [f"item {n}" for n in range(30)]}
+    accepted = [ask(a, "POST", "/v1/lots", body, "desk") for a in edges(fleet)]
+    assert [status for status, _ in accepted] == [200, 200]
+    for name in fleet.names("store"):
+        fleet.kill(name)
+    for name in fleet.names("store"):
+        fleet.start(name)
+    record = Record()
+    follow_lot(edges(fleet), random.Random(1), record, accepted[0][1]["lot"], body["items"], "desk")
+    assert record.violations == [] and record.outcomes == {("lot", "complete"): 1}
+    assert ask(edges(fleet)[0], "GET", f"/v1/lots/{accepted[0][1]['lot']}", None, "other")[0] == 404
+
+
+@pytest.mark.parametrize("method, path, body, status, trouble, field", [
+    ("POST", "/v1/inquiries", {"entry": "wayfinding"}, 400, "bad_inquiry", "body"),
+    ("POST", "/v1/inquiries", {"entry": "wayfinding", "prompt": 4}, 400, "bad_inquiry", "prompt"),
+    ("POST", "/v1/inquiries", {"entry": "none", "prompt": "x"}, 404, "not_found", "entry"),
+    ("POST", "/v1/inquiries", {"entry": "tiles", "prompt": "x"}, 400, "bad_inquiry", "entry"),
+    ("POST", "/v1/inquiries", {"entry": "wayfinding", "prompt": "x" * (1 << 20)}, 413,
+     "too_large", "body"),
+    ("POST", "/v1/lots", {"entry": "gate-notices", "items": []}, 400, "bad_inquiry", "items"),
+    ("GET", "/v1/tiles/tiles/a/1/1", None, 400, "bad_inquiry", "zoom"),
+    ("GET", "/v1/streams/forged-token", None, 403, "bad_token", None),
+    ("GET", "/v1/lots/nowhere.x", None, 400, "bad_inquiry", "lot"),
+    ("GET", "/v1/nothing", None, 404, "not_found", None),
+    ("PUT", "/v1/layout", {"base_version": 1, "layout": {"entries": {"x": {
+        "service": "none", "class": "none"}}}}, 422, "bad_layout", None),
+    ("PUT", "/v1/layout", {"base_version": 0, "layout": {}}, 409, "conflict", None),
+])
+def test_bad_input_is_a_typed_4xx(fleet, method, path, body, status, trouble, field):
+    seenStatus, answer = ask(edges(fleet)[0], method, path, body)
+    assert (seenStatus, answer["trouble"], answer.get("field")) == (status, trouble, field)
+
+
+def test_garbage_between_processes_is_counted_and_the_process_lives(fleet):
+    row = fleet.settings["edge-1"]
+    host, port = row["address"].rsplit(":", 1)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+        udp.sendto(b"garbage", (host, int(port)))
+    with socket.create_connection((host, int(port))) as tcp:
+        tcp.sendall(b"\x00\x00\x00\x04junk\xff\xff\xff\xff")
+
+    def counted():
+        _, answer = ask(row["http_address"], "GET", "/v1/counts")
+        counts = answer["counts"]
+        return counts.get("bad_datagrams", 0) >= 1 and counts.get("bad_frames", 0) >= 1
+
+    fleet.wait_for("garbage counted", counted)
+
+
+def test_malformed_json_names_the_body(fleet):
+    host, port = edges(fleet)[0].rsplit(":", 1)
+    with socket.create_connection((host, int(port))) as conn:
+        conn.sendall(b"POST /v1/lots HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n{oops")
+        head, _, rest = conn.recv(65536).partition(b"\r\n\r\n")
+    assert b" 400 " in head.splitlines()[0]
+    assert json.loads(rest)["field"] == "body"
+
+
+def test_a_planned_stop_finishes_what_is_under_way(fleet):
+    import gevent
+
+    record = Record()
+    fleet.wait_ready()
+    first = [edges(fleet)[0]]
+    calls = [
+        gevent.spawn(
+            stream_call, first, random.Random(f"d{n}"), record, time.monotonic, "tagging", "long",
+            200, 0.0)
+        for n in range(6)
+    ]
+    while len(record.firstPieces) < 6:
+        gevent.sleep(0.01)
+    stopped = gevent.spawn(fleet.stop, "edge-1")
+    gevent.joinall(calls, raise_error=True)
+    assert stopped.get() in (0, -signal.SIGTERM)
+    fleet.start("edge-1")
+    assert record.violations == []
+    assert record.outcomes == {("long", "complete"): 6}
--- /dev/null
+++ b/tests/test_seeds.py
@@ -0,0 +1,25 @@
+import pytest
+
+from proving.sim.run import SMALL, run_seed
+
+SEEDS = [("ferrowa", 1), ("ferrowa", 2), ("kilele", 1), ("kilele", 2)]
+ONCE_FAILED = [("kilele", 112)]
+
+
+@pytest.mark.parametrize("deployment, seed", SEEDS)
+def test_a_fixed_seed_has_no_violation(deployment, seed):
+    sim, _ = run_seed(deployment, seed, 14, SMALL)
+    assert sim.history.violations == []
+
+
+@pytest.mark.parametrize("deployment, seed", ONCE_FAILED)
+def test_a_seed_that_failed_once_stays_good(deployment, seed):
+    sim, _ = run_seed(deployment, seed, 18)
+    assert sim.history.violations == []
+
+
+def test_a_seed_replays_to_the_same_history():
+    runs = [run_seed("ferrowa", 7, 6, SMALL) for _ in range(2)]
+    marks = [sim.history.marks for sim, _ in runs]
+    outcomes = [callers.record.outcomes for _, callers in runs]
+    assert marks[0] == marks[1] and outcomes[0] == outcomes[1]
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,103 @@
+import pytest
+
+from quillring.kernel.effects import Signal
+from quillring.kernel.troubles import Damaged, DiskTrouble
+from quillring.store import FolderDisk, SlotStore
+
+
+class Holder:
+    def __init__(self):
+        self.records = []
+
+    def image(self):
+        return list(self.records)
+
+    def load(self, image):
+        self.records = list(image)
+
+    def replay(self, record):
+        self.records.append(record)
+
+
+def opened(folder, logLimit=1 << 20):
+    holder = Holder()
+    store = SlotStore(FolderDisk(str(folder)), holder, logLimit)
+    if not store.recover():
+        store.turn()
+    return store, holder
+
+
+def written(store, holder, records):
+    holder.records.extend(records)
+    assert store._write([(records, Signal())]) is None
+
+
+def test_records_come_back_in_order_over_slot_turns(tmp_path):
+    store, holder = opened(tmp_path, logLimit=60)
+    for number in range(40):
+        written(store, holder, [["r", number]])
+    assert store.generation > 3
+    assert opened(tmp_path)[1].records == [["r", number] for number in range(40)]
+
+
+def test_a_torn_log_tail_is_cut_off(tmp_path):
+    store, holder = opened(tmp_path)
+    written(store, holder, [["a"], ["b"]])
+    logPath = tmp_path / "log.1"
+    logPath.write_bytes(logPath.read_bytes()[:-2])
+    store, holder = opened(tmp_path)
+    assert holder.records == [["a"]]
+    written(store, holder, [["c"]])
+    assert opened(tmp_path)[1].records == [["a"], ["c"]]
+
+
+def test_a_torn_slot_falls_back_to_the_other_with_its_log(tmp_path):
+    store, holder = opened(tmp_path)
+    written(store, holder, [["a"]])
+    newSlot = tmp_path / "slot.0"
+    newSlot.write_bytes(b"QSL1 torn in the middle of the turn")
+    assert opened(tmp_path)[1].records == [["a"]]
+
+
+def test_a_torn_slot_whose_log_was_used_refuses_to_start(tmp_path):
+    store, holder = opened(tmp_path)
+    store.turn()
+    written(store, holder, [["acknowledged"]])
+    (tmp_path / "slot.0").write_bytes(b"rotten")
+    with pytest.raises(Damaged) as caught:
+        opened(tmp_path)
+    assert "repair" in caught.value.detail
+
+
+def test_a_rotten_record_amid_the_log_refuses_to_start(tmp_path):
+    store, holder = opened(tmp_path)
+    written(store, holder, [["a", "x" * 20]])
+    written(store, holder, [["b", "y" * 20]])
+    logPath = tmp_path / "log.1"
+    data = bytearray(logPath.read_bytes())
+    data[data.index(b"xxxx") + 1] ^= 1
+    logPath.write_bytes(bytes(data))
+    with pytest.raises(Damaged):
+        opened(tmp_path)
+
+
+def test_a_full_disk_fails_the_batch_and_is_tried_again(tmp_path):
+    store, holder = opened(tmp_path)
+
+    class FullDisk(FolderDisk):
+        __slots__ = ()
+
+        def append(self, name, data):
+            raise DiskTrouble(file=name, reason="no space left")
+
+        write = append
+
+    good, store.disk = store.disk, FullDisk(str(tmp_path))
+    holder.records.append(["late"])
+    trouble = store._write([([["late"]], Signal())])
+    assert isinstance(trouble, DiskTrouble)
+    with pytest.raises(DiskTrouble):
+        next(store.commit([["more"]]))
+    store.disk = good
+    assert store._write([]) is None
+    assert opened(tmp_path)[1].records == [["late"]]
