--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -97,8 +97,10 @@
 def test_malformed_json_names_the_body(fleet):
     host, port = edges(fleet)[0].rsplit(":", 1)
     with socket.create_connection((host, int(port))) as conn:
-        conn.sendall(b"POST /v1/lots HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n{oops")
-        head, _, rest = conn.recv(65536).partition(b"\r\n\r\n")
+        conn.sendall(
+            b"POST /v1/lots HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            b"Content-Length: 5\r\n\r\n{oops")
+        head, _, rest = conn.makefile("rb").read().partition(b"\r\n\r\n")
     assert b" 400 " in head.splitlines()[0]
     assert json.loads(rest)["field"] == "body"
 
