--- a/quillring/classes/taker.py
+++ b/quillring/classes/taker.py
@@ -4,6 +4,8 @@
 from quillring.kernel.troubles import NotFounded, Trouble
 from quillring.quorum.parts import part_of
 
+ASKS_A_BEAT = 4
+
 
 class Taker:
     """The grant entries of this node, per service."""
@@ -19,14 +21,18 @@
         self.on_grant = lambda: None
 
     def run(self):
-        """Script: ask the deciding core of each service a few times a beat."""
+        """Script: ask the deciding core of each service, more often while there is work."""
+        ticks = 0
         while True:
-            yield Sleep(self.node.bounds.beat / 4)
+            yield Sleep(self.node.bounds.beat / ASKS_A_BEAT)
+            ticks += 1
             layout = self.node.find("layout").layout
             if layout is None or self.node.is_draining:
                 continue
             for service in sorted(layout["services"]):
-                self.node.spawn(self._ask(service))
+                isIdle = not self.node.find("dispatch").demands(service)
+                if not isIdle or ticks % ASKS_A_BEAT == 0:
+                    self.node.spawn(self._ask(service))
 
     def _ask(self, service):
         duty, dispatch = self.node.find("duty"), self.node.find("dispatch")
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -2,7 +2,7 @@
 
 import jsonschema
 
-from quillring.kernel.troubles import BadInquiry, Conflict
+from quillring.kernel.troubles import Conflict
 from quillring.kernel.wsgi import check_body
 
 NAME = {"type": "string", "pattern": "^[a-z][a-z0-9-]{0,40}$"}
@@ -83,11 +83,6 @@
         return {"taken": True}
 
     def _on_news(self, key, beat):
-        try:
-            check_body(BEAT, beat)
-        except BadInquiry:
-            self.node.count("bad_replica_news")
-            return
         former = self.table.get(beat["name"])
         if former is not None and former.state in AWAY and former.incarnation == beat[
                 "incarnation"] and beat["state"] not in AWAY:
