Plans: intent, steps, obstacles, confirm once, follow, stop; verbs over the whole fleet

A name that lives elsewhere, or a data folder of another name, is refused at start. SIGHUP takes changed seeds.

--- a/proving/faulty.py
+++ b/proving/faulty.py
@@ -4,7 +4,7 @@
 import os
 
 from quillring.kernel.gevent_world import GeventWorld
-from quillring.verbs import cli, process
+from quillring.verbs import cli, process, program
 
 CUTS_FILE = os.environ.get("PROVING_CUTS", "")
 
@@ -47,8 +47,8 @@
 def main():
     """Run the program on the faulty world."""
     realRun = process.run_process
-    cli.run_process = lambda settings: realRun(settings, FaultyWorld)
-    cli.main()
+    cli.run_process = lambda settings, reread: realRun(settings, reread, FaultyWorld)
+    program.main()
 
 
 if __name__ == "__main__":
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -95,12 +95,17 @@
         """Return the replica of this name, or None."""
         return self.table.get(name)
 
+    def is_heard(self, name):
+        """Tell whether beats of the replica came in lately."""
+        replica = self.table.get(name)
+        return replica is not None and self.node.now() - replica.heardAt < self.node.bounds.silent
+
     def may_get_work(self, replica):
         """Tell whether a replica may get something new by all that this node knows."""
         now = self.node.now()
         return (
             replica.state not in AWAY
-            and now - replica.heardAt < self.node.bounds.silent
+            and self.is_heard(replica.name)
             and now >= replica.stalledUntil
             and not self.node.find("layout").is_emptied(replica.domain)
         )
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -7,8 +7,10 @@
 from quillring.gossip import Gossip
 from quillring.kernel.node import Node
 from quillring.kernel.registry import Registry
+from quillring.kernel.troubles import DiskTrouble
 from quillring.lots import LotRunner
 from quillring.nifty import Member, Nifty
+from quillring.plans import PlanRunner
 from quillring.quorum import Acceptors
 from quillring.quorum.hints import Hints
 from quillring.quorum.repair import Repair
@@ -61,7 +63,9 @@
     runner = node.offer("lots", LotRunner(node))
     node.offer("granter", Granter(node))
     repair = node.offer("repair", Repair(node))
+    plans = node.offer("plans", PlanRunner(node))
     node.spawn(repair.run())
+    node.spawn(plans.run())
     node.spawn(node.find("duty").run())
     node.spawn(runner.run())
 
@@ -95,4 +99,15 @@
     if not acceptors.slots.recover():
         acceptors.identity = f"{name}.{makeIdentity()}"
         acceptors.slots.turn()
+    if acceptors.identity.rpartition(".")[0] != name:
+        raise OtherIdentity(
+            folder_of=acceptors.identity, name=name,
+            repair="start it under the name it was made for, or give it an empty folder",
+        )
     return acceptors
+
+
+class OtherIdentity(DiskTrouble):
+    """The data folder belongs to a member of another name."""
+
+    kind = "other_identity"
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -110,6 +110,12 @@
         if member.name == self.node.me.name:
             return
         heard = self.heard.get(member.name)
+        if self._is_clash(member, heard):
+            self.node.count("identity_clashes")
+            clash = [self.node.me.name, self.node.me.incarnation, self.sequence, member.name, 1]
+            self.node.world.frame(member.address, pack([*clash, {"s": "member.clash", "b": None}]))
+            self.sequence += 1
+            return
         if heard is not None:
             if member.incarnation < heard.incarnation:
                 return
@@ -133,6 +139,15 @@
         elif not wasReached:
             self.refresh()
 
+    def _is_clash(self, member, heard):
+        """Tell whether a newcomer bears the name of a member that lives at another address."""
+        known = self.roster.members.get(member.name)
+        return (
+            known is not None and heard is not None and known.address != member.address
+            and known.incarnation == heard.incarnation < member.incarnation
+            and self.is_heard(heard)
+        )
+
     def learn(self, member):
         """Take a member record; a newer incarnation renews the address."""
         known = self.roster.members.get(member.name)
--- /dev/null
+++ b/quillring/plans/make.py
@@ -0,0 +1,134 @@
+"""Making a plan from an intent and a view of the fleet: pure, changes nothing."""
+
+from quillring.kernel.registry import Registry
+from quillring.kernel.troubles import NotFound
+from quillring.quorum.parts import GROUP_SIZE
+
+INTENTS = Registry("intent")
+
+
+class View:
+    """What a plan is made against: layout, groups, stores and replicas as a node sees them."""
+
+    __slots__ = ("version", "layout", "groups", "stores", "replicas")
+
+    def __init__(self, version, layout, groups, stores, replicas):
+        self.version = version
+        self.layout = layout
+        self.groups = groups
+        self.stores = stores
+        self.replicas = replicas
+
+
+def make_plan(view, intent):
+    """Return {steps, obstacles, moves, against} for an intent, or raise for unknown targets."""
+    steps, obstacles, moves = INTENTS.find(intent["kind"])(view, intent)
+    return {
+        "intent": intent, "target": f"{intent['kind']} {intent['target']}", "steps": steps,
+        "obstacles": obstacles, "moves": moves, "against": {"version": view.version},
+    }
+
+
+def layout_step(text, change):
+    """Return a step that adopts a partial layout."""
+    return {"do": "layout", "text": text, "change": change}
+
+
+def wait_step(text, until, target):
+    """Return a step that waits until a condition holds."""
+    return {"do": "wait", "text": text, "until": until, "target": target}
+
+
+@INTENTS.entry("empty_domain")
+def plan_empty_domain(view, intent):
+    """Empty a domain of new work, then wait until what is under way there has ended."""
+    domain = intent["target"]
+    if domain not in view.layout["domains"]:
+        raise NotFound(field="target", domain=domain)
+    leaving = [r for r in view.replicas if r["domain"] == domain]
+    obstacles = []
+    for service in sorted({r["service"] for r in leaving}):
+        remaining = [
+            r for r in view.replicas
+            if r["service"] == service and r["domain"] != domain
+            and not view.layout["domains"].get(r["domain"], {}).get("emptied")
+        ]
+        busy = sum(r["busy"] for r in view.replicas if r["service"] == service)
+        room = sum(r["slots"] for r in remaining)
+        if room <= busy:
+            obstacles.append({
+                "consequence": "less_room",
+                "text": f"{service}: {busy} busy, {room} slots remain",
+            })
+    stayingDomains = [
+        d for d, row in view.layout["domains"].items() if d != domain and not row.get("emptied")]
+    if not stayingDomains:
+        obstacles.append({"consequence": None, "text": "no domain would remain"})
+    steps = [
+        layout_step(f"give {domain} no new work", {"domains": {domain: {"emptied": True}}}),
+        wait_step(f"wait until {domain} is idle", "domain_idle", domain),
+    ]
+    moves = [f"{r['name']}: {r['busy']} under way end, new ones go elsewhere" for r in leaving]
+    return steps, obstacles, moves
+
+
+@INTENTS.entry("refill_domain")
+def plan_refill_domain(view, intent):
+    """Let a domain get work again."""
+    domain = intent["target"]
+    if domain not in view.layout["domains"]:
+        raise NotFound(field="target", domain=domain)
+    change = {"domains": {domain: {"emptied": False}}}
+    return [layout_step(f"let {domain} get work again", change)], [], []
+
+
+@INTENTS.entry("move_entry")
+def plan_move_entry(view, intent):
+    """Point an entry at another service of the same kind."""
+    entryName, service = intent["target"], intent.get("service")
+    if entryName not in view.layout["entries"]:
+        raise NotFound(field="target", entry=entryName)
+    if service not in view.layout["services"]:
+        raise NotFound(field="service", service=service)
+    oldService = view.layout["entries"][entryName]["service"]
+    obstacles = []
+    if view.layout["services"][service]["kind"] != view.layout["services"][oldService]["kind"]:
+        obstacles.append({"consequence": None, "text": f"{service} is of another kind"})
+    if not [r for r in view.replicas if r["service"] == service]:
+        obstacles.append({"consequence": "no_replica", "text": f"{service} has no replica"})
+    change = {"entries": {entryName: {"service": service}}}
+    moves = [f"{entryName}: from {oldService} to {service}"]
+    return [layout_step(f"move {entryName} to {service}", change)], obstacles, moves
+
+
+@INTENTS.entry("retire_store")
+def plan_retire_store(view, intent):
+    """Take a store machine out of every part, one member at a time."""
+    name = intent["target"]
+    if name not in view.stores:
+        raise NotFound(field="target", store=name)
+    parts = [part for part, group in sorted(view.groups.items()) if name in group]
+    retired = {
+        n for n, row in view.layout.get("stores", {}).items() if row.get("retired")} | {name}
+    domains = {domain for n, domain in view.stores.items() if n not in retired}
+    obstacles, isShort = [], len(domains) < GROUP_SIZE
+    if isShort and parts:
+        obstacles.append({
+            "consequence": "part_under_three",
+            "text": f"stores in {len(domains)} domains remain for {', '.join(parts)}",
+        })
+    row = {"retired": True, **({"forced": True} if isShort else {})}
+    steps = [
+        layout_step(f"retire {name}", {"stores": {name: row}}),
+        wait_step(f"wait until no part has {name}", "store_unused", name),
+    ]
+    return steps, obstacles, [f"{part}: from {name} to a spare store" for part in parts]
+
+
+@INTENTS.entry("restore_store")
+def plan_restore_store(view, intent):
+    """Let a retired store machine be a member again where one is missing."""
+    name = intent["target"]
+    if name not in view.layout.get("stores", {}):
+        raise NotFound(field="target", store=name)
+    return [layout_step(f"restore {name}", {"stores": {name: None}})], [], []
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -81,8 +81,15 @@
             return [*group, spare] if spare else None
         if emptied:
             return [s for s in group if s != emptied[0]]
+        if leaving and not spare and self.is_forced(leaving[0]):
+            return [s for s in group if s != leaving[0]]
         return [*group, spare] if leaving and spare else None
 
+    def is_forced(self, store):
+        """Tell whether operators accepted a part under three members for this retiring."""
+        stores = (self.node.find("layout").layout or {}).get("stores", {})
+        return bool(stores.get(store[0], {}).get("forced"))
+
     def _doubled(self, group):
         """Return members whose domain another one of a full group stands in too."""
         domains = [store[2] for store in group]
--- a/quillring/rollout/schema.py
+++ b/quillring/rollout/schema.py
@@ -40,7 +40,7 @@
     "weight": {"type": "number", "exclusiveMinimum": 0, "maximum": 1000},
     "prefix": {"type": "string", "maxLength": 100_000},
 }, ["service", "class"])
-STORE = section({"retired": {"type": "boolean"}}, [])
+STORE = section({"retired": {"type": "boolean"}, "forced": {"type": "boolean"}}, [])
 DOMAIN = section({"emptied": {"type": "boolean"}}, [])
 SCHEMA = {
     "type": "object",
--- a/quillring/verbs/cli.py
+++ b/quillring/verbs/cli.py
@@ -7,7 +7,7 @@
 import click
 
 from quillring.kernel.settings import read_settings
-from quillring.kernel.troubles import BadSettings, DiskTrouble, Trouble
+from quillring.kernel.troubles import BadSettings, Trouble
 from quillring.verbs.client import ask
 from quillring.verbs.process import run_process
 from quillring.verbs.show import show_table
@@ -35,12 +35,12 @@
     def run_role(path, **flags):
         flags = {**flags, "role": role, "seeds": list(flags["seeds"])}
         try:
-            run_process(read_settings(path, flags))
+            run_process(read_settings(path, flags), lambda: read_settings(path, flags))
         except BadSettings as trouble:
             for fault in trouble.detail["faults"]:
                 click.echo(f"quillring {role}: {fault}", err=True)
             sys.exit(USAGE_FAULT)
-        except DiskTrouble as trouble:
+        except Trouble as trouble:
             click.echo(f"quillring {role}: {trouble}", err=True)
             sys.exit(REFUSED_FAULT)
         except OSError as error:
--- /dev/null
+++ b/quillring/verbs/fleet_verbs.py
@@ -0,0 +1,104 @@
+"""Verbs over the whole fleet: status of every node, plans, logs."""
+
+import json
+import sys
+
+import click
+
+from quillring.kernel.troubles import Trouble
+from quillring.verbs.cli import REFUSED_FAULT, main, node_options, run_verb
+from quillring.verbs.client import ask
+from quillring.verbs.show import show_table
+
+
+@main.command()
+@node_options
+def fleet(node, as_json):
+    """Show every node: role, layout version, freshness, work under way."""
+    try:
+        members = ask(node, "GET", "/v1/members")["members"]
+    except Trouble as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(REFUSED_FAULT)
+    rows = [status_of(member) for member in members]
+    click.echo(json.dumps({"nodes": rows}) if as_json else show_table({"nodes": rows}))
+    sys.exit(0 if all(row["answer"] == "ok" for row in rows) else REFUSED_FAULT)
+
+
+def status_of(member):
+    """Return one node's row; a node that does not answer is shown as such."""
+    blank = {"name": member["name"], "role": member["role"], "domain": member["domain"]}
+    fields = ("layout_version", "is_fresh", "under_way", "is_draining", "is_cut")
+    try:
+        status = ask(f"{member['host']}:{member['http_port']}", "GET", "/v1/status")
+    except Trouble as trouble:
+        return {**blank, **dict.fromkeys(fields), "answer": trouble.kind}
+    return {**blank, **{field: status[field] for field in fields}, "answer": "ok"}
+
+
+@main.command()
+@node_options
+def log(node, as_json):
+    """Fetch the ring log of a node."""
+    answer = ask_or_exit(node, "/v1/log")
+    click.echo(json.dumps(answer) if as_json else "\n".join(answer["log"]))
+
+
+def ask_or_exit(node, path):
+    """Return a GET's answer, or end with the exit code of a refusal."""
+    try:
+        return ask(node, "GET", path)
+    except Trouble as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(REFUSED_FAULT)
+
+
+@main.group()
+def plan():
+    """State an intent, see the plan, confirm it, follow it, stop it."""
+
+
+def intent_command(name, kind, text, hasService=False):
+    """Make the verb that proposes one kind of plan."""
+
+    @node_options
+    @click.argument("target")
+    def propose(node, as_json, target, service=None):
+        body = {"kind": kind, "target": target, **({"service": service} if service else {})}
+        run_verb(node, "POST", "/v1/plans", body, as_json)
+
+    if hasService:
+        propose = click.argument("service")(propose)
+    plan.command(name, help=text)(propose)
+
+
+intent_command("empty-domain", "empty_domain", "Plan to empty a domain of work.")
+intent_command("refill-domain", "refill_domain", "Plan to give a domain work again.")
+intent_command("retire-store", "retire_store", "Plan to take a store machine out of all parts.")
+intent_command("restore-store", "restore_store", "Plan to let a retired store machine back in.")
+intent_command("move-entry", "move_entry", "Plan to point an entry at another SERVICE.", True)
+
+
+@plan.command("show")
+@node_options
+@click.argument("name", required=False)
+def show(node, as_json, name):
+    """Show all plans, or one with its steps and progress."""
+    run_verb(node, "GET", f"/v1/plans/{name}" if name else "/v1/plans", None, as_json)
+
+
+@plan.command("confirm")
+@node_options
+@click.argument("name")
+@click.option("--accept", multiple=True, help="A consequence that the plan names.")
+def confirm(node, as_json, name, accept):
+    """Run a plan."""
+    run_verb(node, "POST", f"/v1/plans/{name}/confirm", {"accept": list(accept)}, as_json)
+
+
+@plan.command("stop")
+@node_options
+@click.argument("name")
+def stop(node, as_json, name):
+    """Stop a plan between two steps."""
+    run_verb(node, "POST", f"/v1/plans/{name}/stop", {}, as_json)
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -11,10 +11,18 @@
 from quillring.fleet import make_node, open_store, start_node
 from quillring.kernel.gevent_world import GeventWorld
 from quillring.kernel.ringlog import ring_log
+from quillring.kernel.troubles import Trouble
 from quillring.kernel.wsgi import make_app
 from quillring.nifty import Member
 from quillring.store import FolderDisk
 
+
+class NameTaken(Trouble):
+    """Another live member bears this name at another address."""
+
+    kind = "name_taken"
+
+
 DRAIN_PATIENCE = 50
 LEVELS = {"debug": logging.DEBUG, "warning": logging.WARNING, "error": logging.ERROR}
 
@@ -32,7 +40,7 @@
     server.stop(timeout=node.bounds.beat)
 
 
-def run_process(settings, makeWorld=GeventWorld):
+def run_process(settings, reread, makeWorld=GeventWorld):
     """Run a node until the platform stops it; a planned stop finishes what is under way."""
     nodeLogger, ringHandler = ring_log(settings.name, settings.log_file)
 
@@ -56,8 +64,27 @@
     world.listen(*settings.address, nifty.on_datagram, nifty.on_frame)
     server = WSGIServer(settings.http_address, make_app(node), log=None, error_log=nodeLogger)
     server.start()
-    stopEvent = gevent.event.Event()
+    stopEvent, clashes = gevent.event.Event(), []
+
+    def on_clash(body, origin):
+        clashes.append((origin, node.now()))
+        if clashes[-1][1] - clashes[0][1] > settings.bounds.news:
+            stopEvent.set()
+
+    node.handle("member.clash", on_clash)
     for signalNumber in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signalNumber, stopEvent.set)
+    gevent.signal_handler(signal.SIGHUP, change_settings, node, reread)
     stopEvent.wait()
+    if clashes and clashes[-1][1] - clashes[0][1] > settings.bounds.news:
+        server.stop(timeout=0)
+        raise NameTaken(name=settings.name, told_by=clashes[-1][0])
     drain(node, server)
+
+
+def change_settings(node, reread):
+    """Take changed seeds; everything else needs a restart, and faulty settings change nothing."""
+    try:
+        node.find("nifty").seeds = reread().seeds
+    except Trouble as trouble:
+        node.log("error", "settings not changed: %s", trouble)
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -6,10 +6,11 @@
 from quillring.kernel.troubles import NotFounded, Refused
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
+from quillring.plans import front as plans_front
 from quillring.quorum.founding import found_fleet
 from quillring.quorum.parts import CONFIG
 
-PLUGINS = (short, streams, front)
+PLUGINS = (short, streams, front, plans_front)
 CHANGE = jsonschema.Draft202012Validator({
     "type": "object",
     "additionalProperties": False,
@@ -140,6 +141,25 @@
     }))
 
 
+@route("GET", "/v1/status")
+def show_status(node, inquiry):
+    """Return what this node is and how it does."""
+    image = node.find("layout")
+    return {
+        "name": node.me.name, "role": node.me.role, "domain": node.me.domain,
+        "layout_version": image.version, "is_fresh": node.find("freshness").is_fresh(),
+        "under_way": node.underWay, "is_draining": node.is_draining,
+        "is_cut": node.find("nifty").graph.is_cut,
+    }
+
+
+@route("GET", "/v1/log")
+def show_log(node, inquiry):
+    """Return the ring log of this node."""
+    ring = node.find("ring")
+    return {"name": node.me.name, "log": list(ring.ring) if ring else []}
+
+
 @route("GET", "/v1/counts")
 def show_counts(node, inquiry):
     """Return the node's counters."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,6 +9,7 @@
 from proving.callers import Record, ask, follow_lot, lot_call, stream_call
 from proving.localfleet import LocalFleet
 
+pytestmark = pytest.mark.xdist_group("one fleet")
 NAMES = [
     "core-1", "core-2", "store-1", "store-2", "store-3", "edge-1", "edge-2", "words-1",
     "words-2", "map-1",
@@ -123,5 +124,49 @@
     gevent.joinall(calls, raise_error=True)
     assert stopped.get() in (0, -signal.SIGTERM)
     fleet.start("edge-1")
+    fleet.wait_ready()
     assert record.violations == []
     assert record.outcomes == {("long", "complete"): 6}
+
+
+def test_a_newcomer_with_a_living_members_name_is_refused(fleet, tmp_path):
+    row = {**fleet.settings["edge-2"]}
+    clone = LocalFleet("examples/ferrowa", tmp_path, True, {"edge-2"})
+    clone.settings["edge-2"]["seeds"] = [fleet.settings["core-1"]["address"]]
+    clone.start("edge-2")
+    try:
+        assert clone.processes["edge-2"].wait(60) == 3
+    finally:
+        clone.stop_all()
+    assert "name_taken" in (clone.runFolder / "edge-2.out").read_text()
+    assert ask(row["http_address"], "GET", "/v1/ready")[0] == 200
+
+
+def test_a_store_folder_of_another_name_is_refused(fleet, tmp_path):
+    clone = LocalFleet("examples/ferrowa", tmp_path, True, {"store-4"})
+    clone.settings["store-4"]["folder"] = fleet.settings["store-3"]["folder"]
+    clone.start("store-4")
+    try:
+        assert clone.processes["store-4"].wait(60) == 3
+    finally:
+        clone.stop_all()
+    assert "other_identity" in (clone.runFolder / "store-4.out").read_text()
+
+
+def test_an_operators_plan_runs_by_the_command_line(fleet):
+    from click.testing import CliRunner
+
+    from quillring.verbs.program import main
+
+    def verb(*words):
+        outcome = CliRunner().invoke(main, [*words, "--node", fleet.http("core-1"), "--json"])
+        return outcome.exit_code, json.loads(outcome.stdout or outcome.stderr)
+
+    code, plan = verb("plan", "empty-domain", "east")
+    assert code == 0 and plan["phase"] == "proposed"
+    assert verb("plan", "confirm", plan["plan"])[0] == 0
+    fleet.wait_for("plan done", lambda: verb("plan", "show", plan["plan"])[1]["phase"] == "done")
+    assert verb("plan", "confirm", plan["plan"])[1]["trouble"] == "conflict"
+    code, refill = verb("plan", "refill-domain", "east")
+    assert verb("plan", "confirm", refill["plan"])[0] == 0
+    assert verb("fleet")[0] == 0
