Bounds on lots, honest outcomes of writes, forget, former starts, room held after a break

Ruled out: grants overlapping after an owner change (no takeover then), requests meant for the former start (now refused by the replica, no effect on the count). A write that may have been done is answered as outcome_unknown instead of a refusal; open lots have a bounded weight a part, ended ones are dropped after a week; a lost link's connection is dropped, or TCP's back-off would delay the first messages after a long cut.

--- a/proving/sim/backends.py
+++ b/proving/sim/backends.py
@@ -1,5 +1,7 @@
 """Simulated replicas: the stand-in logic with simulated time, network and deaths."""
 
+from urllib.parse import parse_qsl
+
 from proving.standin_logic import StandIn, piece_count, piece_text, seat_word, tile_word
 from quillring.kernel.effects import Signal
 from quillring.kernel.troubles import BackendTrouble, NotSent, Trouble
@@ -33,10 +35,10 @@
     def __init__(self, sim, row, incarnation):
         self.sim = sim
         self.row = row
-        self.incarnation = incarnation
         host, port = row["address"].rsplit(":", 1)
         self.address = (host, int(port))
         self.logic = StandIn(row["name"], row["slots"], row.get("warm", 3.0), sim.env.now)
+        self.logic.incarnation = incarnation
         self.is_dead = False
         self.is_dark = False
         self.mixesUp = False
@@ -58,8 +60,7 @@
             return
         self.sequence += 1
         body = self.logic.beat(
-            self.row["service"], self.row["domain"], self.row["address"], self.incarnation,
-            self.sequence,
+            self.row["service"], self.row["domain"], self.row["address"], self.sequence,
         )
         nodes = [n for n in self.sim.nodes.values() if self.sim.is_up(n)]
         self.sim.chance.shuffle(nodes)
@@ -98,7 +99,10 @@
             raise NotSent(reason="connect")
         return replica
 
-    def _start(self, replica, name, prefix, work):
+    def _start(self, replica, name, prefix, work, words):
+        if words["incarnation"] != str(replica.logic.incarnation):
+            self.sim.history.count("former_starts")
+            return None
         seconds = replica.logic.begin(name, prefix, self.sim.env.now)
         if seconds is not None:
             self.sim.history.ran(work, replica, name)
@@ -107,9 +111,11 @@
     def fetch(self, world, effect):
         """Serve a tile or a seat."""
         replica = yield from self._find(world, effect)
-        path, _, name = effect.path.partition("?inquiry=")
+        path, _, query = effect.path.partition("?")
+        words = dict(parse_qsl(query))
+        name = words["inquiry"]
         work = effect.body["key"] if effect.body else path
-        if self._start(replica, name, "", work) is None:
+        if self._start(replica, name, "", work, words) is None:
             return 503, {"trouble": "busy"}
         yield self.sim.env.timeout(0.003)
         replica.logic.finish()
@@ -124,7 +130,8 @@
         """Open a generation."""
         replica = yield from self._find(world, effect)
         body = effect.body
-        seconds = self._start(replica, body["inquiry"], body["prefix"], body["prompt"])
+        words = dict(parse_qsl(effect.path.partition("?")[2]))
+        seconds = self._start(replica, body["inquiry"], body["prefix"], body["prompt"], words)
         if seconds is None:
             return SimHandle(503)
         handle = SimHandle(200)
--- a/proving/sim/world.py
+++ b/proving/sim/world.py
@@ -62,6 +62,9 @@
         """Send a frame."""
         self.net.carry(self.address, tuple(address), data, "frame")
 
+    def reset(self, address):
+        """A lost link's connection begins afresh; frames have none here."""
+
     def kill(self):
         """End the process; none of its scripts goes on."""
         self.is_dead = True
--- a/proving/standin.py
+++ b/proving/standin.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import time
+from urllib.parse import parse_qsl
 
 import click
 import gevent
@@ -44,7 +45,10 @@
                 "ran": len(self.standIn.ran),
             })
         fields = json.loads(body) if body else {}
-        name = fields.get("inquiry") or query.partition("inquiry=")[2]
+        words = dict(parse_qsl(query))
+        name = fields.get("inquiry") or words.get("inquiry", "")
+        if words.get("incarnation") != str(self.standIn.incarnation):
+            return answer(start_response, {"trouble": "former_start"}, "503 Service Unavailable")
         seconds = self.standIn.begin(name, fields.get("prefix", ""), time.monotonic())
         if seconds is None:
             return answer(start_response, {"trouble": "busy"}, "503 Service Unavailable")
@@ -89,17 +93,18 @@
 def main(name, service, domain, address, nodes, slots, warm_seconds):
     """Run a stand-in replica that beats to whichever node takes it."""
     standIn = StandIn(name, slots, warm_seconds, time.monotonic())
+    standIn.incarnation = time.time_ns() // 1000
     server = WSGIServer(split_address(address), Server(standIn).app, log=None)
     server.start()
     stopEvent = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopEvent.set)
-    incarnation, sequence, turn = time.time_ns() // 1000, 0, hash(name)
+    sequence, turn = 0, hash(name)
 
     def beat():
         nonlocal sequence, turn
         sequence += 1
         standIn.bearable(time.monotonic())
-        body = standIn.beat(service, domain, address, incarnation, sequence)
+        body = standIn.beat(service, domain, address, sequence)
         for _ in range(len(nodes)):
             try:
                 backend.fetch(Fetch(
--- a/proving/standin_logic.py
+++ b/proving/standin_logic.py
@@ -37,6 +37,7 @@
         self.slots = slots
         self.warmSeconds = warmSeconds
         self.bornAt = now
+        self.incarnation = 0
         self.cache = OrderedDict()
         self.cacheRoom = cacheRoom
         self.busy = 0
@@ -85,10 +86,10 @@
         self.state = "leaving"
         self.leftAt = now
 
-    def beat(self, service, domain, address, incarnation, sequence):
+    def beat(self, service, domain, address, sequence):
         """Return the body of a beat."""
         return {
             "name": self.name, "service": service, "domain": domain, "address": address,
             "slots": self.slots, "busy": self.busy, "state": self.state,
-            "incarnation": incarnation, "sequence": sequence,
+            "incarnation": self.incarnation, "sequence": sequence,
         }
--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -8,6 +8,8 @@
     NoMajority,
     NotFounded,
     NotOwner,
+    OutcomeUnknown,
+    Refused,
     TimedOut,
     Trouble,
     Unreachable,
@@ -129,7 +131,7 @@
         bounds = self.node.bounds
         endTime = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
         self.founding()
-        lastTrouble, rounds = NotOwner(part=part), 0
+        lastTrouble, rounds, mayHaveRun = NotOwner(part=part), 0, False
         while self.node.now() < endTime:
             candidates = self._candidates(part)
             if candidates:
@@ -141,9 +143,12 @@
                     return answer
                 except (*LOOK_ELSEWHERE, NoMajority) as trouble:
                     lastTrouble = trouble
+                    mayHaveRun = mayHaveRun or isinstance(trouble, (NoMajority, TimedOut))
             rounds += 1
             yield from wait_for_owner(self.node, bounds.beat / 4)
-        raise lastTrouble
+        if mayHaveRun and service == "part.submit":
+            raise OutcomeUnknown(part=part, reason="repeat it under the same key or id")
+        raise Refused(reason=lastTrouble.kind, part=part)
 
     def _candidates(self, part):
         news = self.node.find("gossip").get(f"owner/{part}")
--- a/quillring/edge/dispatch.py
+++ b/quillring/edge/dispatch.py
@@ -13,7 +13,9 @@
 class Lease:
     """The right to run one inquiry on a replica; its room may be wanted back."""
 
-    __slots__ = ("dispatch", "replica", "className", "mayPause", "isHeld", "isWantedBack")
+    __slots__ = (
+        "dispatch", "replica", "className", "mayPause", "isHeld", "isWantedBack", "mayRunOn",
+    )
 
     def __init__(self, dispatch, replica, className, mayPause):
         self.dispatch = dispatch
@@ -22,12 +24,16 @@
         self.mayPause = mayPause
         self.isHeld = True
         self.isWantedBack = False
+        self.mayRunOn = False
 
     def release(self):
-        """Give the room back, once."""
+        """Give the room back, once; a cold replica first gets time to notice a break."""
         if self.isHeld:
             self.isHeld = False
-            self.dispatch.give_back(self)
+            if self.mayRunOn and self.replica.state == "cold":
+                self.dispatch.node.spawn(self.dispatch.give_back_later(self))
+            else:
+                self.dispatch.give_back(self)
 
 
 class Waiter:
@@ -154,6 +160,11 @@
             known.inFlight = max(0, known.inFlight - 1)
         self.wake()
 
+    def give_back_later(self, lease):
+        """Script: take the room back once a broken off inquiry has surely stopped."""
+        yield Sleep(self.node.bounds.beat)
+        self.give_back(lease)
+
     def room(self, replica):
         """Return how many inquiries this node may have at the replica; cold ones by grant."""
         if replica.state == "cold":
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -1,5 +1,7 @@
 """Replicas as the nodes see them: their beats, their silence, their stalls."""
 
+from urllib.parse import urlencode
+
 import jsonschema
 
 from quillring.kernel.troubles import Conflict
@@ -50,6 +52,10 @@
         self.busyUntil = former.busyUntil if isSame else 0
         self.stalledUntil = former.stalledUntil if isSame else 0
 
+    def path(self, path, **words):
+        """Return the path of an inquiry meant for this very start of the replica."""
+        return f"{path}?{urlencode({**words, 'incarnation': self.incarnation})}"
+
     def to_json(self, now):
         """Return the replica as operators see it."""
         return {
--- a/quillring/edge/short.py
+++ b/quillring/edge/short.py
@@ -73,10 +73,12 @@
             raise lastTrouble or refusal from refusal
         try:
             check_before_sending(node, lease.replica, endTime)
+            lease.mayRunOn = True
             status, answer = yield Fetch(
-                lease.replica.address, method, f"{path}?inquiry={name}",
+                lease.replica.address, method, lease.replica.path(path, inquiry=name),
                 body and {**body, "inquiry": name}, endTime - node.now(),
             )
+            lease.mayRunOn = False
             if status == 503:
                 raise Busy(replica=lease.replica.name)
             if status == 200 and isinstance(answer, dict) and answer.get("inquiry") == name:
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -16,7 +16,7 @@
     TimedOut,
     Trouble,
 )
-from quillring.kernel.wsgi import check_body, route
+from quillring.kernel.wsgi import check_body, need_sender, route
 
 MODEL_INQUIRY = jsonschema.Draft202012Validator({
     "type": "object",
@@ -35,6 +35,7 @@
 @route("POST", "/v1/inquiries")
 def serve_model(node, inquiry):
     """Serve one streamed model inquiry."""
+    need_sender(inquiry)
     check_body(MODEL_INQUIRY, inquiry.body)
     node.find("freshness").check()
     _, service, promise = node.find("layout").entry(inquiry.body["entry"])
@@ -134,11 +135,13 @@
     replica, handle = lease.replica, None
     try:
         check_before_sending(node, replica, endTime)
-        handle = yield Open(replica.address, "/v1/generate", {
+        lease.mayRunOn = True
+        handle = yield Open(replica.address, replica.path("/v1/generate"), {
             "inquiry": stream.name, "prefix": prefix, "prompt": stream.inquiry["prompt"],
             "from": len(stream.pieces), "max_pieces": stream.inquiry.get("max_pieces", 64),
         }, min(endTime - node.now(), service.get("stall_ms", STALL_MS) / 1000))
         if handle.status == 503:
+            lease.mayRunOn = False
             raise Busy(replica=replica.name)
         yield from read_pieces(node, stream, sending, handle, lease, service, endTime)
     except Busy:
@@ -190,6 +193,7 @@
         line = yield Next(handle, max(0.001, min(endTime - node.now(), stallSeconds)))
         check_line(line, stream.name, len(stream.pieces))
         if line.get("end"):
+            lease.mayRunOn = False
             yield from journal.keep(stream, (), ended=True)
             yield from emit_held(stream, sending)
             return
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -38,7 +38,14 @@
 
     nifty.on_member = put_member
     nifty.on_strange_roster = gossip.mend_with
-    gossip.listen("member/", lambda key, fields: nifty.learn(Member.from_list(fields)))
+
+    def take_member(key, fields):
+        if fields is None:
+            nifty.forget(key.partition("/")[2])
+        else:
+            nifty.learn(Member.from_list(fields))
+
+    gossip.listen("member/", take_member)
     put_member(me)
     return node
 
--- a/quillring/kernel/gevent_world.py
+++ b/quillring/kernel/gevent_world.py
@@ -20,6 +20,42 @@
 QUEUE_LIMIT = 1024
 
 
+class Channel:
+    """The one-way connection to an address; frames queued on it may be lost."""
+
+    __slots__ = ("address", "timeout", "queue", "conn")
+
+    def __init__(self, address, timeout):
+        self.address = address
+        self.timeout = timeout
+        self.queue = gevent.queue.Queue()
+        self.conn = None
+
+    def run(self):
+        """Write frames for ever, connecting anew after a failure."""
+        while True:
+            data = self.queue.get()
+            for _ in range(2):
+                try:
+                    self._connect().sendall(FRAME_HEAD.pack(len(data)) + data)
+                    break
+                except OSError:
+                    self.close()
+
+    def _connect(self):
+        if self.conn is None:
+            conn = gevent.socket.create_connection(self.address, self.timeout)
+            conn.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+            self.conn = conn
+        return self.conn
+
+    def close(self):
+        """Close the connection, if there is one."""
+        conn, self.conn = self.conn, None
+        if conn is not None:
+            conn.close()
+
+
 class GeventWorld:
     """Time, chance, network and scripts of one process."""
 
@@ -95,24 +131,16 @@
         """Queue a frame on the channel to the address; it may be lost."""
         channel = self.channels.get(address)
         if channel is None:
-            channel = self.channels[address] = gevent.queue.Queue()
-            gevent.spawn(self._write_frames, address, channel)
-        if channel.qsize() < QUEUE_LIMIT:
-            channel.put(data)
+            channel = self.channels[address] = Channel(address, self.frameTimeout)
+            gevent.spawn(channel.run)
+        if channel.queue.qsize() < QUEUE_LIMIT:
+            channel.queue.put(data)
 
-    def _write_frames(self, address, channel):
-        conn = None
-        while True:
-            data = channel.get()
-            for _ in range(2):
-                try:
-                    if conn is None:
-                        conn = gevent.socket.create_connection(address, self.frameTimeout)
-                        conn.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
-                    conn.sendall(FRAME_HEAD.pack(len(data)) + data)
-                    break
-                except OSError:
-                    conn = conn and conn.close()
+    def reset(self, address):
+        """Drop the connection to a lost member, so that a healed link begins afresh at once."""
+        channel = self.channels.get(address)
+        if channel is not None:
+            channel.close()
 
     def spawn(self, script):
         """Run a script in its own greenlet."""
--- a/quillring/kernel/wsgi.py
+++ b/quillring/kernel/wsgi.py
@@ -55,6 +55,13 @@
         )
 
 
+def need_sender(inquiry):
+    """Refuse an inquiry whose answer belongs to a sender that it does not name."""
+    if not inquiry.sender or len(inquiry.sender) > 200:
+        raise BadInquiry(field="X-Sender", faults=[
+            {"field": "X-Sender", "fault": "a header of 1 to 200 characters is needed"}])
+
+
 def find_route(method, path):
     """Return (function, path words, body limit) of an inquiry, or raise NotFound."""
     for (routeMethod, _), (matcher, names, limit, function) in ROUTES.entries.items():
--- a/quillring/lots/commands.py
+++ b/quillring/lots/commands.py
@@ -1,10 +1,19 @@
 """Commands and queries of lots in the part that their service hashes to."""
 
 from quillring.duty.duty import QUERIES
-from quillring.kernel.troubles import Conflict, NotFound
+from quillring.kernel.troubles import Conflict, NotFound, Trouble
 from quillring.quorum.commands import COMMANDS
 
 OPEN, ENDED, CANCELLED = "open", "ended", "cancelled"
+OPEN_WEIGHT = 16 << 20
+
+
+class TooManyLots(Trouble):
+    """The part holds as much open work as it may; the lot was not accepted."""
+
+    kind = "too_many_lots"
+    status = 503
+    comes_back = True
 
 
 @COMMANDS.entry("lot.accept")
@@ -16,9 +25,13 @@
         if not isSame:
             raise Conflict(field="lot", lot=command["lot"])
         return state, {"lot": command["lot"], "items": len(known["items"]), "repeated": True}
+    weight = sum(len(item) for item in command["items"])
+    openWeight = sum(lot["weight"] for lot in state["lots"].values() if lot["phase"] == OPEN)
+    if openWeight + weight > OPEN_WEIGHT:
+        raise TooManyLots(lot=command["lot"], open_weight=openWeight)
     lot = {
         "sender": command["sender"], "entry": command["entry"], "items": command["items"],
-        "results": {}, "started": {}, "phase": OPEN,
+        "results": {}, "started": {}, "phase": OPEN, "weight": weight,
     }
     newState = {**state, "lots": {**state["lots"], command["lot"]: lot}}
     return newState, {"lot": command["lot"], "items": len(command["items"])}
@@ -65,6 +78,16 @@
     return _with_lot(state, command["lot"], phase=CANCELLED), {"phase": CANCELLED}
 
 
+@COMMANDS.entry("lot.drop")
+def drop_lot(state, command):
+    """Forget a lot whose end lies long back."""
+    lot = state["lots"].get(command["lot"])
+    if lot is None or lot["phase"] == OPEN:
+        return state, {"dropped": False}
+    lots = {name: kept for name, kept in state["lots"].items() if name != command["lot"]}
+    return {**state, "lots": lots}, {"dropped": True}
+
+
 def _find_lot(state, query):
     lot = state["lots"].get(query["lot"])
     if lot is None or lot["sender"] != query["sender"]:
--- a/quillring/lots/front.py
+++ b/quillring/lots/front.py
@@ -3,7 +3,7 @@
 import jsonschema
 
 from quillring.kernel.troubles import BadInquiry, Refused
-from quillring.kernel.wsgi import check_body, route
+from quillring.kernel.wsgi import check_body, need_sender, route
 from quillring.quorum.parts import part_of
 
 LOT_LIMIT = 8 << 20
@@ -25,6 +25,7 @@
 @route("POST", "/v1/lots", limit=LOT_LIMIT)
 def submit_lot(node, inquiry):
     """Accept a lot; the answer comes once two domains have synced it."""
+    need_sender(inquiry)
     check_body(LOT, inquiry.body)
     node.find("freshness").check()
     if node.is_draining:
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -7,6 +7,7 @@
 from quillring.lots.commands import OPEN
 
 ITEMS_AT_ONCE = 4
+KEPT_SECONDS = 7 * 86_400
 
 
 class RunningItem:
@@ -28,12 +29,13 @@
 class LotRunner:
     """Keeps items of the lots of the owned parts running until each has a result."""
 
-    __slots__ = ("node", "running", "unsent")
+    __slots__ = ("node", "running", "unsent", "endedAt")
 
     def __init__(self, node):
         self.node = node
         self.running = {}
         self.unsent = set()
+        self.endedAt = {}
 
     def run(self):
         """Script: start items while there is room, and stop those of ended lots."""
@@ -43,6 +45,7 @@
             for owner in owners:
                 if owner.may_act() and not self.node.is_draining:
                     self._start_items(owner)
+                    self._drop_old(owner)
             self._stop_ended()
 
     def _start_items(self, owner):
@@ -61,6 +64,19 @@
                 self.running[key] = RunningItem()
                 self.node.spawn(self._run_item(owner, key, lot))
 
+    def _drop_old(self, owner):
+        """Forget ended lots after a while, by this owner's own clock."""
+        now = self.node.now()
+        ended = [n for n, lot in owner.state["lots"].items() if lot["phase"] != OPEN]
+        former = {name: at for (part, name), at in self.endedAt.items() if part == owner.part}
+        others = {key: at for key, at in self.endedAt.items() if key[0] != owner.part}
+        kept = {(owner.part, name): former.get(name, now) for name in ended}
+        self.endedAt = {**others, **kept}
+        for name in ended:
+            if now - former.get(name, now) > KEPT_SECONDS and len(owner.queue) < ITEMS_AT_ONCE:
+                self.node.spawn(owner.submit({"do": "lot.drop", "lot": name}))
+                self.endedAt[(owner.part, name)] = now
+
     def _is_wanted(self, owner, key):
         lot = owner.state["lots"].get(key[1]) if owner.may_act() else None
         return lot is not None and lot["phase"] == OPEN and key[2] not in lot["results"]
@@ -109,13 +125,18 @@
             stallSeconds = service.get("stall_ms", STALL_MS) / 1000
             inquiryName = f"{lotName}-{number}"
             self.unsent.discard(key)
-            handle = self.running[key].handle = yield Open(lease.replica.address, "/v1/generate", {
+            lease.mayRunOn = True
+            path = lease.replica.path("/v1/generate")
+            handle = self.running[key].handle = yield Open(lease.replica.address, path, {
                 "inquiry": inquiryName, "prefix": prefix, "prompt": lot["items"][number],
                 "from": 0, "max_pieces": 64,
             }, stallSeconds)
             if handle.status == 503:
+                lease.mayRunOn = False
                 raise Busy(replica=lease.replica.name)
-            return (yield from self._read_result(handle, inquiryName, stallSeconds, key))
+            result = yield from self._read_result(handle, inquiryName, stallSeconds, key)
+            lease.mayRunOn = result is None
+            return result
         except (Busy, NotSent) as trouble:
             self.unsent.add(key)
             if isinstance(trouble, Busy):
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -183,6 +183,11 @@
         self.rows = rows
         newGraph = Graph(self.node.me.name, rows)
         if newGraph.links != self.graph.links:
+            home = self.node.me.name
+            lostNames = self.graph.links.get(home, frozenset()) - newGraph.links[home]
+            for member in map(self.roster.members.get, sorted(lostNames)):
+                if member is not None:
+                    self.node.world.reset(member.address)
             self.graph = newGraph
             self.node.count("graph_changes")
             for listener in self.listeners:
--- a/quillring/store/slots.py
+++ b/quillring/store/slots.py
@@ -24,7 +24,7 @@
 
     __slots__ = (
         "disk", "holder", "generation", "logSize", "logLimit", "waiting", "dirtySignal",
-        "trouble", "syncs",
+        "trouble", "syncs", "slotSize",
     )
 
     def __init__(self, disk, holder, logLimit=1 << 20):
@@ -37,6 +37,7 @@
         self.dirtySignal = Signal()
         self.trouble = None
         self.syncs = 0
+        self.slotSize = 0
 
     def recover(self):
         """Load the newest slot and its log; False when the folder was empty."""
@@ -102,6 +103,7 @@
         body = cbor2.dumps(self.holder.image())
         head = HEADER.pack(MAGIC, self.generation + 1, len(body), hashlib.sha256(body).digest())
         self.disk.write(f"slot.{(self.generation + 1) % 2}", head + body)
+        self.slotSize = len(body)
         self.generation += 1
         self._start_log()
 
@@ -140,7 +142,8 @@
         logName = f"log.{self.generation % 2}"
         data = b"".join(pack_record(record) for records, _ in batch for record in records)
         try:
-            if self.trouble is not None or self.logSize + len(data) > self.logLimit:
+            if self.trouble is not None or self.logSize + len(data) > max(
+                    self.logLimit, self.slotSize):
                 self.turn()
             elif data:
                 self.disk.append(logName, data)
--- a/quillring/verbs/fleet_verbs.py
+++ b/quillring/verbs/fleet_verbs.py
@@ -53,6 +53,14 @@
         sys.exit(REFUSED_FAULT)
 
 
+@main.command()
+@node_options
+@click.argument("name")
+def forget(node, as_json, name):
+    """Forget a member that is gone for good."""
+    run_verb(node, "DELETE", f"/v1/members/{name}", None, as_json)
+
+
 @main.group()
 def plan():
     """State an intent, see the plan, confirm it, follow it, stop it."""
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -3,7 +3,7 @@
 import jsonschema
 
 from quillring.edge import short, streams
-from quillring.kernel.troubles import NotFounded, Refused
+from quillring.kernel.troubles import Conflict, NotFound, NotFounded, Refused
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
 from quillring.plans import front as plans_front
@@ -71,6 +71,19 @@
     ]}
 
 
+@route("DELETE", "/v1/members/{name}")
+def forget_member(node, inquiry):
+    """Forget a member that is gone for good; a living one is not forgotten."""
+    nifty, name = node.find("nifty"), inquiry.words["name"]
+    member = nifty.roster.members.get(name)
+    if member is None:
+        raise NotFound(field="name", name=name)
+    if nifty.reaches(name):
+        raise Conflict(field="name", reason="the member lives")
+    node.find("gossip").put(f"member/{name}", [member.incarnation, 1], None)
+    return {"forgotten": name}
+
+
 @route("GET", "/v1/graph")
 def show_graph(node, inquiry):
     """Return graph, routes, sides and bridges."""
--- a/tests/test_nifty.py
+++ b/tests/test_nifty.py
@@ -28,6 +28,9 @@
     def frame(self, address, data):
         self.frames.append((address, data))
 
+    def reset(self, address):
+        self.frames.append((address, "reset"))
+
     def spawn(self, script):
         self.spawned.append(script)
 
@@ -102,6 +105,7 @@
     world.time = 2.0 + 1.6
     nifty.refresh()
     assert not nifty.reaches("b")
+    assert world.frames == [(member("b").address, "reset")]
     world.datagrams.clear()
     nifty.send_beats()
     assert member("b").address in [address for address, _ in world.datagrams]
@@ -137,6 +141,10 @@
     moved = Member("b", 2, "edge", "north", "127.0.0.9", 7999, 8000, "")
     nifty.on_datagram(beat(member("b"), 1, {"a"}, None, "ab"))
     nifty.on_datagram(beat(moved, 1, {"a"}, None, "ab"))
+    assert nifty.roster.members["b"].address == member("b").address
+    assert world.frames[0][0] == moved.address and made.counts["identity_clashes"] == 1
+    world.time = 2.0
+    nifty.on_datagram(beat(moved, 2, {"a"}, None, "ab"))
     nifty.on_datagram(beat(member("b"), 5, {"a"}, None, "ab"))
     assert nifty.roster.members["b"].address == ("127.0.0.9", 7999)
 
