--- /dev/null
+++ b/examples/embed/nifty_trio.py
@@ -0,0 +1,53 @@
+"""Three nodes of the peer layer alone, in one process, on loopback: who reaches whom?"""
+
+import gevent
+
+from quillring.gossip import Gossip
+from quillring.kernel import Node
+from quillring.kernel.gevent_world import GeventWorld
+from quillring.nifty import Member, Nifty
+
+ADDRESSES = [("127.0.43.1", 7600), ("127.0.43.2", 7600), ("127.0.43.3", 7600)]
+
+
+def start(number):
+    """Start one node with nifty and gossip; it knows the first address only."""
+    host, port = ADDRESSES[number]
+    me = Member(f"node-{number}", number + 1, "core", "here", host, port, 1, "")
+    world = GeventWorld(print, 1.0)
+    node = Node(me, world)
+    nifty = node.offer("nifty", Nifty(node, ADDRESSES[:1]))
+    gossip = node.offer("gossip", Gossip(node))
+
+    def put_member(member):
+        gossip.put(f"member/{member.name}", [member.incarnation], member.to_list())
+
+    nifty.on_member = put_member
+    nifty.on_strange_roster = gossip.mend_with
+    gossip.listen("member/", lambda key, fields: nifty.learn(Member.from_list(fields)))
+    put_member(me)
+    node.handle("greet", lambda body, origin: f"{me.name} greets {origin}")
+    world.listen(host, port, nifty.on_datagram, nifty.on_frame)
+    node.spawn(nifty.run())
+    node.spawn(gossip.run())
+    return node
+
+
+def main():
+    """Wait until all reach all, then call a service by name and pass news on."""
+    nodes = [start(number) for number in range(3)]
+    with gevent.Timeout(30):
+        graphs = [node.find("nifty").graph for node in nodes]
+        while any(len(graph.live) < 3 or graph.is_cut for graph in graphs):
+            graphs = [node.find("nifty").graph for node in nodes]
+            gevent.sleep(0.05)
+        print("bridges:", nodes[0].find("nifty").bridge_nodes())
+        print(nodes[0].world.drive(nodes[0].call("node-2", "greet", None)))
+        nodes[1].find("gossip").put("weather", [1], "fog")
+        while nodes[2].find("gossip").get("weather") is None:
+            gevent.sleep(0.05)
+        print("news at node-2:", nodes[2].find("gossip").get("weather"))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/examples/embed/quorum_counter.py
@@ -0,0 +1,66 @@
+"""A replicated counter of your own: commands by registry, three stores, an owner by ballot."""
+
+import tempfile
+
+import gevent
+
+from quillring.duty import QUERIES
+from quillring.fleet import make_node, open_store, start_node
+from quillring.kernel.bounds import Bounds
+from quillring.kernel.gevent_world import GeventWorld
+from quillring.nifty import Member
+from quillring.quorum import COMMANDS
+from quillring.quorum.founding import found_fleet
+from quillring.store import FolderDisk
+
+SEED = ("127.0.44.1", 7601)
+
+
+@COMMANDS.entry("counter.add")
+def add(state, command):
+    """Add to the counter, once for each command id."""
+    counter = state.get("counter", {})
+    newCounter = {**counter, command["id"]: command["amount"]}
+    return {**state, "counter": newCounter}, sum(newCounter.values())
+
+
+@QUERIES.entry("counter")
+def show(state, query):
+    """Return the counter."""
+    return sum(state.get("counter", {}).values())
+
+
+def start(number, role, domain, folder=None):
+    """Start one node in this process."""
+    name, address = f"{role}-{number}", (f"127.0.44.{number}", 7601)
+    acceptors = open_store(FolderDisk(folder), name, lambda: f"{number:04x}") if folder else None
+    identity = acceptors.identity if acceptors else ""
+    me = Member(name, number, role, domain, *address, 1, identity)
+    world = GeventWorld(print, 1.0)
+    node = make_node(me, world, [SEED], Bounds())
+    start_node(node, acceptors)
+    world.listen(*address, node.find("nifty").on_datagram, node.find("nifty").on_frame)
+    return node
+
+
+def main():
+    """Found three stores, add from two nodes, read the sum from whoever owns the part."""
+    with tempfile.TemporaryDirectory() as folder, gevent.Timeout(60):
+        core = start(1, "core", "north")
+        other = start(5, "core", "east")
+        for number, domain in ((2, "north"), (3, "east"), (4, "south")):
+            start(number, "store", domain, f"{folder}/store-{number}")
+        while len(core.find("nifty").graph.live) < 5:
+            gevent.sleep(0.05)
+        print("founded:", core.world.drive(found_fleet(core, 1))["was_founded"] is False)
+        for node, amount in ((core, 2), (other, 40)):
+            while node.find("gossip").get("founding") is None:
+                gevent.sleep(0.05)
+            command = {"do": "counter.add", "id": node.me.name, "amount": amount}
+            node.world.drive(node.find("duty").submit("part-0", command, 20))
+        print("counter:", core.world.drive(core.find("duty").read("part-0", {"ask": "counter"})))
+        print("owner:", core.find("gossip").get("owner/part-0")["owner"])
+
+
+if __name__ == "__main__":
+    main()
--- a/proving/callers.py
+++ b/proving/callers.py
@@ -19,6 +19,11 @@
         self.violations = []
         self.firstPieces = []
         self.resumes = 0
+        self.leaving = set()
+
+    def edge(self, edges, chance):
+        """Return an edge the platform hands new connections to: none that is being stopped."""
+        return chance.choice([e for e in edges if e not in self.leaving] or edges)
 
     def note(self, kind, outcome):
         """Count an outcome of a kind of call."""
@@ -115,7 +120,7 @@
         rounds += 1
         client = None
         try:
-            client, response = send(chance.choice(edges), method, path, body, sender)
+            client, response = send(record.edge(edges, chance), method, path, body, sender)
             if response.status_code == 200:
                 read_answer(answer, response, record, clock, startTime, dropAfter)
                 dropAfter = None
@@ -150,7 +155,7 @@
     """Fetch one tile and check it."""
     place = f"{chance.randrange(12, 16)}/{chance.randrange(64)}/7"
     path = f"/v1/tiles/{entry}/{place}"
-    status, answer = ask(chance.choice(edges), "GET", path)
+    status, answer = ask(record.edge(edges, chance), "GET", path)
     if status == 200 and answer["tile"] != tile_word(f"/v1/tiles/{place}"):
         record.violate(f"wrong tile {path}")
     record.note("tile", "complete" if status == 200 else answer.get("trouble"))
@@ -161,7 +166,7 @@
     key, seat = f"{chance.random():.12f}", f"row-{chance.randrange(900)}"
     body = {"entry": entry, "key": key, "seat": seat}
     for _ in range(4):
-        status, answer = ask(chance.choice(edges), "POST", "/v1/seats", body)
+        status, answer = ask(record.edge(edges, chance), "POST", "/v1/seats", body)
         if status == 200:
             if answer["confirmed"] != seat_word(key, seat) or answer["key"] != key:
                 record.violate(f"wrong confirmation of {key}")
@@ -176,7 +181,7 @@
     items = [f"{key} item {n}" for n in range(size)]
     body, lot = {"entry": entry, "key": key, "items": items}, None
     for _ in range(8):
-        status, answer = ask(chance.choice(edges), "POST", "/v1/lots", body, sender)
+        status, answer = ask(record.edge(edges, chance), "POST", "/v1/lots", body, sender)
         if status == 200:
             lot = answer["lot"]
             break
@@ -191,7 +196,8 @@
     """Read an accepted lot until all its results are there."""
     seen = {}
     for _ in range(200):
-        status, answer = ask(chance.choice(edges), "GET", f"/v1/lots/{lot}/results", None, sender)
+        edge = record.edge(edges, chance)
+        status, answer = ask(edge, "GET", f"/v1/lots/{lot}/results", None, sender)
         if status == 404:
             record.violate(f"accepted lot {lot} is lost")
             break
--- /dev/null
+++ b/proving/example_day.py
@@ -0,0 +1,152 @@
+"""An example day as processes: crowds, rolling restart, plans, a closing fault; one report."""
+
+import json
+import random
+import time
+
+import click
+import gevent
+
+from proving import callers
+from proving.day import MIXES, run_traffic
+from proving.localfleet import LocalFleet
+
+RETURN_SECONDS = 12
+
+
+class Day:
+    """The operator and the platform of one day."""
+
+    def __init__(self, fleet, name, seed):
+        self.fleet = fleet
+        self.mix = MIXES[name]
+        self.seed = seed
+        self.steps = []
+        self.startTime = time.monotonic()
+        self.record = callers.Record()
+
+    def note(self, text):
+        """Note a step with its time."""
+        self.steps.append([round(time.monotonic() - self.startTime, 1), text])
+
+    def ask(self, method, path, body=None):
+        """Ask some core as an operator."""
+        cores = [n for n in self.fleet.names("core") if n in self.fleet.processes]
+        return callers.ask(self.fleet.http(random.choice(cores)), method, path, body)
+
+    def wait_for(self, what, isDone, seconds=120):
+        """Wait without blocking the callers."""
+        endTime = time.monotonic() + seconds
+        while not isDone():
+            if time.monotonic() > endTime:
+                raise TimeoutError(what)
+            gevent.sleep(0.2)
+
+    def is_ready(self, name):
+        """Tell whether a node is ready by its own word."""
+        return callers.ask(self.fleet.http(name), "GET", "/v1/ready")[0] == 200
+
+    def restart_all(self):
+        """Restart every process as planned, one after another, each ready before the next."""
+        edges = self.fleet.names("edge")
+        for name in [*self.fleet.names("store"), *self.fleet.names("core"), *edges]:
+            if name in edges:
+                self.record.leaving.add(self.fleet.http(name))
+            process = self.fleet.processes.pop(name)
+            process.terminate()
+            self.wait_for(f"{name} ends", lambda p=process: p.poll() is not None)
+            self.fleet.start(name)
+            self.wait_for(f"{name} ready", lambda n=name: self.is_ready(n))
+            self.record.leaving.discard(self.fleet.http(name))
+        self.note("every node was restarted")
+
+    def run_plan(self, kind, target, accept=()):
+        """Propose, confirm and follow a plan to its end."""
+        status, plan = self.ask("POST", "/v1/plans", {"kind": kind, "target": target})
+        if status != 200:
+            raise RuntimeError(f"{kind} {target}: {plan}")
+        status, answer = self.ask(
+            "POST", f"/v1/plans/{plan['plan']}/confirm", {"accept": list(accept)})
+        if status != 200:
+            raise RuntimeError(f"{kind} {target}: {answer}")
+        path = f"/v1/plans/{plan['plan']}"
+        self.wait_for(
+            f"{kind} {target}", lambda: self.ask("GET", path)[1].get("phase") == "done")
+        self.note(f"plan {kind} {target} is done")
+
+    def closing_fault(self):
+        """Kill a core and a store, cut two more nodes, then heal; measure the return."""
+        fleet = self.fleet
+        fleet.kill("core-1")
+        fleet.kill("store-2")
+        fleet.cut(("core-3", "store-3"), ("edge-2", "core-3"), ("edge-2", "store-1"))
+        gevent.sleep(6)
+        fleet.cut()
+        fleet.start("core-1")
+        fleet.start("store-2")
+        healedAt, goodInARow = time.monotonic(), 0
+        while goodInARow < 3 and time.monotonic() - healedAt < 60:
+            goodInARow = goodInARow + 1 if self.probe() else 0
+        backAfter = round(time.monotonic() - healedAt, 2)
+        self.note(f"three good rounds at every edge {backAfter} s after the closing fault")
+        if backAfter > RETURN_SECONDS:
+            self.record.violate(f"service took {backAfter} s to return")
+
+    def probe(self):
+        """Tell whether every edge serves a stream and takes a lot now."""
+        probeRecord = callers.Record()
+        for name in self.fleet.names("edge"):
+            edge, chance = [self.fleet.http(name)], random.Random(name)
+            entries = [e for e in ("wayfinding", "price-hints") if e in self.layoutEntries]
+            callers.stream_call(
+                edge, chance, probeRecord, time.monotonic, entries[0], "probe", 3, 0.0)
+            lots = [e for e in ("gate-notices", "fraud-reports") if e in self.layoutEntries]
+            body = {"entry": lots[0], "items": ["one"], "key": f"probe-{time.monotonic_ns()}"}
+            status, _ = callers.ask(edge[0], "POST", "/v1/lots", body, "probe")
+            probeRecord.note("probe", "complete" if status == 200 else "refused")
+        return set(probeRecord.outcomes) == {("probe", "complete")}
+
+    @property
+    def layoutEntries(self):
+        """Return the entries of the example layout."""
+        return json.loads((self.fleet.example / "layout.json").read_text())["entries"]
+
+    def run(self, seconds):
+        """Run the steps while the mix is called; a crowd comes in the middle."""
+        calls = gevent.spawn(
+            run_traffic, self.fleet, self.mix, seconds, self.seed, self.record)
+        crowd = gevent.spawn_later(
+            seconds / 3, run_traffic, self.fleet, self.mix[:2], 8, self.seed + 1, self.record, 4.0)
+        gevent.sleep(3)
+        self.run_plan("empty_domain", "west", ["less_room"])
+        self.run_plan("refill_domain", "west")
+        self.run_plan("retire_store", "store-1")
+        self.run_plan("restore_store", "store-1")
+        self.restart_all()
+        gevent.joinall([calls, crowd], raise_error=True)
+        self.note("the traffic ended")
+        self.closing_fault()
+
+
+@click.command()
+@click.argument("name", type=click.Choice(sorted(MIXES)))
+@click.option("--run-folder", default="run", show_default=True)
+@click.option("--seconds", default=90.0, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def main(name, run_folder, seconds, seed):
+    """Run NAME's example day on a full local fleet and report what was seen."""
+    fleet = LocalFleet(f"examples/{name}", run_folder)
+    try:
+        fleet.start_all()
+        fleet.found()
+        day = Day(fleet, name, seed)
+        day.run(seconds)
+        report = {**day.record.to_json(), "steps": day.steps}
+        click.echo(json.dumps(report, indent=1))
+    finally:
+        fleet.stop_all()
+    raise SystemExit(1 if day.record.violations else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/proving/measure.py
@@ -0,0 +1,170 @@
+"""Measurements in simulated time, each against what the design promises; prints one JSON line."""
+
+import json
+import statistics
+
+import click
+
+from proving.points_base import Stage
+from proving.points_state import adopt
+
+WIDE = {"replicas": [("words", 6, 8), ("map", 4, 8)]}
+
+
+def sizes(edges, cores=4, stores=4):
+    """Return a fleet of so many nodes."""
+    return {"sizes": {"edge": edges, "core": cores, "store": stores}, **WIDE}
+
+
+def beats_by_nodes(seed):
+    """Heartbeat bytes and packets a second and node, and graph work, against node count."""
+    rows = {}
+    for count in (16, 28, 64, 128):
+        stage = Stage(seed, sizes=sizes(count - 8), readyAt=10)
+        before = {n: dict(node.counts) for n, node in stage.sim.nodes.items()}
+        stage.run(4)
+        nodes = stage.sim.nodes.values()
+        spent = [
+            {k: n.counts.get(k, 0) - before[n.me.name].get(k, 0) for k in (
+                "beats_sent", "beat_bytes", "graph_changes")} for n in nodes]
+        rows[count] = {
+            "beats_a_second": round(statistics.median(s["beats_sent"] for s in spent) / 4, 1),
+            "bytes_a_second": round(statistics.median(s["beat_bytes"] for s in spent) / 4),
+            "bytes_a_beat": round(
+                sum(s["beat_bytes"] for s in spent) / sum(s["beats_sent"] for s in spent)),
+            "graph_changes": sum(s["graph_changes"] for s in spent),
+        }
+    return rows
+
+
+def until(stage, isDone, seconds=20, step=0.01):
+    """Return the seconds until a condition holds."""
+    startTime = stage.env.now
+    while not isDone() and stage.env.now - startTime < seconds:
+        stage.run(step)
+    return round(stage.env.now - startTime, 3)
+
+
+def detection(seed):
+    """Time from a cut to the broken link and to the relayed route, in heartbeat periods."""
+    found, rerouted, healed = [], [], []
+    for number in range(8):
+        stage = Stage(seed + number)
+        stage.run(0.5 + number * 0.07)
+        node = stage.node("edge-1")
+        stage.sim.cut(["edge-1"], ["store-1"])
+        found.append(until(stage, lambda n=node: n.find("nifty").graph.hops("store-1") != 1))
+        rerouted.append(found[-1] + until(
+            stage, lambda n=node: n.find("nifty").graph.hops("store-1") == 2))
+        stage.run(2)
+        stage.sim.heal()
+        healed.append(until(stage, lambda n=node: n.find("nifty").graph.hops("store-1") == 1))
+    return {
+        name: {"median": round(statistics.median(v) / 0.5, 2), "most": round(max(v) / 0.5, 2)}
+        for name, v in (("broken", found), ("rerouted", rerouted), ("healed", healed))
+    }
+
+
+def propagation(seed):
+    """Time from acceptance of a layout to the last live node."""
+    times = []
+    for number in range(6):
+        stage = Stage(seed + number, sizes=sizes(20))
+        adopt(stage, "core-1", {"entries": {"extra": {"service": "words", "class": "traveller"}}})
+        times.append(until(stage, lambda s=stage: all(
+            n.find("layout").version == 2 for n in s.sim.nodes.values()
+            if n.me.role != "store")))
+    return {"nodes": 28, "median_s": statistics.median(times), "most_s": max(times)}
+
+
+def takeover(seed):
+    """Time from the death of a part's owner to the first commit under the next one."""
+    times = []
+    for number in range(8):
+        stage = Stage(seed + number)
+        stage.run(0.5 + number * 0.11)
+        owner = stage.node("edge-1").find("gossip").get("owner/part-1")["owner"]
+        stage.sim.kill(owner)
+        startTime = stage.env.now
+        before = stage.sim.history.counts.get("accepted_lots", 0)
+        stage.start(stage.callers.lot("gate-notices", 1, 0.0))
+        until(stage, lambda s=stage, b=before: s.sim.history.counts.get("accepted_lots", 0) > b)
+        times.append(round(stage.env.now - startTime, 3))
+    return {"median_s": statistics.median(times), "most_s": max(times)}
+
+
+def fsyncs(seed):
+    """Store syncs an accepted lot, one at a time and forty at once."""
+    rows = {}
+    for label, count in (("one", 1), ("forty at once", 40)):
+        stage = Stage(seed)
+        stage.run(1)
+        for replica in stage.sim.replicas.values():
+            replica.is_dark = True
+        stage.run(2.5)
+        before = sum(d.syncs for d in stage.sim.disks.values())
+        quiet = stage.sim.history.counts.get("accepted_lots", 0)
+        for _ in range(count):
+            stage.start(stage.callers.lot("gate-notices", 5, 0.0))
+        until(stage, lambda s=stage, q=quiet, c=count: s.sim.history.counts.get(
+            "accepted_lots", 0) >= q + c)
+        spent = sum(d.syncs for d in stage.sim.disks.values()) - before
+        rows[label] = round(spent / count, 2)
+    return rows
+
+
+def cache_hits(seed):
+    """Share of model inquiries that found their prefix in the replica's cache."""
+    rows = {}
+    for label, prefixes in (("two prefixes", 2), ("forty prefixes", 40)):
+        stage = Stage(seed, sizes=sizes(7))
+        entries = {f"p-{n}": {"service": "words", "class": "traveller", "prefix": f"prefix {n}"}
+                   for n in range(prefixes)}
+        adopt(stage, "core-1", {"entries": entries})
+        stage.run(1)
+        chance = stage.sim.chance
+        stage.callers.stopAt = stage.env.now + 30
+
+        def pick(stage=stage, chance=chance, prefixes=prefixes):
+            yield from stage.callers.stream(f"p-{chance.randrange(prefixes)}", "short", 8)
+
+        stage.start(stage.callers.generate(20, pick))
+        stage.run(32)
+        logics = [r.logic for r in stage.sim.replicas.values() if r.row["service"] == "words"]
+        hits, misses = sum(x.hits for x in logics), sum(x.misses for x in logics)
+        rows[label] = round(hits / (hits + misses), 3)
+    return rows
+
+
+def relay_weight(seed):
+    """Messages relayed a second by each bridge, with one to four bridges."""
+    rows = {}
+    for count in (1, 2, 3):
+        stage = Stage(seed, sizes={"sizes": {"edge": 4, "core": 3, "store": 4}, **WIDE})
+        cores = stage.sim.names("core")
+        stage.sim.cut(
+            [*stage.sim.names("edge"), *cores[count:]], [*stage.sim.names("store")])
+        stage.run(4)
+        before = {c: stage.node(c).counts.get("relayed", 0) for c in cores[:count]}
+        stage.run(5)
+        rows[count] = [
+            round((stage.node(c).counts.get("relayed", 0) - before[c]) / 5, 1)
+            for c in cores[:count]]
+    return rows
+
+
+MEASURES = [beats_by_nodes, detection, propagation, takeover, fsyncs, cache_hits, relay_weight]
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--only", default="", help="Only the measurement of this name.")
+def main(seed, only):
+    """Run the measurements."""
+    for measure in MEASURES:
+        if only in measure.__name__:
+            click.echo(json.dumps({"measure": measure.__name__, **measure(seed)}))
+
+
+if __name__ == "__main__":
+    main()
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -61,7 +61,8 @@
         return {
             "name": self.name, "service": self.service, "domain": self.domain,
             "address": f"{self.address[0]}:{self.address[1]}", "state": self.state,
-            "slots": self.slots, "in_flight_here": self.inFlight,
+            "slots": self.slots, "incarnation": self.incarnation,
+            "in_flight_here": self.inFlight,
             "silent_s": round(now - self.heardAt, 3),
         }
 
