--- a/proving/points.py
+++ b/proving/points.py
@@ -6,10 +6,13 @@
 
 import click
 
-from proving import points_cuts, points_serving, points_state
+from proving import points_cuts, points_lots, points_serving, points_state, points_streams
 from proving.points_base import without
 
-POINTS = [*points_serving.POINTS, *points_state.POINTS, *points_cuts.POINTS]
+POINTS = [
+    *points_streams.POINTS, *points_serving.POINTS, *points_state.POINTS, *points_lots.POINTS,
+    *points_cuts.POINTS,
+]
 
 
 @click.command()
--- a/proving/points_serving.py
+++ b/proving/points_serving.py
@@ -1,133 +1,12 @@
-"""Scenarios about streams, replicas and inquiries; each returns its violations and figures."""
+"""Scenarios about replicas and inquiries; each returns its violations and figures."""
 
-from itertools import count, pairwise
-from unittest import mock
 
-from proving.callers import Answer
 from proving.points_base import Stage, no_check
-from proving.sim import callers
 from quillring.classes.taker import Taker
-from quillring.edge import dispatch, journal, replicas, streams
-from quillring.kernel.troubles import Trouble
+from quillring.edge import dispatch, replicas, streams
 from quillring.rollout.freshness import Freshness
 
 
-def mixed_answers(seed):
-    """A replica mixes in another inquiry's pieces; another one ends before the end."""
-    stage = Stage(seed)
-    for number, replica in enumerate(r for r in stage.sim.replicas.values()
-                                     if r.row["service"] == "words"):
-        replica.mixesUp, replica.breaksOff = number % 2 == 0, number == 1
-    for _ in range(30):
-        stage.start(stage.callers.stream("wayfinding", "short"))
-        stage.run(0.2)
-    stage.run(20)
-    return stage.sim.history.violations, stage.outcomes()
-
-
-def edge_dies(seed):
-    """Edges die in the middle of streams; senders resume elsewhere."""
-    stage = Stage(seed)
-    for _ in range(14):
-        stage.start(stage.callers.stream("wayfinding", "short", 100))
-    stage.run(0.6)
-    stage.sim.kill("edge-1")
-    stage.run(3)
-    stage.sim.kill("edge-2")
-    stage.run(40)
-    outcomes = stage.outcomes()
-    if outcomes.get("short/complete", 0) != 14:
-        stage.sim.history.violate(f"conversations were dropped: {outcomes}")
-    return stage.sim.history.violations, {
-        **outcomes, "resumes": stage.sim.history.counts.get("resumes", 0)}
-
-
-def holder_dies(seed):
-    """The journal's second holders die mid-stream, then the edge that runs the streams."""
-    stage = Stage(seed)
-    stage.only_edge("edge-1")
-    tasks = [stage.start(stage.callers.stream("wayfinding", "short", 100)) for _ in range(8)]
-    stage.run(0.6)
-    holders = sorted({
-        s.holder for s in stage.node("edge-1").find("journal").streams.values() if s.holder})
-    for holder in holders[:1]:
-        stage.sim.kill(holder)
-    stage.run(1.2)
-    stage.any_edge()
-    stage.sim.kill("edge-1")
-    stage.run(40)
-    outcomes = stage.outcomes()
-    if outcomes.get("short/complete", 0) != len(tasks):
-        stage.sim.history.violate(f"conversations were dropped: {outcomes}")
-    return stage.sim.history.violations, {**outcomes, "holders": len(holders)}
-
-
-def half_open(seed):
-    """A sender resumes at another edge; the first one never sees its connection close."""
-    stage = Stage(seed)
-    with mock.patch.object(callers.Connection, "_take", half_open_take):
-        stage.only_edge("edge-1")
-        stage.start(stage.callers.stream("wayfinding", "short", 200, dropAfter=10))
-        stage.run(0.6)
-        stage.only_edge("edge-2")
-        stage.run(2.5)
-        running = [n for n in stage.sim.names("edge") if stage.node(n).find("dispatch").leases]
-        if running != ["edge-2"]:
-            stage.sim.history.violate(f"{running} run one stream")
-        stage.run(20)
-    return stage.sim.history.violations, stage.outcomes()
-
-
-def stale_holder(seed):
-    """The first edge goes on behind a cut with a holder of its own; then the second edge dies.
-
-    The replicas are noisy: a piece tells the run it is of, and where that run began. A sender's
-    answer may change runs only where the next one began.
-    """
-    stage = Stage(seed)
-    for replica in stage.sim.replicas.values():
-        replica.isNoisy = replica.row["service"] == "words"
-    stage.callers.record.violate = lambda text: None
-    answers = []
-    realTake = Answer.take
-
-    def take(answer, line, record):
-        if answer not in answers:
-            answers.append(answer)
-        return realTake(answer, line, record)
-
-    with mock.patch.object(Answer, "take", take), mock.patch.object(
-            callers.Connection, "_take", half_open_take):
-        stage.only_edge("edge-1")
-        stage.start(stage.callers.stream("wayfinding", "short", 300, dropAfter=10))
-        stage.run(0.55)
-        stage.sim.cut(["edge-1", "edge-3"], [
-            n for n in stage.sim.nodes if n not in ("edge-1", "edge-3")])
-        stage.only_edge("edge-2")
-        stage.run(4.5)
-        stage.sim.heal()
-        stage.run(1.2)
-        stage.sim.kill("edge-2")
-        stage.only_edge("edge-4")
-        stage.run(40)
-    changes = 0
-    for answer in answers:
-        words = [piece.split() for piece in answer.pieces]
-        for before, after in pairwise(words):
-            changes += before[1] != after[1]
-            if before[1] != after[1] and int(after[3]) != int(before[5]):
-                stage.sim.history.violate(f"piece {after} follows {before}")
-    return stage.sim.history.violations, {**stage.outcomes(), "changes of run": changes}
-
-
-def half_open_take(connection, line):
-    """Stand-in for a connection whose other end left without a word."""
-    if connection.isOpen:
-        connection.lines.append(line)
-        connection.signal.set()
-    return True
-
-
 def lost_reply(seed):
     """A replica goes dark after it began work that may not repeat."""
     stage = Stage(seed)
@@ -229,39 +108,6 @@
     }
 
 
-def local_keep(self, stream, newPieces, ended=False):
-    """Stand-in for the guard: pieces are kept on the own node only."""
-    stream.pieces = (*stream.pieces, *newPieces)
-    stream.ended = ended or stream.ended
-    return
-    yield
-
-
-def append_unfenced(self, body, origin):
-    """Stand-in for the guard: an append of any round is taken."""
-    stream = self.streams.get(body["stream"]) or journal.Stream(
-        body["stream"], body["inquiry"], body["sender"], self.node.now(), body["round"])
-    stream.pieces = (*stream.pieces[:body["from"]], *body["pieces"])
-    stream.ended = body["ended"]
-    self.streams[stream.name] = stream
-    return len(stream.pieces)
-
-
-def claim_longest(self, name, sender, servedRound):
-    """Stand-in for the guard: the longest copy counts, of whatever round."""
-    question = {"stream": name, "sender": sender}
-    reached = [n for n in self.keepers() if self.node.find("nifty").reaches(n)]
-    claimRound = [next(CLAIM_ROUNDS), ""]
-    calls = [(n, "journal.claim", {**question, "round": claimRound}) for n in reached]
-    claims = yield from self.node.gather(calls, len(calls))
-    good = [reply for reply in claims.values() if not isinstance(reply, Trouble)]
-    inquiry, pieces, ended, _ = max(good, key=lambda reply: len(reply[1]))
-    stream = journal.Stream(name, inquiry, sender, self.node.now(), claimRound)
-    stream.pieces, stream.ended = tuple(pieces), ended
-    self.streams[name] = stream
-    return stream
-
-
 def all_working(self, replica):
     """Stand-in for the guard: every known replica may get work."""
     return replica.state not in ("leaving", "gone")
@@ -278,7 +124,6 @@
     return (yield from REAL_ACQUIRE(self, words[0], words[1], promise, *words[3:], **options))
 
 
-CLAIM_ROUNDS = count(9)
 REAL_ACQUIRE = dispatch.Dispatch.acquire
 
 
@@ -310,17 +155,6 @@
 REAL_ROUND = streams.one_round
 FRESH = (Freshness, "check", no_check)
 POINTS = [
-    ("no answer mixed or complete when it is not", mixed_answers,
-     [(streams, "check_line", lambda line, name, count: None)]),
-    ("no conversation dropped when an edge dies", edge_dies,
-     [(journal.Journal, "keep", local_keep)]),
-    ("no conversation dropped when the second holder dies too", holder_dies,
-     [(journal.Journal, "keep", local_keep)]),
-    ("a resumed stream is run by one edge", half_open,
-     [(journal.Journal, "on_append", append_unfenced),
-      (journal.Journal, "_check_round", no_check)]),
-    ("no answer is mixed from two runs", stale_holder,
-     [(journal.Journal, "claim", claim_longest)]),
     ("what may not repeat never runs twice", lost_reply, [(streams, "one_round", rerun_round)]),
     ("nothing runs after a refusal", frozen_before_sending,
      [(streams, "check_before_sending", no_check)]),
--- a/proving/points_state.py
+++ b/proving/points_state.py
@@ -1,16 +1,12 @@
-"""Scenarios about layouts, lots, owners and stores; each returns its violations and figures."""
+"""Scenarios about layouts and restarts; each returns its violations and figures."""
 
 import sys
-from unittest import mock
 
-from proving.points_base import Stage, no_check
-from proving.sim import backends
-from quillring.lots.runner import LotRunner
-from quillring.quorum import acceptor, commands, owner
+from proving.points_base import Stage
+from quillring.quorum import commands
 from quillring.quorum.parts import CONFIG
 from quillring.rollout import schema
 from quillring.rollout.freshness import Freshness
-from quillring.store import slots
 
 
 def adopt(stage, nodeName, change, base=None, seconds=20):
@@ -135,157 +131,6 @@
         stage.run(0.05)
 
 
-def power_after_accept(seed):
-    """All stores lose their power the moment a lot was accepted."""
-    stage = Stage(seed)
-    stage.start(stage.callers.lot("gate-notices", 8, 0.0))
-    while not stage.sim.history.counts.get("accepted_lots"):
-        stage.env.step()
-    for name in stage.sim.names("store"):
-        stage.sim.kill(name, losesPower=True)
-    stage.run(2)
-    for name in stage.sim.names("store"):
-        stage.sim.start(name)
-    stage.run(30)
-    outcomes = stage.outcomes()
-    if outcomes.get("lot/ended") != 1:
-        stage.sim.history.violate(f"the accepted lot is lost: {outcomes}")
-    return stage.sim.history.violations, outcomes
-
-
-def domain_lost_after_accept(seed):
-    """Two stores are slow; a lot is accepted; the third one's domain and disk are lost for good."""
-    stage = Stage(seed)
-    group = stage.node("core-1").find("duty").group("part-1")
-    lostStore, *slowStores = [store[0] for store in group]
-    domain = stage.node(lostStore).me.domain
-    stage.callers.edge = lambda: next(
-        n for n in stage.sim.up_nodes("edge") if n.me.domain != domain)
-    for name in slowStores:
-        stage.sim.freeze(name, 1.2)
-    for _ in range(4):
-        stage.start(stage.callers.lot("gate-notices", 4, 0.0))
-    while not stage.sim.history.counts.get("accepted_lots"):
-        stage.env.step()
-    for node in list(stage.sim.nodes.values()):
-        if node.me.domain == domain:
-            stage.sim.kill(node.me.name, losesPower=True)
-    stage.sim.disks[lostStore].lose_all()
-    for node in stage.sim.nodes.values():
-        if node.me.name in slowStores:
-            node.world.held.clear()
-    stage.run(40)
-    outcomes = stage.outcomes()
-    if outcomes.get("lot/ended") != 4:
-        stage.sim.history.violate(f"accepted lots are lost: {outcomes}")
-    return stage.sim.history.violations, outcomes
-
-
-def two_owners(seed):
-    """A part's owner and an edge freeze; another owner takes over; both wake, lots come in."""
-    stage = Stage(seed)
-    ownerName = stage.node("core-1").find("gossip").get("owner/part-1")["owner"]
-    stage.start(stage.callers.lot("gate-notices", 6, 0.0))
-    stage.run(0.3)
-    for name in (ownerName, "edge-1"):
-        stage.sim.freeze(name, 6)
-    stage.only_edge("edge-2")
-    stage.start(stage.callers.lot("gate-notices", 6, 0.0))
-    stage.run(6.01)
-    stage.only_edge("edge-1")
-    for _ in range(30):
-        stage.start(stage.callers.lot("gate-notices", 2, 0.0))
-        stage.run(0.02)
-    stage.any_edge()
-    stage.run(30)
-    takeovers = sum(n.counts.get("takeovers", 0) for n in stage.sim.nodes.values())
-    outcomes = stage.outcomes()
-    if outcomes.get("lot/lost") or stage.node("core-1").find("gossip").get(
-            "owner/part-1")["owner"] is None:
-        stage.sim.history.violate(f"lots are lost: {outcomes}")
-    return stage.sim.history.violations, {**outcomes, "takeovers": takeovers}
-
-
-def noisy_results(seed):
-    """Two runs of an item differ; the second result comes in after the first was read."""
-    stage = Stage(seed)
-    for replica in stage.sim.replicas.values():
-        replica.isNoisy = replica.row["service"] == "words"
-    realViolate, first = stage.sim.history.violate, {}
-    stage.sim.history.violate = lambda text: "wrong result" in text or realViolate(text)
-    for _ in range(4):
-        stage.start(stage.callers.lot("gate-notices", 4, 0.0))
-    for _ in range(40):
-        stage.run(0.2)
-        for name, known in stage.callers.lots.items():
-            for number, text in known["seen"].items():
-                if first.setdefault((name, number), text) != text:
-                    realViolate(f"result {number} of {name} changed")
-            core = stage.node("core-1")
-            command = {"do": "lot.result", "lot": name, "n": 0, "result": {"text": "late"}}
-            script = core.find("duty").submit(name.partition(".")[0], command)
-            if known["seen"]:
-                stage.start(stage.sim.run_script(core, script))
-                known["phase"] = "open"
-    return stage.sim.history.violations, {"results": len(first)}
-
-
-def cancelled_lot(seed):
-    """Lots are cancelled while their items run slowly."""
-    stage = Stage(seed)
-    with mock.patch.object(backends, "PIECE_SECONDS", 0.5):
-        for _ in range(6):
-            stage.start(stage.callers.lot("gate-notices", 40, 1.0))
-        stage.run(30)
-    return stage.sim.history.violations, stage.outcomes()
-
-
-def emptied_store(seed):
-    """A store's disk is emptied; the new member may not vote for the old one."""
-    stage = Stage(seed)
-    stage.run(1)
-    identity = stage.node("store-1").find("acceptors").identity
-    stage.sim.lose_disk("store-1")
-    stage.run(0.5)
-    node = stage.sim.start("store-1")
-    stage.run(0.5)
-    body = {"part": CONFIG, "ballot": [99, "core-9"], "identity": identity}
-    call = stage.node("core-1").call("store-1", "quorum.prepare", body)
-    _, trouble = stage.finish(stage.start(stage.sim.run_script(stage.node("core-1"), call)))
-    if not isinstance(trouble, acceptor.WrongIdentity):
-        stage.sim.history.violate(f"the emptied store voted for the old one: {trouble}")
-    stage.run(20)
-    table = stage.node("core-1").find("duty")
-    groups = {part: table.group(part) for part in table.parts()}
-    for part, group in groups.items():
-        if len(group) != 3 or identity in [s[1] for s in group]:
-            stage.sim.history.violate(f"{part} was not mended: {group}")
-    installed = sum(r.state is not None for r in node.find("acceptors").parts.values())
-    return stage.sim.history.violations, {"parts_at_the_new_member": installed}
-
-
-def accept_at_once(self, records):
-    """Stand-in for the guard: answered before anything is synced."""
-    self.waiting.append((records, slots.Signal()))
-    return
-    yield
-
-
-def unfenced(self, body):
-    """Stand-in for the guard: any ballot and any identity will do."""
-    partRecord = self.parts.get(body["part"]) or acceptor.PartRecord()
-    return partRecord, tuple(body["ballot"])
-
-
-def overwrite_result(state, command):
-    """Stand-in for the guard: a later result takes the place of the first."""
-    lot = state["lots"][command["lot"]]
-    results = {**lot["results"], command["n"]: command["result"]}
-    phase = "ended" if len(results) == len(lot["items"]) else "open"
-    changed = {**lot, "results": results, "phase": phase}
-    return {**state, "lots": {**state["lots"], command["lot"]: changed}}, {"written": True}
-
-
 def adopt_anything(state, command):
     """Stand-in for the guard: no base version is asked for, nothing is checked."""
     layout = schema.merge(state["layout"] or schema.EMPTY, command["change"])
@@ -325,19 +170,4 @@
      [(commands, "COMMANDS", CommandsWith("layout.adopt", adopt_anything))]),
     ("no planned restart cuts an inquiry", planned_restart,
      [(sys.modules[__name__], "drain", drain_nothing)]),
-    ("power lost right after acceptance loses no lot", power_after_accept,
-     [(slots.SlotStore, "commit", accept_at_once)]),
-    ("a domain and its disk lost loses no lot", domain_lost_after_accept,
-     [(owner, "majority", lambda group: 1)]),
-    ("an owner that wakes without its fence accepts nothing", two_owners,
-     [(acceptor.Acceptors, "_check", unfenced),
-      (acceptor.Acceptors, "on_confirm", lambda self, body, origin: True),
-      (owner.Owner, "may_act", lambda self: self.is_owner),
-      (Freshness, "check", no_check)]),
-    ("a result keeps its value", noisy_results,
-     [(commands, "COMMANDS", CommandsWith("lot.result", overwrite_result))]),
-    ("an ended lot stops within 3 s", cancelled_lot,
-     [(LotRunner, "_stop_ended", no_check), (LotRunner, "_is_wanted", lambda s, o, k: True)]),
-    ("an emptied store never votes for the old one", emptied_store,
-     [(acceptor.Acceptors, "_check", unfenced)]),
 ]
--- a/proving/sim/chaos.py
+++ b/proving/sim/chaos.py
@@ -102,9 +102,6 @@
             self.sim.freeze(name, self.sim.chance.uniform(0.3, 7))
         yield self.sim.env.timeout(0)
 
-    def _names(self):
-        return sorted(self.sim.nodes)
-
     def _cut_for(self, names, others, bothWays=True):
         sim = self.sim
         before = set(sim.net.cuts)
@@ -116,23 +113,23 @@
 
     def cut_pair(self):
         """One pair is cut."""
-        yield from self._cut_for(*[[n] for n in self.sim.chance.sample(self._names(), 2)])
+        yield from self._cut_for(*[[n] for n in self.sim.chance.sample(sorted(self.sim.nodes), 2)])
 
     def cut_partial(self):
         """Two groups are cut, a third reaches both."""
-        names = self._names()
+        names = sorted(self.sim.nodes)
         self.sim.chance.shuffle(names)
         third = len(names) // 3
         yield from self._cut_for(names[:third], names[third:2 * third])
 
     def cut_one_way(self):
         """One direction is lost."""
-        first, second = self.sim.chance.sample(self._names(), 2)
+        first, second = self.sim.chance.sample(sorted(self.sim.nodes), 2)
         yield from self._cut_for([first], [second], bothWays=False)
 
     def split_whole(self):
         """Two sides with no bridge."""
-        names = self._names()
+        names = sorted(self.sim.nodes)
         self.sim.chance.shuffle(names)
         half = self.sim.chance.randrange(1, len(names))
         yield from self._cut_for(names[:half], names[half:])
@@ -140,17 +137,17 @@
     def isolate_store(self):
         """A store reaches nobody."""
         name = self.sim.chance.choice(self.sim.names("store"))
-        yield from self._cut_for([name], [n for n in self._names() if n != name])
+        yield from self._cut_for([name], [n for n in sorted(self.sim.nodes) if n != name])
 
     def isolate_core(self):
         """All cores are cut off from the rest, or one core is."""
         cores = self.sim.names("core")
         names = cores if self.sim.chance.random() < 0.3 else [self.sim.chance.choice(cores)]
-        yield from self._cut_for(names, [n for n in self._names() if n not in names])
+        yield from self._cut_for(names, [n for n in sorted(self.sim.nodes) if n not in names])
 
     def flap(self):
         """A link goes and comes."""
-        first, second = self.sim.chance.sample(self._names(), 2)
+        first, second = self.sim.chance.sample(sorted(self.sim.nodes), 2)
         for _ in range(5):
             yield from self._cut_for([first], [second])
 
@@ -221,7 +218,7 @@
         outcomes = yield self.sim.env.all_of(tasks)
         answers = [answer for answer, _ in outcomes.values() if answer]
         versions = [answer["version"] for answer in answers]
-        if len(set(versions)) != len(versions):
+        if len({*versions}) < len(versions):
             self.sim.history.violate(f"two operators won version {versions}")
         if any(isinstance(t, Conflict) for _, t in outcomes.values()):
             self.sim.history.count("operator conflicts")
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -1,11 +1,13 @@
 """The stream journal: each piece is held on a second node before a sender sees it."""
 
+from more_itertools import chunked
+
 from quillring.kernel.effects import Sleep
 from quillring.kernel.troubles import Fenced, NotFound, Refused, Trouble
 from quillring.nifty.graph import score
 
 KEPT_STREAMS = 20_000
-HANDED_AGE = 5
+HANDED_AGE, HANDED_AT_ONCE = 5, 50
 
 
 class Stream:
@@ -80,15 +82,20 @@
         """Script: before a planned stop, give every stream touched lately to another node."""
         edgeTime = self.node.now() - self.node.bounds.return_ * HANDED_AGE
         lateStreams = [s for s in self.streams.values() if s.touchedAt > edgeTime]
-        for stream in lateStreams:
-            for holder in self.holders(stream.name, {stream.holder})[:2]:
-                try:
-                    yield from self.node.call(holder, "journal.append", append_body(stream, 0))
-                    break
-                except Trouble as trouble:
-                    self.node.log("warning", "hand over %s: %s", stream.name, trouble)
+        for someStreams in chunked(lateStreams, HANDED_AT_ONCE):
+            for stream in someStreams:
+                self.node.spawn(self._hand_one(stream))
+            yield Sleep(self.node.bounds.chatter)
         self.node.count("streams_handed", len(lateStreams))
 
+    def _hand_one(self, stream):
+        for holder in self.holders(stream.name, {stream.holder})[:2]:
+            try:
+                yield from self.node.call(holder, "journal.append", append_body(stream, 0))
+                return
+            except Trouble as trouble:
+                self.node.log("warning", "hand over %s: %s", stream.name, trouble)
+
     def keepers(self):
         """Return the names of all nodes that may hold streams."""
         members = self.node.find("nifty").roster.members.values()
--- a/quillring/kernel/settings.py
+++ b/quillring/kernel/settings.py
@@ -5,7 +5,7 @@
 import jsonschema
 
 from quillring.kernel.bounds import Bounds
-from quillring.kernel.troubles import BadSettings
+from quillring.kernel.troubles import BadSetting
 
 ADDRESS = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
 SECONDS = {"type": "number", "exclusiveMinimum": 0, "maximum": 3600}
@@ -119,10 +119,11 @@
             with open(path, encoding="utf-8") as settingsFile:
                 fields = json.load(settingsFile)
         except (OSError, ValueError) as error:
-            raise BadSettings(faults=[f"settings file {path}: {error}"]) from error
+            fault = BadSetting(fault=f"settings file {path}: {error}")
+            raise ExceptionGroup("settings", [fault]) from error
     if isinstance(fields, dict):
         fields = {**fields, **{name: value for name, value in flags.items() if value}}
     faults = find_faults(fields)
     if faults:
-        raise BadSettings(faults=faults)
+        raise ExceptionGroup("settings", [BadSetting(fault=fault) for fault in faults])
     return Settings(fields)
--- a/quillring/kernel/troubles.py
+++ b/quillring/kernel/troubles.py
@@ -59,10 +59,10 @@
     kind = "bad_wire"
 
 
-class BadSettings(Trouble):
-    """The settings file or flags have faults."""
+class BadSetting(Trouble):
+    """A fault of the settings file or flags; all faults come as one exception group."""
 
-    kind = "bad_settings"
+    kind = "bad_setting"
 
 
 class BadInquiry(Trouble):
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -51,7 +51,9 @@
             raise Fenced(part=self.part, ballot=max(fences))
         goodReplies = {t: r for t, r in replies.items() if not isinstance(r, Trouble)}
         if len(goodReplies) < majority(self.group):
-            raise NoMajority(part=self.part, heard=sorted(goodReplies))
+            troubles = [r for r in replies.values() if isinstance(r, Trouble)]
+            raise NoMajority(part=self.part, heard=sorted(goodReplies)) from ExceptionGroup(
+                f"stores of {self.part}", troubles)
         return goodReplies
 
     def take(self):
--- a/quillring/quorum/parts.py
+++ b/quillring/quorum/parts.py
@@ -2,6 +2,8 @@
 
 import hashlib
 
+from more_itertools import take, unique_everseen
+
 from quillring.nifty.graph import score
 
 CONFIG = "config"
@@ -24,12 +26,8 @@
     return len(group) // 2 + 1
 
 
-def choose_group(part, stores, keep=()):
+def choose_group(part, stores):
     """Return three stores in distinct domains by rendezvous; `stores` are [name, id, domain]."""
-    chosenStores = list(keep)
-    usedDomains = {store[2] for store in chosenStores}
-    for store in sorted(stores, key=lambda s: score(part, s[0]), reverse=True):
-        if len(chosenStores) < GROUP_SIZE and store[2] not in usedDomains:
-            chosenStores.append(store)
-            usedDomains.add(store[2])
+    rankedStores = sorted(stores, key=lambda store: score(part, store[0]), reverse=True)
+    chosenStores = take(GROUP_SIZE, unique_everseen(rankedStores, key=lambda store: store[2]))
     return chosenStores if len(chosenStores) == GROUP_SIZE else None
--- a/quillring/verbs/cli.py
+++ b/quillring/verbs/cli.py
@@ -7,7 +7,7 @@
 import click
 
 from quillring.kernel.settings import read_settings
-from quillring.kernel.troubles import BadSettings, Trouble
+from quillring.kernel.troubles import BadSetting, Trouble
 from quillring.verbs.client import ask
 from quillring.verbs.process import run_process
 from quillring.verbs.show import show_table
@@ -34,12 +34,16 @@
     @click.option("--log-file", "log_file", help="Where the ring log is written out.")
     def run_role(path, **flags):
         flags = {**flags, "role": role, "seeds": list(flags["seeds"])}
+        settings, faults = None, ()
         try:
-            run_process(read_settings(path, flags), lambda: read_settings(path, flags))
-        except BadSettings as trouble:
-            for fault in trouble.detail["faults"]:
-                click.echo(f"quillring {role}: {fault}", err=True)
+            settings = read_settings(path, flags)
+        except* BadSetting as group:
+            faults = [trouble.detail["fault"] for trouble in group.exceptions]
+        if faults:
+            click.echo("\n".join(f"quillring {role}: {fault}" for fault in faults), err=True)
             sys.exit(USAGE_FAULT)
+        try:
+            run_process(settings, lambda: read_settings(path, flags))
         except Trouble as trouble:
             click.echo(f"quillring {role}: {trouble}", err=True)
             sys.exit(REFUSED_FAULT)
--- a/quillring/verbs/fleet_verbs.py
+++ b/quillring/verbs/fleet_verbs.py
@@ -1,11 +1,13 @@
 """Verbs over the whole fleet: status of every node, plans, logs."""
 
+import datetime
 import json
 import sys
 
 import click
 
 from quillring.kernel.troubles import Trouble
+from quillring.plans.windows import read_windows
 from quillring.verbs.cli import REFUSED_FAULT, main, node_options, run_verb
 from quillring.verbs.client import ask
 from quillring.verbs.show import show_table
@@ -110,3 +112,25 @@
 def stop(node, as_json, name):
     """Stop a plan between two steps."""
     run_verb(node, "POST", f"/v1/plans/{name}/stop", {}, as_json)
+
+
+@main.command()
+@node_options
+@click.argument("path", type=click.Path(exists=True, dir_okay=False))
+@click.option("--days", default=7, show_default=True, help="How far to look ahead.")
+@click.option("--propose", is_flag=True, help="Propose plans for the windows open now.")
+def windows(node, as_json, path, days, propose):
+    """Read maintenance windows ("empty DOMAIN", "retire STORE") from an iCalendar file."""
+    now = datetime.datetime.now(datetime.UTC)
+    try:
+        with open(path, "rb") as calendarFile:
+            found = read_windows(calendarFile.read(), now, now + datetime.timedelta(days=days))
+        openIntents = [
+            w["intent"] for w in found
+            if w["intent"] and datetime.datetime.fromisoformat(w["start"]) <= now]
+        plans = [ask(node, "POST", "/v1/plans", i) for i in openIntents] if propose else []
+    except Trouble as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(REFUSED_FAULT)
+    answer = {"windows": found, "plans": plans}
+    click.echo(json.dumps(answer) if as_json else show_table(answer))
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -86,5 +86,5 @@
     """Take changed seeds; everything else needs a restart, and faulty settings change nothing."""
     try:
         node.find("nifty").seeds = reread().seeds
-    except Trouble as trouble:
-        node.log("error", "settings not changed: %s", trouble)
+    except* Trouble as group:
+        node.log("error", "settings not changed: %s", group.exceptions)
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,44 @@
+import json
+import pathlib
+import re
+
+from proving.deployments import DEPLOYMENTS, layout_of, replicas_of, settings_of
+from proving.points import POINTS
+from proving.reference import reference
+from quillring.kernel.settings import find_faults
+from quillring.kernel.wsgi import ROUTES
+from quillring.rollout.schema import find_faults as layout_faults
+from quillring.verbs.program import main
+
+
+def test_the_settings_reference_is_up_to_date():
+    assert pathlib.Path("docs/settings.md").read_text() == reference()
+
+
+def test_every_point_stands_in_the_table():
+    table = pathlib.Path("docs/never.md").read_text()
+    assert [s.__name__ for _, s, _ in POINTS if f"`{s.__name__}`" not in table] == []
+
+
+def test_every_route_stands_in_the_http_page():
+    page = re.sub(r"[A-Z]{3,}", "X", pathlib.Path("docs/http.md").read_text())
+    paths = {re.sub(r"{\w+}", "X", path) for _, path in ROUTES.entries}
+    assert main is not None and [path for path in sorted(paths) if path not in page] == []
+
+
+def test_the_example_files_are_sound_and_up_to_date():
+    for name, deployment in DEPLOYMENTS.items():
+        folder = pathlib.Path("examples") / name
+        assert json.loads((folder / "layout.json").read_text()) == layout_of(deployment)
+        assert json.loads((folder / "replicas.json").read_text()) == list(replicas_of(deployment))
+        assert layout_faults(layout_of(deployment)) == []
+        for fields in settings_of(deployment):
+            path = folder / "settings" / f"{fields['name']}.json"
+            assert json.loads(path.read_text()) == fields
+            assert find_faults(fields) == []
+
+
+def test_no_file_is_longer_than_250_lines():
+    tops = ("quillring", "proving", "tests")
+    paths = [path for top in tops for path in pathlib.Path(top).rglob("*.py")]
+    assert [str(p) for p in paths if len(p.read_text().splitlines()) > 250] == []
