--- a/proving/points.py
+++ b/proving/points.py
@@ -6,12 +6,19 @@
 
 import click
 
-from proving import points_cuts, points_lots, points_serving, points_state, points_streams
+from proving import (
+    points_cuts,
+    points_fleet,
+    points_lots,
+    points_serving,
+    points_state,
+    points_streams,
+)
 from proving.points_base import without
 
 POINTS = [
     *points_streams.POINTS, *points_serving.POINTS, *points_state.POINTS, *points_lots.POINTS,
-    *points_cuts.POINTS,
+    *points_cuts.POINTS, *points_fleet.POINTS,
 ]
 
 
