Ended lots keep only their results, bounded; old news of a replica is no sign of life

A node that just joined got the last beat of every replica at once and took dead ones for alive until they had been silent for 1.5 s.

--- a/proving/points_lots.py
+++ b/proving/points_lots.py
@@ -135,7 +135,7 @@
     """Stand-in for the guard: a later result takes the place of the first."""
     lot = state["lots"][command["lot"]]
     results = {**lot["results"], command["n"]: command["result"]}
-    phase = "ended" if len(results) == len(lot["items"]) else "open"
+    phase = "ended" if len(results) == lot["count"] else "open"
     changed = {**lot, "results": results, "phase": phase}
     return {**state, "lots": {**state["lots"], command["lot"]: changed}}, {"written": True}
 
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -1,5 +1,6 @@
 """Replicas as the nodes see them: their beats, their silence, their stalls."""
 
+import math
 from urllib.parse import urlencode
 
 import jsonschema
@@ -28,7 +29,11 @@
 
 
 class Replica:
-    """One replica as this node sees it."""
+    """One replica as this node sees it.
+
+    The first news of a replica may be old (a node that just joined gets all news at once); it
+    counts as heard only from the second on.
+    """
 
     __slots__ = (
         "name", "service", "domain", "address", "slots", "state", "incarnation", "sequence",
@@ -46,7 +51,7 @@
         self.incarnation = beat["incarnation"]
         self.sequence = beat["sequence"]
         isSame = former is not None and former.incarnation == self.incarnation
-        self.heardAt = now
+        self.heardAt = now if former is not None else -math.inf
         self.bornAt = former.bornAt if isSame else now
         self.inFlight = former.inFlight if isSame else 0
         self.busyUntil = former.busyUntil if isSame else 0
@@ -63,7 +68,7 @@
             "address": f"{self.address[0]}:{self.address[1]}", "state": self.state,
             "slots": self.slots, "incarnation": self.incarnation,
             "in_flight_here": self.inFlight,
-            "silent_s": round(now - self.heardAt, 3),
+            "silent_s": round(min(now - self.heardAt, 1e6), 3),
         }
 
 
--- a/quillring/lots/commands.py
+++ b/quillring/lots/commands.py
@@ -1,5 +1,9 @@
 """Commands and queries of lots in the part that their service hashes to."""
 
+import hashlib
+
+import cbor2
+
 from quillring.duty.duty import QUERIES
 from quillring.kernel.troubles import Conflict, NotFound, Trouble
 from quillring.quorum.commands import COMMANDS
@@ -21,22 +25,33 @@
     """Accept a lot; the same lot again is the same acceptance."""
     known = state["lots"].get(command["lot"])
     if known is not None:
-        isSame = all(known[f] == command[f] for f in ("sender", "entry", "items"))
-        if not isSame:
+        if known["digest"] != digest_of(command):
             raise Conflict(field="lot", lot=command["lot"])
-        return state, {"lot": command["lot"], "items": len(known["items"]), "repeated": True}
+        return state, {"lot": command["lot"], "items": known["count"], "repeated": True}
     weight = sum(len(item) for item in command["items"])
     openWeight = sum(lot["weight"] for lot in state["lots"].values() if lot["phase"] == OPEN)
     if openWeight + weight > OPEN_WEIGHT:
         raise TooManyLots(lot=command["lot"], open_weight=openWeight)
     lot = {
         "sender": command["sender"], "entry": command["entry"], "items": command["items"],
-        "results": {}, "started": {}, "phase": OPEN, "weight": weight,
+        "count": len(command["items"]), "digest": digest_of(command), "weight": weight,
+        "results": {}, "started": {}, "phase": OPEN,
     }
     newState = {**state, "lots": {**state["lots"], command["lot"]: lot}}
     return newState, {"lot": command["lot"], "items": len(command["items"])}
 
 
+def digest_of(command):
+    """Return the digest that tells whether the same lot is handed in again."""
+    fields = [command["sender"], command["entry"], command["items"]]
+    return hashlib.sha256(cbor2.dumps(fields)).digest()[:16]
+
+
+def _end(phase):
+    """Return the changes that end a lot: only its results are kept."""
+    return {"phase": phase, "items": [], "started": {}}
+
+
 def _with_lot(state, name, **changes):
     return {**state, "lots": {**state["lots"], name: {**state["lots"][name], **changes}}}
 
@@ -62,8 +77,8 @@
     if lot is None or lot["phase"] != OPEN or command["n"] in lot["results"]:
         return state, {"written": False}
     results = {**lot["results"], command["n"]: command["result"]}
-    phase = ENDED if len(results) == len(lot["items"]) else OPEN
-    newState = _with_lot(state, command["lot"], results=results, phase=phase)
+    changes = _end(ENDED) if len(results) == lot["count"] else {}
+    newState = _with_lot(state, command["lot"], results=results, **changes)
     return newState, {"written": True}
 
 
@@ -75,7 +90,7 @@
         raise NotFound(field="lot")
     if lot["phase"] != OPEN:
         return state, {"phase": lot["phase"]}
-    return _with_lot(state, command["lot"], phase=CANCELLED), {"phase": CANCELLED}
+    return _with_lot(state, command["lot"], **_end(CANCELLED)), {"phase": CANCELLED}
 
 
 @COMMANDS.entry("lot.drop")
@@ -100,7 +115,7 @@
     """Return how far a lot is."""
     lot = _find_lot(state, query)
     return {
-        "lot": query["lot"], "phase": lot["phase"], "items": len(lot["items"]),
+        "lot": query["lot"], "phase": lot["phase"], "items": lot["count"],
         "results": len(lot["results"]),
     }
 
@@ -109,8 +124,8 @@
 def lot_results(state, query):
     """Return the results from a position on, each with its position."""
     lot = _find_lot(state, query)
-    numbers = range(query["from"], min(len(lot["items"]), query["from"] + query["count"]))
+    numbers = range(query["from"], min(lot["count"], query["from"] + query["count"]))
     return {
-        "lot": query["lot"], "phase": lot["phase"], "items": len(lot["items"]),
+        "lot": query["lot"], "phase": lot["phase"], "items": lot["count"],
         "results": [{"n": n, **lot["results"][n]} for n in numbers if n in lot["results"]],
     }
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -8,6 +8,7 @@
 
 ITEMS_AT_ONCE = 4
 KEPT_SECONDS = 7 * 86_400
+KEPT_WEIGHT = 32 << 20
 
 
 class RunningItem:
@@ -72,10 +73,13 @@
         others = {key: at for key, at in self.endedAt.items() if key[0] != owner.part}
         kept = {(owner.part, name): former.get(name, now) for name in ended}
         self.endedAt = {**others, **kept}
-        for name in ended:
-            if now - former.get(name, now) > KEPT_SECONDS and len(owner.queue) < ITEMS_AT_ONCE:
-                self.node.spawn(owner.submit({"do": "lot.drop", "lot": name}))
-                self.endedAt[(owner.part, name)] = now
+        weight = sum(
+            len(str(result)) for n in ended for result in owner.state["lots"][n]["results"].values()
+        ) if len(ended) != len(former) else 0
+        oldest = min(ended, key=lambda n: former.get(n, now), default=None)
+        isTooMuch = weight > KEPT_WEIGHT or now - former.get(oldest, now) > KEPT_SECONDS
+        if isTooMuch and not owner.queue:
+            self.node.spawn(owner.submit({"do": "lot.drop", "lot": oldest}))
 
     def _is_wanted(self, owner, key):
         lot = owner.state["lots"].get(key[1]) if owner.may_act() else None
--- /dev/null
+++ b/tests/test_lots.py
@@ -0,0 +1,66 @@
+import pytest
+
+from quillring.kernel.troubles import Conflict, NotFound
+from quillring.lots import commands
+from quillring.lots.commands import TooManyLots
+from quillring.quorum.commands import apply_batch, first_state
+
+
+def accept(name, items, sender="ann"):
+    return {"do": "lot.accept", "lot": name, "sender": sender, "entry": "e", "items": items}
+
+
+def result(name, number, text):
+    return {"do": "lot.result", "lot": name, "n": number, "result": {"text": text}}
+
+
+def read(state, name, sender="ann"):
+    query = {"lot": name, "sender": sender, "from": 0, "count": 10}
+    return commands.lot_results(state, query)
+
+
+def test_results_keep_position_and_value_and_the_lot_ends_with_the_last():
+    state, answers = apply_batch(first_state([]), [
+        accept("x", ["a", "b"]), result("x", 1, "B"), result("x", 1, "other"),
+        result("x", 0, "A"), result("x", 0, "late"), accept("x", ["a", "b"]),
+    ])
+    assert [a.get("written") for a in answers[1:5]] == [True, False, True, False]
+    seen = read(state, "x")
+    assert (seen["phase"], seen["items"]) == ("ended", 2)
+    assert seen["results"] == [{"n": 0, "text": "A"}, {"n": 1, "text": "B"}]
+    assert answers[5]["repeated"]
+
+
+def test_the_same_name_with_other_items_is_a_conflict_and_other_senders_see_nothing():
+    state, answers = apply_batch(first_state([]), [accept("x", ["a"]), accept("x", ["b"])])
+    assert isinstance(answers[1], Conflict)
+    with pytest.raises(NotFound):
+        read(state, "x", "bob")
+    _, (answer,) = apply_batch(state, [{"do": "lot.cancel", "lot": "x", "sender": "bob"}])
+    assert isinstance(answer, NotFound)
+
+
+def test_a_cancelled_lot_takes_no_more_results_and_starts_nothing():
+    start = {"do": "lot.start", "lot": "x", "n": 1, "by": [1, "c"], "was_unsent": False}
+    state, answers = apply_batch(first_state([]), [
+        accept("x", ["a", "b"]), result("x", 0, "A"),
+        {"do": "lot.cancel", "lot": "x", "sender": "ann"}, result("x", 1, "B"), start,
+    ])
+    assert answers[3] == {"written": False} and answers[4] == {"may_run": False}
+    assert [row["n"] for row in read(state, "x")["results"]] == [0]
+
+
+def test_an_item_that_may_not_repeat_starts_once_unless_it_was_never_sent():
+    start = {"do": "lot.start", "lot": "x", "n": 0, "by": [1, "c"], "was_unsent": False}
+    _, answers = apply_batch(first_state([]), [
+        accept("x", ["a"]), start, start, {**start, "was_unsent": True},
+        {**start, "was_unsent": True, "by": [2, "d"]},
+    ])
+    assert [a["may_run"] for a in answers[1:]] == [True, False, True, False]
+
+
+def test_open_lots_have_a_bounded_weight():
+    heavy = ["x" * (1 << 20)] * 10
+    state, answers = apply_batch(first_state([]), [accept("x", heavy), accept("y", heavy)])
+    assert isinstance(answers[1], TooManyLots)
+    assert list(state["lots"]) == ["x"]
