--- a/proving/sim/run.py
+++ b/proving/sim/run.py
@@ -93,5 +93,12 @@
             sim.history.violate(f"lot {lot} has no end: {len(known['seen'])} results")
     check_groups(sim)
     for replica in sim.replicas.values():
-        sim.history.count("overloads", replica.logic.overloads)
+        if replica.logic.overloads:
+            sim.history.violate(f"{replica.row['name']} got more than it can bear while cold")
+    for kind in ("short", "long", "probe"):
+        for outcome in ("given_up", "not_found", "conflict"):
+            dropped = callers.record.outcomes.get((kind, outcome), 0)
+            sim.history.count("dropped", dropped)
+            if dropped:
+                sim.history.mark(f"dropped {dropped} {kind} ({outcome})")
     return sim, callers
--- a/proving/sweep.py
+++ b/proving/sweep.py
@@ -55,6 +55,10 @@
             for total, part in ((outcomes, result["outcomes"]), (counts, result["counts"])):
                 for name, number in part.items():
                     total[name] = total.get(name, 0) + number
+            if result["counts"].get("dropped"):
+                click.echo(
+                    f"{result['deployment']} seed {result['seed']} dropped conversations: "
+                    f"{[m for m in result['marks'] if 'dropped' in m]}")
             if result["violations"]:
                 failed += 1
                 click.echo(f"{result['deployment']} seed {result['seed']} failed:")
