--- a/proving/sim/operators.py
+++ b/proving/sim/operators.py
@@ -55,5 +55,6 @@
             answer, _ = yield from self.adopt(
                 {"domains": {domain: {"emptied": False}}}, "fill")
             if answer:
+                self.sim.history.emptied.pop(domain, None)
                 return
             yield self.sim.env.timeout(0.5)
