While no core decides, the urgent take room back from the least urgent resumable work

Cause: an edge whose deciding core had died kept the last limits, in which all room was lent, until the next owner answered; travellers waited longer than their promise.

--- a/proving/points_cuts.py
+++ b/proving/points_cuts.py
@@ -180,7 +180,12 @@
     return stage.sim.history.violations, outcomes
 
 
-def borrowed_room(seed):
+def undecided_room(seed):
+    """The same, but the core that decides dies just before the travellers come."""
+    return borrowed_room(seed, killsDecider=True)
+
+
+def borrowed_room(seed, killsDecider=False):
     """Overnight streams fill all idle room; then travellers come and want theirs back."""
     stage = Stage(seed)
     stage.only_edge("edge-1")
@@ -190,6 +195,8 @@
         stage.run(2)
         used = sum(r.logic.busy for r in stage.sim.replicas.values())
         stage.callers.record.firstPieces.clear()
+        if killsDecider:
+            stage.sim.kill(stage.node("edge-1").find("gossip").get("owner/part-1")["owner"])
         for _ in range(8):
             stage.start(stage.callers.stream("wayfinding", "short", 10))
         stage.run(2)
@@ -218,4 +225,6 @@
     ("a retired store leaves every part", retired_store, []),
     ("borrowed room is given back by pausing", borrowed_room,
      [(Dispatch, "_pause_borrowers", no_check)]),
+    ("borrowed room is given back when the deciding core is lost", undecided_room,
+     [(Dispatch, "_pause_by_urgency", no_check)]),
 ]
--- a/quillring/classes/taker.py
+++ b/quillring/classes/taker.py
@@ -78,6 +78,11 @@
             return 0
         return self.cold.get(replica.service, {}).get(replica.name, 0)
 
+    def is_decided(self, service):
+        """Tell whether a deciding core answered lately."""
+        grantedAt = self.limitsUntil.get(service, 0) - self.node.bounds.news * 2
+        return self.node.now() - grantedAt < self.node.bounds.beat
+
     def limit(self, service, className):
         """Return how many inquiries of the class may run from here, None without a grant."""
         if self.node.now() >= self.limitsUntil.get(service, 0):
--- a/quillring/edge/dispatch.py
+++ b/quillring/edge/dispatch.py
@@ -14,14 +14,16 @@
     """The right to run one inquiry on a replica; its room may be wanted back."""
 
     __slots__ = (
-        "dispatch", "replica", "className", "mayPause", "isHeld", "isWantedBack", "mayRunOn",
+        "dispatch", "replica", "className", "urgency", "mayPause", "isHeld", "isWantedBack",
+        "mayRunOn",
     )
 
-    def __init__(self, dispatch, replica, className, mayPause):
+    def __init__(self, dispatch, replica, waiter):
         self.dispatch = dispatch
         self.replica = replica
-        self.className = className
-        self.mayPause = mayPause
+        self.className = waiter.className
+        self.urgency = waiter.urgency
+        self.mayPause = waiter.mayPause
         self.isHeld = True
         self.isWantedBack = False
         self.mayRunOn = False
@@ -135,6 +137,9 @@
     def _pause_borrowers(self, service):
         """Want room back from resumable work of the classes that run over their limit."""
         taker = self.node.find("taker")
+        if not taker.is_decided(service):
+            self._pause_by_urgency(service)
+            return
         byClass = {}
         for lease in self.leases:
             if lease.replica.service == service:
@@ -149,9 +154,24 @@
                 lease.isWantedBack = True
                 self.node.count("pauses")
 
+    def _pause_by_urgency(self, service):
+        """While no core decides, the urgent that wait want room back from the least urgent."""
+        waiting = [w for w in self.waiting if w.service == service]
+        wanted = sum(x.isWantedBack for x in self.leases if x.replica.service == service)
+        pausable = sorted(
+            (x for x in self.leases
+             if x.replica.service == service and x.mayPause and not x.isWantedBack),
+            key=lambda lease: lease.urgency,
+        )
+        urgent = sorted((w.urgency for w in waiting), reverse=True)[wanted:]
+        for urgency, lease in zip(urgent, pausable, strict=False):
+            if lease.urgency < urgency:
+                lease.isWantedBack = True
+                self.node.count("pauses")
+
     def _lease(self, waiter, replica):
         replica.inFlight += 1
-        lease = Lease(self, replica, waiter.className, waiter.mayPause)
+        lease = Lease(self, replica, waiter)
         self.leases[lease] = None
         return lease
 
