Fix: the late end of a former term took the next term's granter away

Cause: terms are objects of their own now, and a former one's step_down, coming after the same core's next term began, cleared the time since when the part is owned. The ballot is compared now. Test seen failing first.

--- a/quillring/classes/granter.py
+++ b/quillring/classes/granter.py
@@ -38,10 +38,11 @@
         return self.node.bounds.news
 
     def _on_owner(self, owner, batch):
-        if not owner.is_owner:
-            self.ownedSince.pop(owner.part, None)
-        elif owner.part not in self.ownedSince:
-            self.ownedSince[owner.part] = self.node.now()
+        ballot, _ = self.ownedSince.get(owner.part, (None, 0))
+        if owner.is_owner and ballot != owner.ballot:
+            self.ownedSince[owner.part] = (owner.ballot, self.node.now())
+        elif not owner.is_owner and ballot == owner.ballot:
+            del self.ownedSince[owner.part]
 
     def on_ask(self, body, origin):
         """Grant a taker its class limits and cold slots for one service."""
@@ -55,7 +56,7 @@
         former = self.asked.get((service, origin))
         heldCold = dict(body["cold"])
         self.asked[(service, origin)] = Asked(now, body["demands"], heldCold, now + self.lease)
-        cold = self._cold_slots(service, origin, now, former, now - self.ownedSince[part])
+        cold = self._cold_slots(service, origin, now, former, now - self.ownedSince[part][1])
         asked = self.asked[(service, origin)]
         names = dict.fromkeys((*cold, *heldCold))
         asked.cold = {name: max(cold.get(name, 0), heldCold.get(name, 0)) for name in names}
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -27,3 +27,14 @@
     stage.run(6)
     assert duty.owners["part-1"].is_owner
     assert duty.owners["part-1"] is not former and not former.is_owner
+
+
+def test_the_late_end_of_a_former_term_leaves_the_granter_of_the_next_one_be():
+    stage = Stage(5)
+    name = stage.node("edge-1").find("gossip").get("owner/part-1")["owner"]
+    duty, granter = stage.node(name).find("duty"), stage.node(name).find("granter")
+    former = duty.owners["part-1"]
+    former.step_down(NotOwner(part="part-1"))
+    stage.run(6)
+    former.step_down(NotOwner(part="part-1"))
+    assert duty.owners["part-1"].is_owner and "part-1" in granter.ownedSince
