Work runs twice or is resumed only where its class says so; one place for the defaults

Cause: repeatable and resumable fell back to true in streams, short inquiries and lots, and to false in dispatch. A layout that left them out let work run twice. A resume that the class forbids was refused only after the claim had fenced the stream under way, which cut it. Ruled out: making both fields required (every layout in use would be refused). Conclusion: promises.py alone says what a missing field means; the class is checked first.

--- a/proving/deployments.py
+++ b/proving/deployments.py
@@ -28,8 +28,8 @@
         "layout": {
             "classes": {
                 "traveller": promise(1500, 20_000, 8, 0.5, 128, **MODEL_CLASS),
-                "tile": promise(1000, 3000, 9, 0.2, 128, repeatable=True),
-                "boarding": promise(5000, 60_000, 6, 0.2, 64, repeatable=True),
+                "tile": promise(1000, 3000, 9, 0.2, 128, resumable=False, repeatable=True),
+                "boarding": promise(5000, 60_000, 6, 0.2, 64, **MODEL_CLASS),
                 "overnight": promise(60_000, 600_000, 2, 0.1, 256, **MODEL_CLASS),
             },
             "services": {
@@ -52,8 +52,8 @@
         "layout": {
             "classes": {
                 "hint": promise(1500, 20_000, 8, 0.5, 128, **MODEL_CLASS),
-                "seat": promise(1000, 4000, 9, 0.2, 128, repeatable=True),
-                "fraud": promise(5000, 60_000, 6, 0.2, 64, repeatable=True),
+                "seat": promise(1000, 4000, 9, 0.2, 128, resumable=False, repeatable=True),
+                "fraud": promise(5000, 60_000, 6, 0.2, 64, **MODEL_CLASS),
                 "review": promise(60_000, 600_000, 2, 0.1, 256, **MODEL_CLASS),
             },
             "services": {
--- a/proving/points.py
+++ b/proving/points.py
@@ -10,6 +10,7 @@
     points_cuts,
     points_fleet,
     points_lots,
+    points_resume,
     points_serving,
     points_state,
     points_streams,
@@ -18,7 +19,7 @@
 
 POINTS = [
     *points_streams.POINTS, *points_serving.POINTS, *points_state.POINTS, *points_lots.POINTS,
-    *points_cuts.POINTS, *points_fleet.POINTS,
+    *points_cuts.POINTS, *points_fleet.POINTS, *points_resume.POINTS,
 ]
 
 
--- /dev/null
+++ b/proving/points_resume.py
@@ -0,0 +1,152 @@
+"""Scenarios about resuming: forbidden classes, strange tokens, other senders."""
+
+import base64
+
+import cbor2
+
+from proving.points_base import Stage, no_check
+from proving.sim.callers import Connection
+from quillring.edge import streams
+from quillring.edge.streams import resume_stream, serve_model
+from quillring.edge.tokens import LIFE_SECONDS, make_token
+from quillring.kernel.troubles import NotFound, Trouble
+from quillring.kernel.wsgi import Inquiry
+from quillring.lots import commands
+from quillring.lots.front import cancel_lot, show_lot, show_results
+
+
+def open_stream(stage, edge, entry, sender, maxPieces=100):
+    """Open a model inquiry at an edge; return the connection and its head line."""
+    prompt = f"{entry} {sender}"
+    body = {"entry": entry, "prompt": prompt, "max_pieces": maxPieces}
+    node = stage.node(edge)
+    connection = Connection(
+        stage.sim, node, serve_model(node, Inquiry("POST", {}, {}, body, sender)))
+    return connection, stage.finish(stage.start(connection.next(10)))
+
+
+def resume(stage, edge, token, sender, after=0):
+    """Ask an edge to resume; return (connection, first line)."""
+    node = stage.node(edge)
+    inquiry = Inquiry("GET", {"token": token}, {"after": [str(after)]}, None, sender)
+    connection = Connection(stage.sim, node, resume_stream(node, inquiry))
+    return connection, stage.finish(stage.start(connection.next(10)))
+
+
+def read_rest(stage, connection):
+    """Return all further lines of a connection."""
+    lines = []
+    while (line := stage.finish(stage.start(connection.next(10)))) is not None:
+        lines.append(line)
+    return lines
+
+
+def kind_of(connection):
+    """Return the kind of trouble an exchange ended with, or None."""
+    trouble = connection.outcome[1] if connection.outcome else None
+    return trouble.kind if trouble else None
+
+
+def forbidden_resume(seed):
+    """A sender asks to resume what its class forbids, while it runs, after a cut, after its end."""
+    stage, seen = Stage(seed), []
+    violate = stage.sim.history.violate
+    stage.sim.history.single.add("once ann")
+    running, head = open_stream(stage, "edge-1", "once", "ann")
+    other, line = resume(stage, "edge-2", head["resume"], "ann")
+    seen.append(kind_of(other))
+    rest = read_rest(stage, running)
+    if not rest or rest[-1].get("end") is not True:
+        violate(f"the running stream was cut: {rest[-1:]}")
+    ended, line = resume(stage, "edge-3", head["resume"], "ann")
+    seen.append(kind_of(ended))
+    stage.sim.history.single.add("once bob")
+    broken, head = open_stream(stage, "edge-1", "once", "bob")
+    stage.sim.kill("edge-1")
+    stage.run(3)
+    again, line = resume(stage, "edge-2", head["resume"], "bob")
+    seen.append(kind_of(again))
+    if seen != ["not_resumable"] * 3:
+        violate(f"resumed though the class forbids it: {seen}")
+    return stage.sim.history.violations, {"answers": seen}
+
+
+def strange_tokens(seed):
+    """Tokens forged, of another sender, expired, cut off; the answer stays its sender's own."""
+    stage = Stage(seed)
+    running, head = open_stream(stage, "edge-1", "wayfinding", "ann")
+    rest = read_rest(stage, running)
+    node = stage.node("edge-2")
+    stream = stage.node("edge-1").find("journal").streams[head["stream"]]
+    secret = node.find("duty").founding()["secret"]
+    chance = stage.sim.chance
+    place = chance.randrange(len(head["resume"]) - 2)
+    swapped = "A" if head["resume"][place] != "A" else "B"
+    forgedBody = cbor2.dumps([stream.name, [1, "edge-1"], 1 << 40])
+    tokens = {
+        "one letter changed": (
+            head["resume"][:place] + swapped + head["resume"][place + 1:], "ann"),
+        "made by a stranger": (
+            base64.urlsafe_b64encode(b"\0" * 16 + forgedBody).decode().rstrip("="), "ann"),
+        "another sender": (head["resume"], "bob"),
+        "no sender": (head["resume"], ""),
+        "expired": (make_token(secret, stream, node.world.wall() - LIFE_SECONDS - 1), "ann"),
+        "cut off": (head["resume"][:chance.randrange(1, 20)], "ann"),
+        "not ascii": ("\u00fc" * 8, "ann"),
+    }
+    for label, (token, sender) in tokens.items():
+        connection, line = resume(stage, "edge-2", token, sender)
+        trouble = connection.outcome[1] if connection.outcome else None
+        if line is not None or trouble is None or trouble.to_json() != {"trouble": "bad_token"}:
+            stage.sim.history.violate(f"{label}: {line} {trouble}")
+    good, line = resume(stage, "edge-2", head["resume"], "ann")
+    again = read_rest(stage, good)
+    if again != rest:
+        stage.sim.history.violate(f"the rightful sender got {len(again)} of {len(rest)} lines")
+    return stage.sim.history.violations, {"refused": len(tokens), "lines": len(again)}
+
+
+def foreign_lot(seed):
+    """Another sender asks for a lot, its results and its end; it learns nothing."""
+    stage = Stage(seed)
+    callers = stage.callers
+    stage.start(callers.lot("gate-notices", 4, 0.0))
+    stage.run(6)
+    lot, known = next(iter(callers.lots.items()))
+    answers = []
+    for make, method in ((show_lot, "GET"), (show_results, "GET"), (cancel_lot, "DELETE")):
+        for name in (lot, f"{lot}x"):
+            answer, trouble = stage.finish(stage.start(
+                callers.ask(make, method, {"lot": name}, sender="eve")))
+            answers.append(trouble.to_json() if trouble else answer)
+    if any(answer != {"trouble": "not_found", "field": "lot"} for answer in answers):
+        stage.sim.history.violate(f"another sender's lot was told of: {answers}")
+    return stage.sim.history.violations, {"asked": len(answers)}
+
+
+def read_any_token(secret, token, sender, now):
+    """Stand-in for the guard: neither signature nor time are looked at."""
+    try:
+        body = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))[16:]
+        name, servedRound, _ = cbor2.loads(body)
+    except (ValueError, TypeError, cbor2.CBORError) as error:
+        raise Trouble() from error
+    return name, tuple(servedRound)
+
+
+def find_any_lot(state, query):
+    """Stand-in for the guard: whoever asks is answered."""
+    lot = state["lots"].get(query["lot"])
+    if lot is None:
+        raise NotFound(field="lot")
+    return lot
+
+
+POINTS = [
+    ("a class that forbids resuming is not resumed", forbidden_resume,
+     [(streams, "check_resumable", no_check)]),
+    ("a strange token discloses nothing", strange_tokens,
+     [(streams, "read_token", read_any_token)]),
+    ("another sender's lot is not told of", foreign_lot,
+     [(commands, "_find_lot", find_any_lot)]),
+]
--- a/proving/points_serving.py
+++ b/proving/points_serving.py
@@ -132,7 +132,7 @@
     layout = node.find("layout")
     realEntry = layout.entry
     entry, service, promise = realEntry(stream.inquiry["entry"])
-    patched = (entry, service, {**promise, "resumable": True})
+    patched = (entry, service, {**promise, "resumable": True, "repeatable": True})
     holder = type("Image", (), {"entry": staticmethod(lambda name: patched)})
     node.services["layout"], kept = _Facade(layout, holder), layout
     try:
--- a/proving/points_streams.py
+++ b/proving/points_streams.py
@@ -145,7 +145,7 @@
     return len(stream.pieces)
 
 
-def claim_longest(self, name, sender, servedRound):
+def claim_longest(self, name, sender, servedRound, check):
     """Stand-in for the guard: the longest copy counts, of whatever round."""
     question = {"stream": name, "sender": sender}
     reached = [n for n in self.keepers() if self.node.find("nifty").reaches(n)]
--- a/quillring/edge/dispatch.py
+++ b/quillring/edge/dispatch.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+from quillring.classes.promises import may_run_on
 from quillring.kernel.effects import Signal, Sleep, Wait
 from quillring.kernel.troubles import Refused
 from quillring.nifty.graph import score
@@ -44,14 +45,14 @@
     __slots__ = ("urgency", "order", "service", "prefix", "avoided", "signal", "className",
                  "mayPause")
 
-    def __init__(self, promise, order, service, prefix, avoided, className):
+    def __init__(self, promise, order, service, prefix, avoided, className, mayPause):
         self.urgency = promise["urgency"]
         self.order = order
         self.service = service
         self.prefix = prefix
         self.avoided = frozenset(avoided)
         self.className = className
-        self.mayPause = promise.get("resumable", False)
+        self.mayPause = mayPause and may_run_on(promise, True)
         self.signal = Signal()
 
 
@@ -86,14 +87,16 @@
         return counts
 
     def acquire(
-        self, serviceName, className, promise, prefix, endTime, avoided=(), isPaused=False
+        self, serviceName, className, promise, prefix, endTime, avoided=(), isPaused=False,
+        mayPause=False,
     ):
         """Script: return a lease, or refuse at once when waiting is hopeless or over."""
         replicas = self.node.find("replicas")
         if not [r for r in replicas.working(serviceName) if r.name not in avoided]:
             raise Refused(reason="no replica", service=serviceName)
         self.order += 1
-        waiter = Waiter(promise, self.order, serviceName, prefix, avoided, className)
+        waiter = Waiter(
+            promise, self.order, serviceName, prefix, avoided, className, mayPause)
         chosenReplica = None if self._is_outranked(waiter) else self._choose(waiter)
         if chosenReplica is not None:
             return self._lease(waiter, chosenReplica)
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -154,11 +154,11 @@
         return len(stream.pieces)
 
     def on_find(self, body, origin):
-        """Tell the round and length of a stream held here for this sender."""
+        """Tell the round, length and entry of a stream held here for this sender."""
         stream = self.streams.get(body["stream"])
         if stream is None or stream.sender != body["sender"]:
             raise NotFound(field="stream")
-        return [list(stream.round), len(stream.pieces)]
+        return [list(stream.round), len(stream.pieces), stream.inquiry["entry"]]
 
     def on_claim(self, body, origin):
         """Hand a stream over to a higher round; the former round can add no more."""
@@ -173,9 +173,11 @@
         self.streams[stream.name] = claimed
         return [stream.inquiry, list(stream.pieces), stream.ended, list(stream.round)]
 
-    def claim(self, name, sender, servedRound):
+    def claim(self, name, sender, servedRound, check):
         """Script: find a stream wherever it is held, fence its former round, run it here.
 
+        `check(entry)` may refuse before anything is fenced.
+
         A holder may be left with an older round that went its own way; the newest round counts,
         and one older than the sender was served in is as good as none.
         """
@@ -191,6 +193,7 @@
             if missed or len(names) < len(self.keepers()):
                 raise Refused(reason="the stream's holders are out of reach")
             raise NotFound(field="stream")
+        check(next(iter(holders.values()))[2])
         claimRound = (max(reply[0][0] for reply in holders.values()) + 1, self.node.me.name)
         claims = yield from self.node.gather(
             [(n, "journal.claim", {**question, "round": list(claimRound)}) for n in holders],
--- a/quillring/edge/short.py
+++ b/quillring/edge/short.py
@@ -2,6 +2,7 @@
 
 import jsonschema
 
+from quillring.classes.promises import may_repeat
 from quillring.edge.streams import check_before_sending
 from quillring.kernel.effects import Fetch
 from quillring.kernel.troubles import (
@@ -92,7 +93,7 @@
             if not isinstance(trouble, NotSent):
                 node.find("replicas").stalled(lease.replica)
                 lastTrouble = OutcomeUnknown(reason="the replica broke off")
-                if not promise.get("repeatable", True):
+                if not may_repeat(promise):
                     raise lastTrouble from trouble
         finally:
             lease.release()
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -2,6 +2,7 @@
 
 import jsonschema
 
+from quillring.classes.promises import may_resume, may_run_on
 from quillring.edge.dispatch import prefix_key
 from quillring.edge.tokens import make_token, read_token
 from quillring.kernel.effects import Emit, Next, Open
@@ -59,18 +60,27 @@
     if not afterTexts[0].isdigit():
         raise BadInquiry(field="after", faults=[{"field": "after", "fault": "not a count"}])
     sentCount = int(afterTexts[0])
-    stream = yield from node.find("journal").claim(streamName, inquiry.sender, tokenRound)
+    stream = yield from node.find("journal").claim(
+        streamName, inquiry.sender, tokenRound,
+        lambda entryName: check_resumable(node, entryName))
     if len(stream.pieces) < sentCount:
         raise Conflict(field="after", held=len(stream.pieces))
     node.count("resumes")
     _, _, promise = node.find("layout").entry(stream.inquiry["entry"])
     if not stream.ended:
         node.find("freshness").check()
-        if not promise.get("resumable", True):
-            raise NotResumable(class_name="resumable")
+        if not may_run_on(promise, stream.pieces):
+            raise OutcomeUnknown(stream=stream.name)
     yield from run_stream(node, stream, sentCount, node.now() + promise["time_left_ms"] / 1000)
 
 
+def check_resumable(node, entryName):
+    """Refuse to resume where the class forbids it, before anything about the stream changes."""
+    entry, _, promise = node.find("layout").entry(entryName)
+    if not may_resume(promise):
+        raise NotResumable(class_name=entry["class"])
+
+
 class NotResumable(Trouble):
     """The class of this stream forbids resuming it."""
 
@@ -129,7 +139,7 @@
     waitEnd = endTime if stream.pieces else min(endTime, sending.firstEnd)
     lease = yield from node.find("dispatch").acquire(
         entry["service"], entry["class"], promise, prefix_key(prefix), waitEnd, avoidedNames,
-        sending.isPaused,
+        sending.isPaused, True,
     )
     sending.isPaused = False
     replica, handle = lease.replica, None
@@ -155,7 +165,7 @@
             node.find("replicas").stalled(replica)
             if node.now() >= endTime:
                 raise TimedOut(stream=stream.name) from trouble
-            if not promise.get("resumable", True):
+            if not may_run_on(promise, stream.pieces):
                 raise OutcomeUnknown(stream=stream.name) from trouble
     finally:
         lease.release()
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -1,5 +1,6 @@
 """Running the items of open lots, on the core that owns their part, on room left idle."""
 
+from quillring.classes.promises import may_repeat
 from quillring.edge.dispatch import prefix_key
 from quillring.edge.streams import STALL_MS, check_before_sending, check_line
 from quillring.kernel.effects import Next, Open, Signal, Sleep, Wait
@@ -116,7 +117,7 @@
         )
         handle = None
         try:
-            if not promise.get("repeatable", True):
+            if not may_repeat(promise):
                 answer = yield from owner.submit({
                     "do": "lot.start", "lot": lotName, "n": number, "by": list(owner.ballot),
                     "was_unsent": key in self.unsent,
