An emptied domain empties its nodes too: edges, journals, owners and lot items

Cause: emptying was looked at for replicas only. Edges there stayed ready and took inquiries, cores kept their parts and started lot items, journals chose holders there. Ruled out: stopping the processes (they still hold streams that senders may resume). Conclusion: one admission rule for every kind of inquiry; leaving nodes (draining or emptied) rank last for duties and journals; a plan is done once nodes are idle as well. A draining core now tells the others, which take its parts before it ends. New scenario: a domain lost with every role.

--- a/proving/points.py
+++ b/proving/points.py
@@ -8,6 +8,7 @@
 
 from proving import (
     points_cuts,
+    points_domains,
     points_fleet,
     points_lots,
     points_resume,
@@ -20,6 +21,7 @@
 POINTS = [
     *points_streams.POINTS, *points_serving.POINTS, *points_state.POINTS, *points_lots.POINTS,
     *points_cuts.POINTS, *points_fleet.POINTS, *points_resume.POINTS,
+    *points_domains.POINTS,
 ]
 
 
--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -56,7 +56,22 @@
 
     def rank(self, part):
         """Return the reachable cores in the order of their claim to the part."""
-        return ranked_cores(part, self.cores(), self.node.find("nifty").graph)
+        cores = self.cores()
+        leavingNames = {name for name in cores if self.is_leaving(name)}
+        return ranked_cores(part, cores, self.node.find("nifty").graph, leavingNames)
+
+    def is_leaving(self, name):
+        """Tell whether a member drains or stands in an emptied domain: nothing new goes there."""
+        member = self.node.find("nifty").roster.members.get(name)
+        if member is None:
+            return False
+        drains = self.node.find("gossip").get(f"draining/{name}") == member.incarnation
+        return drains or self.node.find("layout").is_emptied(member.domain)
+
+    def announce_drain(self):
+        """Tell all nodes that this one drains, until it starts again."""
+        me = self.node.me
+        self.node.find("gossip").put(f"draining/{me.name}", [me.incarnation], me.incarnation)
 
     def run(self):
         """Script, on a core: take the parts it ranks first for, hand over the others."""
--- a/quillring/duty/rank.py
+++ b/quillring/duty/rank.py
@@ -3,10 +3,11 @@
 from quillring.nifty.graph import score
 
 
-def ranked_cores(key, cores, graph):
-    """Return the reachable core names, the one whose duty the key is first."""
+def ranked_cores(key, cores, graph, leavingNames=()):
+    """Return the reachable core names, the one whose duty the key is first; leaving ones last."""
     reachedCores = [name for name in cores if name in graph.reachable()]
     bridgeNames = set(graph.bridge_nodes()) if graph.is_cut else set()
     return sorted(
-        reachedCores, key=lambda name: (name in bridgeNames, score(key, name)), reverse=True
+        reachedCores, reverse=True,
+        key=lambda name: (name not in leavingNames, name in bridgeNames, score(key, name)),
     )
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -65,7 +65,11 @@
         return stream
 
     def holders(self, name, avoided=()):
-        """Return the reachable nodes in other domains that may hold it, edges first."""
+        """Return the reachable nodes in other domains that may hold it, edges first.
+
+        Nodes that drain or stand in an emptied domain come last: better there than nowhere.
+        """
+        isLeaving = self.node.find("duty").is_leaving
         me, nifty = self.node.me, self.node.find("nifty")
         members = [
             m for m in nifty.roster.members.values()
@@ -74,10 +78,19 @@
         ]
         return [
             m.name for m in sorted(
-                members, key=lambda m: (m.role == "edge", score(name, m.name)), reverse=True
+                members, reverse=True,
+                key=lambda m: (not isLeaving(m.name), m.role == "edge", score(name, m.name)),
             )
         ]
 
+    def _leave_leaving(self, stream):
+        """Let go of a holder that is to be left alone, if another node can take its place."""
+        isLeaving = self.node.find("duty").is_leaving
+        if stream.holder is not None and isLeaving(stream.holder):
+            candidates = self.holders(stream.name)
+            if candidates and not isLeaving(candidates[0]):
+                stream.holder = None
+
     def hand_over(self):
         """Script: before a planned stop, give every stream touched lately to another node."""
         edgeTime = self.node.now() - self.node.bounds.return_ * HANDED_AGE
@@ -108,6 +121,7 @@
         stream.pieces = (*stream.pieces, *newPieces)
         stream.ended = ended or stream.ended
         stream.touchedAt = self.node.now()
+        self._leave_leaving(stream)
         avoidedNames = set()
         while True:
             if stream.holder is None:
@@ -133,7 +147,11 @@
             raise Fenced(stream=stream.name)
 
     def on_append(self, body, origin):
-        """Hold pieces for another node; a lower round is fenced off, a gap refused."""
+        """Hold pieces for another node."""
+        return self.hold(body)
+
+    def hold(self, body):
+        """Hold pieces; a lower round is fenced off, a gap refused."""
         known = self.streams.get(body["stream"])
         streamRound = tuple(body["round"])
         if known is not None and known.round > streamRound:
--- a/quillring/edge/short.py
+++ b/quillring/edge/short.py
@@ -3,6 +3,7 @@
 import jsonschema
 
 from quillring.classes.promises import may_repeat
+from quillring.edge.admission import check_admission
 from quillring.edge.streams import check_before_sending
 from quillring.kernel.effects import Fetch
 from quillring.kernel.troubles import (
@@ -56,9 +57,7 @@
 
 def ask_replica(node, entryName, kind, method, path, body, affinity):
     """Script: ask one replica; another only when that is allowed or the first got nothing."""
-    node.find("freshness").check()
-    if node.is_draining:
-        raise Refused(reason="draining")
+    check_admission(node)
     entry, service, promise = node.find("layout").entry(entryName)
     if service["kind"] != kind:
         raise NotFound(field="entry", entry=entryName)
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -3,6 +3,7 @@
 import jsonschema
 
 from quillring.classes.promises import may_resume, may_run_on
+from quillring.edge.admission import check_admission, check_open
 from quillring.edge.dispatch import prefix_key
 from quillring.edge.tokens import make_token, read_token
 from quillring.kernel.effects import Emit, Next, Open
@@ -38,12 +39,10 @@
     """Serve one streamed model inquiry."""
     need_sender(inquiry)
     check_body(MODEL_INQUIRY, inquiry.body)
-    node.find("freshness").check()
+    check_admission(node)
     _, service, promise = node.find("layout").entry(inquiry.body["entry"])
     if service["kind"] != "model":
         raise BadInquiry(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
-    if node.is_draining:
-        raise Refused(reason="draining")
     timeLeft = min(inquiry.body.get("time_left_ms", 1 << 40), promise["time_left_ms"]) / 1000
     streamName = f"{node.me.name}-{node.world.random.getrandbits(96):024x}"
     stream = node.find("journal").open(streamName, inquiry.body, inquiry.sender)
@@ -53,6 +52,7 @@
 @route("GET", "/v1/streams/{token}")
 def resume_stream(node, inquiry):
     """Serve what follows the last piece the sender has."""
+    check_open(node)
     secret = node.find("duty").founding()["secret"]
     streamName, tokenRound = read_token(
         secret, inquiry.words["token"], inquiry.sender, node.world.wall())
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -11,6 +11,7 @@
 from quillring.lots import LotRunner
 from quillring.nifty import Member, Nifty
 from quillring.plans import PlanRunner
+from quillring.plans.runner import count_busy
 from quillring.quorum import Acceptors
 from quillring.quorum.hints import Hints
 from quillring.quorum.repair import Repair
@@ -46,6 +47,7 @@
             nifty.learn(Member.from_list(fields))
 
     gossip.listen("member/", take_member)
+    node.handle("node.busy", lambda body, origin: count_busy(node))
     put_member(me)
     return node
 
--- a/quillring/lots/front.py
+++ b/quillring/lots/front.py
@@ -2,7 +2,8 @@
 
 import jsonschema
 
-from quillring.kernel.troubles import BadInquiry, Refused
+from quillring.edge.admission import check_admission
+from quillring.kernel.troubles import BadInquiry
 from quillring.kernel.wsgi import check_body, need_sender, route
 from quillring.quorum.parts import part_of
 
@@ -27,9 +28,7 @@
     """Accept a lot; the answer comes once two domains have synced it."""
     need_sender(inquiry)
     check_body(LOT, inquiry.body)
-    node.find("freshness").check()
-    if node.is_draining:
-        raise Refused(reason="draining")
+    check_admission(node)
     entry, service, _ = node.find("layout").entry(inquiry.body["entry"])
     if service["kind"] != "model":
         raise BadInquiry(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -43,11 +43,11 @@
         """Script: start items while there is room, and stop those of ended lots."""
         while True:
             yield Sleep(self.node.bounds.beat / 5)
-            owners = self.node.find("duty").owners.values()
-            for owner in owners:
-                if owner.may_act() and not self.node.is_draining:
-                    self._start_items(owner)
+            for owner in self.node.find("duty").owners.values():
+                if owner.may_act():
                     self._drop_old(owner)
+                    if not self.node.find("duty").is_leaving(self.node.me.name):
+                        self._start_items(owner)
             self._stop_ended()
 
     def _start_items(self, owner):
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -3,28 +3,15 @@
 from quillring.kernel.effects import Sleep
 from quillring.kernel.troubles import BadWire
 from quillring.nifty.graph import Graph
-from quillring.nifty.member import Member, Roster
+from quillring.nifty.heard import Beat, Heard, read_envelope
+from quillring.nifty.member import Roster
 from quillring.nifty.seen import SeenWindow
-from quillring.nifty.wire import pack, unpack
+from quillring.nifty.wire import pack
 
 HOP_LIMIT = 6
 KEPT_ROSTERS = 8
 
 
-class Heard:
-    """What a node last heard from a cohort member."""
-
-    __slots__ = ("at", "incarnation", "sequence", "row", "echoAt", "stamp")
-
-    def __init__(self, at, incarnation, sequence):
-        self.at = at
-        self.incarnation = incarnation
-        self.sequence = sequence
-        self.row = None
-        self.echoAt = None
-        self.stamp = None
-
-
 class Nifty:
     """The peer layer of one node."""
 
@@ -88,6 +75,11 @@
         """Tell whether fewer than three beats were missed."""
         return heard.at > self.node.now() - self.node.bounds.broken
 
+    def is_silent(self, name, seconds):
+        """Tell whether nothing was heard of a member for so long."""
+        heard = self.heard.get(name)
+        return heard is None or heard.at < self.node.now() - seconds
+
     def reached_names(self):
         """Return the names heard lately that lately heard this node too, by their echo."""
         edgeTime = self.node.now() - self.node.bounds.broken - self.node.bounds.beat
@@ -99,14 +91,11 @@
     def on_datagram(self, data):
         """Take a heartbeat; garbage is counted and dropped."""
         try:
-            record, sequence, digest, bitmap, stamp, echo = unpack(data)
-            member = Member.from_list(record)
-            if not isinstance(sequence, int) or not isinstance(bitmap, bytes):
-                raise BadWire(reason="beat")
-            echoPair = None if echo is None else (int(echo[0]), int(echo[1]))
-        except (BadWire, ValueError, TypeError, IndexError):
+            beat = Beat(data)
+        except BadWire:
             self.node.count("bad_datagrams")
             return
+        member, sequence, digest = beat.member, beat.sequence, beat.digest
         if member.name == self.node.me.name:
             return
         heard = self.heard.get(member.name)
@@ -124,15 +113,15 @@
         wasReached = member.name in self.graph.links.get(self.node.me.name, ())
         if heard is None or heard.incarnation != member.incarnation:
             heard = self.heard[member.name] = Heard(0, member.incarnation, sequence)
-        heard.at, heard.sequence, heard.stamp = self.node.now(), sequence, stamp
-        if echoPair is not None and echoPair[0] == self.node.me.incarnation:
-            heard.echoAt = self.beatTimes.get(echoPair[1], heard.echoAt)
+        heard.at, heard.sequence, heard.stamp = self.node.now(), sequence, beat.stamp
+        if beat.echo is not None and beat.echo[0] == self.node.me.incarnation:
+            heard.echoAt = self.beatTimes.get(beat.echo[1], heard.echoAt)
         self.learn(member)
         matchingRoster = self.oldRosters.get(digest)
         if digest != self.roster.digest:
             self.on_strange_roster(member.name)
         if matchingRoster is not None:
-            newRow = matchingRoster.from_bitmap(bitmap)
+            newRow = matchingRoster.from_bitmap(beat.bitmap)
             if newRow != heard.row or not wasReached:
                 heard.row = newRow
                 self.refresh()
@@ -224,16 +213,11 @@
     def on_frame(self, data):
         """Take a frame: deliver it once here, or relay it."""
         try:
-            origin, incarnation, sequence, target, hopsLeft, message = envelope = unpack(data)
-            wellFormed = isinstance(message, dict) and ("s" in message or "r" in message)
-            numbers = (incarnation, sequence, hopsLeft)
-            if not wellFormed or not all(isinstance(n, int) for n in numbers):
-                raise BadWire(reason="frame")
-            if not isinstance(origin, str) or not isinstance(target, str):
-                raise BadWire(reason="frame")
-        except (BadWire, ValueError, TypeError):
+            envelope = read_envelope(data)
+        except BadWire:
             self.node.count("bad_frames")
             return
+        origin, incarnation, sequence, target, hopsLeft, message = envelope
         if target != self.node.me.name:
             self.node.count("relayed")
             self.node.count("relayed_bytes", len(data))
--- a/quillring/plans/front.py
+++ b/quillring/plans/front.py
@@ -39,6 +39,7 @@
             beat for beat in node.find("gossip").under("replica/").values()
             if replicas.is_heard(beat["name"])
         ],
+        {m.name: (m.role, m.domain) for m in nifty.roster.members.values()},
     )
 
 
--- a/quillring/plans/make.py
+++ b/quillring/plans/make.py
@@ -8,16 +8,17 @@
 
 
 class View:
-    """What a plan is made against: layout, groups, stores and replicas as a node sees them."""
+    """What a plan is made against: layout, groups, stores, replicas, nodes as a node sees them."""
 
-    __slots__ = ("version", "layout", "groups", "stores", "replicas")
+    __slots__ = ("version", "layout", "groups", "stores", "replicas", "nodes")
 
-    def __init__(self, version, layout, groups, stores, replicas):
+    def __init__(self, version, layout, groups, stores, replicas, nodes):
         self.version = version
         self.layout = layout
         self.groups = groups
         self.stores = stores
         self.replicas = replicas
+        self.nodes = nodes
 
 
 def make_plan(view, intent):
@@ -64,12 +65,24 @@
         d for d, row in view.layout["domains"].items() if d != domain and not row.get("emptied")]
     if not stayingDomains:
         obstacles.append({"consequence": None, "text": "no domain would remain"})
+    inside = {n: role for n, (role, d) in sorted(view.nodes.items()) if d == domain}
+    for role in ("edge", "core"):
+        staying = [n for n, (r, d) in view.nodes.items() if r == role and d in stayingDomains]
+        if role in inside.values() and not staying:
+            obstacles.append({"consequence": f"no_{role}", "text": f"no {role} would remain"})
     steps = [
         layout_step(f"give {domain} no new work", {"domains": {domain: {"emptied": True}}}),
         wait_step(f"wait until {domain} is idle", "domain_idle", domain),
     ]
     moves = [f"{r['name']}: {r['busy']} under way end, new ones go elsewhere" for r in leaving]
-    return steps, obstacles, moves
+    return steps, obstacles, [*moves, *(f"{n}: {EMPTIED[role]}" for n, role in inside.items())]
+
+
+EMPTIED = {
+    "edge": "not ready, takes no new inquiries and holds no new journals",
+    "core": "its parts, lots and journals go to cores elsewhere",
+    "store": "stays a member of its parts; retire it to move them",
+}
 
 
 @INTENTS.entry("refill_domain")
--- a/quillring/plans/runner.py
+++ b/quillring/plans/runner.py
@@ -11,20 +11,40 @@
 
 @CONDITIONS.entry("domain_idle")
 def is_domain_idle(node, domain):
-    """Tell whether no replica of the domain has anything under way."""
+    """Script: tell whether no replica and no node of the domain has anything under way.
+
+    A node out of reach counts once it was silent for as long as service may be away.
+    """
     beats = node.find("gossip").under("replica/").values()
-    return not any(
+    if any(
         beat["domain"] == domain and beat.get("busy") and beat["state"] != "gone"
         and node.find("replicas").is_heard(beat["name"])
         for beat in beats
-    )
+    ):
+        return False
+    nifty = node.find("nifty")
+    names = [
+        m.name for m in nifty.roster.members.values()
+        if m.domain == domain and m.role != "store"
+        and (nifty.reaches(m.name) or not nifty.is_silent(m.name, node.bounds.return_))
+    ]
+    replies = yield from node.gather([(name, "node.busy", None) for name in names], len(names))
+    return not any(isinstance(reply, Trouble) or reply for reply in replies.values())
+
+
+def count_busy(node):
+    """Return how much is under way at a node: inquiries run or waiting, parts owned."""
+    dispatch, owners = node.find("dispatch"), node.find("duty").owners.values()
+    inquiries = len(dispatch.leases) + len(dispatch.waiting) if dispatch is not None else 0
+    return inquiries + sum(owner.is_owner for owner in owners)
 
 
 @CONDITIONS.entry("store_unused")
 def is_store_unused(node, store):
-    """Tell whether no part has the store as a member."""
+    """Script: tell whether no part has the store as a member."""
     duty = node.find("duty")
     return not any(store in [s[0] for s in duty.group(part)] for part in duty.parts())
+    yield
 
 
 class PlanRunner:
@@ -48,9 +68,8 @@
 
     def _step(self, owner, name, plan):
         step = plan["steps"][plan["done"]]
-        mustWait = step["do"] == "wait" and not CONDITIONS.find(step["until"])(
-            self.node, step["target"])
-        if mustWait:
+        if step["do"] == "wait" and not (
+                yield from CONDITIONS.find(step["until"])(self.node, step["target"])):
             return
         try:
             yield from owner.submit({"do": "plan.step", "plan": name, "step": plan["done"]})
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -30,6 +30,7 @@
 def drain(node, server):
     """Take nothing new, finish what is under way, hand the journal over, end."""
     node.is_draining = True
+    node.find("duty").announce_drain()
     deadline = node.now() + node.bounds.return_ * DRAIN_PATIENCE
     gevent.sleep(node.bounds.beat)
     while node.underWay and node.now() < deadline:
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -3,6 +3,7 @@
 import jsonschema
 
 from quillring.edge import short, streams
+from quillring.edge.admission import check_admission
 from quillring.kernel.troubles import Conflict, NotFound, NotFounded, Refused
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
@@ -45,10 +46,10 @@
 @route("GET", "/v1/ready")
 def show_ready(node, inquiry):
     """Tell whether the platform may hand new connections to this node."""
-    if node.is_draining:
-        raise Refused(reason="draining")
     if node.me.role == "edge":
-        node.find("freshness").check()
+        check_admission(node)
+    elif node.is_draining:
+        raise Refused(reason="draining")
     elif node.find("gossip").get("founding") is None:
         raise NotFounded()
     return {"ready": True}
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -17,9 +17,12 @@
 ]
 
 
+NODES = {f"{role}-{d}": (role, d) for role in ("edge", "core") for d in STORES.values()}
+
+
 def view(**changes):
     fields = {"version": 1, "layout": LAYOUT, "groups": GROUPS, "stores": STORES,
-              "replicas": REPLICAS, **changes}
+              "replicas": REPLICAS, "nodes": NODES, **changes}
     return View(*(fields[name] for name in View.__slots__))
 
 
