--- a/proving/points.py
+++ b/proving/points.py
@@ -10,6 +10,7 @@
     points_cuts,
     points_domains,
     points_fleet,
+    points_keeping,
     points_lots,
     points_resume,
     points_serving,
@@ -24,7 +25,7 @@
     *points_streams.POINTS, *points_serving.POINTS, *points_state.POINTS, *points_lots.POINTS,
     *points_cuts.POINTS, *points_fleet.POINTS, *points_resume.POINTS,
     *points_domains.POINTS, *points_waits.POINTS,
-    *points_starts.POINTS,
+    *points_starts.POINTS, *points_keeping.POINTS,
 ]
 
 
--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -24,12 +24,13 @@
 class Duty:
     """The table of parts as one node sees it; on a core also the owners it runs."""
 
-    __slots__ = ("node", "owners", "on_owner")
+    __slots__ = ("node", "owners", "on_owner", "checks")
 
     def __init__(self, node):
         self.node = node
         self.owners = {}
         self.on_owner = []
+        self.checks = []
         if node.me.role == "core":
             node.handle("part.submit", self.on_submit)
             node.handle("part.read", self.on_read)
@@ -118,7 +119,10 @@
 
     def on_submit(self, body, origin):
         """Commit a command in a part owned here."""
-        return self._owner(body["part"]).submit(body["command"])
+        owner = self._owner(body["part"])
+        for check in self.checks:
+            check(owner, body["command"])
+        return owner.submit(body["command"])
 
     def on_read(self, body, origin):
         """Answer a query from a part owned here, under its fence."""
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -72,6 +72,7 @@
     """A core owns parts, runs lots and holds journals."""
     _start_serving(node)
     runner = node.offer("lots", LotRunner(node))
+    node.find("duty").checks.append(runner.keeping.check)
     node.offer("granter", Granter(node))
     repair = node.offer("repair", Repair(node))
     plans = node.offer("plans", PlanRunner(node))
--- a/quillring/lots/commands.py
+++ b/quillring/lots/commands.py
@@ -13,7 +13,7 @@
 
 
 class TooManyLots(Trouble):
-    """The part holds as much open work as it may; the lot was not accepted."""
+    """The part holds as much as it may, open or with results kept; the lot was not accepted."""
 
     kind = "too_many_lots"
     status = 503
@@ -103,6 +103,15 @@
     return {**state, "lots": lots}, {"dropped": True}
 
 
+@COMMANDS.entry("lot.release")
+def release_lot(state, command):
+    """Forget an ended lot, since its sender has read what it wanted."""
+    lot = _find_lot(state, command)
+    if lot["phase"] == OPEN:
+        raise Conflict(field="lot", lot=command["lot"], phase=OPEN)
+    return drop_lot(state, command)[0], {"released": True}
+
+
 def _find_lot(state, query):
     lot = state["lots"].get(query["lot"])
     if lot is None or lot["sender"] != query["sender"]:
--- a/quillring/lots/front.py
+++ b/quillring/lots/front.py
@@ -1,13 +1,16 @@
 """Lots over HTTP: submit, status, results, cancel."""
 
+import hashlib
+
 import jsonschema
 
 from quillring.edge.admission import check_admission
-from quillring.kernel.troubles import BadInquiry
+from quillring.kernel.troubles import BadInquiry, Refused
 from quillring.kernel.wsgi import check_body, need_sender, route
 from quillring.quorum.parts import part_of
 
 LOT_LIMIT = 8 << 20
+RELEASE_LEVEL = 2
 LOT = jsonschema.Draft202012Validator({
     "type": "object",
     "additionalProperties": False,
@@ -34,7 +37,7 @@
         raise BadInquiry(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
     part = part_of(entry["service"], len(node.find("duty").parts()) - 1)
     ownKey = f"{node.world.random.getrandbits(96):024x}"
-    lotName = f"{part}.{inquiry.body.get('key') or ownKey}"
+    lotName = f"{part}.{sender_space(inquiry.sender)}.{inquiry.body.get('key') or ownKey}"
     answer = yield from node.find("duty").submit(part, {
         "do": "lot.accept", "lot": lotName, "sender": inquiry.sender,
         "entry": inquiry.body["entry"], "items": inquiry.body["items"],
@@ -42,6 +45,11 @@
     return answer
 
 
+def sender_space(sender):
+    """Return the name space of a sender: no other one's keys meet its own."""
+    return hashlib.sha256(sender.encode("utf-8", "surrogatepass")).hexdigest()[:16]
+
+
 def part_of_lot(node, lotName):
     """Return the part a lot's name points to, or refuse the name."""
     part = lotName.partition(".")[0]
@@ -75,6 +83,16 @@
     return (yield from node.find("duty").read(part_of_lot(node, lotName), query))
 
 
+@route("POST", "/v1/lots/{lot}/release")
+def release_lot(node, inquiry):
+    """Forget an ended lot; its results need not be kept any longer."""
+    lotName = inquiry.words["lot"]
+    if node.find("nifty").level() < RELEASE_LEVEL:
+        raise Refused(reason="some nodes are of the former version")
+    command = {"do": "lot.release", "lot": lotName, "sender": inquiry.sender}
+    return (yield from node.find("duty").submit(part_of_lot(node, lotName), command))
+
+
 @route("DELETE", "/v1/lots/{lot}")
 def cancel_lot(node, inquiry):
     """End a lot early."""
--- /dev/null
+++ b/quillring/lots/keeping.py
@@ -0,0 +1,57 @@
+"""Keeping the results of ended lots: bounded where lots are accepted, never by taking one away."""
+
+from quillring.lots.commands import OPEN, TooManyLots
+
+KEPT_SECONDS = 7 * 86_400
+HELD_WEIGHT = 48 << 20
+RESERVE = 1024
+
+
+class Keeping:
+    """What the lots of the parts owned here weigh, and since when they have ended."""
+
+    __slots__ = ("node", "weights", "endedAt", "lookedAt")
+
+    def __init__(self, node):
+        self.node = node
+        self.weights = {}
+        self.endedAt = {}
+        self.lookedAt = {}
+
+    def weight(self, part, name, lot):
+        """Return what a lot weighs; an ended one is weighed once."""
+        if lot["phase"] == OPEN:
+            return lot["weight"] + RESERVE * lot["count"]
+        known = self.weights.get((part, name))
+        if known is None or known[0] is not lot["results"]:
+            known = (lot["results"], sum(len(str(result)) for result in lot["results"].values()))
+            self.weights[part, name] = known
+        return known[1]
+
+    def check(self, owner, command):
+        """Refuse a lot when the part holds as much as it may, until some are released or old."""
+        if command["do"] != "lot.accept" or command["lot"] in owner.state["lots"]:
+            return
+        held = sum(self.weight(owner.part, n, lot) for n, lot in owner.state["lots"].items())
+        added = sum(map(len, command["items"])) + RESERVE * len(command["items"])
+        if held + added > HELD_WEIGHT:
+            raise TooManyLots(lot=command["lot"], held_weight=held)
+
+    def drop_old(self, owner):
+        """Forget lots that ended long ago by this owner's own clock; looked at now and then."""
+        now, bounds = self.node.now(), self.node.bounds
+        if now - self.lookedAt.get(owner.part, -bounds.return_) < bounds.return_:
+            return
+        self.lookedAt[owner.part] = now
+        lots = owner.state["lots"]
+        places = [(owner.part, name) for name, lot in lots.items() if lot["phase"] != OPEN]
+        others = {key: at for key, at in self.endedAt.items() if key[0] != owner.part}
+        self.endedAt = {**others, **{key: self.endedAt.get(key, now) for key in places}}
+        self.weights = {
+            key: known for key, known in self.weights.items()
+            if key[0] != owner.part or key[1] in lots
+        }
+        for _, name in places:
+            if now - self.endedAt[owner.part, name] > KEPT_SECONDS and not owner.queue:
+                self.node.spawn(owner.submit({"do": "lot.drop", "lot": name}))
+                return
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -1,15 +1,18 @@
 """Running the items of open lots, on the core that owns their part, on room left idle."""
 
+from collections import Counter
+from itertools import islice
+
 from quillring.classes.promises import may_repeat
 from quillring.edge.dispatch import prefix_key
 from quillring.edge.streams import STALL_MS, check_before_sending, check_line
 from quillring.kernel.effects import Next, Open, Signal, Sleep, Wait
 from quillring.kernel.troubles import BackendTrouble, Busy, NotSent, Trouble
 from quillring.lots.commands import OPEN
+from quillring.lots.keeping import Keeping
 
 ITEMS_AT_ONCE = 4
-KEPT_SECONDS = 7 * 86_400
-KEPT_WEIGHT = 32 << 20
+RESULT_LIMIT = 1 << 18
 
 
 class RunningItem:
@@ -31,13 +34,14 @@
 class LotRunner:
     """Keeps items of the lots of the owned parts running until each has a result."""
 
-    __slots__ = ("node", "running", "unsent", "endedAt")
+    __slots__ = ("node", "running", "unsent", "firstOpen", "keeping")
 
     def __init__(self, node):
         self.node = node
         self.running = {}
         self.unsent = set()
-        self.endedAt = {}
+        self.firstOpen = {}
+        self.keeping = node.offer("keeping", Keeping(node))
 
     def run(self):
         """Script: start items while there is room, and stop those of ended lots."""
@@ -45,42 +49,34 @@
             yield Sleep(self.node.bounds.beat / 5)
             for owner in self.node.find("duty").owners.values():
                 if owner.may_act():
-                    self._drop_old(owner)
+                    self.keeping.drop_old(owner)
                     if not self.node.find("duty").is_leaving(self.node.me.name):
                         self._start_items(owner)
             self._stop_ended()
 
     def _start_items(self, owner):
-        openLots = [(n, lot) for n, lot in owner.state["lots"].items() if lot["phase"] == OPEN]
-        for name, lot in openLots:
-            running = sum(key[:2] == (owner.part, name) for key in self.running)
-            waitingNumbers = (
-                n for n in range(len(lot["items"]))
-                if n not in lot["results"] and (owner.part, name, n) not in self.running
-            )
-            for number in waitingNumbers:
-                if running >= ITEMS_AT_ONCE:
-                    break
-                running += 1
+        openLots = {n: lot for n, lot in owner.state["lots"].items() if lot["phase"] == OPEN}
+        running = Counter(key[:2] for key in self.running)
+        self.firstOpen = {
+            place: n for place, n in self.firstOpen.items()
+            if place[0] != owner.part or place[1] in openLots
+        }
+        for name, lot in openLots.items():
+            room = ITEMS_AT_ONCE - running[owner.part, name]
+            for number in islice(self._waiting(owner.part, name, lot), max(0, room)):
                 key = (owner.part, name, number)
                 self.running[key] = RunningItem()
                 self.node.spawn(self._run_item(owner, key, lot))
 
-    def _drop_old(self, owner):
-        """Forget ended lots after a while, by this owner's own clock."""
-        now = self.node.now()
-        ended = [n for n, lot in owner.state["lots"].items() if lot["phase"] != OPEN]
-        former = {name: at for (part, name), at in self.endedAt.items() if part == owner.part}
-        others = {key: at for key, at in self.endedAt.items() if key[0] != owner.part}
-        kept = {(owner.part, name): former.get(name, now) for name in ended}
-        self.endedAt = {**others, **kept}
-        weight = sum(
-            len(str(result)) for n in ended for result in owner.state["lots"][n]["results"].values()
-        ) if len(ended) != len(former) else 0
-        oldest = min(ended, key=lambda n: former.get(n, now), default=None)
-        isTooMuch = weight > KEPT_WEIGHT or now - former.get(oldest, now) > KEPT_SECONDS
-        if isTooMuch and not owner.queue:
-            self.node.spawn(owner.submit({"do": "lot.drop", "lot": oldest}))
+    def _waiting(self, part, name, lot):
+        """Yield the numbers that neither have a result nor run; what lies done is passed once."""
+        first = self.firstOpen.get((part, name), 0)
+        while first in lot["results"]:
+            first += 1
+        self.firstOpen[part, name] = first
+        for number in range(first, len(lot["items"])):
+            if number not in lot["results"] and (part, name, number) not in self.running:
+                yield number
 
     def _is_wanted(self, owner, key):
         lot = owner.state["lots"].get(key[1]) if owner.may_act() else None
@@ -157,11 +153,14 @@
                 handle.close()
 
     def _read_result(self, handle, inquiryName, stallSeconds, key):
-        pieces = []
+        pieces, weight = [], 0
         while not self.running[key].stopSignal.is_set:
             line = yield Next(handle, stallSeconds)
             check_line(line, inquiryName, len(pieces))
             if line.get("end"):
                 return {"text": "".join(pieces)}
             pieces.append(line["piece"])
+            weight += len(line["piece"])
+            if weight > RESULT_LIMIT:
+                return {"trouble": "too_large"}
         return None
