--- a/proving/points_keeping.py
+++ b/proving/points_keeping.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from proving.points_base import Stage, no_check
+from quillring.edge import journal
 from quillring.lots import front, keeping
 from quillring.lots.front import release_lot, show_results, submit_lot
 from quillring.lots.keeping import Keeping
@@ -83,7 +84,57 @@
     return stage.sim.history.violations, {"lots": len(lots)}
 
 
+def full_journal(seed):
+    """Journals are small; streams under way fill them while many others come and end."""
+    stage = Stage(seed)
+    callers = stage.callers
+    with mock.patch.object(journal, "KEPT_WEIGHT", 9_000):
+        for _ in range(8):
+            stage.start(callers.stream("tagging", "long", 400, dropAfter=60))
+        for _ in range(60):
+            stage.start(callers.stream("wayfinding", "short", 30, dropAfter=1 << 30))
+            stage.run(0.25)
+        stage.run(40)
+    outcomes = stage.outcomes()
+    if outcomes.get("long/complete", 0) + outcomes.get("long/refused", 0) != 8:
+        stage.sim.history.violate(f"streams under way were dropped: {outcomes}")
+    if outcomes.get("short/complete", 0) < 20:
+        stage.sim.history.violate(f"no room was made for others: {outcomes}")
+    weights = [n.find("journal").weight for n in stage.sim.nodes.values() if n.find("journal")]
+    if max(weights) > 50_000:
+        stage.sim.history.violate(f"journals weigh {weights}")
+    dropped = sum(n.counts.get("streams_dropped", 0) for n in stage.sim.nodes.values())
+    return stage.sim.history.violations, {**outcomes, "ended_ones_dropped": dropped}
+
+
+def refused_crowd(seed):
+    """A crowd is refused; nothing of it stays in the journals."""
+    stage = Stage(seed)
+    for replica in stage.sim.replicas.values():
+        if replica.row["service"] == "words":
+            replica.leave()
+    stage.run(1)
+    for _ in range(300):
+        stage.start(stage.callers.stream("wayfinding", "crowd", 8))
+    stage.run(5)
+    held = sum(
+        len(n.find("journal").streams) for n in stage.sim.nodes.values() if n.find("journal"))
+    if held:
+        stage.sim.history.violate(f"{held} refused inquiries are still in journals")
+    return stage.sim.history.violations, {**stage.outcomes(), "held": held}
+
+
+def drop_oldest(self):
+    """Stand-in for the guard: room is made by dropping the oldest, under way or not."""
+    while self._is_full() and self.streams:
+        self.forget(min(self.streams.values(), key=lambda s: (s.ended, s.touchedAt)))
+
+
 POINTS = [
     ("a result nobody read does not vanish", unread_results, [(Keeping, "check", no_check)]),
     ("senders' keys do not meet", same_keys, [(front, "sender_space", lambda sender: "all")]),
+    ("a stream under way is not dropped for want of room", full_journal,
+     [(journal.Journal, "_make_room", drop_oldest)]),
+    ("what was refused leaves nothing behind", refused_crowd,
+     [(journal.Journal, "forget", no_check)]),
 ]
--- a/proving/points_streams.py
+++ b/proving/points_streams.py
@@ -129,7 +129,7 @@
 
 def local_keep(self, stream, newPieces, ended=False):
     """Stand-in for the guard: pieces are kept on the own node only."""
-    stream.pieces = (*stream.pieces, *newPieces)
+    stream.pieces.extend(newPieces)
     stream.ended = ended or stream.ended
     return
     yield
@@ -139,7 +139,7 @@
     """Stand-in for the guard: an append of any round is taken."""
     stream = self.streams.get(body["stream"]) or journal.Stream(
         body["stream"], body["inquiry"], body["sender"], self.node.now(), body["round"])
-    stream.pieces = (*stream.pieces[:body["from"]], *body["pieces"])
+    stream.pieces[body["from"]:] = body["pieces"]
     stream.ended = body["ended"]
     self.streams[stream.name] = stream
     return len(stream.pieces)
@@ -155,7 +155,7 @@
     good = [reply for reply in claims.values() if not isinstance(reply, Trouble)]
     inquiry, pieces, ended, _ = max(good, key=lambda reply: len(reply[1]))
     stream = journal.Stream(name, inquiry, sender, self.node.now(), claimRound)
-    stream.pieces, stream.ended = tuple(pieces), ended
+    stream.pieces, stream.ended = list(pieces), ended
     self.streams[name] = stream
     return stream
 
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -2,68 +2,81 @@
 
 from more_itertools import chunked
 
+from quillring.edge.stream import Stream, append_body
 from quillring.kernel.effects import Sleep
 from quillring.kernel.troubles import Fenced, NotFound, Refused, Trouble
 from quillring.nifty.graph import score
 
 KEPT_STREAMS = 20_000
+KEPT_WEIGHT = 256 << 20
 HANDED_AGE, HANDED_AT_ONCE = 5, 50
 
 
-class Stream:
-    """One stream: the inquiry, its pieces so far, and the round that may add to it."""
-
-    __slots__ = ("name", "inquiry", "sender", "pieces", "ended", "round", "touchedAt", "holder")
-
-    def __init__(self, name, inquiry, sender, now, round_=(1, "")):
-        self.name = name
-        self.inquiry = inquiry
-        self.sender = sender
-        self.pieces = ()
-        self.ended = False
-        self.round = tuple(round_)
-        self.touchedAt = now
-        self.holder = None
-
-
-def append_body(stream, start):
-    """Return the message that makes another node hold the stream from a piece on."""
-    return {
-        "stream": stream.name, "inquiry": stream.inquiry, "sender": stream.sender,
-        "from": start, "pieces": list(stream.pieces[start:]), "ended": stream.ended,
-        "round": list(stream.round),
-    }
-
-
 class Journal:
     """The streams this node runs or holds for another."""
 
-    __slots__ = ("node", "streams")
+    __slots__ = ("node", "streams", "weight")
 
     def __init__(self, node):
         self.node = node
         self.streams = {}
+        self.weight = 0
         node.handle("journal.append", self.on_append)
         node.handle("journal.find", self.on_find)
         node.handle("journal.claim", self.on_claim)
 
     def run(self, keptSeconds):
-        """Script: drop streams that nobody touched for long, the oldest first when too many."""
+        """Script: drop streams that nobody touched for long; those running here are kept."""
         while True:
             yield Sleep(self.node.bounds.news)
             edgeTime = self.node.now() - keptSeconds
-            keptStreams = {n: s for n, s in self.streams.items() if s.touchedAt > edgeTime}
-            if len(keptStreams) > KEPT_STREAMS:
-                newest = sorted(keptStreams.values(), key=lambda s: -s.touchedAt)[:KEPT_STREAMS]
-                keptStreams = {s.name: s for s in newest}
-            self.streams = keptStreams
+            self.streams = {
+                n: s for n, s in self.streams.items() if s.isRunning or s.touchedAt > edgeTime}
+            self.weight = sum(stream.weight for stream in self.streams.values())
+
+    def _make_room(self):
+        """Drop ended streams, the oldest first, until one more fits; refuse it otherwise.
+
+        A stream that has not ended is never dropped for want of room.
+        """
+        if not self._is_full():
+            return
+        endedStreams = sorted(
+            (s for s in self.streams.values() if s.ended and not s.isRunning),
+            key=lambda s: s.touchedAt)
+        for stream in endedStreams[:max(1, len(endedStreams) // 4)]:
+            self.forget(stream)
+            self.node.count("streams_dropped")
+        if self._is_full():
+            self.node.count("journal_refusals")
+            raise Refused(reason="the journal is full")
+
+    def _is_full(self):
+        return len(self.streams) >= KEPT_STREAMS or self.weight >= KEPT_WEIGHT
+
+    def _enter(self, stream):
+        former = self.streams.get(stream.name)
+        self.weight += stream.weight - (former.weight if former is not None else 0)
+        self.streams[stream.name] = stream
+
+    def _put(self, stream, start, pieces):
+        formerWeight = stream.weight
+        stream.put(start, pieces)
+        self.weight += stream.weight - formerWeight
 
     def open(self, name, inquiry, sender):
         """Begin the journal of a stream here."""
+        self._make_room()
         stream = Stream(name, inquiry, sender, self.node.now(), (1, self.node.me.name))
-        self.streams[name] = stream
+        self._enter(stream)
         return stream
 
+    def forget(self, stream):
+        """Drop a stream of which no sender holds a token."""
+        if self.streams.get(stream.name) is stream:
+            del self.streams[stream.name]
+            self.weight -= stream.weight
+
     def holders(self, name, avoided=()):
         """Return the reachable nodes in other domains that may hold it, edges first.
 
@@ -118,7 +131,7 @@
         """Script: add pieces here and at a second holder; return once both have them."""
         self._check_round(stream)
         oldCount = len(stream.pieces)
-        stream.pieces = (*stream.pieces, *newPieces)
+        self._put(stream, oldCount, newPieces)
         stream.ended = ended or stream.ended
         stream.touchedAt = self.node.now()
         self._leave_leaving(stream)
@@ -157,18 +170,21 @@
         if known is not None and known.round > streamRound:
             raise Fenced(stream=body["stream"])
         stream = known
-        if known is None or known.round < streamRound:
+        if known is None:
+            self._make_room()
             stream = Stream(
-                body["stream"], body["inquiry"], body["sender"], self.node.now(), streamRound
-            )
-            stream.pieces = known.pieces if known is not None else ()
+                body["stream"], body["inquiry"], body["sender"], self.node.now(), streamRound)
+        elif known.round < streamRound:
+            stream = known.claimed(self.node.now(), streamRound)
+            stream.ended = False
         start = body["from"]
         if start > len(stream.pieces):
             raise NotFound(stream=body["stream"], held=len(stream.pieces))
+        if stream is not known:
+            self._enter(stream)
         if start + len(body["pieces"]) >= len(stream.pieces):
-            stream.pieces = (*stream.pieces[:start], *body["pieces"])
+            self._put(stream, start, body["pieces"])
         stream.ended, stream.touchedAt = body["ended"] or stream.ended, self.node.now()
-        self.streams[stream.name] = stream
         return len(stream.pieces)
 
     def on_find(self, body, origin):
@@ -186,9 +202,7 @@
         claimRound = tuple(body["round"])
         if stream.round >= claimRound:
             raise Fenced(stream=stream.name)
-        claimed = Stream(stream.name, stream.inquiry, stream.sender, self.node.now(), claimRound)
-        claimed.pieces, claimed.ended = stream.pieces, stream.ended
-        self.streams[stream.name] = claimed
+        self._enter(stream.claimed(self.node.now(), claimRound))
         return [stream.inquiry, list(stream.pieces), stream.ended, list(stream.round)]
 
     def claim(self, name, sender, servedRound, check):
@@ -226,6 +240,7 @@
         inquiry, pieces, ended, _ = max(
             goodClaims, key=lambda reply: (tuple(reply[3]), len(reply[1])))
         stream = Stream(name, inquiry, sender, self.node.now(), claimRound)
-        stream.pieces, stream.ended = tuple(pieces), ended
-        self.streams[name] = stream
+        stream.put(0, pieces)
+        stream.ended = ended
+        self._enter(stream)
         return stream
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -110,6 +110,7 @@
     _, _, promise = node.find("layout").entry(stream.inquiry["entry"])
     sending = Sending(sentCount, headLine, node.now() + promise["first_piece_ms"] / 1000)
     avoidedNames = set()
+    stream.isRunning = True
     try:
         yield from emit_held(stream, sending)
         while not stream.ended:
@@ -120,6 +121,10 @@
         node.count("broken_streams")
         yield Emit({"end": False, **trouble.to_json(), "pieces": sending.count})
         return
+    finally:
+        stream.isRunning = False
+        if not stream.pieces and not sending.hasHead:
+            node.find("journal").forget(stream)
     yield Emit({"end": True, "pieces": len(stream.pieces)})
 
 
