The rolling restart as a verb: one node at a time, whole again before the next

Cause: operators had to stop processes by hand and judge by eye whether parts were whole again. Ruled out: a plan step that starts processes (the platform starts them). Before: no such verb. After: as processes, a store, a core and an edge restarted in turn under traffic; no stream cut, every outcome complete or refused. Conclusion: /v1/whole asks each part's owner; /v1/drain does what SIGTERM does.

--- a/proving/localfleet.py
+++ b/proving/localfleet.py
@@ -85,6 +85,13 @@
         """Send a signal to one of the processes started here."""
         self.processes[name].send_signal(number)
 
+    def keep_running(self):
+        """Start every process anew that ended as planned, as a platform does; return the names."""
+        endedNames = [name for name, p in self.processes.items() if p.poll() is not None]
+        for name in endedNames:
+            self.start(name)
+        return endedNames
+
     def kill(self, name):
         """Kill a process as a power cut would."""
         process = self.processes.pop(name)
--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -34,6 +34,7 @@
         if node.me.role == "core":
             node.handle("part.submit", self.on_submit)
             node.handle("part.read", self.on_read)
+            node.handle("part.whole", self.on_whole)
 
     def founding(self):
         """Return the founding record, or raise NotFounded."""
@@ -129,6 +130,13 @@
         readState = yield from self._owner(body["part"]).fenced_state()
         return QUERIES.find(body["query"]["ask"])(readState, body["query"])
 
+    def on_whole(self, body, origin):
+        """Tell whether a part owned here has three stores that hold everything."""
+        owner = self._owner(body["part"])
+        applied = yield from owner.applied_by_store()
+        late = [s[0] for s in owner.group if applied.get(s[0]) != owner.index]
+        return {"group": [s[0] for s in owner.group], "late": late}
+
     def _owner(self, part):
         owner = self.owners.get(part)
         if owner is None or not owner.is_owner:
@@ -137,15 +145,16 @@
 
     def submit(self, part, command, seconds=None):
         """Script: commit a command that carries its own id, at whichever core owns the part."""
-        answer = yield from self._ask(part, "part.submit", {"command": command}, seconds)
+        answer = yield from self.ask(part, "part.submit", {"command": command}, seconds)
         return answer
 
     def read(self, part, query, seconds=None):
         """Script: read a part's state from its owner."""
-        answer = yield from self._ask(part, "part.read", {"query": query}, seconds)
+        answer = yield from self.ask(part, "part.read", {"query": query}, seconds)
         return answer
 
-    def _ask(self, part, service, body, seconds):
+    def ask(self, part, service, body, seconds):
+        """Script: call a service of the core that owns the part, wherever it is."""
         bounds = self.node.bounds
         endTime = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
         self.founding()
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -66,6 +66,7 @@
     server = WSGIServer(settings.http_address, make_app(node), log=None, error_log=nodeLogger)
     server.start()
     stopEvent, clashes = gevent.event.Event(), []
+    node.offer("stop", stopEvent.set)
 
     def on_clash(body, origin):
         clashes.append((origin, node.now()))
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -4,12 +4,12 @@
 
 from quillring.edge import short, streams
 from quillring.edge.admission import check_admission
-from quillring.kernel.troubles import Conflict, NotFound, NotFounded, Refused
+from quillring.kernel.troubles import Conflict, NotFound, NotFounded, Refused, Trouble
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
 from quillring.plans import front as plans_front
 from quillring.quorum.founding import found_fleet
-from quillring.quorum.parts import CONFIG
+from quillring.quorum.parts import CONFIG, GROUP_SIZE
 
 PLUGINS = (short, streams, front, plans_front)
 CHANGE = jsonschema.Draft202012Validator({
@@ -104,6 +104,30 @@
     ]}
 
 
+@route("GET", "/v1/whole")
+def show_whole(node, inquiry):
+    """Tell whether every part has an owner and three stores that hold everything."""
+    duty, rows = node.find("duty"), []
+    for part in duty.parts():
+        try:
+            answer = yield from duty.ask(part, "part.whole", {}, node.bounds.beat)
+        except Trouble as trouble:
+            answer = {"trouble": trouble.kind}
+        isWhole = len(answer.get("group", ())) == GROUP_SIZE and not answer["late"]
+        rows.append({"part": part, "is_whole": isWhole, **answer})
+    return {"is_whole": all(row["is_whole"] for row in rows), "parts": rows}
+
+
+@route("POST", "/v1/drain")
+def drain(node, inquiry):
+    """End the process as planned: nothing new, what is under way ends, the platform restarts."""
+    stop = node.find("stop")
+    if stop is None:
+        raise NotFound(field="stop")
+    stop()
+    return {"name": node.me.name, "incarnation": node.me.incarnation, "draining": True}
+
+
 @route("GET", "/v1/replicas")
 def show_replicas(node, inquiry):
     """Return the replicas as this node sees them."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -129,6 +129,42 @@
     assert record.outcomes == {("long", "complete"): 6}
 
 
+def test_a_rolling_restart_by_the_verb_cuts_nothing(fleet):
+    import gevent
+    from click.testing import CliRunner
+
+    from quillring.verbs.program import main
+
+    fleet.wait_ready()
+    record, restarted, isOver = Record(), [], gevent.event.Event()
+
+    def platform():
+        while not isOver.is_set():
+            restarted.extend(fleet.keep_running())
+            gevent.sleep(0.05)
+
+    def traffic(number):
+        chance = random.Random(f"r{number}")
+        while not isOver.is_set():
+            ready = [a for a in edges(fleet) if ask(a, "GET", "/v1/ready")[0] == 200]
+            if ready:
+                stream_call(ready, chance, record, time.monotonic, "wayfinding", "short", 20, 0.0)
+
+    calls = [gevent.spawn(traffic, number) for number in range(2)]
+    watching = gevent.spawn(platform)
+    outcome = CliRunner().invoke(main, [
+        "restart", "--node", fleet.http("core-1"), "--json", "--name", "store-1", "--name",
+        "core-2", "--name", "edge-1"])
+    isOver.set()
+    gevent.joinall([*calls, watching], raise_error=True)
+    assert outcome.exit_code == 0, outcome.output
+    assert json.loads(outcome.output) == {"restarted": ["store-1", "core-2", "edge-1"]}
+    assert restarted == ["store-1", "core-2", "edge-1"]
+    assert record.violations == []
+    assert {o for _, o in record.outcomes} <= {"complete", "refused"}
+    assert record.outcomes[("short", "complete")] > 10
+
+
 def test_a_newcomer_with_a_living_members_name_is_refused(fleet, tmp_path):
     row = {**fleet.settings["edge-2"]}
     clone = LocalFleet("examples/ferrowa", tmp_path, True, {"edge-2"})
