Kept connections where a call may repeat; answers on kept connections do not wait 40 ms

Cause: gevent's server sends head and body apart, so on a kept connection the body waited for a delayed acknowledgement (48 ms a tile for callers that keep theirs); each call to a replica made a connection, and each of those asked the resolver's threads about an IP number. Failed try: kept connections alone made tiles through an edge 48 ms; that showed the first cause. Conclusion: no delay on the listening socket, the blocking resolver, kept connections for what may repeat with one fresh try when they break.

--- a/proving/overhead.py
+++ b/proving/overhead.py
@@ -1,14 +1,18 @@
 """What the edge adds to a call against asking the stand-in directly, on loopback."""
 
 import json
+import os
+import pathlib
 import random
 import statistics
 import time
 
 import click
+from geventhttpclient import HTTPClient
 
 from proving import callers
 from proving.localfleet import LocalFleet
+from quillring.kernel.settings import split_address
 
 
 def timed(call, count):
@@ -21,6 +25,33 @@
     return round(statistics.median(times), 2)
 
 
+def kept_calls(fleet, incarnation, count):
+    """Return medians over kept connections, and the edge's share of a core."""
+    replica, edge = fleet.replicas["map-1"]["address"], fleet.http("edge-1")
+    paths = {
+        replica: f"/v1/tiles/1/1/1?inquiry=x&incarnation={incarnation}",
+        edge: "/v1/tiles/tiles/1/1/1",
+    }
+    medians, used = {}, {}
+    for address, path in paths.items():
+        client = HTTPClient(*split_address(address), concurrency=1)
+        before, startTime = cpu_seconds(fleet.processes["edge-1"].pid), time.perf_counter()
+        medians[address] = timed(
+            lambda c=client, p=path: json.loads(c.request("GET", p).read()), count * 4)
+        spent = cpu_seconds(fleet.processes["edge-1"].pid) - before
+        used[address] = spent / (time.perf_counter() - startTime), spent / (count * 4)
+        client.close()
+    idleShare = used[replica][0]
+    busySeconds = used[edge][1] - idleShare * medians[edge] / 1000
+    return medians[replica], medians[edge], round(busySeconds * 100, 3)
+
+
+def cpu_seconds(pid):
+    """Return the processor seconds that a process has used."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 @click.command()
 @click.option("--run-folder", default="run/fleet", show_default=True)
 @click.option("--count", default=200, show_default=True)
@@ -42,6 +73,8 @@
         through = timed(
             lambda: callers.ask(edge, "GET", "/v1/tiles/tiles/1/1/1")[0] == 200, count)
 
+        keptDirect, keptThrough, share = kept_calls(fleet, incarnation, count)
+
         def stream():
             callers.stream_call(
                 [edge], chance, record, time.monotonic, "wayfinding", "short", 20, 0.0)
@@ -51,7 +84,9 @@
         firsts = statistics.median(record.firstPieces) * 1000
         click.echo(json.dumps({
             "tile_direct_ms": direct, "tile_through_edge_ms": through,
-            "ratio": round(through / direct, 2), "first_piece_ms": round(firsts, 2),
+            "ratio": round(through / direct, 2), "kept_direct_ms": keptDirect,
+            "kept_through_edge_ms": keptThrough, "kept_ratio": round(keptThrough / keptDirect, 2),
+            "core_share_per_100_tiles_a_second": share, "first_piece_ms": round(firsts, 2),
             "stand_in_first_piece_ms": 9,
         }))
     finally:
--- a/proving/standin.py
+++ b/proving/standin.py
@@ -8,11 +8,11 @@
 import click
 import gevent
 import gevent.event
-from gevent.pywsgi import WSGIServer
 
 from proving.standin_logic import StandIn, piece_count, piece_text, seat_word, tile_word
 from quillring.kernel import backend
 from quillring.kernel.effects import Fetch
+from quillring.kernel.http_server import start_server
 from quillring.kernel.settings import split_address
 from quillring.kernel.troubles import Trouble
 
@@ -94,8 +94,7 @@
     """Run a stand-in replica that beats to whichever node takes it."""
     standIn = StandIn(name, slots, warm_seconds, time.monotonic())
     standIn.incarnation = time.time_ns() // 1000
-    server = WSGIServer(split_address(address), Server(standIn).app, log=None)
-    server.start()
+    server = start_server(split_address(address), Server(standIn).app)
     stopEvent = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopEvent.set)
     sequence, turn = 0, hash(name)
@@ -108,7 +107,8 @@
         for _ in range(len(nodes)):
             try:
                 backend.fetch(Fetch(
-                    split_address(nodes[turn % len(nodes)]), "POST", "/v1/replicas/beats", body, 1
+                    split_address(nodes[turn % len(nodes)]), "POST", "/v1/replicas/beats", body,
+                    1, True,
                 ))
                 return
             except Trouble:
--- a/quillring/edge/short.py
+++ b/quillring/edge/short.py
@@ -76,7 +76,7 @@
             lease.mayRunOn = True
             status, answer = yield Fetch(
                 lease.replica.address, method, lease.replica.path(path, inquiry=name),
-                body and {**body, "inquiry": name}, endTime - node.now(),
+                body and {**body, "inquiry": name}, endTime - node.now(), may_repeat(promise),
             )
             lease.mayRunOn = False
             if status == 503:
--- a/quillring/kernel/backend.py
+++ b/quillring/kernel/backend.py
@@ -1,4 +1,7 @@
-"""HTTP/1.1 + JSON towards back ends, by geventhttpclient."""
+"""HTTP/1.1 + JSON towards back ends, by geventhttpclient.
+
+Addresses are IP numbers, so the resolver has nothing to wait for and needs no threads.
+"""
 
 import json
 
@@ -7,6 +10,7 @@
 
 from quillring.kernel.troubles import BackendTrouble, NotSent
 
+gevent.config.resolver = "block"
 HEADERS = {"Content-Type": "application/json"}
 READ_ERRORS = (OSError, HTTPParseError, ValueError)
 
@@ -45,17 +49,59 @@
     return client.request(method, path, body=data, headers=HEADERS)
 
 
+class Idle:
+    """Connections kept open between inquiries that may repeat, the latest used again first."""
+
+    __slots__ = ("clients", "room")
+
+    def __init__(self, room=256):
+        self.clients = []
+        self.room = room
+
+    def take(self, address):
+        """Return a client that is connected to the address, or None."""
+        for number in range(len(self.clients) - 1, -1, -1):
+            if self.clients[number][0] == address:
+                return self.clients.pop(number)[1]
+        return None
+
+    def put(self, address, client):
+        """Keep a client whose answer was read whole; the oldest goes when there are too many."""
+        self.clients.append((address, client))
+        if len(self.clients) > self.room:
+            self.clients.pop(0)[1].close()
+
+
+IDLE = Idle()
+
+
 def fetch(effect):
     """Send an inquiry and return (status, JSON body)."""
-    client = _connect(effect.address, effect.seconds)
+    keptClient = IDLE.take(effect.address) if effect.mayRepeat else None
+    if keptClient is not None:
+        try:
+            return _exchange(keptClient, effect)
+        except BackendTrouble as trouble:
+            if trouble.detail["reason"] == "time":
+                raise
+    return _exchange(_connect(effect.address, effect.seconds), effect)
+
+
+def _exchange(client, effect):
+    isWhole = False
     try:
         with gevent.Timeout(effect.seconds, BackendTrouble(reason="time")):
             response = _request(client, effect.method, effect.path, effect.body)
-            return response.status_code, json.loads(response.read() or b"null")
+            answer = response.status_code, json.loads(response.read() or b"null")
+        isWhole = True
+        return answer
     except READ_ERRORS as error:
         raise BackendTrouble(reason=type(error).__name__) from error
     finally:
-        client.close()
+        if isWhole and effect.mayRepeat:
+            IDLE.put(effect.address, client)
+        else:
+            client.close()
 
 
 def open_stream(effect):
--- a/quillring/kernel/effects.py
+++ b/quillring/kernel/effects.py
@@ -35,9 +35,12 @@
 
 
 class Fetch(Effect):
-    """Send one HTTP inquiry to a back end; resume with (status, body)."""
+    """Send one HTTP inquiry to a back end; resume with (status, body).
 
-    __slots__ = ("address", "method", "path", "body", "seconds")
+    One that may repeat goes over a kept connection, which may break without telling why.
+    """
+
+    __slots__ = ("address", "method", "path", "body", "seconds", "mayRepeat")
 
 
 class Open(Effect):
--- a/quillring/verbs/client.py
+++ b/quillring/verbs/client.py
@@ -13,7 +13,7 @@
     if not is_real_address(node):
         raise BadInquiry(field="--node", reason="not an IP:PORT")
     status, answer = backend.fetch(
-        Fetch(split_address(node), method, path, body, PATIENCE_SECONDS)
+        Fetch(split_address(node), method, path, body, PATIENCE_SECONDS, False)
     )
     if status >= 400:
         detail = {n: v for n, v in (answer or {}).items() if n != "trouble"}
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -6,10 +6,10 @@
 import time
 
 import gevent
-from gevent.pywsgi import WSGIServer
 
 from quillring.fleet import make_node, open_store, start_node
 from quillring.kernel.gevent_world import GeventWorld
+from quillring.kernel.http_server import start_server
 from quillring.kernel.ringlog import ring_log
 from quillring.kernel.troubles import Trouble
 from quillring.kernel.wsgi import make_app
@@ -63,8 +63,7 @@
     start_node(node, acceptors)
     nifty = node.find("nifty")
     world.listen(*settings.address, nifty.on_datagram, nifty.on_frame)
-    server = WSGIServer(settings.http_address, make_app(node), log=None, error_log=nodeLogger)
-    server.start()
+    server = start_server(settings.http_address, make_app(node), nodeLogger)
     stopEvent, clashes = gevent.event.Event(), []
     node.offer("stop", stopEvent.set)
 
--- /dev/null
+++ b/tests/test_backend.py
@@ -0,0 +1,62 @@
+import socket
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from quillring.kernel import backend
+from quillring.kernel.effects import Fetch
+from quillring.kernel.http_server import start_server
+from quillring.kernel.troubles import BackendTrouble
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue"
+
+
+class Server:
+    """Answers the first inquiry of each connection, breaks off at the second."""
+
+    def __init__(self):
+        self.inquiries = []
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        self.address = ("127.0.0.1", self.server.server_port)
+
+    def serve(self, conn, _):
+        with conn, conn.makefile("rb") as reader:
+            for isFirst in (True, False):
+                while (line := reader.readline()) not in (b"\r\n", b""):
+                    if b"HTTP/1.1" in line:
+                        self.inquiries.append((isFirst, line))
+                if line and isFirst:
+                    conn.sendall(ANSWER)
+
+
+def fetch(server, mayRepeat):
+    return backend.fetch(Fetch(server.address, "POST", "/x", {}, 5, mayRepeat))
+
+
+def test_what_may_repeat_survives_a_kept_connection_that_breaks_off():
+    server = Server()
+    assert [fetch(server, True) for _ in range(3)] == [(200, True)] * 3
+    assert [isFirst for isFirst, _ in server.inquiries] == [True, False, True, False, True]
+
+
+def test_what_may_not_repeat_never_goes_over_a_kept_connection():
+    server = Server()
+    assert fetch(server, True) == (200, True)
+    assert [fetch(server, False) for _ in range(2)] == [(200, True)] * 2
+    assert all(isFirst for isFirst, _ in server.inquiries)
+
+
+def test_no_answer_in_time_is_not_tried_again():
+    silent = StreamServer(("127.0.0.1", 0), lambda conn, _: gevent.sleep(60))
+    silent.start()
+    effect = Fetch(("127.0.0.1", silent.server_port), "GET", "/", None, 0.05, True)
+    with pytest.raises(BackendTrouble):
+        backend.fetch(effect)
+
+
+def test_answers_do_not_wait_for_acknowledgements():
+    server = start_server(("127.0.0.1", 0), lambda environ, start: [])
+    assert server.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    server.stop()
