Bad input is refused by type at every route, layout, settings file and frame

Cause, found by seeded fuzz: superscript digits, lone surrogates, JSON nested deeper than the stack, infinities, cut-off bodies and whole numbers written as floats got through to int(), cbor2 or the log; wrong methods were 404; unknown query words were passed over; emptying an unknown domain made one; a command that raised would have raised at every store for ever. Two members at one address (a node renamed, its former name not forgotten) left the new name without an echo: out. Conclusion: one strict parser and validator; what can't be applied is answered, alike everywhere.

--- a/proving/sweep.py
+++ b/proving/sweep.py
@@ -1,5 +1,6 @@
 """The sweep: many simulator seeds, on all cores; failing seeds print their replay command."""
 
+import gc
 import json
 import multiprocessing
 import sys
@@ -13,6 +14,7 @@
 
 def run_one(job):
     """Run one seed in a worker."""
+    gc.disable()
     deployment, seed, faults, small = job
     startTime = time.perf_counter()
     try:
@@ -23,6 +25,8 @@
     except Exception as error:
         place = traceback.format_exc().splitlines()[-12:]
         violations, marks, outcomes, counts = [f"failure: {error!r}", *place], [], {}, {}
+    gc.enable()
+    gc.collect()
     return {
         "deployment": deployment, "seed": seed, "violations": violations, "marks": marks,
         "outcomes": outcomes, "counts": counts, "seconds": time.perf_counter() - startTime,
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -3,13 +3,12 @@
 import math
 from urllib.parse import urlencode
 
-import jsonschema
-
+from quillring.kernel.checks import StrictValidator
 from quillring.kernel.troubles import Conflict
 from quillring.kernel.wsgi import check_body
 
 NAME = {"type": "string", "pattern": "^[a-z][a-z0-9-]{0,40}$"}
-BEAT = jsonschema.Draft202012Validator({
+BEAT = StrictValidator({
     "type": "object",
     "additionalProperties": False,
     "required": [
--- a/quillring/edge/short.py
+++ b/quillring/edge/short.py
@@ -1,14 +1,12 @@
 """Short inquiries: map tiles and seat confirmations."""
 
-import jsonschema
-
 from quillring.classes.promises import may_repeat
 from quillring.edge.admission import check_admission
 from quillring.edge.streams import check_before_sending
+from quillring.kernel.checks import StrictValidator, read_count
 from quillring.kernel.effects import Fetch
 from quillring.kernel.troubles import (
     BackendTrouble,
-    BadInquiry,
     Busy,
     NotFound,
     NotSent,
@@ -17,7 +15,7 @@
 )
 from quillring.kernel.wsgi import check_body, route
 
-SEAT = jsonschema.Draft202012Validator({
+SEAT = StrictValidator({
     "type": "object",
     "additionalProperties": False,
     "required": ["entry", "key", "seat"],
@@ -33,13 +31,8 @@
 def serve_tile(node, inquiry):
     """Serve one map tile."""
     words = inquiry.words
-    faultyNames = [n for n in ("zoom", "column", "row") if not words[n].isdigit()]
-    if faultyNames:
-        raise BadInquiry(
-            field=faultyNames[0],
-            faults=[{"field": name, "fault": "not a number"} for name in faultyNames],
-        )
-    path = f"/v1/tiles/{words['zoom']}/{words['column']}/{words['row']}"
+    zoom, column, row = (read_count(words[name], name) for name in ("zoom", "column", "row"))
+    path = f"/v1/tiles/{zoom}/{column}/{row}"
     answer = yield from ask_replica(node, words["entry"], "map", "GET", path, None, path)
     return {"tile": answer["tile"]}
 
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -1,11 +1,10 @@
 """Model inquiries: streamed, numbered, journalled, resumed."""
 
-import jsonschema
-
 from quillring.classes.promises import may_resume, may_run_on
 from quillring.edge.admission import check_admission, check_open
 from quillring.edge.dispatch import prefix_key
 from quillring.edge.tokens import make_token, read_token
+from quillring.kernel.checks import StrictValidator, read_count
 from quillring.kernel.effects import Emit, Next, Open
 from quillring.kernel.troubles import (
     BackendTrouble,
@@ -20,7 +19,7 @@
 )
 from quillring.kernel.wsgi import check_body, need_sender, route
 
-MODEL_INQUIRY = jsonschema.Draft202012Validator({
+MODEL_INQUIRY = StrictValidator({
     "type": "object",
     "additionalProperties": False,
     "required": ["entry", "prompt"],
@@ -49,17 +48,14 @@
     yield from run_stream(node, stream, 0, node.now() + timeLeft)
 
 
-@route("GET", "/v1/streams/{token}")
+@route("GET", "/v1/streams/{token}", queryWords=("after",))
 def resume_stream(node, inquiry):
     """Serve what follows the last piece the sender has."""
     check_open(node)
     secret = node.find("duty").founding()["secret"]
     streamName, tokenRound = read_token(
         secret, inquiry.words["token"], inquiry.sender, node.world.wall())
-    afterTexts = inquiry.query.get("after", ["0"])
-    if not afterTexts[0].isdigit():
-        raise BadInquiry(field="after", faults=[{"field": "after", "fault": "not a count"}])
-    sentCount = int(afterTexts[0])
+    sentCount = read_count(inquiry.query.get("after", ["0"])[0], "after")
     stream = yield from node.find("journal").claim(
         streamName, inquiry.sender, tokenRound,
         lambda found: len(found) > 2 and check_resumable(node, found[2]))
--- a/quillring/gossip/gossip.py
+++ b/quillring/gossip/gossip.py
@@ -6,6 +6,7 @@
 import cbor2
 
 from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import BadWire
 
 FANOUT = 3
 
@@ -43,15 +44,25 @@
         version = tuple(version)
         if key in self.table and self.table[key][0] >= version:
             return False
+        former = self.table.get(key)
         self.table[key] = (version, value)
+        try:
+            self._tell(key, value)
+        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+            self.table = {k: kept for k, kept in self.table.items() if k != key}
+            if former is not None:
+                self.table[key] = former
+            raise BadWire(reason="news", key=key) from error
         self.digest = None
         memberCount = len(self.node.find("nifty").roster.names)
         self.fresh[key] = math.ceil(math.log2(memberCount + 1)) + 1
+        return True
+
+    def _tell(self, key, value):
         for prefix, prefixListeners in self.listeners.items():
             if key.startswith(prefix):
                 for listener in prefixListeners:
                     listener(key, value)
-        return True
 
     def run(self):
         """Script: pass fresh news on, and compare digests once a beat."""
--- a/quillring/kernel/settings.py
+++ b/quillring/kernel/settings.py
@@ -1,10 +1,7 @@
 """Settings of one process, from a file or flags, checked by schema; all faults at once."""
 
-import json
-
-import jsonschema
-
 from quillring.kernel.bounds import Bounds
+from quillring.kernel.checks import StrictValidator, parse_json
 from quillring.kernel.troubles import BadSetting
 
 ADDRESS = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
@@ -76,7 +73,7 @@
 
 def find_faults(fields):
     """Return one clear line for each fault of the settings."""
-    validator = jsonschema.Draft202012Validator(SCHEMA)
+    validator = StrictValidator(SCHEMA)
     faults = [
         f"{'.'.join(str(s) for s in error.absolute_path) or 'settings'}: {error.message}"
         for error in validator.iter_errors(fields)
@@ -117,7 +114,7 @@
     if path is not None:
         try:
             with open(path, encoding="utf-8") as settingsFile:
-                fields = json.load(settingsFile)
+                fields = parse_json(settingsFile.read())
         except (OSError, ValueError) as error:
             fault = BadSetting(fault=f"settings file {path}: {error}")
             raise ExceptionGroup("settings", [fault]) from error
--- a/quillring/kernel/troubles.py
+++ b/quillring/kernel/troubles.py
@@ -86,6 +86,13 @@
     status = 404
 
 
+class WrongMethod(Trouble):
+    """The path is known, but not under this method."""
+
+    kind = "wrong_method"
+    status = 405
+
+
 class Refused(Trouble):
     """A final refusal: the work never ran and will not run."""
 
--- a/quillring/kernel/wsgi.py
+++ b/quillring/kernel/wsgi.py
@@ -5,8 +5,9 @@
 import re
 from urllib.parse import parse_qs
 
+from quillring.kernel.checks import parse_json
 from quillring.kernel.registry import Registry
-from quillring.kernel.troubles import BadInquiry, NotFound, TooLarge, Trouble
+from quillring.kernel.troubles import BadInquiry, NotFound, TooLarge, Trouble, WrongMethod
 
 ROUTES = Registry("route")
 BODY_LIMIT = 1 << 20
@@ -31,13 +32,13 @@
         self.sender = sender
 
 
-def route(method, pattern, limit=BODY_LIMIT):
+def route(method, pattern, limit=BODY_LIMIT, queryWords=()):
     """Register a function(node, inquiry) for a path such as /v1/lots/{lot}."""
     names = re.findall(r"{(\w+)}", pattern)
     matcher = re.compile(re.sub(r"{\w+}", "([^/]+)", pattern))
 
     def enter(function):
-        ROUTES.entry((method, pattern))((matcher, names, limit, function))
+        ROUTES.entry((method, pattern))((matcher, names, limit, queryWords, function))
         return function
 
     return enter
@@ -63,11 +64,15 @@
 
 
 def find_route(method, path):
-    """Return (function, path words, body limit) of an inquiry, or raise NotFound."""
-    for (routeMethod, _), (matcher, names, limit, function) in ROUTES.entries.items():
+    """Return (function, path words, body limit, query words), or raise what is wrong."""
+    methods = []
+    for (routeMethod, _), (matcher, names, limit, queryWords, function) in ROUTES.entries.items():
         found = matcher.fullmatch(path)
         if found and routeMethod == method:
-            return function, dict(zip(names, found.groups(), strict=True)), limit
+            return function, dict(zip(names, found.groups(), strict=True)), limit, queryWords
+        methods += [routeMethod] if found else []
+    if methods:
+        raise WrongMethod(path=path, method=method, allowed=sorted(methods))
     raise NotFound(path=path, method=method)
 
 
@@ -77,17 +82,34 @@
         length = int(environ.get("CONTENT_LENGTH") or 0)
     except ValueError as error:
         raise BadInquiry(field="Content-Length") from error
+    if length < 0:
+        raise BadInquiry(field="Content-Length")
     if length > limit:
         raise TooLarge(limit=limit, field="body")
-    data = environ["wsgi.input"].read(min(length, limit + 1) if length else limit + 1)
+    try:
+        data = environ["wsgi.input"].read(min(length, limit + 1) if length else limit + 1)
+    except OSError as error:
+        raise BadInquiry(field="body", faults=[{"field": "body", "fault": "cut off"}]) from error
+    if len(data) < length:
+        raise BadInquiry(field="body", faults=[{"field": "body", "fault": "cut off"}])
     if len(data) > limit:
         raise TooLarge(limit=limit, field="body")
     try:
-        return json.loads(data) if data else None
-    except (ValueError, RecursionError) as error:
+        return parse_json(data) if data else None
+    except ValueError as error:
         raise BadInquiry(field="body", faults=[{"field": "body", "fault": "not JSON"}]) from error
 
 
+def read_query(environ, queryWords):
+    """Return the query; a word that the route does not know is refused."""
+    query = parse_qs(environ.get("QUERY_STRING", ""), keep_blank_values=True)
+    unknownWords = sorted(set(query) - set(queryWords))
+    if unknownWords:
+        faults = [{"field": word[:100], "fault": "unknown query word"} for word in unknownWords]
+        raise BadInquiry(field=unknownWords[0][:100], faults=faults[:10])
+    return query
+
+
 def make_app(node):
     """Return the WSGI application of a node."""
 
@@ -96,9 +118,10 @@
 
     def answer(environ, start_response):
         try:
-            function, words, limit = find_route(environ["REQUEST_METHOD"], environ["PATH_INFO"])
+            method = environ["REQUEST_METHOD"]
+            function, words, limit, queryWords = find_route(method, environ["PATH_INFO"])
             inquiry = Inquiry(
-                environ["REQUEST_METHOD"], words, parse_qs(environ.get("QUERY_STRING", "")),
+                method, words, read_query(environ, queryWords),
                 read_body(environ, limit), environ.get("HTTP_X_SENDER", ""),
             )
             outcome = function(node, inquiry)
--- a/quillring/lots/front.py
+++ b/quillring/lots/front.py
@@ -2,16 +2,15 @@
 
 import hashlib
 
-import jsonschema
-
 from quillring.edge.admission import check_admission
+from quillring.kernel.checks import StrictValidator, read_count
 from quillring.kernel.troubles import BadInquiry, Refused
 from quillring.kernel.wsgi import check_body, need_sender, route
 from quillring.quorum.parts import part_of
 
 LOT_LIMIT = 8 << 20
 RELEASE_LEVEL = 2
-LOT = jsonschema.Draft202012Validator({
+LOT = StrictValidator({
     "type": "object",
     "additionalProperties": False,
     "required": ["entry", "items"],
@@ -66,19 +65,17 @@
     return (yield from node.find("duty").read(part_of_lot(node, lotName), query))
 
 
-@route("GET", "/v1/lots/{lot}/results")
+@route("GET", "/v1/lots/{lot}/results", queryWords=("from", "count"))
 def show_results(node, inquiry):
     """Return the results from a position on."""
     lotName = inquiry.words["lot"]
-    texts = [inquiry.query.get(n, [d])[0] for n, d in (("from", "0"), ("count", "1000"))]
-    faultyNames = [n for n, text in zip(("from", "count"), texts) if not text.isdigit()]
-    if faultyNames:
-        raise BadInquiry(field=faultyNames[0], faults=[
-            {"field": name, "fault": "not a number"} for name in faultyNames
-        ])
+    start, count = (
+        read_count(inquiry.query.get(name, [default])[0], name)
+        for name, default in (("from", "0"), ("count", "1000"))
+    )
     query = {
         "ask": "lot.results", "lot": lotName, "sender": inquiry.sender,
-        "from": int(texts[0]), "count": min(int(texts[1]), 1000),
+        "from": start, "count": min(count, 1000),
     }
     return (yield from node.find("duty").read(part_of_lot(node, lotName), query))
 
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -1,5 +1,7 @@
 """NIFTY in a process: heartbeats to all, bitmaps, graph, routes, relays, deduplication."""
 
+import math
+
 from quillring.kernel.effects import Sleep
 from quillring.kernel.troubles import BadWire
 from quillring.nifty.graph import Graph
@@ -61,7 +63,10 @@
             me.to_list(), self.beatSequence, self.roster.digest,
             self.roster.to_bitmap(self.reached_names()), self.stampSource(),
         ]
-        memberAddresses = {m.address: m.name for m in self.roster.members.values()}
+        latestLast = sorted(
+            self.roster.members.values(),
+            key=lambda m: self.heard[m.name].at if m.name in self.heard else -math.inf)
+        memberAddresses = {m.address: m.name for m in latestLast}
         for address in dict.fromkeys((*memberAddresses, *self.seeds)):
             if address == me.address:
                 continue
@@ -111,15 +116,13 @@
             tell_stranger(self, member, beat.version, "member.clash", None)
             return
         if heard is not None:
-            if member.incarnation < heard.incarnation:
+            if member.incarnation == heard.incarnation:
+                heard.version = max(heard.version, beat.version)
+            if (member.incarnation, sequence) <= (heard.incarnation, heard.sequence):
                 if beat.version > 1 and not self.is_heard(heard):
                     former = heard.incarnation
                     tell_stranger(self, member, beat.version, "member.former", former)
                 return
-            if member.incarnation == heard.incarnation:
-                heard.version = max(heard.version, beat.version)
-                if sequence <= heard.sequence:
-                    return
         wasReached = member.name in self.graph.links.get(self.node.me.name, ())
         if heard is None or heard.incarnation != member.incarnation:
             heard = self.heard[member.name] = Heard(
--- a/quillring/plans/front.py
+++ b/quillring/plans/front.py
@@ -1,13 +1,12 @@
 """Plans over HTTP: propose, show, confirm, stop."""
 
-import jsonschema
-
+from quillring.kernel.checks import StrictValidator
 from quillring.kernel.troubles import NotFound
 from quillring.kernel.wsgi import check_body, route
 from quillring.plans.make import INTENTS, View, make_plan
 from quillring.quorum.parts import CONFIG
 
-INTENT = jsonschema.Draft202012Validator({
+INTENT = StrictValidator({
     "type": "object",
     "additionalProperties": False,
     "required": ["kind", "target"],
@@ -17,7 +16,7 @@
         "service": {"type": "string", "minLength": 1, "maxLength": 41},
     },
 })
-CONFIRM = jsonschema.Draft202012Validator({
+CONFIRM = StrictValidator({
     "type": "object",
     "additionalProperties": False,
     "properties": {
--- a/quillring/quorum/commands.py
+++ b/quillring/quorum/commands.py
@@ -19,10 +19,18 @@
             state, answer = COMMANDS.find(command["do"])(state, command)
         except Trouble as trouble:
             answer = trouble
+        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+            answer = BadCommand(reason=type(error).__name__)
         answers.append(answer)
     return state, answers
 
 
+class BadCommand(Trouble):
+    """A command that can't be applied; it changes nothing, at every store alike."""
+
+    kind = "bad_command"
+
+
 @COMMANDS.entry("group.change")
 def change_group(state, command):
     """Change the part's stores by one member at a time."""
--- a/quillring/rollout/schema.py
+++ b/quillring/rollout/schema.py
@@ -1,6 +1,6 @@
 """The schema of layouts and the checks that go across its sections."""
 
-import jsonschema
+from quillring.kernel.checks import StrictValidator
 
 NAME = "^[a-z][a-z0-9_-]{0,40}$"
 MILLISECONDS = {"type": "integer", "minimum": 1, "maximum": 86_400_000}
@@ -51,7 +51,7 @@
         "stores": STORE,
     },
 }
-VALIDATOR = jsonschema.Draft202012Validator(SCHEMA)
+VALIDATOR = StrictValidator(SCHEMA)
 EMPTY = {"classes": {}, "services": {}, "entries": {}, "domains": {}}
 
 
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -1,9 +1,8 @@
 """HTTP routes for operators, back ends and the platform."""
 
-import jsonschema
-
 from quillring.edge import short, streams
 from quillring.edge.admission import check_admission
+from quillring.kernel.checks import StrictValidator
 from quillring.kernel.troubles import Conflict, NotFound, NotFounded, Refused, Trouble
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
@@ -12,7 +11,7 @@
 from quillring.quorum.parts import CONFIG, GROUP_SIZE
 
 PLUGINS = (short, streams, front, plans_front)
-CHANGE = jsonschema.Draft202012Validator({
+CHANGE = StrictValidator({
     "type": "object",
     "additionalProperties": False,
     "required": ["base_version", "layout"],
@@ -23,7 +22,7 @@
         "id": {"type": "string", "minLength": 1, "maxLength": 64},
     },
 })
-FOUND = jsonschema.Draft202012Validator({
+FOUND = StrictValidator({
     "type": "object",
     "additionalProperties": False,
     "required": ["parts"],
@@ -172,6 +171,8 @@
 def _mark_domain(node, inquiry, isEmptied):
     query = {"ask": "layout"}
     current = yield from node.find("duty").read(CONFIG, query)
+    if inquiry.words["domain"] not in (current["layout"] or {}).get("domains", {}):
+        raise NotFound(field="domain", domain=inquiry.words["domain"])
     return (yield from node.find("duty").submit(CONFIG, {
         "do": "layout.adopt", "id": f"{node.world.random.getrandbits(96):024x}",
         "base_version": current["version"], "whole": False,
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -1,6 +1,6 @@
 import socket
 
-import gevent
+import gevent.event
 import pytest
 from gevent.server import StreamServer
 
@@ -49,7 +49,7 @@
 
 
 def test_no_answer_in_time_is_not_tried_again():
-    silent = StreamServer(("127.0.0.1", 0), lambda conn, _: gevent.sleep(60))
+    silent = StreamServer(("127.0.0.1", 0), lambda conn, _: gevent.event.Event().wait())
     silent.start()
     effect = Fetch(("127.0.0.1", silent.server_port), "GET", "/", None, 0.05, True)
     with pytest.raises(BackendTrouble):
--- a/tests/test_nifty.py
+++ b/tests/test_nifty.py
@@ -6,6 +6,7 @@
 from quillring.kernel.node import Node
 from quillring.kernel.troubles import BadWire
 from quillring.nifty import Graph, Member, Nifty
+from quillring.nifty.heard import Beat
 from quillring.nifty.member import Roster
 from quillring.nifty.seen import WINDOW, SeenWindow
 from quillring.nifty.wire import MAGIC, SPOKEN, pack, unpack
@@ -187,6 +188,17 @@
         assert world.frames[0][1][2] == spoken
 
 
+def test_a_node_renamed_at_its_address_is_not_taken_for_its_former_name():
+    made, nifty, world = node("a")
+    former = Member("z", 1, "edge", "north", *member("b").address, 8000, "")
+    nifty.on_datagram(beat(former, 1, {"a"}, [1, 1], "abz"))
+    world.time = 2.0
+    nifty.on_datagram(beat(member("b"), 1, {"a"}, None, "abz"))
+    world.datagrams.clear()
+    nifty.send_beats()
+    assert [Beat(data, SPOKEN).echo for _, data in world.datagrams] == [(1, 1)]
+
+
 def test_a_start_whose_clock_was_set_back_is_told_of_the_former_one():
     made, nifty, world = node("a")
     nifty.on_datagram(beat(member("b", 50), 1, {"a"}, None, "ab"))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from proving import fuzz
 from proving.callers import Record, ask, follow_lot, lot_call, stream_call
 from proving.localfleet import LocalFleet
 
@@ -95,6 +96,22 @@
     fleet.wait_for("garbage counted", counted)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_bad_http_input_never_is_a_500_and_runs_nothing(fleet, seed):
+    chance = random.Random(f"http {seed}")
+    strange, typed = [], 0
+    for _ in range(150):
+        case = fuzz.http_case(chance)
+        status, answer = fuzz.exchange(fleet.http(chance.choice(("edge-1", "core-1"))), case)
+        isTyped = isinstance(answer, dict) and "trouble" in answer
+        typed += isTyped and 400 <= status < 500
+        if not (status == 200 or (400 <= status < 500 and (isTyped or case[0] == "HEAD"))):
+            strange.append((status, answer, case))
+    assert strange == []
+    assert typed > 100
+    assert ask(edges(fleet)[0], "GET", "/v1/ready")[0] == 200
+
+
 def test_malformed_json_names_the_body(fleet):
     host, port = edges(fleet)[0].rsplit(":", 1)
     with socket.create_connection((host, int(port))) as conn:
