A result can be read within 1 s while its part has no owner

Cause: every read went through the part's owner; from its death to the takeover (2.3 s median) readers waited, up to 3.3 s seen. Ruled out: faster takeovers (detection alone takes three heartbeats); any single store (it may lack what an owner has answered already). Conclusion: a majority of the stores answers when nothing accepted beyond concerns the lot. New scenarios as well: a plan outlives its core; 640 entries added under traffic.

--- a/proving/points.py
+++ b/proving/points.py
@@ -12,6 +12,7 @@
     points_fleet,
     points_keeping,
     points_lots,
+    points_reading,
     points_resume,
     points_serving,
     points_starts,
@@ -26,6 +27,7 @@
     *points_cuts.POINTS, *points_fleet.POINTS, *points_resume.POINTS,
     *points_domains.POINTS, *points_waits.POINTS,
     *points_starts.POINTS, *points_keeping.POINTS,
+    *points_reading.POINTS,
 ]
 
 
--- a/proving/points_base.py
+++ b/proving/points_base.py
@@ -7,6 +7,7 @@
 from proving.sim.fleet import SimFleet
 from proving.sim.monitor import Monitor
 from proving.sim.run import ONCE_CLASS
+from quillring.kernel.wsgi import Inquiry
 
 SMALL = {
     "sizes": {"edge": 4, "core": 3, "store": 4}, "replicas": [("words", 4, 4), ("map", 2, 4)],
@@ -58,6 +59,10 @@
         """Let the platform use every live edge again."""
         del self.callers.edge
 
+    def inquiry(self, method, words, query, body, sender):
+        """Return an inquiry as the HTTP side hands it on."""
+        return Inquiry(method, words, query, body, sender)
+
     def outcomes(self):
         """Return {kind/outcome: count} of the callers."""
         return {f"{k}/{o}": n for (k, o), n in sorted(self.callers.record.outcomes.items())}
--- /dev/null
+++ b/proving/points_reading.py
@@ -0,0 +1,152 @@
+"""Scenarios about reading what stands: results within 1 s, plans while their core dies."""
+
+from proving.points_base import Stage
+from proving.points_state import adopt
+from quillring.duty import duty
+from quillring.gossip import Gossip
+from quillring.kernel.troubles import TimedOut
+from quillring.lots.front import show_results
+from quillring.plans.front import confirm, propose, show_one
+from quillring.plans.runner import PlanRunner
+from quillring.quorum.parts import CONFIG
+from quillring.rollout import Freshness
+
+
+def result_read(seed):
+    """Results are read at every edge all the time while their part's owner dies, twice."""
+    stage = Stage(seed)
+    sim, chance, late, slowest, reads = stage.sim, stage.sim.chance, [], [], []
+    for _ in range(8):
+        stage.start(stage.callers.lot("gate-notices", 8, 0.0))
+
+    def reader(lot, sender):
+        while True:
+            node, startTime = chance.choice(sim.up_nodes("edge")), sim.env.now
+            written = _written(stage, lot)
+            inquiry = stage.inquiry("GET", {"lot": lot}, {}, None, sender)
+            answer, trouble = yield from sim.run_script(node, show_results(node, inquiry))
+            seconds = sim.env.now - startTime
+            reads.append(seconds)
+            if not answer or seconds > sim.bounds.reading:
+                late.append(f"{lot} after {seconds:.2f} s: {trouble}")
+            elif {row["n"] for row in answer["results"]} < written:
+                late.append(f"{lot} lacks results that stood before it was asked")
+            slowest.append(seconds)
+            yield sim.env.timeout(chance.uniform(0.05, 0.15))
+
+    stage.run(1.5)
+    for lot, known in list(stage.callers.lots.items())[:4]:
+        stage.start(reader(lot, known["sender"]))
+    for _ in range(2):
+        stage.run(chance.uniform(1, 2))
+        name = stage.node("edge-1").find("gossip").get("owner/part-1")["owner"]
+        sim.kill(name)
+        stage.run(4)
+        sim.start(name)
+        stage.run(2)
+    for text in late[:5]:
+        sim.history.violate(text)
+    return sim.history.violations, {
+        "reads": len(reads), "late": len(late), "slowest_s": round(max(slowest, default=0), 2)}
+
+
+def _written(stage, lot):
+    """Return the numbers of the results that a live owner of the part has written."""
+    part = lot.partition(".")[0]
+    for node in stage.sim.up_nodes("core"):
+        owner = node.find("duty").owners.get(part)
+        if owner is not None and owner.may_act() and lot in owner.state["lots"]:
+            return set(owner.state["lots"][lot]["results"])
+    return set()
+
+
+def plan_core_dies(seed):
+    """The core that runs an operator's plan dies in its midst; the plan ends all the same."""
+    stage = Stage(seed)
+    stage.start(stage.callers.generate(6, stage.callers.stream, "wayfinding", "short", 40))
+
+    def asked(make, method, words, body):
+        for _ in range(6):
+            answer, trouble = yield from stage.callers.ask(make, method, words, body=body)
+            if answer or not isinstance(trouble, TimedOut):
+                return answer
+        return None
+
+    domain = stage.sim.chance.choice(("north", "east", "south"))
+    plan = stage.finish(stage.start(
+        asked(propose, "POST", {}, {"kind": "empty_domain", "target": domain})))
+    name = plan["plan"]
+    ownerName = stage.node("edge-1").find("gossip").get(f"owner/{CONFIG}")["owner"]
+    stage.finish(stage.start(asked(confirm, "POST", {"plan": name}, {
+        "accept": ["less_room"], "id": "operator"})))
+    stage.run(stage.sim.chance.uniform(0, 1))
+    stage.sim.kill(ownerName)
+    stage.callers.stopAt = stage.env.now + 3
+    stage.run(20)
+    seen = stage.finish(stage.start(asked(show_one, "GET", {"plan": name}, None)))
+    version = stage.node("edge-1").find("layout").version
+    if not seen or seen["phase"] != "done" or version != 2:
+        stage.sim.history.violate(f"the plan is {seen and seen['phase']}, layout {version}")
+    return stage.sim.history.violations, {
+        **stage.outcomes(), "phase": seen and seen["phase"], "domain": domain}
+
+
+def growing_layout(seed):
+    """Hundreds of entries come, in many changes and as one, under traffic; all nodes have them."""
+    stage = Stage(seed)
+    stage.start(stage.callers.generate(6, stage.callers.stream, "wayfinding", "short", 10))
+    version, slow, sizes = 1, [], [4] * 60 + [400]
+    for number, count in enumerate(sizes):
+        change = {"entries": {
+            f"grown-{number}-{n}": {"service": "words", "class": "traveller", "prefix": "p" * 40}
+            for n in range(count)}}
+        answer, trouble = adopt(stage, "core-1", change, version)
+        if not answer:
+            stage.sim.history.violate(f"change {number} was refused: {trouble}")
+            break
+        version, acceptedAt = answer["version"], stage.env.now
+        while any(n.find("layout").version < version for n in stage.sim.nodes.values()):
+            stage.run(0.02)
+            if stage.env.now - acceptedAt > 2:
+                behind = [n.me.name for n in stage.sim.nodes.values()
+                          if n.find("layout").version < version]
+                stage.sim.history.violate(f"{behind} lack layout {version} after 2 s")
+                break
+        slow.append(stage.env.now - acceptedAt)
+    outcomes = stage.outcomes()
+    if set(outcomes) - {"short/complete"}:
+        stage.sim.history.violate(f"traffic suffered: {outcomes}")
+    return stage.sim.history.violations, {
+        **outcomes, "entries": sum(sizes), "slowest_s": round(max(slow, default=0), 2)}
+
+
+def never_peek(node, part, group, query):
+    """Stand-in for the guard: nothing is read without an owner."""
+    return None
+    yield
+
+
+def first_core_only(self, owner, name, plan):
+    """Stand-in for the guard: only the core that began a plan goes on with it."""
+    CORES.setdefault((self.node.world.env, name), self.node.me.name)
+    if CORES[self.node.world.env, name] == self.node.me.name:
+        yield from REAL_STEP(self, owner, name, plan)
+
+
+CORES = {}
+REAL_STEP = PlanRunner._step
+
+
+def no_news(self, *words):
+    """Stand-in for the guard: no layout is passed on or fetched."""
+    return []
+
+
+POINTS = [
+    ("a result can be read within 1 s", result_read, [(duty, "peek", never_peek)]),
+    ("a plan outlives the core that runs it", plan_core_dies,
+     [(PlanRunner, "_step", first_core_only)]),
+    ("a layout that grows is everywhere within 2 s", growing_layout,
+     [(Gossip, "push_news", no_news), (Gossip, "on_digest", no_news),
+      (Freshness, "_fetch_newer", no_news)]),
+]
--- a/proving/sim/fleet.py
+++ b/proving/sim/fleet.py
@@ -15,7 +15,6 @@
 from quillring.kernel.settings import split_address
 from quillring.nifty import Member
 from quillring.nifty.wire import SPOKEN
-from quillring.rollout.commands import QUERIES  # noqa: F401
 
 FOUNDED_AT = 6.0
 
--- a/quillring/duty/__init__.py
+++ b/quillring/duty/__init__.py
@@ -1,6 +1,6 @@
 """Duties cut by key over the live core nodes; a key changes hands under a fence."""
 
-from quillring.duty.duty import QUERIES, Duty
+from quillring.duty.duty import Duty
 from quillring.duty.rank import ranked_cores
 
-__all__ = ["Duty", "QUERIES", "ranked_cores"]
+__all__ = ["Duty", "ranked_cores"]
--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -2,7 +2,6 @@
 
 from quillring.duty.rank import ranked_cores
 from quillring.kernel.effects import Sleep
-from quillring.kernel.registry import Registry
 from quillring.kernel.troubles import (
     Fenced,
     NoMajority,
@@ -14,10 +13,11 @@
     Trouble,
     Unreachable,
 )
+from quillring.quorum.commands import QUERIES
 from quillring.quorum.owner import Owner, wait_for_owner
 from quillring.quorum.parts import majority
+from quillring.quorum.peek import peek
 
-QUERIES = Registry("query")
 LOOK_ELSEWHERE = (Fenced, NotOwner, TimedOut, Unreachable)
 
 
@@ -149,9 +149,27 @@
         return answer
 
     def read(self, part, query, seconds=None):
-        """Script: read a part's state from its owner."""
-        answer = yield from self.ask(part, "part.read", {"query": query}, seconds)
-        return answer
+        """Script: read a part's state from its owner, or from a majority of its stores."""
+        bounds, lastTrouble = self.node.bounds, NotOwner(part=part)
+        endTime = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
+        while self.node.now() < endTime:
+            hopelessness = self.why_hopeless(part)
+            if hopelessness is not None:
+                raise Refused(reason=hopelessness.kind, part=part)
+            for ownerName in self._candidates(part)[:1]:
+                try:
+                    body = {"part": part, "query": query}
+                    answer = yield from self.node.call(
+                        ownerName, "part.read", body, bounds.reading / 2)
+                    return answer
+                except (*LOOK_ELSEWHERE, NoMajority) as trouble:
+                    lastTrouble = trouble
+            known = yield from peek(self.node, part, self.group(part), query)
+            if known is not None:
+                self.node.count("peeks")
+                return known()
+            yield from wait_for_owner(self.node, bounds.beat / 4)
+        raise Refused(reason=lastTrouble.kind, part=part)
 
     def ask(self, part, service, body, seconds):
         """Script: call a service of the core that owns the part, wherever it is."""
--- a/quillring/lots/commands.py
+++ b/quillring/lots/commands.py
@@ -4,9 +4,8 @@
 
 import cbor2
 
-from quillring.duty.duty import QUERIES
 from quillring.kernel.troubles import Conflict, NotFound, Trouble
-from quillring.quorum.commands import COMMANDS
+from quillring.quorum.commands import COMMANDS, QUERIES
 
 OPEN, ENDED, CANCELLED = "open", "ended", "cancelled"
 OPEN_WEIGHT = 16 << 20
--- a/quillring/plans/commands.py
+++ b/quillring/plans/commands.py
@@ -1,8 +1,7 @@
 """Commands and queries of the config part that keep plans."""
 
-from quillring.duty.duty import QUERIES
 from quillring.kernel.troubles import Conflict, NotFound, Trouble
-from quillring.quorum.commands import COMMANDS
+from quillring.quorum.commands import COMMANDS, QUERIES
 
 KEPT_PLANS = 32
 PROPOSED, RUNNING, DONE, STOPPED, FAILED = "proposed", "running", "done", "stopped", "failed"
--- a/quillring/quorum/__init__.py
+++ b/quillring/quorum/__init__.py
@@ -1,8 +1,10 @@
 """Replicated state in parts: each with its own stores, ballots, log and membership."""
 
 from quillring.quorum.acceptor import Acceptors
-from quillring.quorum.commands import COMMANDS, apply_batch
+from quillring.quorum.commands import COMMANDS, QUERIES, apply_batch
 from quillring.quorum.owner import Owner
 from quillring.quorum.parts import CONFIG, part_names, part_of
 
-__all__ = ["Acceptors", "COMMANDS", "CONFIG", "Owner", "apply_batch", "part_names", "part_of"]
+__all__ = [
+    "Acceptors", "COMMANDS", "CONFIG", "Owner", "QUERIES", "apply_batch", "part_names", "part_of",
+]
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -1,7 +1,7 @@
 """The acceptors on a store machine: promises, accepted entries, applied state, per part."""
 
 from quillring.kernel.troubles import Conflict, Fenced, NotFounded, Trouble
-from quillring.quorum.commands import apply_batch, first_state
+from quillring.quorum.commands import QUERIES, apply_batch, first_state
 from quillring.quorum.parts import CONFIG
 
 
@@ -64,7 +64,8 @@
     def attach(self, node):
         """Join the node, whose member record carries the identity found on disk."""
         self.node = node
-        for name in ("found", "prepare", "accept", "commit", "install", "image", "confirm"):
+        for name in ("found", "prepare", "accept", "commit", "install", "image", "peek",
+                     "confirm"):
             node.handle(f"quorum.{name}", getattr(self, f"on_{name}"))
 
     def image(self):
@@ -188,6 +189,23 @@
             raise NotFounded(part=body["part"], store=self.node.me.name)
         return [partRecord.applied, partRecord.state]
 
+    def on_peek(self, body, origin):
+        """Answer a query from the applied state, with what may be chosen beyond it."""
+        partRecord = self.parts.get(body["part"])
+        if partRecord is None or partRecord.state is None:
+            raise NotFounded(part=body["part"], store=self.node.me.name)
+        if body["identity"] != self.identity:
+            raise WrongIdentity(store=self.node.me.name, identity=self.identity)
+        later = [
+            [index, command.get("lot")] for index, (_, batch) in partRecord.entries.items()
+            if index > partRecord.applied for command in batch
+        ]
+        try:
+            answer = [None, QUERIES.find(body["query"]["ask"])(partRecord.state, body["query"])]
+        except Trouble as trouble:
+            answer = [trouble.kind, trouble.detail]
+        return [partRecord.applied, partRecord.state["group"], later, *answer]
+
     def stamp(self):
         """Return the config part's ballot and committed index for the heartbeats."""
         configRecord = self.parts.get(CONFIG)
--- a/quillring/quorum/commands.py
+++ b/quillring/quorum/commands.py
@@ -4,6 +4,7 @@
 from quillring.kernel.troubles import Trouble
 
 COMMANDS = Registry("command")
+QUERIES = Registry("query")
 
 
 def first_state(group):
--- a/quillring/rollout/commands.py
+++ b/quillring/rollout/commands.py
@@ -1,8 +1,7 @@
 """Commands and queries of the config part that change and show the layout."""
 
-from quillring.duty.duty import QUERIES
 from quillring.kernel.troubles import Conflict, Trouble
-from quillring.quorum.commands import COMMANDS
+from quillring.quorum.commands import COMMANDS, QUERIES
 from quillring.rollout.schema import EMPTY, find_faults, merge
 
 KEPT_CHANGES = 64
