--- a/proving/points_cuts.py
+++ b/proving/points_cuts.py
@@ -5,9 +5,11 @@
 from proving.points_base import Stage, no_check
 from proving.points_state import FRESH, adopt, names_but
 from proving.sim import backends
+from quillring.duty import Duty
 from quillring.edge.dispatch import Dispatch
 from quillring.nifty.graph import Graph
 from quillring.quorum.hints import Hints
+from quillring.quorum.repair import Repair
 from quillring.store.slots import SlotStore
 
 
@@ -114,6 +116,7 @@
         inARow = inARow + 1 if good >= 2 else 0
         if inARow == 4:
             goodAt = stage.env.now
+        if goodAt is not None or stage.env.now > healedAt + 20:
             break
     backAfter = None if goodAt is None else round(goodAt - healedAt, 2)
     if backAfter is None or backAfter > 12 + 4:
@@ -180,6 +183,16 @@
     return stage.sim.history.violations, outcomes
 
 
+def take_at_first_only(self, part, attempts):
+    """Stand-in for the guard: no core takes a part over once the fleet runs."""
+    if self.node.world.env.now > 8:
+        return
+    yield from REAL_TAKE(self, part, attempts)
+
+
+REAL_TAKE = Duty._take
+
+
 def undecided_room(seed):
     """The same, but the core that decides dies just before the travellers come."""
     return borrowed_room(seed, killsDecider=True)
@@ -218,11 +231,13 @@
          name: (1, (name,)) for name in self.links.get(self.home, ())})]),
     ("several bridges share the relaying", several_bridges, [(Graph, "next_hop", one_hop)]),
     ("a cut without a bridge is refused honestly", cut_without_bridge, FRESH),
-    ("service returns after a closing fault", closing_fault, []),
+    ("service returns after a closing fault", closing_fault,
+     [(Duty, "_take", take_at_first_only)]),
     ("hints are handed over and dropped", hinted_handoff, [(Hints, "_hand_over", no_script := (
         lambda self, name: iter(())))]),
     ("full disks accept nothing", full_disks, [(SlotStore, "_write", write_nothing)]),
-    ("a retired store leaves every part", retired_store, []),
+    ("a retired store leaves every part", retired_store,
+     [(Repair, "is_retired", lambda self, store: False)]),
     ("borrowed room is given back by pausing", borrowed_room,
      [(Dispatch, "_pause_borrowers", no_check)]),
     ("borrowed room is given back when the deciding core is lost", undecided_room,
--- a/proving/points_fleet.py
+++ b/proving/points_fleet.py
@@ -3,6 +3,9 @@
 from proving.points_base import Stage
 from proving.points_cuts import traffic
 from proving.sim.fleet import SimFleet
+from quillring.classes import Taker
+from quillring.edge.lease import Waiter
+from quillring.lots import runner
 from quillring.nifty import Nifty
 from quillring.quorum.acceptor import Acceptors
 from quillring.quorum.founding import found_fleet
@@ -98,11 +101,24 @@
         **outcomes, "accepted": accepted, "slowest_first_piece_s": round(firsts[-1], 2)}
 
 
+def equal_waiter(self, promise, *words):
+    """Stand-in for the guard: all that wait are equally urgent."""
+    REAL_WAITER(self, {**promise, "urgency": 5}, *words)
+
+
+def no_limit(self, service, className):
+    """Stand-in for the guard: no class has a limit."""
+    return None
+
+
+REAL_WAITER = Waiter.__init__
 REAL_LEARN = Nifty.learn
 POINTS = [
     ("swapped machines and new seeds are taken in", swapped_machines,
      [(Nifty, "learn", learn_once)]),
     ("two founders found one fleet", racing_founders,
      [(Acceptors, "on_found", found_anything)]),
-    ("a flood of lots leaves urgent classes their promise", flood_of_lots, []),
+    ("a flood of lots leaves urgent classes their promise", flood_of_lots,
+     [(Waiter, "__init__", equal_waiter), (Taker, "limit", no_limit),
+      (runner, "ITEMS_AT_ONCE", 400)]),
 ]
--- a/proving/sim/backends.py
+++ b/proving/sim/backends.py
@@ -44,14 +44,16 @@
         self.mixesUp = False
         self.breaksOff = False
         self.isNoisy = False
+        self.isFrozen = False
         self.sequence = 0
         sim.env.process(self._beat())
 
     def _beat(self):
         chance = self.sim.chance
         while not self.is_dead:
-            self.logic.bearable(self.sim.env.now)
-            self.send_beat()
+            if not self.isFrozen:
+                self.logic.bearable(self.sim.env.now)
+                self.send_beat()
             yield self.sim.env.timeout(0.4 * chance.uniform(0.9, 1.1))
 
     def send_beat(self):
@@ -94,11 +96,21 @@
         yield self.sim.env.timeout(self.sim.net.delay())
         if replica is None or replica.is_dead:
             raise NotSent(reason="refused")
+        if replica.isFrozen:
+            yield from self._wait_frozen(replica, effect.seconds)
         if replica.is_dark or not self.sim.net.passes(world.address, replica.address):
             yield self.sim.env.timeout(min(1.0, max(0, effect.seconds)))
             raise NotSent(reason="connect")
         return replica
 
+    def _wait_frozen(self, replica, seconds):
+        """A frozen replica's connection is taken by its machine; nothing answers."""
+        endTime = self.sim.env.now + max(0, seconds)
+        while replica.isFrozen:
+            if self.sim.env.now >= endTime:
+                raise BackendTrouble(reason="time")
+            yield self.sim.env.timeout(0.05)
+
     def _start(self, replica, name, prefix, work, words):
         if words["incarnation"] != str(replica.logic.incarnation):
             self.sim.history.count("former_starts")
@@ -144,6 +156,8 @@
         number = body["from"]
         while not handle.isClosed and not replica.is_dead and number < count:
             yield self.sim.env.timeout(PIECE_SECONDS)
+            while replica.isFrozen:
+                yield self.sim.env.timeout(0.05)
             number += 1
             if replica.is_dead or replica.is_dark:
                 break
