--- /dev/null
+++ b/proving/closing.py
@@ -0,0 +1,44 @@
+"""The closing fault of a day on a local fleet, and how long service takes to return."""
+
+import json
+import random
+import time
+
+import gevent
+
+from proving import callers
+
+RETURN_SECONDS = 12
+
+
+def probe(fleet):
+    """Tell whether every edge serves a stream and takes a lot now."""
+    probeRecord = callers.Record()
+    entries = json.loads((fleet.example / "layout.json").read_text())["entries"]
+    short = next(e for e in ("wayfinding", "price-hints") if e in entries)
+    lots = next(e for e in ("gate-notices", "fraud-reports") if e in entries)
+    for name in fleet.names("edge"):
+        edge, chance = [fleet.http(name)], random.Random(name)
+        callers.stream_call(edge, chance, probeRecord, time.monotonic, short, "probe", 3, 0.0)
+        body = {"entry": lots, "items": ["one"], "key": f"probe-{time.monotonic_ns()}"}
+        status, _ = callers.ask(edge[0], "POST", "/v1/lots", body, "probe")
+        probeRecord.note("probe", "complete" if status == 200 else "refused")
+    return set(probeRecord.outcomes) == {("probe", "complete")}
+
+
+def closing_fault(fleet, record, note):
+    """Kill a core and a store, cut two more nodes, then heal; measure the return."""
+    fleet.kill("core-1")
+    fleet.kill("store-2")
+    fleet.cut(("core-3", "store-3"), ("edge-2", "core-3"), ("edge-2", "store-1"))
+    gevent.sleep(6)
+    fleet.cut()
+    fleet.start("core-1")
+    fleet.start("store-2")
+    healedAt, goodInARow = time.monotonic(), 0
+    while goodInARow < 3 and time.monotonic() - healedAt < 60:
+        goodInARow = goodInARow + 1 if probe(fleet) else 0
+    backAfter = round(time.monotonic() - healedAt, 2)
+    note(f"three good rounds at every edge {backAfter} s after the closing fault")
+    if backAfter > RETURN_SECONDS:
+        record.violate(f"service took {backAfter} s to return")
--- a/proving/example_day.py
+++ b/proving/example_day.py
@@ -8,11 +8,10 @@
 import gevent
 
 from proving import callers
+from proving.closing import closing_fault
 from proving.day import MIXES, run_traffic
 from proving.localfleet import LocalFleet
 
-RETURN_SECONDS = 12
-
 
 class Day:
     """The operator and the platform of one day."""
@@ -74,43 +73,6 @@
             f"{kind} {target}", lambda: self.ask("GET", path)[1].get("phase") == "done")
         self.note(f"plan {kind} {target} is done")
 
-    def closing_fault(self):
-        """Kill a core and a store, cut two more nodes, then heal; measure the return."""
-        fleet = self.fleet
-        fleet.kill("core-1")
-        fleet.kill("store-2")
-        fleet.cut(("core-3", "store-3"), ("edge-2", "core-3"), ("edge-2", "store-1"))
-        gevent.sleep(6)
-        fleet.cut()
-        fleet.start("core-1")
-        fleet.start("store-2")
-        healedAt, goodInARow = time.monotonic(), 0
-        while goodInARow < 3 and time.monotonic() - healedAt < 60:
-            goodInARow = goodInARow + 1 if self.probe() else 0
-        backAfter = round(time.monotonic() - healedAt, 2)
-        self.note(f"three good rounds at every edge {backAfter} s after the closing fault")
-        if backAfter > RETURN_SECONDS:
-            self.record.violate(f"service took {backAfter} s to return")
-
-    def probe(self):
-        """Tell whether every edge serves a stream and takes a lot now."""
-        probeRecord = callers.Record()
-        for name in self.fleet.names("edge"):
-            edge, chance = [self.fleet.http(name)], random.Random(name)
-            entries = [e for e in ("wayfinding", "price-hints") if e in self.layoutEntries]
-            callers.stream_call(
-                edge, chance, probeRecord, time.monotonic, entries[0], "probe", 3, 0.0)
-            lots = [e for e in ("gate-notices", "fraud-reports") if e in self.layoutEntries]
-            body = {"entry": lots[0], "items": ["one"], "key": f"probe-{time.monotonic_ns()}"}
-            status, _ = callers.ask(edge[0], "POST", "/v1/lots", body, "probe")
-            probeRecord.note("probe", "complete" if status == 200 else "refused")
-        return set(probeRecord.outcomes) == {("probe", "complete")}
-
-    @property
-    def layoutEntries(self):
-        """Return the entries of the example layout."""
-        return json.loads((self.fleet.example / "layout.json").read_text())["entries"]
-
     def run(self, seconds):
         """Run the steps while the mix is called; a crowd comes in the middle."""
         calls = gevent.spawn(
@@ -125,7 +87,7 @@
         self.restart_all()
         gevent.joinall([calls, crowd], raise_error=True)
         self.note("the traffic ended")
-        self.closing_fault()
+        closing_fault(self.fleet, self.record, self.note)
 
 
 @click.command()
--- a/proving/faulty.py
+++ b/proving/faulty.py
@@ -4,9 +4,12 @@
 import os
 
 from quillring.kernel.gevent_world import GeventWorld
+from quillring.kernel.troubles import DiskTrouble
+from quillring.store import FolderDisk
 from quillring.verbs import cli, process, program
 
 CUTS_FILE = os.environ.get("PROVING_CUTS", "")
+FULL_FILE = os.environ.get("PROVING_FULL", "")
 
 
 class FaultyWorld(GeventWorld):
@@ -44,9 +47,35 @@
             super().frame(address, data)
 
 
+class FullDisk(FolderDisk):
+    """A data folder with no room left while a file lists it."""
+
+    __slots__ = ()
+
+    def _check_room(self, name):
+        try:
+            with open(FULL_FILE, encoding="utf-8") as fullFile:
+                isFull = self.folder in json.load(fullFile)
+        except (OSError, ValueError):
+            isFull = False
+        if isFull:
+            raise DiskTrouble(file=name, reason="no space left")
+
+    def write(self, name, data):
+        """Write unless full."""
+        self._check_room(name)
+        super().write(name, data)
+
+    def append(self, name, data):
+        """Append unless full."""
+        self._check_room(name)
+        super().append(name, data)
+
+
 def main():
     """Run the program on the faulty world."""
     realRun = process.run_process
+    process.FolderDisk = FullDisk
     cli.run_process = lambda settings, reread: realRun(settings, reread, FaultyWorld)
     program.main()
 
--- a/proving/localfleet.py
+++ b/proving/localfleet.py
@@ -23,6 +23,8 @@
         self.runFolder.mkdir(parents=True, exist_ok=True)
         self.cutsFile = self.runFolder / "cuts.json"
         self.cutsFile.write_text("[]")
+        self.fullFile = self.runFolder / "full.json"
+        self.fullFile.write_text("[]")
         self.processes = {}
         rows = [json.loads(p.read_text()) for p in sorted(self.example.glob("settings/*.json"))]
         self.settings = {row["name"]: row for row in rows if only is None or row["name"] in only}
@@ -73,7 +75,9 @@
                 words += ["--node", node]
         self.processes[name] = subprocess.Popen(
             [sys.executable, *words], stdout=outFile, stderr=outFile, start_new_session=True,
-            env={**os.environ, "PROVING_CUTS": str(self.cutsFile)},
+            env={
+                **os.environ, "PROVING_CUTS": str(self.cutsFile),
+                "PROVING_FULL": str(self.fullFile)},
         )
 
     def start_all(self):
@@ -111,6 +115,12 @@
         freshFile.write_text(json.dumps([*addresses, *(pair[::-1] for pair in addresses)]))
         freshFile.replace(self.cutsFile)
 
+    def fill(self, names):
+        """Let the disks of these stores be full, and all others have room."""
+        freshFile = self.fullFile.with_suffix(".new")
+        freshFile.write_text(json.dumps([self.settings[name]["folder"] for name in names]))
+        freshFile.replace(self.fullFile)
+
     def stop_all(self):
         """End everything that still runs."""
         for process in self.processes.values():
@@ -146,6 +156,11 @@
             self.http(cores[0]), "PUT", "/v1/layout", body)[0] == 200)
         self.wait_ready()
 
+    def wait_whole(self):
+        """Wait until every part has three stores that hold everything."""
+        edge = self.http(self.names("edge")[0])
+        self.wait_for("whole", lambda: ask(edge, "GET", "/v1/whole")[1].get("is_whole"))
+
     def wait_ready(self):
         """Wait until every running edge is ready and knows every running replica."""
         runningReplicas = {n for n in self.replicas if n in self.processes}
--- a/proving/storm.py
+++ b/proving/storm.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import shutil
 import signal
 import time
 
@@ -9,6 +10,7 @@
 import gevent
 
 from proving import callers
+from proving.closing import closing_fault
 from proving.day import MIXES, run_traffic
 from proving.localfleet import LocalFleet
 
@@ -29,7 +31,7 @@
 
     def _pick(self, role):
         names = [n for n in self.fleet.names(role) if n not in self.away]
-        return self.chance.choice(names)
+        return self.chance.choice(names or self.fleet.names(role))
 
     def kill(self, role):
         """Kill a node, start it again."""
@@ -75,12 +77,53 @@
         gevent.sleep(2)
         self.away.discard(name)
 
+    def empty(self):
+        """Swap a store for one with an empty folder, once."""
+        if "emptied" in self.away:
+            return
+        self.away.add("emptied")
+        name = self._pick("store")
+        self.away.add(name)
+        self.note(f"empty {name}")
+        self.fleet.kill(name)
+        shutil.rmtree(self.fleet.settings[name]["folder"])
+        gevent.sleep(self.chance.uniform(0.5, 4))
+        self.fleet.start(name)
+        gevent.sleep(10)
+        self.away.discard(name)
+
+    def lose_domain(self):
+        """Lose every process of a domain at once, once; they come back."""
+        if self.away:
+            return
+        domain = self.chance.choice(("north", "east", "south", "west"))
+        rows = [*self.fleet.settings.values(), *self.fleet.replicas.values()]
+        names = sorted(row["name"] for row in rows if row["domain"] == domain)
+        self.away.update(names)
+        self.note(f"lose domain {domain}")
+        for name in names:
+            self.fleet.kill(name)
+        gevent.sleep(self.chance.uniform(1, 5))
+        for name in names:
+            self.fleet.start(name)
+        gevent.sleep(3)
+        self.away.difference_update(names)
+
+    def full(self):
+        """A store's disk fills up for a while."""
+        name = self._pick("store")
+        self.note(f"disk of {name} is full")
+        self.fleet.fill([name])
+        gevent.sleep(self.chance.uniform(1, 5))
+        self.fleet.fill([])
+
     def run(self, seconds, period):
         """Bring about a fault in every period."""
         faults = [
             lambda: self.kill("edge"), lambda: self.kill("core"), lambda: self.kill("store"),
             lambda: self.freeze("edge"), lambda: self.freeze("core"),
             lambda: self.freeze("store"), self.cut, self.cut, self.replica,
+            self.empty, self.lose_domain, self.full,
         ]
         endTime, running = time.monotonic() + seconds, []
         while time.monotonic() < endTime:
@@ -107,6 +150,8 @@
             gevent.spawn(storm.run, seconds, period),
         ], raise_error=True)
         fleet.wait_ready()
+        fleet.wait_whole()
+        closing_fault(fleet, record, storm.note)
         click.echo(json.dumps({**record.to_json(), "steps": storm.steps}, indent=1))
     finally:
         fleet.stop_all()
