--- a/proving/sim/operators.py
+++ b/proving/sim/operators.py
@@ -42,13 +42,12 @@
             self.sim.history.violate("an invalid layout was adopted")
 
     def empty_domain(self):
-        """A domain is emptied and refilled."""
+        """A domain is emptied and refilled; also when it is not known whether it was emptied."""
         domain = self.sim.chance.choice(["north", "east", "south", "west"])
-        answer, _ = yield from self.adopt({"domains": {domain: {"emptied": True}}}, "empty")
-        if not answer:
-            return
-        self.sim.history.mark(f"empty {domain}")
-        self.sim.history.emptied.setdefault(domain, self.sim.env.now)
+        answer, trouble = yield from self.adopt({"domains": {domain: {"emptied": True}}}, "empty")
+        self.sim.history.mark(f"empty {domain}: {'accepted' if answer else trouble}")
+        if answer:
+            self.sim.history.emptied.setdefault(domain, self.sim.env.now)
         yield self.sim.env.timeout(self.sim.chance.uniform(6, 10))
         self.sim.history.emptied.pop(domain, None)
         for _ in range(20):
