An ended lot's items stop within 3 s though the core that runs them is frozen

Ruled out: leases on items (a replica would need the tier's clock). Conclusion: the owner that decides the end asks every replica of the service to stop what bears the lot's name; replicas that do not know the call are as before.

--- a/proving/points_lots.py
+++ b/proving/points_lots.py
@@ -118,6 +118,28 @@
     return stage.sim.history.violations, stage.outcomes()
 
 
+def frozen_owner(seed):
+    """Lots are cancelled while the core that runs their items is frozen."""
+    stage = Stage(seed)
+    callers = stage.callers
+    with mock.patch.object(backends, "PIECE_SECONDS", 0.5):
+        for _ in range(4):
+            stage.start(callers.lot("gate-notices", 6, 0.0))
+        stage.run(stage.sim.chance.uniform(1, 2))
+        stage.sim.freeze(stage.node("edge-1").find("gossip").get("owner/part-1")["owner"], 14)
+        stage.run(0.2)
+        cancels = [
+            stage.start(callers._cancel(lot, known["sender"], known["items"]))
+            for lot, known in callers.lots.items()]
+        for task in cancels:
+            stage.finish(task, 20)
+        stage.run(30)
+    ended = len(stage.sim.history.endedAt)
+    if not ended:
+        stage.sim.history.violate("no lot was cancelled")
+    return stage.sim.history.violations, {**stage.outcomes(), "items_ended": ended}
+
+
 def accept_at_once(self, records):
     """Stand-in for the guard: answered before anything is synced."""
     self.waiting.append((records, slots.Signal()))
@@ -177,7 +199,10 @@
     ("a result keeps its value", noisy_results,
      [(commands, "COMMANDS", CommandsWith("lot.result", overwrite_result))]),
     ("an ended lot stops within 3 s", cancelled_lot,
-     [(LotRunner, "_stop_ended", no_check), (LotRunner, "_is_wanted", lambda s, o, k: True)]),
+     [(LotRunner, "_stop_ended", no_check), (LotRunner, "_is_wanted", lambda s, o, k: True),
+      (LotRunner, "_tell_replicas", lambda self, lot, entry: iter(()))]),
+    ("an ended lot stops though its runner is frozen", frozen_owner,
+     [(LotRunner, "_tell_replicas", lambda self, lot, entry: iter(()))]),
     ("an emptied store never votes for the old one", emptied_store,
      [(acceptor.Acceptors, "_check", unfenced)]),
 ]
--- a/proving/sim/backends.py
+++ b/proving/sim/backends.py
@@ -45,6 +45,7 @@
         self.breaksOff = False
         self.isNoisy = False
         self.isFrozen = False
+        self.handles = []
         self.sequence = 0
         sim.env.process(self._beat())
 
@@ -126,6 +127,11 @@
         path, _, query = effect.path.partition("?")
         words = dict(parse_qsl(query))
         name = words["inquiry"]
+        if path == "/v1/stop":
+            for inquiryName, handle in replica.handles:
+                if inquiryName.startswith(effect.body["inquiries_of"]):
+                    handle.close()
+            return 200, {"stopped": True}
         work = effect.body["key"] if effect.body else path
         if self._start(replica, name, "", work, words) is None:
             return 503, {"trouble": "busy"}
@@ -147,6 +153,7 @@
         if seconds is None:
             return SimHandle(503)
         handle = SimHandle(200)
+        replica.handles.append((body["inquiry"], handle))
         self.sim.env.process(self._generate(replica, handle, body, seconds))
         return handle
 
@@ -166,6 +173,7 @@
                 handle.put({"inquiry": body["inquiry"], "end": True, "pieces": count})
                 break
         replica.logic.finish()
+        replica.handles.remove((body["inquiry"], handle))
         self.sim.history.stopped(body["prompt"], replica)
         if number == count and not replica.is_dark and not replica.is_dead:
             handle.put({"inquiry": body["inquiry"], "end": True, "pieces": count})
--- a/proving/standin.py
+++ b/proving/standin.py
@@ -33,6 +33,7 @@
 
     def __init__(self, standIn):
         self.standIn = standIn
+        self.stopped = set()
 
     def app(self, environ, start_response):
         """Serve one inquiry of the tier."""
@@ -49,6 +50,9 @@
         name = fields.get("inquiry") or words.get("inquiry", "")
         if words.get("incarnation") != str(self.standIn.incarnation):
             return answer(start_response, {"trouble": "former_start"}, "503 Service Unavailable")
+        if path == "/v1/stop":
+            self.stopped.add(fields["inquiries_of"])
+            return answer(start_response, {"stopped": True})
         seconds = self.standIn.begin(name, fields.get("prefix", ""), time.monotonic())
         if seconds is None:
             return answer(start_response, {"trouble": "busy"}, "503 Service Unavailable")
@@ -71,6 +75,8 @@
             count = piece_count(fields["prompt"], fields["max_pieces"])
             for number in range(fields["from"] + 1, count + 1):
                 gevent.sleep(PIECE_SECONDS)
+                if any(fields["inquiry"].startswith(prefix) for prefix in self.stopped):
+                    return
                 yield json.dumps({
                     "inquiry": fields["inquiry"], "n": number,
                     "piece": piece_text(fields["prompt"], number),
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -73,6 +73,7 @@
     _start_serving(node)
     runner = node.offer("lots", LotRunner(node))
     node.find("duty").checks.append(runner.keeping.check)
+    node.find("duty").on_owner.append(runner.on_batch)
     node.offer("granter", Granter(node))
     repair = node.offer("repair", Repair(node))
     plans = node.offer("plans", PlanRunner(node))
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -1,12 +1,13 @@
 """Running the items of open lots, on the core that owns their part, on room left idle."""
 
+import math
 from collections import Counter
 from itertools import islice
 
 from quillring.classes.promises import may_repeat
 from quillring.edge.dispatch import prefix_key
 from quillring.edge.streams import STALL_MS, check_before_sending, check_line
-from quillring.kernel.effects import Next, Open, Signal, Sleep, Wait
+from quillring.kernel.effects import Fetch, Next, Open, Signal, Sleep, Wait
 from quillring.kernel.troubles import BackendTrouble, Busy, NotSent, Trouble
 from quillring.lots.commands import OPEN
 from quillring.lots.keeping import Keeping
@@ -78,6 +79,32 @@
             if number not in lot["results"] and (part, name, number) not in self.running:
                 yield number
 
+    def on_batch(self, owner, batch):
+        """Have replicas stop the items of lots that were ended early, whoever runs them.
+
+        A former owner that is frozen holds its connections open and can't close them.
+        """
+        for command in batch:
+            lot = owner.state["lots"].get(command.get("lot"))
+            if command["do"] == "lot.cancel" and lot is not None and lot["phase"] != OPEN:
+                self.node.spawn(self._tell_replicas(command["lot"], lot["entry"]))
+
+    def _tell_replicas(self, lotName, entryName):
+        entry, _, _ = self.node.find("layout").entry(entryName)
+        replicas = self.node.find("replicas").hopeful(entry["service"], math.inf)
+        for replica in replicas:
+            self.node.spawn(self._tell_replica(replica, f"{lotName}-"))
+        return
+        yield
+
+    def _tell_replica(self, replica, prefix):
+        try:
+            yield Fetch(
+                replica.address, "POST", replica.path("/v1/stop", inquiry=prefix),
+                {"inquiries_of": prefix}, self.node.bounds.ending / 3, True)
+        except BackendTrouble:
+            self.node.count("stops_not_heard")
+
     def _is_wanted(self, owner, key):
         lot = owner.state["lots"].get(key[1]) if owner.may_act() else None
         return lot is not None and lot["phase"] == OPEN and key[2] not in lot["results"]
