Callers' stand-ins resume a stream whose line of end says fenced

An older resume of the same sender, held up at an edge that was restarting, claimed the stream after the newer one; the line {end: false} asks the sender to resume, which the stand-in did for other kinds only. Ruled out: a lost piece (the stream was whole at the edge that claimed it last).

--- a/proving/callers.py
+++ b/proving/callers.py
@@ -9,7 +9,7 @@
 from quillring.kernel.settings import split_address
 
 PATIENCE = 20
-TRIED_AGAIN = ("refused", "broken", "timed_out", "no_majority", "not_founded")
+TRIED_AGAIN = ("refused", "broken", "timed_out", "no_majority", "not_founded", "fenced")
 
 
 class Record:
