--- /dev/null
+++ b/proving/traces.py
@@ -0,0 +1,192 @@
+"""Recorded traces: what one store or node took in during a run, to be played again without it."""
+
+import hashlib
+import zlib
+
+import cbor2
+import click
+
+from proving.points_base import Stage
+from proving.points_state import names_but
+from proving.quorum_fuzz import Fuzz
+from quillring.kernel.node import Node
+from quillring.kernel.troubles import Trouble
+from quillring.nifty import Member, Nifty
+from quillring.quorum import Acceptors
+
+FOLDER = "tests/traces"
+VERBS = ("found", "prepare", "accept", "commit", "install", "confirm")
+LIMIT = 1500
+
+
+def digest(value):
+    """Return a short digest of a value."""
+    return hashlib.sha256(cbor2.dumps(value, canonical=True)).hexdigest()[:16]
+
+
+def part_digests(acceptors):
+    """Return what a store holds of each part, in short."""
+    return {
+        part: [list(record.promised), record.applied, record.committed, digest(record.state)]
+        for part, record in sorted(acceptors.parts.items())
+    }
+
+
+def record_store(seed, name):
+    """Run a fuzz seed of the quorum; return the calls one store took in and what it then held."""
+    fuzz, calls = Fuzz(seed), []
+    realAttach = Acceptors.attach
+
+    def attach(self, node):
+        realAttach(self, node)
+        if node.me.name == name and not calls:
+            for verb in VERBS:
+                node.handlers[f"quorum.{verb}"] = watch(self, verb)
+
+    def watch(acceptors, verb):
+        handler = getattr(acceptors, f"on_{verb}")
+
+        def on_call(body, origin):
+            if len(calls) < LIMIT and not fuzz.sim.nodes[name].world.is_dead:
+                calls.append([verb, cbor2.loads(cbor2.dumps(body)), part_digests(acceptors)])
+            return handler(body, origin)
+        return on_call
+
+    Acceptors.attach = attach
+    try:
+        fuzz.run()
+    finally:
+        Acceptors.attach = realAttach
+    *played, (_, _, held) = calls
+    return {"seed": seed, "store": name, "calls": [call[:2] for call in played], "held": held,
+            "identity": played[0][1]["identity"]}
+
+
+class InstantSlots:
+    """Slots that are durable at once."""
+
+    trouble = None
+
+    def commit(self, records):
+        """Script: nothing to wait for."""
+        return
+        yield
+
+
+def play_store(trace):
+    """Play the calls against a fresh store's state machine; return what it holds."""
+    acceptors = Acceptors()
+    acceptors.identity, acceptors.slots = trace["identity"], InstantSlots()
+    node = Node(Member(trace["store"], 1, "store", "x", "127.0.0.1", 1, 2, ""), None)
+    acceptors.attach(node)
+    for verb, body in trace["calls"]:
+        try:
+            for _ in getattr(acceptors, f"on_{verb}")(body, "trace") or ():
+                pass
+        except (Trouble, TypeError):
+            continue
+    return part_digests(acceptors)
+
+
+def record_node(seed, name):
+    """Record the heartbeats a node took in while links were cut, one way too, and healed."""
+    stage, taken = Stage(seed), []
+    node = stage.node(name)
+    nifty, world = node.find("nifty"), node.world
+    start = world.now()
+
+    def view():
+        return [sorted(nifty.graph.links.get(name, ())), list(nifty.bridge_nodes())]
+
+    before = [m.to_list() for m in nifty.roster.members.values()]
+    realDatagram, realBeats = world.on_datagram, Nifty.send_beats
+
+    def on_datagram(data):
+        taken.append([world.now() - start, data])
+        realDatagram(data)
+
+    def send_beats(self):
+        if self is nifty:
+            taken.append([world.now() - start, None])
+        realBeats(self)
+
+    world.on_datagram, Nifty.send_beats = on_datagram, send_beats
+    try:
+        sequence = nifty.beatSequence
+        stage.run(2)
+        stage.sim.cut([name], ["store-1", "store-2", "core-2"])
+        stage.run(4)
+        stage.sim.cut(["edge-2"], [name], bothWays=False)
+        stage.run(4)
+        stage.sim.heal()
+        stage.run(3)
+        stage.sim.cut([name], names_but(stage, name))
+        stage.run(3)
+    finally:
+        Nifty.send_beats = realBeats
+    return {"me": node.me.to_list(), "members": before, "sequence": sequence, "taken": taken,
+            "view": view()}
+
+
+class TraceWorld:
+    """A world in which only the trace's time passes and nothing is sent."""
+
+    def __init__(self):
+        self.time = 0.0
+
+    def now(self):
+        """Return the time of the trace."""
+        return self.time
+
+    def datagram(self, address, data):
+        """Send nothing."""
+
+    frame = datagram
+
+    def reset(self, address):
+        """There is no connection to begin afresh."""
+
+
+def play_node(trace):
+    """Play the heartbeats against a fresh peer layer; return its views whenever they changed."""
+    world = TraceWorld()
+    node = Node(Member.from_list(trace["me"]), world)
+    nifty = node.offer("nifty", Nifty(node, []))
+    for fields in trace["members"]:
+        nifty.learn(Member.from_list(fields))
+    nifty.beatSequence, views = trace["sequence"], []
+    for at, data in trace["taken"]:
+        world.time = at
+        if data is None:
+            nifty.send_beats()
+            nifty.refresh()
+        else:
+            nifty.on_datagram(data)
+        seen = [sorted(nifty.graph.links.get(node.me.name, ())), list(nifty.bridge_nodes())]
+        if not views or views[-1][1] != seen:
+            views.append([at, seen])
+    return views
+
+
+def load(name):
+    """Return a recorded trace."""
+    with open(f"{FOLDER}/{name}.cbor.z", "rb") as traceFile:
+        return cbor2.loads(zlib.decompress(traceFile.read()))
+
+
+def save(name, trace):
+    """Write a trace."""
+    with open(f"{FOLDER}/{name}.cbor.z", "wb") as traceFile:
+        traceFile.write(zlib.compress(cbor2.dumps(trace), 9))
+
+
+@click.command()
+def main():
+    """Record all traces anew."""
+    for seed in (12, 19):
+        save(f"store-fuzz-{seed}", record_store(seed, "store-1"))
+    save("edge-cuts", record_node(3, "edge-1"))
+
+
+if __name__ == "__main__":
+    main()
