A resumed sender sees no piece before a second node holds it

Ruled out: lost appends (the holders had all that was acknowledged). Conclusion: a claimed stream is given back only once another domain holds the whole of it.

--- a/proving/points_keeping.py
+++ b/proving/points_keeping.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from proving.points_base import Stage, no_check
-from quillring.edge import journal
+from quillring.edge import claim, journal
 from quillring.lots import front, keeping
 from quillring.lots.front import release_lot, show_results, submit_lot
 from quillring.lots.keeping import Keeping
@@ -124,6 +124,27 @@
     return stage.sim.history.violations, {**stage.outcomes(), "held": held}
 
 
+def frozen_holders(seed):
+    """All that could hold a piece freeze; the sender asks its edge again; then that edge dies."""
+    stage = Stage(seed)
+    sim = stage.sim
+    stage.only_edge("edge-1")
+    for _ in range(16):
+        stage.start(stage.callers.stream("wayfinding", "short", 200, dropAfter=1 << 30))
+    stage.run(sim.chance.uniform(0.5, 1))
+    for node in sim.up_nodes("edge") + sim.up_nodes("core"):
+        if node.me.domain != sim.rows["edge-1"]["domain"]:
+            sim.freeze(node.me.name, 3)
+    stage.run(sim.chance.uniform(2.5, 2.9))
+    sim.kill("edge-1")
+    stage.any_edge()
+    stage.run(60)
+    outcomes = stage.outcomes()
+    if outcomes != {"short/complete": 16}:
+        sim.history.violate(f"conversations were dropped: {outcomes}")
+    return sim.history.violations, {**outcomes, "resumes": sim.history.counts.get("resumes", 0)}
+
+
 def drop_oldest(self):
     """Stand-in for the guard: room is made by dropping the oldest, under way or not."""
     while self._is_full() and self.streams:
@@ -135,6 +156,8 @@
     ("senders' keys do not meet", same_keys, [(front, "sender_space", lambda sender: "all")]),
     ("a stream under way is not dropped for want of room", full_journal,
      [(journal.Journal, "_make_room", drop_oldest)]),
+    ("a piece is held twice before a resumed sender sees it", frozen_holders,
+     [(claim, "ensure_held", lambda journal, stream: iter(()))]),
     ("what was refused leaves nothing behind", refused_crowd,
      [(journal.Journal, "forget", no_check)]),
 ]
--- /dev/null
+++ b/quillring/edge/claim.py
@@ -0,0 +1,56 @@
+"""Claiming a stream: the newest copy is found, its former round fenced, a second copy ensured."""
+
+from quillring.edge.stream import Stream
+from quillring.kernel.troubles import NotFound, Refused, Trouble
+
+
+def claim_stream(journal, name, sender, servedRound, check):
+    """Script: find a stream wherever it is held, fence its former round, run it here.
+
+    It is given back once a second node holds all of it: what a former runner could not hand
+    on before its trouble was never seen, and may not be seen before it is held twice.
+
+    `check(found)` may refuse before anything is fenced.
+
+    A holder may be left with an older round that went its own way; the newest round counts,
+    and one older than the sender was served in is as good as none.
+    """
+    nifty = journal.node.find("nifty")
+    names = [name for name in journal.keepers() if nifty.reaches(name)]
+    question = {"stream": name, "sender": sender}
+    found = yield from journal.node.gather(
+        [(n, "journal.find", question) for n in names], len(names)
+    )
+    holders = {n: reply for n, reply in found.items() if not isinstance(reply, Trouble)}
+    if not holders:
+        missed = any(not isinstance(reply, NotFound) for reply in found.values())
+        if missed or len(names) < len(journal.keepers()):
+            raise Refused(reason="the stream's holders are out of reach")
+        raise NotFound(field="stream")
+    check(next(iter(holders.values())))
+    claimRound = (max(reply[0][0] for reply in holders.values()) + 1, journal.node.me.name)
+    claims = yield from journal.node.gather(
+        [(n, "journal.claim", {**question, "round": list(claimRound)}) for n in holders],
+        len(holders),
+    )
+    goodClaims = {
+        holder: reply for holder, reply in claims.items()
+        if not isinstance(reply, Trouble) and tuple(reply[3]) >= servedRound
+    }
+    if not goodClaims:
+        raise Refused(reason="the stream's newest holders are out of reach")
+    best = max(goodClaims.values(), key=lambda reply: (tuple(reply[3]), len(reply[1])))
+    inquiry, pieces, ended, _ = best
+    stream = Stream(name, inquiry, sender, journal.node.now(), claimRound)
+    stream.put(0, pieces)
+    stream.ended = ended
+    journal.enter(stream)
+    stream.holder = next((n for n in journal.holders(name) if goodClaims.get(n) == best), None)
+    yield from ensure_held(journal, stream)
+    return stream
+
+
+def ensure_held(journal, stream):
+    """Script: return once a second node holds the whole stream."""
+    if stream.holder is None:
+        yield from journal.keep(stream, ())
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -2,6 +2,7 @@
 
 from more_itertools import chunked
 
+from quillring.edge.claim import claim_stream
 from quillring.edge.stream import Stream, append_body
 from quillring.kernel.effects import Sleep
 from quillring.kernel.troubles import Fenced, NotFound, Refused, Trouble
@@ -54,7 +55,8 @@
     def _is_full(self):
         return len(self.streams) >= KEPT_STREAMS or self.weight >= KEPT_WEIGHT
 
-    def _enter(self, stream):
+    def enter(self, stream):
+        """Take a stream in, in the place of any former copy."""
         former = self.streams.get(stream.name)
         self.weight += stream.weight - (former.weight if former is not None else 0)
         self.streams[stream.name] = stream
@@ -68,7 +70,7 @@
         """Begin the journal of a stream here."""
         self._make_room()
         stream = Stream(name, inquiry, sender, self.node.now(), (1, self.node.me.name))
-        self._enter(stream)
+        self.enter(stream)
         return stream
 
     def forget(self, stream):
@@ -181,7 +183,7 @@
         if start > len(stream.pieces):
             raise NotFound(stream=body["stream"], held=len(stream.pieces))
         if stream is not known:
-            self._enter(stream)
+            self.enter(stream)
         if start + len(body["pieces"]) >= len(stream.pieces):
             self._put(stream, start, body["pieces"])
         stream.ended, stream.touchedAt = body["ended"] or stream.ended, self.node.now()
@@ -202,45 +204,9 @@
         claimRound = tuple(body["round"])
         if stream.round >= claimRound:
             raise Fenced(stream=stream.name)
-        self._enter(stream.claimed(self.node.now(), claimRound))
+        self.enter(stream.claimed(self.node.now(), claimRound))
         return [stream.inquiry, list(stream.pieces), stream.ended, list(stream.round)]
 
     def claim(self, name, sender, servedRound, check):
-        """Script: find a stream wherever it is held, fence its former round, run it here.
-
-        `check(found)` may refuse before anything is fenced.
-
-        A holder may be left with an older round that went its own way; the newest round counts,
-        and one older than the sender was served in is as good as none.
-        """
-        nifty = self.node.find("nifty")
-        names = [name for name in self.keepers() if nifty.reaches(name)]
-        question = {"stream": name, "sender": sender}
-        found = yield from self.node.gather(
-            [(n, "journal.find", question) for n in names], len(names)
-        )
-        holders = {n: reply for n, reply in found.items() if not isinstance(reply, Trouble)}
-        if not holders:
-            missed = any(not isinstance(reply, NotFound) for reply in found.values())
-            if missed or len(names) < len(self.keepers()):
-                raise Refused(reason="the stream's holders are out of reach")
-            raise NotFound(field="stream")
-        check(next(iter(holders.values())))
-        claimRound = (max(reply[0][0] for reply in holders.values()) + 1, self.node.me.name)
-        claims = yield from self.node.gather(
-            [(n, "journal.claim", {**question, "round": list(claimRound)}) for n in holders],
-            len(holders),
-        )
-        goodClaims = [
-            reply for reply in claims.values()
-            if not isinstance(reply, Trouble) and tuple(reply[3]) >= servedRound
-        ]
-        if not goodClaims:
-            raise Refused(reason="the stream's newest holders are out of reach")
-        inquiry, pieces, ended, _ = max(
-            goodClaims, key=lambda reply: (tuple(reply[3]), len(reply[1])))
-        stream = Stream(name, inquiry, sender, self.node.now(), claimRound)
-        stream.put(0, pieces)
-        stream.ended = ended
-        self._enter(stream)
-        return stream
+        """Script: find a stream wherever it is held, and run it here from now on."""
+        return claim_stream(self, name, sender, servedRound, check)
