Queries stay part of duty's public names, for those who embed it

Cause: the registry moved to quorum, and the embedding example, which the tests run, imported it from duty. Before: the example failed. After: it runs.

--- a/quillring/duty/__init__.py
+++ b/quillring/duty/__init__.py
@@ -2,5 +2,6 @@
 
 from quillring.duty.duty import Duty
 from quillring.duty.rank import ranked_cores
+from quillring.quorum.commands import QUERIES
 
-__all__ = ["Duty", "ranked_cores"]
+__all__ = ["Duty", "QUERIES", "ranked_cores"]
