A node that has just started does not judge a wait hopeless by what it can't know yet

Cause: the embedding example, run again, was refused at once: its second node had not yet heard the stores when it asked. Ruled out: the graph (it was whole half a second later). Before: quorum_counter refused with no_majority. After: it counts to 42; lost_majority and lost_cores refuse at once as before. Conclusion: hopelessness is judged from one news bound after the start.

--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -24,13 +24,14 @@
 class Duty:
     """The table of parts as one node sees it; on a core also the owners it runs."""
 
-    __slots__ = ("node", "owners", "on_owner", "checks")
+    __slots__ = ("node", "owners", "on_owner", "checks", "startedAt")
 
     def __init__(self, node):
         self.node = node
         self.owners = {}
         self.on_owner = []
         self.checks = []
+        self.startedAt = node.now()
         if node.me.role == "core":
             node.handle("part.submit", self.on_submit)
             node.handle("part.read", self.on_read)
@@ -200,7 +201,12 @@
         raise Refused(reason=lastTrouble.kind, part=part)
 
     def why_hopeless(self, part):
-        """Return the trouble that no core this node reaches can overcome, or None."""
+        """Return the trouble that no core this node reaches can overcome, or None.
+
+        A node that has just started does not know yet whom it reaches.
+        """
+        if self.node.now() - self.startedAt < self.node.bounds.news:
+            return None
         graph, group = self.node.find("nifty").graph, self.group(part)
         reached = [store[0] for store in group if store[0] in graph.reachable()]
         if len(reached) < majority(group):
