Raw lots: accepted once in their host's part, run by all cores, listed in one order

Cause: the platform's lots carry whole requests and must be read by host and name alone. What was weighed: one part a lot (the quota of a forward is then no single count) and the owner running everything itself (one core's processor); taken: the part of the forward's host, and runs handed to all cores by the part's owner. Before: no such path.

--- a/quillring/lots/__init__.py
+++ b/quillring/lots/__init__.py
@@ -1,5 +1,19 @@
 """Lots: accepted once durable in two domains, every item gets one result at its position."""
 
+from quillring.lots.raw_reads import RawReads
+from quillring.lots.raw_runner import RawRunner
+from quillring.lots.raw_worker import RawWorker
 from quillring.lots.runner import LotRunner
 
-__all__ = ["LotRunner"]
+__all__ = ["LotRunner", "RawReads", "RawRunner", "RawWorker", "start_raw_lots"]
+
+
+def start_raw_lots(node):
+    """Let a core own, run and show raw lots; returns the script that it runs by.
+
+    The node's forwards, placement and dialect are there already.
+    """
+    node.offer("raw_worker", RawWorker(node))
+    reads, runner = node.offer("raw_reads", RawReads(node)), node.offer("raw", RawRunner(node))
+    node.find("duty").on_owner.extend([runner.on_batch, reads.on_batch])
+    return runner.run()
--- /dev/null
+++ b/quillring/lots/raw_front.py
@@ -0,0 +1,136 @@
+"""Raw lots at an edge: hand in, read, end; every unsure case is told as such."""
+
+import hashlib
+
+import cbor2
+
+from quillring.kernel.troubles import NotFound, OutcomeUnknown, Refused, TimedOut, Trouble
+from quillring.lots.raw_commands import HELD, HeldTooMuch, QuotaExceeded
+from quillring.quorum.parts import part_of
+
+RESULT_BYTES = 900_000
+LONGEST_HOLD = 0.8
+RETURN_SECONDS = 0.5
+
+
+def bare_host(host):
+    """Return a host's name without its port, in lower case."""
+    return host.lower().partition(":")[0]
+
+
+def lot_key(host, lotName):
+    """Return the name under which a host's lot stands in its part."""
+    return f"{lotName}@{bare_host(host)}"
+
+
+def part_of_host(node, host):
+    """Return the part that holds a host's lots; Refused while the fleet is not founded."""
+    try:
+        return part_of(bare_host(host), len(node.find("duty").parts()) - 1)
+    except NotFound as trouble:
+        raise Refused(reason="not founded") from trouble
+
+
+def submit_surely(node, part, command, seconds):
+    """Script: commit a command that may be repeated, asking again until the time is over.
+
+    Raises Refused only when it surely was not taken, OutcomeUnknown when it may still be.
+    """
+    duty, bounds = node.find("duty"), node.bounds
+    endTime, isUnsure = node.now() + seconds, False
+    while True:
+        windowEnd = min(endTime, node.now() + bounds.round)
+        try:
+            return (yield from duty.submit(part, command, windowEnd - node.now()))
+        except (OutcomeUnknown, TimedOut):
+            isUnsure = True
+        except Refused:
+            isFinal = node.now() < windowEnd or node.now() >= endTime
+            if isFinal and not isUnsure:
+                raise
+            if isFinal:
+                break
+        if node.now() >= endTime:
+            break
+    raise OutcomeUnknown(part=part, reason="hand it in again under the same name")
+
+
+def accept_raw_lot(node, forwardName, lotName, items, seconds=None):
+    """Script: hand a lot in; items are [id, target, header pairs, body, tokens].
+
+    Raises QuotaExceeded and Refused when none of it will run, OutcomeUnknown when it may. `seconds`
+    bounds the wait; where none are given, the forward's goal does, and a bit.
+    """
+    forward = node.find("forwards").named(forwardName)
+    node.find("freshness").check()
+    if forward is None or forward.kind != "lot":
+        raise NotFound(field="forward")
+    fields, part = forward.fields, part_of_host(node, forward.host)
+    command = {
+        "do": "raw.accept", "lot": lot_key(forward.host, lotName), "forward": forward.name,
+        "host": fields["host"], "items": items,
+        "digest": hashlib.sha256(cbor2.dumps([forward.name, items])).digest()[:16],
+        "try": f"{node.world.random.getrandbits(96):024x}",
+        "most_tokens": fields.get("most_tokens") or 0, "at": int(node.world.wall() * 1000),
+        "due_ms": fields.get("due_ms") or 60_000,
+        "retain_ms": fields.get("retain_ms") or 3_600_000, "rounds": forward.rounds,
+    }
+    seconds = forward.goalSeconds + node.bounds.reading if seconds is None else seconds
+    answer = yield from submit_surely(node, part, command, seconds)
+    refusal = answer.get("refused")
+    if refusal is not None:
+        node.count(f"raw_refused_{refusal}")
+        kind = HeldTooMuch if refusal == HELD else QuotaExceeded
+        raise kind(come_back_s=RETURN_SECONDS)
+    return answer
+
+
+def read_raw_results(node, host, lotName, start, holdSeconds=0.0):
+    """Script: return items, results from a position on and the next one; held until one exists.
+
+    Raises NotFound only where it is sure, Refused otherwise.
+    """
+    part, holdSeconds = part_of_host(node, host), min(holdSeconds, LONGEST_HOLD)
+    query = {
+        "ask": "raw.results", "lot": lot_key(host, lotName), "from": start, "limit": RESULT_BYTES,
+    }
+    body = {"query": query, "seconds": holdSeconds}
+    return (yield from read_held(node, part, query, body, holdSeconds))
+
+
+def read_held(node, part, query, body, holdSeconds):
+    """Script: ask the part's owner, which may hold the call, else a majority of its stores."""
+    duty, bounds = node.find("duty"), node.bounds
+    try:
+        return (yield from duty.ask(part, "raw.read", body, holdSeconds + bounds.reading * 0.4))
+    except NotFound:
+        raise
+    except Trouble as trouble:
+        node.count("raw_reads_elsewhere")
+        node.log("debug", "raw.read %s: %s", part, trouble)
+    return (yield from surely_read(node, part, query, bounds.reading * 0.6))
+
+
+def surely_read(node, part, query, seconds):
+    """Script: read a part; whatever goes wrong and is no sure answer becomes a refusal."""
+    try:
+        return (yield from node.find("duty").read(part, query, seconds))
+    except (NotFound, Refused):
+        raise
+    except Trouble as trouble:
+        raise Refused(reason=trouble.kind, part=part) from trouble
+
+
+def read_raw_body(node, host, lotName, itemId):
+    """Script: return the body of an item that is not listed yet, as bytes."""
+    query = {"ask": "raw.body", "lot": lot_key(host, lotName), "item": itemId}
+    part = part_of_host(node, host)
+    answer = yield from surely_read(node, part, query, node.bounds.reading)
+    return answer["body"]
+
+
+def end_raw_lot(node, host, lotName):
+    """Script: end a lot; a second call finds it ended."""
+    command = {"do": "raw.end", "lot": lot_key(host, lotName)}
+    part = part_of_host(node, host)
+    return (yield from submit_surely(node, part, command, node.bounds.reading * 1.2))
--- /dev/null
+++ b/quillring/lots/raw_limits.py
@@ -0,0 +1,60 @@
+"""How many items of raw lots may run at once: a share of the slots, less when replicas are full."""
+
+from quillring.lots.raw_worker import BROKEN, NOT_RUN, UNSENT
+
+CALM_SHARE, NEAR_SHARE, LEAST_SHARE = 0.5, 0.8, 0.08
+GAIN = 0.05
+START_SECONDS = 0.02
+LEFT_ALONE = {NOT_RUN: 0.3, BROKEN: 0.6, UNSENT: 1.0}
+
+
+class RawLimits:
+    """The share of each service's slots that lots take, and replicas left alone for a moment."""
+
+    __slots__ = ("node", "shares", "aloneUntil", "nextStarts")
+
+    def __init__(self, node):
+        self.node = node
+        self.shares = {}
+        self.aloneUntil = {}
+        self.nextStarts = {}
+
+    def share(self, service, isNear, now):
+        """Return the share of a service's slots for lots; it recovers with time."""
+        cut, cutAt = self.shares.get(service, (1.0, now))
+        factor = min(1.0, cut + GAIN * (now - cutAt))
+        return max(LEAST_SHARE, (NEAR_SHARE if isNear else CALM_SHARE) * factor)
+
+    def note(self, run, outcome, now):
+        """Take in how a run ended: a full replica lowers the share, any trouble gives it rest."""
+        self.aloneUntil = {
+            name: until for name, until in self.aloneUntil.items() if until > now}
+        self.aloneUntil[run.replica] = now + LEFT_ALONE[outcome]
+        if outcome == NOT_RUN:
+            cut, cutAt = self.shares.get(run.service, (1.0, now))
+            factor = min(1.0, cut + GAIN * (now - cutAt))
+            self.shares[run.service] = (max(LEAST_SHARE, factor * 0.9), now)
+
+    def choose(self, service, ledger, isNear, avoidedName, now):
+        """Return the replica with most room for an item, or None when there is none now."""
+        placement, replicas = self.node.find("placement"), self.node.find("replicas")
+        share = self.share(service, isNear, now)
+        fit = [
+            r for r in placement.replicas(service)
+            if ledger.runsByReplica.get(r.name, 0) < max(1, r.slots * share)
+            and self.aloneUntil.get(r.name, 0) <= now and self.nextStarts.get(r.name, 0) <= now
+            and replicas.may_be_sent(r) and placement.view(r).is_trusted(now)
+        ]
+        patience = self.node.bounds.news * 1.5
+        heard = [r for r in fit if now - r.heardAt < patience] or fit
+        wanted = [r for r in heard if r.name != avoidedName] or heard
+        warm = [r for r in wanted if not r.is_cold(now)]
+        if not warm:
+            warm = [r for r in wanted[:1] if placement.ramp.take(r, now)]
+        return min(
+            warm, default=None,
+            key=lambda r: (ledger.runsByReplica.get(r.name, 0) / r.slots, r.name))
+
+    def started(self, replica, now):
+        """Note a start: a replica reads one item's prompt after the other, not all at once."""
+        self.nextStarts[replica.name] = now + START_SECONDS
--- /dev/null
+++ b/quillring/lots/raw_reads.py
@@ -0,0 +1,57 @@
+"""Reads of raw lots at the owner of their part, held until a result exists."""
+
+from quillring.kernel.effects import Signal, Wait
+from quillring.kernel.troubles import NotFound, NotOwner
+from quillring.quorum.commands import QUERIES
+
+CERTAIN = 0.15
+
+
+class RawReads:
+    """Answers reads, and wakes those that wait for the next result of a lot.
+
+    What is listed is committed and never changes, so it goes out from the state at hand. That
+    there is nothing is only said under a fence that is newer than a fraction of the reading bound.
+    """
+
+    __slots__ = ("node", "signals")
+
+    def __init__(self, node):
+        self.node = node
+        self.signals = {}
+        node.handle("raw.read", self.on_read)
+
+    def on_batch(self, owner, batch):
+        """Wake the readers of the lots that a batch concerns; of all when the owner changes."""
+        names = {command.get("lot") for command in batch} if batch else set(self.signals)
+        for name in names & set(self.signals):
+            self.signals.pop(name).set()
+
+    def on_read(self, body, origin):
+        """Answer a query, after some seconds at most while the lot has no further result."""
+        owner, query = self.node.find("duty").owners.get(body["part"]), body["query"]
+        endTime = self.node.now() + body["seconds"]
+        while True:
+            if owner is None or not owner.is_owner:
+                raise NotOwner(part=body["part"])
+            answer = self._look(owner.state, query)
+            secondsLeft = endTime - self.node.now()
+            if answer is not None and (answer["results"] or answer["is_over"]):
+                return answer
+            if answer is None or secondsLeft <= 0:
+                break
+            signal = self.signals.setdefault(query["lot"], Signal())
+            yield Wait(signal, secondsLeft)
+        if answer is not None and self._is_certain(owner):
+            return answer
+        readState = yield from owner.fenced_state()
+        return QUERIES.find(query["ask"])(readState, query)
+
+    def _look(self, state, query):
+        try:
+            return QUERIES.find(query["ask"])(state, query)
+        except NotFound:
+            return None
+
+    def _is_certain(self, owner):
+        return self.node.now() - owner.confirmedAt < self.node.bounds.reading * CERTAIN
--- /dev/null
+++ b/quillring/lots/raw_runner.py
@@ -0,0 +1,219 @@
+"""The owner's side of raw lots: which item runs next, at which replica, sent by which core."""
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import NotOwner, TimedOut, Trouble
+from quillring.lots.raw_commands import raw_lots
+from quillring.lots.raw_ledger import OwnedRun, RawLedger
+from quillring.lots.raw_limits import RawLimits
+from quillring.lots.raw_worker import BROKEN, NOT_RUN, UNSENT
+
+PAUSES = {NOT_RUN: 0.2, UNSENT: 0.1, BROKEN: 0.05}
+NEAR = 2.5
+SETTLED = 0.3
+CALM_URGENCY, NEAR_URGENCY = 7, 6
+
+
+class RawRunner:
+    """Keeps the items of the raw lots of owned parts running until each has a result."""
+
+    __slots__ = ("node", "ledgers", "limits", "renewedAt", "forwardSeenAt")
+
+    def __init__(self, node):
+        self.node = node
+        self.ledgers = {}
+        self.limits = RawLimits(node)
+        self.renewedAt = {}
+        self.forwardSeenAt = {}
+        node.handle("raw.report", self.on_report)
+
+    def on_batch(self, owner, batch):
+        """Follow what was committed; stop what needs to run no more."""
+        if not owner.is_owner:
+            if self.ledgers.get(owner.part) is not None and self.ledgers[
+                    owner.part].owner is owner:
+                del self.ledgers[owner.part]
+            return
+        ledger = self.ledgers.get(owner.part)
+        if ledger is None or ledger.owner is not owner:
+            self.ledgers[owner.part] = RawLedger(self.node, owner)
+            return
+        for command in batch:
+            if not command["do"].startswith("raw."):
+                continue
+            item = ledger.find(command["lot"], command.get("n"))
+            if command["do"] == "raw.failed" and item is not None:
+                self._give_back(ledger, item, command["run"], 0.3)
+            leftRuns = ledger.sync(command["lot"])
+            strayNumbers = [i.number for i, run in leftRuns if run.id != command.get("run")]
+            if strayNumbers or command["do"] == "raw.end":
+                self.node.spawn(self._stop(command["lot"], strayNumbers))
+
+    def _stop(self, lotName, numbers):
+        """Script: have every core stop the runs of a lot, told twice since words may be lost."""
+        isEnded = raw_lots_ended(self.node, lotName)
+        body = {"lot": lotName, "numbers": None if isEnded else numbers}
+        calls = [(name, "raw.stop", body) for name in self._cores()]
+        yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
+
+    def _cores(self):
+        duty, nifty = self.node.find("duty"), self.node.find("nifty")
+        return [name for name in duty.cores() if nifty.reaches(name)]
+
+    def run(self):
+        """Script: start what waits, follow what runs, list what is over."""
+        while True:
+            yield Sleep(self.node.bounds.chatter / 2)
+            for ledger in list(self.ledgers.values()):
+                owner = ledger.owner
+                if not owner.may_act():
+                    continue
+                now = self.node.now()
+                if now - self.renewedAt.get(owner.part, -9) >= self.node.bounds.reading or (
+                        not ledger.isReported and now - self.renewedAt.get(
+                            owner.part, -9) >= self.node.bounds.round):
+                    self.renewedAt[owner.part] = now
+                    self.node.spawn(self._renew(ledger))
+                    self._expire(ledger)
+                if ledger.isReported and not self.node.find("duty").is_leaving(self.node.me.name):
+                    self._start_items(ledger)
+
+    def _renew(self, ledger):
+        """Script: ask all cores what they run; take over, follow, or run anew what is missing."""
+        owner, askedAt = ledger.owner, self.node.now()
+        body = {"part": owner.part, "ballot": list(owner.ballot)}
+        calls = [(name, "raw.renew", body) for name in self._cores()]
+        replies = yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
+        heard = {t: rows for t, rows in replies.items() if not isinstance(rows, Trouble)}
+        reported = {
+            (row[0], row[1]): (worker, row) for worker, rows in heard.items() for row in rows}
+        now = self.node.now()
+        for (lotName, number), (worker, row) in reported.items():
+            item = ledger.find(lotName, number)
+            if item is not None and item.run is None:
+                self.node.count("raw_runs_taken_over")
+                ledger.begin_run(item, OwnedRun(row[2], worker, row[3], row[4], now))
+            elif item is not None and item.run.id == row[2]:
+                item.run.heardAt = now
+            elif item is None and owner.is_owner:
+                self.node.spawn(self._stop(lotName, [number]))
+        ledger.isReported = True
+        for item in ledger.running():
+            isAnswered = item.run.worker in heard and item.run.startedAt < askedAt - SETTLED
+            isGone = not self.node.find("nifty").reaches(item.run.worker)
+            if (item.lot, item.number) not in reported and (
+                    isAnswered or isGone
+                    or now - item.run.heardAt > self.node.bounds.reading * 3):
+                self.node.count("raw_runs_lost")
+                ledger.end_run(item)
+
+    def _expire(self, ledger):
+        """List as errored what is past its time, or whose forward is surely gone."""
+        now, forwards = self.node.now(), self.node.find("forwards")
+        names = {lot.forward for lot in ledger.lots.values()}
+        isFresh = self.node.find("freshness").is_fresh()
+        for name in names:
+            if not isFresh or forwards.named(name) is not None or name not in self.forwardSeenAt:
+                self.forwardSeenAt[name] = now
+        for lot in ledger.lots.values():
+            isOver = now - lot.knownAt > lot.retainSeconds + self.node.bounds.reading
+            isGone = now - self.forwardSeenAt[lot.forward] > self.node.bounds.news
+            if isOver or isGone:
+                self.node.spawn(ledger.owner.submit({"do": "raw.expire", "lot": lot.name}))
+
+    def _start_items(self, ledger):
+        """Start what has room, lot by lot; a service without room is passed over at once."""
+        now, forwards, full = self.node.now(), self.node.find("forwards"), set()
+        waiting = [(lot, lot.waiting(now)) for lot in ledger.order(now)]
+        if not any(items for _, items in waiting) or not self.node.find("freshness").is_fresh():
+            return
+        cores = self._workers(ledger.owner.part)
+        for lot, items in waiting:
+            forward, isNear = forwards.named(lot.forward), lot.dueAt - now < NEAR
+            for item in items if forward is not None else ():
+                service = forward.service_for(str(item.number))
+                if (service, isNear) in full:
+                    continue
+                replica = self.limits.choose(service, ledger, isNear, item.avoided, now)
+                if replica is None:
+                    full.add((service, isNear))
+                    continue
+                self._begin(ledger, item, forward, replica, isNear, cores)
+
+    def _begin(self, ledger, item, forward, replica, isNear, cores):
+        worker, now = choose_worker(ledger, cores, replica), self.node.now()
+        if worker is None:
+            return
+        runId = f"{self.node.world.random.getrandbits(64):016x}"
+        run = OwnedRun(runId, worker, replica.service, replica.name, now)
+        ledger.begin_run(item, run)
+        self.limits.started(replica, now)
+        self.node.spawn(self._start(ledger, item, run, forward, isNear))
+
+    def _workers(self, part):
+        duty = self.node.find("duty")
+        members = self.node.find("nifty").roster.members
+        return [(n, members[n].domain) for n in duty.rank(part) if not duty.is_leaving(n)]
+
+    def _start(self, ledger, item, run, forward, isNear):
+        """Script: hand a run to its worker; what was surely not begun waits again."""
+        owner = ledger.owner
+        lot = raw_lots(owner.state).get(item.lot)
+        if lot is None or item.number not in lot["items"] or item.run is not run:
+            return
+        body = {
+            "part": owner.part, "ballot": list(owner.ballot), "lot": item.lot,
+            "n": item.number, "run": run.id, "service": run.service, "replica": run.replica,
+            "forward": forward.name, "host": lot["host"],
+            "item": lot["items"][item.number][:4], "last": item.last, "text": item.text,
+            "urgency": NEAR_URGENCY if isNear else CALM_URGENCY,
+        }
+        try:
+            answer = yield from self.node.call(
+                run.worker, "raw.run", body, self.node.bounds.reading)
+            run.id = answer["run"]
+        except TimedOut:
+            self.node.count("raw_starts_unsure")
+        except Trouble as trouble:
+            self.node.count(f"raw_starts_{trouble.kind}")
+            self._give_back(ledger, item, run.id, PAUSES[UNSENT])
+
+    def _give_back(self, ledger, item, runId, seconds):
+        """Let an item wait again after its run ended without a result."""
+        if item.run is None or item.run.id != runId:
+            return
+        item.avoided = item.run.replica
+        item.troubles += 1
+        item.readyAt = self.node.now() + seconds * min(item.troubles, 10)
+        ledger.end_run(item)
+
+    def on_report(self, body, origin):
+        """Take word of a run that ended without a result, with the text it had."""
+        ledger = self.ledgers.get(body["part"])
+        if ledger is None or not ledger.owner.is_owner:
+            raise NotOwner(part=body["part"])
+        item = ledger.find(body["lot"], body["n"])
+        if item is None:
+            return {"taken": False}
+        if body["last"] is not None and (item.last is None or body["last"] > item.last):
+            item.last, item.text, item.troubles = body["last"], body["text"], 0
+        if item.run is not None and item.run.id == body["run"]:
+            self.limits.note(item.run, body["outcome"], self.node.now())
+        self._give_back(ledger, item, body["run"], PAUSES[body["outcome"]])
+        return {"taken": True}
+
+
+def choose_worker(ledger, cores, replica):
+    """Return the core that sends to a replica: one of its domain unless others have far less."""
+    loads = ledger.runsByWorker
+    fewest = min((loads.get(name, 0) for name, _ in cores), default=0)
+    near = [n for n, domain in cores if domain == replica.domain]
+    if near and loads.get(near[0], 0) < fewest * 2 + 8:
+        return near[0]
+    return min((n for n, _ in cores), key=lambda n: loads.get(n, 0), default=None)
+
+
+def raw_lots_ended(node, lotName):
+    """Tell whether a lot of an owned part was ended."""
+    return any(
+        raw_lots(owner.state).get(lotName, {}).get("ended", False)
+        for owner in node.find("duty").owners.values() if owner.state)
--- /dev/null
+++ b/quillring/lots/raw_worker.py
@@ -0,0 +1,199 @@
+"""Running items of raw lots on any core, one sending at a time, as the part's owner asks.
+
+A worker decides nothing: the owner names replica and place to go on from. What it has whole it
+commits itself at whichever core owns the part by then, so a finished run outlives its owner.
+"""
+
+from quillring.forward.attempt import is_not_run, is_sealed, open_answer
+from quillring.forward.events import EventReader
+from quillring.forward.request import Request
+from quillring.kernel.effects import NextPart, Sleep
+from quillring.kernel.troubles import BackendTrouble, Fenced, NotSent, Refused, Trouble
+from quillring.lots.raw_commands import ERRORED, FINISHED
+
+WHOLE, DEAD, FAILED, NOT_RUN, BROKEN, UNSENT = (
+    "whole", "dead", "failed", "not_run", "broken", "unsent")
+TEXT_LIMIT = 4 << 20
+
+
+class RawRun:
+    """One sending of an item: what it has of the text, and how to stop it."""
+
+    __slots__ = (
+        "part", "lot", "number", "id", "service", "replica", "last", "text", "handle", "isStopped",
+        "isCommitting",
+    )
+
+    def __init__(self, body):
+        self.part, self.lot, self.number = body["part"], body["lot"], body["n"]
+        self.id = body["run"]
+        self.service, self.replica = body["service"], body["replica"]
+        self.last, self.text = body["last"], [body["text"]] if body["last"] is not None else []
+        self.handle = None
+        self.isStopped = self.isCommitting = False
+
+    def stop(self):
+        """Stop it now; the replica sees its connection close."""
+        self.isStopped = True
+        if self.handle is not None:
+            self.handle.close()
+
+    def to_list(self):
+        """Return what an owner needs to know of it."""
+        return [self.lot, self.number, self.id, self.service, self.replica]
+
+
+class RawWorker:
+    """The runs under way on this core."""
+
+    __slots__ = ("node", "runs", "ballots")
+
+    def __init__(self, node):
+        self.node = node
+        self.runs = {}
+        self.ballots = {}
+        node.handle("raw.run", self.on_run)
+        node.handle("raw.renew", self.on_renew)
+        node.handle("raw.stop", self.on_stop)
+        node.find("replicas").on_change.append(self._leave_gone)
+
+    def _check_ballot(self, body):
+        ballot = tuple(body["ballot"])
+        newest = max(ballot, self.ballots.get(body["part"], ballot))
+        self.ballots = {**self.ballots, body["part"]: newest}
+        if ballot < newest:
+            raise Fenced(part=body["part"], ballot=list(newest))
+
+    def on_run(self, body, origin):
+        """Begin a run; Refused, NotSent or Fenced when it is not begun here."""
+        self._check_ballot(body)
+        node, place = self.node, (body["part"], body["lot"], body["n"])
+        for run in self.runs.values():
+            if (run.part, run.lot, run.number) == place and not run.isStopped:
+                return {"run": run.id}
+        if node.is_draining:
+            raise Refused(reason="draining")
+        node.find("freshness").check()
+        forward = node.find("forwards").named(body["forward"])
+        if forward is None or body["service"] not in dict(forward.split):
+            raise Refused(reason="the layout names another service")
+        replica = node.find("replicas").find(body["replica"])
+        isSame = replica is not None and replica.service == body["service"]
+        if not isSame or not node.find("replicas").may_be_sent(replica):
+            raise NotSent(replica=body["replica"], reason="left")
+        run = self.runs[body["run"]] = RawRun(body)
+        node.spawn(self._run(run, replica, body))
+        return {"run": run.id}
+
+    def on_renew(self, body, origin):
+        """Tell a part's owner which of its items run here."""
+        self._check_ballot(body)
+        return [run.to_list() for run in self.runs.values() if run.part == body["part"]]
+
+    def on_stop(self, body, origin):
+        """Stop the runs of a lot, or those of the numbers named."""
+        for run in list(self.runs.values()):
+            isNamed = body["numbers"] is None or run.number in body["numbers"]
+            if run.lot == body["lot"] and isNamed:
+                run.stop()
+
+    def _leave_gone(self):
+        replicas = self.node.find("replicas")
+        for run in list(self.runs.values()):
+            replica = replicas.find(run.replica)
+            if run.handle is not None and (replica is None or replica.state == "gone"):
+                run.handle.close()
+
+    def _run(self, run, replica, body):
+        try:
+            outcome = yield from self._attempt(run, replica, body)
+            if not run.isStopped:
+                run.isCommitting = True
+                yield from self._deliver(run, outcome)
+        finally:
+            self.runs.pop(run.id, None)
+
+    def _attempt(self, run, replica, body):
+        """Script: send the item once; return how it went. The run holds what came of its text."""
+        node, dialect = self.node, self.node.find("dialect")
+        itemId, target, pairs, content = body["item"]
+        ownNames = {"host", dialect.inquiry}
+        headers = [
+            ("Host", body["host"]), (dialect.inquiry, itemId),
+            *((name, value) for name, value in pairs if name.lower() not in ownNames)]
+        request = Request(dialect, "POST", target, headers, content)
+        lease = node.find("placement").begin(replica, request)
+        stallSeconds = node.bounds.ending
+        try:
+            run.handle = yield from open_answer(
+                node, replica, request, run.last, body["urgency"], node.now() + stallSeconds * 3,
+                True, stallSeconds / 2)
+            lease.heard()
+            return (yield from self._read(run, lease, stallSeconds))
+        except NotSent as trouble:
+            self._note(run, replica, trouble)
+            return UNSENT
+        except BackendTrouble as trouble:
+            self._note(run, replica, trouble)
+            return BROKEN
+        finally:
+            lease.end()
+            if run.handle is not None:
+                run.handle.close()
+
+    def _note(self, run, replica, trouble):
+        self.node.count(f"raw_{trouble.kind}")
+        if not run.isStopped and trouble.detail.get("reason") not in ("left", "no time left"):
+            self.node.find("placement").failed(replica, isinstance(trouble, NotSent))
+
+    def _read(self, run, lease, stallSeconds):
+        """Script: take the answer's head, then the events in order until the proper end."""
+        dialect, handle = self.node.find("dialect"), run.handle
+        if is_not_run(dialect, handle):
+            return NOT_RUN
+        if handle.status in (500, 422):
+            return FAILED if handle.status == 500 else DEAD
+        if handle.status != 200 or not is_sealed(dialect, handle):
+            return BROKEN
+        reader, first = EventReader(run.last), run.last
+        while (data := (yield NextPart(handle, stallSeconds))) is not None:
+            lease.heard()
+            self._take(run, reader.feed(data))
+        if not reader.is_clean or run.last is None:
+            return BROKEN
+        isFramed = {"content-length", "transfer-encoding"} & set(handle.headers)
+        return WHOLE if isFramed or run.last == first else BROKEN
+
+    def _take(self, run, events):
+        for event in events:
+            if event.id is None and not event.data:
+                continue
+            if event.id is None or (run.last is None and event.id > 1):
+                raise BackendTrouble(reason="events out of order")
+            run.text.append(b"\n".join(event.data))
+            run.last = event.id
+        if sum(map(len, run.text)) > TEXT_LIMIT:
+            raise BackendTrouble(reason="too large")
+
+    def _deliver(self, run, outcome):
+        """Script: commit or report what became of the run, until it is taken or far too late."""
+        endTime = self.node.now() + self.node.bounds.return_ * 3
+        text = b"\n".join(run.text)
+        fields = {"lot": run.lot, "n": run.number, "run": run.id}
+        commands = {
+            WHOLE: {"do": "raw.result", "state": FINISHED, "text": text, **fields},
+            DEAD: {"do": "raw.result", "state": ERRORED, "text": b"", **fields},
+            FAILED: {"do": "raw.failed", **fields},
+        }
+        report = {**fields, "outcome": outcome, "last": run.last, "text": text}
+        duty = self.node.find("duty")
+        while self.node.now() < endTime and not run.isStopped:
+            try:
+                if outcome in commands:
+                    return (yield from duty.submit(run.part, commands[outcome]))
+                return (yield from duty.ask(run.part, "raw.report", report, None))
+            except Trouble as trouble:
+                self.node.count("raw_deliveries_repeated")
+                self.node.log("debug", "raw delivery %s: %s", run.id, trouble)
+            yield Sleep(self.node.bounds.beat / 2)
+        return None
--- /dev/null
+++ b/tests/test_raw_lots.py
@@ -0,0 +1,146 @@
+import pytest
+
+from quillring.kernel.troubles import Conflict, NotFound
+from quillring.lots import raw_commands
+from quillring.lots.raw_commands import HELD, QUOTA, waiting_tokens
+from quillring.quorum.commands import apply_batch, first_state
+
+
+def accept(name, count=3, tokens=10, most=0, attempt="t", forward="f", digest=b"d", body=b"body"):
+    items = [[f"{name}-{n}", f"/p/{n}", [["Model", "m"]], body, tokens] for n in range(count)]
+    return {
+        "do": "raw.accept", "lot": name, "forward": forward, "host": "h", "items": items,
+        "digest": digest, "try": attempt, "most_tokens": most, "at": 1000, "due_ms": 8000,
+        "retain_ms": 40_000, "rounds": 2,
+    }
+
+
+def result(name, number, text=b"text", state="finished", run="r"):
+    return {
+        "do": "raw.result", "lot": name, "n": number, "state": state, "text": text, "run": run}
+
+
+def failed(name, number, run):
+    return {"do": "raw.failed", "lot": name, "n": number, "run": run}
+
+
+def read(state, name, start=0, limit=1000):
+    return raw_commands.raw_results(state, {"lot": name, "from": start, "limit": limit})
+
+
+def apply(*batch, state=None):
+    return apply_batch(first_state([]) if state is None else state, batch)
+
+
+def test_results_take_the_next_position_once_and_keep_it():
+    state, answers = apply(
+        accept("x"), result("x", 2, b"two"), result("x", 2, b"other"), result("x", 0, b"zero"))
+    assert [answer["listed"] for answer in answers[1:]] == [True, False, True]
+    seen = read(state, "x")
+    assert seen["results"] == [["x-2", "finished", b"two"], ["x-0", "finished", b"zero"]]
+    assert (seen["items"], seen["next"], seen["is_over"]) == (3, 2, False)
+    assert read(state, "x", 1)["results"] == [["x-0", "finished", b"zero"]]
+    assert read(state, "x", 7)["results"] == []
+
+
+def test_a_change_leaves_the_former_image_and_the_texts_as_they_are():
+    former, _ = apply(accept("x"), result("x", 1, b"one"))
+    state, _ = apply(result("x", 2, b"two"), state=former)
+    assert read(former, "x")["next"] == 1 and read(state, "x")["next"] == 2
+    assert state["raw"]["x"]["results"][0] is former["raw"]["x"]["results"][0]
+    assert state["raw"]["x"]["items"][0] is former["raw"]["x"]["items"][0]
+
+
+def test_the_same_lot_is_taken_once_and_another_one_of_its_name_is_a_conflict():
+    state, answers = apply(
+        accept("x"), accept("x", attempt="u"), accept("x", attempt="v", digest=b"other"))
+    assert answers[1] == {"items": 3, "repeated": True}
+    assert isinstance(answers[2], Conflict)
+    assert len(state["raw"]["x"]["items"]) == 3
+
+
+def test_the_quota_counts_what_waits_on_the_forward_and_nothing_else():
+    state, answers = apply(
+        accept("a", tokens=10, most=60), accept("b", tokens=10, most=60),
+        accept("c", tokens=1, most=60), accept("d", forward="other", most=60))
+    assert answers[2] == {"refused": QUOTA} and answers[3] == {"items": 3}
+    assert waiting_tokens(state, "f") == 60
+    state, answers = apply(
+        result("a", 0), result("a", 0), failed("a", 1, "r1"),
+        accept("e", count=1, tokens=11, most=60, attempt="e"),
+        accept("g", count=1, tokens=10, most=60, attempt="g"), state=state)
+    assert answers[3:] == [{"refused": QUOTA}, {"items": 1}]
+    state, _ = apply({"do": "raw.end", "lot": "b"}, state=state)
+    assert waiting_tokens(state, "f") == 30
+
+
+def test_a_refused_try_stays_refused_and_a_new_try_may_be_taken():
+    state, answers = apply(accept("a", most=30), accept("b", most=30, attempt="b1"))
+    assert answers[1] == {"refused": QUOTA}
+    state, answers = apply(
+        {"do": "raw.end", "lot": "a"}, accept("b", most=30, attempt="b1"),
+        accept("b", most=30, attempt="b2"), state=state)
+    assert answers[1:] == [{"refused": QUOTA}, {"items": 3}]
+
+
+def test_what_a_part_holds_is_bounded(monkeypatch):
+    monkeypatch.setattr(raw_commands, "HELD_WEIGHT", 3000)
+    state, answers = apply(
+        accept("a", body=b"x" * 500), accept("b", attempt="b"), accept("c", attempt="c"))
+    assert answers[1:] == [{"refused": HELD}, {"refused": HELD}]
+    state, answers = apply(
+        {"do": "raw.end", "lot": "a"}, accept("b", attempt="b2"), state=state)
+    assert answers[1] == {"items": 3}
+
+
+def test_an_item_is_errored_after_as_many_failed_runs_as_there_are_rounds():
+    state, answers = apply(
+        accept("x"), failed("x", 0, "r1"), failed("x", 0, "r1"), failed("x", 1, "r3"),
+        failed("x", 0, "r2"), failed("x", 0, "r4"))
+    assert [answer["listed"] for answer in answers[1:]] == [False, False, False, True, False]
+    assert read(state, "x")["results"] == [["x-0", "errored", b""]]
+
+
+def test_an_ended_lot_keeps_what_is_listed_and_drops_the_rest():
+    state, answers = apply(
+        accept("x"), result("x", 1), {"do": "raw.end", "lot": "x"},
+        {"do": "raw.end", "lot": "x"}, result("x", 0), failed("x", 0, "r"))
+    assert answers[3]["repeated"] and not answers[4]["listed"] and not answers[5]["listed"]
+    assert read(state, "x")["next"] == 1 and read(state, "x")["is_over"]
+    with pytest.raises(NotFound):
+        raw_commands.raw_body(state, {"lot": "x", "item": "x-0"})
+    lot = state["raw"]["x"]
+    assert lot["weight"] == len(b"text") + raw_commands.ITEM_WEIGHT and lot["tokens"] == 0
+
+
+def test_an_expired_lot_has_a_result_for_every_item():
+    state, answers = apply(
+        accept("x"), result("x", 1), {"do": "raw.expire", "lot": "x"},
+        {"do": "raw.expire", "lot": "x"})
+    assert [answer["listed"] for answer in answers[2:]] == [2, 0]
+    assert sorted(row[0] for row in read(state, "x")["results"]) == ["x-0", "x-1", "x-2"]
+
+
+def test_reads_are_cut_at_their_limit_but_give_one_result_at_least():
+    state, _ = apply(accept("x"), *(result("x", n, b"t" * 2000) for n in range(3)))
+    assert read(state, "x", limit=10)["next"] == 1
+    assert read(state, "x", limit=4300)["next"] == 2
+    assert read(state, "x", 2, limit=10)["next"] == 3
+
+
+def test_bodies_are_given_until_listed_and_unknown_lots_are_not_found():
+    state, _ = apply(accept("x"), result("x", 1))
+    assert raw_commands.raw_body(state, {"lot": "x", "item": "x-0"}) == {"body": b"body"}
+    for item in ("x-1", "other"):
+        with pytest.raises(NotFound):
+            raw_commands.raw_body(state, {"lot": "x", "item": item})
+    with pytest.raises(NotFound):
+        read(state, "y")
+
+
+def test_only_a_lot_of_which_nothing_waits_is_dropped():
+    state, answers = apply(
+        accept("x"), {"do": "raw.drop", "lot": "x"}, {"do": "raw.end", "lot": "x"},
+        {"do": "raw.drop", "lot": "x"})
+    assert [answers[1]["dropped"], answers[3]["dropped"]] == [False, True]
+    assert state["raw"] == {}
