Forwarding path: raw requests placed, resumed and refused; the platform's edge program

The product could not pass a request on unchanged: its own interface speaks JSON only. New: forwards by host and longest prefix, placement by kept prompt parts and load, a ramp for cold replicas summed over the fleet without asking, streams that go on at another replica where that is allowed. Scripts with effects, driven in tests by a scripted world. Ruled out: gevent's WSGI server here (an answer must be broken off without looking complete).

--- /dev/null
+++ b/proving/scripted.py
@@ -0,0 +1,109 @@
+"""A world of one script: virtual time, and replicas that answer as a test writes it down."""
+
+import random
+
+from quillring.kernel.effects import Emit, NextHead, NextPart, SendOn, Sleep, Wait
+from quillring.kernel.troubles import BackendTrouble, NotSent
+
+SILENT, BREAK, END = "silent", "break", None
+
+
+class ScriptedAnswer:
+    """An answer that comes step by step: (seconds, what); what is a head, bytes, END or a fault."""
+
+    def __init__(self, world, steps):
+        self.world = world
+        self.steps = list(steps)
+        self.status, self.headers = None, {}
+        self.isClosed = False
+        self.waited = 0
+
+    def next(self, seconds):
+        """Return what comes next within the time, or raise as the network would."""
+        delay, what = self.steps[0] if self.steps else (0, SILENT)
+        left = delay - self.waited
+        if what is SILENT or left > seconds:
+            self.waited += seconds
+            self.world.time += seconds
+            raise BackendTrouble(reason="stall")
+        self.world.time += max(0, left)
+        self.waited = 0
+        self.steps.pop(0)
+        if what is BREAK:
+            raise BackendTrouble(reason="broken off")
+        return what
+
+    def close(self):
+        """Note that the answer was ended with."""
+        self.isClosed = True
+
+
+class ScriptedWorld:
+    """Drives one script; `answers` is {address: [steps, ...]}, a list a sending in turn."""
+
+    def __init__(self, answers=(), seed=0):
+        self.time = 1000.0
+        self.random = random.Random(seed)
+        self.answers = {address: list(lists) for address, lists in dict(answers).items()}
+        self.sent = []
+        self.emitted = []
+        self.handles = []
+
+    def now(self):
+        """Return virtual seconds."""
+        return self.time
+
+    def wall(self):
+        """Return virtual seconds of the wall clock."""
+        return self.time
+
+    def spawn(self, script):
+        """Scripts beside the one under test do nothing here."""
+        script.close()
+
+    def frame(self, address, data):
+        """No other node is there to hear."""
+
+    datagram = frame
+
+    def run(self, script):
+        """Run the script to its end; return its value or raise its trouble."""
+        value, trouble = None, None
+        while True:
+            try:
+                effect = script.throw(trouble) if trouble else script.send(value)
+            except StopIteration as stop:
+                return stop.value
+            value, trouble = None, None
+            try:
+                value = self.perform(effect)
+            except BackendTrouble as raisedTrouble:
+                trouble = raisedTrouble
+
+    def perform(self, effect):
+        """Bring about one effect."""
+        match effect:
+            case Emit():
+                self.emitted.append(effect.line)
+            case Sleep():
+                self.time += effect.seconds
+            case Wait():
+                if not effect.signal.is_set:
+                    self.time += max(0, effect.seconds)
+                return effect.signal.is_set
+            case SendOn():
+                return self._send(effect)
+            case NextHead():
+                effect.handle.status, headers = effect.handle.next(effect.seconds)
+                effect.handle.headers = headers
+            case NextPart():
+                return effect.handle.next(effect.seconds)
+        return None
+
+    def _send(self, effect):
+        self.sent.append((effect.address, effect.data, effect.mayReuse))
+        waiting = self.answers.get(tuple(effect.address))
+        if not waiting:
+            raise NotSent(reason="refused")
+        self.handles.append(ScriptedAnswer(self, waiting.pop(0)))
+        return self.handles[-1]
--- a/quillring/classes/taker.py
+++ b/quillring/classes/taker.py
@@ -29,7 +29,7 @@
             layout = self.node.find("layout").layout
             if layout is None or self.node.is_draining:
                 continue
-            for service in sorted(layout["services"]):
+            for service in sorted(n for n, s in layout["services"].items() if s["kind"] != "raw"):
                 isIdle = not self.node.find("dispatch").demands(service)
                 if not isIdle or ticks % ASKS_A_BEAT == 0:
                     self.node.spawn(self._ask(service))
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -7,7 +7,7 @@
 from quillring.kernel.troubles import Conflict
 from quillring.kernel.wsgi import check_body
 
-NAME = {"type": "string", "pattern": "^[a-z][a-z0-9-]{0,40}$"}
+NAME = {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,80}$"}
 BEAT = StrictValidator({
     "type": "object",
     "additionalProperties": False,
@@ -15,13 +15,14 @@
         "name", "service", "domain", "address", "slots", "state", "incarnation", "sequence",
     ],
     "properties": {
-        "name": NAME, "service": {"type": "string", "maxLength": 41}, "domain": NAME,
+        "name": NAME, "service": {"type": "string", "maxLength": 80}, "domain": NAME,
         "address": {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"},
         "slots": {"type": "integer", "minimum": 1, "maximum": 10_000},
         "busy": {"type": "integer", "minimum": 0},
         "state": {"enum": ["cold", "ready", "leaving", "gone"]},
         "incarnation": {"type": "integer", "minimum": 0},
         "sequence": {"type": "integer", "minimum": 0},
+        "cold_ms": {"type": "number", "minimum": 0},
     },
 })
 AWAY = ("leaving", "gone")
@@ -37,6 +38,7 @@
     __slots__ = (
         "name", "service", "domain", "address", "slots", "state", "incarnation", "sequence",
         "heardAt", "bornAt", "inFlight", "stalledUntil", "busyUntil",
+        "coldUntil",
     )
 
     def __init__(self, beat, now, former=None):
@@ -49,6 +51,7 @@
         self.state = beat["state"]
         self.incarnation = beat["incarnation"]
         self.sequence = beat["sequence"]
+        self.coldUntil = now + beat.get("cold_ms", 0) / 1000
         isSame = former is not None and former.incarnation == self.incarnation
         self.heardAt = now if former is not None else -math.inf
         self.bornAt = former.bornAt if isSame else now
@@ -56,6 +59,10 @@
         self.busyUntil = former.busyUntil if isSame else 0
         self.stalledUntil = former.stalledUntil if isSame else 0
 
+    def is_cold(self, now):
+        """Tell whether the replica still warms up by its own last word."""
+        return now < self.coldUntil
+
     def path(self, path, **words):
         """Return the path of an inquiry meant for this very start of the replica."""
         return f"{path}?{urlencode({**words, 'incarnation': self.incarnation})}"
@@ -74,11 +81,13 @@
 class Replicas:
     """The table of replicas, fed by beats that any node took and gossip passed on."""
 
-    __slots__ = ("node", "table", "on_change")
+    __slots__ = ("node", "table", "on_change", "edition", "misplacedNames")
 
     def __init__(self, node):
         self.node = node
         self.table = {}
+        self.edition = 0
+        self.misplacedNames = frozenset()
         self.on_change = []
         node.find("gossip").listen("replica/", self._on_news)
 
@@ -88,9 +97,11 @@
         known = self.table.get(beat["name"])
         if known is not None and known.incarnation > beat["incarnation"]:
             raise Conflict(field="incarnation", winning_incarnation=known.incarnation)
-        self.node.find("gossip").put(
-            f"replica/{beat['name']}", [beat["incarnation"], beat["sequence"]], beat
-        )
+        key, version = f"replica/{beat['name']}", [beat["incarnation"], beat["sequence"]]
+        isNews = known is None or known.state != beat["state"] or "cold_ms" in beat
+        if self.node.find("gossip").put(key, version, beat) and isNews:
+            for name in self.node.find("nifty").graph.routes:
+                self.node.cast(name, "gossip.news", [[key, version, beat]])
         return {"taken": True}
 
     def _on_news(self, key, beat):
@@ -98,7 +109,10 @@
         if former is not None and former.state in AWAY and former.incarnation == beat[
                 "incarnation"] and beat["state"] not in AWAY:
             return
-        self.table[beat["name"]] = Replica(beat, self.node.now(), former)
+        replica = self.table[beat["name"]] = Replica(beat, self.node.now(), former)
+        if former is None or (former.state, former.address, former.slots) != (
+                replica.state, replica.address, replica.slots):
+            self.edition += 1
         for listener in self.on_change:
             listener()
 
@@ -119,6 +133,20 @@
             and not self.node.find("layout").is_emptied(replica.domain)
         )
 
+    def may_be_sent(self, replica):
+        """Tell whether a request may go out to this start of a replica, silent or not."""
+        known = self.table.get(replica.name)
+        return (
+            known is not None and known.state not in AWAY
+            and replica.name not in self.misplacedNames
+            and not self.node.find("layout").is_emptied(replica.domain)
+        )
+
+    def misplaced(self, replica):
+        """Note that another one answered at a replica's address: this one is gone for good."""
+        self.misplacedNames = self.misplacedNames | {replica.name}
+        self.edition += 1
+
     def may_get_work(self, replica):
         """Tell whether a replica may get something new by all that this node knows."""
         return self.is_usable(replica) and self.node.now() >= replica.stalledUntil
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -4,11 +4,12 @@
 from quillring.duty import Duty
 from quillring.edge import Dispatch, Journal, Replicas
 from quillring.edge.tokens import LIFE_SECONDS
+from quillring.forward import Dialect, ForwardTable, Placement
 from quillring.gossip import Gossip
 from quillring.kernel.node import Node
 from quillring.kernel.registry import Registry
 from quillring.kernel.troubles import DiskTrouble
-from quillring.lots import LotRunner
+from quillring.lots import LotRunner, start_raw_lots
 from quillring.nifty import Member, Nifty
 from quillring.nifty.wire import SPOKEN
 from quillring.plans import PlanRunner
@@ -35,6 +36,9 @@
     node.offer("freshness", Freshness(node))
     node.offer("replicas", Replicas(node))
     node.offer("meter", Meter(node))
+    node.offer("dialect", Dialect())
+    node.offer("forwards", ForwardTable(node))
+    node.offer("placement", Placement(node))
 
     def put_member(member):
         gossip.put(f"member/{member.name}", [member.incarnation], member.to_list())
@@ -82,6 +86,7 @@
     node.spawn(plans.run())
     node.spawn(node.find("duty").run())
     node.spawn(runner.run())
+    node.spawn(start_raw_lots(node))
 
 
 def _start_serving(node):
--- /dev/null
+++ b/quillring/forward/__init__.py
@@ -0,0 +1,9 @@
+"""Forwarding: requests passed to replicas unchanged, placed by tokens, resumed where allowed."""
+
+from quillring.forward.dialect import Dialect
+from quillring.forward.events import EventReader
+from quillring.forward.placement import Placement
+from quillring.forward.request import Request
+from quillring.forward.table import ForwardTable
+
+__all__ = ["Dialect", "EventReader", "ForwardTable", "Placement", "Request"]
--- /dev/null
+++ b/quillring/forward/dialect.py
@@ -0,0 +1,23 @@
+"""The header names under which an inquiry's id, its replica, its seal and so on travel."""
+
+FIELDS = {
+    "inquiry": "x-inquiry",
+    "replica": "x-expect-replica",
+    "seal": "x-seal",
+    "not_run": "x-not-run",
+    "deadline": "x-deadline-ms",
+    "chain": "x-prompt-chain",
+    "tokens": "x-token-count",
+    "urgency": "x-urgency",
+    "resume": "last-event-id",
+}
+
+
+class Dialect:
+    """Header names, lower case; the product has its own, an outside system gives its own."""
+
+    __slots__ = tuple(FIELDS)
+
+    def __init__(self, **names):
+        for field, ownName in FIELDS.items():
+            setattr(self, field, names.get(field, ownName).lower())
--- /dev/null
+++ b/quillring/forward/ramp.py
@@ -0,0 +1,46 @@
+"""What a cold replica bears, summed over the fleet without asking anybody.
+
+A few nodes, chosen by rendezvous, may send to a cold replica; each has an equal part of what it
+bears a second. Nodes whose rosters differ for a moment differ in few of the chosen.
+"""
+
+from quillring.nifty.graph import score
+
+PART = 4.0
+SENDING_ROLES = ("edge", "core")
+
+
+class Ramp:
+    """The node's own part of each cold replica's bearable requests a second."""
+
+    __slots__ = ("node", "spent")
+
+    def __init__(self, node):
+        self.node = node
+        self.spent = {}
+
+    def take(self, replica, now):
+        """Take one request's worth at a cold replica; False when there is none left now."""
+        part = self.part(replica)
+        if part <= 0:
+            return False
+        nextAt = self.spent.get(replica.name, 0)
+        if now < nextAt:
+            return False
+        self.spent = {name: at for name, at in self.spent.items() if at > now - 1}
+        self.spent[replica.name] = max(nextAt, now - 1 / part) + 1 / part
+        return True
+
+    def part(self, replica):
+        """Return how many requests a second this node may send to a cold replica."""
+        services = (self.node.find("layout").layout or {}).get("services", {})
+        rate = services.get(replica.service, {}).get("warm_rate") or replica.slots
+        graph = self.node.find("nifty").graph
+        members = self.node.find("nifty").roster.members.values()
+        names = [
+            m.name for m in members
+            if m.role in SENDING_ROLES and (m.name in graph.routes or m.name == self.node.me.name)
+        ]
+        senderCount = max(1, min(len(names), int(rate / PART)))
+        ranked = sorted(names, key=lambda name: score(replica.name, name), reverse=True)
+        return rate / senderCount if self.node.me.name in ranked[:senderCount] else 0
--- /dev/null
+++ b/quillring/forward/serve.py
@@ -0,0 +1,177 @@
+"""The way of a forwarded request through a node: one function a kind, read top to bottom."""
+
+from quillring.forward.attempt import is_not_run, is_sealed, open_answer
+from quillring.forward.events import EventReader
+from quillring.forward.request import answer_pairs
+from quillring.forward.waiting import acquire
+from quillring.kernel.effects import Emit, NextPart
+from quillring.kernel.troubles import BackendTrouble, NotSent, OutcomeUnknown, Refused
+
+URGENCIES = (1, 3, 4, 5, 6)
+LONG_PROMPT = 4000
+FAILED = range(500, 600)
+
+
+class Sending:
+    """How far one request has come: rounds used, replicas to avoid, what the client has."""
+
+    __slots__ = ("rounds", "avoidedNames", "lastEvent", "hasHead", "endTime", "lastAnswer")
+
+    def __init__(self, endTime, lastEvent):
+        self.rounds = 0
+        self.avoidedNames = set()
+        self.lastEvent = lastEvent
+        self.hasHead = False
+        self.endTime = endTime
+        self.lastAnswer = None
+
+
+def urgency_of(forward, request):
+    """Return the urgency a replica is told: short questions before long ones, by rank."""
+    isLong = request.tokensIn >= LONG_PROMPT
+    return min(9, URGENCIES[min(forward.urgency, len(URGENCIES) - 1)] + isLong)
+
+
+def end_time(node, forward, request, arrivedAt):
+    """Return when the request is no longer worth anything: its deadline or the route's hold."""
+    seconds = forward.holdSeconds
+    if request.deadlineMs is not None:
+        seconds = min(seconds, request.deadlineMs / 1000)
+    return arrivedAt + seconds
+
+
+def serve(node, forward, request, arrivedAt):
+    """Script: pass a request on; emits head and bytes of a stream, or returns a whole answer."""
+    sending = Sending(end_time(node, forward, request, arrivedAt), request.lastEvent)
+    service = forward.service_for(request.id or request.target)
+    while True:
+        try:
+            replica = yield from acquire(node, forward, service, request, sending, arrivedAt)
+        except Refused:
+            if sending.lastAnswer is not None:
+                return sending.lastAnswer
+            raise
+        sending.rounds += 1
+        lease = node.find("placement").begin(replica, request)
+        handle = None
+        try:
+            handle = yield from open_answer(
+                node, replica, request, sending.lastEvent, urgency_of(forward, request),
+                sending.endTime, forward.may_repeat,
+                forward.pauseSeconds * 1.2 if may_go_on(node, forward, sending) else None)
+            lease.heard()
+            if is_not_run(node.find("dialect"), handle):
+                sending.avoidedNames.add(replica.name)
+                if handle.status == 421:
+                    node.find("replicas").misplaced(replica)
+                yield from take_refusal(sending, handle, forward)
+                continue
+            isStream = handle.headers.get("content-type", "").startswith("text/event-stream")
+            if isStream and handle.status == 200:
+                yield from relay_events(node, forward, sending, handle, lease)
+                return None
+            answer = yield from read_whole(node, sending, handle)
+            if handle.status not in FAILED or not may_go_on(node, forward, sending):
+                return check_whole(node, sending, answer)
+            sending.avoidedNames.add(replica.name)
+            sending.lastAnswer = answer
+        except NotSent as trouble:
+            note_trouble(node, sending, replica, trouble, True)
+            sending.rounds -= 1
+        except BackendTrouble as trouble:
+            note_trouble(node, sending, replica, trouble, False)
+            if not forward.may_repeat:
+                raise OutcomeUnknown(reason="the replica broke off") from trouble
+            if not may_go_on(node, forward, sending):
+                raise OutcomeUnknown(reason="no round left") from trouble
+        finally:
+            lease.end()
+            if handle is not None:
+                handle.close()
+
+
+def may_go_on(node, forward, sending):
+    """Tell whether another replica may be asked."""
+    return (
+        forward.may_repeat and sending.rounds < forward.rounds
+        and node.now() < sending.endTime
+    )
+
+
+def note_trouble(node, sending, replica, trouble, isSurely):
+    """Remember a failed sending, here and in the view of its replica."""
+    node.count(f"forward_{trouble.kind}_{trouble.detail.get('reason', '')}")
+    sending.avoidedNames.add(replica.name)
+    if trouble.detail.get("reason") not in ("left", "no time left"):
+        isStalled = trouble.detail.get("reason") == "stall"
+        node.find("placement").failed(replica, isSurely or isStalled)
+
+
+def take_refusal(sending, handle, forward):
+    """Script: a replica did not run it; the last one's word goes to the client."""
+    if sending.rounds >= forward.rounds and not sending.hasHead:
+        raise Refused(reason="replicas are full", come_back_s=forward.goalSeconds / 4)
+    return
+    yield
+
+
+def read_whole(node, sending, handle):
+    """Script: read the whole body; returns (status, header pairs, body)."""
+    parts = []
+    while (part := (yield NextPart(handle, sending.endTime - node.now() + 0.05))) is not None:
+        parts.append(part)
+    return handle.status, answer_pairs(handle.headers), b"".join(parts)
+
+
+def check_whole(node, sending, answer):
+    """Return the answer; where a stream's head is out already, nothing can follow it."""
+    if sending.hasHead:
+        raise OutcomeUnknown(reason="a failure amid the stream")
+    return answer
+
+
+def relay_events(node, forward, sending, handle, lease):
+    """Script: pass whole events on as they come, until the stream's proper end."""
+    if not is_sealed(node.find("dialect"), handle):
+        raise BackendTrouble(reason="no seal")
+    reader = EventReader(sending.lastEvent)
+    while True:
+        data = yield from next_part(node, forward, sending, handle, lease)
+        if data is None:
+            break
+        lease.heard()
+        events = reader.feed(data)
+        if not events:
+            continue
+        raw = b"".join(event.raw for event in events)
+        if sending.hasHead:
+            yield Emit(raw)
+        else:
+            sending.hasHead = True
+            yield Emit((handle.status, answer_pairs(handle.headers), raw))
+        if reader.lastEvent is not None:
+            sending.lastEvent = reader.lastEvent
+    if not reader.is_clean:
+        raise BackendTrouble(reason="cut event")
+    if not sending.hasHead:
+        sending.hasHead = True
+        yield Emit((handle.status, answer_pairs(handle.headers), b""))
+
+
+def next_part(node, forward, sending, handle, lease):
+    """Script: wait for bytes; a silent replica is left while another may go on in time."""
+    patience = forward.pauseSeconds * 1.2
+    while True:
+        secondsLeft = sending.endTime - node.now() + 0.05
+        if not may_go_on(node, forward, sending):
+            return (yield NextPart(handle, secondsLeft))
+        try:
+            return (yield NextPart(handle, min(patience, secondsLeft)))
+        except BackendTrouble as trouble:
+            isOver = node.now() >= sending.endTime
+            isLong = patience >= forward.pauseSeconds * 4
+            if trouble.detail["reason"] != "stall" or isOver or isLong:
+                raise
+            if node.find("placement").is_silent(lease.replica, patience):
+                raise
+            patience = forward.pauseSeconds * 4
--- /dev/null
+++ b/quillring/forward/table.py
@@ -0,0 +1,101 @@
+"""Which forward a request belongs to: an immutable table made of each layout image."""
+
+from quillring.nifty.graph import score
+
+STREAM, LOT, REPEATABLE = "stream", "lot", "repeatable"
+
+
+class Forward:
+    """One forward of the layout, with what the path of a request asks of it."""
+
+    __slots__ = (
+        "name", "host", "prefix", "kind", "split", "rounds", "holdSeconds", "goalSeconds",
+        "urgency", "mayResume", "pauseSeconds", "fields",
+    )
+
+    def __init__(self, name, fields):
+        self.name = name
+        self.host = fields["host"].lower()
+        self.prefix = fields["prefix"]
+        self.kind = fields["kind"]
+        self.split = [(service, weight) for service, weight in fields["split"] if weight > 0]
+        self.rounds = max(1, fields.get("rounds") or 1)
+        self.holdSeconds = (fields.get("hold_ms") or 60_000) / 1000
+        self.goalSeconds = (fields.get("goal_ms") or 1000) / 1000
+        self.urgency = fields.get("urgency", 0)
+        self.mayResume = bool(fields.get("resumable"))
+        self.pauseSeconds = (fields.get("pause_ms") or 300) / 1000
+        self.fields = fields
+
+    @property
+    def may_repeat(self):
+        """True where a request may run again after a replica may have begun it."""
+        return self.kind == REPEATABLE or (self.kind == STREAM and self.mayResume)
+
+    def service_for(self, key):
+        """Return the service that the weights give to a request of this key."""
+        if len(self.split) == 1:
+            return self.split[0][0]
+        total = sum(weight for _, weight in self.split)
+        drawn = int.from_bytes(score(self.name, key)[:7], "big") / (1 << 56) * total
+        for service, weight in self.split:
+            drawn -= weight
+            if drawn < 0:
+                return service
+        return self.split[-1][0]
+
+
+class ForwardTable:
+    """Forwards by host and longest prefix; made anew, and swapped whole, when the layout moves."""
+
+    __slots__ = ("node", "layout", "byHost", "byName")
+
+    def __init__(self, node):
+        self.node = node
+        self.layout = None
+        self.byHost = {}
+        self.byName = {}
+
+    def _renew(self):
+        layout = self.node.find("layout").layout
+        if layout is self.layout:
+            return
+        forwards = [
+            Forward(name, fields) for name, fields in (layout or {}).get("forwards", {}).items()]
+        byHost = {}
+        for forward in sorted(forwards, key=lambda f: -len(f.prefix)):
+            byHost.setdefault(forward.host, []).append(forward)
+        self.byHost = {
+            host: {forward.prefix: forward for forward in hosted} for host, hosted in byHost.items()}
+        self.byName = {forward.name: forward for forward in forwards}
+        self.layout = layout
+
+    def is_empty(self):
+        """Tell whether no layout with forwards is known yet."""
+        self._renew()
+        return not self.byName
+
+    def find(self, host, target):
+        """Return the forward with the longest prefix that begins the target's path, or None."""
+        self._renew()
+        host = host.lower()
+        prefixes = self.byHost.get(host)
+        if prefixes is None and ":" in host:
+            prefixes = self.byHost.get(host.partition(":")[0])
+        if prefixes is None:
+            return None
+        path = target.partition("?")[0]
+        end = len(path)
+        while end > 0:
+            end = path.rfind("/", 0, end) + 1
+            if not end:
+                return None
+            if path[:end] in prefixes:
+                return prefixes[path[:end]]
+            end -= 1
+        return None
+
+    def named(self, name):
+        """Return the forward of a name, or None."""
+        self._renew()
+        return self.byName.get(name)
--- a/quillring/kernel/bounds.py
+++ b/quillring/kernel/bounds.py
@@ -4,14 +4,22 @@
 class Bounds:
     """The bounds users were promised, and the constants that follow from them."""
 
-    __slots__ = ("news", "emptying", "ending", "reading", "return_")
-
-    def __init__(self, news=2.0, emptying=5.0, ending=3.0, reading=1.0, return_=12.0):
+    __slots__ = (
+        "news", "emptying", "ending", "reading", "return_", "sync", "grace", "replica_beat",
+    )
+
+    def __init__(
+        self, news=2.0, emptying=5.0, ending=3.0, reading=1.0, return_=12.0, sync=None,
+        grace=None, replica_beat=0.5,
+    ):
         self.news = news
         self.emptying = emptying
         self.ending = ending
         self.reading = reading
         self.return_ = return_
+        self.sync = sync
+        self.grace = grace
+        self.replica_beat = replica_beat
 
     @property
     def beat(self):
@@ -40,5 +48,5 @@
 
     @property
     def silent(self):
-        """Silence after which a replica gets nothing new."""
-        return self.news * 0.75
+        """Silence after which a replica gets nothing new: at least two of its beats missed."""
+        return max(self.news * 0.75, self.replica_beat * 2.7)
--- /dev/null
+++ b/quillring/kernel/connections.py
@@ -0,0 +1,108 @@
+"""Connections to replicas, kept while a replica surely keeps them too."""
+
+import time
+
+import gevent.socket
+import httptools
+from gevent import select
+
+from quillring.kernel.troubles import NotSent
+
+CONNECT_SECONDS = 0.4
+IDLE_LIMIT = 512
+
+
+class Connection:
+    """A connection to a replica and the parser of what comes back on it."""
+
+    __slots__ = ("address", "sock", "parser", "answer", "idleUntil", "wasUsed")
+
+    def __init__(self, address, sock):
+        self.address = address
+        self.sock = sock
+        self.parser = httptools.HttpResponseParser(self)
+        self.answer = None
+        self.idleUntil = 0
+        self.wasUsed = False
+
+    def on_message_begin(self):
+        """Begin to read an answer."""
+        self.answer.begin()
+
+    def on_header(self, name, value):
+        """Take one header line."""
+        self.answer.lines.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self):
+        """Take the end of the head."""
+        self.answer.end_head(self.parser.get_status_code(), self.parser.should_keep_alive())
+
+    def on_body(self, data):
+        """Take bytes of the body."""
+        self.answer.add(data)
+
+    def on_message_complete(self):
+        """Take the end of an answer."""
+        self.answer.end()
+
+    def close(self):
+        """Close it; a replica still at work drops the request."""
+        self.sock.close()
+
+
+class Pool:
+    """Connections kept open by address, the latest used again first."""
+
+    __slots__ = ("idle",)
+
+    def __init__(self):
+        self.idle = {}
+
+    def take(self, address):
+        """Return a kept connection that is sound by all that can be seen, or None."""
+        keptConnections = self.idle.get(address, [])
+        while keptConnections:
+            connection = keptConnections.pop()
+            if time.monotonic() < connection.idleUntil and not is_readable(connection.sock):
+                return connection
+            connection.close()
+        return None
+
+    def put(self, connection, keepSeconds):
+        """Keep a connection whose last answer was read whole."""
+        connection.idleUntil = time.monotonic() + keepSeconds
+        connection.wasUsed = True
+        self.idle.setdefault(connection.address, []).append(connection)
+        if sum(map(len, self.idle.values())) > IDLE_LIMIT:
+            self.drop_old()
+
+    def drop_old(self):
+        """Close connections that would not be used again."""
+        now = time.monotonic()
+        for address, keptConnections in list(self.idle.items()):
+            for connection in keptConnections:
+                if connection.idleUntil <= now:
+                    connection.close()
+            sound = [c for c in keptConnections if c.idleUntil > now]
+            self.idle = {**self.idle, address: sound}
+        self.idle = {address: kept for address, kept in self.idle.items() if kept}
+
+
+POOL = Pool()
+
+
+def is_readable(sock):
+    """Tell whether something lies unread on a connection: surplus bytes or its end."""
+    return bool(select.select([sock], [], [], 0)[0])
+
+
+def connect(address, seconds):
+    """Return a new connection to an address, or raise NotSent."""
+    try:
+        sock = gevent.socket.create_connection(
+            tuple(address), timeout=max(0.001, min(seconds, CONNECT_SECONDS)))
+    except OSError as error:
+        raise NotSent(address=list(address), reason=type(error).__name__) from error
+    sock.settimeout(None)
+    sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+    return Connection(tuple(address), sock)
--- a/quillring/kernel/effects.py
+++ b/quillring/kernel/effects.py
@@ -55,6 +55,28 @@
     __slots__ = ("handle", "seconds")
 
 
+class SendOn(Effect):
+    """Send the bytes of one HTTP request; resume with the handle of its answer.
+
+    `answerId` is (lower-case header name, value): answers that bear another one are skipped.
+    Raises NotSent when nothing reached the address, BackendTrouble when it may have run.
+    """
+
+    __slots__ = ("address", "data", "seconds", "mayReuse", "answerId")
+
+
+class NextHead(Effect):
+    """Resume once the head of an answer is there; a stall leaves the handle as it is."""
+
+    __slots__ = ("handle", "seconds")
+
+
+class NextPart(Effect):
+    """Resume with the next bytes of an answer's body, or None at its proper end."""
+
+    __slots__ = ("handle", "seconds")
+
+
 class Emit(Effect):
     """Hand one line to the sender of the inquiry."""
 
--- a/quillring/kernel/gevent_world.py
+++ b/quillring/kernel/gevent_world.py
@@ -11,8 +11,18 @@
 import gevent.server
 import gevent.socket
 
-from quillring.kernel import backend
-from quillring.kernel.effects import Emit, Fetch, Next, Open, Sleep, Wait
+from quillring.kernel import backend, http_client
+from quillring.kernel.effects import (
+    Emit,
+    Fetch,
+    Next,
+    NextHead,
+    NextPart,
+    Open,
+    SendOn,
+    Sleep,
+    Wait,
+)
 from quillring.kernel.troubles import Trouble
 
 FRAME_HEAD = struct.Struct(">I")
@@ -197,6 +207,12 @@
                 return backend.open_stream(effect)
             case Next():
                 return backend.next_line(effect)
+            case SendOn():
+                return http_client.send_on(effect)
+            case NextHead():
+                return effect.handle.next_head(effect.seconds)
+            case NextPart():
+                return effect.handle.next_part(effect.seconds)
 
     def _wait(self, signal, seconds):
         if signal.is_set:
--- /dev/null
+++ b/quillring/kernel/raw_http.py
@@ -0,0 +1,63 @@
+"""Requests and answers as bytes: what a client sent, within which limits, and what goes back."""
+
+from quillring.kernel.troubles import Trouble
+
+WORDS = {
+    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
+    409: "Conflict", 412: "Precondition Failed", 413: "Content Too Large",
+    421: "Misdirected Request", 422: "Unprocessable Content", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class RawLimits:
+    """What a client may send, and how long it may take, in bytes and seconds."""
+
+    __slots__ = ("headBytes", "bodyBytes", "headSeconds", "idleSeconds")
+
+    def __init__(self, headBytes=16384, bodyBytes=4 << 20, headSeconds=3.0, idleSeconds=15.0):
+        self.headBytes = headBytes
+        self.bodyBytes = bodyBytes
+        self.headSeconds = headSeconds
+        self.idleSeconds = idleSeconds
+
+
+class RawRequest:
+    """One request as it came: method, target, header lines, body and when its end was read."""
+
+    __slots__ = ("method", "target", "lines", "headers", "body", "isKept", "arrivedAt")
+
+    def __init__(self, method, target, lines, body, isKept, arrivedAt):
+        self.method = method
+        self.target = target
+        self.lines = lines
+        self.headers = {name.lower(): value for name, value in lines}
+        self.body = body
+        self.isKept = isKept
+        self.arrivedAt = arrivedAt
+
+
+class BadClient(Trouble):
+    """The client sent what is no request within the limits."""
+
+    kind = "bad_client"
+    status = 400
+
+
+def head_bytes(status, headers):
+    """Return the head of an answer."""
+    lines = [f"HTTP/1.1 {status} {WORDS.get(status, 'Status')}"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def chunk(data):
+    """Return the bytes of one chunk."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class ClientGone(Trouble):
+    """The client closed its connection."""
+
+    kind = "client_gone"
--- a/quillring/kernel/settings.py
+++ b/quillring/kernel/settings.py
@@ -32,12 +32,20 @@
             "type": "integer", "minimum": 1, "maximum": 64,
             "description": "Parts of the state beside the config part; used when founding.",
         },
+        "bootstrap": {
+            "type": "boolean",
+            "description": "True at the very first start: the first seed founds the fleet.",
+        },
+        "losses": {
+            "type": "integer", "minimum": 0, "maximum": 8,
+            "description": "Stores that may be lost at once; a part has twice as many and one.",
+        },
         "bounds": {
             "type": "object", "additionalProperties": False,
             "description": "The bounds promised to users, in seconds.",
             "properties": {
                 "news": SECONDS, "emptying": SECONDS, "ending": SECONDS, "reading": SECONDS,
-                "return_": SECONDS,
+                "return_": SECONDS, "sync": SECONDS, "grace": SECONDS, "replica_beat": SECONDS,
             },
         },
     },
@@ -49,7 +57,7 @@
 
     __slots__ = (
         "name", "role", "domain", "address", "http_address", "seeds", "folder", "log_file",
-        "parts", "bounds",
+        "parts", "bounds", "bootstrap", "losses",
     )
 
     def __init__(self, fields):
@@ -63,6 +71,8 @@
         self.log_file = fields.get("log_file")
         self.parts = fields.get("parts", 4)
         self.bounds = Bounds(**fields.get("bounds", {}))
+        self.bootstrap = fields.get("bootstrap", False)
+        self.losses = fields.get("losses", 1)
 
 
 def split_address(text):
@@ -120,6 +130,11 @@
             raise ExceptionGroup("settings", [fault]) from error
     if isinstance(fields, dict):
         fields = {**fields, **{name: value for name, value in flags.items() if value}}
+    return check_settings(fields)
+
+
+def check_settings(fields):
+    """Return the settings of fields that are sound, or raise all faults as one group."""
     faults = find_faults(fields)
     if faults:
         raise ExceptionGroup("settings", [BadSetting(fault=fault) for fault in faults])
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -14,6 +14,7 @@
 from quillring.kernel.troubles import Trouble
 from quillring.kernel.wsgi import make_app
 from quillring.nifty import Member
+from quillring.quorum.autofound import found_by_itself
 from quillring.store import FolderDisk
 
 
@@ -24,25 +25,36 @@
 
 
 DRAIN_PATIENCE = 50
+GRACE_SHARE = 0.9
+TAKING_SHARE = 0.4
 LEVELS = {"debug": logging.DEBUG, "warning": logging.WARNING, "error": logging.ERROR}
 
 
-def drain(node, server):
-    """Take nothing new, finish what is under way, hand the journal over, end."""
+def drain(node, servers):
+    """Take nothing new, finish what is under way, hand the journal over, end.
+
+    Where the platform gives a grace, all of that ends within it.
+    """
     node.is_draining = True
     node.find("duty").announce_drain()
-    deadline = node.now() + node.bounds.return_ * DRAIN_PATIENCE
-    gevent.sleep(node.bounds.beat)
+    grace = node.bounds.grace
+    patience = node.bounds.return_ * DRAIN_PATIENCE if grace is None else grace * GRACE_SHARE
+    deadline = node.now() + patience
+    gevent.sleep(node.bounds.beat if grace is None else grace * TAKING_SHARE)
     while node.underWay and node.now() < deadline:
         gevent.sleep(node.bounds.chatter)
     journal = node.find("journal")
     if journal is not None:
         node.world.drive(journal.hand_over())
-    server.stop(timeout=node.bounds.beat)
+    for server in servers:
+        server.stop()
+
 
+def run_process(settings, reread, makeWorld=GeventWorld, open_more=lambda node, report: ()):
+    """Run a node until the platform stops it; a planned stop finishes what is under way.
 
-def run_process(settings, reread, makeWorld=GeventWorld):
-    """Run a node until the platform stops it; a planned stop finishes what is under way."""
+    `open_more(node, report)` opens further listening addresses and returns their servers.
+    """
     nodeLogger, ringHandler = ring_log(settings.name, settings.log_file)
 
     def log(level, text, *fields):
@@ -64,6 +76,10 @@
     nifty = node.find("nifty")
     world.listen(*settings.address, nifty.on_datagram, nifty.on_frame)
     server = start_server(settings.http_address, make_app(node), nodeLogger)
+    servers = [*open_more(node, world.report), server]
+    if settings.role == "core":
+        node.spawn(found_by_itself(
+            node, settings.bootstrap, settings.parts, settings.losses * 2 + 1))
     stopEvent, clashes = gevent.event.Event(), []
     node.offer("stop", stopEvent.set)
 
@@ -80,7 +96,7 @@
     if clashes and clashes[-1][1] - clashes[0][1] > settings.bounds.news:
         server.stop(timeout=0)
         raise NameTaken(name=settings.name, told_by=clashes[-1][0])
-    drain(node, server)
+    drain(node, servers)
 
 
 def change_settings(node, reread):
