--- a/quillring/kernel/http_client.py
+++ b/quillring/kernel/http_client.py
@@ -21,7 +21,7 @@
 
     __slots__ = (
         "connection", "effect", "answerId", "lines", "status", "headers", "isKept", "parts",
-        "isWhole", "isOurs", "hasHead", "hasBytes", "isFramed", "isClosed",
+        "isWhole", "isOurs", "hasHead", "hasBytes", "isFramed", "isClosed", "hasSurplus",
     )
 
     def __init__(self, connection, effect):
@@ -30,18 +30,23 @@
         self.answerId = effect.answerId
         self.parts = deque()
         self.hasBytes = False
-        self.isWhole = False
+        self.isWhole = self.hasSurplus = False
         self.isClosed = False
         self.begin()
 
     def begin(self):
-        """Forget what was read: another answer begins."""
+        """Forget what was read: another answer begins; after our own it is surplus."""
+        if self.isWhole:
+            self.hasSurplus = True
+            return
         self.lines = []
         self.status, self.headers, self.isKept = None, {}, False
         self.isOurs = self.hasHead = self.isFramed = False
 
     def end_head(self, status, isKept):
         """Take the head; an answer to another inquiry is skipped."""
+        if self.hasSurplus:
+            return
         self.status, self.isKept = status, isKept
         self.headers = {name.lower(): value for name, value in self.lines}
         self.isOurs = status >= 200 and (
@@ -71,9 +76,6 @@
                 return
             raise BackendTrouble(reason="broken off")
         self.hasBytes = True
-        if self.isWhole:
-            self.isKept = False
-            return
         try:
             self.connection.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -132,7 +134,7 @@
             return
         self.isClosed = True
         keepSeconds = self.keep_seconds() if self.isWhole and self.isKept else 0
-        if keepSeconds > 0 and not self.parts:
+        if keepSeconds > 0 and not self.parts and not self.hasSurplus:
             POOL.put(self.connection, keepSeconds)
         else:
             self.connection.close()
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -42,7 +42,7 @@
 def beat(node, number, sequence=1, **fields):
     node.find("replicas").on_beat({
         "name": f"r{number}", "service": "s", "domain": "north",
-        "address": "10.0.0.1:%d" % (9000 + number), "slots": 8, "state": "ready",
+        "address": f"10.0.0.1:{9000 + number}", "slots": 8, "state": "ready",
         "incarnation": 0, "sequence": sequence, **fields,
     })
 
--- /dev/null
+++ b/tests/test_raw_server.py
@@ -0,0 +1,173 @@
+import gevent
+import gevent.event
+import pytest
+from gevent.server import StreamServer
+
+from quillring.kernel.effects import Emit, SendOn, Signal, Wait
+from quillring.kernel.gevent_world import GeventWorld
+from quillring.kernel.http_client import send_on
+from quillring.kernel.node import Node
+from quillring.kernel.raw_http import RawLimits
+from quillring.kernel.raw_server import RawServer
+from quillring.kernel.troubles import BackendTrouble, Trouble
+from quillring.nifty import Member
+
+
+class Client:
+    """A raw connection of a client."""
+
+    def __init__(self, server):
+        self.sock = gevent.socket.create_connection(
+            ("127.0.0.1", server.server.server_port), timeout=5)
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def read(self):
+        """Return all bytes until the server closes."""
+        parts = []
+        while data := self.sock.recv(65536):
+            parts.append(data)
+        return b"".join(parts)
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(handle, **limits):
+        faults = []
+        world = GeventWorld(faults.append, 1.0)
+        node = Node(Member("n", 1, "edge", "north", "127.0.0.1", 1, 2, ""), world)
+        server = RawServer(node, handle, lambda: RawLimits(**limits), faults.append)
+        servers.append(server.start(("127.0.0.1", 0)))
+        return server
+
+    yield start
+    for server in servers:
+        server.stop()
+
+
+def echo(node, raw):
+    return 200, [("X-Target", raw.target)], raw.body
+    yield
+
+
+def test_requests_on_one_connection_are_answered_in_order(serve):
+    client = Client(serve(echo))
+    client.send(
+        b"POST /a%20b?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none"
+        b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n"
+        b"GET /d HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    answers = client.read()
+    assert answers.count(b"HTTP/1.1 200 OK") == 3
+    assert answers.index(b"one") < answers.index(b"two") < answers.index(b"/d")
+    assert b"X-Target: /a%20b?x=1\r\n" in answers
+
+
+@pytest.mark.parametrize("data, status", [
+    (b"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", b"400"),
+    (b"NONSENSE\r\n\r\n", b"400"),
+    (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", b"400"),
+    (b"POST / HTTP/1.1\r\nX: " + b"y" * 900 + b"\r\n\r\n", b"431"),
+    (b"POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + b"y" * 900, b"413"),
+])
+def test_what_is_no_request_within_limits_is_refused_and_nothing_runs(serve, data, status):
+    ran = []
+
+    def handle(node, raw):
+        ran.append(raw)
+        return 200, [], b""
+        yield
+
+    client = Client(serve(handle, headBytes=400, bodyBytes=400))
+    client.send(data)
+    assert client.read().startswith(b"HTTP/1.1 " + status)
+    assert not ran
+
+
+def test_a_stream_that_breaks_does_not_look_complete(serve):
+    def handle(node, raw):
+        yield Emit((200, [], b"one"))
+        yield Emit(b"two")
+        raise Trouble()
+
+    client = Client(serve(handle))
+    client.send(b"POST / HTTP/1.1\r\nHost: h\r\n\r\n")
+    answer = client.read()
+    assert answer.endswith(b"3\r\ntwo\r\n") and b"0\r\n\r\n" not in answer
+
+
+def test_a_client_that_goes_away_ends_the_work_for_it(serve):
+    begun, ended = gevent.event.Event(), gevent.event.Event()
+
+    def handle(node, raw):
+        try:
+            begun.set()
+            yield Wait(Signal(), 30)
+        finally:
+            ended.set()
+
+    client = Client(serve(handle))
+    client.send(b"POST / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert begun.wait(5)
+    client.sock.close()
+    assert ended.wait(5)
+
+
+class Replica:
+    """Answers each request on a connection with the next of some texts."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.connections = 0
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        self.address = ("127.0.0.1", self.server.server_port)
+
+    def serve(self, sock, _):
+        self.connections += 1
+        while self.answers and sock.recv(65536):
+            sock.sendall(self.answers.pop(0))
+
+
+def answer(name, body, more=b""):
+    return (b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s%s" % (
+        name, len(body), body, more))
+
+
+def ask(replica, name, mayReuse=True):
+    effect = SendOn(replica.address, b"GET / HTTP/1.1\r\n\r\n", 2, mayReuse, ("x-id", name))
+    handle = send_on(effect)
+    try:
+        handle.next_head(2)
+        parts = []
+        while (part := handle.next_part(2)) is not None:
+            parts.append(part)
+        return b"".join(parts)
+    finally:
+        handle.close()
+
+
+def test_an_answer_that_belongs_to_another_is_skipped():
+    replica = Replica(answer(b"other", b"theirs") + answer(b"mine", b"ours"))
+    assert ask(replica, "mine") == b"ours"
+
+
+def test_surplus_bytes_end_the_use_of_a_connection():
+    replica = Replica(answer(b"a", b"1", answer(b"a", b"late")), answer(b"b", b"2"))
+    assert ask(replica, "a") == b"1"
+    assert ask(replica, "b") == b"2"
+    assert replica.connections == 2
+
+
+def test_kept_connections_serve_what_may_repeat_only():
+    replica = Replica(*(answer(b"a", b"%d" % n) for n in range(3)))
+    assert [ask(replica, "a"), ask(replica, "a"), ask(replica, "a", False)] == [b"0", b"1", b"2"]
+    assert replica.connections == 2
+
+
+def test_a_body_that_is_cut_short_is_no_answer():
+    replica = Replica(b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\n\r\nshort")
+    with pytest.raises(BackendTrouble):
+        ask(replica, "a")
