--- a/quillring/kernel/raw_http.py
+++ b/quillring/kernel/raw_http.py
@@ -6,7 +6,8 @@
     200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
     409: "Conflict", 412: "Precondition Failed", 413: "Content Too Large",
     421: "Misdirected Request", 422: "Unprocessable Content", 429: "Too Many Requests",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
+    503: "Service Unavailable",
     504: "Gateway Timeout",
 }
 
