Editions, marks, founding by itself, and repair within the bound for a lost store

Cause: the platform's operators number whole or amended configurations, empty domains for replicas only, retire stores without a plan; nobody there founds the fleet, and a lost store was replaced after 60 s only. A store that lost its disk never had the founding on it again. Ruled out: a mend inside the owner's write loop, as one dead store made every write behind it wait half a second.

--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -1,7 +1,7 @@
 """Who owns which part: cores take the parts they rank first for; anyone can ask an owner."""
 
 from quillring.duty.rank import ranked_cores
-from quillring.kernel.effects import Sleep
+from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.troubles import (
     Fenced,
     NoMajority,
@@ -15,7 +15,7 @@
 )
 from quillring.quorum.commands import QUERIES
 from quillring.quorum.owner import Owner, wait_for_owner
-from quillring.quorum.parts import majority
+from quillring.quorum.parts import GROUP_SIZE, majority
 from quillring.quorum.peek import peek
 
 LOOK_ELSEWHERE = (Fenced, NotOwner, TimedOut, Unreachable)
@@ -24,7 +24,7 @@
 class Duty:
     """The table of parts as one node sees it; on a core also the owners it runs."""
 
-    __slots__ = ("node", "owners", "on_owner", "checks", "startedAt")
+    __slots__ = ("node", "owners", "on_owner", "checks", "startedAt", "wakeSignal")
 
     def __init__(self, node):
         self.node = node
@@ -32,10 +32,17 @@
         self.on_owner = []
         self.checks = []
         self.startedAt = node.now()
+        self.wakeSignal = Signal()
         if node.me.role == "core":
             node.handle("part.submit", self.on_submit)
             node.handle("part.read", self.on_read)
             node.handle("part.whole", self.on_whole)
+            node.find("nifty").listeners.append(self._wake)
+            node.find("gossip").listen("founding", self._wake)
+            node.find("gossip").listen("group/", self._wake)
+
+    def _wake(self, *news):
+        self.wakeSignal.set()
 
     def founding(self):
         """Return the founding record, or raise NotFounded."""
@@ -53,6 +60,10 @@
         news = self.node.find("gossip").get(f"group/{part}")
         return news or self.founding()["groups"][part]
 
+    def size(self):
+        """Return how many stores a full group has."""
+        return self.founding().get("size", GROUP_SIZE)
+
     def cores(self):
         """Return the names of all core nodes of the roster."""
         members = self.node.find("nifty").roster.members.values()
@@ -70,7 +81,7 @@
         if member is None:
             return False
         drains = self.node.find("gossip").get(f"draining/{name}") == member.incarnation
-        return drains or self.node.find("layout").is_emptied(member.domain)
+        return drains or self.node.find("layout").is_left(member.domain)
 
     def announce_drain(self):
         """Tell all nodes that this one drains, until it starts again."""
@@ -81,7 +92,9 @@
         """Script, on a core: take the parts it ranks first for, hand over the others."""
         attempts = {}
         while True:
-            yield Sleep(self.node.bounds.beat * (0.8 + 0.4 * self.node.world.random.random()))
+            seconds = self.node.bounds.beat * (0.8 + 0.4 * self.node.world.random.random())
+            if (yield Wait(self.wakeSignal, seconds)):
+                self.wakeSignal = Signal()
             if self.node.find("gossip").get("founding") is None:
                 continue
             for part in self.parts():
@@ -102,10 +115,10 @@
         owner = self.owners[part] = Owner(self.node, part, self.group(part), former)
         owner.listeners.extend([*self.on_owner, self._publish])
         try:
-            yield from owner.take()
+            yield from owner.take_again()
         except Trouble as trouble:
             self.node.log("warning", "take %s: %s", part, trouble)
-            yield from wait_for_owner(self.node, self.node.bounds.beat)
+            yield from wait_for_owner(self.node, self.node.bounds.beat / 2)
             return
         finally:
             attempts[part] = None
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -64,9 +64,29 @@
     def attach(self, node):
         """Join the node, whose member record carries the identity found on disk."""
         self.node = node
-        for name in ("found", "prepare", "accept", "commit", "install", "image", "peek",
+        for name in ("found", "founding", "prepare", "accept", "commit", "install", "image", "peek",
                      "confirm"):
             node.handle(f"quorum.{name}", getattr(self, f"on_{name}"))
+        gossip = node.find("gossip")
+        if gossip is not None:
+            self.listeners.append(self._publish)
+            for part, record in self.parts.items():
+                self._publish(part, record)
+            gossip.listen("founding", self._on_founding_news)
+
+    def _publish(self, part, record):
+        """Tell all nodes what is committed here, so that it needs no owner to be known."""
+        if record.state is None:
+            return
+        gossip = self.node.find("gossip")
+        if part == CONFIG:
+            self.node.find("layout").take(record.applied, record.state)
+        elif gossip.get(f"group/{part}") != record.state["group"]:
+            gossip.put(f"group/{part}", [record.applied], record.state["group"])
+
+    def _on_founding_news(self, key, founding):
+        if self.founding is None:
+            self.node.spawn(self.keep(["found", founding]))
 
     def image(self):
         """Return all state for a slot."""
@@ -139,6 +159,10 @@
             raise Conflict(founding=self.founding)
         return self.founding["fleet"]
 
+    def on_founding(self, body, origin):
+        """Tell which founding this store holds, or None."""
+        return self.founding
+
     def on_prepare(self, body, origin):
         """Promise a ballot and tell what was accepted."""
         _, ballot = self._check(body)
--- /dev/null
+++ b/quillring/quorum/autofound.py
@@ -0,0 +1,48 @@
+"""The first start of a fleet: one core founds it by itself; the others come in only if it fails."""
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import Trouble
+from quillring.quorum.founding import found_fleet, roster_stores
+from quillring.quorum.parts import GROUP_SIZE, is_enough
+
+STEADY_BEATS = 2
+TURN_BEATS = 8
+
+
+def found_by_itself(node, isFirstStart, partCount, size=GROUP_SIZE):
+    """Script, on a core: found the fleet at its very first start, as soon as its stores are there.
+
+    `size` is how many stores hold each part. The first seed does it; each later one only after
+    another turn without a founding. With too few stores for the size, the largest odd number that
+    there is must do, after a turn.
+    """
+    if not isFirstStart:
+        return
+    gossip, bounds, startTime = node.find("gossip"), node.bounds, node.now()
+    turn, names, steadySince = bounds.beat * TURN_BEATS, (), node.now()
+    ownTime = startTime + turn * place_of(node)
+    while gossip.get("founding") is None:
+        yield Sleep(bounds.chatter * 2)
+        stores, now = reached_stores(node), node.now()
+        if tuple(store[0] for store in stores) != names:
+            names, steadySince = tuple(store[0] for store in stores), now
+        if now < ownTime or now - steadySince < bounds.beat * STEADY_BEATS or not stores:
+            continue
+        if is_enough([store[2] for store in stores], size) or now >= ownTime + turn:
+            wantedSize = min(size, (len(stores) + 1) // 2 * 2 - 1)
+            try:
+                yield from found_fleet(node, partCount, wantedSize, stores)
+            except Trouble as trouble:
+                node.log("warning", "founding: %s", trouble)
+
+
+def place_of(node):
+    """Return the place of this node among its seeds; whoever is none comes after them."""
+    seeds = [tuple(seed) for seed in node.find("nifty").seeds]
+    return seeds.index(node.me.address) if node.me.address in seeds else len(seeds)
+
+
+def reached_stores(node):
+    """Return [name, identity, domain] of the stores that are heard, by name."""
+    nifty = node.find("nifty")
+    return [store for store in roster_stores(node) if nifty.reaches(store[0])]
--- a/quillring/quorum/founding.py
+++ b/quillring/quorum/founding.py
@@ -1,28 +1,28 @@
-"""Founding: one explicit, idempotent command that names the stores of every part."""
+"""Founding: one idempotent step that names the stores of every part, once in a fleet's life."""
 
 from quillring.kernel.troubles import Conflict, NoMajority, Refused, Trouble
-from quillring.quorum.parts import choose_group, part_names
+from quillring.quorum.parts import GROUP_SIZE, choose_group, is_enough, part_names
 
 
-def found_fleet(node, partCount):
+def found_fleet(node, partCount, size=GROUP_SIZE, stores=None):
     """Script: found the fleet on the stores of the roster, or finish a founding begun before.
 
-    The first store by name is asked first and alone: of two racing operators the one whose
-    record it keeps has won, and the other carries on with the winner's record.
+    A store that holds a founding already is found by asking all first. Then the first store by
+    name is asked alone: of two racing founders the one whose record it keeps has won, and the
+    other carries on with the winner's record. With `stores` ([name, identity, domain]) given, the
+    groups are made of these, spread as far as they are.
     """
-    gossip, nifty = node.find("gossip"), node.find("nifty")
+    gossip = node.find("gossip")
     knownFounding = gossip.get("founding")
     if knownFounding is not None:
         return {"fleet": knownFounding["fleet"], "was_founded": True}
-    storeMembers = [m for m in nifty.roster.members.values() if m.role == "store"]
-    stores = [[m.name, m.identity, m.domain] for m in storeMembers]
-    groups = {part: choose_group(part, stores) for part in part_names(partCount)}
-    if not all(groups.values()):
-        domains = sorted({store[2] for store in stores})
+    founders = roster_stores(node) if stores is None else stores
+    if stores is None and not is_enough([store[2] for store in founders], size):
+        domains = sorted({store[2] for store in founders})
         raise Refused(reason="stores in three domains are needed", domains=domains)
-    secretBytes = node.world.secret(32)
-    founding = {"fleet": secretBytes[:6].hex(), "groups": groups, "secret": secretBytes[6:]}
-    arbiter, *otherStores = stores
+    heldFounding = yield from _held_founding(node, founders)
+    founding = heldFounding or make_founding(node, partCount, size, founders)
+    arbiter, *otherStores = founders
     founding = yield from _found_at(node, arbiter, founding)
     calls = [
         (store[0], "quorum.found", {"identity": store[1], "founding": founding})
@@ -33,7 +33,29 @@
     if troubles:
         raise NoMajority(reason="run the command again", stores=troubles)
     gossip.put("founding", [1], founding)
-    return {"fleet": founding["fleet"], "was_founded": False}
+    return {"fleet": founding["fleet"], "was_founded": heldFounding is not None}
+
+
+def roster_stores(node):
+    """Return [name, identity, domain] of the stores of the roster, by name."""
+    members = node.find("nifty").roster.members.values()
+    return [[m.name, m.identity, m.domain] for m in members if m.role == "store"]
+
+
+def make_founding(node, partCount, size, stores):
+    """Return a new founding record: the groups of all parts, and the fleet's secret."""
+    groups = {part: choose_group(part, stores, size) for part in part_names(partCount)}
+    secretBytes = node.world.secret(32)
+    return {
+        "fleet": secretBytes[:6].hex(), "groups": groups, "secret": secretBytes[6:], "size": size,
+    }
+
+
+def _held_founding(node, stores):
+    calls = [(store[0], "quorum.founding", None) for store in stores]
+    replies = yield from node.gather(calls, len(calls), node.bounds.round)
+    held = [reply for reply in replies.values() if isinstance(reply, dict)]
+    return held[0] if held else None
 
 
 def _found_at(node, store, founding):
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -60,6 +60,13 @@
                 f"stores of {self.part}", troubles)
         return goodReplies
 
+    def take_again(self):
+        """Script: take the part; a ballot that only was too low is tried once more at once."""
+        try:
+            yield from self.take()
+        except Fenced:
+            yield from self.take()
+
     def take(self):
         """Script: win a ballot at a majority, finish what others began; then own the part."""
         self.is_owner = False
@@ -122,6 +129,7 @@
 
     def run(self):
         """Script: write what is queued while the ballot holds; a lost fence ends it."""
+        self.node.spawn(self._keep_mending())
         try:
             while self.is_owner:
                 if not self.queue:
@@ -132,7 +140,6 @@
                 else:
                     yield from self._round("confirm")
                     self.confirmedAt = self.node.now()
-                    yield from self._mend_behind()
         except Trouble as trouble:
             self.step_down(trouble)
 
@@ -149,21 +156,33 @@
         for (_, answerSignal), answer in zip(batch, answers, strict=True):
             answerSignal.set(answer)
 
-    def _mend_behind(self):
-        """Script: give the whole state to a member of the group that misses entries."""
+    def _keep_mending(self):
+        while self.is_owner:
+            yield Sleep(self.node.bounds.beat / 2)
+            yield from self.mend()
+
+    def mend(self):
+        """Script: give the whole state to members of the group in reach that miss entries."""
+        index = self.index
         applied = yield from self.applied_by_store()
-        lateStores = {name for name, index in applied.items() if index < self.index}
-        calls = self._calls("install", index=self.index, state=self.state)
-        for target, service, body in calls:
-            if target in lateStores:
-                self.node.count("installs")
-                yield from self.node.gather([(target, service, body)], 1)
+        lateStores = {name for name, appliedIndex in applied.items() if appliedIndex < index}
+        if not self.is_owner or not lateStores:
+            return
+        calls = [
+            call for call in self._calls("install", index=self.index, state=self.state)
+            if call[0] in lateStores
+        ]
+        self.node.count("installs", len(calls))
+        yield from self.node.gather(calls, len(calls), self.node.bounds.news)
 
     def applied_by_store(self):
-        """Script: tell every member what is committed; return {store: index it applied}."""
-        replies = yield from self.node.gather(
-            self._calls("commit", committed=self.index), len(self.group)
-        )
+        """Script: tell members in reach what is committed; return {store: index it applied}."""
+        nifty = self.node.find("nifty")
+        calls = [
+            call for call in self._calls("commit", committed=self.index)
+            if nifty.reaches(call[0])
+        ]
+        replies = yield from self.node.gather(calls, len(calls))
         return {t: r for t, r in replies.items() if not isinstance(r, Trouble)}
 
     def step_down(self, trouble):
--- a/quillring/quorum/parts.py
+++ b/quillring/quorum/parts.py
@@ -2,8 +2,6 @@
 
 import hashlib
 
-from more_itertools import take, unique_everseen
-
 from quillring.nifty.graph import score
 
 CONFIG = "config"
@@ -26,8 +24,21 @@
     return len(group) // 2 + 1
 
 
-def choose_group(part, stores):
-    """Return three stores in distinct domains by rendezvous; `stores` are [name, id, domain]."""
+def choose_group(part, stores, size=GROUP_SIZE):
+    """Return so many stores by rendezvous, spread evenly over domains, or None if there are fewer.
+
+    `stores` are [name, identity, domain].
+    """
     rankedStores = sorted(stores, key=lambda store: score(part, store[0]), reverse=True)
-    chosenStores = take(GROUP_SIZE, unique_everseen(rankedStores, key=lambda store: store[2]))
-    return chosenStores if len(chosenStores) == GROUP_SIZE else None
+    domains = [store[2] for store in rankedStores]
+    turns = [domains[:place].count(domain) for place, domain in enumerate(domains)]
+    chosenStores = [store for _, store in sorted(zip(turns, rankedStores), key=lambda t: t[0])]
+    return chosenStores[:size] if len(chosenStores) >= size else None
+
+
+def is_enough(domains, size):
+    """Tell whether stores in these domains form groups that the loss of no one domain stops."""
+    counts = [domains.count(domain) for domain in set(domains)]
+    largest = next((most for most in range(1, size + 1) if sum(
+        min(most, count) for count in counts) >= size), size)
+    return len(domains) >= size and size - largest >= size // 2 + 1
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -3,30 +3,46 @@
 from quillring.kernel.effects import Sleep
 from quillring.kernel.troubles import Trouble
 from quillring.nifty.graph import score
-from quillring.quorum.parts import GROUP_SIZE
+from quillring.quorum.parts import majority
 
 PATIENCE = 5
+SYNC_SHARE = 0.5
 
 
 class Repair:
     """Runs beside the owners of a core and mends the groups of their parts."""
 
-    __slots__ = ("node", "lostSince")
+    __slots__ = ("node", "lostSince", "busyParts")
 
     def __init__(self, node):
         self.node = node
         self.lostSince = {}
+        self.busyParts = set()
 
     def run(self):
-        """Script: look at every owned part in turn."""
+        """Script: look at every owned part; those that lack something are mended side by side."""
         while True:
-            yield Sleep(self.node.bounds.beat * 2)
+            yield Sleep(self.node.bounds.chatter * 2)
             self._note_lost()
             for owner in list(self.node.find("duty").owners.values()):
-                if owner.may_act():
-                    change = self._next_group(owner)
-                    if change is not None and (yield from self._is_sound(owner)):
-                        yield from self._change(owner, change)
+                isFree = owner.part not in self.busyParts and owner.may_act()
+                if isFree and self._next_group(owner) is not None:
+                    self.busyParts.add(owner.part)
+                    self.node.spawn(self._mend(owner))
+
+    def _mend(self, owner):
+        """Script: change the group by one member after another until it is as it should be."""
+        try:
+            while owner.may_act():
+                change = self._next_group(owner)
+                if change is None or not (yield from self._is_sound(owner)):
+                    break
+                if change != self._next_group(owner) or not (
+                        yield from self._change(owner, change)):
+                    break
+                yield from owner.mend()
+        finally:
+            self.busyParts.discard(owner.part)
 
     def _note_lost(self):
         nifty, now = self.node.find("nifty"), self.node.now()
@@ -43,13 +59,17 @@
             yield from owner.submit({"do": "group.change", "group": group})
         except Trouble as trouble:
             self.node.log("warning", "group of %s: %s", owner.part, trouble)
+            return False
+        return True
 
     def _is_sound(self, owner):
         """Script: tell whether all live members have all entries, so that one may change."""
+        yield from owner.mend()
+        index = owner.index
         applied = yield from owner.applied_by_store()
         nifty = self.node.find("nifty")
         return all(
-            applied.get(store[0]) == owner.index for store in owner.group
+            applied.get(store[0], -1) >= index for store in owner.group
             if nifty.reaches(store[0]) and not self.is_emptied(store)
         )
 
@@ -60,7 +80,8 @@
 
     def is_lost(self, store):
         """Tell whether the store has been out of reach for long."""
-        patience = self.node.bounds.return_ * PATIENCE
+        sync = self.node.bounds.sync
+        patience = self.node.bounds.return_ * PATIENCE if sync is None else sync * SYNC_SHARE
         since = self.lostSince.get(store[0])
         return since is not None and self.node.now() - since > patience
 
@@ -70,14 +91,14 @@
         return bool(stores.get(store[0], {}).get("retired"))
 
     def _next_group(self, owner):
-        group = [list(store) for store in owner.group]
+        group, size = [list(store) for store in owner.group], self.node.find("duty").size()
         spare = self._spare(owner.part, group)
         emptied = [s for s in group if self.is_emptied(s)]
         leaving = [s for s in group if self.is_retired(s) or self.is_lost(s)]
-        if len(group) > GROUP_SIZE:
+        if len(group) > size:
             surplus = emptied or leaving or self._doubled(group) or group[-1:]
             return [s for s in group if s != surplus[0]]
-        if len(group) < GROUP_SIZE:
+        if len(group) < size:
             return [*group, spare] if spare else None
         if emptied:
             return [s for s in group if s != emptied[0]]
@@ -91,19 +112,22 @@
         return bool(stores.get(store[0], {}).get("forced"))
 
     def _doubled(self, group):
-        """Return members whose domain another one of a full group stands in too."""
+        """Return the members in the domain that holds most of a group, if it holds several."""
         domains = [store[2] for store in group]
-        return [s for s in group if domains.count(s[2]) > 1]
+        most = max(map(domains.count, domains))
+        return [s for s in group if most > 1 and domains.count(s[2]) == most]
 
     def _spare(self, part, group):
         nifty = self.node.find("nifty")
         staying = [s for s in group if not (self.is_retired(s) or self.is_lost(s))]
-        usedDomains = {s[2] for s in staying if not self.is_emptied(s)}
+        usedDomains = [s[2] for s in staying if not self.is_emptied(s)]
+        room = majority([None] * self.node.find("duty").size()) - 1
         names = {s[0] for s in group}
         candidates = [
             [m.name, m.identity, m.domain] for m in nifty.roster.members.values()
             if m.role == "store" and m.name not in names and nifty.reaches(m.name)
-            and m.domain not in usedDomains
+            and usedDomains.count(m.domain) < room
         ]
         candidates = [c for c in candidates if not self.is_retired(c)]
-        return max(candidates, key=lambda c: score(part, c[0])) if candidates else None
+        return max(candidates, default=None, key=lambda c: (
+            -usedDomains.count(c[2]), score(part, c[0])))
--- a/quillring/rollout/freshness.py
+++ b/quillring/rollout/freshness.py
@@ -56,7 +56,7 @@
     def run(self):
         """Script: ask silent stores over relays, and fetch a layout that is newer."""
         while True:
-            yield Sleep(self.node.bounds.beat / 2)
+            yield Sleep(self.node.bounds.chatter * 2)
             try:
                 storeWords = list(self._store_words())
             except NotFounded:
@@ -82,16 +82,16 @@
 
     def _fetch_newer(self):
         image = self.node.find("layout")
-        newerWords = [
+        newerWords = sorted((
             (index, name) for name, (at, index) in self._store_words()
             if index > image.index or (image.layout is None and index)
-        ]
-        if not newerWords:
-            return
-        try:
-            index, state = yield from self.node.call(
-                max(newerWords)[1], "quorum.image", {"part": CONFIG}, self.node.bounds.beat
-            )
-            image.take(index, state)
-        except Trouble:
-            return
+        ), reverse=True)
+        for wantedIndex, name in newerWords:
+            if image.index >= wantedIndex and image.layout is not None:
+                return
+            try:
+                index, state = yield from self.node.call(
+                    name, "quorum.image", {"part": CONFIG}, self.node.bounds.beat / 2)
+                image.take(index, state)
+            except Trouble:
+                continue
--- a/quillring/rollout/image.py
+++ b/quillring/rollout/image.py
@@ -23,11 +23,25 @@
     def _publish(self, owner, batch):
         if owner.part == CONFIG and owner.is_owner:
             self.take(owner.index, owner.state)
+            if batch:
+                self._cast_all()
+
+    def _cast_all(self):
+        """Tell every member in reach at once, before the change is acknowledged."""
+        gossip = self.node.find("gossip")
+        items = [
+            [key, list(gossip.table[key][0]), gossip.table[key][1]]
+            for key in ("group/config", "layout")
+        ]
+        for name in self.node.find("nifty").graph.routes:
+            self.node.cast(name, "gossip.news", items)
 
     def take(self, index, state):
         """Take a config state read from its owner or a store, and pass it on as news."""
-        news = [index, state["version"], state["layout"], state["group"]]
         gossip = self.node.find("gossip")
+        if index <= self.index:
+            return
+        news = [index, state["version"], state["layout"], state["group"]]
         gossip.put("group/config", [index], state["group"])
         gossip.put("layout", [index], news)
 
@@ -48,5 +62,13 @@
             entry["class"]]
 
     def is_emptied(self, domain):
-        """Tell whether operators want the domain emptied."""
-        return bool((self.layout or {}).get("domains", {}).get(domain, {}).get("emptied"))
+        """Tell whether operators want the domain's replicas to get nothing more."""
+        return bool(self._mark(domain).get("emptied"))
+
+    def is_left(self, domain):
+        """Tell whether operators want the domain's nodes, too, to take nothing more."""
+        mark = self._mark(domain)
+        return bool(mark.get("emptied") and mark.get("nodes", True))
+
+    def _mark(self, domain):
+        return (self.layout or {}).get("domains", {}).get(domain, {})
--- /dev/null
+++ b/quillring/rollout/marks.py
@@ -0,0 +1,85 @@
+"""Marks of operators: domains to be emptied, stores to be retired; the last one counts."""
+
+from quillring.kernel.troubles import Conflict, NotFound
+from quillring.quorum.commands import COMMANDS
+from quillring.quorum.parts import CONFIG, is_enough
+from quillring.rollout.schema import EMPTY
+
+
+@COMMANDS.entry("domain.mark")
+def mark_domain(state, command):
+    """Empty a domain or take that back; `nodes` tells whether its nodes leave, or replicas only."""
+    mark = {"emptied": bool(command["emptied"]), "nodes": bool(command.get("nodes", True))}
+    return lay_mark(state, "domains", command["domain"], mark), mark
+
+
+@COMMANDS.entry("store.mark")
+def mark_store(state, command):
+    """Retire a store or take that back."""
+    former = ((state["layout"] or EMPTY).get("stores") or {}).get(command["store"], {})
+    mark = {**former, "retired": bool(command["retired"])}
+    return lay_mark(state, "stores", command["store"], mark), mark
+
+
+def lay_mark(state, section, name, mark):
+    """Return the state with the mark in its layout; one that stands already changes nothing."""
+    layout = state["layout"] or EMPTY
+    marks = layout.get(section) or {}
+    if marks.get(name) == mark:
+        return state
+    newLayout = {**layout, section: {**marks, name: mark}}
+    return {**state, "layout": newLayout, "version": state["version"] + 1}
+
+
+def retire_store(node, store):
+    """Script: mark a store as retired, if it is known and enough others remain.
+
+    Raises NotFound for an unknown store and Conflict when too few would remain.
+    """
+    stores = known_stores(node)
+    if store not in stores:
+        raise NotFound(field="store", store=store)
+    duty = node.find("duty")
+    current = yield from duty.read(CONFIG, {"ask": "edition"}, node.bounds.reading)
+    marks = current["layout"].get("stores") or {}
+    if marks.get(store, {}).get("retired"):
+        return
+    nifty = node.find("nifty")
+    remaining = [
+        domain for name, domain in stores.items()
+        if name != store and nifty.reaches(name) and not marks.get(name, {}).get("retired")
+    ]
+    if not is_enough(remaining, duty.size()):
+        raise Conflict(field="store", reason="too few stores would remain", store=store)
+    command = {"do": "store.mark", "store": store, "retired": True}
+    yield from duty.submit(CONFIG, command, node.bounds.reading)
+
+
+def known_stores(node):
+    """Return {store: domain} of the stores of the roster and of the parts' groups."""
+    members = node.find("nifty").roster.members.values()
+    duty = node.find("duty")
+    groupStores = {
+        name: domain for part in duty.parts() for name, _, domain in duty.group(part)
+    }
+    return {**groupStores, **{m.name: m.domain for m in members if m.role == "store"}}
+
+
+def is_retired(node, store):
+    """Script: tell whether a store is marked as retired and no part needs it any more.
+
+    The groups are those that the parts' owners committed; each must be full and caught up.
+    Raises NotFound for an unknown store, and the owner's trouble when one does not answer.
+    """
+    duty = node.find("duty")
+    current = yield from duty.read(CONFIG, {"ask": "edition"}, node.bounds.reading)
+    mark = (current["layout"].get("stores") or {}).get(store)
+    if mark is None and store not in known_stores(node):
+        raise NotFound(field="store", store=store)
+    if mark is None or not mark.get("retired"):
+        return False
+    for part in duty.parts():
+        answer = yield from duty.ask(part, "part.whole", {}, node.bounds.reading)
+        if store in answer["group"] or answer["late"] or len(answer["group"]) < duty.size():
+            return False
+    return True
--- a/quillring/rollout/schema.py
+++ b/quillring/rollout/schema.py
@@ -1,5 +1,7 @@
 """The schema of layouts and the checks that go across its sections."""
 
+import re
+
 from quillring.kernel.checks import StrictValidator
 
 NAME = "^[a-z][a-z0-9_-]{0,40}$"
@@ -40,15 +42,69 @@
     "weight": {"type": "number", "exclusiveMinimum": 0, "maximum": 1000},
     "prefix": {"type": "string", "maxLength": 100_000},
 }, ["service", "class"])
+COUNT = {"type": "integer", "minimum": 0, "maximum": 1 << 53}
+AMOUNT = {"type": "number", "minimum": 0, "maximum": 1 << 53}
+TEXT = {"type": "string", "minLength": 1, "maxLength": 2000}
+OBJECT = {"type": "object"}
+FORWARD_ITEM = {
+    "type": "object", "additionalProperties": False,
+    "required": ["host", "prefix", "kind", "split"],
+    "properties": {
+        "host": TEXT,
+        "prefix": {**TEXT, "pattern": "^/(.*/)?$"},
+        "kind": {"enum": ["repeatable", "once", "stream", "lot"]},
+        "split": {
+            "type": "array", "minItems": 1, "maxItems": 1000,
+            "items": {
+                "type": "array", "prefixItems": [TEXT, AMOUNT], "minItems": 2, "maxItems": 2,
+            },
+        },
+        "rounds": {**COUNT, "minimum": 1},
+        "hold_ms": {**AMOUNT, "exclusiveMinimum": 0},
+        "goal_ms": AMOUNT, "pause_ms": AMOUNT, "due_ms": AMOUNT, "retain_ms": AMOUNT,
+        "urgency": COUNT, "most_tokens": AMOUNT,
+        "resumable": {"type": "boolean"}, "engine": {"type": "boolean"}, "origin": OBJECT,
+    },
+}
+RAW_SERVICE_ITEM = {
+    "type": "object", "additionalProperties": False, "required": ["kind"],
+    "properties": {
+        "kind": {"const": "raw"}, "probe_path": TEXT, "connections": COUNT,
+        "warm_up_ms": AMOUNT, "warm_rate": AMOUNT, "origin": OBJECT,
+        "engine": {
+            "type": ["object", "null"], "additionalProperties": False,
+            "properties": {"slots": COUNT, "kv_tokens": AMOUNT, "stride": AMOUNT},
+        },
+    },
+}
+LIMITS_ITEM = {
+    "type": "object", "additionalProperties": False,
+    "properties": {
+        "head_bytes": COUNT, "body_bytes": COUNT, "head_ms": AMOUNT, "idle_ms": AMOUNT,
+        "origin": OBJECT,
+    },
+}
+FORWARD, RAW_SERVICE, LIMITS, EXTRAS = map(
+    StrictValidator, (FORWARD_ITEM, RAW_SERVICE_ITEM, LIMITS_ITEM, OBJECT))
 STORE = section({"retired": {"type": "boolean"}, "forced": {"type": "boolean"}}, [])
-DOMAIN = section({"emptied": {"type": "boolean"}}, [])
+DOMAIN = section({"emptied": {"type": "boolean"}, "nodes": {"type": "boolean"}}, [])
+SERVICES = {
+    "type": "object",
+    "additionalProperties": {
+        "if": {"properties": {"kind": {"const": "raw"}}, "required": ["kind"]},
+        "then": RAW_SERVICE_ITEM,
+        "else": SERVICE["patternProperties"][NAME],
+    },
+}
 SCHEMA = {
     "type": "object",
     "additionalProperties": False,
     "required": ["classes", "services", "entries", "domains"],
     "properties": {
-        "classes": CLASS, "services": SERVICE, "entries": ENTRY, "domains": DOMAIN,
-        "stores": STORE,
+        "classes": CLASS, "services": SERVICES, "entries": ENTRY, "domains": DOMAIN,
+        "stores": STORE, "edition": COUNT, "extras": OBJECT,
+        "forwards": {"type": "object", "additionalProperties": FORWARD_ITEM},
+        "limits": {"anyOf": [LIMITS_ITEM, {"type": "null"}]},
     },
 }
 VALIDATOR = StrictValidator(SCHEMA)
@@ -63,6 +119,11 @@
     ]
     if faults:
         return sorted(faults, key=lambda fault: fault["field"])
+    faults.extend(
+        {"field": f"services.{name}", "fault": f"{name!r} does not match {NAME!r}"}
+        for name, service in sorted(layout["services"].items())
+        if service["kind"] != "raw" and not re.search(NAME, name)
+    )
     for name, entry in sorted(layout["entries"].items()):
         for field, sectionName in (("service", "services"), ("class", "classes")):
             if entry[field] not in layout[sectionName]:
@@ -77,11 +138,23 @@
             faults.append({
                 "field": f"classes.{name}.first_piece_ms", "fault": "longer than time_left_ms",
             })
-    if layout["domains"] and all(d.get("emptied") for d in layout["domains"].values()):
+    if layout["domains"] and all(
+            d.get("emptied") and d.get("nodes", True) for d in layout["domains"].values()):
         faults.append({"field": "domains", "fault": "every domain would be emptied"})
     return faults
 
 
+def item_faults(section, validator, items):
+    """Return what speaks against named items, each by itself."""
+    return [
+        {
+            "field": ".".join([section, name, *map(str, error.absolute_path)]),
+            "fault": error.message[:200],
+        }
+        for name, item in items.items() for error in validator.iter_errors(item)
+    ]
+
+
 def merge(layout, change):
     """Return the layout with a partial one laid over it; null takes a name away."""
     if not isinstance(change, dict) or not isinstance(layout, dict):
