Raw lots: failures brought about in the simulator; replicas that fail in a row get rest

Ruled out: the share of slots (8 of 8 free at the third), the quota, the pauses. Conclusion: owner killed at four moments, workers, broken and strange runs, ends, quota over all edges, restart from disk: 35 scenarios pass in simulated time.

--- a/quillring/lots/raw_ledger.py
+++ b/quillring/lots/raw_ledger.py
@@ -13,7 +13,7 @@
     def __init__(self, lot, number):
         self.lot, self.number = lot, number
         self.last, self.text = None, b""
-        self.avoided = None
+        self.avoided = frozenset()
         self.troubles = 0
         self.readyAt = 0
         self.run = None
--- a/quillring/lots/raw_limits.py
+++ b/quillring/lots/raw_limits.py
@@ -5,17 +5,19 @@
 CALM_SHARE, NEAR_SHARE, LEAST_SHARE = 0.5, 0.8, 0.08
 GAIN = 0.05
 START_SECONDS = 0.02
+MOST_DOUBLINGS = 3
 LEFT_ALONE = {NOT_RUN: 0.3, BROKEN: 0.6, UNSENT: 1.0}
 
 
 class RawLimits:
     """The share of each service's slots that lots take, and replicas left alone for a moment."""
 
-    __slots__ = ("node", "shares", "aloneUntil", "nextStarts")
+    __slots__ = ("node", "shares", "strikes", "aloneUntil", "nextStarts")
 
     def __init__(self, node):
         self.node = node
         self.shares = {}
+        self.strikes = {}
         self.aloneUntil = {}
         self.nextStarts = {}
 
@@ -26,16 +28,24 @@
         return max(LEAST_SHARE, (NEAR_SHARE if isNear else CALM_SHARE) * factor)
 
     def note(self, run, outcome, now):
-        """Take in how a run ended: a full replica lowers the share, any trouble gives it rest."""
+        """Take in how a run ended: a full replica lowers the share, troubles in a row give rest."""
+        known = self.node.find("replicas").table
+        self.strikes = {name: count for name, count in self.strikes.items() if name in known}
+        strikes = self.strikes[run.replica] = self.strikes.get(run.replica, 0) + 1
         self.aloneUntil = {
             name: until for name, until in self.aloneUntil.items() if until > now}
-        self.aloneUntil[run.replica] = now + LEFT_ALONE[outcome]
+        seconds = LEFT_ALONE[outcome] * 2 ** min(strikes - 1, MOST_DOUBLINGS)
+        self.aloneUntil[run.replica] = now + seconds
         if outcome == NOT_RUN:
             cut, cutAt = self.shares.get(run.service, (1.0, now))
             factor = min(1.0, cut + GAIN * (now - cutAt))
             self.shares[run.service] = (max(LEAST_SHARE, factor * 0.9), now)
 
-    def choose(self, service, ledger, isNear, avoidedName, now):
+    def worked(self, run):
+        """Take in that a run came to its end."""
+        self.strikes.pop(run.replica, None)
+
+    def choose(self, service, ledger, isNear, avoidedNames, now):
         """Return the replica with most room for an item, or None when there is none now."""
         placement, replicas = self.node.find("placement"), self.node.find("replicas")
         share = self.share(service, isNear, now)
@@ -47,10 +57,11 @@
         ]
         patience = self.node.bounds.news * 1.5
         heard = [r for r in fit if now - r.heardAt < patience] or fit
-        wanted = [r for r in heard if r.name != avoidedName] or heard
-        warm = [r for r in wanted if not r.is_cold(now)]
+        if any(r.name not in avoidedNames for r in placement.replicas(service)):
+            heard = [r for r in heard if r.name not in avoidedNames]
+        warm = [r for r in heard if not r.is_cold(now)]
         if not warm:
-            warm = [r for r in wanted[:1] if placement.ramp.take(r, now)]
+            warm = [r for r in heard[:1] if placement.ramp.take(r, now)]
         return min(
             warm, default=None,
             key=lambda r: (ledger.runsByReplica.get(r.name, 0) / r.slots, r.name))
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -44,6 +44,8 @@
             if command["do"] == "raw.failed" and item is not None:
                 self._give_back(ledger, item, command["run"], 0.3)
             leftRuns = ledger.sync(command["lot"])
+            for _, run in leftRuns if command["do"] == "raw.result" else ():
+                self.limits.worked(run)
             strayNumbers = [i.number for i, run in leftRuns if run.id != command.get("run")]
             if strayNumbers or command["do"] == "raw.end":
                 self.node.spawn(self._stop(command["lot"], strayNumbers))
@@ -134,10 +136,10 @@
                 if (service, isNear) in full:
                     continue
                 replica = self.limits.choose(service, ledger, isNear, item.avoided, now)
-                if replica is None:
+                if replica is not None:
+                    self._begin(ledger, item, forward, replica, isNear, cores)
+                elif not item.avoided:
                     full.add((service, isNear))
-                    continue
-                self._begin(ledger, item, forward, replica, isNear, cores)
 
     def _begin(self, ledger, item, forward, replica, isNear, cores):
         worker, now = choose_worker(ledger, cores, replica), self.node.now()
@@ -181,7 +183,7 @@
         """Let an item wait again after its run ended without a result."""
         if item.run is None or item.run.id != runId:
             return
-        item.avoided = item.run.replica
+        item.avoided = item.avoided | {item.run.replica}
         item.troubles += 1
         item.readyAt = self.node.now() + seconds * min(item.troubles, 10)
         ledger.end_run(item)
--- a/tests/test_raw_lots.py
+++ b/tests/test_raw_lots.py
@@ -62,7 +62,8 @@
 def test_the_quota_counts_what_waits_on_the_forward_and_nothing_else():
     state, answers = apply(
         accept("a", tokens=10, most=60), accept("b", tokens=10, most=60),
-        accept("c", tokens=1, most=60), accept("d", forward="other", most=60))
+        accept("c", tokens=1, most=60, attempt="c"),
+        accept("d", forward="other", most=60, attempt="d"))
     assert answers[2] == {"refused": QUOTA} and answers[3] == {"items": 3}
     assert waiting_tokens(state, "f") == 60
     state, answers = apply(
--- /dev/null
+++ b/tests/test_raw_runner.py
@@ -0,0 +1,356 @@
+from collections import Counter
+from unittest import mock
+
+import pytest
+
+from quillring.kernel.troubles import NotFound, OutcomeUnknown, Refused
+from quillring.lots import raw_front
+from quillring.lots.raw_commands import QuotaExceeded, raw_lots
+from tests.raw_stage import FORWARD, HOST, RawStage, text_of
+
+
+def check_whole(stage, rows, name, count):
+    """Every item of the lot has its whole text, once."""
+    assert sorted(row[0] for row in rows) == sorted(f"{name}-{n}" for n in range(count))
+    for itemId, state, text in rows:
+        assert (state, text) == ("finished", text_of(itemId, stage.counts.get(itemId, 6)))
+
+
+def check_resumes(stage):
+    """No run begins with a later event than the one before it of the same item had sent."""
+    assert all(last is None or last > 0 for _, _, _, last, _ in stage.arrivals)
+
+
+def accepted(stage, name, count, **words):
+    answer, trouble = stage.hand_in(name, count, **words)
+    assert trouble is None, trouble
+    return answer
+
+
+def test_a_lot_is_run_and_read_in_one_order_from_every_node():
+    with RawStage(1) as stage:
+        startTime = stage.env.now
+        accepted(stage, "a", 20)
+        assert stage.env.now - startTime < 0.4
+        rows = stage.read_all("a")
+        check_whole(stage, rows, "a", 20)
+        for node in stage.sim.up_nodes("edge"):
+            answer, trouble = stage.read("a", node=node)
+            assert trouble is None and answer["results"] == rows
+        assert Counter(stage.wholeRuns).most_common(1)[0][1] == 1
+        request = stage.arrivals[0][4]
+        assert request["host"] == HOST and request["x-inquiry"] == stage.arrivals[0][1]
+        assert request[""] == (f"POST /bulk/{stage.arrivals[0][1][2:]}?q=1 HTTP/1.1", b"body")
+        assert request["model"] == "m" and 6 <= int(request["x-urgency"]) <= 7
+
+
+def test_a_lot_sent_again_at_other_nodes_is_taken_once():
+    with RawStage(2) as stage:
+        answers = [
+            accepted(stage, "a", 6, node=node) for node in stage.sim.up_nodes("edge")]
+        assert [answer.get("repeated", False) for answer in answers] == [False, True, True, True]
+        check_whole(stage, stage.read_all("a"), "a", 6)
+        assert accepted(stage, "a", 6)["repeated"]
+        assert len(stage.wholeRuns) == 6
+
+
+def test_a_held_read_ends_with_the_next_result_and_an_unknown_lot_is_not_found_at_once():
+    with RawStage(3) as stage:
+        accepted(stage, "a", 1)
+        startTime = stage.env.now
+        answer, _ = stage.read("a", hold=0.8)
+        assert answer["next"] == 1 and 0.2 < stage.env.now - startTime < 0.5
+        startTime = stage.env.now
+        _, trouble = stage.read("nothing", hold=0.8)
+        assert isinstance(trouble, NotFound) and stage.env.now - startTime < 0.1
+        _, trouble = stage.do(
+            stage.up("edge"),
+            lambda node: raw_front.read_raw_results(node, "other.example", "a", 0))
+        assert isinstance(trouble, (NotFound, Refused))
+
+
+def test_a_body_is_given_until_its_item_is_listed():
+    with RawStage(4) as stage:
+        for replica in stage.replicas.values():
+            replica.isSilent = True
+        accepted(stage, "a", 2)
+        ask = lambda node: raw_front.read_raw_body(node, HOST, "a", "a-1")  # noqa: E731
+        assert stage.do(stage.up("edge"), ask) == (b"body", None)
+        for replica in stage.replicas.values():
+            replica.isSilent = False
+        stage.read_all("a")
+        assert isinstance(stage.do(stage.up("edge"), ask)[1], NotFound)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_the_owner_killed_right_after_the_accept_loses_nothing(seed):
+    with RawStage(10 + seed) as stage:
+        accepted(stage, "a", 12)
+        stage.sim.kill(stage.owner().me.name)
+        stage.run(0.9)
+        for node in stage.sim.up_nodes("edge"):
+            answer, trouble = stage.read("a", node=node)
+            assert isinstance(trouble, Refused) or (trouble is None and answer["items"] == 12)
+        check_whole(stage, stage.read_all("a"), "a", 12)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_positions_stand_and_runs_go_on_while_the_owner_is_killed(seed):
+    with RawStage(20 + seed, slots=4) as stage:
+        accepted(stage, "a", 40)
+        stage.run(0.5 + seed * 0.07)
+        owner = stage.owner()
+        ownRuns = len(owner.find("raw_worker").runs)
+        stage.sim.kill(owner.me.name)
+        seen = []
+        for _ in range(120):
+            answer, trouble = stage.read("a")
+            assert trouble is None or isinstance(trouble, Refused)
+            if trouble is None:
+                rows = answer["results"]
+                common = min(len(rows), len(seen))
+                assert rows[:common] == seen[:common]
+                seen = max(seen, rows, key=len)
+            if len(seen) == 40:
+                break
+            stage.run(0.1)
+        check_whole(stage, seen, "a", 40)
+        again = sum(count - 1 for count in Counter(stage.wholeRuns).values())
+        assert again <= ownRuns and stage.counted("raw_runs_taken_over") > 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_owner_killed_between_a_commit_and_its_answer_lists_nothing_twice(seed):
+    with RawStage(30 + seed) as stage:
+        accepted(stage, "a", 16)
+        owner = stage.owner()
+        part = raw_front.part_of_host(owner, HOST)
+        while not any(lot["results"] for lot in raw_lots(
+                owner.find("duty").owners[part].state).values()):
+            stage.env.step()
+        stage.sim.kill(owner.me.name)
+        check_whole(stage, stage.read_all("a"), "a", 16)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_items_of_a_killed_worker_run_again_elsewhere(seed):
+    with RawStage(40 + seed) as stage:
+        accepted(stage, "a", 20)
+        stage.run(0.15)
+        owner = stage.owner()
+        worker = next(
+            node for node in stage.sim.up_nodes("core")
+            if node is not owner and node.find("raw_worker").runs)
+        stage.sim.kill(worker.me.name)
+        startTime = stage.env.now
+        check_whole(stage, stage.read_all("a"), "a", 20)
+        assert stage.env.now - startTime < 5
+
+
+def test_a_run_that_breaks_off_goes_on_elsewhere_where_it_stopped():
+    with RawStage(50) as stage:
+        broken = set()
+
+        def way(replica, itemId, last):
+            if itemId in broken:
+                return None
+            broken.add(itemId)
+            return "break"
+
+        for replica in stage.replicas.values():
+            replica.way = way
+        accepted(stage, "a", 10)
+        check_whole(stage, stage.read_all("a"), "a", 10)
+        lasts = Counter(last for _, _, _, last, _ in stage.arrivals)
+        assert lasts == {None: 10, 2: 10}
+
+
+@pytest.mark.parametrize("strange", ["restart", "skip"])
+def test_a_run_that_goes_on_elsewhere_than_asked_is_not_used(strange):
+    with RawStage(51) as stage:
+        first, strangeOnes = set(), set()
+
+        def way(replica, itemId, last):
+            if itemId not in first:
+                first.add(itemId)
+                return "break"
+            if itemId not in strangeOnes:
+                strangeOnes.add(itemId)
+                return strange
+            return None
+
+        for replica in stage.replicas.values():
+            replica.way = way
+        accepted(stage, "a", 8)
+        check_whole(stage, stage.read_all("a"), "a", 8)
+        assert len(strangeOnes) == 8
+
+
+def test_an_item_is_errored_after_its_rounds_of_500_and_at_once_after_422():
+    with RawStage(52) as stage:
+        ways = {"a-0": 422, "a-1": 500}
+        for replica in stage.replicas.values():
+            replica.way = lambda replica, itemId, last: ways.get(itemId)
+        accepted(stage, "a", 4)
+        rows = {row[0]: (row[1], row[2]) for row in stage.read_all("a")}
+        assert rows["a-0"] == rows["a-1"] == ("errored", b"")
+        assert rows["a-2"][0] == rows["a-3"][0] == "finished"
+        runs = Counter(itemId for _, itemId, _, _, _ in stage.arrivals)
+        assert (runs["a-0"], runs["a-1"]) == (1, 3)
+
+
+def test_full_replicas_cost_no_round_and_the_items_go_elsewhere():
+    with RawStage(53) as stage:
+        stage.replicas["i-0"].way = stage.replicas["i-1"].way = lambda *words: "full"
+        accepted(stage, "a", 12)
+        check_whole(stage, stage.read_all("a"), "a", 12)
+        assert {name for _, _, name, _, _ in stage.arrivals} == {"i-2"}
+
+
+def test_a_silent_replica_and_one_that_is_gone_are_left():
+    with RawStage(54) as stage:
+        stage.replicas["i-0"].isSilent = True
+        accepted(stage, "a", 12)
+        stage.run(0.2)
+        stage.replicas["i-1"].leave()
+        startTime = stage.env.now
+        check_whole(stage, stage.read_all("a"), "a", 12)
+        assert stage.env.now - startTime < 8
+
+
+def test_an_ended_lot_stops_at_once_and_sends_nothing_later():
+    with RawStage(55, slots=2) as stage:
+        stage.counts = {f"a-{n}": 60 for n in range(30)}
+        accepted(stage, "a", 30)
+        stage.run(0.5)
+        _, trouble = stage.do(
+            stage.up("edge"), lambda node: raw_front.end_raw_lot(node, HOST, "a"))
+        assert trouble is None
+        endTime = stage.env.now
+        stage.run(0.3)
+        assert all(replica.active == 0 for replica in stage.replicas.values())
+        stage.run(6)
+        assert all(arrival[0] < endTime + 0.1 for arrival in stage.arrivals)
+        answer, _ = stage.read("a")
+        assert answer["items"] == 30
+        assert stage.do(
+            stage.up("edge"), lambda node: raw_front.end_raw_lot(node, HOST, "a"))[1] is None
+        _, trouble = stage.do(
+            stage.up("edge"), lambda node: raw_front.end_raw_lot(node, HOST, "b"))
+        assert isinstance(trouble, NotFound)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_lot_ended_while_its_owner_is_frozen_sends_nothing_three_seconds_later(seed):
+    with RawStage(60 + seed, slots=2) as stage:
+        stage.counts = {f"a-{n}": 20 for n in range(40)}
+        accepted(stage, "a", 40)
+        stage.run(0.5)
+        stage.sim.freeze(stage.owner().me.name, 9)
+        endTime = None
+        for _ in range(30):
+            _, trouble = stage.do(
+                stage.up("edge"), lambda node: raw_front.end_raw_lot(node, HOST, "a"))
+            if trouble is None:
+                endTime = stage.env.now
+                break
+            stage.run(0.2)
+        stage.run(14)
+        assert endTime is not None
+        assert all(arrival[0] < endTime + 3 for arrival in stage.arrivals)
+
+
+def test_the_quota_is_exact_over_all_edges():
+    with RawStage(56, most_tokens=1000) as stage:
+        for replica in stage.replicas.values():
+            replica.isSilent = True
+        processes = [
+            stage.begin(
+                stage.up("edge"),
+                lambda node, name=f"l{n}": raw_front.accept_raw_lot(
+                    node, FORWARD, name, stage.items(name, 5, 30)))
+            for n in range(20)]
+        stage.run(2)
+        outcomes = [process.value[1] for process in processes]
+        assert outcomes.count(None) == 6
+        assert all(isinstance(o, QuotaExceeded) for o in outcomes if o is not None)
+        assert QuotaExceeded().status == 429
+
+
+def test_the_end_of_the_forward_and_of_the_time_kept_list_what_is_left():
+    with RawStage(57, retain_ms=4000) as stage:
+        for replica in stage.replicas.values():
+            replica.isSilent = True
+        accepted(stage, "a", 3)
+        startTime = stage.env.now
+        rows = stage.read_all("a")
+        assert {row[1] for row in rows} == {"errored"} and stage.env.now - startTime > 4
+        accepted(stage, "b", 3)
+        stage.configure(isGone=True)
+        startTime = stage.env.now
+        rows = stage.read_all("b")
+        assert {row[1] for row in rows} == {"errored"} and stage.env.now - startTime < 4
+
+
+def test_no_item_goes_to_a_service_that_the_layout_no_longer_names():
+    with RawStage(58, slots=2) as stage:
+        accepted(stage, "a", 30)
+        stage.run(0.4)
+        stage.configure(split=[["words", 1]])
+        changedAt = stage.env.now
+        stage.run(4)
+        assert all(arrival[0] < changedAt + 2 for arrival in stage.arrivals)
+        assert len(stage.arrivals) < 30
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_an_accept_without_an_owner_promises_nothing_and_is_taken_later(seed):
+    with RawStage(70 + seed) as stage:
+        stage.sim.freeze(stage.owner().me.name, 20)
+        startTime = stage.env.now
+        _, trouble = stage.hand_in("a", 4)
+        assert stage.env.now - startTime < 1.9
+        assert isinstance(trouble, OutcomeUnknown) and trouble.status == 502
+        stage.run(1.5)
+        accepted(stage, "a", 4)
+        check_whole(stage, stage.read_all("a"), "a", 4)
+
+
+def test_all_nodes_restarted_from_disk_keep_results_and_finish_the_rest():
+    with RawStage(80, slots=2) as stage:
+        accepted(stage, "a", 30)
+        stage.run(1.2)
+        before, _ = stage.read("a")
+        assert 0 < before["next"] < 30
+        names = list(stage.sim.nodes)
+        for name in names:
+            stage.sim.kill(name, losesPower=True)
+        stage.run(1)
+        for name in names:
+            stage.sim.start(name)
+        stage.run(6)
+        rows = stage.read_all("a")
+        assert rows[:before["next"]] == before["results"]
+        check_whole(stage, rows, "a", 30)
+
+
+def test_without_the_durable_refusal_a_late_accept_would_run_what_was_refused():
+    command = {"try": "t"}
+    with RawStage(90, most_tokens=50) as stage:
+        accepted(stage, "a", 5)
+        sent = []
+        real = raw_front.submit_surely
+
+        def keep(node, part, command, seconds):
+            sent.append((part, command))
+            return real(node, part, command, seconds)
+
+        with mock.patch.object(raw_front, "submit_surely", keep):
+            _, trouble = stage.hand_in("b", 5)
+        assert isinstance(trouble, QuotaExceeded) and command
+        stage.read_all("a")
+        part, command = sent[0]
+        answer, _ = stage.do(
+            stage.up("edge"), lambda node: node.find("duty").submit(part, command))
+        assert answer == {"refused": "quota"}
+        assert not any(arrival[1].startswith("b-") for arrival in stage.arrivals)
