--- a/quillring/rollout/marks.py
+++ b/quillring/rollout/marks.py
@@ -31,20 +31,19 @@
     return {**state, "layout": newLayout, "version": state["version"] + 1}
 
 
-def retire_store(node, store):
+def retire_store(node, store, seconds):
     """Script: mark a store as retired, if it is known and enough others remain.
 
     Raises NotFound for an unknown store and Conflict when too few would remain.
     """
-    stores = known_stores(node)
-    if store not in stores:
-        raise NotFound(field="store", store=store)
-    duty = node.find("duty")
-    current = yield from duty.read(CONFIG, {"ask": "edition"}, node.bounds.reading)
+    endTime, duty = node.now() + seconds, node.find("duty")
+    current = yield from duty.read(CONFIG, {"ask": "edition"}, seconds)
     marks = current["layout"].get("stores") or {}
     if marks.get(store, {}).get("retired"):
         return
-    nifty = node.find("nifty")
+    stores, nifty = known_stores(node), node.find("nifty")
+    if store not in stores:
+        raise NotFound(field="store", store=store)
     remaining = [
         domain for name, domain in stores.items()
         if name != store and nifty.reaches(name) and not marks.get(name, {}).get("retired")
@@ -52,7 +51,7 @@
     if not is_enough(remaining, duty.size()):
         raise Conflict(field="store", reason="too few stores would remain", store=store)
     command = {"do": "store.mark", "store": store, "retired": True}
-    yield from duty.submit(CONFIG, command, node.bounds.reading)
+    yield from duty.submit(CONFIG, command, endTime - node.now())
 
 
 def known_stores(node):
@@ -65,21 +64,21 @@
     return {**groupStores, **{m.name: m.domain for m in members if m.role == "store"}}
 
 
-def is_retired(node, store):
+def is_retired(node, store, seconds):
     """Script: tell whether a store is marked as retired and no part needs it any more.
 
     The groups are those that the parts' owners committed; each must be full and caught up.
     Raises NotFound for an unknown store, and the owner's trouble when one does not answer.
     """
-    duty = node.find("duty")
-    current = yield from duty.read(CONFIG, {"ask": "edition"}, node.bounds.reading)
+    endTime, duty = node.now() + seconds, node.find("duty")
+    current = yield from duty.read(CONFIG, {"ask": "edition"}, seconds)
     mark = (current["layout"].get("stores") or {}).get(store)
     if mark is None and store not in known_stores(node):
         raise NotFound(field="store", store=store)
     if mark is None or not mark.get("retired"):
         return False
     for part in duty.parts():
-        answer = yield from duty.ask(part, "part.whole", {}, node.bounds.reading)
+        answer = yield from duty.ask(part, "part.whole", {}, endTime - node.now())
         if store in answer["group"] or answer["late"] or len(answer["group"]) < duty.size():
             return False
     return True
--- /dev/null
+++ b/tests/fleet_stage.py
@@ -0,0 +1,77 @@
+"""A simulated fleet that founds itself, for the tests of what operators and stores meet."""
+
+from proving.sim.fleet import SimFleet
+from quillring.kernel.bounds import Bounds
+from quillring.kernel.effects import Sleep
+from quillring.quorum.autofound import found_by_itself
+
+SIZES = {"sizes": {"edge": 2, "core": 4, "store": 4}}
+
+
+class SelfFounded:
+    """A fleet whose cores found it at the first start, unless told otherwise."""
+
+    def __init__(self, seed, sizes=SIZES, readyAt=8, isFirst=lambda name: True, size=3):
+        self.sim = SimFleet("ferrowa", seed, sizes)
+        self.sim.bounds = Bounds(sync=5.0)
+        self.size = size
+        for name in self.sim.rows:
+            self.start(name, isFirst(name))
+        self.env = self.sim.env
+        self.env.run(until=readyAt)
+
+    def start(self, name, isFirst=False):
+        """Start a node as the platform's program does."""
+        node = self.sim.start(name)
+        if node.me.role == "core":
+            node.spawn(found_by_itself(node, isFirst, 2, self.size))
+        return node
+
+    def run(self, seconds):
+        """Let time pass."""
+        self.env.run(until=self.env.now + seconds)
+
+    def ask(self, name, script, seconds=10):
+        """Run a script on a node; return (its value, its trouble), (None, None) if it hangs."""
+        node = self.sim.nodes[name]
+        task = self.env.process(self.sim.run_script(node, script))
+        self.env.run(until=task | self.env.timeout(seconds))
+        return task.value if task.triggered else (None, None)
+
+    def submit(self, name, command, part="config", seconds=0.8):
+        """Commit a command at a core."""
+        return self.ask(name, self.sim.nodes[name].find("duty").submit(part, command, seconds))
+
+    def read(self, name, query, part="config", seconds=0.8):
+        """Read under the fence at a node."""
+        return self.ask(name, self.sim.nodes[name].find("duty").read(part, query, seconds))
+
+    def owner(self, part="config"):
+        """Return the core that owns a part by its own sight and that of its stores, or None."""
+        owners = [
+            node.find("duty").owners[part] for node in self.sim.up_nodes("core")
+            if part in node.find("duty").owners and node.find("duty").owners[part].is_owner
+        ]
+        return max(owners, key=lambda owner: owner.ballot).node.me.name if owners else None
+
+    def stores(self):
+        """Return the acceptors of the running stores."""
+        return {n.me.name: n.find("acceptors") for n in self.sim.up_nodes("store")}
+
+    def fleets(self):
+        """Return the fleets that stores were founded into."""
+        return {a.founding["fleet"] for a in self.stores().values() if a.founding}
+
+    def wait_for(self, isSo, seconds, step=0.05):
+        """Let time pass until something is so; return how long it took, or None."""
+        startTime = self.env.now
+        while not isSo():
+            if self.env.now - startTime > seconds:
+                return None
+            self.run(step)
+        return round(self.env.now - startTime, 2)
+
+
+def nothing():
+    """Script that does nothing."""
+    yield Sleep(0)
