A scale run with hollow nodes: work, processor time and memory a node

Cause: the cost of a node was known only from short trials at up to 95 members, so nothing could be said of 1,100. `python -m proving.scale_loopback` puts two real processes beside hollow nodes over loopback UDP.

Ruled out: real processes only (1,100 do not fit one machine); wall time as the measure (noisy): processor time less the simulated network's own is given beside the counted work.

--- /dev/null
+++ b/proving/scale_fleet.py
@@ -0,0 +1,200 @@
+"""Hollow nodes: the real peer layer, gossip, roster, replica table and layout, in memory."""
+
+import gc
+import random
+import time
+from unittest import mock
+
+import simpy
+
+from proving.sim.net import SimNet
+from proving.sim.world import SimWorld
+from quillring.fleet import make_node
+from quillring.kernel.bounds import Bounds
+from quillring.nifty import Member
+from quillring.nifty.graph import Graph
+
+ZONES = 20
+COUNTED = ("makings", "beats_sent", "beat_bytes", "frames", "frame_bytes")
+REPLICA_BEAT_SECONDS = 0.4
+FIRST_START = 1_800_000_000_000_000
+
+
+class HollowWorld(SimWorld):
+    """A simulated world that counts the frames its node sends."""
+
+    def frame(self, address, data):
+        """Send a frame."""
+        self.node.count("frames")
+        self.node.count("frame_bytes", len(data))
+        super().frame(address, data)
+
+
+class HollowFleet:
+    """Many hollow nodes in one process, in simulated time, from one seed."""
+
+    def __init__(self, size, seed=1, replicas=0, entries=10, bounds=None):
+        self.env = simpy.Environment()
+        self.net = SimNet(self.env, random.Random(f"net {seed}"))
+        self.chance = random.Random(f"scale {seed}")
+        self.seed = seed
+        self.bounds = bounds or Bounds()
+        self.members = tuple(hollow_members(size))
+        self.seeds = [member.address for member in self.members[:3]]
+        self.nodes = {}
+        self.faults = []
+        self.index = 1
+        self.entries = entries
+        self.replicas = replicas
+        self.starts = 0
+        self.groups = {"config": [
+            [m.name, m.identity, m.domain] for m in self.members if m.role == "store"][:3]}
+
+    def start(self, member):
+        """Start one hollow node, some moment within a tenth of a beat."""
+        self.starts += 1
+        world = HollowWorld(
+            self.env, self.net, None, member.address, f"{self.seed} {member.name} {self.starts}",
+            self.faults)
+        node = world.node = make_node(
+            member.restarted(FIRST_START + self.starts), world, self.seeds, self.bounds)
+        nifty = node.find("nifty")
+        if member.role == "store":
+            nifty.stampSource = lambda: [[1, "core-0000"], self.index, member.identity]
+            node.handle("quorum.image", lambda body, origin: [self.index, self.config_state()])
+        world.listen(nifty.on_datagram, nifty.on_frame)
+        self.nodes[member.name] = node
+        self.env.process(self._run(node))
+
+    def _run(self, node):
+        yield self.env.timeout(self.chance.uniform(0, self.bounds.beat / 10))
+        for name in ("nifty", "gossip", "freshness"):
+            node.spawn(node.find(name).run())
+
+    def start_all(self):
+        """Start all nodes at once; one of them knows the founding record and the layout."""
+        for member in self.members:
+            self.start(member)
+        node = self.nodes[self.members[0].name]
+        node.find("gossip").put("founding", [1], {"groups": self.groups})
+        node.find("layout").take(self.index, self.config_state())
+        for number in range(self.replicas):
+            self.env.process(self._replica(number))
+
+    def _replica(self, number):
+        sequence, names = 0, sorted(self.nodes)
+        yield self.env.timeout(self.chance.uniform(0, REPLICA_BEAT_SECONDS))
+        while True:
+            sequence += 1
+            node = self.nodes[self.chance.choice(names)]
+            if not node.world.is_dead:
+                node.find("replicas").on_beat({
+                    "name": f"words-{number}", "service": f"words-{number % 36}",
+                    "domain": f"zone-{number % ZONES}", "address": f"10.9.0.1:{9000 + number}",
+                    "slots": 8, "state": "ready", "incarnation": 1, "sequence": sequence})
+            yield self.env.timeout(REPLICA_BEAT_SECONDS)
+
+    def config_state(self):
+        """Return the state of the config part at the present index."""
+        return {"version": self.index, "group": self.groups["config"],
+                "layout": hollow_layout(self.entries, self.index)}
+
+    def change_layout(self):
+        """Commit a further layout at the stores; a core makes it news."""
+        self.index += 1
+        self.live()[0].find("layout").take(self.index, self.config_state())
+
+    def live(self):
+        """Return the nodes that run."""
+        return [node for node in self.nodes.values() if not node.world.is_dead]
+
+    def kill(self, names):
+        """Kill nodes at once."""
+        for name in names:
+            self.nodes[name].world.kill()
+
+    def cut(self, names, otherNames):
+        """Cut every pair between two groups."""
+        for name in names:
+            for otherName in otherNames:
+                self.net.cut(self.nodes[name].me.address, self.nodes[otherName].me.address)
+
+    def missing_links(self):
+        """Return how many ordered pairs of live nodes have no direct route."""
+        liveNames = {node.me.name for node in self.live()}
+        return sum(
+            sum(node.find("nifty").graph.hops(name) != 1 for name in liveNames - {node.me.name})
+            for node in self.live())
+
+    def stale_layouts(self):
+        """Return how many live nodes hold another layout than the newest."""
+        return sum(node.find("layout").version != self.index for node in self.live())
+
+    def counts(self):
+        """Return the counted work of all nodes up to now."""
+        return {
+            name: sum(node.counts.get(name, 0) for node in self.nodes.values())
+            for name in COUNTED if name != "makings"}
+
+    def spend(self, seconds):
+        """Let simulated time pass; return the counted work and processor time of a live node."""
+        gc.collect()
+        gc.disable()
+        before, carried, makings = self.counts(), self.net.carried, []
+        findRoutes = Graph._bellman_ford
+
+        def counted(graph):
+            makings.append(1)
+            return findRoutes(graph)
+
+        startTime = time.process_time()
+        with mock.patch.object(Graph, "_bellman_ford", counted):
+            self.env.run(until=self.env.now + seconds)
+        spent = time.process_time() - startTime - (self.net.carried - carried) * carry_seconds()
+        gc.enable()
+        count = len(self.live())
+        work = {name: (now - before[name]) / count for name, now in self.counts().items()}
+        return {
+            "seconds": seconds, "makings": round(len(makings) / count, 3),
+            **{name: round(value, 1) for name, value in work.items()},
+            "cpu_ms": round(spent * 1000 / count, 3),
+        }
+
+
+def hollow_members(size):
+    """Yield the members of a fleet: 53 control machines of 1,100, of which a third are cores."""
+    control = max(6, round(size * 53 / 1100))
+    for number in range(size):
+        role = "edge" if number >= control else "core" if number % 3 == 0 else "store"
+        name = f"{role}-{number:04d}"
+        yield Member(
+            name, 1, role, f"zone-{number % ZONES:02d}",
+            f"10.1.{number // 250}.{number % 250 + 1}", 7400, 8400,
+            f"{name}.0123456789ab" if role == "store" else "")
+
+
+def hollow_layout(entries, number):
+    """Return a layout with so many entries; each number gives another one."""
+    return {
+        "classes": {"chat": {"first_piece_ms": 1500 + number, "time_left_ms": 20_000,
+                             "urgency": 8, "share": 0.5, "queue": 64}},
+        "services": {f"words-{n}": {"kind": "model", "warm_up_ms": 4000, "stall_ms": 2000}
+                     for n in range(min(36, entries))},
+        "entries": {f"entry-{n}": {"service": f"words-{n % 36}", "class": "chat",
+                                   "prefix": f"You help the callers of tenant {n}. "}
+                    for n in range(entries)},
+        "domains": {f"zone-{n:02d}": {"emptied": False} for n in range(ZONES)},
+    }
+
+
+def carry_seconds(known=[]):  # noqa: B006
+    """Return the processor time the simulated network itself takes to carry one packet."""
+    if not known:
+        env = simpy.Environment()
+        net = SimNet(env, random.Random(1))
+        startTime = time.process_time()
+        for _ in range(20_000):
+            net.carry(("a", 1), ("b", 1), b"", "datagram")
+        env.run()
+        known.append((time.process_time() - startTime) / 20_000)
+    return known[0]
--- /dev/null
+++ b/proving/scale_loopback.py
@@ -0,0 +1,102 @@
+"""A few real processes beside many hollow nodes, over loopback UDP: what a real node spends."""
+
+import json
+import random
+import subprocess
+import sys
+import time
+
+import click
+import gevent
+
+from proving.callers import ask
+from proving.localfleet import LocalFleet
+from proving.overhead import cpu_seconds
+from proving.scale_fleet import FIRST_START
+from proving.scale_runs import process_bytes
+from quillring.fleet import make_node
+from quillring.kernel.bounds import Bounds
+from quillring.kernel.gevent_world import GeventWorld
+from quillring.kernel.settings import split_address
+from quillring.nifty import Member
+
+REAL = ("core-1", "edge-1")
+PROGRAM = "from quillring.verbs.program import main; main()"
+ZONES = ("north", "east", "south", "west")
+
+
+class PlainFleet(LocalFleet):
+    """Real processes without the aid that brings cuts about."""
+
+    def start(self, name):
+        """Start one process."""
+        path = self.runFolder / f"{name}.json"
+        path.write_text(json.dumps(self.settings[name]))
+        outFile = open(self.runFolder / f"{name}.out", "ab")
+        words = ["-c", PROGRAM, self.settings[name]["role"]]
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *words, "--settings", str(path)], stdout=outFile, stderr=outFile,
+            start_new_session=True)
+
+
+def start_hollow(number, seeds, faults):
+    """Start a hollow node on loopback; return it."""
+    address = (f"127.0.{44 + number // 250}.{number % 250 + 1}", 7400)
+    me = Member(
+        f"edge-h{number:04d}", FIRST_START + number, "edge", ZONES[number % 4], *address, 8400, "")
+    world = GeventWorld(faults.append, 1.0)
+    node = make_node(me, world, seeds, Bounds())
+    nifty = node.find("nifty")
+    world.listen(*address, nifty.on_datagram, nifty.on_frame)
+    gevent.spawn_later(random.uniform(0, 0.05), start_scripts, node)
+    return node
+
+
+def start_scripts(node):
+    """Start the scripts of a hollow node."""
+    for name in ("nifty", "gossip"):
+        node.spawn(node.find(name).run())
+
+
+def measure(fleet, seconds):
+    """Return the share of a core and the memory of each real process over some seconds."""
+    before = {name: cpu_seconds(fleet.processes[name].pid) for name in REAL}
+    startTime = time.monotonic()
+    gevent.sleep(seconds)
+    spent = time.monotonic() - startTime
+    return {
+        name: {
+            "core_share": round((cpu_seconds(process.pid) - before[name]) / spent, 4),
+            "rss_mb": round(process_bytes(process.pid) / 1e6, 1),
+        } for name, process in fleet.processes.items()}
+
+
+@click.command()
+@click.option("--hollow", default=93, show_default=True, help="Hollow nodes in this process.")
+@click.option("--seconds", default=10.0, show_default=True, help="Seconds of each measurement.")
+@click.option("--run-folder", default="run/scale", show_default=True)
+def main(hollow, seconds, run_folder):
+    """Measure two real nodes alone, while many join at once, then steady among them."""
+    fleet, faults, rows = PlainFleet("examples/ferrowa", run_folder, True, set(REAL)), [], {}
+    try:
+        for name in REAL:
+            fleet.start(name)
+        seeds = [split_address(fleet.settings[name]["address"]) for name in REAL]
+        gevent.sleep(3)
+        rows["alone"] = measure(fleet, seconds)
+        nodes = [start_hollow(number, seeds, faults) for number in range(hollow)]
+        rows["joining"] = measure(fleet, 5)
+        gevent.sleep(5)
+        rows["steady"] = measure(fleet, seconds)
+        _, answer = ask(fleet.http("edge-1"), "GET", "/v1/members")
+        hops = [member["hops"] for member in answer["members"]]
+        rows["direct_links_of_edge_1"] = hops.count(1)
+        rows["hollow_links"] = sum(
+            node.find("nifty").graph.hops("edge-1") == 1 for node in nodes)
+    finally:
+        fleet.stop_all()
+    click.echo(json.dumps({"hollow": hollow, "rows": rows, "faults": len(faults)}))
+
+
+if __name__ == "__main__":
+    main()
