Tests of editions, marks and the founding; a part handed over is taken at once

Cause: an owner that no longer ranks first stepped down and its successor saw that only half a second later, or still believed in a term that was fenced; after a start of all machines the parts had no owner for up to 0.7 s more. Ruled out: waking the run loop on every lost fence, as two cores that both think they rank first would then take a part from each other every 15 ms.

--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -37,6 +37,7 @@
             node.handle("part.submit", self.on_submit)
             node.handle("part.read", self.on_read)
             node.handle("part.whole", self.on_whole)
+            node.handle("part.free", self.on_free)
             node.find("nifty").listeners.append(self._wake)
             node.find("gossip").listen("founding", self._wake)
             node.find("gossip").listen("group/", self._wake)
@@ -104,11 +105,14 @@
                 if isFirst and not holdsPart and attempts.get(part) is None:
                     attempts[part] = True
                     self.node.spawn(self._take(part, attempts))
-                elif holdsPart and not isFirst and not owner.queue and self._successor(part):
-                    owner.step_down(NotOwner(part=part))
+                elif holdsPart and not isFirst and not owner.queue:
+                    self._hand_over(part, owner)
 
-    def _successor(self, part):
-        return [name for name in self.rank(part)[:1] if name != self.node.me.name]
+    def _hand_over(self, part, owner):
+        for name in self.rank(part)[:1]:
+            if name != self.node.me.name:
+                owner.step_down(NotOwner(part=part))
+                self.node.cast(name, "part.free", part)
 
     def _take(self, part, attempts):
         former = self.owners.get(part)
@@ -118,10 +122,12 @@
             yield from owner.take_again()
         except Trouble as trouble:
             self.node.log("warning", "take %s: %s", part, trouble)
-            yield from wait_for_owner(self.node, self.node.bounds.beat / 2)
+            pause = self.node.bounds.beat / (4 if isinstance(trouble, Fenced) else 2)
+            yield from wait_for_owner(self.node, pause)
             return
         finally:
             attempts[part] = None
+            self._wake()
         self.node.spawn(owner.run())
 
     def _publish(self, owner, batch):
@@ -132,6 +138,16 @@
             if gossip.get(f"group/{owner.part}") != owner.state["group"]:
                 gossip.put(f"group/{owner.part}", [owner.index], owner.state["group"])
 
+    def on_free(self, part, origin):
+        """Script: take a part that its owner hands over, unless it is truly owned here."""
+        owner = self.owners.get(part)
+        if owner is not None and owner.is_owner:
+            try:
+                yield from owner.fenced_state()
+            except Fenced as trouble:
+                owner.step_down(trouble)
+        self._wake()
+
     def on_submit(self, body, origin):
         """Commit a command in a part owned here."""
         owner = self._owner(body["part"])
--- /dev/null
+++ b/tests/test_autofound.py
@@ -0,0 +1,141 @@
+import pytest
+
+from quillring.quorum.autofound import place_of, reached_stores
+from quillring.quorum.founding import found_fleet, make_founding, roster_stores
+from quillring.quorum.parts import choose_group, is_enough
+from tests.fleet_stage import SIZES, SelfFounded
+
+PARTS = ("config", "part-0", "part-1")
+
+
+def all_owned(stage):
+    return all(stage.owner(part) for part in PARTS)
+
+
+def members(stage, part):
+    return [store[0] for store in stage.sim.nodes["core-2"].find("duty").group(part)]
+
+
+def founded(stage, seconds):
+    return stage.wait_for(lambda: len(stage.fleets()) == 1 and all(
+        a.founding for a in stage.stores().values()), seconds)
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_a_fleet_founds_itself_once_at_its_first_start(seed):
+    stage = SelfFounded(seed, readyAt=0.1)
+    assert founded(stage, 4) is not None
+    assert stage.wait_for(lambda: all_owned(stage), 2) is not None
+    stage.run(12)
+    assert len(stage.fleets()) == 1
+    for part in PARTS:
+        group = stage.sim.nodes["core-1"].find("duty").group(part)
+        assert len(group) == len({store[2] for store in group}) == 3
+
+
+def test_no_core_founds_a_fleet_that_is_not_at_its_first_start():
+    stage = SelfFounded(1, readyAt=20, isFirst=lambda name: False)
+    assert stage.fleets() == set()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_the_second_seed_founds_when_the_first_one_dies(seed):
+    stage = SelfFounded(seed, readyAt=0.3)
+    first = next(n for n in stage.sim.up_nodes("core") if place_of(n) == 0)
+    stage.sim.kill(first.me.name)
+    stage.run(3)
+    assert stage.fleets() == set()
+    assert founded(stage, 8) is not None
+    assert stage.wait_for(lambda: all_owned(stage), 3) is not None
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+@pytest.mark.parametrize("frozenAt", [1.0, 1.7, 1.76, 1.8])
+def test_a_first_seed_that_freezes_amid_its_founding_makes_no_second_fleet(seed, frozenAt):
+    stage = SelfFounded(seed, readyAt=frozenAt)
+    first = next(n for n in stage.sim.up_nodes("core") if place_of(n) == 0)
+    stage.sim.freeze(first.me.name, 7)
+    stage.run(20)
+    assert len(stage.fleets()) == 1
+    assert all(a.founding for a in stage.stores().values())
+    assert all_owned(stage)
+
+
+def test_a_founding_begun_by_one_who_died_is_carried_on_by_the_next():
+    stage = SelfFounded(5, readyAt=1.0, isFirst=lambda name: name != "core-1")
+    first = stage.sim.nodes["core-1"]
+    stage.wait_for(lambda: len(reached_stores(first)) == 4, 3)
+    stores = roster_stores(first)
+    founding = make_founding(first, 2, 3, stores)
+    body = {"identity": stores[3][1], "founding": founding}
+    assert stage.ask("core-1", first.call(stores[3][0], "quorum.found", body))[1] is None
+    stage.sim.kill("core-1")
+    assert founded(stage, 15) is not None
+    assert stage.fleets() == {founding["fleet"]}
+
+
+def test_a_founder_that_knows_of_fewer_stores_finds_the_founding_of_the_others():
+    stage = SelfFounded(5, readyAt=6)
+    late = stage.sim.nodes["core-3"]
+    fleets, few = stage.fleets(), roster_stores(late)[2:]
+    late.find("gossip").table.pop("founding")
+    answer, trouble = stage.ask("core-3", found_fleet(late, 2, 3, few))
+    assert trouble is None and {answer["fleet"]} == fleets == stage.fleets()
+
+
+def test_a_fleet_with_too_few_stores_is_founded_on_the_largest_odd_number_of_them():
+    stage = SelfFounded(1, {"sizes": {"edge": 1, "core": 2, "store": 2}}, readyAt=0.1)
+    stage.run(3)
+    assert stage.fleets() == set()
+    assert founded(stage, 6) is not None
+    assert len(stage.sim.nodes["core-1"].find("duty").group("config")) == 1
+
+
+def test_a_group_of_five_over_four_domains_has_a_majority_without_any_one_domain():
+    stores = [[f"s{n}", "", f"d{n % 4}"] for n in range(8)]
+    for part in PARTS:
+        domains = [store[2] for store in choose_group(part, stores, 5)]
+        assert max(map(domains.count, domains)) == 2 and len(domains) == 5
+    assert is_enough([store[2] for store in stores], 5)
+    assert not is_enough(["a", "a", "b"], 3) and is_enough(["a", "b", "c"], 3)
+    assert choose_group("p", stores[:2], 3) is None
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("wiped", [None, "store-1", "store-2", "store-3"])
+def test_owners_are_back_within_three_seconds_after_all_machines_lost_power(seed, wiped):
+    stage = SelfFounded(seed, readyAt=6)
+    mark = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
+    assert stage.submit("core-2", mark)[1] is None
+    fleets = stage.fleets()
+    for name in stage.sim.rows:
+        stage.sim.kill(name, losesPower=True)
+    if wiped:
+        stage.sim.disks[wiped].lose_all()
+    stage.run(2)
+    for name in stage.sim.rows:
+        stage.start(name)
+    assert stage.wait_for(lambda: all_owned(stage), 3) is not None
+    stage.run(1)
+    assert stage.read("core-3", {"ask": "edition"})[0]["layout"]["domains"]["north"]["emptied"]
+    assert all(n.find("layout").is_emptied("north") for n in stage.sim.nodes.values())
+    stage.run(3)
+    assert stage.fleets() == fleets and all(a.founding for a in stage.stores().values())
+
+
+def test_a_fleet_whose_stores_lost_their_disks_one_after_another_outlives_a_stop_of_all():
+    stage = SelfFounded(7, SIZES, readyAt=6)
+    mark = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
+    assert stage.submit("core-2", mark)[1] is None
+    for name in ("store-1", "store-2", "store-3", "store-4"):
+        stage.sim.lose_disk(name)
+        stage.run(2)
+        stage.start(name)
+        stage.run(5)
+    for name in stage.sim.rows:
+        stage.sim.kill(name)
+    stage.run(1)
+    for name in stage.sim.rows:
+        stage.start(name)
+    assert stage.wait_for(lambda: all_owned(stage), 4) is not None
+    assert stage.read("core-3", {"ask": "edition"})[0]["layout"]["domains"]["north"]["emptied"]
--- /dev/null
+++ b/tests/test_marks.py
@@ -0,0 +1,95 @@
+import pytest
+
+from quillring.edge.admission import check_open
+from quillring.kernel.troubles import Conflict, NotFound, Refused
+from quillring.quorum.commands import apply_batch, first_state
+from quillring.rollout.marks import is_retired, known_stores, retire_store
+from tests.fleet_stage import SelfFounded
+
+
+def mark_domain(domain, isEmptied, **fields):
+    return {"do": "domain.mark", "domain": domain, "emptied": isEmptied, **fields}
+
+
+def retire(stage, store, core="core-1"):
+    return stage.ask(core, retire_store(stage.sim.nodes[core], store, 0.8))
+
+
+def is_done(stage, store, core="core-1"):
+    return stage.ask(core, is_retired(stage.sim.nodes[core], store, 0.8))
+
+
+def test_marks_come_before_any_layout_and_the_last_one_counts():
+    state = first_state([])
+    state, _ = apply_batch(state, [
+        mark_domain("north", True), mark_domain("north", False),
+        {"do": "store.mark", "store": "store-1", "retired": True},
+        {"do": "store.mark", "store": "store-1", "retired": False},
+        {"do": "store.mark", "store": "store-2", "retired": True},
+    ])
+    assert state["layout"]["domains"] == {"north": {"emptied": False, "nodes": True}}
+    assert state["layout"]["stores"] == {
+        "store-1": {"retired": False}, "store-2": {"retired": True}}
+
+
+def test_a_mark_that_stands_already_changes_nothing():
+    state, _ = apply_batch(first_state([]), [mark_domain("north", True)])
+    again, answers = apply_batch(state, [mark_domain("north", True)])
+    assert again is state and answers[0]["emptied"]
+
+
+@pytest.mark.parametrize("areNodesLeft", [True, False])
+def test_an_emptied_domain_keeps_its_nodes_serving_when_the_mark_says_so(areNodesLeft):
+    stage = SelfFounded(2)
+    answer, trouble = stage.submit("core-2", mark_domain("north", True, nodes=areNodesLeft))
+    assert trouble is None
+    stage.run(1)
+    node = next(n for n in stage.sim.up_nodes("edge") if n.me.domain == "north")
+    core = next(n for n in stage.sim.up_nodes("core") if n.me.domain == "north")
+    assert node.find("layout").is_emptied("north")
+    assert node.find("duty").is_leaving(core.me.name) == areNodesLeft
+    if areNodesLeft:
+        with pytest.raises(Refused):
+            check_open(node)
+    else:
+        check_open(node)
+
+
+def test_a_retired_store_is_done_once_no_part_holds_it_and_all_groups_are_full():
+    stage = SelfFounded(3)
+    member = stage.sim.nodes["core-1"].find("duty").group("config")[0][0]
+    assert is_done(stage, member) == (False, None)
+    assert retire(stage, member)[1] is None
+    assert retire(stage, member)[1] is None
+    took = stage.wait_for(lambda: is_done(stage, member)[0], 5)
+    assert took is not None
+    for part in ("config", "part-0", "part-1"):
+        group = stage.sim.nodes["core-1"].find("duty").group(part)
+        assert len(group) == 3 and member not in [store[0] for store in group]
+
+
+def test_an_unknown_store_is_not_found():
+    stage = SelfFounded(3)
+    assert isinstance(retire(stage, "store-9")[1], NotFound)
+    assert isinstance(is_done(stage, "store-9")[1], NotFound)
+
+
+def test_a_retirement_that_leaves_too_few_stores_is_refused_and_changes_nothing():
+    stage = SelfFounded(3)
+    assert retire(stage, "store-1")[1] is None
+    trouble = retire(stage, "store-2")[1]
+    assert isinstance(trouble, Conflict)
+    assert is_done(stage, "store-2") == (False, None)
+
+
+def test_a_retirement_is_refused_while_another_store_is_away():
+    stage = SelfFounded(3)
+    stage.sim.kill("store-1")
+    stage.run(3)
+    assert isinstance(retire(stage, "store-2")[1], Conflict)
+
+
+def test_stores_are_known_by_the_roster_and_the_groups():
+    stage = SelfFounded(3)
+    stores = known_stores(stage.sim.nodes["core-1"])
+    assert sorted(stores) == ["store-1", "store-2", "store-3", "store-4"]
