Raw lots: no stop for runs that are done; reads of a lost owner go to the stores at once

Cause: of several results in one entry, all but the first were taken for strays, and all cores were told to stop them (200 such words for 600 results); a read whose owner is lost asked it twice. Ruled out: late reports of the owner's own rounds, which come once a second at most. Before: a read waited 0.9 s and more for a lost owner, seen in the profile and the read path. After: no such word (seen failing with the former code); the second question goes to the stores.

--- a/quillring/lots/raw_front.py
+++ b/quillring/lots/raw_front.py
@@ -14,6 +14,7 @@
 )
 from quillring.lots.raw_commands import HELD, HeldTooMuch, QuotaExceeded
 from quillring.quorum.parts import part_of
+from quillring.quorum.peek import peek
 
 RESULT_BYTES = 900_000
 LONGEST_HOLD = 0.8
@@ -112,6 +113,9 @@
     except Trouble as trouble:
         node.count("raw_reads_elsewhere")
         node.log("debug", "raw.read %s: %s", part, trouble)
+    known = yield from peek(node, part, duty.group(part), query)
+    if known is not None:
+        return known()
     return (yield from surely_read(node, part, query, bounds.reading * 0.6))
 
 
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -37,6 +37,7 @@
         if ledger is None or ledger.owner is not owner:
             self.ledgers[owner.part] = RawLedger(self.node, owner)
             return
+        doneRuns = {command["run"] for command in batch if command["do"] == "raw.result"}
         for command in batch:
             if not command["do"].startswith("raw."):
                 continue
@@ -44,9 +45,10 @@
             if command["do"] == "raw.failed" and item is not None:
                 self._give_back(ledger, item, command["run"], 0.3)
             leftRuns = ledger.sync(command["lot"])
-            for _, run in leftRuns if command["do"] == "raw.result" else ():
-                self.limits.worked(run)
-            strayNumbers = [i.number for i, run in leftRuns if run.id != command.get("run")]
+            strayNumbers = [item.number for item, run in leftRuns if run.id not in doneRuns]
+            for _, run in leftRuns:
+                if run.id in doneRuns:
+                    self.limits.worked(run)
             if strayNumbers or command["do"] == "raw.end":
                 self.node.spawn(self._stop(command["lot"], strayNumbers))
 
