--- a/quillring/rollout/freshness.py
+++ b/quillring/rollout/freshness.py
@@ -54,15 +54,23 @@
             raise Refused(reason="no fresh word of the layout")
 
     def run(self):
-        """Script: ask silent stores over relays, and fetch a layout that is newer."""
+        """Script: ask silent stores over relays, and beside that fetch a layout that is newer."""
+        self.node.spawn(self._keep_fetching())
         while True:
-            yield Sleep(self.node.bounds.chatter * 2)
+            yield Sleep(self.node.bounds.beat / 2)
             try:
                 storeWords = list(self._store_words())
             except NotFounded:
                 continue
             yield from self._probe(storeWords)
-            yield from self._fetch_newer()
+
+    def _keep_fetching(self):
+        while True:
+            yield Sleep(self.node.bounds.chatter * 2)
+            try:
+                yield from self._fetch_newer()
+            except NotFounded:
+                continue
 
     def _probe(self, storeWords):
         askTime = self.node.now()
--- a/quillring/rollout/image.py
+++ b/quillring/rollout/image.py
@@ -31,7 +31,7 @@
         gossip = self.node.find("gossip")
         items = [
             [key, list(gossip.table[key][0]), gossip.table[key][1]]
-            for key in ("group/config", "layout")
+            for key in ("group/config", "layout") if key in gossip.table
         ]
         for name in self.node.find("nifty").graph.routes:
             self.node.cast(name, "gossip.news", items)
@@ -39,11 +39,10 @@
     def take(self, index, state):
         """Take a config state read from its owner or a store, and pass it on as news."""
         gossip = self.node.find("gossip")
-        if index <= self.index:
-            return
-        news = [index, state["version"], state["layout"], state["group"]]
         gossip.put("group/config", [index], state["group"])
-        gossip.put("layout", [index], news)
+        if index > self.index:
+            news = [index, state["version"], state["layout"], state["group"]]
+            gossip.put("layout", [index], news)
 
     def _swap(self, news):
         index, version, layout, _ = news
--- a/tests/test_system_ctl.py
+++ b/tests/test_system_ctl.py
@@ -219,6 +219,13 @@
     assert call(calm, "core-1", "POST", "/Replicas.Deregister/i-9")[0] == 200
 
 
+def test_a_node_that_just_started_leaves_the_end_of_an_unknown_replica_to_others():
+    stage = SelfFounded(2)
+    stage.sim.kill("core-1")
+    stage.start("core-1")
+    assert call(stage, "core-1", "POST", "/Replicas.Deregister/i-9")[0] == 503
+
+
 @pytest.mark.parametrize("fields", [
     {"svc": 3}, {"addr": "x"}, {"slots": 0}, {"state": "odd"}, {"calls": -1}, {"calls": None},
     {"zone": None}, {"warm_left_ms": -1}, {"warm_left_ms": "x"}, {"state": ["up"]},
