--- a/quillring/rollout/image.py
+++ b/quillring/rollout/image.py
@@ -17,6 +17,7 @@
         self.takenAt = None
         gossip = node.find("gossip")
         gossip.listen("layout", lambda key, news: self._swap(news))
+        node.handle("layout.news", self.on_news)
         if node.me.role == "core":
             node.find("duty").on_owner.append(self._publish)
 
@@ -28,21 +29,26 @@
 
     def _cast_all(self):
         """Tell every member in reach at once, before the change is acknowledged."""
-        gossip = self.node.find("gossip")
-        items = [
-            [key, list(gossip.table[key][0]), gossip.table[key][1]]
-            for key in ("group/config", "layout") if key in gossip.table
-        ]
+        version, news = self.node.find("gossip").table["layout"]
         for name in self.node.find("nifty").graph.routes:
-            self.node.cast(name, "gossip.news", items)
+            self.node.cast(name, "layout.news", [list(version), news])
+
+    def on_news(self, body, origin):
+        """Take what the owner told everyone; it needs no passing on."""
+        version, news = body
+        gossip = self.node.find("gossip")
+        gossip.put("group/config", version, news[3])
+        if gossip.put("layout", version, news):
+            gossip.fresh.pop("layout", None)
 
     def take(self, index, state):
-        """Take a config state read from its owner or a store, and pass it on as news."""
+        """Take a config state read from its owner or a store, and pass it on once as news."""
         gossip = self.node.find("gossip")
         gossip.put("group/config", [index], state["group"])
         if index > self.index:
             news = [index, state["version"], state["layout"], state["group"]]
             gossip.put("layout", [index], news)
+            gossip.fresh["layout"] = 1
 
     def _swap(self, news):
         index, version, layout, _ = news
