Raw lots: a worker that refuses rests, a lost one is looked after at once

Cause: a core without fresh word of the layout refuses every run, and being the nearest to its replicas was asked again each time, which also made items avoid replicas that had done nothing; a lost core's runs waited for the next second's round; a dark replica was left after 3 s of silence. Ruled out: the share of slots, which does not count refused starts. After: such a worker rests for a second, a changed graph brings the round forward, a replica silent on all sendings is left after 1.5 s.

--- a/quillring/lots/raw_ledger.py
+++ b/quillring/lots/raw_ledger.py
@@ -55,14 +55,14 @@
 
     __slots__ = (
         "node", "owner", "lots", "isReported", "renewedAt", "runsByReplica", "runsByWorker",
-        "overSince",
+        "overSince", "restUntil",
     )
 
     def __init__(self, node, owner):
         self.node, self.owner = node, owner
         self.isReported, self.renewedAt = False, -math.inf
         self.runsByReplica, self.runsByWorker = {}, {}
-        self.lots, self.overSince = {}, {}
+        self.lots, self.overSince, self.restUntil = {}, {}, {}
         for name in raw_lots(owner.state):
             self.sync(name)
 
@@ -109,6 +109,14 @@
             self.runsByReplica[run.replica] -= 1
             self.runsByWorker[run.worker] -= 1
 
+    def rest_worker(self, name):
+        """Give a worker nothing for a moment: it refused, or did not answer."""
+        self.restUntil[name] = self.node.now() + self.node.bounds.reading
+
+    def rests(self, name):
+        """Tell whether a worker gets nothing now."""
+        return self.restUntil.get(name, 0) > self.node.now()
+
     def running(self):
         """Return the items that run."""
         return [i for lot in self.lots.values() for i in lot.items.values() if i.run is not None]
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -1,7 +1,9 @@
 """The owner's side of raw lots: which item runs next, at which replica, sent by which core."""
 
+import math
+
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import NotOwner, TimedOut, Trouble
+from quillring.kernel.troubles import NotOwner, NotSent, TimedOut, Trouble
 from quillring.lots.raw_commands import HELD_WEIGHT, raw_lots
 from quillring.lots.raw_ledger import OwnedRun, RawLedger
 from quillring.lots.raw_limits import RawLimits
@@ -25,6 +27,12 @@
         self.limits = RawLimits(node)
         self.forwardSeenAt = {}
         node.handle("raw.report", self.on_report)
+        node.find("nifty").listeners.append(self._on_graph)
+
+    def _on_graph(self, graph):
+        """Look after the runs at once: a worker may be lost."""
+        for ledger in self.ledgers.values():
+            ledger.renewedAt = -math.inf
 
     def on_batch(self, owner, batch):
         """Follow what was committed; stop what needs to run no more."""
@@ -138,7 +146,7 @@
         waiting = [(lot, lot.waiting(now)) for lot in ledger.order(now)]
         if not any(items for _, items in waiting) or not self.node.find("freshness").is_fresh():
             return
-        cores = self._workers(ledger.owner.part)
+        cores = self._workers(ledger)
         for lot, items in waiting:
             forward, isNear = forwards.named(lot.forward), lot.dueAt - now < NEAR
             for item in items if forward is not None else ():
@@ -161,10 +169,11 @@
         self.limits.started(replica, now)
         self.node.spawn(self._start(ledger, item, run, forward, isNear))
 
-    def _workers(self, part):
+    def _workers(self, ledger):
         duty = self.node.find("duty")
         members = self.node.find("nifty").roster.members
-        return [(n, members[n].domain) for n in duty.rank(part) if not duty.is_leaving(n)]
+        names = [n for n in duty.rank(ledger.owner.part) if not duty.is_leaving(n)]
+        return [(n, members[n].domain) for n in names if not ledger.rests(n)]
 
     def _start(self, ledger, item, run, forward, isNear):
         """Script: hand a run to its worker; what was surely not begun waits again."""
@@ -185,9 +194,15 @@
             run.id = answer["run"]
         except TimedOut:
             self.node.count("raw_starts_unsure")
+            ledger.rest_worker(run.worker)
+        except NotSent:
+            self.limits.note(run, UNSENT, self.node.now())
+            self._give_back(ledger, item, run.id, PAUSES[UNSENT])
         except Trouble as trouble:
             self.node.count(f"raw_starts_{trouble.kind}")
-            self._give_back(ledger, item, run.id, PAUSES[UNSENT])
+            ledger.rest_worker(run.worker)
+            if item.run is run:
+                ledger.end_run(item)
 
     def _give_back(self, ledger, item, runId, seconds):
         """Let an item wait again after its run ended without a result."""
--- a/quillring/lots/raw_worker.py
+++ b/quillring/lots/raw_worker.py
@@ -131,7 +131,7 @@
                 node, replica, request, run.last, body["urgency"], node.now() + stallSeconds * 3,
                 True, stallSeconds / 2)
             lease.heard()
-            return (yield from self._read(run, lease, stallSeconds))
+            return (yield from self._read(run, lease))
         except NotSent as trouble:
             self._note(run, replica, trouble)
             return UNSENT
@@ -148,7 +148,7 @@
         if not run.isStopped and trouble.detail.get("reason") not in ("left", "no time left"):
             self.node.find("placement").failed(replica, isinstance(trouble, NotSent))
 
-    def _read(self, run, lease, stallSeconds):
+    def _read(self, run, lease):
         """Script: take the answer's head, then the events in order until the proper end."""
         dialect, handle = self.node.find("dialect"), run.handle
         if is_not_run(dialect, handle):
@@ -158,7 +158,7 @@
         if handle.status != 200 or not is_sealed(dialect, handle):
             return BROKEN
         reader, first = EventReader(run.last), run.last
-        while (data := (yield NextPart(handle, stallSeconds))) is not None:
+        while (data := (yield from self._next_part(handle, lease))) is not None:
             lease.heard()
             self._take(run, reader.feed(data))
         if not reader.is_clean or run.last is None:
@@ -166,6 +166,17 @@
         isFramed = {"content-length", "transfer-encoding"} & set(handle.headers)
         return WHOLE if isFramed or run.last == first else BROKEN
 
+    def _next_part(self, handle, lease):
+        """Script: wait for bytes; a replica that is silent to all is left at half time."""
+        seconds = self.node.bounds.ending / 2
+        try:
+            return (yield NextPart(handle, seconds))
+        except BackendTrouble as trouble:
+            isSilent = self.node.find("placement").is_silent(lease.replica, seconds)
+            if trouble.detail["reason"] != "stall" or isSilent:
+                raise
+        return (yield NextPart(handle, seconds))
+
     def _take(self, run, events):
         for event in events:
             if event.id is None and not event.data:
