--- a/quillring/quorum/autofound.py
+++ b/quillring/quorum/autofound.py
@@ -37,8 +37,11 @@
 
 
 def place_of(node):
-    """Return the place of this node among its seeds; whoever is none comes after them."""
-    seeds = [tuple(seed) for seed in node.find("nifty").seeds]
+    """Return the place of this node among its seeds by address; whoever is none comes last.
+
+    By address, as the seeds may be told to each node in another order.
+    """
+    seeds = sorted({tuple(seed) for seed in node.find("nifty").seeds})
     return seeds.index(node.me.address) if node.me.address in seeds else len(seeds)
 
 
--- a/tests/test_autofound.py
+++ b/tests/test_autofound.py
@@ -139,3 +139,14 @@
         stage.start(name)
     assert stage.wait_for(lambda: all_owned(stage), 4) is not None
     assert stage.read("core-3", {"ask": "edition"})[0]["layout"]["domains"]["north"]["emptied"]
+
+
+def test_the_place_of_a_seed_does_not_hang_on_the_order_it_was_told_in():
+    stage = SelfFounded(1, readyAt=0.1)
+    node = stage.sim.nodes["core-1"]
+    seeds = [stage.sim.nodes[name].me.address for name in ("core-1", "core-2", "core-3")]
+    places = set()
+    for order in (seeds, seeds[::-1], seeds[1:] + seeds[:1]):
+        node.find("nifty").seeds = tuple(order)
+        places.add(place_of(node))
+    assert len(places) == 1
