After power was lost: no false 404, replicas known at once; beats reach the placement

The placement kept the objects of a replica's first beat, so later words (turned cold again, heard) did not count. Ruled out: slow starts (0.3 s).

--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -3,6 +3,7 @@
 from quillring.classes import Granter, Meter, Taker
 from quillring.duty import Duty
 from quillring.edge import Dispatch, Journal, Replicas
+from quillring.edge.memory import ReplicaMemory
 from quillring.edge.tokens import LIFE_SECONDS
 from quillring.forward import Dialect, ForwardTable, Placement
 from quillring.gossip import Gossip
@@ -105,6 +106,9 @@
     acceptors.attach(node)
     node.find("nifty").stampSource = acceptors.stamp
     hints = node.offer("hints", Hints(node, acceptors))
+    memory = node.offer("memory", ReplicaMemory(node, acceptors.slots.disk))
+    memory.recall()
+    node.spawn(memory.run())
     node.spawn(acceptors.slots.run(node.bounds.beat))
     node.spawn(hints.run())
     if acceptors.founding is not None:
--- a/quillring/forward/events.py
+++ b/quillring/forward/events.py
@@ -40,7 +40,7 @@
             if event.id is None:
                 continue
             if self.lastEvent is not None and event.id != self.lastEvent + 1:
-                raise BackendTrouble(reason="events out of order", held=self.lastEvent, got=event.id)
+                raise BackendTrouble(reason="events out of order", got=event.id)
             self.lastEvent = event.id
         return events
 
--- a/quillring/forward/placement.py
+++ b/quillring/forward/placement.py
@@ -82,10 +82,10 @@
             byService = {}
             for replica in replicas.table.values():
                 if replicas.may_be_sent(replica):
-                    byService.setdefault(replica.service, []).append(replica)
+                    byService.setdefault(replica.service, []).append(replica.name)
             self.usable = byService
             self.usableTable, self.usableLayout = replicas.edition, layout
-        return self.usable.get(service, ())
+        return [replicas.table[name] for name in self.usable.get(service, ())]
 
     def choose(self, service, request, avoidedNames=(), maySendCold=True):
         """Return the replica for a request, or None when none may be sent it now."""
--- a/quillring/forward/serve.py
+++ b/quillring/forward/serve.py
@@ -3,7 +3,7 @@
 from quillring.forward.attempt import is_not_run, is_sealed, open_answer
 from quillring.forward.events import EventReader
 from quillring.forward.request import answer_pairs
-from quillring.forward.waiting import acquire
+from quillring.forward.waiting import acquire, come_back
 from quillring.kernel.effects import Emit, NextPart
 from quillring.kernel.troubles import BackendTrouble, NotSent, OutcomeUnknown, Refused
 
@@ -40,6 +40,12 @@
     return arrivedAt + seconds
 
 
+def check_known(node):
+    """Refuse while no layout is known yet: a node that just started can't tell what there is."""
+    if node.find("forwards").is_empty():
+        raise Refused(reason="no layout yet", come_back_s=node.bounds.reading)
+
+
 def serve(node, forward, request, arrivedAt):
     """Script: pass a request on; emits head and bytes of a stream, or returns a whole answer."""
     sending = Sending(end_time(node, forward, request, arrivedAt), request.lastEvent)
@@ -64,7 +70,7 @@
                 sending.avoidedNames.add(replica.name)
                 if handle.status == 421:
                     node.find("replicas").misplaced(replica)
-                yield from take_refusal(sending, handle, forward)
+                yield from take_refusal(node, sending, forward)
                 continue
             isStream = handle.headers.get("content-type", "").startswith("text/event-stream")
             if isStream and handle.status == 200:
@@ -107,10 +113,11 @@
         node.find("placement").failed(replica, isSurely or isStalled)
 
 
-def take_refusal(sending, handle, forward):
+def take_refusal(node, sending, forward):
     """Script: a replica did not run it; the last one's word goes to the client."""
     if sending.rounds >= forward.rounds and not sending.hasHead:
-        raise Refused(reason="replicas are full", come_back_s=forward.goalSeconds / 4)
+        raise Refused(
+            reason="replicas are full", come_back_s=come_back(node, sending) / 2)
     return
     yield
 
--- a/quillring/forward/table.py
+++ b/quillring/forward/table.py
@@ -66,7 +66,8 @@
         for forward in sorted(forwards, key=lambda f: -len(f.prefix)):
             byHost.setdefault(forward.host, []).append(forward)
         self.byHost = {
-            host: {forward.prefix: forward for forward in hosted} for host, hosted in byHost.items()}
+            host: {forward.prefix: forward for forward in hosted}
+            for host, hosted in byHost.items()}
         self.byName = {forward.name: forward for forward in forwards}
         self.layout = layout
 
--- a/quillring/forward/waiting.py
+++ b/quillring/forward/waiting.py
@@ -7,6 +7,11 @@
 LOOK_AGAIN = 0.05
 
 
+def come_back(node, sending):
+    """Return after how many seconds to come back: a fourth of the time that is left."""
+    return max(0.05, (sending.endTime - node.now()) / 4)
+
+
 def acquire(node, forward, service, request, sending, arrivedAt):
     """Script: return a replica for the request, or refuse within a fifth of its goal.
 
@@ -24,5 +29,6 @@
             return chosenReplica
         if node.now() >= heldUntil:
             node.count("forward_refusals")
-            raise Refused(reason="no replica", service=service, come_back_s=forward.goalSeconds / 3)
+            raise Refused(
+                reason="no replica", service=service, come_back_s=come_back(node, sending))
         yield Wait(placement.changed, min(LOOK_AGAIN, max(0.001, heldUntil - node.now())))
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -1,9 +1,13 @@
+import random
+
 import pytest
 
 from proving.scripted import BREAK, END, SILENT, ScriptedWorld
+from proving.sim.disk import SimDisk
+from quillring.edge.memory import ReplicaMemory
 from quillring.fleet import make_node
 from quillring.forward import Dialect, EventReader, Request
-from quillring.forward.serve import serve
+from quillring.forward.serve import check_known, serve
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.troubles import BackendTrouble, OutcomeUnknown, Refused
 from quillring.nifty import Member
@@ -225,3 +229,33 @@
         assert b"".join(e.raw for e in events) == data and reader.is_clean
     with pytest.raises(BackendTrouble):
         EventReader(4).feed(event(6))
+
+
+def test_a_node_without_a_layout_refuses_and_never_says_that_nothing_is_there():
+    world = ScriptedWorld()
+    me = Member("edge-1", 1, "edge", "north", "10.0.0.9", 7, 8, "")
+    node = make_node(me, world, [], Bounds())
+    with pytest.raises(Refused) as refusal:
+        check_known(node)
+    assert refusal.value.status == 503 and refusal.value.detail["come_back_s"] > 0
+    check_known(make({})[1])
+
+
+def test_a_store_knows_the_replicas_again_after_power_was_lost():
+    disk = SimDisk(random.Random(1))
+    world, node = make({}, replicas=3)
+    memory = ReplicaMemory(node, disk)
+    beat(node, 1, 2, state="leaving")
+    memory._keep()
+    beat(node, 3)
+    memory._keep()
+    disk.lose_power()
+    disk.durable["replicas.0"] = disk.durable["replicas.0"][:-1]
+    world, node = make({}, replicas=0)
+    ReplicaMemory(node, disk).recall()
+    known = node.find("replicas").table
+    assert {name: replica.state for name, replica in known.items()} == {
+        "r0": "ready", "r1": "leaving", "r2": "ready"}
+    assert {r.name for r in node.find("placement").replicas("s")} == {"r0", "r2"}
+    beat(node, 0, 5)
+    assert node.find("placement").choose("s", request()).name == "r0"
