The graph is made once for a part of a period's changes, in bits; quiet beats are terse

Cause: the graph was made anew for every heartbeat that changed a row and for every learnt member, by a Bellman-Ford over sets of names; each round of heartbeats sorted all members and packed all of a heartbeat once a member. So a start and every loss cost more than the square of the members.

Ruled out: sparing makings by comparing rows alone (each of the changes is real, only too early); an incremental graph (a making in bits costs less than its bookkeeping); a new wire version (the echo can say that a member reads terse beats, and former readers pass over it).

Now: changes of rows wait for the next quarter of the period; a link that came up is routed at once when the last making is a quarter old, a lost one within a quarter. Rows are whole numbers, a bit a member; hop counts settle ring by ring, which a test holds against plain Bellman-Ford pair by pair. Members learned between two readings of the roster come in by one swap; a renewed start keeps order and digest. What the heartbeats of a round share is packed once; a member that echoed the present record, roster and bitmap gets a heartbeat without them. Above 128 members the period grows (256 heartbeats a second and node) and a broken link is still found within 3/4 of the return bound.

--- a/proving/scale.py
+++ b/proving/scale.py
@@ -31,14 +31,15 @@
 @click.option("--only", default="", help=f"Of {', '.join(NAMES)}; a start is always run.")
 @click.option("--seconds", type=float, help="Simulated seconds a scenario; default 8 beats.")
 @click.option("--news", default=2.0, show_default=True, help="The news bound of the settings.")
+@click.option("--warm", is_flag=True, help="Every node knows all members from the first.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--workers", default=2, show_default=True, help="Processes at once.")
 @click.option("--limit", default=1500, show_default=True, help="Seconds after which sizes stop.")
 @click.option("--output", help="Path without suffix for the JSON and the plot.")
-def main(sizes, replicas, entries, only, seconds, news, seed, workers, limit, output):
+def main(sizes, replicas, entries, only, seconds, news, warm, seed, workers, limit, output):
     """Run hollow nodes in memory and print what one of them spent."""
     common = {"only": [w for w in only.split(",") if w], "seconds": seconds, "news": news,
-              "seed": seed}
+              "warm": warm, "seed": seed}
     jobs = [
         *({"size": size, **common} for size in numbers(sizes)),
         *({"size": 16, "replicas": count, **common} for count in numbers(replicas)),
--- a/proving/scale_fleet.py
+++ b/proving/scale_fleet.py
@@ -71,10 +71,19 @@
         for name in ("nifty", "gossip", "freshness"):
             node.spawn(node.find(name).run())
 
-    def start_all(self):
-        """Start all nodes at once; one of them knows the founding record and the layout."""
+    def start_all(self, isWarm=False):
+        """Start all nodes at once; one of them knows the founding record and the layout.
+
+        In a warm start every node knows all members from the first.
+        """
         for member in self.members:
             self.start(member)
+        known = [node.me for node in self.nodes.values()] if isWarm else []
+        for node in self.nodes.values():
+            for member in known:
+                node.find("gossip").put(
+                    f"member/{member.name}", [member.incarnation], member.to_list())
+            node.find("gossip").fresh = {}
         node = self.nodes[self.members[0].name]
         node.find("gossip").put("founding", [1], {"groups": self.groups})
         node.find("layout").take(self.index, self.config_state())
--- a/proving/scale_runs.py
+++ b/proving/scale_runs.py
@@ -61,11 +61,11 @@
     return process_bytes()
 
 
-def run_size(size, replicas=0, entries=10, seed=1, only=(), seconds=None, news=2.0):
+def run_size(size, replicas=0, entries=10, seed=1, only=(), seconds=None, news=2.0, warm=False):
     """Run all scenarios at one size; return {scenario: work of a node}."""
     before = rss_bytes()
     fleet = HollowFleet(size, seed, replicas, entries, Bounds(news=news))
-    fleet.start_all()
+    fleet.start_all(warm)
     span = fleet.bounds.beat * 8 if seconds is None else seconds
     rows = {"start": fleet.spend(span)}
     settledAt = None
@@ -81,5 +81,5 @@
             rows[scenario.__name__] = scenario(fleet, span)
     memory = (rss_bytes() - before) / size
     rows["memory"] = {"bytes_a_node": round(memory)}
-    return {"size": size, "replicas": replicas, "entries": entries, "news": news, "rows": rows,
-            "faults": len(fleet.faults)}
+    return {"size": size, "replicas": replicas, "entries": entries, "news": news, "warm": warm,
+            "rows": rows, "faults": len(fleet.faults)}
--- a/quillring/gossip/gossip.py
+++ b/quillring/gossip/gossip.py
@@ -54,7 +54,7 @@
                 self.table[key] = former
             raise BadWire(reason="news", key=key) from error
         self.digest = None
-        memberCount = len(self.node.find("nifty").roster.names)
+        memberCount = self.node.find("nifty").member_count()
         self.fresh[key] = math.ceil(math.log2(memberCount + 1)) + 1
         return True
 
--- /dev/null
+++ b/quillring/nifty/bits.py
@@ -0,0 +1,68 @@
+"""Sets of members as whole numbers: one bit a name, in the order of some sorted names."""
+
+from functools import reduce
+from operator import itemgetter, or_
+
+
+def to_bits(places):
+    """Return the number with these bits set."""
+    text = bytearray(max(places, default=-1) // 8 + 1)
+    for place in places:
+        text[place >> 3] |= 1 << (place & 7)
+    return int.from_bytes(text, "little")
+
+
+def places_of(bits):
+    """Return the places of the set bits, in order."""
+    text = bin(bits)[:1:-1]
+    return [place for place, digit in enumerate(text) if digit == "1"]
+
+
+def merged(rows):
+    """Return the bits set in any of the rows."""
+    return reduce(or_, rows, 0)
+
+
+def transposed(rows, width):
+    """Return the columns of a square matrix of `width` rows."""
+    if not width:
+        return []
+    text = "".join([format(row, f"0{width}b") for row in reversed(rows)])
+    return [int(text[width - 1 - place::width], 2) for place in range(width)]
+
+
+class Order:
+    """Bits made for one order of names, put into another one; names it lacks are left out."""
+
+    __slots__ = ("width", "pick")
+
+    def __init__(self, names, newPlaces):
+        """Make the reading of bits over `names` as bits over {name: place}."""
+        self.width = len(names)
+        known = {name: place for place, name in enumerate(names)}
+        picked = [known.get(name, self.width) for name in newPlaces]
+        picked = [self.width - 1 - p if p < self.width else self.width for p in reversed(picked)]
+        self.pick = itemgetter(*picked, self.width, self.width)
+
+    def read(self, bits):
+        """Return the bits in the new order."""
+        digits = self.pick(format(bits, f"0{self.width}b") + "0")
+        return int("".join(digits), 2) >> 2
+
+
+class Orders:
+    """The readings into {name: place}, each made once."""
+
+    __slots__ = ("places", "made")
+
+    def __init__(self, places):
+        self.places = places
+        self.made = {}
+
+    def read(self, bits, names, places):
+        """Return bits over `names`, whose {name: place} is `places`, in this order."""
+        if places is self.places:
+            return bits
+        if id(places) not in self.made:
+            self.made[id(places)] = Order(names, self.places)
+        return self.made[id(places)].read(bits)
--- a/quillring/nifty/heard.py
+++ b/quillring/nifty/heard.py
@@ -1,47 +1,100 @@
 """What a node last heard from a cohort member, and the reading of heartbeats."""
 
 from quillring.kernel.troubles import BadWire
-from quillring.nifty.member import Member
+from quillring.nifty.member import FIELDS, Member
 from quillring.nifty.wire import unpack
 
+FULL, TERSE = 6, 5
+
 
 class Heard:
-    """What a node last heard from a cohort member."""
+    """What a node last heard from a cohort member.
+
+    Its row stands as told: bits over the names of the roster they were made for. A bitmap made for
+    an unknown roster waits unread until that roster is known.
+    """
+
+    __slots__ = (
+        "at", "incarnation", "sequence", "echoAt", "stamp", "version", "roster", "bits", "digest",
+        "unread", "acked", "readsTerse", "places", "ownBits",
+    )
+
+    def __init__(self, beat):
+        self.at = 0
+        self.incarnation, self.sequence, self.version = beat.incarnation, 0, beat.version
+        self.echoAt = self.stamp = self.digest = self.unread = None
+        self.roster = self.bits = self.places = self.ownBits = None
+        self.acked, self.readsTerse = 0, False
 
-    __slots__ = ("at", "incarnation", "sequence", "row", "echoAt", "stamp", "version")
+    @property
+    def row(self):
+        """The names it last told it reaches, or None."""
+        return None if self.roster is None else self.roster.names_of(self.bits)
 
-    def __init__(self, at, incarnation, sequence, version):
-        self.at = at
-        self.incarnation = incarnation
-        self.sequence = sequence
-        self.row = None
-        self.echoAt = None
-        self.stamp = None
-        self.version = version
+    def take_row(self, digest, bitmap, roster):
+        """Take a bitmap made for a roster, if that is known; tell whether the row changed."""
+        self.digest = digest
+        self.unread = bitmap if roster is None else None
+        if roster is None:
+            return False
+        bits = roster.from_bitmap(bitmap)
+        if self.bits == bits and self.roster.digest == digest:
+            return False
+        self.roster, self.bits, self.places = roster, bits, None
+        return True
+
+    def bits_over(self, orders):
+        """Return the row as bits in another order."""
+        if self.places is not orders.places:
+            self.ownBits = orders.read(self.bits, self.roster.names, self.roster.places)
+            self.places = orders.places
+        return self.ownBits
 
 
 class Beat:
-    """One heartbeat as it came in."""
+    """One heartbeat as it came in; a terse one bears neither member record nor bitmap."""
 
-    __slots__ = ("member", "sequence", "digest", "bitmap", "stamp", "echo", "version")
+    __slots__ = (
+        "member", "name", "incarnation", "sequence", "digest", "bitmap", "stamp", "echo",
+        "version", "readsTerse",
+    )
 
-    def __init__(self, data, versions):
+    def __init__(self, data, versions, knownMembers=None):
         """Read a datagram; whatever is no heartbeat raises BadWire."""
         try:
             self.version, fields = unpack(data, versions)
-            record, self.sequence, self.digest, self.bitmap, self.stamp, echo = fields
-            self.member = Member.from_list(record)
-            self.echo = None if echo is None else (int(echo[0]), int(echo[1]))
-            if echo is not None and len(echo) > 2:
-                self.version = max(self.version, min(versions[-1], int(echo[2])))
+            if len(fields) == TERSE:
+                self.name, self.incarnation, self.sequence, self.stamp, echo = fields
+                self.member = self.digest = self.bitmap = None
+            else:
+                record, self.sequence, self.digest, self.bitmap, self.stamp, echo = fields
+                self.member = read_member(record, knownMembers or {})
+                self.name, self.incarnation = self.member.name, self.member.incarnation
+            self.echo, self.readsTerse = None, False
+            if echo is not None:
+                self.echo = (int(echo[0]), int(echo[1]))
+                if len(echo) > 2:
+                    self.version = max(self.version, min(versions[-1], int(echo[2])))
+                self.readsTerse = len(echo) > 3 and echo[3] == TERSE
         except (ValueError, TypeError, IndexError, KeyError, OverflowError) as error:
             raise BadWire(reason="beat") from error
-        if not isinstance(self.sequence, int) or not isinstance(self.bitmap, bytes):
+        if not isinstance(self.sequence, int) or not is_stamp(self.stamp):
             raise BadWire(reason="beat")
-        if not isinstance(self.digest, bytes) or not is_stamp(self.stamp):
+        if self.member is None:
+            if not isinstance(self.name, str) or not isinstance(self.incarnation, int):
+                raise BadWire(reason="beat")
+        elif not isinstance(self.bitmap, bytes) or not isinstance(self.digest, bytes):
             raise BadWire(reason="beat")
 
 
+def read_member(record, knownMembers):
+    """Return the member of a record: the known one when nothing of it changed."""
+    known = knownMembers.get(record[0]) if len(record) == len(FIELDS) else None
+    if known is not None and known.to_list() == record:
+        return known
+    return Member.from_list(record)
+
+
 def is_stamp(stamp):
     """Tell whether a stamp is none, or ballot, index and identity of a store."""
     return stamp is None or (
--- a/quillring/nifty/member.py
+++ b/quillring/nifty/member.py
@@ -4,6 +4,8 @@
 
 import cbor2
 
+from quillring.nifty.bits import places_of, to_bits
+
 FIELDS = ("name", "incarnation", "role", "domain", "host", "port", "http_port", "identity")
 
 
@@ -50,16 +52,29 @@
 class Roster:
     """The sorted members; the digest names the order that bitmaps are made for."""
 
-    __slots__ = ("members", "names", "digest")
+    __slots__ = ("members", "names", "places", "digest", "addresses")
 
     def __init__(self, members):
-        self.members = {m.name: m for m in sorted(members, key=lambda m: m.name)}
+        self._fill({m.name: m for m in sorted(members, key=lambda m: m.name)})
         self.names = tuple(self.members)
+        self.places = {name: place for place, name in enumerate(self.names)}
         self.digest = hashlib.sha256(cbor2.dumps(self.names)).digest()[:8]
 
-    def with_member(self, member):
-        """Return the roster with this member added or renewed."""
-        return Roster([*(m for m in self.members.values() if m.name != member.name), member])
+    def _fill(self, members):
+        self.members = members
+        self.addresses = {}
+        for member in members.values():
+            self.addresses.setdefault(member.address, []).append(member.name)
+
+    def with_members(self, members):
+        """Return the roster with these members added or renewed."""
+        newMembers = {**self.members, **{m.name: m for m in members}}
+        if len(newMembers) > len(self.members):
+            return Roster(newMembers.values())
+        renewed = Roster.__new__(Roster)
+        renewed._fill(newMembers)
+        renewed.names, renewed.places, renewed.digest = self.names, self.places, self.digest
+        return renewed
 
     def without(self, name):
         """Return the roster without the member."""
@@ -67,10 +82,13 @@
 
     def to_bitmap(self, reachedNames):
         """Return the compact bitmap of the names."""
-        bits = sum(1 << i for i, name in enumerate(self.names) if name in reachedNames)
+        bits = to_bits([self.places[name] for name in reachedNames if name in self.places])
         return bits.to_bytes((len(self.names) + 7) // 8, "little")
 
     def from_bitmap(self, bitmap):
-        """Return the names in a bitmap that was made for this very roster."""
-        bits = int.from_bytes(bitmap, "little")
-        return frozenset(name for i, name in enumerate(self.names) if bits >> i & 1)
+        """Return the bits of a bitmap that was made for this very roster."""
+        return int.from_bytes(bitmap, "little") & (1 << len(self.names)) - 1
+
+    def names_of(self, bits):
+        """Return the names of bits made for this roster's names."""
+        return frozenset([self.names[place] for place in places_of(bits)])
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -1,44 +1,44 @@
 """NIFTY in a process: heartbeats to all, bitmaps, graph, routes, relays, deduplication."""
 
-import math
-
 from quillring.kernel.effects import Sleep
 from quillring.kernel.troubles import BadWire
+from quillring.nifty.bits import Orders
+from quillring.nifty.cohort import Cohort
 from quillring.nifty.graph import Graph
 from quillring.nifty.heard import Beat, Heard, read_envelope
-from quillring.nifty.member import Roster
 from quillring.nifty.seen import SeenWindow
 from quillring.nifty.starts import is_clash, renew_start, tell_stranger
+from quillring.nifty.telling import Telling
 from quillring.nifty.wire import SPOKEN, pack
 
 HOP_LIMIT = 6
-KEPT_ROSTERS = 8
+PARTS = 4
+MENDED_A_PART = 3
 
 
-class Nifty:
+class Nifty(Cohort):
     """The peer layer of one node."""
 
     __slots__ = (
-        "node", "roster", "oldRosters", "seeds", "heard", "graph", "sequence", "beatSequence",
-        "beatTimes", "rows", "seen", "listeners", "stampSource", "on_member", "on_strange_roster",
+        "seeds", "graph", "sequence", "beatSequence", "told", "beatTimes", "sources",
+        "refreshedAt", "mendedCount", "seen", "listeners", "stampSource", "on_strange_roster",
         "versions",
     )
 
     def __init__(self, node, seeds, versions=SPOKEN):
-        self.node = node
+        super().__init__(node)
         self.seeds = tuple(seeds)
-        self.roster = Roster([node.me])
-        self.oldRosters = {self.roster.digest: self.roster}
-        self.heard = {}
         self.graph = Graph(node.me.name, {})
         self.sequence = 0
         self.beatSequence = 0
+        self.told = (None, 0)
         self.beatTimes = {}
-        self.rows = {}
+        self.sources = None
+        self.refreshedAt = None
+        self.mendedCount = 0
         self.seen = {}
         self.listeners = []
         self.stampSource = lambda: None
-        self.on_member = lambda member: None
         self.on_strange_roster = lambda name: None
         self.versions = versions
         node.handle("member.former", lambda body, origin: renew_start(self, body))
@@ -47,44 +47,47 @@
         """Script: send a heartbeat to all in every period, the lost ones included."""
         while True:
             self.send_beats()
-            self.refresh()
-            yield Sleep(self.node.bounds.beat)
+            for _ in range(PARTS):
+                self.refresh()
+                yield Sleep(self.pace.period / PARTS)
 
     def send_beats(self):
         """Send one heartbeat to every member and to each seed not yet known."""
-        now = self.node.now()
+        telling, ownAddress, heardOf = self._next_telling(), self.node.me.address, self.heard.get
+        addresses = self.roster.addresses
+        for address, names in addresses.items():
+            if address != ownAddress:
+                heard = heardOf(names[0]) if len(names) == 1 else max(
+                    (self.heard[name] for name in names if name in self.heard),
+                    key=lambda heard: heard.at, default=None)
+                self._send_beat(address, telling, heard)
+        for address in dict.fromkeys(self.seeds):
+            if address != ownAddress and address not in addresses:
+                self._send_beat(address, telling, None)
+
+    def _next_telling(self):
+        me, roster, now = self.node.me, self.roster, self.node.now()
         self.beatSequence += 1
-        self.beatTimes = {
-            s: at for s, at in self.beatTimes.items() if now - at < self.node.bounds.news * 3
-        }
+        oldestTime = now - max(self.node.bounds.news * 3, self.pace.broken * 2)
+        self.beatTimes = {s: at for s, at in self.beatTimes.items() if at > oldestTime}
         self.beatTimes[self.beatSequence] = now
-        me = self.node.me
-        commonPart = [
-            me.to_list(), self.beatSequence, self.roster.digest,
-            self.roster.to_bitmap(self.reached_names()), self.stampSource(),
-        ]
-        latestLast = sorted(
-            self.roster.members.values(),
-            key=lambda m: self.heard[m.name].at if m.name in self.heard else -math.inf)
-        memberAddresses = {m.address: m.name for m in latestLast}
-        for address in dict.fromkeys((*memberAddresses, *self.seeds)):
-            if address == me.address:
-                continue
-            heard = self.heard.get(memberAddresses.get(address))
-            isHeard = heard is not None and self.is_heard(heard)
-            newest = self.versions[-1]
-            echo = [heard.incarnation, heard.sequence, newest] if isHeard else None
-            version = heard.version if isHeard else self.versions[0]
-            self._datagram(address, pack([*commonPart, echo], version))
-
-    def _datagram(self, address, data):
+        bitmap = roster.to_bitmap(self.reached_names())
+        content = (me, roster.digest, bitmap)
+        if self.told[0] != content:
+            self.told = (content, self.beatSequence)
+        return Telling(
+            me, self.beatSequence, self.told[1], roster.digest, bitmap, self.stampSource(),
+            self.versions, now - self.pace.broken)
+
+    def _send_beat(self, address, telling, heard):
+        data = telling.to(heard)
         self.node.count("beats_sent")
         self.node.count("beat_bytes", len(data))
         self.node.world.datagram(address, data)
 
     def is_heard(self, heard):
-        """Tell whether fewer than three beats were missed."""
-        return heard.at > self.node.now() - self.node.bounds.broken
+        """Tell whether too few beats were missed to break a link."""
+        return heard.at > self.node.now() - self.pace.broken
 
     def is_silent(self, name, seconds):
         """Tell whether nothing was heard of a member for so long."""
@@ -93,54 +96,100 @@
 
     def reached_names(self):
         """Return the names heard lately that lately heard this node too, by their echo."""
-        edgeTime = self.node.now() - self.node.bounds.broken - self.node.bounds.beat
-        return frozenset(
+        heardEdge = self.node.now() - self.pace.broken
+        echoEdge = heardEdge - self.pace.period
+        return frozenset([
             name for name, heard in self.heard.items()
-            if self.is_heard(heard) and heard.echoAt is not None and heard.echoAt > edgeTime
-        )
+            if heard.at > heardEdge and heard.echoAt is not None and heard.echoAt > echoEdge
+        ])
 
     def on_datagram(self, data):
         """Take a heartbeat; garbage is counted and dropped."""
         try:
-            beat = Beat(data, self.versions)
+            beat = Beat(data, self.versions, self.knownRoster.members)
         except BadWire as trouble:
             self.node.count("bad_datagrams")
             self.node.count("other_versions", trouble.detail["reason"] == "version")
             return
-        member, sequence, digest = beat.member, beat.sequence, beat.digest
-        if member.name == self.node.me.name:
-            return
-        heard = self.heard.get(member.name)
-        if is_clash(self, member, heard):
-            self.node.count("identity_clashes")
-            tell_stranger(self, member, beat.version, "member.clash", None)
+        if beat.name == self.node.me.name:
             return
-        if heard is not None:
-            if member.incarnation == heard.incarnation:
-                heard.version = max(heard.version, beat.version)
-            if (member.incarnation, sequence) <= (heard.incarnation, heard.sequence):
-                if beat.version > 1 and not self.is_heard(heard):
-                    former = heard.incarnation
-                    tell_stranger(self, member, beat.version, "member.former", former)
+        heard = self.heard.get(beat.name)
+        isKnown = heard is not None and heard.incarnation == beat.incarnation
+        if not isKnown or beat.sequence <= heard.sequence:
+            if not self._is_news(beat, heard):
                 return
-        wasReached = member.name in self.graph.links.get(self.node.me.name, ())
-        if heard is None or heard.incarnation != member.incarnation:
-            heard = self.heard[member.name] = Heard(
-                0, member.incarnation, sequence, beat.version)
-        heard.at, heard.sequence, heard.stamp = self.node.now(), sequence, beat.stamp
-        if beat.echo is not None and beat.echo[0] == self.node.me.incarnation:
+            heard = self.heard[beat.name] = Heard(beat)
+        self._hear(heard, beat)
+        if not isKnown and self.pace.period > self.node.bounds.beat:
+            self._send_beat(beat.member.address, self._next_telling(), heard)
+
+    def _is_news(self, beat, heard):
+        """Tell whether an unexpected heartbeat is of a newer start; a stranger is told."""
+        if beat.member is None:
+            self.node.count("unread_beats")
+            return False
+        if is_clash(self, beat.member, heard):
+            self.node.count("identity_clashes")
+            tell_stranger(self, beat.member, beat.version, "member.clash", None)
+            return False
+        if heard is None or beat.incarnation > heard.incarnation:
+            return True
+        if beat.version > 1 and not self.is_heard(heard):
+            former = heard.incarnation
+            tell_stranger(self, beat.member, beat.version, "member.former", former)
+        return False
+
+    def _hear(self, heard, beat):
+        """Take what a heartbeat tells; a link that came up is routed at once or within a part."""
+        now = self.node.now()
+        heard.at, heard.sequence, heard.stamp = now, beat.sequence, beat.stamp
+        heard.version, heard.readsTerse = max(heard.version, beat.version), beat.readsTerse
+        isEchoed = beat.echo is not None and beat.echo[0] == self.node.me.incarnation
+        heard.acked = beat.echo[1] if isEchoed else 0
+        if isEchoed:
             heard.echoAt = self.beatTimes.get(beat.echo[1], heard.echoAt)
-        self.learn(member)
-        matchingRoster = self.oldRosters.get(digest)
-        if digest != self.roster.digest:
-            self.on_strange_roster(member.name)
-        if matchingRoster is not None:
-            newRow = matchingRoster.from_bitmap(beat.bitmap)
-            if newRow != heard.row or not wasReached:
-                heard.row = newRow
+        if beat.member is not None and beat.member is not self.knownRoster.members.get(beat.name):
+            self.learn(beat.member)
+        if beat.bitmap is not None and self.take_row(heard, beat.digest, beat.bitmap):
+            self.isStale = True
+        if heard.digest != self.knownRoster.digest and self.mendedCount < MENDED_A_PART:
+            self.mendedCount += 1
+            self.on_strange_roster(beat.name)
+        if heard.echoAt is not None and self.graph.hops(beat.name) != 1 and (
+                heard.echoAt > now - self.pace.broken - self.pace.period):
+            self.isStale = True
+            if self.refreshedAt is None or now - self.refreshedAt >= self.pace.period / PARTS:
                 self.refresh()
-        elif not wasReached:
-            self.refresh()
+
+    def refresh(self):
+        """Make the graph anew if what was heard has changed; a changed one is told to listeners."""
+        heardEdge, roster, me = self.node.now() - self.pace.broken, self.roster, self.node.me.name
+        self.mendedCount = 0
+        reachedNames = self.reached_names()
+        sources = reachedNames, frozenset([
+            name for name, heard in self.heard.items()
+            if heard.roster is not None and heard.at > heardEdge and name in roster.places])
+        if not self.isStale and sources == self.sources:
+            return
+        self.sources, self.isStale, self.refreshedAt = sources, False, self.node.now()
+        orders = Orders(roster.places)
+        rows = {name: self.heard[name].bits_over(orders) for name in sources[1]}
+        rows[me] = roster.from_bitmap(roster.to_bitmap(reachedNames))
+        self.node.count("graph_makings")
+        self._swap_graph(Graph.of_bits(me, roster.names, roster.places, rows))
+
+    def _swap_graph(self, newGraph):
+        formerGraph = self.graph
+        if newGraph.same_links(formerGraph):
+            return
+        lostNames = formerGraph.neighbours() - newGraph.neighbours()
+        for member in map(self.knownRoster.members.get, sorted(lostNames)):
+            if member is not None:
+                self.node.world.reset(member.address)
+        self.graph = newGraph
+        self.node.count("graph_changes")
+        for listener in self.listeners:
+            listener(newGraph)
 
     def level(self):
         """Return the newest version that every member in reach is known to speak."""
@@ -148,52 +197,6 @@
         spoken = [self.heard[n].version if n in self.heard else self.versions[0] for n in names]
         return min((self.versions[-1], *spoken))
 
-    def learn(self, member):
-        """Take a member record; a newer incarnation renews the address."""
-        known = self.roster.members.get(member.name)
-        if known is not None and known.incarnation >= member.incarnation:
-            return
-        if member.name == self.node.me.name:
-            return
-        self.swap_roster(self.roster.with_member(member))
-        self.on_member(member)
-
-    def forget(self, name):
-        """Drop a retired member for good."""
-        if name in self.roster.members and name != self.node.me.name:
-            self.swap_roster(self.roster.without(name))
-            self.heard.pop(name, None)
-
-    def swap_roster(self, newRoster):
-        """Put another roster in the place of the present one."""
-        self.roster = newRoster
-        keptDigests = [*self.oldRosters, newRoster.digest][-KEPT_ROSTERS:]
-        self.oldRosters = {**self.oldRosters, newRoster.digest: newRoster}
-        self.oldRosters = {digest: self.oldRosters[digest] for digest in keptDigests}
-        self.refresh()
-
-    def refresh(self):
-        """Make the graph anew from what was heard; a changed one is told to the listeners."""
-        rows = {
-            name: heard.row for name, heard in self.heard.items()
-            if heard.row is not None and self.is_heard(heard)
-        }
-        rows[self.node.me.name] = self.reached_names()
-        if rows == self.rows:
-            return
-        self.rows = rows
-        newGraph = Graph(self.node.me.name, rows)
-        if newGraph.links != self.graph.links:
-            home = self.node.me.name
-            lostNames = self.graph.links.get(home, frozenset()) - newGraph.links[home]
-            for member in map(self.roster.members.get, sorted(lostNames)):
-                if member is not None:
-                    self.node.world.reset(member.address)
-            self.graph = newGraph
-            self.node.count("graph_changes")
-            for listener in self.listeners:
-                listener(newGraph)
-
     def bridge_nodes(self):
         """Return the current bridge list (paper, listing 5.1)."""
         return self.graph.bridge_nodes()
--- a/quillring/nifty/starts.py
+++ b/quillring/nifty/starts.py
@@ -5,7 +5,7 @@
 
 def is_clash(nifty, member, heard):
     """Tell whether a newcomer bears the name of a member that lives at another address."""
-    known = nifty.roster.members.get(member.name)
+    known = nifty.find_member(member.name)
     return (
         known is not None and heard is not None and known.address != member.address
         and known.incarnation == heard.incarnation != member.incarnation
@@ -28,5 +28,5 @@
         return
     nifty.node.count("renewed_starts")
     nifty.node.me = me.restarted(incarnation + 1)
-    nifty.swap_roster(nifty.roster.with_member(nifty.node.me))
+    nifty.swap_roster(nifty.roster.with_members([nifty.node.me]))
     nifty.on_member(nifty.node.me)
