A stream that fails after its head closes the connection instead of ending it

Ruled out: replicas' streams framed by their connection's end (they are chunked). Seen failing first in tests/test_raw_server.py.

--- a/quillring/kernel/raw_server.py
+++ b/quillring/kernel/raw_server.py
@@ -145,7 +145,7 @@
         """Answer one request; return True when the connection may serve another."""
         node = self.server.node
         node.underWay += 1
-        hasHead = isChunked = False
+        hasHead = False
         lines = None
         try:
             lines = node.world.lines(self.server.handle(node, request))
@@ -153,8 +153,10 @@
                 try:
                     line = next(lines)
                 except StopIteration as stop:
+                    if hasHead and stop.value is not None:
+                        return False
                     if hasHead:
-                        self._send(b"0\r\n\r\n" if isChunked else b"")
+                        self._send(b"0\r\n\r\n")
                         return self._is_kept(request)
                     status, headers, body = stop.value
                     isKept = self._is_kept(request)
@@ -163,7 +165,7 @@
                     ]) + (b"" if request.method == "HEAD" else body))
                     return isKept
                 if not hasHead:
-                    hasHead = isChunked = True
+                    hasHead = True
                     status, headers, body = line
                     self._send(head_bytes(status, [
                         *headers, ("Transfer-Encoding", "chunked"),
@@ -192,7 +194,8 @@
     """A listening address whose requests a script answers.
 
     `handle(node, request)` is a script: it emits (status, headers, first body bytes) and then body
-    bytes, or returns (status, headers, body) at once; a trouble closes the connection.
+    bytes, or returns (status, headers, body) at once; a trouble, or an answer that is returned
+    after a head went out, closes the connection.
     """
 
     __slots__ = ("node", "handle", "limits", "report", "server")
--- a/tests/test_raw_server.py
+++ b/tests/test_raw_server.py
@@ -171,3 +171,14 @@
     replica = Replica(b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\n\r\nshort")
     with pytest.raises(BackendTrouble):
         ask(replica, "a")
+
+
+def test_a_failure_that_comes_after_the_head_does_not_look_complete(serve):
+    def handle(node, raw):
+        yield Emit((200, [], b"one"))
+        return 502, [], b"unknown"
+
+    client = Client(serve(handle))
+    client.send(b"POST / HTTP/1.1\r\nHost: h\r\n\r\n")
+    answer = client.read()
+    assert answer.endswith(b"3\r\none\r\n") and b"502" not in answer
