--- /dev/null
+++ b/tests/test_raw_failures.py
@@ -0,0 +1,218 @@
+from collections import Counter
+from unittest import mock
+
+import pytest
+
+from quillring.kernel.troubles import Fenced, NotSent, OutcomeUnknown, Refused
+from quillring.lots import raw_front
+from quillring.lots.raw_commands import QuotaExceeded, raw_lots
+from tests.raw_stage import FORWARD, HOST, SERVICE, RawStage, accepted, check_whole
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_the_owner_killed_right_after_the_accept_loses_nothing(seed):
+    with RawStage(10 + seed) as stage:
+        accepted(stage, "a", 12)
+        stage.sim.kill(stage.owner().me.name)
+        stage.run(0.9)
+        for node in stage.sim.up_nodes("edge"):
+            answer, trouble = stage.read("a", node=node)
+            assert isinstance(trouble, Refused) or (trouble is None and answer["items"] == 12)
+        check_whole(stage, stage.read_all("a"), "a", 12)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_positions_stand_and_runs_go_on_while_the_owner_is_killed(seed):
+    with RawStage(20 + seed, slots=16) as stage:
+        stage.counts = {f"a-{n}": 60 if n > 4 else 6 for n in range(40)}
+        accepted(stage, "a", 40)
+        stage.run(0.5 + seed * 0.4)
+        owner = stage.owner()
+        ownItems = {f"a-{run.number}" for run in owner.find("raw_worker").runs.values()}
+        stage.sim.kill(owner.me.name)
+        seen = []
+        for _ in range(120):
+            answer, trouble = stage.read("a")
+            assert trouble is None or isinstance(trouble, Refused)
+            if trouble is None:
+                rows = answer["results"]
+                common = min(len(rows), len(seen))
+                assert rows[:common] == seen[:common]
+                seen = max(seen, rows, key=len)
+            if len(seen) == 40:
+                break
+            stage.run(0.1)
+        check_whole(stage, seen, "a", 40)
+        runs = Counter(itemId for _, itemId, _, _, _ in stage.arrivals)
+        assert {itemId for itemId, count in runs.items() if count > 1} <= ownItems
+        assert stage.counted("raw_runs_taken_over") > 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_owner_killed_between_a_commit_and_its_answer_lists_nothing_twice(seed):
+    with RawStage(30 + seed) as stage:
+        accepted(stage, "a", 16)
+        owner = stage.owner()
+        part = raw_front.part_of_host(owner, HOST)
+        while not any(lot["results"] for lot in raw_lots(
+                owner.find("duty").owners[part].state).values()):
+            stage.env.step()
+        stage.sim.kill(owner.me.name)
+        check_whole(stage, stage.read_all("a"), "a", 16)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_items_of_a_killed_worker_run_again_elsewhere(seed):
+    with RawStage(40 + seed) as stage:
+        accepted(stage, "a", 20)
+        stage.run(0.15)
+        owner = stage.owner()
+        worker = next(
+            node for node in stage.sim.up_nodes("core")
+            if node is not owner and node.find("raw_worker").runs)
+        stage.sim.kill(worker.me.name)
+        startTime = stage.env.now
+        check_whole(stage, stage.read_all("a"), "a", 20)
+        assert stage.env.now - startTime < 5
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_lot_ended_while_its_owner_is_frozen_sends_nothing_three_seconds_later(seed):
+    with RawStage(60 + seed, slots=2) as stage:
+        stage.counts = {f"a-{n}": 20 for n in range(40)}
+        accepted(stage, "a", 40)
+        stage.run(0.5)
+        stage.sim.freeze(stage.owner().me.name, 9)
+        endTime = None
+        for _ in range(30):
+            _, trouble = stage.do(
+                stage.up("edge"), lambda node: raw_front.end_raw_lot(node, HOST, "a"))
+            if trouble is None:
+                endTime = stage.env.now
+                break
+            stage.run(0.2)
+        stage.run(14)
+        assert endTime is not None
+        assert all(arrival[0] < endTime + 3 for arrival in stage.arrivals)
+
+
+def test_a_worker_begins_nothing_for_a_former_owner_or_beside_the_layout():
+    with RawStage(62) as stage:
+        for replica in stage.replicas.values():
+            replica.isSilent = True
+        accepted(stage, "a", 1)
+        stage.run(0.3)
+        owner, part = stage.owner(), raw_front.part_of_host(stage.up("edge"), HOST)
+        worker = next(node for node in stage.sim.up_nodes("core") if node is not owner)
+        body = {
+            "part": part, "ballot": [9, "x"], "lot": "b", "n": 0, "run": "r", "replica": "i-0",
+            "service": SERVICE, "forward": FORWARD, "host": HOST, "urgency": 7, "last": None,
+            "item": ["b-0", "/bulk/0", [], b""], "text": b"",
+        }
+
+        def ask(**changes):
+            call = worker.me.name, "raw.run", {**body, **changes}
+            return stage.do(owner, lambda node: node.call(*call))
+
+        assert isinstance(ask(service="words")[1], Refused)
+        assert isinstance(ask(forward="none")[1], Refused)
+        assert isinstance(ask(replica="i-9")[1], NotSent)
+        assert isinstance(ask(ballot=[8, "x"])[1], Fenced)
+        assert ask() == ({"run": "r"}, None)
+        assert ask(run="another") == ({"run": "r"}, None)
+
+
+def test_the_quota_is_exact_over_all_edges():
+    with RawStage(56, most_tokens=1000) as stage:
+        for replica in stage.replicas.values():
+            replica.isSilent = True
+        processes = [
+            stage.begin(
+                stage.up("edge"),
+                lambda node, name=f"l{n}": raw_front.accept_raw_lot(
+                    node, FORWARD, name, stage.items(name, 5, 30)))
+            for n in range(20)]
+        stage.run(2)
+        outcomes = [process.value[1] for process in processes]
+        assert outcomes.count(None) == 6
+        assert all(isinstance(o, QuotaExceeded) for o in outcomes if o is not None)
+        assert QuotaExceeded().status == 429
+
+
+def test_the_end_of_the_forward_and_of_the_time_kept_list_what_is_left():
+    with RawStage(57, retain_ms=4000) as stage:
+        for replica in stage.replicas.values():
+            replica.isSilent = True
+        accepted(stage, "a", 3)
+        startTime = stage.env.now
+        rows = stage.read_all("a")
+        assert {row[1] for row in rows} == {"errored"} and stage.env.now - startTime > 4
+        accepted(stage, "b", 3)
+        stage.configure(isGone=True)
+        startTime = stage.env.now
+        rows = stage.read_all("b")
+        assert {row[1] for row in rows} == {"errored"} and stage.env.now - startTime < 4
+
+
+def test_no_item_goes_to_a_service_that_the_layout_no_longer_names():
+    with RawStage(58, slots=2) as stage:
+        accepted(stage, "a", 30)
+        stage.run(0.4)
+        stage.configure(split=[["words", 1]])
+        changedAt = stage.env.now
+        stage.run(4)
+        assert all(arrival[0] < changedAt + 2 for arrival in stage.arrivals)
+        assert len(stage.arrivals) < 30
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_an_accept_without_an_owner_promises_nothing_and_is_taken_later(seed):
+    with RawStage(70 + seed) as stage:
+        stage.sim.freeze(stage.owner().me.name, 20)
+        startTime = stage.env.now
+        _, trouble = stage.hand_in("a", 4)
+        assert stage.env.now - startTime < 1.9
+        assert isinstance(trouble, OutcomeUnknown) and trouble.status == 502
+        stage.run(1.5)
+        accepted(stage, "a", 4)
+        check_whole(stage, stage.read_all("a"), "a", 4)
+
+
+def test_all_nodes_restarted_from_disk_keep_results_and_finish_the_rest():
+    with RawStage(80, slots=2) as stage:
+        accepted(stage, "a", 30)
+        stage.run(1.2)
+        before, _ = stage.read("a")
+        assert 0 < before["next"] < 30
+        names = list(stage.sim.nodes)
+        for name in names:
+            stage.sim.kill(name, losesPower=True)
+        stage.run(1)
+        for name in names:
+            stage.sim.start(name)
+        stage.run(6)
+        rows = stage.read_all("a")
+        assert rows[:before["next"]] == before["results"]
+        check_whole(stage, rows, "a", 30)
+
+
+def test_without_the_durable_refusal_a_late_accept_would_run_what_was_refused():
+    command = {"try": "t"}
+    with RawStage(90, most_tokens=50) as stage:
+        accepted(stage, "a", 5)
+        sent = []
+        real = raw_front.submit_surely
+
+        def keep(node, part, command, seconds):
+            sent.append((part, command))
+            return real(node, part, command, seconds)
+
+        with mock.patch.object(raw_front, "submit_surely", keep):
+            _, trouble = stage.hand_in("b", 5)
+        assert isinstance(trouble, QuotaExceeded) and command
+        stage.read_all("a")
+        part, command = sent[0]
+        answer, _ = stage.do(
+            stage.up("edge"), lambda node: node.find("duty").submit(part, command))
+        assert answer == {"refused": "quota"}
+        assert not any(arrival[1].startswith("b-") for arrival in stage.arrivals)
