Takeovers and returns send what is missing, not the whole state

Now a promise names what is applied; the new owner reads the state from one store, of its own zone if it can, or keeps its former one; a late store gets the missed entries. A commit known and synced already is not synced again.

--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -1,8 +1,9 @@
 """The acceptors on a store machine: promises, accepted entries, applied state, per part."""
 
 from quillring.kernel.troubles import Conflict, Fenced, NotFounded, Trouble
-from quillring.quorum.commands import QUERIES, apply_batch, first_state
+from quillring.quorum.commands import QUERIES, first_state
 from quillring.quorum.parts import CONFIG
+from quillring.quorum.record import PartRecord
 
 
 class WrongIdentity(Trouble):
@@ -12,41 +13,6 @@
     status = 409
 
 
-class PartRecord:
-    """What one acceptor holds of a part."""
-
-    __slots__ = ("promised", "applied", "state", "entries", "committed")
-
-    def __init__(self, promised=(0, ""), applied=0, state=None, entries=None, committed=0):
-        self.promised = tuple(promised)
-        self.applied = applied
-        self.state = state
-        self.entries = entries or {}
-        self.committed = committed
-
-    def to_list(self):
-        """Return the record for a slot or a prepare answer."""
-        tail = [[i, list(b), batch] for i, (b, batch) in sorted(self.entries.items())]
-        return [list(self.promised), self.applied, self.state, tail, self.committed]
-
-    @classmethod
-    def from_list(cls, fields):
-        """Read a record from a slot."""
-        promised, applied, state, tail, committed = fields
-        return cls(promised, applied, state, {i: (tuple(b), v) for i, b, v in tail}, committed)
-
-    def learn(self, ballot, committed):
-        """Apply what the ballot's owner says is committed; stop at a gap."""
-        while self.applied < committed:
-            entry = self.entries.get(self.applied + 1)
-            if entry is None or entry[0] != ballot or self.state is None:
-                break
-            self.state, _ = apply_batch(self.state, entry[1])
-            self.applied += 1
-            del self.entries[self.applied]
-        self.committed = max(self.committed, self.applied)
-
-
 class Acceptors:
     """The store's side of every part; all that it answers is durable first."""
 
@@ -65,7 +31,7 @@
         """Join the node, whose member record carries the identity found on disk."""
         self.node = node
         for name in ("found", "founding", "prepare", "accept", "commit", "install", "image", "peek",
-                     "confirm"):
+                     "confirm", "catch_up"):
             node.handle(f"quorum.{name}", getattr(self, f"on_{name}"))
         gossip = node.find("gossip")
         if gossip is not None:
@@ -170,7 +136,24 @@
         partRecord = self.parts[body["part"]]
         if partRecord.promised != ballot:
             raise Fenced(part=body["part"], ballot=list(partRecord.promised))
-        return partRecord.to_list()
+        fields = partRecord.to_list()
+        if body.get("brief") and partRecord.state is not None:
+            fields[2] = True
+        return fields
+
+    def on_catch_up(self, body, origin):
+        """Accept all the entries that this store missed, and apply them."""
+        self._check(body)
+        part, ballot = body["part"], list(body["ballot"])
+        records = [
+            *(["accept", part, ballot, index, batch] for index, batch in body["entries"]),
+            ["commit", part, ballot, body["committed"]],
+        ]
+        for record in records:
+            self.replay(record)
+        yield from self.slots.commit(records)
+        self._tell(part)
+        return self.parts[part].applied
 
     def on_accept(self, body, origin):
         """Accept an entry of the ballot, and apply what its owner says is committed."""
@@ -185,7 +168,10 @@
 
     def on_commit(self, body, origin):
         """Mark entries of the ballot as committed, durably."""
-        self._check(body)
+        partRecord, ballot = self._check(body)
+        isKnown = partRecord.promised == ballot and partRecord.applied >= body["committed"]
+        if isKnown and self.slots.is_idle:
+            return partRecord.applied
         yield from self.keep(["commit", body["part"], list(body["ballot"]), body["committed"]])
         self._tell(body["part"])
         return self.parts[body["part"]].applied
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -2,6 +2,7 @@
 
 from quillring.kernel.effects import Signal, Sleep, Wait
 from quillring.kernel.troubles import Fenced, NoMajority, NotFounded, NotOwner, Trouble
+from quillring.quorum.catchup import Recent, adopt_state, mend_store
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
 from quillring.quorum.parts import CONFIG, majority
@@ -18,7 +19,7 @@
 
     __slots__ = (
         "node", "part", "group", "ballot", "index", "state", "queue", "queueSignal", "is_owner",
-        "listeners", "confirmedAt", "higher",
+        "listeners", "confirmedAt", "higher", "recent",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -26,8 +27,9 @@
         self.part = part
         self.group = group
         self.ballot = (0, "") if former is None else former.ballot
-        self.index = 0
-        self.state = None
+        self.index = 0 if former is None else former.index
+        self.state = None if former is None else former.state
+        self.recent = Recent()
         self.queue = []
         self.queueSignal = Signal()
         self.is_owner = False
@@ -73,11 +75,10 @@
         me = self.node.me
         self.ballot = (max(self.higher, self.ballot[0]) + 1, f"{me.name}#{me.incarnation}")
         while True:
-            promises = yield from self._round("prepare")
-            known = [record for record in promises.values() if record[2] is not None]
-            if not known:
+            promises = yield from self._round("prepare", brief=True)
+            if all(record[2] is None for record in promises.values()):
                 raise NotFounded(part=self.part)
-            _, self.index, self.state, _, _ = max(known, key=lambda record: record[1])
+            yield from adopt_state(self, promises)
             if self._adopt_group(self.state["group"]):
                 self.ballot = (self.ballot[0] + 1, self.ballot[1])
                 continue
@@ -115,6 +116,7 @@
         send_hints(self, self._calls("accept", **entry))
         yield from self._round("accept", **entry)
         self.index += 1
+        self.recent.add(self.index, batch)
         self.state, answers = apply_batch(self.state, batch)
         self.confirmedAt = self.node.now()
         if self.part == CONFIG:
@@ -162,18 +164,12 @@
             yield from self.mend()
 
     def mend(self):
-        """Script: give the whole state to members of the group in reach that miss entries."""
+        """Script: give the members of the group in reach what they miss."""
         index = self.index
         applied = yield from self.applied_by_store()
-        lateStores = {name for name, appliedIndex in applied.items() if appliedIndex < index}
-        if not self.is_owner or not lateStores:
-            return
-        calls = [
-            call for call in self._calls("install", index=self.index, state=self.state)
-            if call[0] in lateStores
-        ]
-        self.node.count("installs", len(calls))
-        yield from self.node.gather(calls, len(calls), self.node.bounds.news)
+        for call in self._calls("install"):
+            if self.is_owner and applied.get(call[0], index) < index:
+                yield from mend_store(self, applied[call[0]], call)
 
     def applied_by_store(self):
         """Script: tell members in reach what is committed; return {store: index it applied}."""
--- a/quillring/store/slots.py
+++ b/quillring/store/slots.py
@@ -24,7 +24,7 @@
 
     __slots__ = (
         "disk", "holder", "generation", "logSize", "logLimit", "waiting", "dirtySignal",
-        "trouble", "syncs", "slotSize",
+        "trouble", "syncs", "slotSize", "isWriting",
     )
 
     def __init__(self, disk, holder, logLimit=1 << 20):
@@ -38,6 +38,7 @@
         self.trouble = None
         self.syncs = 0
         self.slotSize = 0
+        self.isWriting = False
 
     def recover(self):
         """Load the newest slot and its log; False when the folder was empty."""
@@ -107,6 +108,11 @@
         self.generation += 1
         self._start_log()
 
+    @property
+    def is_idle(self):
+        """True when all that was handed over is durable."""
+        return not self.waiting and not self.isWriting
+
     def commit(self, records):
         """Script: return once the records are durable; DiskTrouble when they can't be."""
         if self.trouble is not None:
@@ -126,8 +132,10 @@
                 yield Wait(self.dirtySignal, 3600)
             self.dirtySignal = Signal()
             batch, self.waiting = self.waiting, []
+            self.isWriting = True
             yield from self._pause()
             outcome = self._write(batch)
+            self.isWriting = False
             for _, doneSignal in batch:
                 doneSignal.set(outcome)
             if outcome is not None:
