A layout's news goes out in the order of names; the reading point names the module it patches

Cause: the order of a set decided the order of messages, so that a simulated run had another verdict under another hash seed; and asking for a part now stands in duty.asking, where peek is looked up.

--- a/proving/points_reading.py
+++ b/proving/points_reading.py
@@ -2,7 +2,7 @@
 
 from proving.points_base import Stage
 from proving.points_state import adopt
-from quillring.duty import duty
+from quillring.duty import asking
 from quillring.gossip import Gossip
 from quillring.kernel.troubles import TimedOut
 from quillring.lots.front import show_results
@@ -143,7 +143,7 @@
 
 
 POINTS = [
-    ("a result can be read within 1 s", result_read, [(duty, "peek", never_peek)]),
+    ("a result can be read within 1 s", result_read, [(asking, "peek", never_peek)]),
     ("a plan outlives the core that runs it", plan_core_dies,
      [(PlanRunner, "_step", first_core_only)]),
     ("a layout that grows is everywhere within 2 s", growing_layout,
--- a/quillring/rollout/image.py
+++ b/quillring/rollout/image.py
@@ -30,7 +30,7 @@
     def _cast_all(self):
         """Tell every member in reach at once, before the change is acknowledged."""
         version, news = self.node.find("gossip").table["layout"]
-        for name in self.node.find("nifty").graph.routes:
+        for name in sorted(self.node.find("nifty").graph.routes):
             self.node.cast(name, "layout.news", [list(version), news])
 
     def on_news(self, body, origin):
