--- a/proving/reference.py
+++ b/proving/reference.py
@@ -10,6 +10,9 @@
     "ending": "an ended lot stops within it",
     "reading": "a result can be read within it",
     "return_": "service returns after a closing fault",
+    "sync": "a lost store is replaced in it; without it, after five times `return_`",
+    "grace": "a planned stop is over in it; without it, after fifty times `return_`",
+    "replica_beat": "the period of the replicas' beats",
 }
 
 
@@ -17,11 +20,26 @@
     """Return a short text of a schema's type."""
     if "enum" in schema:
         return ", ".join(f"`{value}`" for value in schema["enum"])
+    if "const" in schema:
+        return f"`{schema['const']}`"
     limits = [
         f"{word} {schema[key]}" for key, word in (
             ("minimum", "from"), ("exclusiveMinimum", "over"), ("maximum", "to"))
         if key in schema]
-    return " ".join([schema.get("type", ""), *limits])
+    types = schema.get("type", "")
+    return " ".join([types if isinstance(types, str) else " or ".join(types), *limits])
+
+
+def rows_of(schema):
+    """Return [(what a section holds, schema of an item)]; none where it is a single value."""
+    inner = schema.get("additionalProperties")
+    if "patternProperties" in schema:
+        return [("by name", row) for row in schema["patternProperties"].values()]
+    if "anyOf" in schema:
+        return [("one for all", schema["anyOf"][0])]
+    if isinstance(inner, dict) and "if" in inner:
+        return [("by name", inner["else"]), ("by name, of kind `raw`", inner["then"])]
+    return [("by name", inner)] if isinstance(inner, dict) else []
 
 
 def reference():
@@ -34,15 +52,20 @@
         lines.append(f"| `{name}` | {type_of(schema)} | {needed} | {schema['description']} |")
     lines += ["", "| bound | default | what |", "|---|---|---|"]
     for name, text in BOUND_TEXTS.items():
-        lines.append(f"| `{name}` | {getattr(Bounds(), name)} s | {text} |")
+        default = getattr(Bounds(), name)
+        lines.append(f"| `{name}` | {'none' if default is None else f'{default} s'} | {text} |")
     lines += ["", "## Layout", ""]
     for section, schema in LAYOUT["properties"].items():
-        (row,) = schema["patternProperties"].values()
-        lines += [f"`{section}`, by name:", "", "| field | type | needed |", "|---|---|---|"]
-        lines += [
-            f"| `{name}` | {type_of(field)} | {'yes' if name in row['required'] else ''} |"
-            for name, field in row["properties"].items()]
-        lines.append("")
+        rows = rows_of(schema)
+        if not rows:
+            lines += [f"`{section}`: {type_of(schema)}", ""]
+        for what, row in rows:
+            lines += [f"`{section}`, {what}:", "", "| field | type | needed |", "|---|---|---|"]
+            lines += [
+                f"| `{name}` | {type_of(field)} | "
+                f"{'yes' if name in row.get('required', ()) else ''} |"
+                for name, field in row["properties"].items()]
+            lines.append("")
     return "\n".join(lines)
 
 
--- a/quillring/rollout/schema.py
+++ b/quillring/rollout/schema.py
@@ -60,7 +60,7 @@
             },
         },
         "rounds": {**COUNT, "minimum": 1},
-        "hold_ms": {**AMOUNT, "exclusiveMinimum": 0},
+        "hold_ms": {"type": "number", "exclusiveMinimum": 0, "maximum": 1 << 53},
         "goal_ms": AMOUNT, "pause_ms": AMOUNT, "due_ms": AMOUNT, "retain_ms": AMOUNT,
         "urgency": COUNT, "most_tokens": AMOUNT,
         "resumable": {"type": "boolean"}, "engine": {"type": "boolean"}, "origin": OBJECT,
