A node that has just started presses for links and asks new neighbours for what it lacks

Now, for four periods, a heartbeat goes each quarter to whoever has no link yet, and whoever comes in reach is asked for all news at once. Ruled out: reading the disks (0.02 s).

--- a/proving/traces.py
+++ b/proving/traces.py
@@ -66,6 +66,7 @@
     """Slots that are durable at once."""
 
     trouble = None
+    is_idle = True
 
     def commit(self, records):
         """Script: nothing to wait for."""
--- a/quillring/gossip/gossip.py
+++ b/quillring/gossip/gossip.py
@@ -14,7 +14,9 @@
 class Gossip:
     """The news table of a node; a key only ever moves to a higher version."""
 
-    __slots__ = ("node", "table", "fresh", "listeners", "digest", "syncedAt")
+    __slots__ = (
+        "node", "table", "fresh", "listeners", "digest", "syncedAt", "reachedNames", "startedAt",
+    )
 
     def __init__(self, node):
         self.node = node
@@ -23,6 +25,8 @@
         self.listeners = {}
         self.digest = None
         self.syncedAt = {}
+        self.reachedNames = frozenset()
+        self.startedAt = node.now()
         node.handle("gossip.news", self.on_news)
         node.handle("gossip.digest", self.on_digest)
         node.handle("gossip.versions", self.on_versions)
@@ -95,9 +99,20 @@
             self.digest = hashlib.sha256(cbor2.dumps(versions)).digest()[:8]
         return self.digest
 
+    def on_graph(self, graph):
+        """At the start, ask members that have just come in reach for all that is lacking here."""
+        newNames = sorted(graph.routes.keys() - self.reachedNames)
+        self.reachedNames = self.reachedNames | graph.routes.keys()
+        if self.node.now() - self.startedAt < self.node.bounds.news:
+            versions = {key: list(version) for key, (version, _) in self.table.items()}
+            for name in newNames[:FANOUT]:
+                self.node.cast(name, "gossip.versions", [versions, False])
+
     def mend_with(self, name):
-        """Compare the whole table with one member, at most once a beat."""
+        """Compare the whole table with one member in reach, at most once a beat."""
         now = self.node.now()
+        if not self.node.find("nifty").reaches(name):
+            return
         if now - self.syncedAt.get(name, -math.inf) >= self.node.bounds.beat / 2:
             self.syncedAt[name] = now
             self.node.cast(name, "gossip.digest", self.table_digest())
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -13,16 +13,17 @@
 
 HOP_LIMIT = 6
 PARTS = 4
+STARTING = 4
 MENDED_A_PART = 3
 
 
 class Nifty(Cohort):
-    """The peer layer of one node."""
+    """The peer layer of one node; newly started, it presses those it has no link to."""
 
     __slots__ = (
         "seeds", "graph", "sequence", "beatSequence", "told", "beatTimes", "sources",
         "refreshedAt", "mendedCount", "seen", "listeners", "stampSource", "on_strange_roster",
-        "versions",
+        "versions", "startedAt",
     )
 
     def __init__(self, node, seeds, versions=SPOKEN):
@@ -41,22 +42,28 @@
         self.stampSource = lambda: None
         self.on_strange_roster = lambda name: None
         self.versions = versions
+        self.startedAt = node.now()
         node.handle("member.former", lambda body, origin: renew_start(self, body))
 
     def run(self):
         """Script: send a heartbeat to all in every period, the lost ones included."""
         while True:
             self.send_beats()
-            for _ in range(PARTS):
+            for part in range(PARTS):
+                self._press(part)
                 self.refresh()
                 yield Sleep(self.pace.period / PARTS)
 
-    def send_beats(self):
-        """Send one heartbeat to every member and to each seed not yet known."""
+    def _press(self, part):
+        if part and self.node.now() - self.startedAt < self.pace.period * STARTING:
+            self.send_beats(self.reached_names())
+
+    def send_beats(self, leftOutNames=frozenset()):
+        """Send one heartbeat to every member not left out and to each seed not yet known."""
         telling, ownAddress, heardOf = self._next_telling(), self.node.me.address, self.heard.get
         addresses = self.roster.addresses
         for address, names in addresses.items():
-            if address != ownAddress:
+            if address != ownAddress and not leftOutNames.issuperset(names):
                 heard = heardOf(names[0]) if len(names) == 1 else max(
                     (self.heard[name] for name in names if name in self.heard),
                     key=lambda heard: heard.at, default=None)
