--- a/proving/scale_fit.py
+++ b/proving/scale_fit.py
@@ -66,6 +66,7 @@
                       for run in rows if scenario in run["rows"]]
             panel.plot(*zip(*points), marker="o", label=scenario)
         panel.set(xlabel="members", ylabel=f"{label}, a node", xscale="log", yscale="symlog")
+        panel.set_ylim(bottom=0)
         panel.legend(fontsize=7)
     panels.flat[3].plot(
         xs, [run["rows"]["memory"]["bytes_a_node"] / 1e6 for run in rows], marker="o")
