--- a/quillring/nifty/cohort.py
+++ b/quillring/nifty/cohort.py
@@ -74,3 +74,21 @@
         if self.newcomers and digest not in self.oldRosters:
             self.swap_roster(self._next_roster())
         return heard.take_row(digest, bitmap, self.oldRosters.get(digest))
+
+    def is_heard(self, heard):
+        """Tell whether too few beats were missed to break a link."""
+        return heard.at > self.node.now() - self.pace.broken
+
+    def is_silent(self, name, seconds):
+        """Tell whether nothing was heard of a member for so long."""
+        heard = self.heard.get(name)
+        return heard is None or heard.at < self.node.now() - seconds
+
+    def reached_names(self):
+        """Return the names heard lately that lately heard this node too, by their echo."""
+        heardEdge = self.node.now() - self.pace.broken
+        echoEdge = heardEdge - self.pace.period
+        return frozenset([
+            name for name, heard in self.heard.items()
+            if heard.at > heardEdge and heard.echoAt is not None and heard.echoAt > echoEdge
+        ])
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -92,24 +92,6 @@
         self.node.count("beat_bytes", len(data))
         self.node.world.datagram(address, data)
 
-    def is_heard(self, heard):
-        """Tell whether too few beats were missed to break a link."""
-        return heard.at > self.node.now() - self.pace.broken
-
-    def is_silent(self, name, seconds):
-        """Tell whether nothing was heard of a member for so long."""
-        heard = self.heard.get(name)
-        return heard is None or heard.at < self.node.now() - seconds
-
-    def reached_names(self):
-        """Return the names heard lately that lately heard this node too, by their echo."""
-        heardEdge = self.node.now() - self.pace.broken
-        echoEdge = heardEdge - self.pace.period
-        return frozenset([
-            name for name, heard in self.heard.items()
-            if heard.at > heardEdge and heard.echoAt is not None and heard.echoAt > echoEdge
-        ])
-
     def on_datagram(self, data):
         """Take a heartbeat; garbage is counted and dropped."""
         try:
@@ -127,7 +109,7 @@
                 return
             heard = self.heard[beat.name] = Heard(beat)
         self._hear(heard, beat)
-        if not isKnown and self.pace.period > self.node.bounds.beat:
+        if not isKnown:
             self._send_beat(beat.member.address, self._next_telling(), heard)
 
     def _is_news(self, beat, heard):
