A member's new start is answered at once with a full heartbeat: it could read no terse one

Since quiet heartbeats are terse, it bears no member record, and the new start drops it as unread; so the next readable one came half a second later, the answer to it a period after that, and a call that was made meanwhile ended with the route. Before, every heartbeat could be read by a new start.

Ruled out: pressing (it ends when the new start reaches the other, not when it is reached; links still came a period late); answering every unknown start in small fleets too (it adds a heartbeat a pair to a first start, and shifts the numbers of recorded traces); taking a terse heartbeat for a stranger's (it names no address). Now a newer start of a member that was heard before is answered at once; a stranger is answered so only above 128 members, as before.

A test holds the answer and that it comes once.

--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -102,14 +102,14 @@
             return
         if beat.name == self.node.me.name:
             return
-        heard = self.heard.get(beat.name)
+        heard = former = self.heard.get(beat.name)
         isKnown = heard is not None and heard.incarnation == beat.incarnation
         if not isKnown or beat.sequence <= heard.sequence:
             if not self._is_news(beat, heard):
                 return
             heard = self.heard[beat.name] = Heard(beat)
         self._hear(heard, beat)
-        if not isKnown:
+        if not isKnown and (former is not None or self.pace.period > self.node.bounds.beat):
             self._send_beat(beat.member.address, self._next_telling(), heard)
 
     def _is_news(self, beat, heard):
--- a/tests/test_nifty_rows.py
+++ b/tests/test_nifty_rows.py
@@ -93,6 +93,20 @@
     assert nifty.reaches("b") and nifty.heard["b"].row == {"a", "q"}
 
 
+def test_a_new_start_that_can_read_no_terse_beat_gets_a_full_one_at_once():
+    made, nifty, world = node("a")
+    nifty.send_beats()
+    nifty.on_datagram(beat(member("b"), 1, {"a"}, [1, 1, 2, 5], "ab"))
+    nifty.on_datagram(beat(member("b"), 2, {"a"}, [1, 1, 2, 5], "ab"))
+    world.datagrams.clear()
+    nifty.on_datagram(beat(member("b", 2), 1, set(), None, "b"))
+    nifty.on_datagram(beat(member("b", 2), 2, set(), None, "b"))
+    ((address, data),) = world.datagrams
+    told = Beat(data, SPOKEN)
+    assert address == member("b").address
+    assert told.member.name == "a" and told.bitmap is not None and told.echo == (2, 1)
+
+
 def test_a_bigger_fleet_beats_less_often_and_still_finds_a_broken_link_within_the_bound():
     bounds = Bounds()
     assert [Pace(bounds, count).period for count in (1, 16, 128)] == [bounds.beat] * 3
