--- a/quillring/gossip/gossip.py
+++ b/quillring/gossip/gossip.py
@@ -81,7 +81,7 @@
 
     def push_news(self):
         """Send the fresh keys to a few members; each key goes out a few times."""
-        if not self.fresh:
+        if not self.fresh or not self.node.find("nifty").graph.routes:
             return
         items = [[key, list(self.table[key][0]), self.table[key][1]] for key in self.fresh]
         for name in self._some_members(FANOUT):
@@ -103,10 +103,14 @@
         """At the start, ask members that have just come in reach for all that is lacking here."""
         newNames = sorted(graph.routes.keys() - self.reachedNames)
         self.reachedNames = self.reachedNames | graph.routes.keys()
-        if self.node.now() - self.startedAt < self.node.bounds.news:
-            versions = {key: list(version) for key, (version, _) in self.table.items()}
-            for name in newNames[:FANOUT]:
-                self.node.cast(name, "gossip.versions", [versions, False])
+        if "layout" in self.table or self.node.now() - self.startedAt > self.node.bounds.news:
+            return
+        versions = {key: list(version) for key, (version, _) in self.table.items()}
+        members = self.node.find("nifty").roster.members
+        storeNames = [n for n in newNames if n in members and members[n].role == "store"]
+        otherNames = [n for n in newNames if n not in storeNames]
+        for name in storeNames[:FANOUT] + otherNames[:FANOUT]:
+            self.node.cast(name, "gossip.versions", [versions, False])
 
     def mend_with(self, name):
         """Compare the whole table with one member in reach, at most once a beat."""
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -23,7 +23,7 @@
     __slots__ = (
         "seeds", "graph", "sequence", "beatSequence", "told", "beatTimes", "sources",
         "refreshedAt", "mendedCount", "seen", "listeners", "stampSource", "on_strange_roster",
-        "versions", "startedAt",
+        "versions", "startedAt", "answeredNames",
     )
 
     def __init__(self, node, seeds, versions=SPOKEN):
@@ -43,6 +43,7 @@
         self.on_strange_roster = lambda name: None
         self.versions = versions
         self.startedAt = node.now()
+        self.answeredNames = frozenset()
         node.handle("member.former", lambda body, origin: renew_start(self, body))
 
     def run(self):
@@ -55,8 +56,9 @@
                 yield Sleep(self.pace.period / PARTS)
 
     def _press(self, part):
+        formerNames, self.answeredNames = self.answeredNames, self.reached_names()
         if part and self.node.now() - self.startedAt < self.pace.period * STARTING:
-            self.send_beats(self.reached_names())
+            self.send_beats(formerNames & self.answeredNames)
 
     def send_beats(self, leftOutNames=frozenset()):
         """Send one heartbeat to every member not left out and to each seed not yet known."""
