A replica's mere signs of life are told in one table, not gossiped; news told twice stops

Cause: each beat of a replica was a new version of its news, so every node pushed it to three others in eight periods in a row (21 copies a node for one item among 48 nodes), and the digests of two nodes were never equal, so each comparison moved the list of all versions.

Now a beat that brings nothing new goes to two cores chosen by rendezvous, which tell all nodes what they gathered within half of what one missed beat leaves of the silence bound (which stays). A beat of a cold replica is news only if it stays cold for longer. Without a core in reach it is gossiped as before. News that comes again in the same version goes round less often.

Ruled out: fewer pushes alone (the versions still differ all the time); a longer silence bound (a replica that vanished would be found later).

--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -3,6 +3,7 @@
 import math
 from urllib.parse import urlencode
 
+from quillring.edge.liveness import Liveness
 from quillring.kernel.checks import StrictValidator
 from quillring.kernel.troubles import Conflict
 from quillring.kernel.wsgi import check_body
@@ -26,6 +27,7 @@
     },
 })
 AWAY = ("leaving", "gone")
+COLD_SLACK = 0.05
 
 
 class Replica:
@@ -59,6 +61,20 @@
         self.busyUntil = former.busyUntil if isSame else 0
         self.stalledUntil = former.stalledUntil if isSame else 0
 
+    def is_over(self, beat):
+        """Tell whether a beat would bring back a start of the replica that has left."""
+        return (
+            self.state in AWAY and beat["state"] not in AWAY
+            and self.incarnation == beat["incarnation"])
+
+    def brings_nothing(self, beat, now):
+        """Tell whether a beat is a mere sign of life: all else in it is known."""
+        return (
+            [self.incarnation, self.service, self.domain, self.state, self.slots] == [
+                beat[name] for name in ("incarnation", "service", "domain", "state", "slots")]
+            and "{}:{}".format(*self.address) == beat["address"]
+            and now + beat.get("cold_ms", 0) / 1000 <= max(now, self.coldUntil) + COLD_SLACK)
+
     def is_cold(self, now):
         """Tell whether the replica still warms up by its own last word."""
         return now < self.coldUntil
@@ -81,7 +97,7 @@
 class Replicas:
     """The table of replicas, fed by beats that any node took and gossip passed on."""
 
-    __slots__ = ("node", "table", "on_change", "edition", "misplacedNames")
+    __slots__ = ("node", "table", "on_change", "edition", "misplacedNames", "liveness")
 
     def __init__(self, node):
         self.node = node
@@ -89,6 +105,7 @@
         self.edition = 0
         self.misplacedNames = frozenset()
         self.on_change = []
+        self.liveness = Liveness(node)
         node.find("gossip").listen("replica/", self._on_news)
 
     def on_beat(self, beat):
@@ -97,17 +114,32 @@
         known = self.table.get(beat["name"])
         if known is not None and known.incarnation > beat["incarnation"]:
             raise Conflict(field="incarnation", winning_incarnation=known.incarnation)
-        key, version = f"replica/{beat['name']}", [beat["incarnation"], beat["sequence"]]
-        isNews = known is None or known.state != beat["state"] or "cold_ms" in beat
-        if self.node.find("gossip").put(key, version, beat) and isNews:
+        version = [beat["incarnation"], beat["sequence"]]
+        if known is not None and known.brings_nothing(beat, self.node.now()):
+            isNews = version > [known.incarnation, known.sequence] and (
+                not self.liveness.note(beat["name"], *version))
+            self.renew(beat["name"], *version)
+        else:
+            isNews = known is None or not known.is_over(beat)
+        key = f"replica/{beat['name']}"
+        if isNews and self.node.find("gossip").put(key, version, beat):
             for name in self.node.find("nifty").graph.routes:
                 self.node.cast(name, "gossip.news", [[key, version, beat]])
         return {"taken": True}
 
+    def renew(self, name, incarnation, sequence):
+        """Take a sign of life of a known start of a replica."""
+        known = self.table.get(name)
+        if known is None or known.incarnation != incarnation or known.sequence >= sequence:
+            return
+        wasHeard = self.is_heard(name)
+        known.sequence, known.heardAt = sequence, self.node.now()
+        for listener in () if wasHeard else self.on_change:
+            listener()
+
     def _on_news(self, key, beat):
         former = self.table.get(beat["name"])
-        if former is not None and former.state in AWAY and former.incarnation == beat[
-                "incarnation"] and beat["state"] not in AWAY:
+        if former is not None and former.is_over(beat):
             return
         replica = self.table[beat["name"]] = Replica(beat, self.node.now(), former)
         if former is None or (former.state, former.address, former.slots) != (
--- a/quillring/gossip/gossip.py
+++ b/quillring/gossip/gossip.py
@@ -122,9 +122,15 @@
             self.node.cast(name, "gossip.digest", self.table_digest())
 
     def on_news(self, items, origin):
-        """Take pushed news."""
+        """Take pushed news; what others tell here too needs to be told less often."""
         for key, version, value in items:
-            self.put(key, version, value)
+            if not self.put(key, version, value) and key in self.fresh:
+                self._told_again(key, tuple(version))
+
+    def _told_again(self, key, version):
+        if self.table[key][0] == version:
+            self.fresh[key] -= 1
+            self.fresh = {known: left for known, left in self.fresh.items() if left > 0}
 
     def on_digest(self, digest, origin):
         """Answer a differing digest with the versions held here."""
--- a/quillring/kernel/bounds.py
+++ b/quillring/kernel/bounds.py
@@ -50,3 +50,8 @@
     def silent(self):
         """Silence after which a replica gets nothing new: at least two of its beats missed."""
         return max(self.news * 0.75, self.replica_beat * 2.7)
+
+    @property
+    def telling(self):
+        """How long signs of life wait to be told together: one missed beat leaves this much."""
+        return (self.silent - self.replica_beat * 2) / 2
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,6 +1,7 @@
 from quillring.classes import Meter
 from quillring.edge import Replicas
 from quillring.gossip import Gossip
+from tests.fleet_stage import SelfFounded
 from tests.test_nifty import node
 
 
@@ -62,3 +63,45 @@
     assert meter.rows()[0] == row
     world.time = 16 * 60
     assert [row["class"] for row in meter.rows()] == ["seat"]
+
+
+def test_a_beat_that_brings_nothing_new_is_told_with_others_and_not_spread():
+    stage = SelfFounded(7, readyAt=6)
+    nodes, took = stage.sim.nodes, []
+    edge = nodes["edge-1"]
+    for service in ("gossip.news", "replica.alive"):
+        take = edge.handlers.get(service)
+        edge.handle(service, lambda body, origin, service=service, take=take: (
+            took.append(service), take(body, origin))[1])
+
+    def take_beats(sequence, takerName, names):
+        for name in names:
+            nodes[takerName].find("replicas").on_beat({**beat(sequence), "name": name})
+
+    names = [f"r{place}" for place in range(20)]
+    for sequence in (1, 2):
+        take_beats(sequence, "core-1", names)
+        stage.run(1)
+    took.clear()
+    for sequence in range(3, 13):
+        take_beats(sequence, f"core-{sequence % 4 + 1}", names)
+        stage.run(0.5)
+    assert all(edge.find("replicas").is_heard(name) for name in names)
+    assert took.count("gossip.news") == 0 and 10 <= took.count("replica.alive") <= 20
+    lostTeller = edge.find("replicas").liveness.tellers()[0]
+    stage.sim.kill(lostTeller)
+    stage.run(0.9)
+    taker = next(node.me.name for node in stage.sim.up_nodes("core"))
+    take_beats(13, taker, names[:1])
+    stage.run(0.7)
+    assert [name for name in names if edge.find("replicas").is_heard(name)] == names[:1]
+
+
+def test_a_cold_replica_is_spread_again_only_if_it_stays_cold_for_longer():
+    table, world = replicas()
+    for sequence, coldMs in ((1, 3000), (2, 2000), (3, 2500)):
+        table.on_beat({**beat(sequence, "cold"), "cold_ms": coldMs})
+        world.time += 1
+    assert table.find("words-1").coldUntil == 4.5
+    table.on_beat(beat(4, "ready"))
+    assert table.find("words-1").state == "ready"
