The ramp of cold replicas finds its part once for a graph, not for each sending

Cause: each sending that a cold replica might get scored all edges and cores anew, 85 hashes in the grown deployments, and again for each cold replica that was passed over. Kept by graph, roster and layout, all immutable.

--- a/quillring/forward/ramp.py
+++ b/quillring/forward/ramp.py
@@ -13,11 +13,13 @@
 class Ramp:
     """The node's own part of each cold replica's bearable requests a second."""
 
-    __slots__ = ("node", "spent")
+    __slots__ = ("node", "spent", "parts", "basis")
 
     def __init__(self, node):
         self.node = node
         self.spent = {}
+        self.parts = {}
+        self.basis = None
 
     def take(self, replica, now):
         """Take one request's worth at a cold replica; False when there is none left now."""
@@ -33,12 +35,20 @@
 
     def part(self, replica):
         """Return how many requests a second this node may send to a cold replica."""
-        services = (self.node.find("layout").layout or {}).get("services", {})
+        nifty, layout = self.node.find("nifty"), self.node.find("layout").layout
+        basis = (nifty.graph, nifty.roster, layout)
+        if self.basis is None or any(old is not new for old, new in zip(self.basis, basis)):
+            self.basis, self.parts = basis, {}
+        key = (replica.name, replica.slots)
+        if key not in self.parts:
+            self.parts[key] = self._find_part(replica, *basis)
+        return self.parts[key]
+
+    def _find_part(self, replica, graph, roster, layout):
+        services = (layout or {}).get("services", {})
         rate = services.get(replica.service, {}).get("warm_rate") or replica.slots
-        graph = self.node.find("nifty").graph
-        members = self.node.find("nifty").roster.members.values()
         names = [
-            m.name for m in members
+            m.name for m in roster.members.values()
             if m.role in SENDING_ROLES and (m.name in graph.routes or m.name == self.node.me.name)
         ]
         senderCount = max(1, min(len(names), int(rate / PART)))
