--- /dev/null
+++ b/quillring/verbs/checks.py
@@ -0,0 +1,65 @@
+"""The verb that checks an operator's files before any process reads them."""
+
+import sys
+
+import click
+
+from quillring.kernel.checks import parse_json
+from quillring.kernel.settings import read_settings
+from quillring.kernel.troubles import BadSetting
+from quillring.rollout.editions import cross_faults
+from quillring.rollout.schema import EMPTY, find_faults
+
+FAULTY = 2
+COUNTED = ("classes", "services", "entries", "domains", "forwards")
+MARKS_OF_EDITION = ("edition", "forwards")
+
+
+@click.command("check-settings")
+@click.argument("path", required=False, type=click.Path())
+@click.option(
+    "--layout", "layoutPath", metavar="FILE", type=click.Path(),
+    help="Check a whole layout or an edition of it, too.",
+)
+def check_settings(path, layoutPath):
+    """Check a settings file; every fault is told, and the exit code is 2 if there is one."""
+    if path is None and layoutPath is None:
+        raise click.UsageError("name a settings file, a layout file with --layout, or both")
+    checks = ((path, settings_report), (layoutPath, layout_report))
+    reports = [(name, *check(name)) for name, check in checks if name is not None]
+    for name, summary, faults in reports:
+        for fault in faults:
+            click.echo(f"{name}: {fault}", err=True)
+        if not faults:
+            click.echo(f"{name}: {summary}: no fault")
+    if any(faults for _, _, faults in reports):
+        sys.exit(FAULTY)
+
+
+def settings_report(path):
+    """Return (summary, faults) of a settings file."""
+    summary, faults = "", []
+    try:
+        settings = read_settings(path, {})
+        host, port = settings.address
+        summary = f"{settings.role} {settings.name} in {settings.domain} at {host}:{port}"
+    except* BadSetting as group:
+        faults = [trouble.detail["fault"] for trouble in group.exceptions]
+    return summary, faults
+
+
+def layout_report(path):
+    """Return (summary, faults) of a layout file; an edition may leave the other sections out."""
+    try:
+        with open(path, encoding="utf-8") as layoutFile:
+            layout = parse_json(layoutFile.read())
+    except (OSError, ValueError) as error:
+        return "", [f"layout: {error}"]
+    if isinstance(layout, dict) and any(name in layout for name in MARKS_OF_EDITION):
+        layout = {**EMPTY, "forwards": {}, **layout}
+    faults = find_faults(layout)
+    if not faults and "forwards" in layout:
+        faults = cross_faults(layout)
+    if faults:
+        return "", [f"{fault['field']}: {fault['fault']}" for fault in faults]
+    return ", ".join(f"{len(layout.get(name, {}))} {name}" for name in COUNTED), []
--- a/quillring/verbs/cli.py
+++ b/quillring/verbs/cli.py
@@ -8,6 +8,7 @@
 
 from quillring.kernel.settings import read_settings
 from quillring.kernel.troubles import BadSetting, Trouble
+from quillring.verbs.checks import check_settings
 from quillring.verbs.client import ask
 from quillring.verbs.process import run_process
 from quillring.verbs.show import show_table
@@ -21,6 +22,9 @@
     """quillring: a serving tier with a batch interface."""
 
 
+main.add_command(check_settings)
+
+
 def role_command(role, text):
     """Make the subcommand that runs a role."""
 
