Two scenarios fail without their guards again: undecided room, and the stale holder's stand-in

Now every core dies just before the travellers come, and is back 2 s later.

Ruled out: a longer freeze of the owner alone (the takeover ends it all the same).

--- a/proving/points_cuts.py
+++ b/proving/points_cuts.py
@@ -194,11 +194,11 @@
 
 
 def undecided_room(seed):
-    """The same, but the core that decides dies just before the travellers come."""
-    return borrowed_room(seed, killsDecider=True)
+    """The same, but every core dies just before the travellers come, and is back 2 s later."""
+    return borrowed_room(seed, killsCores=True)
 
 
-def borrowed_room(seed, killsDecider=False):
+def borrowed_room(seed, killsCores=False):
     """Overnight streams fill all idle room; then travellers come and want theirs back."""
     stage = Stage(seed)
     stage.only_edge("edge-1")
@@ -208,12 +208,15 @@
         stage.run(2)
         used = sum(r.logic.busy for r in stage.sim.replicas.values())
         stage.callers.record.firstPieces.clear()
-        if killsDecider:
-            stage.sim.kill(stage.node("edge-1").find("gossip").get("owner/part-1")["owner"])
+        lostCores = stage.sim.names("core") if killsCores else ()
+        for name in lostCores:
+            stage.sim.kill(name)
         for _ in range(8):
             stage.start(stage.callers.stream("wayfinding", "short", 10))
         stage.run(2)
         firsts = sorted(stage.callers.record.firstPieces)
+        for name in lostCores:
+            stage.sim.start(name)
         stage.run(70)
     outcomes = stage.outcomes()
     if outcomes.get("short/complete") != 8 or outcomes.get("long/complete") != 16:
--- a/proving/points_streams.py
+++ b/proving/points_streams.py
@@ -8,7 +8,7 @@
 from proving.points_base import Stage, no_check
 from proving.sim import callers
 from quillring.edge import journal, streams
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.troubles import Refused, Trouble
 
 
 def mixed_answers(seed):
@@ -153,6 +153,8 @@
     calls = [(n, "journal.claim", {**question, "round": claimRound}) for n in reached]
     claims = yield from self.node.gather(calls, len(calls))
     good = [reply for reply in claims.values() if not isinstance(reply, Trouble)]
+    if not good:
+        raise Refused(reason="the stream's holders are out of reach")
     inquiry, pieces, ended, _ = max(good, key=lambda reply: len(reply[1]))
     stream = journal.Stream(name, inquiry, sender, self.node.now(), claimRound)
     stream.pieces, stream.ended = list(pieces), ended
