--- /dev/null
+++ b/tests/forward_stage.py
@@ -0,0 +1,66 @@
+"""What the tests of forwarding share: a node in a scripted world, its replicas and answers."""
+
+from proving.scripted import ScriptedWorld
+from quillring.fleet import make_node
+from quillring.forward import Dialect, Request
+from quillring.forward.serve import serve
+from quillring.kernel.bounds import Bounds
+from quillring.nifty import Member
+
+STREAM = {"content-type": "text/event-stream", "x-seal": "s", "x-inquiry": "q1"}
+PLAIN = {"x-seal": "s", "x-inquiry": "q1"}
+HEAD, PLAIN_HEAD = (0.01, (200, STREAM)), (0.01, (200, PLAIN))
+
+
+def event(number):
+    return b"id: %d\ndata: p%d\n\n" % (number, number)
+
+
+def address(number):
+    return ("10.0.0.1", 9000 + number)
+
+
+def make(answers, kind="stream", resumable=True, rounds=2, replicas=2, **fields):
+    world = ScriptedWorld({address(n): lists for n, lists in answers.items()})
+    me = Member("edge-1", 1, "edge", "north", "10.0.0.9", 7000, 7001, "")
+    node = make_node(me, world, [], Bounds())
+    layout = {
+        "domains": {}, "services": {"s": {"kind": "raw", "warm_rate": 8}},
+        "forwards": {"f": {
+            "host": "h", "prefix": "/a/", "kind": kind, "split": [["s", 1]], "rounds": rounds,
+            "hold_ms": 5000, "goal_ms": 250, "urgency": 0, "resumable": resumable,
+            "pause_ms": 300, **fields,
+        }},
+    }
+    node.find("gossip").put("layout", [1], [1, 1, layout, []])
+    for number in range(replicas):
+        beat(node, number)
+    return world, node
+
+
+def beat(node, number, sequence=1, **fields):
+    node.find("replicas").on_beat({
+        "name": f"r{number}", "service": "s", "domain": "north",
+        "address": f"10.0.0.1:{9000 + number}", "slots": 8, "state": "ready",
+        "incarnation": 0, "sequence": sequence, **fields,
+    })
+
+
+def request(dialect=None, **headers):
+    pairs = [("Host", "h"), ("X-Inquiry", "q1"), ("X-Deadline-Ms", "4000"), *headers.items()]
+    return Request(dialect or Dialect(), "POST", "/a/x?y=%20z", pairs, b"body")
+
+
+def run(world, node, sent=None):
+    sent = sent or request()
+    forward = node.find("forwards").find("h", sent.target)
+    return world.run(serve(node, forward, sent, node.now()))
+
+
+def text(world):
+    return b"".join(line if isinstance(line, bytes) else line[2] for line in world.emitted)
+
+
+def both(*lists):
+    """The same answers at either replica, whichever is chosen first."""
+    return {0: [list(steps) for steps in lists], 1: [list(steps) for steps in lists]}
