--- a/quillring/forward/placement.py
+++ b/quillring/forward/placement.py
@@ -1,7 +1,7 @@
 """Which replica gets a request: by kept prompt parts, by load, by trouble, by ramp while cold."""
 
 from quillring.forward.ramp import Ramp
-from quillring.forward.view import View
+from quillring.forward.view import View, is_quiet
 from quillring.kernel.effects import Signal
 from quillring.nifty.graph import score
 
@@ -95,7 +95,7 @@
             return None
         trusted = [r for r in candidates if self.view(r).is_trusted(now)]
         silent = self.node.bounds.silent
-        heard = [r for r in trusted if now - r.heardAt < silent] or trusted
+        heard = [r for r in trusted if not is_quiet(r, now, silent)] or trusted
         sound = [r for r in heard if maySendCold or not r.is_cold(now)]
         while sound:
             chosenReplica = self._prefer(sound, request)
--- a/quillring/forward/view.py
+++ b/quillring/forward/view.py
@@ -1,6 +1,11 @@
 """What one node's own sendings show of a replica."""
 
 
+def is_quiet(replica, now, seconds):
+    """Tell whether a replica has not beaten for so long; one only just learnt of still may."""
+    return now - max(replica.heardAt, replica.bornAt) >= seconds
+
+
 class View:
     """Requests under way, prompt tokens not read yet, and how the last ones went."""
 
--- a/quillring/lots/raw_limits.py
+++ b/quillring/lots/raw_limits.py
@@ -1,5 +1,6 @@
 """How many items of raw lots may run at once: a share of the slots, less when replicas are full."""
 
+from quillring.forward.view import is_quiet
 from quillring.lots.raw_worker import BROKEN, NOT_RUN, UNSENT
 
 CALM_SHARE, NEAR_SHARE, LEAST_SHARE = 0.5, 0.8, 0.08
@@ -51,7 +52,7 @@
         share = self.share(service, isNear, now)
         patience = self.node.bounds.news * 1.5
         known = placement.replicas(service)
-        heard = [r for r in known if now - r.heardAt < patience] or known
+        heard = [r for r in known if not is_quiet(r, now, patience)] or known
         fit = [
             r for r in [r for r in heard if r.name not in avoidedNames] or heard
             if ledger.runsByReplica.get(r.name, 0) < max(1, r.slots * share)
