A refusal after a call that may have run leaves the outcome unknown; whole parts by their size

Cause: an ask whose first call timed out goes to the next core, and what that one refused by type (a conflict, a full quota) was handed on as final, though the earlier call may still take effect: its message may be late, or its entry may be finished by a new owner. Now a command's outcome is unknown then, whatever a later call says but success, and told so; it can be repeated under its key. Reads and calls that were fenced, not owned or never reached stay as they were.

And `GET /v1/whole` counted three stores a part, so a fleet founded with groups of five was never whole; it asks for the size of the founding.

Ruled out: looking the command up at the owner (the late message may come after that too).

--- a/quillring/duty/asking.py
+++ b/quillring/duty/asking.py
@@ -7,6 +7,7 @@
     OutcomeUnknown,
     Refused,
     TimedOut,
+    Trouble,
     Unreachable,
 )
 from quillring.quorum.owner import wait_for_owner
@@ -50,7 +51,11 @@
         raise Refused(reason=lastTrouble.kind, part=part)
 
     def ask(self, part, service, body, seconds):
-        """Script: call a service of the core that owns the part, wherever it is."""
+        """Script: call a service of the core that owns the part, wherever it is.
+
+        Once a call of a command may have run, its outcome is unknown whatever a later call answers
+        but success: the earlier one may still take effect.
+        """
         bounds = self.node.bounds
         endTime = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
         self.founding()
@@ -70,11 +75,16 @@
                     return answer
                 except (*LOOK_ELSEWHERE, NoMajority) as trouble:
                     lastTrouble = trouble
-                    mayHaveRun = mayHaveRun or isinstance(trouble, (NoMajority, TimedOut))
+                    mayHaveRun = mayHaveRun or (
+                        service == "part.submit" and isinstance(trouble, (NoMajority, TimedOut)))
+                except Trouble as trouble:
+                    if mayHaveRun:
+                        raise _unknown(part) from trouble
+                    raise
             rounds += 1
             yield from wait_for_owner(self.node, bounds.beat / 4)
-        if mayHaveRun and service == "part.submit":
-            raise OutcomeUnknown(part=part, reason="repeat it under the same key or id")
+        if mayHaveRun:
+            raise _unknown(part)
         raise Refused(reason=lastTrouble.kind, part=part)
 
     def why_hopeless(self, part):
@@ -95,3 +105,7 @@
         rankedNames = self.rank(part)
         namedOwner = [news["owner"]] if news and news["owner"] in rankedNames else []
         return [*namedOwner, *(name for name in rankedNames[:2] if name not in namedOwner)]
+
+
+def _unknown(part):
+    return OutcomeUnknown(part=part, reason="repeat it under the same key or id")
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -8,7 +8,7 @@
 from quillring.lots import front
 from quillring.plans import front as plans_front
 from quillring.quorum.founding import found_fleet
-from quillring.quorum.parts import CONFIG, GROUP_SIZE
+from quillring.quorum.parts import CONFIG
 
 PLUGINS = (short, streams, front, plans_front)
 CHANGE = StrictValidator({
@@ -105,14 +105,14 @@
 
 @route("GET", "/v1/whole")
 def show_whole(node, inquiry):
-    """Tell whether every part has an owner and three stores that hold everything."""
+    """Tell whether every part has an owner and a full group of stores that hold everything."""
     duty, rows = node.find("duty"), []
     for part in duty.parts():
         try:
             answer = yield from duty.ask(part, "part.whole", {}, node.bounds.beat)
         except Trouble as trouble:
             answer = {"trouble": trouble.kind}
-        isWhole = len(answer.get("group", ())) == GROUP_SIZE and not answer["late"]
+        isWhole = len(answer.get("group", ())) == duty.size() and not answer["late"]
         rows.append({"part": part, "is_whole": isWhole, **answer})
     return {"is_whole": all(row["is_whole"] for row in rows), "parts": rows}
 
--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,92 @@
+from types import SimpleNamespace
+
+import pytest
+
+from quillring.duty.asking import Asking
+from quillring.kernel.bounds import Bounds
+from quillring.kernel.effects import Sleep
+from quillring.kernel.troubles import (
+    Conflict,
+    Fenced,
+    NoMajority,
+    NotFound,
+    NotOwner,
+    OutcomeUnknown,
+    Refused,
+    TimedOut,
+    Unreachable,
+)
+from quillring.verbs.routes import show_whole
+
+
+class Asker(Asking):
+    """A node whose calls of an owner end, one after another, as they are told here."""
+
+    def __init__(self, ends):
+        self.time, self.ends = 0.0, list(ends)
+        world = SimpleNamespace(random=SimpleNamespace(random=lambda: 0.5))
+        self.node = SimpleNamespace(
+            bounds=Bounds(), now=lambda: self.time, call=self.call, world=world)
+
+    def call(self, target, service, body, seconds):
+        end = self.ends.pop(0)
+        if isinstance(end, Exception):
+            raise end
+        return end
+        yield
+
+    def founding(self):
+        return {}
+
+    def why_hopeless(self, part):
+        return None if self.ends else Unreachable(part=part)
+
+    def _candidates(self, part):
+        return ["core-1"]
+
+    def asked(self, service):
+        script = self.ask("part-1", service, {}, None)
+        try:
+            while True:
+                effect = next(script)
+                assert isinstance(effect, Sleep)
+                self.time += effect.seconds
+        except StopIteration as ended:
+            return ended.value
+
+
+@pytest.mark.parametrize("ends, service, trouble", [
+    ([Conflict()], "part.submit", Conflict),
+    ([NotOwner(), Fenced(), Unreachable(), Conflict()], "part.submit", Conflict),
+    ([TimedOut(), Conflict()], "part.submit", OutcomeUnknown),
+    ([NoMajority(), NotOwner(), NotFound()], "part.submit", OutcomeUnknown),
+    ([TimedOut(), NotOwner()], "part.submit", OutcomeUnknown),
+    ([NotOwner(), Unreachable()], "part.submit", Refused),
+    ([TimedOut(), NotFound()], "part.whole", NotFound),
+    ([TimedOut()], "part.whole", Refused),
+])
+def test_a_refusal_after_a_call_that_may_have_run_leaves_the_outcome_unknown(
+        ends, service, trouble):
+    with pytest.raises(trouble) as raised:
+        Asker(ends).asked(service)
+    assert type(raised.value) is trouble
+
+
+def test_a_success_after_a_call_that_may_have_run_is_a_success():
+    assert Asker([TimedOut(), {"written": True}]).asked("part.submit") == {"written": True}
+
+
+@pytest.mark.parametrize("count, late, isWhole", [
+    (5, [], True), (3, [], False), (5, ["store-1"], False), (0, [], False)])
+def test_a_part_is_whole_when_its_group_has_the_size_of_the_founding(count, late, isWhole):
+    def ask(part, service, body, seconds):
+        if not count:
+            raise NotOwner(part=part)
+        return {"group": [f"store-{n}" for n in range(count)], "late": late}
+        yield
+
+    duty = SimpleNamespace(ask=ask, parts=lambda: ["part-1"], size=lambda: 5)
+    script = show_whole(SimpleNamespace(find=lambda name: duty, bounds=Bounds()), None)
+    with pytest.raises(StopIteration) as ended:
+        next(script)
+    assert ended.value.value["is_whole"] is isWhole
