--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -1,7 +1,7 @@
 """The acceptors on a store machine: promises, accepted entries, applied state, per part."""
 
 from quillring.kernel.troubles import Conflict, Fenced, NotFounded, Trouble
-from quillring.quorum.commands import QUERIES, first_state
+from quillring.quorum.commands import answer_query, first_state
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
 
@@ -200,7 +200,7 @@
         return [partRecord.applied, partRecord.state]
 
     def on_peek(self, body, origin):
-        """Answer a query from the applied state, with what may be chosen beyond it."""
+        """Script: answer a query from the applied state, with what may be chosen beyond it."""
         partRecord = self.parts.get(body["part"])
         if partRecord is None or partRecord.state is None:
             raise NotFounded(part=body["part"], store=self.node.me.name)
@@ -210,11 +210,13 @@
             [index, command.get("lot")] for index, (_, batch) in partRecord.entries.items()
             if index > partRecord.applied for command in batch
         ]
-        try:
-            answer = [None, QUERIES.find(body["query"]["ask"])(partRecord.state, body["query"])]
-        except Trouble as trouble:
-            answer = [trouble.kind, trouble.detail]
-        return [partRecord.applied, partRecord.state["group"], later, *answer]
+        known = [partRecord.applied, partRecord.state["group"], later,
+                 *answer_query(partRecord.state, body["query"])]
+        if body.get("beyond"):
+            known.append(partRecord.answers_beyond(body["query"]))
+            if known[-1] and not (self.slots.is_idle and self.slots.trouble is None):
+                yield from self.slots.commit([])
+        return known
 
     def stamp(self):
         """Return the config part's ballot and committed index for the heartbeats."""
--- a/quillring/quorum/commands.py
+++ b/quillring/quorum/commands.py
@@ -26,6 +26,14 @@
     return state, answers
 
 
+def answer_query(state, query):
+    """Return [None, answer] of a query, or [trouble's kind, its detail]."""
+    try:
+        return [None, QUERIES.find(query["ask"])(state, query)]
+    except Trouble as trouble:
+        return [trouble.kind, trouble.detail]
+
+
 class BadCommand(Trouble):
     """A command that can't be applied; it changes nothing, at every store alike."""
 
--- a/quillring/quorum/peek.py
+++ b/quillring/quorum/peek.py
@@ -1,34 +1,58 @@
 """Reading a part while it has no owner: from a majority of its stores."""
 
+from collections import Counter
+from itertools import takewhile
+
 from quillring.kernel.troubles import Trouble, rebuild
 from quillring.quorum.parts import majority
 
 
 def peek(node, part, group, query):
-    """Script: return a function that gives the answer or raises it, or None when it is not sure.
+    """Script: return a function that gives the answer or raises it, or None when it is not sure."""
+    body = {"part": part, "query": query, "beyond": True}
+    calls = [
+        (store, "quorum.peek", {**body, "identity": identity}) for store, identity, _ in group]
+    for need in dict.fromkeys((majority(group), len(group))):
+        replies = yield from node.gather(calls, need, node.bounds.reading / 4)
+        known = [reply for reply in replies.values() if not isinstance(reply, Trouble)]
+        found = find_answer(known, group, query)
+        if found is not None:
+            return lambda: give(*found)
+        if len(known) < majority(group):
+            return None
+    return None
+
 
-    Whatever was chosen lies at one of the majority: applied there, or accepted beyond. What was
-    accepted may or may not be chosen; where it concerns the lot that is asked for, or no lot, only
-    an owner can tell. So it is when the stores tell of another group than the one asked.
+def find_answer(replies, group, query):
+    """Return [trouble's kind or None, answer] that a majority's words make sure, or None.
+
+    Whatever was chosen lies at one of the majority: applied there, or accepted beyond. An entry
+    that a majority holds under one ballot is chosen: each of them has it on its disk, and a higher
+    ballot can only propose the same again. The answer after it counts from a store whose state
+    before it was chosen as well. Any other entry may be chosen or not; where it concerns the lot
+    that is asked for, or no lot, only an owner can tell. So it is when the stores tell of another
+    group than the one asked, or of a change of it, which gives what follows to other stores.
     """
-    calls = [
-        (store, "quorum.peek", {"part": part, "identity": identity, "query": query})
-        for store, identity, _ in group
-    ]
-    replies = yield from node.gather(calls, majority(group), node.bounds.reading / 4)
-    known = [reply for reply in replies.values() if not isinstance(reply, Trouble)]
-    if len(known) < majority(group):
+    if len(replies) < majority(group):
         return None
-    applied, knownGroup, _, kind, answer = max(known, key=lambda reply: reply[0])
+    applied, knownGroup, _, *answer = max(replies, key=lambda reply: reply[0])[:5]
     if sorted(map(list, knownGroup)) != sorted(map(list, group)):
         return None
-    unsure = {lot for reply in known for index, lot in reply[2] if index > applied}
+    beyond = [reply[5] if len(reply) > 5 else [] for reply in replies]
+    votes = Counter((index, tuple(ballot)) for rows in beyond for index, ballot, *_ in rows)
+    chosen = max((
+        list(takewhile(lambda row: votes[row[0], tuple(row[1])] >= majority(group), rows))
+        for reply, rows in zip(replies, beyond, strict=True) if reply[0] == applied), key=len)
+    if chosen:
+        applied, _, *answer = chosen[-1]
+    unsure = {lot for reply in replies for index, lot in reply[2] if index > applied}
     if None in unsure or query.get("lot") in unsure or (unsure and "lot" not in query):
         return None
+    return answer
 
-    def give():
-        if kind is not None:
-            raise rebuild(kind, answer)
-        return answer
 
-    return give
+def give(kind, answer):
+    """Return the answer, or raise the trouble of this kind."""
+    if kind is not None:
+        raise rebuild(kind, answer)
+    return answer
--- a/quillring/quorum/record.py
+++ b/quillring/quorum/record.py
@@ -1,6 +1,8 @@
 """What one acceptor holds of a part."""
 
-from quillring.quorum.commands import apply_batch
+from itertools import count
+
+from quillring.quorum.commands import answer_query, apply_batch
 
 
 class PartRecord:
@@ -36,3 +38,18 @@
             self.applied += 1
             del self.entries[self.applied]
         self.committed = max(self.committed, self.applied)
+
+    def answers_beyond(self, query):
+        """Return [[index, ballot, kind, answer], ...] after each accepted entry in turn.
+
+        It ends before a gap, and before a change of the group, which decides what comes after.
+        """
+        rows, state = [], self.state
+        for index in count(self.applied + 1):
+            if index not in self.entries:
+                return rows
+            ballot, batch = self.entries[index]
+            state, _ = apply_batch(state, batch)
+            if state["group"] != self.state["group"]:
+                return rows
+            rows.append([index, list(ballot), *answer_query(state, query)])
--- /dev/null
+++ b/tests/test_peek.py
@@ -0,0 +1,105 @@
+from unittest import mock
+
+import pytest
+
+from proving.points_base import Stage
+from quillring.kernel.effects import Signal, Wait
+from quillring.kernel.troubles import NotFound
+from quillring.quorum.acceptor import Acceptors
+from quillring.quorum.commands import first_state
+from quillring.quorum.owner import Owner
+from quillring.quorum.peek import find_answer, give
+from quillring.quorum.record import PartRecord
+
+GROUP = [["store-1", "a", "north"], ["store-2", "b", "east"], ["store-3", "c", "south"]]
+OTHER = [["store-4", "d", "west"], *GROUP[1:]]
+ASKED = {"ask": "lot.results", "lot": "l", "sender": "s", "from": 0, "count": 9}
+
+
+def accept(lot):
+    return [{"do": "lot.accept", "lot": lot, "sender": "s", "entry": "e", "items": ["x"]}]
+
+
+def reply(applied=0, group=GROUP, **entries):
+    """What a store answers that holds these entries: i3=(ballot, batch)."""
+    held = {int(name[1:]): entry for name, entry in entries.items()}
+    record = PartRecord((9, "z"), applied, first_state(group), held)
+    later = [[i, c.get("lot")] for i, (_, batch) in held.items() for c in batch]
+    return [applied, group, later, None, applied, [
+        [index, ballot, None, index] for index, ballot, *_ in record.answers_beyond(ASKED)]]
+
+
+ONE, TWO = (1, "core-1#1"), (2, "core-2#1")
+CHANGE = [{"do": "group.change", "group": GROUP[1:]}]
+
+
+@pytest.mark.parametrize("replies, answer", [
+    ([reply(4), reply(3)], 4),
+    ([reply(4)], None),
+    ([reply(4, i5=(ONE, accept("l"))), reply(4)], None),
+    ([reply(4, i5=(ONE, accept("l"))), reply(4, i5=(ONE, accept("l")))], 5),
+    ([reply(4, i5=(ONE, accept("l"))), reply(4, i5=(TWO, accept("l")))], None),
+    ([reply(4, i5=(ONE, accept("l"))), reply(4, i5=(TWO, accept("l"))),
+      reply(4, i5=(TWO, accept("l")))], 5),
+    ([reply(4, i5=(ONE, accept("m"))), reply(4)], 4),
+    ([reply(4, i5=(ONE, [])), reply(4, i6=(ONE, accept("l")))], None),
+    ([reply(4, i5=(ONE, accept("m")), i6=(ONE, accept("l"))),
+      reply(4, i5=(TWO, accept("m")), i6=(ONE, accept("l")))], None),
+    ([reply(4, i5=(ONE, accept("m")), i6=(ONE, accept("l"))),
+      reply(4, i5=(ONE, accept("m")), i6=(ONE, accept("l")))], 6),
+    ([reply(4), reply(3, i4=(ONE, accept("m")), i5=(TWO, accept("l"))),
+      reply(3, i4=(ONE, accept("m")), i5=(TWO, accept("l")))], None),
+    ([reply(4, i5=(ONE, CHANGE)), reply(4, i5=(ONE, CHANGE))], None),
+    ([reply(4, OTHER), reply(4, OTHER)], None),
+    ([reply(4, i5=(ONE, accept("l")))[:5], reply(4, i5=(ONE, accept("l")))[:5]], None),
+])
+def test_an_entry_is_chosen_when_a_majority_holds_it_under_one_ballot(replies, answer):
+    expected = None if answer is None else [None, answer]
+    assert find_answer(replies, GROUP, ASKED) == expected
+    assert find_answer(replies[::-1], GROUP, ASKED) == expected
+
+
+def test_a_trouble_that_is_the_answer_is_raised():
+    with pytest.raises(NotFound):
+        give("not_found", {"field": "lot"})
+
+
+def test_an_entry_that_a_store_has_not_synced_is_told_of_only_afterwards():
+    acceptors, synced = Acceptors(), Signal()
+
+    class SlowSlots:
+        trouble, is_idle = None, False
+
+        def commit(self, records):
+            yield Wait(synced, 1)
+
+    acceptors.identity, acceptors.slots = "a", SlowSlots()
+    acceptors.parts["part-1"] = PartRecord(ONE, 4, first_state(GROUP), {5: (ONE, accept("l"))})
+    body = {"part": "part-1", "identity": "a", "query": ASKED, "beyond": True}
+    script = acceptors.on_peek(body, "edge-1")
+    assert isinstance(next(script), Wait)
+    with pytest.raises(StopIteration) as ended:
+        script.send(True)
+    assert ended.value.value[:3] == [4, GROUP, [[5, "l"]]]
+    assert [row[:2] for row in ended.value.value[5]] == [[5, list(ONE)]]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_lot_accepted_by_a_majority_is_read_though_its_owner_died_before_telling(seed):
+    stage = Stage(seed)
+    name = stage.node("edge-1").find("gossip").get("owner/part-1")["owner"]
+    node = stage.node(name)
+    owner = node.find("duty").owners["part-1"]
+    stores = [stage.node(store[0]).find("acceptors").parts["part-1"] for store in owner.group]
+    with mock.patch.object(Owner, "_cast_commit", lambda self: None):
+        stage.start(stage.sim.run_script(node, owner.submit(accept("part-1.new")[0])))
+        while not all(record.entries for record in stores):
+            stage.env.step()
+        stage.sim.kill(name)
+    assert all(record.entries for record in stores)
+    startTime, reader = stage.env.now, stage.node("edge-1")
+    script = reader.find("duty").read("part-1", {**ASKED, "lot": "part-1.new"})
+    answer, trouble = stage.finish(stage.start(stage.sim.run_script(reader, script)))
+    assert trouble is None and answer["results"] == []
+    assert stage.env.now - startTime < stage.sim.bounds.reading
+    assert reader.counts["peeks"] == 1
