--- a/quillring/lots/raw_front.py
+++ b/quillring/lots/raw_front.py
@@ -16,7 +16,7 @@
 from quillring.quorum.parts import part_of
 from quillring.quorum.peek import peek
 
-RESULT_BYTES = 800_000
+RESULT_BYTES = 200_000
 LONGEST_HOLD = 0.8
 RETURN_SECONDS = 0.5
 
--- /dev/null
+++ b/tests/test_raw_pages.py
@@ -0,0 +1,43 @@
+from quillring.lots.raw_commands import raw_lots, with_lot
+from quillring.lots.raw_front import lot_key, part_of_host
+from tests.raw_stage import HOST, RawStage, accepted
+
+LINK_BYTES = 15e6 / 8
+
+
+def narrow(stage, node):
+    """Let the frames that come to a node take the time of a link of 15 Mbit/s, one by one."""
+    net, freeAt = stage.sim.net, [0.0]
+    carry = net.carry
+
+    def carry_slowly(home, target, data, kind):
+        if tuple(target) != node.me.address or kind != "frame":
+            return carry(home, target, data, kind)
+        freeAt[0] = max(freeAt[0], stage.env.now) + len(data) / LINK_BYTES
+        event = stage.env.timeout(freeAt[0] - stage.env.now)
+        event.callbacks.append(lambda _: carry(home, target, data, kind))
+
+    net.carry = carry_slowly
+
+
+def test_a_lot_of_much_text_is_read_whole_over_a_narrow_link():
+    with RawStage(9) as stage:
+        accepted(stage, "a", 40)
+        stage.read_all("a")
+        node = stage.sim.up_nodes("edge")[0]
+        part, key = part_of_host(node, HOST), lot_key(HOST, "a")
+        owner = stage.owner().find("duty").owners[part]
+        holders = [store.find("acceptors").parts[part] for store in stage.sim.up_nodes("store")
+                   if part in store.find("acceptors").parts]
+        for holder in (owner, *holders):
+            lot = raw_lots(holder.state)[key]
+            results = [[name, state, b"x" * 20_000] for name, state, _ in lot["results"]]
+            holder.state = with_lot(holder.state, key, {**lot, "results": results})
+        narrow(stage, node)
+        start, pages = 0, []
+        while start < 40 and len(pages) < 8:
+            answer, trouble = stage.read("a", start, node=node)
+            assert trouble is None, trouble
+            pages.append(len(answer["results"]))
+            start = answer["next"]
+        assert sum(pages) == 40
