--- a/quillring/forward/dialect.py
+++ b/quillring/forward/dialect.py
@@ -2,7 +2,7 @@
 
 FIELDS = {
     "inquiry": "x-inquiry",
-    "replica": "x-expect-replica",
+    "replica": "x-replica-named",
     "seal": "x-seal",
     "not_run": "x-not-run",
     "deadline": "x-deadline-ms",
--- a/tests/raw_replica.py
+++ b/tests/raw_replica.py
@@ -113,7 +113,7 @@
         count, way = stage.counts.get(itemId, 6), self.way and self.way(self, itemId, last)
         if self.active >= self.slots or way == "full":
             return handle.put(status=503, headers={**head, "x-not-run": "1"}, isOver=True)
-        if request["x-expect-replica"] != self.name:
+        if request["x-replica-named"] != self.name:
             return handle.put(status=421, headers=head, isOver=True)
         stage.arrivals.append((stage.env.now, itemId, self.name, last, request))
         if way in (500, 422):
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -23,7 +23,7 @@
     run(world, node)
     data = world.sent[0][1].decode()
     assert data.startswith("POST /a/x?y=%20z HTTP/1.1\r\nHost: h\r\nX-Inquiry: q1\r\n")
-    assert "x-expect-replica: r" in data and "x-deadline-ms: 4000" in data
+    assert "x-replica-named: r" in data and "x-deadline-ms: 4000" in data
     assert data.endswith("Content-Length: 4\r\n\r\nbody")
     assert world.emitted[0][0] == 200 and text(world) == event(0)
 
