What can never be taken is refused as such, even after a call that may have run

A bad layout is final: on the version it builds on it is always refused, on any other it is a conflict. Ruled out: easing the test; a plain slow start (the answer came, under another type). Before: the new case of tests/test_asking.py fails; after: passes, as do two runs of test_process alone and the tests of editions, marks, operations and the control side.

--- a/quillring/duty/asking.py
+++ b/quillring/duty/asking.py
@@ -54,7 +54,7 @@
         """Script: call a service of the core that owns the part, wherever it is.
 
         Once a call of a command may have run, its outcome is unknown whatever a later call answers
-        but success: the earlier one may still take effect.
+        but success or a refusal of what can never be taken: the earlier one may still take effect.
         """
         bounds = self.node.bounds
         endTime = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
@@ -78,7 +78,7 @@
                     mayHaveRun = mayHaveRun or (
                         service == "part.submit" and isinstance(trouble, (NoMajority, TimedOut)))
                 except Trouble as trouble:
-                    if mayHaveRun:
+                    if mayHaveRun and not trouble.is_final:
                         raise _unknown(part) from trouble
                     raise
             rounds += 1
--- a/quillring/kernel/troubles.py
+++ b/quillring/kernel/troubles.py
@@ -9,6 +9,7 @@
     kind = "trouble"
     status = 500
     comes_back = False
+    is_final = False
 
     def __init__(self, **detail):
         super().__init__(self.kind, detail)
--- a/quillring/rollout/commands.py
+++ b/quillring/rollout/commands.py
@@ -8,10 +8,14 @@
 
 
 class BadLayout(Trouble):
-    """The layout was refused, with every reason; no node changes."""
+    """The layout was refused, with every reason; no node changes.
+
+    Final: on the version it builds on it is always refused, and on any other it is a conflict.
+    """
 
     kind = "bad_layout"
     status = 422
+    is_final = True
 
 
 @COMMANDS.entry("layout.adopt")
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -16,6 +16,7 @@
     TimedOut,
     Unreachable,
 )
+from quillring.rollout.commands import BadLayout
 from quillring.verbs.routes import show_whole
 
 
@@ -72,6 +73,11 @@
     assert type(raised.value) is trouble
 
 
+def test_what_can_never_be_taken_is_refused_as_such_even_after_a_call_that_may_have_run():
+    with pytest.raises(BadLayout):
+        Asker([TimedOut(), BadLayout(faults=[])]).asked("part.submit")
+
+
 def test_a_success_after_a_call_that_may_have_run_is_a_success():
     assert Asker([TimedOut(), {"written": True}]).asked("part.submit") == {"written": True}
 
