--- a/examples/embed/quorum_counter.py
+++ b/examples/embed/quorum_counter.py
@@ -20,8 +20,8 @@
 def add(state, command):
     """Add to the counter, once for each command id."""
     counter = state.get("counter", {})
-    newCounter = {**counter, command["id"]: command["amount"]}
-    return {**state, "counter": newCounter}, sum(newCounter.values())
+    new_counter = {**counter, command["id"]: command["amount"]}
+    return {**state, "counter": new_counter}, sum(new_counter.values())
 
 
 @QUERIES.entry("counter")
--- a/proving/callers.py
+++ b/proving/callers.py
@@ -18,7 +18,7 @@
     def __init__(self):
         self.outcomes = {}
         self.violations = []
-        self.firstPieces = []
+        self.first_pieces = []
         self.resumes = 0
         self.leaving = set()
 
@@ -36,7 +36,7 @@
 
     def to_json(self):
         """Return the whole as JSON."""
-        firsts = sorted(self.firstPieces)
+        firsts = sorted(self.first_pieces)
         return {
             "outcomes": {f"{k}/{o}": n for (k, o), n in sorted(self.outcomes.items())},
             "violations": self.violations, "resumes": self.resumes,
@@ -68,9 +68,9 @@
 class Answer:
     """The pieces of one answer as its caller collected them."""
 
-    def __init__(self, prompt, maxPieces):
+    def __init__(self, prompt, max_pieces):
         self.prompt = prompt
-        self.maxPieces = maxPieces
+        self.max_pieces = max_pieces
         self.pieces = []
         self.token = None
         self.outcome = None
@@ -86,8 +86,8 @@
                 record.violate(f"wrong piece {line['n']} of {self.prompt}")
             self.pieces.append(line["piece"])
         elif line.get("end") is True:
-            rightCount = piece_count(self.prompt, self.maxPieces)
-            if len(self.pieces) != rightCount or line["pieces"] != rightCount:
+            right_count = piece_count(self.prompt, self.max_pieces)
+            if len(self.pieces) != right_count or line["pieces"] != right_count:
                 record.violate(f"{len(self.pieces)} pieces look complete: {self.prompt}")
             self.outcome = "complete"
         else:
@@ -95,36 +95,36 @@
         return self.outcome is not None
 
 
-def read_answer(answer, response, record, clock, startTime, dropAfter=None):
+def read_answer(answer, response, record, clock, start_time, drop_after=None):
     """Read lines until the end, a break, or the piece after which the caller lets go."""
     while True:
         data = response.readline(b"\n")
         if not data:
             return
-        hadPieces = len(answer.pieces)
+        had_pieces = len(answer.pieces)
         if answer.take(json.loads(data), record):
             return
-        if not hadPieces and answer.pieces:
-            record.firstPieces.append(clock() - startTime)
-        if dropAfter is not None and len(answer.pieces) >= dropAfter:
+        if not had_pieces and answer.pieces:
+            record.first_pieces.append(clock() - start_time)
+        if drop_after is not None and len(answer.pieces) >= drop_after:
             return
 
 
-def stream_call(edges, chance, record, clock, entry, kind, maxPieces=20, dropShare=0.2):
+def stream_call(edges, chance, record, clock, entry, kind, max_pieces=20, drop_share=0.2):
     """One streamed inquiry; a cut stream is resumed at any edge with the resume token."""
     sender = f"sender-{chance.random():.9f}"
-    answer = Answer(f"{entry} {sender}", maxPieces)
-    dropAfter = chance.randrange(1, 6) if chance.random() < dropShare else None
-    body = {"entry": entry, "prompt": answer.prompt, "max_pieces": maxPieces}
-    method, path, startTime, rounds = "POST", "/v1/inquiries", clock(), 0
+    answer = Answer(f"{entry} {sender}", max_pieces)
+    drop_after = chance.randrange(1, 6) if chance.random() < drop_share else None
+    body = {"entry": entry, "prompt": answer.prompt, "max_pieces": max_pieces}
+    method, path, start_time, rounds = "POST", "/v1/inquiries", clock(), 0
     while answer.outcome is None and rounds < 8:
         rounds += 1
         client = None
         try:
             client, response = send(record.edge(edges, chance), method, path, body, sender)
             if response.status_code == 200:
-                read_answer(answer, response, record, clock, startTime, dropAfter)
-                dropAfter = None
+                read_answer(answer, response, record, clock, start_time, drop_after)
+                drop_after = None
             else:
                 answer.outcome = refusal(response)
         except (OSError, HTTPParseError, ValueError):
@@ -206,9 +206,9 @@
             if seen.setdefault(row["n"], row["text"]) != row["text"]:
                 record.violate(f"result {row['n']} of {lot} changed")
             prompt = items[row["n"]]
-            rightText = "".join(
+            right_text = "".join(
                 piece_text(prompt, n) for n in range(1, piece_count(prompt, 64) + 1))
-            if row["text"] != rightText:
+            if row["text"] != right_text:
                 record.violate(f"wrong result {row['n']} of {lot}")
         if len(seen) == len(items):
             record.note("lot", "complete")
--- a/proving/closing.py
+++ b/proving/closing.py
@@ -13,17 +13,17 @@
 
 def probe(fleet):
     """Tell whether every edge serves a stream and takes a lot now."""
-    probeRecord = callers.Record()
+    probe_record = callers.Record()
     entries = json.loads((fleet.example / "layout.json").read_text())["entries"]
     short = next(e for e in ("wayfinding", "price-hints") if e in entries)
     lots = next(e for e in ("gate-notices", "fraud-reports") if e in entries)
     for name in fleet.names("edge"):
         edge, chance = [fleet.http(name)], random.Random(name)
-        callers.stream_call(edge, chance, probeRecord, time.monotonic, short, "probe", 3, 0.0)
+        callers.stream_call(edge, chance, probe_record, time.monotonic, short, "probe", 3, 0.0)
         body = {"entry": lots, "items": ["one"], "key": f"probe-{time.monotonic_ns()}"}
         status, _ = callers.ask(edge[0], "POST", "/v1/lots", body, "probe")
-        probeRecord.note("probe", "complete" if status == 200 else "refused")
-    return set(probeRecord.outcomes) == {("probe", "complete")}
+        probe_record.note("probe", "complete" if status == 200 else "refused")
+    return set(probe_record.outcomes) == {("probe", "complete")}
 
 
 def closing_fault(fleet, record, note):
@@ -35,10 +35,10 @@
     fleet.cut()
     fleet.start("core-1")
     fleet.start("store-2")
-    healedAt, goodInARow = time.monotonic(), 0
-    while goodInARow < 3 and time.monotonic() - healedAt < 60:
-        goodInARow = goodInARow + 1 if probe(fleet) else 0
-    backAfter = round(time.monotonic() - healedAt, 2)
-    note(f"three good rounds at every edge {backAfter} s after the closing fault")
-    if backAfter > RETURN_SECONDS:
-        record.violate(f"service took {backAfter} s to return")
+    healed_at, good_in_arow = time.monotonic(), 0
+    while good_in_arow < 3 and time.monotonic() - healed_at < 60:
+        good_in_arow = good_in_arow + 1 if probe(fleet) else 0
+    back_after = round(time.monotonic() - healed_at, 2)
+    note(f"three good rounds at every edge {back_after} s after the closing fault")
+    if back_after > RETURN_SECONDS:
+        record.violate(f"service took {back_after} s to return")
--- a/proving/day.py
+++ b/proving/day.py
@@ -37,8 +37,8 @@
 
     def send_kind(number, rate, call):
         chance = random.Random(f"{seed}/{number}")
-        endTime = time.monotonic() + seconds
-        while time.monotonic() < endTime:
+        end_time = time.monotonic() + seconds
+        while time.monotonic() < end_time:
             calls.append(gevent.spawn(call, edges, random.Random(chance.random()), record))
             gevent.sleep(chance.expovariate(rate * scale))
 
@@ -59,10 +59,10 @@
         ("start store-3 again", lambda: fleet.start("store-3")),
         ("start words-2 again", lambda: fleet.start("words-2")),
     ]
-    startTime = time.monotonic()
+    start_time = time.monotonic()
     for text, step in steps:
         gevent.sleep(seconds / (len(steps) + 2))
-        log.append([round(time.monotonic() - startTime, 1), text])
+        log.append([round(time.monotonic() - start_time, 1), text])
         step()
 
 
@@ -88,10 +88,10 @@
         for replica in fleet.replicas.values():
             _, states[replica["name"]] = callers.ask(replica["address"], "GET", "/state")
         report = {**record.to_json(), "steps": log, "replicas": {
-            n: {k: s.get(k) for k in ("ran", "hits", "misses", "overloads", "lateStarts")}
+            n: {k: s.get(k) for k in ("ran", "hits", "misses", "overloads", "late_starts")}
             for n, s in states.items()}}
         click.echo(json.dumps(report, indent=1))
-        (fleet.runFolder / "report.json").write_text(json.dumps(report, indent=1))
+        (fleet.run_folder / "report.json").write_text(json.dumps(report, indent=1))
     finally:
         fleet.stop_all()
     raise SystemExit(1 if record.violations else 0)
--- a/proving/deployments.py
+++ b/proving/deployments.py
@@ -15,9 +15,9 @@
     }
 
 
-def entry(service, className, prefix=None):
+def entry(service, class_name, prefix=None):
     """Return an entry."""
-    return {"service": service, "class": className, **({"prefix": prefix} if prefix else {})}
+    return {"service": service, "class": class_name, **({"prefix": prefix} if prefix else {})}
 
 
 DEPLOYMENTS = {
--- a/proving/example_day.py
+++ b/proving/example_day.py
@@ -21,23 +21,23 @@
         self.mix = MIXES[name]
         self.seed = seed
         self.steps = []
-        self.startTime = time.monotonic()
+        self.start_time = time.monotonic()
         self.record = callers.Record()
 
     def note(self, text):
         """Note a step with its time."""
-        self.steps.append([round(time.monotonic() - self.startTime, 1), text])
+        self.steps.append([round(time.monotonic() - self.start_time, 1), text])
 
     def ask(self, method, path, body=None):
         """Ask some core as an operator."""
         cores = [n for n in self.fleet.names("core") if n in self.fleet.processes]
         return callers.ask(self.fleet.http(random.choice(cores)), method, path, body)
 
-    def wait_for(self, what, isDone, seconds=120):
+    def wait_for(self, what, is_done, seconds=120):
         """Wait without blocking the callers."""
-        endTime = time.monotonic() + seconds
-        while not isDone():
-            if time.monotonic() > endTime:
+        end_time = time.monotonic() + seconds
+        while not is_done():
+            if time.monotonic() > end_time:
                 raise TimeoutError(what)
             gevent.sleep(0.2)
 
--- a/proving/faulty.py
+++ b/proving/faulty.py
@@ -31,8 +31,8 @@
         except OSError:
             return False
         if stamp != self.stamp:
-            with open(CUTS_FILE, encoding="utf-8") as cutsFile:
-                self.cuts = frozenset(tuple(pair) for pair in json.load(cutsFile))
+            with open(CUTS_FILE, encoding="utf-8") as cuts_file:
+                self.cuts = frozenset(tuple(pair) for pair in json.load(cuts_file))
             self.stamp = stamp
         return (self.home, f"{address[0]}:{address[1]}") in self.cuts
 
@@ -54,11 +54,11 @@
 
     def _check_room(self, name):
         try:
-            with open(FULL_FILE, encoding="utf-8") as fullFile:
-                isFull = self.folder in json.load(fullFile)
+            with open(FULL_FILE, encoding="utf-8") as full_file:
+                is_full = self.folder in json.load(full_file)
         except (OSError, ValueError):
-            isFull = False
-        if isFull:
+            is_full = False
+        if is_full:
             raise DiskTrouble(file=name, reason="no space left")
 
     def write(self, name, data):
@@ -74,9 +74,9 @@
 
 def main():
     """Run the program on the faulty world."""
-    realRun = process.run_process
+    real_run = process.run_process
     process.FolderDisk = FullDisk
-    cli.run_process = lambda settings, reread: realRun(settings, reread, FaultyWorld)
+    cli.run_process = lambda settings, reread: real_run(settings, reread, FaultyWorld)
     program.main()
 
 
--- a/proving/localfleet.py
+++ b/proving/localfleet.py
@@ -16,26 +16,26 @@
 class LocalFleet:
     """The processes of one deployment, each started, stopped, frozen or killed by name."""
 
-    def __init__(self, example, runFolder, freePorts=False, only=None):
+    def __init__(self, example, run_folder, free_ports=False, only=None):
         self.example = pathlib.Path(example)
-        self.runFolder = pathlib.Path(runFolder).absolute()
-        shutil.rmtree(self.runFolder / "data", ignore_errors=True)
-        self.runFolder.mkdir(parents=True, exist_ok=True)
-        self.cutsFile = self.runFolder / "cuts.json"
-        self.cutsFile.write_text("[]")
-        self.fullFile = self.runFolder / "full.json"
-        self.fullFile.write_text("[]")
+        self.run_folder = pathlib.Path(run_folder).absolute()
+        shutil.rmtree(self.run_folder / "data", ignore_errors=True)
+        self.run_folder.mkdir(parents=True, exist_ok=True)
+        self.cuts_file = self.run_folder / "cuts.json"
+        self.cuts_file.write_text("[]")
+        self.full_file = self.run_folder / "full.json"
+        self.full_file.write_text("[]")
         self.processes = {}
         rows = [json.loads(p.read_text()) for p in sorted(self.example.glob("settings/*.json"))]
         self.settings = {row["name"]: row for row in rows if only is None or row["name"] in only}
-        replicaRows = json.loads((self.example / "replicas.json").read_text())
-        self.replicas = {r["name"]: r for r in replicaRows if only is None or r["name"] in only}
-        if freePorts:
+        replica_rows = json.loads((self.example / "replicas.json").read_text())
+        self.replicas = {r["name"]: r for r in replica_rows if only is None or r["name"] in only}
+        if free_ports:
             self._move_ports()
         for row in self.settings.values():
-            row["log_file"] = str(self.runFolder / f"{row['name']}.log")
+            row["log_file"] = str(self.run_folder / f"{row['name']}.log")
             if "folder" in row:
-                row["folder"] = str(self.runFolder / "data" / row["name"])
+                row["folder"] = str(self.run_folder / "data" / row["name"])
 
     def _move_ports(self):
         moved = {}
@@ -58,10 +58,10 @@
 
     def start(self, name):
         """Start one process."""
-        outFile = open(self.runFolder / f"{name}.out", "ab")
+        out_file = open(self.run_folder / f"{name}.out", "ab")
         if name in self.settings:
             row = self.settings[name]
-            path = self.runFolder / f"{name}.json"
+            path = self.run_folder / f"{name}.json"
             path.write_text(json.dumps(row))
             words = ["-m", "proving.faulty", row["role"], "--settings", str(path)]
         else:
@@ -74,10 +74,10 @@
             for node in nodes[turn:] + nodes[:turn]:
                 words += ["--node", node]
         self.processes[name] = subprocess.Popen(
-            [sys.executable, *words], stdout=outFile, stderr=outFile, start_new_session=True,
+            [sys.executable, *words], stdout=out_file, stderr=out_file, start_new_session=True,
             env={
-                **os.environ, "PROVING_CUTS": str(self.cutsFile),
-                "PROVING_FULL": str(self.fullFile)},
+                **os.environ, "PROVING_CUTS": str(self.cuts_file),
+                "PROVING_FULL": str(self.full_file)},
         )
 
     def start_all(self):
@@ -91,10 +91,10 @@
 
     def keep_running(self):
         """Start every process anew that ended as planned, as a platform does; return the names."""
-        endedNames = [name for name, p in self.processes.items() if p.poll() is not None]
-        for name in endedNames:
+        ended_names = [name for name, p in self.processes.items() if p.poll() is not None]
+        for name in ended_names:
             self.start(name)
-        return endedNames
+        return ended_names
 
     def kill(self, name):
         """Kill a process as a power cut would."""
@@ -111,15 +111,15 @@
     def cut(self, *pairs):
         """Cut the pairs of nodes both ways; no pairs heals all."""
         addresses = [[self.settings[n]["address"] for n in pair] for pair in pairs]
-        freshFile = self.cutsFile.with_suffix(".new")
-        freshFile.write_text(json.dumps([*addresses, *(pair[::-1] for pair in addresses)]))
-        freshFile.replace(self.cutsFile)
+        fresh_file = self.cuts_file.with_suffix(".new")
+        fresh_file.write_text(json.dumps([*addresses, *(pair[::-1] for pair in addresses)]))
+        fresh_file.replace(self.cuts_file)
 
     def fill(self, names):
         """Let the disks of these stores be full, and all others have room."""
-        freshFile = self.fullFile.with_suffix(".new")
-        freshFile.write_text(json.dumps([self.settings[name]["folder"] for name in names]))
-        freshFile.replace(self.fullFile)
+        fresh_file = self.full_file.with_suffix(".new")
+        fresh_file.write_text(json.dumps([self.settings[name]["folder"] for name in names]))
+        fresh_file.replace(self.full_file)
 
     def stop_all(self):
         """End everything that still runs."""
@@ -129,23 +129,23 @@
             process.wait()
         self.processes = {}
 
-    def wait_for(self, what, isDone, seconds=90):
+    def wait_for(self, what, is_done, seconds=90):
         """Wait until the condition holds; a generous limit, no assertion on how long."""
-        endTime = time.monotonic() + seconds
-        while not isDone():
-            if time.monotonic() > endTime:
-                raise TimeoutError(f"{what}; see {self.runFolder}")
+        end_time = time.monotonic() + seconds
+        while not is_done():
+            if time.monotonic() > end_time:
+                raise TimeoutError(f"{what}; see {self.run_folder}")
             time.sleep(0.1)
 
     def found(self):
         """Found the fleet and apply the example layout; wait until every edge is ready."""
         cores = self.names("core")
-        storeCount = len(self.names("store"))
+        store_count = len(self.names("store"))
 
         def knows_stores():
             status, answer = ask(self.http(cores[0]), "GET", "/v1/members")
             roles = [m["role"] for m in answer.get("members", ())] if status == 200 else []
-            return roles.count("store") == storeCount
+            return roles.count("store") == store_count
 
         self.wait_for("stores known", knows_stores)
         self.wait_for("founded", lambda: ask(
@@ -163,13 +163,13 @@
 
     def wait_ready(self):
         """Wait until every running edge is ready and knows every running replica."""
-        runningReplicas = {n for n in self.replicas if n in self.processes}
+        running_replicas = {n for n in self.replicas if n in self.processes}
 
         def is_ready(name):
             if ask(self.http(name), "GET", "/v1/ready")[0] != 200:
                 return False
             _, answer = ask(self.http(name), "GET", "/v1/replicas")
-            return runningReplicas <= {
+            return running_replicas <= {
                 r["name"] for r in answer.get("replicas", ()) if r["may_get_work"]}
 
         for name in self.names("edge"):
--- a/proving/measure.py
+++ b/proving/measure.py
@@ -20,7 +20,7 @@
     """Heartbeat bytes and packets a second and node, and graph work, against node count."""
     rows = {}
     for count in (16, 28, 64, 128):
-        stage = Stage(seed, sizes=sizes(count - 8), readyAt=10)
+        stage = Stage(seed, sizes=sizes(count - 8), ready_at=10)
         before = {n: dict(node.counts) for n, node in stage.sim.nodes.items()}
         stage.run(4)
         nodes = stage.sim.nodes.values()
@@ -37,12 +37,12 @@
     return rows
 
 
-def until(stage, isDone, seconds=20, step=0.01):
+def until(stage, is_done, seconds=20, step=0.01):
     """Return the seconds until a condition holds."""
-    startTime = stage.env.now
-    while not isDone() and stage.env.now - startTime < seconds:
+    start_time = stage.env.now
+    while not is_done() and stage.env.now - start_time < seconds:
         stage.run(step)
-    return round(stage.env.now - startTime, 3)
+    return round(stage.env.now - start_time, 3)
 
 
 def detection(seed):
@@ -85,11 +85,11 @@
         stage.run(0.5 + number * 0.11)
         owner = stage.node("edge-1").find("gossip").get("owner/part-1")["owner"]
         stage.sim.kill(owner)
-        startTime = stage.env.now
+        start_time = stage.env.now
         before = stage.sim.history.counts.get("accepted_lots", 0)
         stage.start(stage.callers.lot("gate-notices", 1, 0.0))
         until(stage, lambda s=stage, b=before: s.sim.history.counts.get("accepted_lots", 0) > b)
-        times.append(round(stage.env.now - startTime, 3))
+        times.append(round(stage.env.now - start_time, 3))
     return {"median_s": statistics.median(times), "most_s": max(times)}
 
 
@@ -123,7 +123,7 @@
         adopt(stage, "core-1", {"entries": entries})
         stage.run(1)
         chance = stage.sim.chance
-        stage.callers.stopAt = stage.env.now + 30
+        stage.callers.stop_at = stage.env.now + 30
 
         def pick(stage=stage, chance=chance, prefixes=prefixes):
             yield from stage.callers.stream(f"p-{chance.randrange(prefixes)}", "short", 8)
--- a/proving/overhead.py
+++ b/proving/overhead.py
@@ -19,9 +19,9 @@
     """Return the median milliseconds of a call."""
     times = []
     for _ in range(count):
-        startTime = time.perf_counter()
+        start_time = time.perf_counter()
         assert call()
-        times.append((time.perf_counter() - startTime) * 1000)
+        times.append((time.perf_counter() - start_time) * 1000)
     return round(statistics.median(times), 2)
 
 
@@ -35,15 +35,15 @@
     medians, used = {}, {}
     for address, path in paths.items():
         client = HTTPClient(*split_address(address), concurrency=1)
-        before, startTime = cpu_seconds(fleet.processes["edge-1"].pid), time.perf_counter()
+        before, start_time = cpu_seconds(fleet.processes["edge-1"].pid), time.perf_counter()
         medians[address] = timed(
             lambda c=client, p=path: json.loads(c.request("GET", p).read()), count * 4)
         spent = cpu_seconds(fleet.processes["edge-1"].pid) - before
-        used[address] = spent / (time.perf_counter() - startTime), spent / (count * 4)
+        used[address] = spent / (time.perf_counter() - start_time), spent / (count * 4)
         client.close()
-    idleShare = used[replica][0]
-    busySeconds = used[edge][1] - idleShare * medians[edge] / 1000
-    return medians[replica], medians[edge], round(busySeconds * 100, 3)
+    idle_share = used[replica][0]
+    busy_seconds = used[edge][1] - idle_share * medians[edge] / 1000
+    return medians[replica], medians[edge], round(busy_seconds * 100, 3)
 
 
 def cpu_seconds(pid):
@@ -73,7 +73,7 @@
         through = timed(
             lambda: callers.ask(edge, "GET", "/v1/tiles/tiles/1/1/1")[0] == 200, count)
 
-        keptDirect, keptThrough, share = kept_calls(fleet, incarnation, count)
+        kept_direct, kept_through, share = kept_calls(fleet, incarnation, count)
 
         def stream():
             callers.stream_call(
@@ -81,11 +81,11 @@
             return True
 
         timed(stream, count // 4)
-        firsts = statistics.median(record.firstPieces) * 1000
+        firsts = statistics.median(record.first_pieces) * 1000
         click.echo(json.dumps({
             "tile_direct_ms": direct, "tile_through_edge_ms": through,
-            "ratio": round(through / direct, 2), "kept_direct_ms": keptDirect,
-            "kept_through_edge_ms": keptThrough, "kept_ratio": round(keptThrough / keptDirect, 2),
+            "ratio": round(through / direct, 2), "kept_direct_ms": kept_direct,
+            "kept_through_edge_ms": kept_through, "kept_ratio": round(kept_through / kept_direct, 2),
             "core_share_per_100_tiles_a_second": share, "first_piece_ms": round(firsts, 2),
             "stand_in_first_piece_ms": 9,
         }))
--- a/proving/points.py
+++ b/proving/points.py
@@ -35,29 +35,29 @@
 
 def run_point(job):
     """Run one scenario under one seed, as it is and with its guard taken out."""
-    number, seed, isBothWays = job
+    number, seed, is_both_ways = job
     text, scenario, guards = POINTS[number]
-    startTime = time.perf_counter()
+    start_time = time.perf_counter()
     try:
         violations, figures = scenario(seed)
     except Exception as error:
         violations, figures = [f"failure: {error!r}"], {}
-    foundWithout = None
-    if guards and isBothWays:
-        foundWithout = len(without(guards, lambda: scenario(seed))[0])
+    found_without = None
+    if guards and is_both_ways:
+        found_without = len(without(guards, lambda: scenario(seed))[0])
     return {
         "point": text, "scenario": scenario.__name__, "seed": seed, "violations": violations,
-        "without_guard": foundWithout, "figures": figures,
-        "seconds": round(time.perf_counter() - startTime, 1),
+        "without_guard": found_without, "figures": figures,
+        "seconds": round(time.perf_counter() - start_time, 1),
     }
 
 
 def tell_many(rows):
     """Print a line a scenario: seeds that failed, and seeds that can't fail without the guard."""
-    byName = {}
+    by_name = {}
     for row in rows:
-        byName.setdefault(row["scenario"], []).append(row)
-    for name, some in sorted(byName.items()):
+        by_name.setdefault(row["scenario"], []).append(row)
+    for name, some in sorted(by_name.items()):
         failed = sorted(row["seed"] for row in some if row["violations"])
         toothless = sorted(row["seed"] for row in some if row["without_guard"] == 0)
         click.echo(json.dumps({
--- a/proving/points_base.py
+++ b/proving/points_base.py
@@ -17,7 +17,7 @@
 class Stage:
     """A small founded fleet with callers and monitor, at second 8 of its life."""
 
-    def __init__(self, seed, deployment="ferrowa", sizes=SMALL, readyAt=8, versions=None):
+    def __init__(self, seed, deployment="ferrowa", sizes=SMALL, ready_at=8, versions=None):
         self.sim = SimFleet(deployment, seed, sizes)
         layout = self.sim.layout
         self.sim.layout = {
@@ -31,7 +31,7 @@
         self.env.process(self.sim.found())
         self.monitor = Monitor(self.sim)
         self.callers = SimCallers(self.sim)
-        self.env.run(until=readyAt)
+        self.env.run(until=ready_at)
 
     def run(self, seconds):
         """Let time pass."""
--- a/proving/points_cuts.py
+++ b/proving/points_cuts.py
@@ -16,7 +16,7 @@
 def traffic(stage, seconds):
     """Let every kind of inquiry run for some seconds; return the outcomes of that time."""
     before = stage.outcomes()
-    stage.callers.stopAt = stage.env.now + seconds
+    stage.callers.stop_at = stage.env.now + seconds
     callers = stage.callers
     stage.start(callers.generate(6, callers.stream, "wayfinding", "short", 10))
     stage.start(callers.generate(1, callers.lot, "gate-notices", 3, 0.0))
@@ -63,8 +63,8 @@
 
 def one_hop(self, target, origin):
     """Stand-in for the guard: of several bridges always the first one relays."""
-    knownRoute = self.routes.get(target)
-    return knownRoute[1][0] if knownRoute else None
+    known_route = self.routes.get(target)
+    return known_route[1][0] if known_route else None
 
 
 def cut_without_bridge(seed):
@@ -80,10 +80,10 @@
     for side, names in (("minority", minority[:2]), ("majority", ["edge-3", "edge-4"])):
         for number in range(20):
             stage.only_edge(names[number % 2])
-            startTime = stage.env.now
+            start_time = stage.env.now
             stage.finish(stage.start(stage.callers.stream("wayfinding", side, 8)))
-            if side == "minority" and stage.env.now - startTime > 0.1:
-                slow.append(round(stage.env.now - startTime, 3))
+            if side == "minority" and stage.env.now - start_time > 0.1:
+                slow.append(round(stage.env.now - start_time, 3))
     outcomes = stage.outcomes()
     if outcomes.get("minority/refused") != 20 or slow:
         stage.sim.history.violate(f"no honest refusal at once: {outcomes}, slow {slow}")
@@ -103,7 +103,7 @@
     stage.sim.heal()
     stage.sim.start("store-2")
     stage.sim.start("core-2")
-    healedAt, goodAt, inARow = stage.env.now, None, 0
+    healed_at, good_at, in_arow = stage.env.now, None, 0
     for _ in range(120):
         stage.run(0.1)
         done = sum(n for name, n in stage.outcomes().items() if name in (
@@ -113,15 +113,15 @@
         stage.finish(lot, 3)
         good = sum(n for name, n in stage.outcomes().items() if name in (
             "probe/complete", "lot/ended")) - done
-        inARow = inARow + 1 if good >= 2 else 0
-        if inARow == 4:
-            goodAt = stage.env.now
-        if goodAt is not None or stage.env.now > healedAt + 20:
+        in_arow = in_arow + 1 if good >= 2 else 0
+        if in_arow == 4:
+            good_at = stage.env.now
+        if good_at is not None or stage.env.now > healed_at + 20:
             break
-    backAfter = None if goodAt is None else round(goodAt - healedAt, 2)
-    if backAfter is None or backAfter > 12 + 4:
-        stage.sim.history.violate(f"service is not back: {backAfter}")
-    return stage.sim.history.violations, {"four_good_rounds_after_s": backAfter}
+    back_after = None if good_at is None else round(good_at - healed_at, 2)
+    if back_after is None or back_after > 12 + 4:
+        stage.sim.history.violate(f"service is not back: {back_after}")
+    return stage.sim.history.violations, {"four_good_rounds_after_s": back_after}
 
 
 def hinted_handoff(seed):
@@ -153,7 +153,7 @@
         stage.finish(task, 60)
     accepted = stage.sim.history.counts.get("accepted_lots", 0)
     for name in stage.sim.names("store"):
-        stage.sim.kill(name, losesPower=True)
+        stage.sim.kill(name, loses_power=True)
     for disk in stage.sim.disks.values():
         disk.is_full = False
     for name in stage.sim.names("store"):
@@ -195,10 +195,10 @@
 
 def undecided_room(seed):
     """The same, but every core dies just before the travellers come, and is back 2 s later."""
-    return borrowed_room(seed, killsCores=True)
+    return borrowed_room(seed, kills_cores=True)
 
 
-def borrowed_room(seed, killsCores=False):
+def borrowed_room(seed, kills_cores=False):
     """Overnight streams fill all idle room; then travellers come and want theirs back."""
     stage = Stage(seed)
     stage.only_edge("edge-1")
@@ -207,15 +207,15 @@
             stage.start(stage.callers.stream("tagging", "long", 200))
         stage.run(2)
         used = sum(r.logic.busy for r in stage.sim.replicas.values())
-        stage.callers.record.firstPieces.clear()
-        lostCores = stage.sim.names("core") if killsCores else ()
-        for name in lostCores:
+        stage.callers.record.first_pieces.clear()
+        lost_cores = stage.sim.names("core") if kills_cores else ()
+        for name in lost_cores:
             stage.sim.kill(name)
         for _ in range(8):
             stage.start(stage.callers.stream("wayfinding", "short", 10))
         stage.run(2)
-        firsts = sorted(stage.callers.record.firstPieces)
-        for name in lostCores:
+        firsts = sorted(stage.callers.record.first_pieces)
+        for name in lost_cores:
             stage.sim.start(name)
         stage.run(70)
     outcomes = stage.outcomes()
--- a/proving/points_domains.py
+++ b/proving/points_domains.py
@@ -26,15 +26,15 @@
     answer, _ = adopt(stage, "core-1", {"domains": {domain: {"emptied": True}}})
     if not answer:
         stage.sim.history.violate("the emptying was not accepted")
-    acceptedAt = stage.env.now
+    accepted_at = stage.env.now
     inside = [n for n in stage.sim.nodes.values() if n.me.domain == domain]
     stage.run(5)
     taken = []
     with mock.patch.object(backends, "PIECE_SECONDS", 0.1), _note_takings(domain, taken):
         for _ in range(50):
             stage.run(0.1)
-            _check_emptied(stage, inside, acceptedAt)
-    callers.stopAt = stage.env.now
+            _check_emptied(stage, inside, accepted_at)
+    callers.stop_at = stage.env.now
     stage.run(25)
     outcomes = stage.outcomes()
     if outcomes.get("lot/ended", 0) != stage.sim.history.counts.get("accepted_lots"):
@@ -46,34 +46,34 @@
 @contextmanager
 def _note_takings(domain, taken):
     """Note every new holding of a stream and every start of an item inside from now on."""
-    realHold, realRun = Journal.hold, LotRunner._run_item
+    real_hold, real_run = Journal.hold, LotRunner._run_item
 
     def hold(self, body):
         if self.node.me.domain == domain and body["stream"] not in self.streams:
             taken.append(f"{self.node.me.name} became a holder")
-        return realHold(self, body)
+        return real_hold(self, body)
 
     def run_item(self, *words):
         if self.node.me.domain == domain:
             taken.append(f"{self.node.me.name} started an item")
-        return realRun(self, *words)
+        return real_run(self, *words)
 
     with mock.patch.object(Journal, "hold", hold), mock.patch.object(
             LotRunner, "_run_item", run_item):
         yield
 
 
-def _check_emptied(stage, inside, acceptedAt):
+def _check_emptied(stage, inside, accepted_at):
     for node in inside:
         if node.me.role == "edge":
             try:
                 check_admission(node)
-                stage.sim.history.violate(f"{node.me.name} takes work, emptied at {acceptedAt}")
+                stage.sim.history.violate(f"{node.me.name} takes work, emptied at {accepted_at}")
             except Trouble:
                 pass
         owned = [p for p, owner in node.find("duty").owners.items() if owner.is_owner]
         if owned:
-            stage.sim.history.violate(f"{node.me.name} owns {owned}, emptied at {acceptedAt}")
+            stage.sim.history.violate(f"{node.me.name} owns {owned}, emptied at {accepted_at}")
 
 
 def lost_domain(seed):
@@ -87,7 +87,7 @@
     stage.run(chance.uniform(0.4, 1.5))
     for node in list(stage.sim.nodes.values()):
         if node.me.domain == domain:
-            stage.sim.kill(node.me.name, losesPower=True)
+            stage.sim.kill(node.me.name, loses_power=True)
     for replica in stage.sim.replicas.values():
         if replica.row["domain"] == domain:
             replica.kill()
--- a/proving/points_failures.py
+++ b/proving/points_failures.py
@@ -26,25 +26,25 @@
         stage.start(stage.callers.generate(1, stage.callers.lot, "gate-notices", 3, 0.3))
         stage.run(1.5)
         name = chance.choice(sim.names(role))
-        ownerName = stage.node("edge-1").find("gossip").get("owner/part-1")["owner"]
-        name = ownerName if role == "core" else name
+        owner_name = stage.node("edge-1").find("gossip").get("owner/part-1")["owner"]
+        name = owner_name if role == "core" else name
         domain = chance.choice([d for d in ("north", "east") if d != sim.rows[name]["domain"]])
-        frozenSeconds = chance.uniform(5.5, 7.5)
-        sim.freeze(name, frozenSeconds)
+        frozen_seconds = chance.uniform(5.5, 7.5)
+        sim.freeze(name, frozen_seconds)
         if role == "edge":
-            sim.env.timeout(frozenSeconds - 0.001).callbacks.append(
+            sim.env.timeout(frozen_seconds - 0.001).callbacks.append(
                 lambda _: stage.node(name).world.held.clear())
         else:
-            for other in {ownerName, "edge-1"} - {name}:
-                sim.freeze(other, frozenSeconds)
-            stage.start(_lots_at_once(stage, frozenSeconds + 0.01))
+            for other in {owner_name, "edge-1"} - {name}:
+                sim.freeze(other, frozen_seconds)
+            stage.start(_lots_at_once(stage, frozen_seconds + 0.01))
         stage.run(0.3)
-        others = [n for n in sim.names("core") if n not in (name, ownerName)]
+        others = [n for n in sim.names("core") if n not in (name, owner_name)]
         answer, _ = adopt(stage, others[0], {"domains": {domain: {"emptied": True}}})
         if answer:
             sim.history.emptied[domain] = stage.env.now
         stage.run(12)
-        stage.callers.stopAt = stage.env.now
+        stage.callers.stop_at = stage.env.now
         stage.run(15)
         outcomes, accepted = stage.outcomes(), sim.history.counts.get("accepted_lots", 0)
         ended = outcomes.get("lot/ended", 0) + outcomes.get("lot/cancelled", 0)
@@ -73,9 +73,9 @@
         stage.start(stage.callers.stream("once", "once", 40, True))
     stage.run(stage.sim.chance.uniform(0.2, 0.8))
     replica = stage.sim.replicas[f"words-{stage.sim.chance.randrange(1, 5)}"]
-    replica.isFrozen = True
+    replica.is_frozen = True
     stage.run(4)
-    replica.isFrozen = False
+    replica.is_frozen = False
     stage.run(40)
     outcomes = stage.outcomes()
     if outcomes.get("short/complete", 0) != 10:
@@ -101,14 +101,14 @@
     stage.run(12)
     answer, trouble = adopt(stage, "core-1", {"stores": {name: {"retired": True}}})
     stage.run(12)
-    callers.stopAt = stage.env.now
+    callers.stop_at = stage.env.now
     stage.run(15)
     duty, live = stage.node("edge-1").find("duty"), {
         n.find("acceptors").identity for n in sim.up_nodes("store")}
     for part in duty.parts():
         stores = duty.group(part)
-        isSound = len(stores) == 3 and {s[1] for s in stores} <= live
-        if not isSound or name in [s[0] for s in stores]:
+        is_sound = len(stores) == 3 and {s[1] for s in stores} <= live
+        if not is_sound or name in [s[0] for s in stores]:
             sim.history.violate(f"{part} has the group {stores}")
     outcomes, accepted = stage.outcomes(), sim.history.counts.get("accepted_lots", 0)
     if outcomes.get("lot/ended", 0) != accepted or not answer:
@@ -124,14 +124,14 @@
         before = sim.history.counts.get("accepted_lots", 0)
         group = [s[0] for s in stage.node("edge-1").find("duty").group("part-1")]
         names = sim.chance.sample(group, 2)
-        (slowName,) = set(group) - set(names)
-        sim.freeze(slowName, 1.2)
+        (slow_name,) = set(group) - set(names)
+        sim.freeze(slow_name, 1.2)
         stage.start(stage.callers.lot("gate-notices", 4, 0.0))
         while sim.history.counts.get("accepted_lots", 0) == before:
             stage.env.step()
-        stage.node(slowName).world.held.clear()
+        stage.node(slow_name).world.held.clear()
         for name in names:
-            sim.kill(name, losesPower=True)
+            sim.kill(name, loses_power=True)
         stage.run(sim.chance.uniform(0.2, 3))
         for name in names:
             sim.start(name)
--- a/proving/points_fleet.py
+++ b/proving/points_fleet.py
@@ -22,15 +22,15 @@
     stage.run(2.5)
     for number, name in enumerate(("store-1", "core-1", "core-2")):
         stage.sim.rows[name]["address"] = f"127.0.41.{240 + number}:7400"
-    newSeeds = [stage.sim.rows[name]["address"] for name in ("core-1", "core-2")]
+    new_seeds = [stage.sim.rows[name]["address"] for name in ("core-1", "core-2")]
     stage.sim.rows["core-1"]["seeds"] = [stage.sim.rows["edge-2"]["address"]]
-    stage.sim.rows["core-2"]["seeds"] = newSeeds[:1]
-    stage.sim.rows["store-1"]["seeds"] = newSeeds
+    stage.sim.rows["core-2"]["seeds"] = new_seeds[:1]
+    stage.sim.rows["store-1"]["seeds"] = new_seeds
     for name in ("core-1", "core-2", "store-1"):
         stage.sim.start(name)
     stage.run(3)
     stage.sim.kill("edge-1")
-    stage.sim.rows["edge-1"]["seeds"] = newSeeds
+    stage.sim.rows["edge-1"]["seeds"] = new_seeds
     stage.sim.start("edge-1")
     stage.run(12)
     stage.only_edge("edge-1")
@@ -85,11 +85,11 @@
     for _ in range(300):
         stage.start(stage.callers.lot("gate-notices", 3, 0.0))
     stage.run(1)
-    stage.callers.record.firstPieces.clear()
+    stage.callers.record.first_pieces.clear()
     for _ in range(20):
-        stage.start(stage.callers.stream("wayfinding", "urgent", 8, dropAfter=1 << 30))
+        stage.start(stage.callers.stream("wayfinding", "urgent", 8, drop_after=1 << 30))
         stage.run(0.25)
-    firsts = sorted(stage.callers.record.firstPieces)
+    firsts = sorted(stage.callers.record.first_pieces)
     stage.run(90)
     outcomes = stage.outcomes()
     accepted = stage.sim.history.counts.get("accepted_lots", 0)
@@ -106,7 +106,7 @@
     REAL_WAITER(self, {**promise, "urgency": 5}, *words)
 
 
-def no_limit(self, service, className):
+def no_limit(self, service, class_name):
     """Stand-in for the guard: no class has a limit."""
     return None
 
--- a/proving/points_keeping.py
+++ b/proving/points_keeping.py
@@ -90,9 +90,9 @@
     callers = stage.callers
     with mock.patch.object(journal, "KEPT_WEIGHT", 9_000):
         for _ in range(8):
-            stage.start(callers.stream("tagging", "long", 400, dropAfter=60))
+            stage.start(callers.stream("tagging", "long", 400, drop_after=60))
         for _ in range(60):
-            stage.start(callers.stream("wayfinding", "short", 30, dropAfter=1 << 30))
+            stage.start(callers.stream("wayfinding", "short", 30, drop_after=1 << 30))
             stage.run(0.25)
         stage.run(40)
     outcomes = stage.outcomes()
@@ -130,7 +130,7 @@
     sim = stage.sim
     stage.only_edge("edge-1")
     for _ in range(16):
-        stage.start(stage.callers.stream("wayfinding", "short", 200, dropAfter=1 << 30))
+        stage.start(stage.callers.stream("wayfinding", "short", 200, drop_after=1 << 30))
     stage.run(sim.chance.uniform(0.5, 1))
     for node in sim.up_nodes("edge") + sim.up_nodes("core"):
         if node.me.domain != sim.rows["edge-1"]["domain"]:
@@ -148,7 +148,7 @@
 def drop_oldest(self):
     """Stand-in for the guard: room is made by dropping the oldest, under way or not."""
     while self._is_full() and self.streams:
-        self.forget(min(self.streams.values(), key=lambda s: (s.ended, s.touchedAt)))
+        self.forget(min(self.streams.values(), key=lambda s: (s.ended, s.touched_at)))
 
 
 POINTS = [
--- a/proving/points_lots.py
+++ b/proving/points_lots.py
@@ -20,7 +20,7 @@
     while not stage.sim.history.counts.get("accepted_lots"):
         stage.env.step()
     for name in stage.sim.names("store"):
-        stage.sim.kill(name, losesPower=True)
+        stage.sim.kill(name, loses_power=True)
     stage.run(2)
     for name in stage.sim.names("store"):
         stage.sim.start(name)
@@ -35,11 +35,11 @@
     """Two stores are slow; a lot is accepted; the third one's domain and disk are lost for good."""
     stage = Stage(seed)
     group = stage.node("core-1").find("duty").group("part-1")
-    lostStore, *slowStores = [store[0] for store in group]
-    domain = stage.node(lostStore).me.domain
+    lost_store, *slow_stores = [store[0] for store in group]
+    domain = stage.node(lost_store).me.domain
     stage.callers.edge = lambda: next(
         n for n in stage.sim.up_nodes("edge") if n.me.domain != domain)
-    for name in slowStores:
+    for name in slow_stores:
         stage.sim.freeze(name, 1.2)
     for _ in range(4):
         stage.start(stage.callers.lot("gate-notices", 4, 0.0))
@@ -47,10 +47,10 @@
         stage.env.step()
     for node in list(stage.sim.nodes.values()):
         if node.me.domain == domain:
-            stage.sim.kill(node.me.name, losesPower=True)
-    stage.sim.disks[lostStore].lose_all()
+            stage.sim.kill(node.me.name, loses_power=True)
+    stage.sim.disks[lost_store].lose_all()
     for node in stage.sim.nodes.values():
-        if node.me.name in slowStores:
+        if node.me.name in slow_stores:
             node.world.held.clear()
     stage.run(40)
     outcomes = stage.outcomes()
@@ -62,10 +62,10 @@
 def two_owners(seed):
     """A part's owner and an edge freeze; another owner takes over; both wake, lots come in."""
     stage = Stage(seed)
-    ownerName = stage.node("core-1").find("gossip").get("owner/part-1")["owner"]
+    owner_name = stage.node("core-1").find("gossip").get("owner/part-1")["owner"]
     stage.start(stage.callers.lot("gate-notices", 6, 0.0))
     stage.run(0.3)
-    for name in (ownerName, "edge-1"):
+    for name in (owner_name, "edge-1"):
         stage.sim.freeze(name, 6)
     stage.only_edge("edge-2")
     stage.start(stage.callers.lot("gate-notices", 6, 0.0))
@@ -88,9 +88,9 @@
     """Two runs of an item differ; the second result comes in after the first was read."""
     stage = Stage(seed)
     for replica in stage.sim.replicas.values():
-        replica.isNoisy = replica.row["service"] == "words"
-    realViolate, first = stage.sim.history.violate, {}
-    stage.sim.history.violate = lambda text: "wrong result" in text or realViolate(text)
+        replica.is_noisy = replica.row["service"] == "words"
+    real_violate, first = stage.sim.history.violate, {}
+    stage.sim.history.violate = lambda text: "wrong result" in text or real_violate(text)
     for _ in range(4):
         stage.start(stage.callers.lot("gate-notices", 4, 0.0))
     for _ in range(40):
@@ -98,7 +98,7 @@
         for name, known in stage.callers.lots.items():
             for number, text in known["seen"].items():
                 if first.setdefault((name, number), text) != text:
-                    realViolate(f"result {number} of {name} changed")
+                    real_violate(f"result {number} of {name} changed")
             core = stage.node("core-1")
             command = {"do": "lot.result", "lot": name, "n": 0, "result": {"text": "late"}}
             script = core.find("duty").submit(name.partition(".")[0], command)
@@ -134,13 +134,13 @@
         for task in cancels:
             stage.finish(task, 20)
         stage.run(30)
-    ended = len(stage.sim.history.endedAt)
+    ended = len(stage.sim.history.ended_at)
     if not ended:
         stage.sim.history.violate("no lot was cancelled")
     return stage.sim.history.violations, {**stage.outcomes(), "items_ended": ended}
 
 
-def tell_nobody(self, lotName, entryName):
+def tell_nobody(self, lot_name, entry_name):
     """Stand-in for the guard: no replica is told to stop."""
     return
     yield
@@ -155,8 +155,8 @@
 
 def unfenced(self, body):
     """Stand-in for the guard: any ballot and any identity will do."""
-    partRecord = self.parts.get(body["part"]) or acceptor.PartRecord()
-    return partRecord, tuple(body["ballot"])
+    part_record = self.parts.get(body["part"]) or acceptor.PartRecord()
+    return part_record, tuple(body["ballot"])
 
 
 def overwrite_result(state, command):
--- a/proving/points_reading.py
+++ b/proving/points_reading.py
@@ -21,11 +21,11 @@
 
     def reader(lot, sender):
         while True:
-            node, startTime = chance.choice(sim.up_nodes("edge")), sim.env.now
+            node, start_time = chance.choice(sim.up_nodes("edge")), sim.env.now
             written = _written(stage, lot)
             inquiry = stage.inquiry("GET", {"lot": lot}, {}, None, sender)
             answer, trouble = yield from sim.run_script(node, show_results(node, inquiry))
-            seconds = sim.env.now - startTime
+            seconds = sim.env.now - start_time
             reads.append(seconds)
             if not answer or seconds > sim.bounds.reading:
                 late.append(f"{lot} after {seconds:.2f} s: {trouble}")
@@ -76,12 +76,12 @@
     plan = stage.finish(stage.start(
         asked(propose, "POST", {}, {"kind": "empty_domain", "target": domain})))
     name = plan["plan"]
-    ownerName = stage.node("edge-1").find("gossip").get(f"owner/{CONFIG}")["owner"]
+    owner_name = stage.node("edge-1").find("gossip").get(f"owner/{CONFIG}")["owner"]
     stage.finish(stage.start(asked(confirm, "POST", {"plan": name}, {
         "accept": ["less_room"], "id": "operator"})))
     stage.run(stage.sim.chance.uniform(0, 1))
-    stage.sim.kill(ownerName)
-    stage.callers.stopAt = stage.env.now + 3
+    stage.sim.kill(owner_name)
+    stage.callers.stop_at = stage.env.now + 3
     stage.run(20)
     seen = stage.finish(stage.start(asked(show_one, "GET", {"plan": name}, None)))
     version = stage.node("edge-1").find("layout").version
@@ -104,15 +104,15 @@
         if not answer:
             stage.sim.history.violate(f"change {number} was refused: {trouble}")
             break
-        version, acceptedAt = answer["version"], stage.env.now
+        version, accepted_at = answer["version"], stage.env.now
         while any(n.find("layout").version < version for n in stage.sim.nodes.values()):
             stage.run(0.02)
-            if stage.env.now - acceptedAt > 2:
+            if stage.env.now - accepted_at > 2:
                 behind = [n.me.name for n in stage.sim.nodes.values()
                           if n.find("layout").version < version]
                 stage.sim.history.violate(f"{behind} lack layout {version} after 2 s")
                 break
-        slow.append(stage.env.now - acceptedAt)
+        slow.append(stage.env.now - accepted_at)
     outcomes = stage.outcomes()
     if set(outcomes) - {"short/complete"}:
         stage.sim.history.violate(f"traffic suffered: {outcomes}")
--- a/proving/points_resume.py
+++ b/proving/points_resume.py
@@ -15,10 +15,10 @@
 from quillring.lots.front import cancel_lot, show_lot, show_results
 
 
-def open_stream(stage, edge, entry, sender, maxPieces=100):
+def open_stream(stage, edge, entry, sender, max_pieces=100):
     """Open a model inquiry at an edge; return the connection and its head line."""
     prompt = f"{entry} {sender}"
-    body = {"entry": entry, "prompt": prompt, "max_pieces": maxPieces}
+    body = {"entry": entry, "prompt": prompt, "max_pieces": max_pieces}
     node = stage.node(edge)
     connection = Connection(
         stage.sim, node, serve_model(node, Inquiry("POST", {}, {}, body, sender)))
@@ -82,12 +82,12 @@
     chance = stage.sim.chance
     place = chance.randrange(len(head["resume"]) - 2)
     swapped = "A" if head["resume"][place] != "A" else "B"
-    forgedBody = cbor2.dumps([stream.name, [1, "edge-1"], 1 << 40])
+    forged_body = cbor2.dumps([stream.name, [1, "edge-1"], 1 << 40])
     tokens = {
         "one letter changed": (
             head["resume"][:place] + swapped + head["resume"][place + 1:], "ann"),
         "made by a stranger": (
-            base64.urlsafe_b64encode(b"\0" * 16 + forgedBody).decode().rstrip("="), "ann"),
+            base64.urlsafe_b64encode(b"\0" * 16 + forged_body).decode().rstrip("="), "ann"),
         "another sender": (head["resume"], "bob"),
         "no sender": (head["resume"], ""),
         "expired": (make_token(secret, stream, node.world.wall() - LIFE_SECONDS - 1), "ann"),
@@ -128,10 +128,10 @@
     """Stand-in for the guard: neither signature nor time are looked at."""
     try:
         body = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))[16:]
-        name, servedRound, _ = cbor2.loads(body)
+        name, served_round, _ = cbor2.loads(body)
     except (ValueError, TypeError, cbor2.CBORError) as error:
         raise Trouble() from error
-    return name, tuple(servedRound)
+    return name, tuple(served_round)
 
 
 def find_any_lot(state, query):
--- a/proving/points_serving.py
+++ b/proving/points_serving.py
@@ -27,7 +27,7 @@
         replica.logic.busy = replica.logic.slots
     edge = stage.node("edge-1")
     for replica in edge.find("replicas").table.values():
-        replica.inFlight = replica.slots
+        replica.in_flight = replica.slots
     told = []
     for _ in range(3):
         told.append(stage.start(stage.callers.stream("once", "once", 8, True)))
@@ -38,7 +38,7 @@
     for replica in stage.sim.replicas.values():
         replica.logic.busy = 0
     for replica in edge.find("replicas").table.values():
-        replica.inFlight = 0
+        replica.in_flight = 0
     stage.run(20)
     return stage.sim.history.violations, stage.outcomes()
 
@@ -78,14 +78,14 @@
     """A crowd arrives all at once: bounded queues, refusals at once, urgent ones served."""
     stage = Stage(seed)
     stage.only_edge("edge-1")
-    env, refusalTimes, waiting = stage.env, [], []
+    env, refusal_times, waiting = stage.env, [], []
 
     def caller(entry, kind):
-        startTime = env.now
+        start_time = env.now
         before = stage.callers.record.outcomes.get((kind, "refused"), 0)
         yield from stage.callers.stream(entry, kind, 12)
         if stage.callers.record.outcomes.get((kind, "refused"), 0) > before:
-            refusalTimes.append(env.now - startTime)
+            refusal_times.append(env.now - start_time)
 
     for _ in range(400):
         stage.start(caller("gate-notices", "crowd"))
@@ -101,7 +101,7 @@
     outcomes = stage.outcomes()
     if outcomes.get("urgent/complete", 0) < 20:
         stage.sim.history.violate(f"urgent ones lost: {outcomes}")
-    early = sorted(refusalTimes)[:100]
+    early = sorted(refusal_times)[:100]
     return stage.sim.history.violations, {
         **outcomes, "most_waiting": max(waiting),
         "refusal_median_ms": round(1000 * early[len(early) // 2], 1) if early else None,
@@ -127,16 +127,16 @@
 REAL_ACQUIRE = dispatch.Dispatch.acquire
 
 
-def rerun_round(node, stream, sending, endTime, avoidedNames):
+def rerun_round(node, stream, sending, end_time, avoided_names):
     """Stand-in for the guard: work that may not repeat is tried elsewhere all the same."""
     layout = node.find("layout")
-    realEntry = layout.entry
-    entry, service, promise = realEntry(stream.inquiry["entry"])
+    real_entry = layout.entry
+    entry, service, promise = real_entry(stream.inquiry["entry"])
     patched = (entry, service, {**promise, "resumable": True, "repeatable": True})
     holder = type("Image", (), {"entry": staticmethod(lambda name: patched)})
     node.services["layout"], kept = _Facade(layout, holder), layout
     try:
-        yield from REAL_ROUND(node, stream, sending, endTime, avoidedNames)
+        yield from REAL_ROUND(node, stream, sending, end_time, avoided_names)
     finally:
         node.services["layout"] = kept
 
--- a/proving/points_starts.py
+++ b/proving/points_starts.py
@@ -36,14 +36,14 @@
     """A fleet of the former version is upgraded one by one under traffic; a strange one knocks."""
     stage = Stage(seed, versions=FORMER)
     sim, callers = stage.sim, stage.callers
-    wrongFleet = {"name": "edge-9", "role": "edge", "domain": "west",
+    wrong_fleet = {"name": "edge-9", "role": "edge", "domain": "west",
                   "address": "127.0.41.99:7400", "seeds": [sim.rows["core-1"]["address"]]}
-    sim.rows["edge-9"], sim.versions["edge-9"] = wrongFleet, STRANGE
-    realEdge = callers.edge
+    sim.rows["edge-9"], sim.versions["edge-9"] = wrong_fleet, STRANGE
+    real_edge = callers.edge
 
     def ready_edge():
         while True:
-            node = realEdge()
+            node = real_edge()
             if not node.is_draining and node.me.name != "edge-9":
                 return node
 
@@ -63,7 +63,7 @@
         sim.versions[name] = SPOKEN
         sim.start(name)
         stage.run(3.5)
-    callers.stopAt = stage.env.now
+    callers.stop_at = stage.env.now
     stage.run(20)
     outcomes = stage.outcomes()
     after = {stage.node(n).find("nifty").level() for n in order}
--- a/proving/points_state.py
+++ b/proving/points_state.py
@@ -9,12 +9,12 @@
 from quillring.rollout.freshness import Freshness
 
 
-def adopt(stage, nodeName, change, base=None, seconds=20):
+def adopt(stage, node_name, change, base=None, seconds=20):
     """An operator changes the layout at a node; return (answer, trouble)."""
-    node = stage.node(nodeName)
+    node = stage.node(node_name)
     version = node.find("layout").version if base is None else base
     command = {
-        "do": "layout.adopt", "id": f"op {nodeName} {stage.env.now}", "whole": False,
+        "do": "layout.adopt", "id": f"op {node_name} {stage.env.now}", "whole": False,
         "base_version": version, "change": change,
     }
     script = node.find("duty").submit(CONFIG, command)
@@ -51,12 +51,12 @@
     stage.sim.cut(["edge-1", "store-1"], names_but(stage, "edge-1", "store-1"))
     stage.sim.freeze("edge-2", 5)
     adopt(stage, "core-1", change)
-    takenAfter = []
-    startTime = stage.env.now
+    taken_after = []
+    start_time = stage.env.now
     for _ in range(40):
         stage.run(0.05)
-        if stage.node("edge-3").find("layout").version == 2 and not takenAfter:
-            takenAfter.append(round(stage.env.now - startTime, 3))
+        if stage.node("edge-3").find("layout").version == 2 and not taken_after:
+            taken_after.append(round(stage.env.now - start_time, 3))
     stage.sim.kill("edge-1")
     stage.sim.start("edge-1")
     stage.run(6)
@@ -65,7 +65,7 @@
     versions = {n: stage.node(n).find("layout").version for n in stage.sim.names("edge")}
     if set(versions.values()) != {2}:
         stage.sim.history.violate(f"versions in the end: {versions}")
-    return stage.sim.history.violations, {"seen_after_s": takenAfter}
+    return stage.sim.history.violations, {"seen_after_s": taken_after}
 
 
 def racing_operators(seed):
@@ -98,11 +98,11 @@
     stage = Stage(seed)
     broken = []
     stage.start(stage.callers.generate(8, stage.callers.stream, "wayfinding", "short", 30))
-    realEdge = stage.callers.edge
+    real_edge = stage.callers.edge
 
     def ready_edge():
         while True:
-            node = realEdge()
+            node = real_edge()
             if not node.is_draining:
                 return node
 
@@ -115,7 +115,7 @@
         stage.sim.kill(name)
         stage.sim.start(name)
         stage.run(2.5)
-    stage.callers.stopAt = stage.env.now
+    stage.callers.stop_at = stage.env.now
     stage.run(10)
     if any(broken):
         stage.sim.history.violate(f"planned restarts cut {broken} inquiries under way")
--- a/proving/points_streams.py
+++ b/proving/points_streams.py
@@ -17,7 +17,7 @@
     stage = Stage(seed)
     for number, replica in enumerate(r for r in stage.sim.replicas.values()
                                      if r.row["service"] == "words"):
-        replica.mixesUp, replica.breaksOff = number % 2 == 0, number == 1
+        replica.mixes_up, replica.breaks_off = number % 2 == 0, number == 1
     for _ in range(30):
         stage.start(stage.callers.stream("wayfinding", "short"))
         stage.run(0.2)
@@ -67,7 +67,7 @@
     stage = Stage(seed)
     with mock.patch.object(callers.Connection, "_take", half_open_take):
         stage.only_edge("edge-1")
-        stage.start(stage.callers.stream("wayfinding", "short", 200, dropAfter=10))
+        stage.start(stage.callers.stream("wayfinding", "short", 200, drop_after=10))
         stage.run(0.6)
         stage.only_edge("edge-2")
         stage.run(2.5)
@@ -84,7 +84,7 @@
     Two days: on about one of six, the last edge's holder has the longest copy, so that nothing
     can go wrong even without the guard.
     """
-    outcomes = [stale_holder_day(daySeed) for daySeed in (seed, seed + 1)]
+    outcomes = [stale_holder_day(day_seed) for day_seed in (seed, seed + 1)]
     violations = [violation for found, _ in outcomes for violation in found]
     return violations, {f"day {n}": figures for n, (_, figures) in enumerate(outcomes)}
 
@@ -97,21 +97,21 @@
     """
     stage = Stage(seed)
     for replica in stage.sim.replicas.values():
-        replica.isNoisy = replica.row["service"] == "words"
+        replica.is_noisy = replica.row["service"] == "words"
     stage.callers.record.violate = lambda text: None
     answers = []
-    realTake = Answer.take
+    real_take = Answer.take
 
     def take(answer, line, record):
         if answer not in answers:
             answers.append(answer)
-        return realTake(answer, line, record)
+        return real_take(answer, line, record)
 
     with mock.patch.object(Answer, "take", take), mock.patch.object(
             callers.Connection, "_take", half_open_take):
         stage.only_edge("edge-1")
         for _ in range(STREAMS_CUT):
-            stage.start(stage.callers.stream("wayfinding", "short", 300, dropAfter=10))
+            stage.start(stage.callers.stream("wayfinding", "short", 300, drop_after=10))
         stage.run(0.55)
         stage.sim.cut(["edge-1", "edge-3"], [
             n for n in stage.sim.nodes if n not in ("edge-1", "edge-3")])
@@ -134,15 +134,15 @@
 
 def half_open_take(connection, line):
     """Stand-in for a connection whose other end left without a word."""
-    if connection.isOpen:
+    if connection.is_open:
         connection.lines.append(line)
         connection.signal.set()
     return True
 
 
-def local_keep(self, stream, newPieces, ended=False):
+def local_keep(self, stream, new_pieces, ended=False):
     """Stand-in for the guard: pieces are kept on the own node only."""
-    stream.pieces.extend(newPieces)
+    stream.pieces.extend(new_pieces)
     stream.ended = ended or stream.ended
     return
     yield
@@ -158,18 +158,18 @@
     return len(stream.pieces)
 
 
-def claim_longest(self, name, sender, servedRound, check):
+def claim_longest(self, name, sender, served_round, check):
     """Stand-in for the guard: the longest copy counts, of whatever round."""
     question = {"stream": name, "sender": sender}
     reached = [n for n in self.keepers() if self.node.find("nifty").reaches(n)]
-    claimRound = [next(CLAIM_ROUNDS), ""]
-    calls = [(n, "journal.claim", {**question, "round": claimRound}) for n in reached]
+    claim_round = [next(CLAIM_ROUNDS), ""]
+    calls = [(n, "journal.claim", {**question, "round": claim_round}) for n in reached]
     claims = yield from self.node.gather(calls, len(calls))
     good = [reply for reply in claims.values() if not isinstance(reply, Trouble)]
     if not good:
         raise Refused(reason="the stream's holders are out of reach")
     inquiry, pieces, ended, _ = max(good, key=lambda reply: len(reply[1]))
-    stream = journal.Stream(name, inquiry, sender, self.node.now(), claimRound)
+    stream = journal.Stream(name, inquiry, sender, self.node.now(), claim_round)
     stream.pieces, stream.ended = list(pieces), ended
     self.streams[name] = stream
     return stream
--- a/proving/points_waits.py
+++ b/proving/points_waits.py
@@ -16,15 +16,15 @@
     node = stage.node("edge-1")
 
     def one(number, body):
-        startTime, firstAt = env.now, []
+        start_time, first_at = env.now, []
 
         def sink(line):
-            firstAt.append(env.now)
+            first_at.append(env.now)
             return True
 
         inquiry = Inquiry("POST", {}, {}, body, f"{sender}-{number}")
         _, trouble = yield from stage.sim.run_script(node, make(node, inquiry), sink)
-        (refusals if trouble else served).append((firstAt or [env.now])[0] - startTime)
+        (refusals if trouble else served).append((first_at or [env.now])[0] - start_time)
 
     for number, body in enumerate(bodies):
         stage.start(one(number, body))
@@ -40,7 +40,7 @@
     """Far more arrive at once than can get their first piece in time; all that fit are served."""
     stage = Stage(seed)
     for _ in range(40):
-        stage.start(stage.callers.stream("wayfinding", "warm", 8, dropAfter=1 << 30))
+        stage.start(stage.callers.stream("wayfinding", "warm", 8, drop_after=1 << 30))
         stage.run(0.05)
     stage.run(2)
     refusals, served = timed_refusals(stage, serve_model, model_bodies(140))
@@ -61,7 +61,7 @@
     refusals, served = timed_refusals(
         stage, serve_model, [{**b, "max_pieces": 200} for b in model_bodies(60, "tagging")])
     stage.run(0.3)
-    leftAt = stage.env.now
+    left_at = stage.env.now
     for replica in stage.sim.replicas.values():
         if replica.row["service"] == "words":
             replica.leave()
@@ -70,7 +70,7 @@
     if held:
         stage.sim.history.violate(f"{held} still wait though no replica is left")
     stage.run(30)
-    slow = [t for t in refusals if t > stage.env.now - leftAt]
+    slow = [t for t in refusals if t > stage.env.now - left_at]
     return stage.sim.history.violations, {
         "served": len(served), "refused": len(refusals), "slow": len(slow)}
 
@@ -96,7 +96,7 @@
     stage = Stage(seed)
     cores = stage.sim.names("core")
     stage.sim.cut(cores, names_but(stage, *cores))
-    early, earlyServed = timed_refusals(
+    early, early_served = timed_refusals(
         stage, submit_lot, [{"entry": "gate-notices", "items": ["x"]}], "early")
     stage.run(3)
     bodies = [{"entry": "gate-notices", "items": ["x"]} for _ in range(20)]
--- a/proving/quorum_fuzz.py
+++ b/proving/quorum_fuzz.py
@@ -24,7 +24,7 @@
         self.monitor = Monitor(self.sim)
         self.acked = {}
         self.number = 0
-        self.disksLost = 0
+        self.disks_lost = 0
 
     def write(self, part):
         """Process: accept one lot after another in a part, under a name of its own."""
@@ -61,7 +61,7 @@
             if not sim.is_up(sim.nodes[name]):
                 continue
             if kind < 0.3:
-                sim.kill(name, losesPower=chance.random() < 0.5)
+                sim.kill(name, loses_power=chance.random() < 0.5)
                 sim.env.process(self._start(name))
             elif kind < 0.55:
                 sim.freeze(name, chance.uniform(0.1, 4))
@@ -70,10 +70,10 @@
                 sim.cut([name], [o for o in others if o != name], chance.random() < 0.7)
                 sim.env.process(self._heal())
             elif kind < 0.95:
-                sim.net.lossShare = chance.uniform(0, 0.2)
-                sim.net.doubleShare = sim.net.reorderShare = chance.uniform(0, 0.3)
-            elif name.startswith("store") and self.disksLost < 1 and self._all_three():
-                self.disksLost += 1
+                sim.net.loss_share = chance.uniform(0, 0.2)
+                sim.net.double_share = sim.net.reorder_share = chance.uniform(0, 0.3)
+            elif name.startswith("store") and self.disks_lost < 1 and self._all_three():
+                self.disks_lost += 1
                 sim.lose_disk(name)
                 sim.env.process(self._start(name))
 
--- a/proving/reference.py
+++ b/proving/reference.py
@@ -70,5 +70,5 @@
 
 
 if __name__ == "__main__":
-    with open("docs/settings.md", "w", encoding="utf-8") as referenceFile:
-        referenceFile.write(reference())
+    with open("docs/settings.md", "w", encoding="utf-8") as reference_file:
+        reference_file.write(reference())
--- a/proving/scale.py
+++ b/proving/scale.py
@@ -15,8 +15,8 @@
 
 def timed(job):
     """Run one job in a process of its own."""
-    startTime = time.monotonic()
-    return {**run_size(**job), "wall_s": round(time.monotonic() - startTime, 1)}
+    start_time = time.monotonic()
+    return {**run_size(**job), "wall_s": round(time.monotonic() - start_time, 1)}
 
 
 def numbers(text):
@@ -45,12 +45,12 @@
         *({"size": 16, "replicas": count, **common} for count in numbers(replicas)),
         *({"size": 16, "entries": count, **common} for count in numbers(entries)),
     ]
-    endTime, results = time.monotonic() + limit, []
+    end_time, results = time.monotonic() + limit, []
     with multiprocessing.get_context("spawn").Pool(workers, maxtasksperchild=1) as pool:
         pending = [pool.apply_async(timed, (job,)) for job in jobs]
         for job, answer in zip(jobs, pending, strict=True):
             try:
-                results.append(answer.get(max(0.1, endTime - time.monotonic())))
+                results.append(answer.get(max(0.1, end_time - time.monotonic())))
             except multiprocessing.TimeoutError:
                 click.echo(json.dumps({"out_of_time": job}))
                 continue
--- a/proving/scale_fleet.py
+++ b/proving/scale_fleet.py
@@ -60,7 +60,7 @@
             member.restarted(FIRST_START + self.starts), world, self.seeds, self.bounds)
         nifty = node.find("nifty")
         if member.role == "store":
-            nifty.stampSource = lambda: [[1, "core-0000"], self.index, member.identity]
+            nifty.stamp_source = lambda: [[1, "core-0000"], self.index, member.identity]
             node.handle("quorum.image", lambda body, origin: [self.index, self.config_state()])
         world.listen(nifty.on_datagram, nifty.on_frame)
         self.nodes[member.name] = node
@@ -71,14 +71,14 @@
         for name in ("nifty", "gossip", "freshness"):
             node.spawn(node.find(name).run())
 
-    def start_all(self, isWarm=False):
+    def start_all(self, is_warm=False):
         """Start all nodes at once; one of them knows the founding record and the layout.
 
         In a warm start every node knows all members from the first.
         """
         for member in self.members:
             self.start(member)
-        known = [node.me for node in self.nodes.values()] if isWarm else []
+        known = [node.me for node in self.nodes.values()] if is_warm else []
         for node in self.nodes.values():
             for member in known:
                 node.find("gossip").put(
@@ -122,17 +122,17 @@
         for name in names:
             self.nodes[name].world.kill()
 
-    def cut(self, names, otherNames):
+    def cut(self, names, other_names):
         """Cut every pair between two groups."""
         for name in names:
-            for otherName in otherNames:
-                self.net.cut(self.nodes[name].me.address, self.nodes[otherName].me.address)
+            for other_name in other_names:
+                self.net.cut(self.nodes[name].me.address, self.nodes[other_name].me.address)
 
     def missing_links(self):
         """Return how many ordered pairs of live nodes have no direct route."""
-        liveNames = {node.me.name for node in self.live()}
+        live_names = {node.me.name for node in self.live()}
         return sum(
-            sum(node.find("nifty").graph.hops(name) != 1 for name in liveNames - {node.me.name})
+            sum(node.find("nifty").graph.hops(name) != 1 for name in live_names - {node.me.name})
             for node in self.live())
 
     def stale_layouts(self):
@@ -150,16 +150,16 @@
         gc.collect()
         gc.disable()
         before, carried, makings = self.counts(), self.net.carried, []
-        findRoutes = Graph._bellman_ford
+        find_routes = Graph._bellman_ford
 
         def counted(graph):
             makings.append(1)
-            return findRoutes(graph)
+            return find_routes(graph)
 
-        startTime = time.process_time()
+        start_time = time.process_time()
         with mock.patch.object(Graph, "_bellman_ford", counted):
             self.env.run(until=self.env.now + seconds)
-        spent = time.process_time() - startTime - (self.net.carried - carried) * carry_seconds()
+        spent = time.process_time() - start_time - (self.net.carried - carried) * carry_seconds()
         gc.enable()
         count = len(self.live())
         work = {name: (now - before[name]) / count for name, now in self.counts().items()}
@@ -201,9 +201,9 @@
     if not known:
         env = simpy.Environment()
         net = SimNet(env, random.Random(1))
-        startTime = time.process_time()
+        start_time = time.process_time()
         for _ in range(20_000):
             net.carry(("a", 1), ("b", 1), b"", "datagram")
         env.run()
-        known.append((time.process_time() - startTime) / 20_000)
+        known.append((time.process_time() - start_time) / 20_000)
     return known[0]
--- a/proving/scale_loopback.py
+++ b/proving/scale_loopback.py
@@ -30,12 +30,12 @@
 
     def start(self, name):
         """Start one process."""
-        path = self.runFolder / f"{name}.json"
+        path = self.run_folder / f"{name}.json"
         path.write_text(json.dumps(self.settings[name]))
-        outFile = open(self.runFolder / f"{name}.out", "ab")
+        out_file = open(self.run_folder / f"{name}.out", "ab")
         words = ["-c", PROGRAM, self.settings[name]["role"]]
         self.processes[name] = subprocess.Popen(
-            [sys.executable, *words, "--settings", str(path)], stdout=outFile, stderr=outFile,
+            [sys.executable, *words, "--settings", str(path)], stdout=out_file, stderr=out_file,
             start_new_session=True)
 
 
@@ -61,9 +61,9 @@
 def measure(fleet, seconds):
     """Return the share of a core and the memory of each real process over some seconds."""
     before = {name: cpu_seconds(fleet.processes[name].pid) for name in REAL}
-    startTime = time.monotonic()
+    start_time = time.monotonic()
     gevent.sleep(seconds)
-    spent = time.monotonic() - startTime
+    spent = time.monotonic() - start_time
     return {
         name: {
             "core_share": round((cpu_seconds(process.pid) - before[name]) / spent, 4),
--- a/proving/scale_runs.py
+++ b/proving/scale_runs.py
@@ -68,13 +68,13 @@
     fleet.start_all(warm)
     span = fleet.bounds.beat * 8 if seconds is None else seconds
     rows = {"start": fleet.spend(span)}
-    settledAt = None
+    settled_at = None
     for _ in range(SETTLE_LIMIT):
-        if settledAt is None and not fleet.missing_links() and not fleet.stale_layouts():
-            settledAt = fleet.env.now
+        if settled_at is None and not fleet.missing_links() and not fleet.stale_layouts():
+            settled_at = fleet.env.now
             break
         fleet.env.run(until=fleet.env.now + span / 2)
-    rows["start"]["settled_s"] = settledAt
+    rows["start"]["settled_s"] = settled_at
     fleet.env.run(until=fleet.env.now + span)
     for scenario in SCENARIOS:
         if not only or scenario.__name__ in only:
--- a/proving/scripted.py
+++ b/proving/scripted.py
@@ -15,7 +15,7 @@
         self.world = world
         self.steps = list(steps)
         self.status, self.headers = None, {}
-        self.isClosed = False
+        self.is_closed = False
         self.waited = 0
 
     def next(self, seconds):
@@ -35,7 +35,7 @@
 
     def close(self):
         """Note that the answer was ended with."""
-        self.isClosed = True
+        self.is_closed = True
 
 
 class ScriptedWorld:
@@ -77,8 +77,8 @@
             value, trouble = None, None
             try:
                 value = self.perform(effect)
-            except BackendTrouble as raisedTrouble:
-                trouble = raisedTrouble
+            except BackendTrouble as raised_trouble:
+                trouble = raised_trouble
 
     def perform(self, effect):
         """Bring about one effect."""
@@ -101,7 +101,7 @@
         return None
 
     def _send(self, effect):
-        self.sent.append((effect.address, effect.data, effect.mayReuse))
+        self.sent.append((effect.address, effect.data, effect.may_reuse))
         waiting = self.answers.get(tuple(effect.address))
         if not waiting:
             raise NotSent(reason="refused")
--- a/proving/sim/backends.py
+++ b/proving/sim/backends.py
@@ -15,7 +15,7 @@
     def __init__(self, status):
         self.status = status
         self.lines = []
-        self.isClosed = False
+        self.is_closed = False
         self.signal = Signal()
 
     def put(self, line):
@@ -25,7 +25,7 @@
 
     def close(self):
         """Close the connection."""
-        self.isClosed = True
+        self.is_closed = True
         self.signal.set()
 
 
@@ -41,10 +41,10 @@
         self.logic.incarnation = incarnation
         self.is_dead = False
         self.is_dark = False
-        self.mixesUp = False
-        self.breaksOff = False
-        self.isNoisy = False
-        self.isFrozen = False
+        self.mixes_up = False
+        self.breaks_off = False
+        self.is_noisy = False
+        self.is_frozen = False
         self.handles = []
         self.sequence = 0
         sim.env.process(self._beat())
@@ -52,7 +52,7 @@
     def _beat(self):
         chance = self.sim.chance
         while not self.is_dead:
-            if not self.isFrozen:
+            if not self.is_frozen:
                 self.logic.bearable(self.sim.env.now)
                 self.send_beat()
             yield self.sim.env.timeout(0.4 * chance.uniform(0.9, 1.1))
@@ -97,7 +97,7 @@
         yield self.sim.env.timeout(self.sim.net.delay())
         if replica is None or replica.is_dead:
             raise NotSent(reason="refused")
-        if replica.isFrozen:
+        if replica.is_frozen:
             yield from self._wait_frozen(replica, effect.seconds)
         if replica.is_dark or not self.sim.net.passes(world.address, replica.address):
             yield self.sim.env.timeout(min(1.0, max(0, effect.seconds)))
@@ -106,9 +106,9 @@
 
     def _wait_frozen(self, replica, seconds):
         """A frozen replica's connection is taken by its machine; nothing answers."""
-        endTime = self.sim.env.now + max(0, seconds)
-        while replica.isFrozen:
-            if self.sim.env.now >= endTime:
+        end_time = self.sim.env.now + max(0, seconds)
+        while replica.is_frozen:
+            if self.sim.env.now >= end_time:
                 raise BackendTrouble(reason="time")
             yield self.sim.env.timeout(0.05)
 
@@ -128,8 +128,8 @@
         words = dict(parse_qsl(query))
         name = words["inquiry"]
         if path == "/v1/stop":
-            for inquiryName, handle in replica.handles:
-                if inquiryName.startswith(effect.body["inquiries_of"]):
+            for inquiry_name, handle in replica.handles:
+                if inquiry_name.startswith(effect.body["inquiries_of"]):
                     handle.close()
             return 200, {"stopped": True}
         work = effect.body["key"] if effect.body else path
@@ -161,15 +161,15 @@
         yield self.sim.env.timeout(seconds)
         count = piece_count(body["prompt"], body["max_pieces"])
         number = body["from"]
-        while not handle.isClosed and not replica.is_dead and number < count:
+        while not handle.is_closed and not replica.is_dead and number < count:
             yield self.sim.env.timeout(PIECE_SECONDS)
-            while replica.isFrozen:
+            while replica.is_frozen:
                 yield self.sim.env.timeout(0.05)
             number += 1
             if replica.is_dead or replica.is_dark:
                 break
             handle.put(self._line(replica, body, number))
-            if replica.breaksOff and number >= count // 2:
+            if replica.breaks_off and number >= count // 2:
                 handle.put({"inquiry": body["inquiry"], "end": True, "pieces": count})
                 break
         replica.logic.finish()
@@ -182,9 +182,9 @@
 
     def _line(self, replica, body, number):
         name, piece = body["inquiry"], piece_text(body["prompt"], number)
-        if replica.mixesUp and number % 3 == 0:
+        if replica.mixes_up and number % 3 == 0:
             name, piece = "another-inquiry", "another sender's piece "
-        if replica.isNoisy:
+        if replica.is_noisy:
             run = len(self.sim.history.runs[body["prompt"]])
             piece = f"run {body.setdefault('run', run)} from {body['from']} at {number}"
         return {"inquiry": name, "n": number, "piece": piece}
@@ -194,10 +194,10 @@
         handle = effect.handle
         if not handle.lines:
             handle.signal = Signal()
-            if not handle.isClosed:
+            if not handle.is_closed:
                 yield from world.wait(handle.signal, effect.seconds)
         if handle.lines:
             return handle.lines.pop(0)
-        if handle.isClosed:
+        if handle.is_closed:
             return None
         raise BackendTrouble(reason="stall")
--- a/proving/sim/callers.py
+++ b/proving/sim/callers.py
@@ -20,7 +20,7 @@
         self.node = node
         self.lines = []
         self.signal = Signal()
-        self.isOpen = True
+        self.is_open = True
         self.outcome = None
         sim.env.process(self._run(script))
 
@@ -29,15 +29,15 @@
         self.signal.set()
 
     def _take(self, line):
-        if self.isOpen:
+        if self.is_open:
             self.lines.append(line)
             self.signal.set()
-        return self.isOpen
+        return self.is_open
 
     def next(self, seconds):
         """Process: return the next line, or None when the exchange broke or ended."""
-        endTime = self.sim.env.now + seconds
-        while not self.lines and self.outcome is None and self.sim.env.now < endTime:
+        end_time = self.sim.env.now + seconds
+        while not self.lines and self.outcome is None and self.sim.env.now < end_time:
             if self.node.world.is_dead:
                 break
             self.signal = Signal()
@@ -57,11 +57,11 @@
         self.record.violate = self.history.violate
         self.number = 0
         self.lots = {}
-        self.stopAt = None
+        self.stop_at = None
 
     def generate(self, rate, call, *words):
         """Process: start calls at a rate until the traffic ends."""
-        while self.stopAt is None or self.sim.env.now < self.stopAt:
+        while self.stop_at is None or self.sim.env.now < self.stop_at:
             yield self.sim.env.timeout(self.sim.chance.expovariate(rate))
             self.sim.env.process(call(*words))
 
@@ -85,7 +85,7 @@
             return None, trouble
         connection = Connection(self.sim, node, script)
         yield from connection.next(PATIENCE)
-        connection.isOpen = False
+        connection.is_open = False
         answer, trouble = connection.outcome or (None, None)
         return answer, trouble or (None if answer else Trouble(reason="no answer"))
 
@@ -93,15 +93,15 @@
         self.number += 1
         return f"{kind}-{self.number}"
 
-    def stream(self, entry, kind, maxPieces=20, isSingle=False, dropAfter=None):
+    def stream(self, entry, kind, max_pieces=20, is_single=False, drop_after=None):
         """Process: one streamed inquiry, resumed when it is cut."""
         chance, sender = self.sim.chance, self._name(kind)
-        answer = Answer(f"{entry} {sender}", maxPieces)
-        if isSingle:
+        answer = Answer(f"{entry} {sender}", max_pieces)
+        if is_single:
             self.history.single.add(answer.prompt)
-        if dropAfter is None and chance.random() < 0.2 and not isSingle:
-            dropAfter = chance.randrange(1, 8)
-        startTime, rounds = self.sim.env.now, 0
+        if drop_after is None and chance.random() < 0.2 and not is_single:
+            drop_after = chance.randrange(1, 8)
+        start_time, rounds = self.sim.env.now, 0
         while answer.outcome is None and rounds < 12:
             rounds += 1
             node = self.edge()
@@ -109,9 +109,9 @@
                 yield self.sim.env.timeout(0.5)
                 continue
             connection = self._open(node, answer, sender, entry)
-            yield from self._read(connection, answer, dropAfter, startTime)
-            dropAfter = None
-            self._judge(connection, answer, isSingle)
+            yield from self._read(connection, answer, drop_after, start_time)
+            drop_after = None
+            self._judge(connection, answer, is_single)
             if answer.outcome is None:
                 self.history.count("resumes")
                 yield self.sim.env.timeout(0.3 * rounds)
@@ -119,36 +119,36 @@
 
     def _open(self, node, answer, sender, entry):
         if answer.token is None:
-            body = {"entry": entry, "prompt": answer.prompt, "max_pieces": answer.maxPieces}
+            body = {"entry": entry, "prompt": answer.prompt, "max_pieces": answer.max_pieces}
             return Connection(
                 self.sim, node, serve_model(node, Inquiry("POST", {}, {}, body, sender)))
         query = {"after": [str(len(answer.pieces))]}
         inquiry = Inquiry("GET", {"token": answer.token}, query, None, sender)
         return Connection(self.sim, node, resume_stream(node, inquiry))
 
-    def _read(self, connection, answer, dropAfter, startTime):
+    def _read(self, connection, answer, drop_after, start_time):
         while True:
             line = yield from connection.next(PATIENCE)
             if line is None:
                 break
-            hadPieces = len(answer.pieces)
-            isOver = answer.take(line, self.record)
-            if not hadPieces and answer.pieces:
-                self.record.firstPieces.append(self.sim.env.now - startTime)
-            if isOver or (dropAfter is not None and len(answer.pieces) >= dropAfter):
+            had_pieces = len(answer.pieces)
+            is_over = answer.take(line, self.record)
+            if not had_pieces and answer.pieces:
+                self.record.first_pieces.append(self.sim.env.now - start_time)
+            if is_over or (drop_after is not None and len(answer.pieces) >= drop_after):
                 break
-        connection.isOpen = False
+        connection.is_open = False
 
-    def _judge(self, connection, answer, isSingle):
+    def _judge(self, connection, answer, is_single):
         trouble = connection.outcome[1] if connection.outcome else None
-        if answer.outcome not in (None, "complete") and answer.token and not isSingle:
+        if answer.outcome not in (None, "complete") and answer.token and not is_single:
             answer.outcome = None
         if answer.outcome is None and trouble is not None:
-            isFinal = answer.token is None or trouble.kind in ("not_found", "bad_token")
+            is_final = answer.token is None or trouble.kind in ("not_found", "bad_token")
             if isinstance(trouble, Refused) and answer.token is None:
                 self.history.refused(answer.prompt)
-            answer.outcome = trouble.kind if isFinal else None
-        if answer.outcome is None and isSingle:
+            answer.outcome = trouble.kind if is_final else None
+        if answer.outcome is None and is_single:
             answer.outcome = "lost_contact"
         if answer.outcome is None and answer.token is None:
             answer.outcome = "no_answer"
@@ -175,7 +175,7 @@
             yield self.sim.env.timeout(0.3)
         self.record.note("seat", trouble.kind if trouble else "complete")
 
-    def lot(self, entry, size=5, cancelShare=0.2):
+    def lot(self, entry, size=5, cancel_share=0.2):
         """Process: submit a lot under a key, then read it until it ends, or cancel it."""
         key = self._name("lot")
         items = [f"{key} item {n}" for n in range(size)]
@@ -190,7 +190,7 @@
             return
         self.history.count("accepted_lots")
         self.lots[answer["lot"]] = {"items": items, "sender": key, "seen": {}, "phase": "open"}
-        if self.sim.chance.random() < cancelShare:
+        if self.sim.chance.random() < cancel_share:
             yield self.sim.env.timeout(self.sim.chance.uniform(0, 1.5))
             yield from self._cancel(answer["lot"], key, items)
         while self.lots[answer["lot"]]["phase"] == "open":
@@ -202,7 +202,7 @@
         answer, _ = yield from self.ask(cancel_lot, "DELETE", {"lot": lot}, sender=sender)
         if answer and answer["phase"] == "cancelled":
             for item in items:
-                self.history.endedAt[item] = self.sim.env.now
+                self.history.ended_at[item] = self.sim.env.now
 
     def read_lot(self, lot):
         """Process: read all results of a lot once and check them."""
@@ -217,9 +217,9 @@
         rows = {row["n"]: row.get("text") for row in answer["results"]}
         for number, text in rows.items():
             prompt = known["items"][number]
-            rightText = "".join(
+            right_text = "".join(
                 piece_text(prompt, n) for n in range(1, piece_count(prompt, 64) + 1))
-            if text != rightText:
+            if text != right_text:
                 self.history.violate(f"wrong result {number} of {lot}: {text}")
         if set(known["seen"]) - set(rows):
             self.history.violate(f"results of {lot} went away")
--- a/proving/sim/chaos.py
+++ b/proving/sim/chaos.py
@@ -10,7 +10,7 @@
     def __init__(self, sim, monitor):
         self.sim = sim
         self.monitor = monitor
-        self.disksLost = 0
+        self.disks_lost = 0
         self.kinds = [
             self.kill_edge, self.kill_core, self.kill_store, self.power_store, self.freeze_any,
             self.cut_pair, self.cut_partial, self.cut_one_way, self.isolate_store, self.lossy,
@@ -19,16 +19,16 @@
             self.bad_layout, self.isolate_core, self.lose_domain, self.lose_disk,
         ]
 
-    def run(self, startTime, endTime, count):
+    def run(self, start_time, end_time, count):
         """Process: bring about `count` faults, then heal."""
         chance = self.sim.chance
-        times = sorted(chance.uniform(startTime, endTime) for _ in range(count))
+        times = sorted(chance.uniform(start_time, end_time) for _ in range(count))
         for at in times:
             yield self.sim.env.timeout(max(0, at - self.sim.env.now))
             fault = chance.choice(self.kinds)
             self.sim.history.count(f"fault {fault.__name__}")
             self.sim.env.process(fault())
-        yield self.sim.env.timeout(max(0, endTime - self.sim.env.now))
+        yield self.sim.env.timeout(max(0, end_time - self.sim.env.now))
         self.sim.heal()
         for disk in self.sim.disks.values():
             disk.is_full = False
@@ -37,7 +37,7 @@
             if node.world.is_dead:
                 self.sim.start(name)
         for name, replica in list(self.sim.replicas.items()):
-            if replica.is_dead or replica.logic.leftAt is not None:
+            if replica.is_dead or replica.logic.left_at is not None:
                 self.sim.start_replica(name)
             replica.is_dark = False
 
@@ -74,13 +74,13 @@
 
     def power_store(self):
         """A store loses power with unsynced writes."""
-        yield from self._kill("store", losesPower=True)
+        yield from self._kill("store", loses_power=True)
 
     def lose_disk(self):
         """A store loses its disk and comes back empty; at most one a run."""
         name = self._pick("store")
-        if name is not None and not self.disksLost:
-            self.disksLost += 1
+        if name is not None and not self.disks_lost:
+            self.disks_lost += 1
             self.sim.history.mark(f"disk of {name} lost")
             self.sim.lose_disk(name)
             yield from self._back(name, self.sim.chance.uniform(0.2, 4))
@@ -95,7 +95,7 @@
         ]
         self.sim.history.mark(f"domain {domain} lost")
         for name in names:
-            self.sim.kill(name, losesPower=True)
+            self.sim.kill(name, loses_power=True)
         for name in names:
             yield from self._back(name, self.sim.chance.uniform(0.2, 2))
 
@@ -106,10 +106,10 @@
             self.sim.freeze(name, self.sim.chance.uniform(0.3, 7))
         yield self.sim.env.timeout(0)
 
-    def _cut_for(self, names, others, bothWays=True):
+    def _cut_for(self, names, others, both_ways=True):
         sim = self.sim
         before = set(sim.net.cuts)
-        sim.cut(names, others, bothWays)
+        sim.cut(names, others, both_ways)
         added = sim.net.cuts - before
         yield sim.env.timeout(sim.chance.uniform(1, 9))
         sim.history.mark("cut healed")
@@ -129,7 +129,7 @@
     def cut_one_way(self):
         """One direction is lost."""
         first, second = self.sim.chance.sample(sorted(self.sim.nodes), 2)
-        yield from self._cut_for([first], [second], bothWays=False)
+        yield from self._cut_for([first], [second], both_ways=False)
 
     def split_whole(self):
         """Two sides with no bridge."""
@@ -158,9 +158,9 @@
     def lossy(self):
         """Packets are lost, doubled and reordered for a while."""
         net, chance = self.sim.net, self.sim.chance
-        net.lossShare, net.doubleShare, net.reorderShare = 0.05, 0.05, 0.1
+        net.loss_share, net.double_share, net.reorder_share = 0.05, 0.05, 0.1
         yield self.sim.env.timeout(chance.uniform(1, 6))
-        net.lossShare = net.doubleShare = net.reorderShare = 0.0
+        net.loss_share = net.double_share = net.reorder_share = 0.0
 
     def _replica(self):
         names = [n for n, r in self.sim.replicas.items() if not r.is_dead]
--- a/proving/sim/disk.py
+++ b/proving/sim/disk.py
@@ -6,12 +6,12 @@
 class SimDisk:
     """Files with a durable and an unsynced part."""
 
-    def __init__(self, chance, syncSeconds=(0.001, 0.006)):
+    def __init__(self, chance, sync_seconds=(0.001, 0.006)):
         self.chance = chance
         self.durable = {}
         self.pending = {}
         self.is_full = False
-        self.syncSeconds = syncSeconds
+        self.sync_seconds = sync_seconds
         self.syncs = 0
 
     def read(self, name):
@@ -47,18 +47,18 @@
 
     def pause(self):
         """Return how long this sync takes."""
-        return self.chance.uniform(*self.syncSeconds)
+        return self.chance.uniform(*self.sync_seconds)
 
     def lose_power(self, torn=b""):
         """Drop what was not synced; a torn fragment may be left at a log's tail."""
         self.pending.clear()
         if torn:
-            logName = max(
+            log_name = max(
                 (n for n in self.durable if n.startswith("log")),
                 key=lambda n: len(self.durable[n]), default=None,
             )
-            if logName is not None:
-                self.durable[logName] += torn
+            if log_name is not None:
+                self.durable[log_name] += torn
 
     def lose_all(self):
         """Lose the disk."""
--- a/proving/sim/fleet.py
+++ b/proving/sim/fleet.py
@@ -34,7 +34,7 @@
             source = {**source, **sizes}
         self.layout = layout_of(source)
         self.rows = {row["name"]: row for row in settings_of(source)}
-        self.replicaRows = {row["name"]: row for row in replicas_of(source)}
+        self.replica_rows = {row["name"]: row for row in replicas_of(source)}
         self.bounds = Bounds()
         self.nodes = {}
         self.disks = {}
@@ -50,7 +50,7 @@
 
     def is_up(self, node):
         """Tell whether a node runs and is not frozen."""
-        return not node.world.is_dead and node.world.thawEvent is None
+        return not node.world.is_dead and node.world.thaw_event is None
 
     def up_nodes(self, role):
         """Return the running nodes of a role."""
@@ -90,18 +90,18 @@
                 self.history.violate(f"{name}: {text % fields}")
         return log
 
-    def kill(self, name, losesPower=False):
+    def kill(self, name, loses_power=False):
         """Kill a node; with the power gone, unsynced writes are dropped."""
-        self.history.mark(f"kill {name}{' by power' if losesPower else ''}")
+        self.history.mark(f"kill {name}{' by power' if loses_power else ''}")
         self.nodes[name].world.kill()
         disk = self.disks.get(name)
         if disk is not None:
-            torn = self.chance.randbytes(self.chance.randrange(0, 30)) if losesPower else b""
+            torn = self.chance.randbytes(self.chance.randrange(0, 30)) if loses_power else b""
             disk.lose_power(torn)
 
     def lose_disk(self, name):
         """Kill a store and empty its disk."""
-        self.kill(name, losesPower=True)
+        self.kill(name, loses_power=True)
         self.disks[name].lose_all()
 
     def freeze(self, name, seconds):
@@ -111,13 +111,13 @@
         world.freeze()
         self.env.timeout(seconds).callbacks.append(lambda _: world.thaw())
 
-    def cut(self, names, otherNames, bothWays=True):
+    def cut(self, names, other_names, both_ways=True):
         """Cut every pair between two groups of nodes."""
-        self.history.mark(f"cut {sorted(names)} from {sorted(otherNames)}")
+        self.history.mark(f"cut {sorted(names)} from {sorted(other_names)}")
         for name in names:
-            for otherName in otherNames:
+            for other_name in other_names:
                 self.net.cut(
-                    self.nodes[name].me.address, self.nodes[otherName].me.address, bothWays
+                    self.nodes[name].me.address, self.nodes[other_name].me.address, both_ways
                 )
 
     def heal(self):
@@ -128,7 +128,7 @@
     def start_replica(self, name):
         """Start a replica, cold."""
         self.starts += 1
-        row = self.replicaRows[name]
+        row = self.replica_rows[name]
         replica = SimReplica(self, row, self.starts)
         self.replicas[name] = replica
         self.backends.replicas[replica.address] = replica
@@ -138,7 +138,7 @@
         """Start everything, a few moments apart."""
         for name in self.rows:
             self.start(name)
-        for name in self.replicaRows:
+        for name in self.replica_rows:
             self.start_replica(name)
 
     def run_script(self, node, script, sink=None):
--- a/proving/sim/history.py
+++ b/proving/sim/history.py
@@ -8,9 +8,9 @@
         self.env = env
         self.violations = []
         self.runs = {}
-        self.refusedAt = {}
+        self.refused_at = {}
         self.single = set()
-        self.endedAt = {}
+        self.ended_at = {}
         self.emptied = {}
         self.counts = {}
         self.marks = []
@@ -27,32 +27,32 @@
         """Note a step of the scenario."""
         self.marks.append(f"{self.env.now:.2f} {text}")
 
-    def ran(self, work, replica, inquiryName):
+    def ran(self, work, replica, inquiry_name):
         """A replica began some work."""
         now = self.env.now
-        earlierRuns = self.runs.setdefault(work, [])
-        earlierRuns.append((now, replica.row["name"], inquiryName))
-        if work in self.single and len(earlierRuns) > 1:
-            self.violate(f"{work} ran twice: {earlierRuns}")
-        if work in self.refusedAt:
-            self.violate(f"{work} ran after the refusal at {self.refusedAt[work]:.3f}")
-        endedAt = self.endedAt.get(work)
-        if endedAt is not None and now > endedAt + 3.0:
-            self.violate(f"{work} of a lot ended at {endedAt:.3f} began")
-        emptiedAt = self.emptied.get(replica.row["domain"])
-        if emptiedAt is not None and now > emptiedAt + 5.0:
-            self.violate(f"{work} began in a domain emptied at {emptiedAt:.3f}")
-        if replica.logic.lateStarts:
-            replica.logic.lateStarts = 0
+        earlier_runs = self.runs.setdefault(work, [])
+        earlier_runs.append((now, replica.row["name"], inquiry_name))
+        if work in self.single and len(earlier_runs) > 1:
+            self.violate(f"{work} ran twice: {earlier_runs}")
+        if work in self.refused_at:
+            self.violate(f"{work} ran after the refusal at {self.refused_at[work]:.3f}")
+        ended_at = self.ended_at.get(work)
+        if ended_at is not None and now > ended_at + 3.0:
+            self.violate(f"{work} of a lot ended at {ended_at:.3f} began")
+        emptied_at = self.emptied.get(replica.row["domain"])
+        if emptied_at is not None and now > emptied_at + 5.0:
+            self.violate(f"{work} began in a domain emptied at {emptied_at:.3f}")
+        if replica.logic.late_starts:
+            replica.logic.late_starts = 0
             self.violate(f"{work} began at {replica.row['name']}, which left before")
         self.count("runs")
 
     def stopped(self, work, replica):
         """A replica stopped some work."""
-        endedAt = self.endedAt.get(work)
-        if endedAt is not None and self.env.now > endedAt + 3.0:
-            self.violate(f"{work} of a lot ended at {endedAt:.3f} ran on")
+        ended_at = self.ended_at.get(work)
+        if ended_at is not None and self.env.now > ended_at + 3.0:
+            self.violate(f"{work} of a lot ended at {ended_at:.3f} ran on")
 
     def refused(self, work):
         """A sender was told that the work never runs."""
-        self.refusedAt[work] = self.env.now
+        self.refused_at[work] = self.env.now
--- a/proving/sim/monitor.py
+++ b/proving/sim/monitor.py
@@ -11,7 +11,7 @@
     def __init__(self, sim):
         self.sim = sim
         self.accepted = []
-        self.servedVersions = {}
+        self.served_versions = {}
         self.layouts = {}
         self.images = {}
         sim.env.process(self.run())
@@ -40,12 +40,12 @@
             self.sim.history.violate(f"{name}: two layouts under version {image.version}")
         if node.me.role != "edge" or not node.find("freshness").is_fresh():
             return
-        dueVersion = max((v for at, v in self.accepted if now > at + 2.0), default=0)
-        if image.version < dueVersion:
-            self.sim.history.violate(f"{name} serves layout {image.version}, due {dueVersion}")
-        if image.version < self.servedVersions.get(name, 0):
+        due_version = max((v for at, v in self.accepted if now > at + 2.0), default=0)
+        if image.version < due_version:
+            self.sim.history.violate(f"{name} serves layout {image.version}, due {due_version}")
+        if image.version < self.served_versions.get(name, 0):
             self.sim.history.violate(f"{name} fell back to layout {image.version}")
-        self.servedVersions[name] = image.version
+        self.served_versions[name] = image.version
 
     def _check_parts(self, name, acceptors):
         for part, record in acceptors.parts.items():
--- a/proving/sim/net.py
+++ b/proving/sim/net.py
@@ -9,26 +9,26 @@
         self.chance = chance
         self.receivers = {}
         self.cuts = set()
-        self.lossShare = 0.0
-        self.doubleShare = 0.0
-        self.reorderShare = 0.0
-        self.minDelay, self.maxDelay = 0.0005, 0.003
+        self.loss_share = 0.0
+        self.double_share = 0.0
+        self.reorder_share = 0.0
+        self.min_delay, self.max_delay = 0.0005, 0.003
         self.carried = 0
 
     def attach(self, address, world):
         """Let the world receive at an address."""
         self.receivers[address] = world
 
-    def cut(self, home, target, bothWays=True):
+    def cut(self, home, target, both_ways=True):
         """Cut the way from one address to another."""
         self.cuts.add((home, target))
-        if bothWays:
+        if both_ways:
             self.cuts.add((target, home))
 
     def heal(self):
         """Heal every cut and stop losing, doubling and reordering."""
         self.cuts.clear()
-        self.lossShare = self.doubleShare = self.reorderShare = 0.0
+        self.loss_share = self.double_share = self.reorder_share = 0.0
 
     def passes(self, home, target):
         """Tell whether the way is open."""
@@ -36,17 +36,17 @@
 
     def delay(self):
         """Return the delay of one packet."""
-        seconds = self.chance.uniform(self.minDelay, self.maxDelay)
-        if self.chance.random() < self.reorderShare:
+        seconds = self.chance.uniform(self.min_delay, self.max_delay)
+        if self.chance.random() < self.reorder_share:
             seconds += self.chance.uniform(0, 0.25)
         return seconds
 
     def carry(self, home, target, data, kind):
         """Carry a packet, or lose or double it."""
         self.carried += 1
-        if not self.passes(home, target) or self.chance.random() < self.lossShare:
+        if not self.passes(home, target) or self.chance.random() < self.loss_share:
             return
-        copies = 2 if self.chance.random() < self.doubleShare else 1
+        copies = 2 if self.chance.random() < self.double_share else 1
         for _ in range(copies):
             event = self.env.timeout(self.delay())
             event.callbacks.append(lambda _: self._arrive(home, target, data, kind))
--- a/proving/sim/run.py
+++ b/proving/sim/run.py
@@ -76,15 +76,15 @@
         sim.history.violate(f"hints are left over: {[n for n, h in hinted.items() if h]}")
 
 
-def run_seed(deployment, seed, faultCount=10, sizes=None):
+def run_seed(deployment, seed, fault_count=10, sizes=None):
     """Run one seed; return the history and the callers' record."""
     sim = start_fleet(deployment, seed, sizes)
     monitor = Monitor(sim)
     sim.env.run(until=6)
     callers = start_traffic(sim, deployment)
     chaos = Chaos(sim, monitor)
-    sim.env.process(chaos.run(8, HEAL_AT, faultCount))
-    callers.stopAt = HEAL_AT
+    sim.env.process(chaos.run(8, HEAL_AT, fault_count))
+    callers.stop_at = HEAL_AT
     sim.env.run(until=HEAL_AT + 0.001)
     sim.env.process(probe_service(sim, callers, HEAL_AT + BACK_WITHIN))
     sim.env.run(until=HEAL_AT + LAST_LOOK)
--- a/proving/sim/world.py
+++ b/proving/sim/world.py
@@ -22,7 +22,7 @@
         self.faults = faults
         self.skew = self.random.uniform(0, 1000)
         self.is_dead = False
-        self.thawEvent = None
+        self.thaw_event = None
         self.held = []
         self.on_datagram = self.on_frame = None
 
@@ -47,7 +47,7 @@
         """Take a packet; a frozen process finds it when it wakes."""
         if self.is_dead:
             return
-        if self.thawEvent is not None:
+        if self.thaw_event is not None:
             if len(self.held) < 500:
                 self.held.append((kind, data))
             return
@@ -72,17 +72,17 @@
 
     def freeze(self):
         """Stop every script where it is; time goes on outside."""
-        if self.thawEvent is None:
-            self.thawEvent = self.env.event()
+        if self.thaw_event is None:
+            self.thaw_event = self.env.event()
 
     def thaw(self):
         """Wake a frozen process; what was held arrives, in a burst."""
-        if self.thawEvent is None:
+        if self.thaw_event is None:
             return
-        event, self.thawEvent = self.thawEvent, None
+        event, self.thaw_event = self.thaw_event, None
         event.succeed()
-        heldPackets, self.held = self.held, []
-        for kind, data in heldPackets:
+        held_packets, self.held = self.held, []
+        for kind, data in held_packets:
             self.receive(kind, data)
 
     def spawn(self, script):
@@ -103,8 +103,8 @@
         """Run a script; lines it emits go to the sink, which may refuse them."""
         value, trouble = None, None
         while True:
-            while self.thawEvent is not None:
-                yield self.thawEvent
+            while self.thaw_event is not None:
+                yield self.thaw_event
             if self.is_dead:
                 script.close()
                 return None
@@ -120,8 +120,8 @@
                 continue
             try:
                 value = yield from self.perform(effect)
-            except Trouble as raisedTrouble:
-                trouble = raisedTrouble
+            except Trouble as raised_trouble:
+                trouble = raised_trouble
 
     def perform(self, effect):
         """Bring about one effect."""
@@ -141,7 +141,7 @@
     def wait(self, signal, seconds):
         """Wait for a signal of the kernel's."""
         if not signal.is_set:
-            wokenEvent = self.env.event()
-            signal.watchers.append(lambda: wokenEvent.triggered or wokenEvent.succeed())
-            yield wokenEvent | self.env.timeout(max(0, seconds))
+            woken_event = self.env.event()
+            signal.watchers.append(lambda: woken_event.triggered or woken_event.succeed())
+            yield woken_event | self.env.timeout(max(0, seconds))
         return signal.is_set
--- a/proving/standin.py
+++ b/proving/standin.py
@@ -31,8 +31,8 @@
 class Server:
     """The HTTP side of a stand-in."""
 
-    def __init__(self, standIn):
-        self.standIn = standIn
+    def __init__(self, stand_in):
+        self.stand_in = stand_in
         self.stopped = set()
 
     def app(self, environ, start_response):
@@ -40,20 +40,20 @@
         path, query = environ["PATH_INFO"], environ.get("QUERY_STRING", "")
         body = environ["wsgi.input"].read()
         if path == "/state":
-            kept = ("busy", "state", "hits", "misses", "overloads", "lateStarts")
+            kept = ("busy", "state", "hits", "misses", "overloads", "late_starts")
             return answer(start_response, {
-                **{name: getattr(self.standIn, name) for name in kept},
-                "ran": len(self.standIn.ran),
+                **{name: getattr(self.stand_in, name) for name in kept},
+                "ran": len(self.stand_in.ran),
             })
         fields = json.loads(body) if body else {}
         words = dict(parse_qsl(query))
         name = fields.get("inquiry") or words.get("inquiry", "")
-        if words.get("incarnation") != str(self.standIn.incarnation):
+        if words.get("incarnation") != str(self.stand_in.incarnation):
             return answer(start_response, {"trouble": "former_start"}, "503 Service Unavailable")
         if path == "/v1/stop":
             self.stopped.add(fields["inquiries_of"])
             return answer(start_response, {"stopped": True})
-        seconds = self.standIn.begin(name, fields.get("prefix", ""), time.monotonic())
+        seconds = self.stand_in.begin(name, fields.get("prefix", ""), time.monotonic())
         if seconds is None:
             return answer(start_response, {"trouble": "busy"}, "503 Service Unavailable")
         if path == "/v1/generate":
@@ -66,7 +66,7 @@
                 return answer(start_response, {"inquiry": name, "confirmed": word})
             return answer(start_response, {"inquiry": name, "tile": tile_word(path)})
         finally:
-            self.standIn.finish()
+            self.stand_in.finish()
 
     def generate(self, fields, seconds):
         """Yield the numbered pieces of the answer."""
@@ -85,7 +85,7 @@
                 {"inquiry": fields["inquiry"], "end": True, "pieces": count}
             ).encode() + b"\n"
         finally:
-            self.standIn.finish()
+            self.stand_in.finish()
 
 
 @click.command()
@@ -98,18 +98,18 @@
 @click.option("--warm-seconds", default=2.0)
 def main(name, service, domain, address, nodes, slots, warm_seconds):
     """Run a stand-in replica that beats to whichever node takes it."""
-    standIn = StandIn(name, slots, warm_seconds, time.monotonic())
-    standIn.incarnation = time.time_ns() // 1000
-    server = start_server(split_address(address), Server(standIn).app)
-    stopEvent = gevent.event.Event()
-    gevent.signal_handler(signal.SIGTERM, stopEvent.set)
+    stand_in = StandIn(name, slots, warm_seconds, time.monotonic())
+    stand_in.incarnation = time.time_ns() // 1000
+    server = start_server(split_address(address), Server(stand_in).app)
+    stop_event = gevent.event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop_event.set)
     sequence, turn = 0, hash(name)
 
     def beat():
         nonlocal sequence, turn
         sequence += 1
-        standIn.bearable(time.monotonic())
-        body = standIn.beat(service, domain, address, sequence)
+        stand_in.bearable(time.monotonic())
+        body = stand_in.beat(service, domain, address, sequence)
         for _ in range(len(nodes)):
             try:
                 backend.fetch(Fetch(
@@ -120,16 +120,16 @@
             except Trouble:
                 turn += 1
 
-    while not stopEvent.is_set():
+    while not stop_event.is_set():
         beat()
-        stopEvent.wait(BEAT_SECONDS)
-    standIn.leave(time.monotonic())
+        stop_event.wait(BEAT_SECONDS)
+    stand_in.leave(time.monotonic())
     beat()
     deadline = time.monotonic() + 30
-    while standIn.busy and time.monotonic() < deadline:
+    while stand_in.busy and time.monotonic() < deadline:
         beat()
         gevent.sleep(BEAT_SECONDS)
-    standIn.state = "gone"
+    stand_in.state = "gone"
     beat()
     server.stop()
 
--- a/proving/standin_logic.py
+++ b/proving/standin_logic.py
@@ -12,11 +12,11 @@
     return f"{WORDS[digest[0] % len(WORDS)]}-{digest[1]:02x} "
 
 
-def piece_count(prompt, maxPieces):
+def piece_count(prompt, max_pieces):
     """Return how many pieces the right answer has."""
-    if maxPieces >= 100:
-        return maxPieces - hashlib.sha256(prompt.encode()).digest()[0] % 30
-    return min(maxPieces, 3 + hashlib.sha256(prompt.encode()).digest()[0] % 30)
+    if max_pieces >= 100:
+        return max_pieces - hashlib.sha256(prompt.encode()).digest()[0] % 30
+    return min(max_pieces, 3 + hashlib.sha256(prompt.encode()).digest()[0] % 30)
 
 
 def seat_word(key, seat):
@@ -32,50 +32,50 @@
 class StandIn:
     """A replica's room, warmth, prefix cache and a record of what ran."""
 
-    def __init__(self, name, slots, warmSeconds, now, cacheRoom=8):
+    def __init__(self, name, slots, warm_seconds, now, cache_room=8):
         self.name = name
         self.slots = slots
-        self.warmSeconds = warmSeconds
-        self.bornAt = now
+        self.warm_seconds = warm_seconds
+        self.born_at = now
         self.incarnation = 0
         self.cache = OrderedDict()
-        self.cacheRoom = cacheRoom
+        self.cache_room = cache_room
         self.busy = 0
         self.state = "cold"
         self.ran = []
         self.hits = 0
         self.misses = 0
         self.overloads = 0
-        self.lateStarts = 0
-        self.leftAt = None
+        self.late_starts = 0
+        self.left_at = None
 
     def bearable(self, now):
         """Return how many inquiries it can bear at once, fewer while cold."""
-        age = now - self.bornAt
-        if age >= self.warmSeconds:
+        age = now - self.born_at
+        if age >= self.warm_seconds:
             if self.state == "cold":
                 self.state = "ready"
             return self.slots
-        return max(1, int(self.slots * age / self.warmSeconds))
+        return max(1, int(self.slots * age / self.warm_seconds))
 
-    def begin(self, inquiryName, prefix, now):
+    def begin(self, inquiry_name, prefix, now):
         """Take an inquiry; return the seconds of its prefill, or None when it is too much."""
-        if self.leftAt is not None and now - self.leftAt > 2.0:
-            self.lateStarts += 1
+        if self.left_at is not None and now - self.left_at > 2.0:
+            self.late_starts += 1
         if self.busy >= self.slots:
             return None
         if self.busy >= self.bearable(now):
             self.overloads += 1
             return None
         self.busy += 1
-        self.ran.append((now, inquiryName))
-        isHit = prefix in self.cache
-        self.hits, self.misses = self.hits + isHit, self.misses + (not isHit)
+        self.ran.append((now, inquiry_name))
+        is_hit = prefix in self.cache
+        self.hits, self.misses = self.hits + is_hit, self.misses + (not is_hit)
         self.cache[prefix] = True
         self.cache.move_to_end(prefix)
-        while len(self.cache) > self.cacheRoom:
+        while len(self.cache) > self.cache_room:
             self.cache.popitem(last=False)
-        return 0.005 if isHit else 0.06
+        return 0.005 if is_hit else 0.06
 
     def finish(self):
         """Free the room of one inquiry."""
@@ -84,7 +84,7 @@
     def leave(self, now):
         """Begin to leave: nothing new is welcome."""
         self.state = "leaving"
-        self.leftAt = now
+        self.left_at = now
 
     def beat(self, service, domain, address, sequence):
         """Return the body of a beat."""
--- a/proving/storm.py
+++ b/proving/storm.py
@@ -125,8 +125,8 @@
             lambda: self.freeze("store"), self.cut, self.cut, self.replica,
             self.empty, self.lose_domain, self.full,
         ]
-        endTime, running = time.monotonic() + seconds, []
-        while time.monotonic() < endTime:
+        end_time, running = time.monotonic() + seconds, []
+        while time.monotonic() < end_time:
             gevent.sleep(period * self.chance.uniform(0.5, 1.5))
             running.append(gevent.spawn(self.chance.choice(faults)))
         gevent.joinall(running, raise_error=True)
--- a/proving/sweep.py
+++ b/proving/sweep.py
@@ -16,7 +16,7 @@
     """Run one seed in a worker."""
     gc.disable()
     deployment, seed, faults, small = job
-    startTime = time.perf_counter()
+    start_time = time.perf_counter()
     try:
         sim, callers = run_seed(deployment, seed, faults, SMALL if small else None)
         violations, marks = sim.history.violations, sim.history.marks
@@ -29,16 +29,16 @@
     gc.collect()
     return {
         "deployment": deployment, "seed": seed, "violations": violations, "marks": marks,
-        "outcomes": outcomes, "counts": counts, "seconds": time.perf_counter() - startTime,
+        "outcomes": outcomes, "counts": counts, "seconds": time.perf_counter() - start_time,
     }
 
 
 def replay_command(result, faults, small):
     """Return the command that replays a seed."""
-    sizeFlag = " --small" if small else ""
+    size_flag = " --small" if small else ""
     return (
         f"python -m proving.sweep --deployment {result['deployment']} --first "
-        f"{result['seed']} --count 1 --faults {faults}{sizeFlag} --verbose"
+        f"{result['seed']} --count 1 --faults {faults}{size_flag} --verbose"
     )
 
 
--- a/proving/traces.py
+++ b/proving/traces.py
@@ -35,10 +35,10 @@
 def record_store(seed, name):
     """Run a fuzz seed of the quorum; return the calls one store took in and what it then held."""
     fuzz, calls = Fuzz(seed), []
-    realAttach = Acceptors.attach
+    real_attach = Acceptors.attach
 
     def attach(self, node):
-        realAttach(self, node)
+        real_attach(self, node)
         if node.me.name == name and not calls:
             for verb in VERBS:
                 node.handlers[f"quorum.{verb}"] = watch(self, verb)
@@ -56,7 +56,7 @@
     try:
         fuzz.run()
     finally:
-        Acceptors.attach = realAttach
+        Acceptors.attach = real_attach
     *played, (_, _, held) = calls
     return {"seed": seed, "store": name, "calls": [call[:2] for call in played], "held": held,
             "identity": played[0][1]["identity"]}
@@ -100,31 +100,31 @@
         return [sorted(nifty.graph.links.get(name, ())), list(nifty.bridge_nodes())]
 
     before = [m.to_list() for m in nifty.roster.members.values()]
-    realDatagram, realBeats = world.on_datagram, Nifty.send_beats
+    real_datagram, real_beats = world.on_datagram, Nifty.send_beats
 
     def on_datagram(data):
         taken.append([world.now() - start, data])
-        realDatagram(data)
+        real_datagram(data)
 
     def send_beats(self):
         if self is nifty:
             taken.append([world.now() - start, None])
-        realBeats(self)
+        real_beats(self)
 
     world.on_datagram, Nifty.send_beats = on_datagram, send_beats
     try:
-        sequence = nifty.beatSequence
+        sequence = nifty.beat_sequence
         stage.run(2)
         stage.sim.cut([name], ["store-1", "store-2", "core-2"])
         stage.run(4)
-        stage.sim.cut(["edge-2"], [name], bothWays=False)
+        stage.sim.cut(["edge-2"], [name], both_ways=False)
         stage.run(4)
         stage.sim.heal()
         stage.run(3)
         stage.sim.cut([name], names_but(stage, name))
         stage.run(3)
     finally:
-        Nifty.send_beats = realBeats
+        Nifty.send_beats = real_beats
     return {"me": node.me.to_list(), "members": before, "sequence": sequence, "taken": taken,
             "view": view()}
 
@@ -155,7 +155,7 @@
     nifty = node.offer("nifty", Nifty(node, []))
     for fields in trace["members"]:
         nifty.learn(Member.from_list(fields))
-    nifty.beatSequence, views = trace["sequence"], []
+    nifty.beat_sequence, views = trace["sequence"], []
     for at, data in trace["taken"]:
         world.time = at
         if data is None:
@@ -171,14 +171,14 @@
 
 def load(name):
     """Return a recorded trace."""
-    with open(f"{FOLDER}/{name}.cbor.z", "rb") as traceFile:
-        return cbor2.loads(zlib.decompress(traceFile.read()))
+    with open(f"{FOLDER}/{name}.cbor.z", "rb") as trace_file:
+        return cbor2.loads(zlib.decompress(trace_file.read()))
 
 
 def save(name, trace):
     """Write a trace."""
-    with open(f"{FOLDER}/{name}.cbor.z", "wb") as traceFile:
-        traceFile.write(zlib.compress(cbor2.dumps(trace), 9))
+    with open(f"{FOLDER}/{name}.cbor.z", "wb") as trace_file:
+        trace_file.write(zlib.compress(cbor2.dumps(trace), 9))
 
 
 @click.command()
--- a/quillring/classes/granter.py
+++ b/quillring/classes/granter.py
@@ -11,24 +11,24 @@
 class Asked:
     """What a taker last asked for a service, and the cold slots it may hold until when."""
 
-    __slots__ = ("at", "demands", "cold", "coldUntil")
+    __slots__ = ("at", "demands", "cold", "cold_until")
 
-    def __init__(self, at, demands, cold, coldUntil):
+    def __init__(self, at, demands, cold, cold_until):
         self.at = at
         self.demands = demands
         self.cold = cold
-        self.coldUntil = coldUntil
+        self.cold_until = cold_until
 
 
 class Granter:
     """Answers takers for the services whose part this core owns, while its fence holds."""
 
-    __slots__ = ("node", "asked", "ownedSince")
+    __slots__ = ("node", "asked", "owned_since")
 
     def __init__(self, node):
         self.node = node
         self.asked = {}
-        self.ownedSince = {}
+        self.owned_since = {}
         node.find("duty").on_owner.append(self._on_owner)
         node.handle("grants.ask", self.on_ask)
 
@@ -38,11 +38,11 @@
         return self.node.bounds.news
 
     def _on_owner(self, owner, batch):
-        ballot, _ = self.ownedSince.get(owner.part, (None, 0))
+        ballot, _ = self.owned_since.get(owner.part, (None, 0))
         if owner.is_owner and ballot != owner.ballot:
-            self.ownedSince[owner.part] = (owner.ballot, self.node.now())
+            self.owned_since[owner.part] = (owner.ballot, self.node.now())
         elif not owner.is_owner and ballot == owner.ballot:
-            del self.ownedSince[owner.part]
+            del self.owned_since[owner.part]
 
     def on_ask(self, body, origin):
         """Grant a taker its class limits and cold slots for one service."""
@@ -54,12 +54,12 @@
             raise NotOwner(part=part)
         now = self.node.now()
         former = self.asked.get((service, origin))
-        heldCold = dict(body["cold"])
-        self.asked[(service, origin)] = Asked(now, body["demands"], heldCold, now + self.lease)
-        cold = self._cold_slots(service, origin, now, former, now - self.ownedSince[part][1])
+        held_cold = dict(body["cold"])
+        self.asked[(service, origin)] = Asked(now, body["demands"], held_cold, now + self.lease)
+        cold = self._cold_slots(service, origin, now, former, now - self.owned_since[part][1])
         asked = self.asked[(service, origin)]
-        names = dict.fromkeys((*cold, *heldCold))
-        asked.cold = {name: max(cold.get(name, 0), heldCold.get(name, 0)) for name in names}
+        names = dict.fromkeys((*cold, *held_cold))
+        asked.cold = {name: max(cold.get(name, 0), held_cold.get(name, 0)) for name in names}
         return {"limits": self._limits(service, origin, now), "cold": cold, "lease": self.lease}
 
     def _limits(self, service, taker, now):
@@ -70,14 +70,14 @@
             name: asked.demands for (s, name), asked in self.asked.items()
             if s == service and now - asked.at < self.node.bounds.news / 2
         }
-        classNames = sorted(
+        class_names = sorted(
             {c for demands in takers.values() for c in demands} & set(layout["classes"]))
-        demands = {c: sum(d.get(c, 0) for d in takers.values()) for c in classNames}
+        demands = {c: sum(d.get(c, 0) for d in takers.values()) for c in class_names}
         granted = divide(room, layout["classes"], demands)
-        idlePart = max(0, room - sum(granted.values())) // max(1, len(takers))
+        idle_part = max(0, room - sum(granted.values())) // max(1, len(takers))
         return {
-            c: split(granted[c], {n: d.get(c, 0) for n, d in takers.items()})[taker] + idlePart
-            for c in classNames
+            c: split(granted[c], {n: d.get(c, 0) for n, d in takers.items()})[taker] + idle_part
+            for c in class_names
         }
 
     def bearable(self, replica):
@@ -85,31 +85,31 @@
         if replica.state != "cold":
             return replica.slots
         services = (self.node.find("layout").layout or {}).get("services", {})
-        warmUp = services.get(replica.service, {}).get("warm_up_ms", WARM_UP_MS) / 1000
-        return ramp(replica.slots, self.node.now() - replica.bornAt, warmUp)
+        warm_up = services.get(replica.service, {}).get("warm_up_ms", WARM_UP_MS) / 1000
+        return ramp(replica.slots, self.node.now() - replica.born_at, warm_up)
 
-    def _cold_slots(self, service, taker, now, former, ownedFor):
+    def _cold_slots(self, service, taker, now, former, owned_for):
         """Return {replica: slots}; what others may still hold is never granted twice."""
-        coldReplicas = [
+        cold_replicas = [
             r for r in self.node.find("replicas").working(service) if r.state == "cold"
         ]
         held = self.asked[(service, taker)].cold
-        if ownedFor < self.lease:
-            return {r.name: held[r.name] for r in coldReplicas if held.get(r.name)}
+        if owned_for < self.lease:
+            return {r.name: held[r.name] for r in cold_replicas if held.get(r.name)}
         takers = {
             name: asked for (s, name), asked in self.asked.items()
-            if s == service and asked.coldUntil > now
+            if s == service and asked.cold_until > now
         }
         slots = {}
-        for replica in coldReplicas:
+        for replica in cold_replicas:
             elsewhere = sum(
                 asked.cold.get(replica.name, 0) for n, asked in takers.items() if n != taker
             )
             wanted = split(self.bearable(replica), {
                 name: sum(asked.demands.values()) + 1 for name, asked in takers.items()
             })[taker]
-            rankedTakers = sorted(takers, key=lambda n: score(replica.name, n), reverse=True)
+            ranked_takers = sorted(takers, key=lambda n: score(replica.name, n), reverse=True)
             if self.bearable(replica) < len(takers):
-                wanted = int(taker in rankedTakers[:self.bearable(replica)])
+                wanted = int(taker in ranked_takers[:self.bearable(replica)])
             slots[replica.name] = max(0, min(wanted, self.bearable(replica) - elsewhere))
         return {name: count for name, count in slots.items() if count}
--- a/quillring/classes/meter.py
+++ b/quillring/classes/meter.py
@@ -13,22 +13,22 @@
         self.node = node
         self.spans = {}
 
-    def note(self, className, firstAt, firstEnd):
+    def note(self, class_name, first_at, first_end):
         """Note when an inquiry's first piece went out, if it did, and by when it should have."""
-        outcome = UNSERVED if firstAt is None else KEPT if firstAt <= firstEnd else LATE
+        outcome = UNSERVED if first_at is None else KEPT if first_at <= first_end else LATE
         span = int(self.node.now() // SPAN_SECONDS)
         if span not in self.spans:
             self.spans = {n: kept for n, kept in self.spans.items() if n > span - SPANS}
         counts = self.spans.setdefault(span, {})
-        counts[className, outcome] = counts.get((className, outcome), 0) + 1
+        counts[class_name, outcome] = counts.get((class_name, outcome), 0) + 1
 
     def rows(self):
         """Return a row a class: how many were kept, late and unserved, and the share kept."""
         oldest = int(self.node.now() // SPAN_SECONDS) - SPANS
         totals = {}
         for span, counts in self.spans.items():
-            for (className, outcome), count in counts.items() if span > oldest else ():
-                row = totals.setdefault(className, {KEPT: 0, LATE: 0, UNSERVED: 0})
+            for (class_name, outcome), count in counts.items() if span > oldest else ():
+                row = totals.setdefault(class_name, {KEPT: 0, LATE: 0, UNSERVED: 0})
                 row[outcome] += count
         return [
             {"class": name, **row, "share_kept": round(row[KEPT] / sum(row.values()), 4)}
--- a/quillring/classes/shares.py
+++ b/quillring/classes/shares.py
@@ -10,9 +10,9 @@
     A class gets what it asks for up to its share; what others leave idle is lent to the classes
     that ask for more, the urgent first.
     """
-    shareSum = sum(promises[name]["share"] for name in demands) or 1
-    ownRooms = {name: promises[name]["share"] / shareSum * room for name in demands}
-    granted = {name: min(demands[name], math.floor(ownRooms[name])) for name in demands}
+    share_sum = sum(promises[name]["share"] for name in demands) or 1
+    own_rooms = {name: promises[name]["share"] / share_sum * room for name in demands}
+    granted = {name: min(demands[name], math.floor(own_rooms[name])) for name in demands}
     idle = room - sum(granted.values())
     for name in sorted(demands, key=lambda n: (-promises[n]["urgency"], n)):
         lent = min(idle, demands[name] - granted[name])
@@ -28,12 +28,12 @@
         return dict(demands)
     exact = {name: amount * demand / total for name, demand in demands.items()}
     parts = {name: math.floor(value) for name, value in exact.items()}
-    byRemainder = sorted(exact, key=lambda n: (parts[n] - exact[n], n))
-    for name in byRemainder[:amount - sum(parts.values())]:
+    by_remainder = sorted(exact, key=lambda n: (parts[n] - exact[n], n))
+    for name in by_remainder[:amount - sum(parts.values())]:
         parts[name] += 1
     return parts
 
 
-def ramp(slots, age, warmUp):
+def ramp(slots, age, warm_up):
     """Return how many inquiries a cold replica gets at this age."""
-    return min(slots, max(1, int(slots * min(1, age / warmUp))))
+    return min(slots, max(1, int(slots * min(1, age / warm_up))))
--- a/quillring/classes/taker.py
+++ b/quillring/classes/taker.py
@@ -10,14 +10,14 @@
 class Taker:
     """The grant entries of this node, per service."""
 
-    __slots__ = ("node", "limits", "limitsUntil", "cold", "coldUntil", "on_grant")
+    __slots__ = ("node", "limits", "limits_until", "cold", "cold_until", "on_grant")
 
     def __init__(self, node):
         self.node = node
         self.limits = {}
-        self.limitsUntil = {}
+        self.limits_until = {}
         self.cold = {}
-        self.coldUntil = {}
+        self.cold_until = {}
         self.on_grant = lambda: None
 
     def run(self):
@@ -30,8 +30,8 @@
             if layout is None or self.node.is_draining:
                 continue
             for service in sorted(n for n, s in layout["services"].items() if s["kind"] != "raw"):
-                isIdle = not self.node.find("dispatch").demands(service)
-                if not isIdle or ticks % ASKS_A_BEAT == 0:
+                is_idle = not self.node.find("dispatch").demands(service)
+                if not is_idle or ticks % ASKS_A_BEAT == 0:
                     self.node.spawn(self._ask(service))
 
     def _ask(self, service):
@@ -43,7 +43,7 @@
         news = self.node.find("gossip").get(f"owner/{part}")
         if news is None or not self.node.find("nifty").reaches(news["owner"]):
             return
-        askTime = self.node.now()
+        ask_time = self.node.now()
         body = {
             "service": service, "demands": dispatch.demands(service),
             "cold": self._held_cold(service),
@@ -54,9 +54,9 @@
         except Trouble:
             return
         self.limits = {**self.limits, service: grant["limits"]}
-        self.limitsUntil = {**self.limitsUntil, service: askTime + self.node.bounds.news * 2}
+        self.limits_until = {**self.limits_until, service: ask_time + self.node.bounds.news * 2}
         self.cold = {**self.cold, service: grant["cold"]}
-        self.coldUntil = {**self.coldUntil, service: askTime + grant["lease"]}
+        self.cold_until = {**self.cold_until, service: ask_time + grant["lease"]}
         self.on_grant()
 
     def _held_cold(self, service):
@@ -64,13 +64,13 @@
         granted = self.cold.get(service, {}) if self._holds_cold(service) else {}
         replicas = [r for r in self.node.find("replicas").table.values() if r.state == "cold"]
         held = {
-            r.name: max(r.inFlight, granted.get(r.name, 0))
+            r.name: max(r.in_flight, granted.get(r.name, 0))
             for r in replicas if r.service == service
         }
         return {name: count for name, count in held.items() if count}
 
     def _holds_cold(self, service):
-        return self.node.now() < self.coldUntil.get(service, 0)
+        return self.node.now() < self.cold_until.get(service, 0)
 
     def cold_room(self, replica):
         """Return how many inquiries this node may have at a cold replica."""
@@ -80,11 +80,11 @@
 
     def is_decided(self, service):
         """Tell whether a deciding core answered lately."""
-        grantedAt = self.limitsUntil.get(service, 0) - self.node.bounds.news * 2
-        return self.node.now() - grantedAt < self.node.bounds.beat
+        granted_at = self.limits_until.get(service, 0) - self.node.bounds.news * 2
+        return self.node.now() - granted_at < self.node.bounds.beat
 
-    def limit(self, service, className):
+    def limit(self, service, class_name):
         """Return how many inquiries of the class may run from here, None without a grant."""
-        if self.node.now() >= self.limitsUntil.get(service, 0):
+        if self.node.now() >= self.limits_until.get(service, 0):
             return None
-        return self.limits[service].get(className)
+        return self.limits[service].get(class_name)
--- a/quillring/duty/asking.py
+++ b/quillring/duty/asking.py
@@ -29,26 +29,26 @@
 
     def read(self, part, query, seconds=None):
         """Script: read a part's state from its owner, or from a majority of its stores."""
-        bounds, lastTrouble = self.node.bounds, NotOwner(part=part)
-        endTime = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
-        while self.node.now() < endTime:
+        bounds, last_trouble = self.node.bounds, NotOwner(part=part)
+        end_time = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
+        while self.node.now() < end_time:
             hopelessness = self.why_hopeless(part)
             if hopelessness is not None:
                 raise Refused(reason=hopelessness.kind, part=part)
-            for ownerName in self._candidates(part)[:1]:
+            for owner_name in self._candidates(part)[:1]:
                 try:
                     body = {"part": part, "query": query}
                     answer = yield from self.node.call(
-                        ownerName, "part.read", body, bounds.reading / 2)
+                        owner_name, "part.read", body, bounds.reading / 2)
                     return answer
                 except (*LOOK_ELSEWHERE, NoMajority) as trouble:
-                    lastTrouble = trouble
+                    last_trouble = trouble
             known = yield from peek(self.node, part, self.group(part), query)
             if known is not None:
                 self.node.count("peeks")
                 return known()
             yield from wait_for_owner(self.node, bounds.beat / 4)
-        raise Refused(reason=lastTrouble.kind, part=part)
+        raise Refused(reason=last_trouble.kind, part=part)
 
     def ask(self, part, service, body, seconds):
         """Script: call a service of the core that owns the part, wherever it is.
@@ -57,42 +57,42 @@
         but success or a refusal of what can never be taken: the earlier one may still take effect.
         """
         bounds = self.node.bounds
-        endTime = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
+        end_time = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
         self.founding()
-        lastTrouble, rounds, mayHaveRun = NotOwner(part=part), 0, False
-        while self.node.now() < endTime:
+        last_trouble, rounds, may_have_run = NotOwner(part=part), 0, False
+        while self.node.now() < end_time:
             hopelessness = self.why_hopeless(part)
             if hopelessness is not None:
-                lastTrouble = hopelessness
+                last_trouble = hopelessness
                 break
             candidates = self._candidates(part)
             if candidates:
                 try:
                     answer = yield from self.node.call(
                         candidates[rounds % len(candidates)], service, {"part": part, **body},
-                        min(bounds.news, endTime - self.node.now()),
+                        min(bounds.news, end_time - self.node.now()),
                     )
                     return answer
                 except (*LOOK_ELSEWHERE, NoMajority) as trouble:
-                    lastTrouble = trouble
-                    mayHaveRun = mayHaveRun or (
+                    last_trouble = trouble
+                    may_have_run = may_have_run or (
                         service == "part.submit" and isinstance(trouble, (NoMajority, TimedOut)))
                 except Trouble as trouble:
-                    if mayHaveRun and not trouble.is_final:
+                    if may_have_run and not trouble.is_final:
                         raise _unknown(part) from trouble
                     raise
             rounds += 1
             yield from wait_for_owner(self.node, bounds.beat / 4)
-        if mayHaveRun:
+        if may_have_run:
             raise _unknown(part)
-        raise Refused(reason=lastTrouble.kind, part=part)
+        raise Refused(reason=last_trouble.kind, part=part)
 
     def why_hopeless(self, part):
         """Return the trouble that no core this node reaches can overcome, or None.
 
         A node that has just started does not know yet whom it reaches.
         """
-        if self.node.now() - self.startedAt < self.node.bounds.news:
+        if self.node.now() - self.started_at < self.node.bounds.news:
             return None
         graph, group = self.node.find("nifty").graph, self.group(part)
         reached = [store[0] for store in group if store[0] in graph.reachable()]
@@ -102,9 +102,9 @@
 
     def _candidates(self, part):
         news = self.node.find("gossip").get(f"owner/{part}")
-        rankedNames = self.rank(part)
-        namedOwner = [news["owner"]] if news and news["owner"] in rankedNames else []
-        return [*namedOwner, *(name for name in rankedNames[:2] if name not in namedOwner)]
+        ranked_names = self.rank(part)
+        named_owner = [news["owner"]] if news and news["owner"] in ranked_names else []
+        return [*named_owner, *(name for name in ranked_names[:2] if name not in named_owner)]
 
 
 def _unknown(part):
--- a/quillring/duty/duty.py
+++ b/quillring/duty/duty.py
@@ -12,15 +12,15 @@
 class Duty(Asking):
     """The table of parts as one node sees it; on a core also the owners it runs."""
 
-    __slots__ = ("node", "owners", "on_owner", "checks", "startedAt", "wakeSignal", "firsts")
+    __slots__ = ("node", "owners", "on_owner", "checks", "started_at", "wake_signal", "firsts")
 
     def __init__(self, node):
         self.node = node
         self.owners = {}
         self.on_owner = []
         self.checks = []
-        self.startedAt = node.now()
-        self.wakeSignal = Signal()
+        self.started_at = node.now()
+        self.wake_signal = Signal()
         self.firsts = Firsts()
         if node.me.role == "core":
             node.handle("part.submit", self.on_submit)
@@ -32,7 +32,7 @@
             node.find("gossip").listen("group/", self._wake)
 
     def _wake(self, *news):
-        self.wakeSignal.set()
+        self.wake_signal.set()
 
     def founding(self):
         """Return the founding record, or raise NotFounded."""
@@ -62,8 +62,8 @@
     def rank(self, part):
         """Return the reachable cores in the order of their claim to the part."""
         cores = self.cores()
-        leavingNames = {name for name in cores if self.is_leaving(name)}
-        return ranked_cores(part, cores, self.node.find("nifty").graph, leavingNames)
+        leaving_names = {name for name in cores if self.is_leaving(name)}
+        return ranked_cores(part, cores, self.node.find("nifty").graph, leaving_names)
 
     def is_leaving(self, name):
         """Tell whether a member drains or stands in an emptied domain: nothing new goes there."""
@@ -83,19 +83,19 @@
         attempts = {}
         while True:
             seconds = self.node.bounds.beat * (0.8 + 0.4 * self.node.world.random.random())
-            if (yield Wait(self.wakeSignal, seconds)):
-                self.wakeSignal = Signal()
+            if (yield Wait(self.wake_signal, seconds)):
+                self.wake_signal = Signal()
             if self.node.find("gossip").get("founding") is None:
                 continue
             for part in self.parts():
                 owner = self.owners.get(part)
-                holdsPart = owner is not None and owner.is_owner
-                isFirst, isSettled = self._standing(part)
-                if isFirst and not holdsPart and attempts.get(part) is None and (
-                        isSettled or not self._is_owned_elsewhere(part)):
+                holds_part = owner is not None and owner.is_owner
+                is_first, is_settled = self._standing(part)
+                if is_first and not holds_part and attempts.get(part) is None and (
+                        is_settled or not self._is_owned_elsewhere(part)):
                     attempts[part] = True
                     self.node.spawn(self._take(part, attempts))
-                elif holdsPart and not isFirst and isSettled and not owner.queue:
+                elif holds_part and not is_first and is_settled and not owner.queue:
                     self._hand_over(part, owner)
 
     def _standing(self, part):
@@ -105,10 +105,10 @@
         waver; a part that is owned well stays where it is meanwhile. Who leaves does so at once.
         """
         name, me = next(iter(self.rank(part)), None), self.node.me.name
-        isLeaving = self.node.is_draining or self.is_leaving(me)
+        is_leaving = self.node.is_draining or self.is_leaving(me)
         seconds = self.firsts.note(part, name, self.node.now())
-        isFirst = name == me and not self.node.is_draining
-        return isFirst, isLeaving or seconds >= self.node.bounds.beat * 2
+        is_first = name == me and not self.node.is_draining
+        return is_first, is_leaving or seconds >= self.node.bounds.beat * 2
 
     def _is_owned_elsewhere(self, part):
         name = (self.node.find("gossip").get(f"owner/{part}") or {}).get("owner")
@@ -164,8 +164,8 @@
 
     def on_read(self, body, origin):
         """Answer a query from a part owned here, under its fence."""
-        readState = yield from self._owner(body["part"]).fenced_state()
-        return QUERIES.find(body["query"]["ask"])(readState, body["query"])
+        read_state = yield from self._owner(body["part"]).fenced_state()
+        return QUERIES.find(body["query"]["ask"])(read_state, body["query"])
 
     def on_whole(self, body, origin):
         """Tell whether a part owned here has three stores that hold everything."""
--- a/quillring/duty/rank.py
+++ b/quillring/duty/rank.py
@@ -3,13 +3,13 @@
 from quillring.nifty.graph import score
 
 
-def ranked_cores(key, cores, graph, leavingNames=()):
+def ranked_cores(key, cores, graph, leaving_names=()):
     """Return the reachable core names, the one whose duty the key is first; leaving ones last."""
-    reachedCores = [name for name in cores if name in graph.reachable()]
-    bridgeNames = set(graph.bridge_nodes()) if graph.is_cut else set()
+    reached_cores = [name for name in cores if name in graph.reachable()]
+    bridge_names = set(graph.bridge_nodes()) if graph.is_cut else set()
     return sorted(
-        reachedCores, reverse=True,
-        key=lambda name: (name not in leavingNames, name in bridgeNames, score(key, name)),
+        reached_cores, reverse=True,
+        key=lambda name: (name not in leaving_names, name in bridge_names, score(key, name)),
     )
 
 
--- a/quillring/edge/claim.py
+++ b/quillring/edge/claim.py
@@ -4,7 +4,7 @@
 from quillring.kernel.troubles import NotFound, Refused, Trouble
 
 
-def claim_stream(journal, name, sender, servedRound, check):
+def claim_stream(journal, name, sender, served_round, check):
     """Script: find a stream wherever it is held, fence its former round, run it here.
 
     It is given back once a second node holds all of it: what a former runner could not hand
@@ -28,24 +28,24 @@
             raise Refused(reason="the stream's holders are out of reach")
         raise NotFound(field="stream")
     check(next(iter(holders.values())))
-    claimRound = (max(reply[0][0] for reply in holders.values()) + 1, journal.node.me.name)
+    claim_round = (max(reply[0][0] for reply in holders.values()) + 1, journal.node.me.name)
     claims = yield from journal.node.gather(
-        [(n, "journal.claim", {**question, "round": list(claimRound)}) for n in holders],
+        [(n, "journal.claim", {**question, "round": list(claim_round)}) for n in holders],
         len(holders),
     )
-    goodClaims = {
+    good_claims = {
         holder: reply for holder, reply in claims.items()
-        if not isinstance(reply, Trouble) and tuple(reply[3]) >= servedRound
+        if not isinstance(reply, Trouble) and tuple(reply[3]) >= served_round
     }
-    if not goodClaims:
+    if not good_claims:
         raise Refused(reason="the stream's newest holders are out of reach")
-    best = max(goodClaims.values(), key=lambda reply: (tuple(reply[3]), len(reply[1])))
+    best = max(good_claims.values(), key=lambda reply: (tuple(reply[3]), len(reply[1])))
     inquiry, pieces, ended, _ = best
-    stream = Stream(name, inquiry, sender, journal.node.now(), claimRound)
+    stream = Stream(name, inquiry, sender, journal.node.now(), claim_round)
     stream.put(0, pieces)
     stream.ended = ended
     journal.enter(stream)
-    stream.holder = next((n for n in journal.holders(name) if goodClaims.get(n) == best), None)
+    stream.holder = next((n for n in journal.holders(name) if good_claims.get(n) == best), None)
     yield from ensure_held(journal, stream)
     return stream
 
--- a/quillring/edge/dispatch.py
+++ b/quillring/edge/dispatch.py
@@ -45,63 +45,63 @@
         counts = {}
         for lease in self.leases:
             if lease.replica.service == service:
-                counts[lease.className] = counts.get(lease.className, 0) + 1
+                counts[lease.class_name] = counts.get(lease.class_name, 0) + 1
         for waiter in self.waiting:
             if waiter.service == service:
-                counts[waiter.className] = counts.get(waiter.className, 0) + 1
+                counts[waiter.class_name] = counts.get(waiter.class_name, 0) + 1
         return counts
 
     def acquire(
-        self, serviceName, className, promise, prefix, endTime, avoided=(), isPaused=False,
-        mayPause=False,
+        self, service_name, class_name, promise, prefix, end_time, avoided=(), is_paused=False,
+        may_pause=False,
     ):
         """Script: return a lease, or refuse at once when waiting is hopeless or over."""
         self.order += 1
         waiter = Waiter(
-            promise, self.order, serviceName, prefix, avoided, className, mayPause,
-            endTime,
+            promise, self.order, service_name, prefix, avoided, class_name, may_pause,
+            end_time,
         )
-        chosenReplica = None if self._is_outranked(waiter) else self._choose(waiter)
-        if chosenReplica is not None:
-            return self._lease(waiter, chosenReplica)
+        chosen_replica = None if self._is_outranked(waiter) else self._choose(waiter)
+        if chosen_replica is not None:
+            return self._lease(waiter, chosen_replica)
         hopelessness = self.why_hopeless(waiter)
         if hopelessness is not None:
             raise hopelessness
-        queued = sum(w.className == className for w in self.waiting)
-        if not isPaused and queued >= promise.get("queue", DEFAULT_QUEUE):
+        queued = sum(w.class_name == class_name for w in self.waiting)
+        if not is_paused and queued >= promise.get("queue", DEFAULT_QUEUE):
             self.node.count("queue_refusals")
             raise Refused(
-                reason="queue full", class_name=className,
+                reason="queue full", class_name=class_name,
                 come_back_s=max(self.node.bounds.news, promise["first_piece_ms"] / 1000),
             )
         self.waiting.append(waiter)
-        isOver = False
+        is_over = False
         try:
-            yield Wait(waiter.signal, endTime - self.node.now())
-            isOver = True
+            yield Wait(waiter.signal, end_time - self.node.now())
+            is_over = True
         finally:
             if waiter in self.waiting:
                 self.waiting.remove(waiter)
-            elif not isOver and isinstance(waiter.signal.value, Lease):
+            elif not is_over and isinstance(waiter.signal.value, Lease):
                 waiter.signal.value.release()
         if isinstance(waiter.signal.value, Lease):
             return waiter.signal.value
         self.node.count("wait_refusals")
-        raise waiter.signal.value or Refused(reason="no room in time", class_name=className)
+        raise waiter.signal.value or Refused(reason="no room in time", class_name=class_name)
 
     def why_hopeless(self, waiter):
         """Return the refusal of an inquiry that can't get room in time any more, or None."""
         replicas = self.node.find("replicas")
         if not any(
-            r.name not in waiter.avoided for r in replicas.hopeful(waiter.service, waiter.endTime)
+            r.name not in waiter.avoided for r in replicas.hopeful(waiter.service, waiter.end_time)
         ):
             return Refused(reason="no replica", service=waiter.service)
-        limit = self.node.find("taker").limit(waiter.service, waiter.className)
+        limit = self.node.find("taker").limit(waiter.service, waiter.class_name)
         slots = sum(replica.slots for replica in replicas.working(waiter.service))
         seconds = self.pace.expected_wait(waiter, self.waiting, self.leases, limit, slots)
-        if seconds is not None and self.node.now() + seconds > waiter.endTime:
+        if seconds is not None and self.node.now() + seconds > waiter.end_time:
             return Refused(
-                reason="no room in time", class_name=waiter.className,
+                reason="no room in time", class_name=waiter.class_name,
                 come_back_s=max(self.node.bounds.news, seconds),
             )
         return None
@@ -114,11 +114,11 @@
     def wake(self):
         """Give free room to those who wait, the urgent first; ask borrowers to pause."""
         for waiter in sorted(self.waiting, key=lambda w: (-w.urgency, w.order)):
-            chosenReplica = self._choose(waiter)
-            if chosenReplica is not None:
+            chosen_replica = self._choose(waiter)
+            if chosen_replica is not None:
                 self.waiting.remove(waiter)
-                waiter.signal.set(self._lease(waiter, chosenReplica))
-        for service in sorted({x.replica.service for x in self.leases if x.mayPause}):
+                waiter.signal.set(self._lease(waiter, chosen_replica))
+        for service in sorted({x.replica.service for x in self.leases if x.may_pause}):
             self._pause_borrowers(service)
 
     def _pause_borrowers(self, service):
@@ -127,37 +127,37 @@
         if not taker.is_decided(service):
             self._pause_by_urgency(service)
             return
-        byClass = {}
+        by_class = {}
         for lease in self.leases:
             if lease.replica.service == service:
-                byClass.setdefault(lease.className, []).append(lease)
-        for className, classLeases in byClass.items():
-            limit = taker.limit(service, className)
+                by_class.setdefault(lease.class_name, []).append(lease)
+        for class_name, class_leases in by_class.items():
+            limit = taker.limit(service, class_name)
             if limit is None:
                 continue
-            over = len(classLeases) - limit - sum(lease.isWantedBack for lease in classLeases)
-            pausable = [x for x in classLeases if x.mayPause and not x.isWantedBack]
+            over = len(class_leases) - limit - sum(lease.is_wanted_back for lease in class_leases)
+            pausable = [x for x in class_leases if x.may_pause and not x.is_wanted_back]
             for lease in pausable[:max(0, over)]:
-                lease.isWantedBack = True
+                lease.is_wanted_back = True
                 self.node.count("pauses")
 
     def _pause_by_urgency(self, service):
         """While no core decides, the urgent that wait want room back from the least urgent."""
         waiting = [w for w in self.waiting if w.service == service]
-        wanted = sum(x.isWantedBack for x in self.leases if x.replica.service == service)
+        wanted = sum(x.is_wanted_back for x in self.leases if x.replica.service == service)
         pausable = sorted(
             (x for x in self.leases
-             if x.replica.service == service and x.mayPause and not x.isWantedBack),
+             if x.replica.service == service and x.may_pause and not x.is_wanted_back),
             key=lambda lease: lease.urgency,
         )
         urgent = sorted((w.urgency for w in waiting), reverse=True)[wanted:]
         for urgency, lease in zip(urgent, pausable, strict=False):
             if lease.urgency < urgency:
-                lease.isWantedBack = True
+                lease.is_wanted_back = True
                 self.node.count("pauses")
 
     def _lease(self, waiter, replica):
-        replica.inFlight += 1
+        replica.in_flight += 1
         lease = Lease(self, replica, waiter)
         self.leases[lease] = None
         return lease
@@ -168,7 +168,7 @@
         self.pace.note(lease.replica.service, self.node.now() - lease.since)
         known = self.node.find("replicas").find(lease.replica.name)
         if known is not None and known.incarnation == lease.replica.incarnation:
-            known.inFlight = max(0, known.inFlight - 1)
+            known.in_flight = max(0, known.in_flight - 1)
         self.wake()
 
     def give_back_later(self, lease):
@@ -183,26 +183,26 @@
         return replica.slots
 
     def _choose(self, waiter):
-        limit = self.node.find("taker").limit(waiter.service, waiter.className)
+        limit = self.node.find("taker").limit(waiter.service, waiter.class_name)
         if limit is not None and self._running(waiter) >= limit:
             return None
         now = self.node.now()
         candidates = [
             replica for replica in self.node.find("replicas").working(waiter.service)
-            if replica.name not in waiter.avoided and replica.inFlight < self.room(replica)
-            and now >= replica.busyUntil
+            if replica.name not in waiter.avoided and replica.in_flight < self.room(replica)
+            and now >= replica.busy_until
         ]
         if not candidates:
             return None
         if waiter.prefix:
-            likedReplica = max(candidates, key=lambda r: score(waiter.prefix, r.name))
-            if likedReplica.inFlight < self.room(likedReplica) * SPILL:
-                return likedReplica
-        return min(candidates, key=lambda r: (r.inFlight / self.room(r), score(r.name)))
+            liked_replica = max(candidates, key=lambda r: score(waiter.prefix, r.name))
+            if liked_replica.in_flight < self.room(liked_replica) * SPILL:
+                return liked_replica
+        return min(candidates, key=lambda r: (r.in_flight / self.room(r), score(r.name)))
 
     def _running(self, waiter):
         return sum(
-            lease.className == waiter.className and lease.replica.service == waiter.service
+            lease.class_name == waiter.class_name and lease.replica.service == waiter.service
             for lease in self.leases
         )
 
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -26,13 +26,13 @@
         node.handle("journal.find", self.on_find)
         node.handle("journal.claim", self.on_claim)
 
-    def run(self, keptSeconds):
+    def run(self, kept_seconds):
         """Script: drop streams that nobody touched for long; those running here are kept."""
         while True:
             yield Sleep(self.node.bounds.news)
-            edgeTime = self.node.now() - keptSeconds
+            edge_time = self.node.now() - kept_seconds
             self.streams = {
-                n: s for n, s in self.streams.items() if s.isRunning or s.touchedAt > edgeTime}
+                n: s for n, s in self.streams.items() if s.is_running or s.touched_at > edge_time}
             self.weight = sum(stream.weight for stream in self.streams.values())
 
     def _make_room(self):
@@ -42,10 +42,10 @@
         """
         if not self._is_full():
             return
-        endedStreams = sorted(
-            (s for s in self.streams.values() if s.ended and not s.isRunning),
-            key=lambda s: s.touchedAt)
-        for stream in endedStreams[:max(1, len(endedStreams) // 4)]:
+        ended_streams = sorted(
+            (s for s in self.streams.values() if s.ended and not s.is_running),
+            key=lambda s: s.touched_at)
+        for stream in ended_streams[:max(1, len(ended_streams) // 4)]:
             self.forget(stream)
             self.node.count("streams_dropped")
         if self._is_full():
@@ -62,9 +62,9 @@
         self.streams[stream.name] = stream
 
     def _put(self, stream, start, pieces):
-        formerWeight = stream.weight
+        former_weight = stream.weight
         stream.put(start, pieces)
-        self.weight += stream.weight - formerWeight
+        self.weight += stream.weight - former_weight
 
     def open(self, name, inquiry, sender):
         """Begin the journal of a stream here."""
@@ -84,7 +84,7 @@
 
         Nodes that drain or stand in an emptied domain come last: better there than nowhere.
         """
-        isLeaving = self.node.find("duty").is_leaving
+        is_leaving = self.node.find("duty").is_leaving
         me, nifty = self.node.me, self.node.find("nifty")
         members = [
             m for m in nifty.roster.members.values()
@@ -94,27 +94,27 @@
         return [
             m.name for m in sorted(
                 members, reverse=True,
-                key=lambda m: (not isLeaving(m.name), m.role == "edge", score(name, m.name)),
+                key=lambda m: (not is_leaving(m.name), m.role == "edge", score(name, m.name)),
             )
         ]
 
     def _leave_leaving(self, stream):
         """Let go of a holder that is to be left alone, if another node can take its place."""
-        isLeaving = self.node.find("duty").is_leaving
-        if stream.holder is not None and isLeaving(stream.holder):
+        is_leaving = self.node.find("duty").is_leaving
+        if stream.holder is not None and is_leaving(stream.holder):
             candidates = self.holders(stream.name)
-            if candidates and not isLeaving(candidates[0]):
+            if candidates and not is_leaving(candidates[0]):
                 stream.holder = None
 
     def hand_over(self):
         """Script: before a planned stop, give every stream touched lately to another node."""
-        edgeTime = self.node.now() - self.node.bounds.return_ * HANDED_AGE
-        lateStreams = [s for s in self.streams.values() if s.touchedAt > edgeTime]
-        for someStreams in chunked(lateStreams, HANDED_AT_ONCE):
-            for stream in someStreams:
+        edge_time = self.node.now() - self.node.bounds.return_ * HANDED_AGE
+        late_streams = [s for s in self.streams.values() if s.touched_at > edge_time]
+        for some_streams in chunked(late_streams, HANDED_AT_ONCE):
+            for stream in some_streams:
                 self.node.spawn(self._hand_one(stream))
             yield Sleep(self.node.bounds.chatter)
-        self.node.count("streams_handed", len(lateStreams))
+        self.node.count("streams_handed", len(late_streams))
 
     def _hand_one(self, stream):
         for holder in self.holders(stream.name, {stream.holder})[:2]:
@@ -129,23 +129,23 @@
         members = self.node.find("nifty").roster.members.values()
         return [m.name for m in members if m.role in ("edge", "core")]
 
-    def keep(self, stream, newPieces, ended=False):
+    def keep(self, stream, new_pieces, ended=False):
         """Script: add pieces here and at a second holder; return once both have them."""
         self._check_round(stream)
-        oldCount = len(stream.pieces)
-        self._put(stream, oldCount, newPieces)
+        old_count = len(stream.pieces)
+        self._put(stream, old_count, new_pieces)
         stream.ended = ended or stream.ended
-        stream.touchedAt = self.node.now()
+        stream.touched_at = self.node.now()
         self._leave_leaving(stream)
-        avoidedNames = set()
+        avoided_names = set()
         while True:
             if stream.holder is None:
-                candidates = self.holders(stream.name, avoidedNames)
+                candidates = self.holders(stream.name, avoided_names)
                 if not candidates:
                     raise Refused(reason="no second holder in another domain")
-                stream.holder, oldCount = candidates[0], 0
+                stream.holder, old_count = candidates[0], 0
             try:
-                body = append_body(stream, oldCount)
+                body = append_body(stream, old_count)
                 yield from self.node.call(stream.holder, "journal.append", body)
                 return
             except Fenced:
@@ -154,7 +154,7 @@
             except Trouble as trouble:
                 self.node.count("holder_changes")
                 self.node.log("warning", "holder %s: %s", stream.holder, trouble)
-                avoidedNames.add(stream.holder)
+                avoided_names.add(stream.holder)
                 stream.holder = None
 
     def _check_round(self, stream):
@@ -168,16 +168,16 @@
     def hold(self, body):
         """Hold pieces; a lower round is fenced off, a gap refused."""
         known = self.streams.get(body["stream"])
-        streamRound = tuple(body["round"])
-        if known is not None and known.round > streamRound:
+        stream_round = tuple(body["round"])
+        if known is not None and known.round > stream_round:
             raise Fenced(stream=body["stream"])
         stream = known
         if known is None:
             self._make_room()
             stream = Stream(
-                body["stream"], body["inquiry"], body["sender"], self.node.now(), streamRound)
-        elif known.round < streamRound:
-            stream = known.claimed(self.node.now(), streamRound)
+                body["stream"], body["inquiry"], body["sender"], self.node.now(), stream_round)
+        elif known.round < stream_round:
+            stream = known.claimed(self.node.now(), stream_round)
             stream.ended = False
         start = body["from"]
         if start > len(stream.pieces):
@@ -186,7 +186,7 @@
             self.enter(stream)
         if start + len(body["pieces"]) >= len(stream.pieces):
             self._put(stream, start, body["pieces"])
-        stream.ended, stream.touchedAt = body["ended"] or stream.ended, self.node.now()
+        stream.ended, stream.touched_at = body["ended"] or stream.ended, self.node.now()
         return len(stream.pieces)
 
     def on_find(self, body, origin):
@@ -201,12 +201,12 @@
         stream = self.streams.get(body["stream"])
         if stream is None or stream.sender != body["sender"]:
             raise NotFound(field="stream")
-        claimRound = tuple(body["round"])
-        if stream.round >= claimRound:
+        claim_round = tuple(body["round"])
+        if stream.round >= claim_round:
             raise Fenced(stream=stream.name)
-        self.enter(stream.claimed(self.node.now(), claimRound))
+        self.enter(stream.claimed(self.node.now(), claim_round))
         return [stream.inquiry, list(stream.pieces), stream.ended, list(stream.round)]
 
-    def claim(self, name, sender, servedRound, check):
+    def claim(self, name, sender, served_round, check):
         """Script: find a stream wherever it is held, and run it here from now on."""
-        return claim_stream(self, name, sender, servedRound, check)
+        return claim_stream(self, name, sender, served_round, check)
--- a/quillring/edge/lease.py
+++ b/quillring/edge/lease.py
@@ -8,26 +8,26 @@
     """The right to run one inquiry on a replica; its room may be wanted back."""
 
     __slots__ = (
-        "dispatch", "replica", "className", "urgency", "mayPause", "isHeld", "isWantedBack",
-        "mayRunOn", "since",
+        "dispatch", "replica", "class_name", "urgency", "may_pause", "is_held", "is_wanted_back",
+        "may_run_on", "since",
     )
 
     def __init__(self, dispatch, replica, waiter):
         self.dispatch = dispatch
         self.replica = replica
-        self.className = waiter.className
+        self.class_name = waiter.class_name
         self.urgency = waiter.urgency
-        self.mayPause = waiter.mayPause
-        self.isHeld = True
-        self.isWantedBack = False
-        self.mayRunOn = False
+        self.may_pause = waiter.may_pause
+        self.is_held = True
+        self.is_wanted_back = False
+        self.may_run_on = False
         self.since = dispatch.node.now()
 
     def release(self):
         """Give the room back, once; a cold replica first gets time to notice a break."""
-        if self.isHeld:
-            self.isHeld = False
-            if self.mayRunOn and self.replica.state == "cold":
+        if self.is_held:
+            self.is_held = False
+            if self.may_run_on and self.replica.state == "cold":
                 self.dispatch.node.spawn(self.dispatch.give_back_later(self))
             else:
                 self.dispatch.give_back(self)
@@ -36,18 +36,18 @@
 class Waiter:
     """One inquiry that waits for room."""
 
-    __slots__ = ("urgency", "order", "service", "prefix", "avoided", "signal", "className",
-                 "mayPause", "endTime")
+    __slots__ = ("urgency", "order", "service", "prefix", "avoided", "signal", "class_name",
+                 "may_pause", "end_time")
 
     def __init__(
-        self, promise, order, service, prefix, avoided, className, mayPause, endTime
+        self, promise, order, service, prefix, avoided, class_name, may_pause, end_time
     ):
         self.urgency = promise["urgency"]
         self.order = order
         self.service = service
         self.prefix = prefix
         self.avoided = frozenset(avoided)
-        self.className = className
-        self.mayPause = mayPause and may_run_on(promise, True)
-        self.endTime = endTime
+        self.class_name = class_name
+        self.may_pause = may_pause and may_run_on(promise, True)
+        self.end_time = end_time
         self.signal = Signal()
--- a/quillring/edge/liveness.py
+++ b/quillring/edge/liveness.py
@@ -13,13 +13,13 @@
 class Liveness:
     """The signs of life that wait here to be told, and who tells them."""
 
-    __slots__ = ("node", "waiting", "graph", "roster", "tellerNames")
+    __slots__ = ("node", "waiting", "graph", "roster", "teller_names")
 
     def __init__(self, node):
         self.node = node
         self.waiting = {}
         self.graph = self.roster = None
-        self.tellerNames = ()
+        self.teller_names = ()
         node.handle("replica.signs", self.on_signs)
         node.handle("replica.alive", self.on_alive)
 
@@ -29,8 +29,8 @@
         if nifty.graph is not self.graph or nifty.roster is not self.roster:
             self.graph, self.roster = nifty.graph, nifty.roster
             cores = [m.name for m in nifty.roster.members.values() if m.role == "core"]
-            self.tellerNames = tuple(ranked_cores("replica", cores, nifty.graph)[:TELLERS])
-        return self.tellerNames
+            self.teller_names = tuple(ranked_cores("replica", cores, nifty.graph)[:TELLERS])
+        return self.teller_names
 
     def note(self, name, incarnation, sequence):
         """Pass a sign of life on; False when there is no core to tell it."""
--- a/quillring/edge/pace.py
+++ b/quillring/edge/pace.py
@@ -30,7 +30,7 @@
         if self.samples.get(waiter.service, 0) < SAMPLES:
             return None
         running = [x for x in leases if x.replica.service == waiter.service]
-        pausing = sum(x.mayPause and x.urgency < waiter.urgency for x in running)
+        pausing = sum(x.may_pause and x.urgency < waiter.urgency for x in running)
         before = sum(
             w.service == waiter.service and w is not waiter
             and (-w.urgency, w.order) < (-waiter.urgency, waiter.order)
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -39,8 +39,8 @@
 
     __slots__ = (
         "name", "service", "domain", "address", "slots", "state", "incarnation", "sequence",
-        "heardAt", "bornAt", "inFlight", "stalledUntil", "busyUntil",
-        "coldUntil",
+        "heard_at", "born_at", "in_flight", "stalled_until", "busy_until",
+        "cold_until",
     )
 
     def __init__(self, beat, now, former=None):
@@ -53,13 +53,13 @@
         self.state = beat["state"]
         self.incarnation = beat["incarnation"]
         self.sequence = beat["sequence"]
-        self.coldUntil = now + beat.get("cold_ms", 0) / 1000
-        isSame = former is not None and former.incarnation == self.incarnation
-        self.heardAt = now if former is not None else -math.inf
-        self.bornAt = former.bornAt if isSame else now
-        self.inFlight = former.inFlight if isSame else 0
-        self.busyUntil = former.busyUntil if isSame else 0
-        self.stalledUntil = former.stalledUntil if isSame else 0
+        self.cold_until = now + beat.get("cold_ms", 0) / 1000
+        is_same = former is not None and former.incarnation == self.incarnation
+        self.heard_at = now if former is not None else -math.inf
+        self.born_at = former.born_at if is_same else now
+        self.in_flight = former.in_flight if is_same else 0
+        self.busy_until = former.busy_until if is_same else 0
+        self.stalled_until = former.stalled_until if is_same else 0
 
     def is_over(self, beat):
         """Tell whether a beat would bring back a start of the replica that has left."""
@@ -73,11 +73,11 @@
             [self.incarnation, self.service, self.domain, self.state, self.slots] == [
                 beat[name] for name in ("incarnation", "service", "domain", "state", "slots")]
             and "{}:{}".format(*self.address) == beat["address"]
-            and now + beat.get("cold_ms", 0) / 1000 <= max(now, self.coldUntil) + COLD_SLACK)
+            and now + beat.get("cold_ms", 0) / 1000 <= max(now, self.cold_until) + COLD_SLACK)
 
     def is_cold(self, now):
         """Tell whether the replica still warms up by its own last word."""
-        return now < self.coldUntil
+        return now < self.cold_until
 
     def path(self, path, **words):
         """Return the path of an inquiry meant for this very start of the replica."""
@@ -89,21 +89,21 @@
             "name": self.name, "service": self.service, "domain": self.domain,
             "address": f"{self.address[0]}:{self.address[1]}", "state": self.state,
             "slots": self.slots, "incarnation": self.incarnation,
-            "in_flight_here": self.inFlight,
-            "silent_s": round(min(now - self.heardAt, 1e6), 3),
+            "in_flight_here": self.in_flight,
+            "silent_s": round(min(now - self.heard_at, 1e6), 3),
         }
 
 
 class Replicas:
     """The table of replicas, fed by beats that any node took and gossip passed on."""
 
-    __slots__ = ("node", "table", "on_change", "edition", "misplacedNames", "liveness")
+    __slots__ = ("node", "table", "on_change", "edition", "misplaced_names", "liveness")
 
     def __init__(self, node):
         self.node = node
         self.table = {}
         self.edition = 0
-        self.misplacedNames = frozenset()
+        self.misplaced_names = frozenset()
         self.on_change = []
         self.liveness = Liveness(node)
         node.find("gossip").listen("replica/", self._on_news)
@@ -116,13 +116,13 @@
             raise Conflict(field="incarnation", winning_incarnation=known.incarnation)
         version = [beat["incarnation"], beat["sequence"]]
         if known is not None and known.brings_nothing(beat, self.node.now()):
-            isNews = version > [known.incarnation, known.sequence] and (
+            is_news = version > [known.incarnation, known.sequence] and (
                 not self.liveness.note(beat["name"], *version))
             self.renew(beat["name"], *version)
         else:
-            isNews = known is None or not known.is_over(beat)
+            is_news = known is None or not known.is_over(beat)
         key = f"replica/{beat['name']}"
-        if isNews and self.node.find("gossip").put(key, version, beat):
+        if is_news and self.node.find("gossip").put(key, version, beat):
             for name in self.node.find("nifty").graph.routes:
                 self.node.cast(name, "gossip.news", [[key, version, beat]])
         return {"taken": True}
@@ -132,9 +132,9 @@
         known = self.table.get(name)
         if known is None or known.incarnation != incarnation or known.sequence >= sequence:
             return
-        wasHeard = self.is_heard(name)
-        known.sequence, known.heardAt = sequence, self.node.now()
-        for listener in () if wasHeard else self.on_change:
+        was_heard = self.is_heard(name)
+        known.sequence, known.heard_at = sequence, self.node.now()
+        for listener in () if was_heard else self.on_change:
             listener()
 
     def _on_news(self, key, beat):
@@ -155,7 +155,7 @@
     def is_heard(self, name):
         """Tell whether beats of the replica came in lately."""
         replica = self.table.get(name)
-        return replica is not None and self.node.now() - replica.heardAt < self.node.bounds.silent
+        return replica is not None and self.node.now() - replica.heard_at < self.node.bounds.silent
 
     def is_usable(self, replica):
         """Tell whether a replica is here to stay and heard of, in a domain that is not emptied."""
@@ -170,39 +170,39 @@
         known = self.table.get(replica.name)
         return (
             known is not None and known.state not in AWAY
-            and replica.name not in self.misplacedNames
+            and replica.name not in self.misplaced_names
             and not self.node.find("layout").is_emptied(replica.domain)
         )
 
     def misplaced(self, replica):
         """Note that another one answered at a replica's address: this one is gone for good."""
-        self.misplacedNames = self.misplacedNames | {replica.name}
+        self.misplaced_names = self.misplaced_names | {replica.name}
         self.edition += 1
 
     def may_get_work(self, replica):
         """Tell whether a replica may get something new by all that this node knows."""
-        return self.is_usable(replica) and self.node.now() >= replica.stalledUntil
+        return self.is_usable(replica) and self.node.now() >= replica.stalled_until
 
     def working(self, service):
         """Return the replicas of a service that may get something new."""
         return [r for r in self.hopeful(service, math.inf) if self.may_get_work(r)]
 
-    def hopeful(self, service, endTime):
+    def hopeful(self, service, end_time):
         """Return the replicas of a service that work, or may work again before a time."""
         return [
             replica for replica in self.table.values()
             if replica.service == service and self.is_usable(replica)
-            and replica.stalledUntil < endTime
+            and replica.stalled_until < end_time
         ]
 
     def busy(self, replica):
         """Keep new work for a moment from a replica that had no room left."""
         known = self.table.get(replica.name)
         if known is not None:
-            known.busyUntil = self.node.now() + self.node.bounds.chatter
+            known.busy_until = self.node.now() + self.node.bounds.chatter
 
     def stalled(self, replica):
         """Keep new work from a replica that stalled or broke off, for one news bound."""
         known = self.table.get(replica.name)
         if known is not None and known.incarnation == replica.incarnation:
-            known.stalledUntil = self.node.now() + self.node.bounds.news
+            known.stalled_until = self.node.now() + self.node.bounds.news
--- a/quillring/edge/short.py
+++ b/quillring/edge/short.py
@@ -48,49 +48,49 @@
     return {"key": body["key"], "seat": body["seat"], "confirmed": answer["confirmed"]}
 
 
-def ask_replica(node, entryName, kind, method, path, body, affinity):
+def ask_replica(node, entry_name, kind, method, path, body, affinity):
     """Script: ask one replica; another only when that is allowed or the first got nothing."""
     check_admission(node)
-    entry, service, promise = node.find("layout").entry(entryName)
+    entry, service, promise = node.find("layout").entry(entry_name)
     if service["kind"] != kind:
-        raise NotFound(field="entry", entry=entryName)
-    endTime = node.now() + promise["time_left_ms"] / 1000
-    firstEnd, answeredAt = node.now() + promise["first_piece_ms"] / 1000, None
+        raise NotFound(field="entry", entry=entry_name)
+    end_time = node.now() + promise["time_left_ms"] / 1000
+    first_end, answered_at = node.now() + promise["first_piece_ms"] / 1000, None
     name = f"{node.me.name}-{node.world.random.getrandbits(64):016x}"
-    avoidedNames, lastTrouble = set(), None
+    avoided_names, last_trouble = set(), None
     try:
         while True:
             try:
                 lease = yield from node.find("dispatch").acquire(
-                    entry["service"], entry["class"], promise, affinity, endTime, avoidedNames
+                    entry["service"], entry["class"], promise, affinity, end_time, avoided_names
                 )
             except Refused as refusal:
-                raise lastTrouble or refusal from refusal
+                raise last_trouble or refusal from refusal
             try:
-                check_before_sending(node, lease.replica, endTime)
-                lease.mayRunOn = True
+                check_before_sending(node, lease.replica, end_time)
+                lease.may_run_on = True
                 status, answer = yield Fetch(
                     lease.replica.address, method, lease.replica.path(path, inquiry=name),
-                    body and {**body, "inquiry": name}, endTime - node.now(), may_repeat(promise),
+                    body and {**body, "inquiry": name}, end_time - node.now(), may_repeat(promise),
                 )
-                lease.mayRunOn = False
+                lease.may_run_on = False
                 if status == 503:
                     raise Busy(replica=lease.replica.name)
                 if status == 200 and isinstance(answer, dict) and answer.get("inquiry") == name:
-                    answeredAt = node.now()
+                    answered_at = node.now()
                     return answer
                 raise BackendTrouble(reason="strange answer", status=status)
             except Busy:
                 node.find("replicas").busy(lease.replica)
             except BackendTrouble as trouble:
                 node.count("replica_troubles")
-                avoidedNames.add(lease.replica.name)
+                avoided_names.add(lease.replica.name)
                 if not isinstance(trouble, NotSent):
                     node.find("replicas").stalled(lease.replica)
-                    lastTrouble = OutcomeUnknown(reason="the replica broke off")
+                    last_trouble = OutcomeUnknown(reason="the replica broke off")
                     if not may_repeat(promise):
-                        raise lastTrouble from trouble
+                        raise last_trouble from trouble
             finally:
                 lease.release()
     finally:
-        node.find("meter").note(entry["class"], answeredAt, firstEnd)
+        node.find("meter").note(entry["class"], answered_at, first_end)
--- a/quillring/edge/stream.py
+++ b/quillring/edge/stream.py
@@ -7,8 +7,8 @@
     """The pieces of one answer; what it weighs is kept beside them."""
 
     __slots__ = (
-        "name", "inquiry", "sender", "pieces", "ended", "round", "touchedAt", "holder", "weight",
-        "isRunning",
+        "name", "inquiry", "sender", "pieces", "ended", "round", "touched_at", "holder", "weight",
+        "is_running",
     )
 
     def __init__(self, name, inquiry, sender, now, round_=(1, "")):
@@ -18,10 +18,10 @@
         self.pieces = []
         self.ended = False
         self.round = tuple(round_)
-        self.touchedAt = now
+        self.touched_at = now
         self.holder = None
         self.weight = OVERHEAD + len(inquiry.get("prompt", ""))
-        self.isRunning = False
+        self.is_running = False
 
     def put(self, start, pieces):
         """Put pieces from a place on; what stood there before goes."""
@@ -29,9 +29,9 @@
         self.pieces[start:] = pieces
         self.weight += sum(map(len, pieces))
 
-    def claimed(self, now, claimRound):
+    def claimed(self, now, claim_round):
         """Return the stream under a higher round; this one can add no more to it."""
-        stream = Stream(self.name, self.inquiry, self.sender, now, claimRound)
+        stream = Stream(self.name, self.inquiry, self.sender, now, claim_round)
         stream.put(0, self.pieces)
         stream.ended = self.ended
         return stream
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -42,25 +42,25 @@
     _, service, promise = node.find("layout").entry(inquiry.body["entry"])
     if service["kind"] != "model":
         raise BadInquiry(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
-    timeLeft = min(inquiry.body.get("time_left_ms", 1 << 40), promise["time_left_ms"]) / 1000
-    streamName = f"{node.me.name}-{node.world.random.getrandbits(96):024x}"
-    stream = node.find("journal").open(streamName, inquiry.body, inquiry.sender)
-    yield from run_stream(node, stream, 0, node.now() + timeLeft)
+    time_left = min(inquiry.body.get("time_left_ms", 1 << 40), promise["time_left_ms"]) / 1000
+    stream_name = f"{node.me.name}-{node.world.random.getrandbits(96):024x}"
+    stream = node.find("journal").open(stream_name, inquiry.body, inquiry.sender)
+    yield from run_stream(node, stream, 0, node.now() + time_left)
 
 
-@route("GET", "/v1/streams/{token}", queryWords=("after",))
+@route("GET", "/v1/streams/{token}", query_words=("after",))
 def resume_stream(node, inquiry):
     """Serve what follows the last piece the sender has."""
     check_open(node)
     secret = node.find("duty").founding()["secret"]
-    streamName, tokenRound = read_token(
+    stream_name, token_round = read_token(
         secret, inquiry.words["token"], inquiry.sender, node.world.wall())
-    sentCount = read_count(inquiry.query.get("after", ["0"])[0], "after")
+    sent_count = read_count(inquiry.query.get("after", ["0"])[0], "after")
     stream = yield from node.find("journal").claim(
-        streamName, inquiry.sender, tokenRound,
+        stream_name, inquiry.sender, token_round,
         lambda found: len(found) > 2 and check_resumable(node, found[2]))
     check_resumable(node, stream.inquiry["entry"])
-    if len(stream.pieces) < sentCount:
+    if len(stream.pieces) < sent_count:
         raise Conflict(field="after", held=len(stream.pieces))
     node.count("resumes")
     _, _, promise = node.find("layout").entry(stream.inquiry["entry"])
@@ -68,12 +68,12 @@
         node.find("freshness").check()
         if not may_run_on(promise, stream.pieces):
             raise OutcomeUnknown(stream=stream.name)
-    yield from run_stream(node, stream, sentCount, node.now() + promise["time_left_ms"] / 1000)
+    yield from run_stream(node, stream, sent_count, node.now() + promise["time_left_ms"] / 1000)
 
 
-def check_resumable(node, entryName):
+def check_resumable(node, entry_name):
     """Refuse to resume where the class forbids it, before anything about the stream changes."""
-    entry, _, promise = node.find("layout").entry(entryName)
+    entry, _, promise = node.find("layout").entry(entry_name)
     if not may_resume(promise):
         raise NotResumable(class_name=entry["class"])
 
@@ -88,89 +88,89 @@
 class Sending:
     """How far one answer has gone out to its sender."""
 
-    __slots__ = ("count", "headLine", "hasHead", "isPaused", "firstEnd", "firstAt", "clock")
+    __slots__ = ("count", "head_line", "has_head", "is_paused", "first_end", "first_at", "clock")
 
-    def __init__(self, count, headLine, firstEnd, clock):
+    def __init__(self, count, head_line, first_end, clock):
         self.count = count
-        self.firstEnd = firstEnd
-        self.headLine = headLine
-        self.hasHead = False
-        self.isPaused = False
-        self.firstAt = None
+        self.first_end = first_end
+        self.head_line = head_line
+        self.has_head = False
+        self.is_paused = False
+        self.first_at = None
         self.clock = clock
 
 
-def run_stream(node, stream, sentCount, endTime):
+def run_stream(node, stream, sent_count, end_time):
     """Script: emit what the journal holds, then go on at replicas until the end."""
     secret = node.find("duty").founding()["secret"]
     token = make_token(secret, stream, node.world.wall())
-    headLine = {"stream": stream.name, "resume": token, "after": sentCount}
+    head_line = {"stream": stream.name, "resume": token, "after": sent_count}
     entry, _, promise = node.find("layout").entry(stream.inquiry["entry"])
-    firstEnd = node.now() + promise["first_piece_ms"] / 1000
-    sending = Sending(sentCount, headLine, firstEnd, node.now)
-    avoidedNames = set()
-    stream.isRunning = True
+    first_end = node.now() + promise["first_piece_ms"] / 1000
+    sending = Sending(sent_count, head_line, first_end, node.now)
+    avoided_names = set()
+    stream.is_running = True
     try:
         yield from emit_held(stream, sending)
         while not stream.ended:
-            yield from one_round(node, stream, sending, endTime, avoidedNames)
+            yield from one_round(node, stream, sending, end_time, avoided_names)
     except Trouble as trouble:
-        if not sending.hasHead:
+        if not sending.has_head:
             raise
         node.count("broken_streams")
         yield Emit({"end": False, **trouble.to_json(), "pieces": sending.count})
         return
     finally:
-        stream.isRunning = False
+        stream.is_running = False
         if stream.round[0] == 1:
-            node.find("meter").note(entry["class"], sending.firstAt, firstEnd)
-        if not stream.pieces and not sending.hasHead:
+            node.find("meter").note(entry["class"], sending.first_at, first_end)
+        if not stream.pieces and not sending.has_head:
             node.find("journal").forget(stream)
     yield Emit({"end": True, "pieces": len(stream.pieces)})
 
 
 def emit_held(stream, sending):
     """Script: emit the pieces that two nodes hold and the sender lacks."""
-    if not sending.hasHead and (stream.ended or sending.count < len(stream.pieces)):
-        sending.hasHead, sending.firstAt = True, sending.clock()
-        yield Emit(sending.headLine)
+    if not sending.has_head and (stream.ended or sending.count < len(stream.pieces)):
+        sending.has_head, sending.first_at = True, sending.clock()
+        yield Emit(sending.head_line)
     while sending.count < len(stream.pieces):
         sending.count += 1
         yield Emit({"n": sending.count, "piece": stream.pieces[sending.count - 1]})
 
 
-def one_round(node, stream, sending, endTime, avoidedNames):
+def one_round(node, stream, sending, end_time, avoided_names):
     """Script: run or continue the stream on one replica until it ends or breaks."""
     entry, service, promise = node.find("layout").entry(stream.inquiry["entry"])
     prefix = entry.get("prefix", "")
-    waitEnd = endTime if stream.pieces else min(endTime, sending.firstEnd)
+    wait_end = end_time if stream.pieces else min(end_time, sending.first_end)
     lease = yield from node.find("dispatch").acquire(
-        entry["service"], entry["class"], promise, prefix_key(prefix), waitEnd, avoidedNames,
-        sending.isPaused, True,
+        entry["service"], entry["class"], promise, prefix_key(prefix), wait_end, avoided_names,
+        sending.is_paused, True,
     )
-    sending.isPaused = False
+    sending.is_paused = False
     replica, handle = lease.replica, None
     try:
-        check_before_sending(node, replica, endTime)
-        lease.mayRunOn = True
+        check_before_sending(node, replica, end_time)
+        lease.may_run_on = True
         handle = yield Open(replica.address, replica.path("/v1/generate"), {
             "inquiry": stream.name, "prefix": prefix, "prompt": stream.inquiry["prompt"],
             "from": len(stream.pieces), "max_pieces": stream.inquiry.get("max_pieces", 64),
-        }, min(endTime - node.now(), service.get("stall_ms", STALL_MS) / 1000))
+        }, min(end_time - node.now(), service.get("stall_ms", STALL_MS) / 1000))
         if handle.status == 503:
-            lease.mayRunOn = False
+            lease.may_run_on = False
             raise Busy(replica=replica.name)
-        yield from read_pieces(node, stream, sending, handle, lease, service, endTime)
+        yield from read_pieces(node, stream, sending, handle, lease, service, end_time)
     except Busy:
         node.count("busy_replicas")
         node.find("replicas").busy(replica)
     except BackendTrouble as trouble:
         node.count("replica_troubles")
         node.log("warning", "replica %s: %s", replica.name, trouble)
-        avoidedNames.add(replica.name)
+        avoided_names.add(replica.name)
         if not isinstance(trouble, NotSent):
             node.find("replicas").stalled(replica)
-            if node.now() >= endTime:
+            if node.now() >= end_time:
                 raise TimedOut(stream=stream.name) from trouble
             if not may_run_on(promise, stream.pieces):
                 raise OutcomeUnknown(stream=stream.name) from trouble
@@ -180,18 +180,18 @@
             handle.close()
 
 
-def check_before_sending(node, replica, endTime):
+def check_before_sending(node, replica, end_time):
     """Refuse when this node slept or the world moved on since the replica was chosen."""
     node.find("freshness").check()
-    if node.now() >= endTime:
+    if node.now() >= end_time:
         raise Refused(reason="no time left")
     if not node.find("replicas").may_get_work(replica):
         raise NotSent(replica=replica.name, reason="left")
 
 
-def check_line(line, inquiryName, count):
+def check_line(line, inquiry_name, count):
     """Refuse a replica's line unless it is the very next one of this inquiry."""
-    if not isinstance(line, dict) or line.get("inquiry") != inquiryName:
+    if not isinstance(line, dict) or line.get("inquiry") != inquiry_name:
         raise BackendTrouble(reason="broken off" if line is None else "strange line")
     if line.get("end"):
         if line.get("pieces") != count:
@@ -200,22 +200,22 @@
         raise BackendTrouble(reason="strange piece")
 
 
-def read_pieces(node, stream, sending, handle, lease, service, endTime):
+def read_pieces(node, stream, sending, handle, lease, service, end_time):
     """Script: take the replica's numbered pieces, each one kept twice before it is emitted.
 
     Returns at the stream's end, or between two pieces when its room is wanted back.
     """
-    journal, stallSeconds = node.find("journal"), service.get("stall_ms", STALL_MS) / 1000
+    journal, stall_seconds = node.find("journal"), service.get("stall_ms", STALL_MS) / 1000
     while True:
-        line = yield Next(handle, max(0.001, min(endTime - node.now(), stallSeconds)))
+        line = yield Next(handle, max(0.001, min(end_time - node.now(), stall_seconds)))
         check_line(line, stream.name, len(stream.pieces))
         if line.get("end"):
-            lease.mayRunOn = False
+            lease.may_run_on = False
             yield from journal.keep(stream, (), ended=True)
             yield from emit_held(stream, sending)
             return
         yield from journal.keep(stream, (line["piece"],))
         yield from emit_held(stream, sending)
-        if lease.isWantedBack:
-            sending.isPaused = True
+        if lease.is_wanted_back:
+            sending.is_paused = True
             return
--- a/quillring/edge/tokens.py
+++ b/quillring/edge/tokens.py
@@ -32,12 +32,12 @@
         signature, body = data[:16], data[16:]
         if not hmac.compare_digest(signature, _sign(secret, sender, body)):
             raise BadToken()
-        name, servedRound, endTime = cbor2.loads(body)
+        name, served_round, end_time = cbor2.loads(body)
     except (ValueError, TypeError, cbor2.CBORError) as error:
         raise BadToken() from error
-    if now > endTime:
+    if now > end_time:
         raise BadToken()
-    return name, tuple(servedRound)
+    return name, tuple(served_round)
 
 
 def _sign(secret, sender, body):
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -104,7 +104,7 @@
     """A store keeps the parts it is a member of."""
     acceptors = node.offer("acceptors", acceptors)
     acceptors.attach(node)
-    node.find("nifty").stampSource = acceptors.stamp
+    node.find("nifty").stamp_source = acceptors.stamp
     hints = node.offer("hints", Hints(node, acceptors))
     memory = node.offer("memory", ReplicaMemory(node, acceptors.slots.disk))
     memory.recall()
@@ -115,12 +115,12 @@
         node.find("gossip").put("founding", [1], acceptors.founding)
 
 
-def open_store(disk, name, makeIdentity):
+def open_store(disk, name, make_identity):
     """Recover the acceptors of a data folder, or begin it; return them with their identity."""
     acceptors = Acceptors()
     acceptors.slots = SlotStore(disk, acceptors)
     if not acceptors.slots.recover():
-        acceptors.identity = f"{name}.{makeIdentity()}"
+        acceptors.identity = f"{name}.{make_identity()}"
         acceptors.slots.turn()
     if acceptors.identity.rpartition(".")[0] != name:
         raise OtherIdentity(
--- a/quillring/forward/attempt.py
+++ b/quillring/forward/attempt.py
@@ -8,11 +8,11 @@
 
 
 def open_answer(
-    node, replica, request: Request, lastEvent, urgency, endTime, mayReuse, patience=None,
+    node, replica, request: Request, last_event, urgency, end_time, may_reuse, patience=None,
 ):
     """Script: send the request on and return the answer's handle once its head is there.
 
-    `endTime` is the node's time at which the sender waits no more. With a `patience` in seconds a
+    `end_time` is the node's time at which the sender waits no more. With a `patience` in seconds a
     replica from which nothing at all came for so long is left, and one that works for others gets
     four times as long. Raises NotSent where nothing reached the replica, BackendTrouble where the
     request may have run.
@@ -20,36 +20,36 @@
     if not node.find("replicas").may_be_sent(replica):
         raise NotSent(replica=replica.name, reason="left")
     dialect = node.find("dialect")
-    secondsLeft = endTime - node.now()
-    if secondsLeft <= 0:
+    seconds_left = end_time - node.now()
+    if seconds_left <= 0:
         raise NotSent(replica=replica.name, reason="no time left")
-    data = request.to_bytes(dialect, replica.name, secondsLeft, urgency, lastEvent)
-    answerId = None if request.id is None else (dialect.inquiry, request.id)
-    handle = yield SendOn(replica.address, data, secondsLeft, mayReuse, answerId)
-    hasHead = False
+    data = request.to_bytes(dialect, replica.name, seconds_left, urgency, last_event)
+    answer_id = None if request.id is None else (dialect.inquiry, request.id)
+    handle = yield SendOn(replica.address, data, seconds_left, may_reuse, answer_id)
+    has_head = False
     try:
-        yield from wait_for_head(node, replica, handle, endTime, patience)
-        hasHead = True
+        yield from wait_for_head(node, replica, handle, end_time, patience)
+        has_head = True
         return handle
     finally:
-        if not hasHead:
+        if not has_head:
             handle.close()
 
 
-def wait_for_head(node, replica, handle, endTime, patience):
+def wait_for_head(node, replica, handle, end_time, patience):
     """Script: return once the head is there; BackendTrouble when it is not in time."""
-    sentAt = node.now()
+    sent_at = node.now()
     for factor in (1, 4) if patience else (None,):
-        secondsLeft = endTime - node.now() + AFTER_END
-        seconds = secondsLeft if factor is None else min(secondsLeft, patience * factor)
+        seconds_left = end_time - node.now() + AFTER_END
+        seconds = seconds_left if factor is None else min(seconds_left, patience * factor)
         try:
             yield NextHead(handle, seconds)
             return
         except BackendTrouble as trouble:
-            isSilent = node.find("placement").is_silent(replica, node.now() - sentAt)
-            if trouble.detail["reason"] != "stall" or factor != 1 or isSilent:
+            is_silent = node.find("placement").is_silent(replica, node.now() - sent_at)
+            if trouble.detail["reason"] != "stall" or factor != 1 or is_silent:
                 raise
-            if node.now() >= endTime:
+            if node.now() >= end_time:
                 raise
 
 
--- a/quillring/forward/dialect.py
+++ b/quillring/forward/dialect.py
@@ -19,5 +19,5 @@
     __slots__ = tuple(FIELDS)
 
     def __init__(self, **names):
-        for field, ownName in FIELDS.items():
-            setattr(self, field, names.get(field, ownName).lower())
+        for field, own_name in FIELDS.items():
+            setattr(self, field, names.get(field, own_name).lower())
