--- a/quillring/forward/events.py
+++ b/quillring/forward/events.py
@@ -21,13 +21,13 @@
 
 
 class EventReader:
-    """Splits the bytes of a stream into whole events; ids rise by one from `lastEvent` on."""
+    """Splits the bytes of a stream into whole events; ids rise by one from `last_event` on."""
 
-    __slots__ = ("rest", "lastEvent")
+    __slots__ = ("rest", "last_event")
 
-    def __init__(self, lastEvent=None):
+    def __init__(self, last_event=None):
         self.rest = b""
-        self.lastEvent = lastEvent
+        self.last_event = last_event
 
     def feed(self, data):
         """Return the events that the bytes complete; ids that do not rise raise BackendTrouble."""
@@ -39,9 +39,9 @@
         for event in events:
             if event.id is None:
                 continue
-            if self.lastEvent is not None and event.id != self.lastEvent + 1:
+            if self.last_event is not None and event.id != self.last_event + 1:
                 raise BackendTrouble(reason="events out of order", got=event.id)
-            self.lastEvent = event.id
+            self.last_event = event.id
         return events
 
     @property
--- a/quillring/forward/ramp.py
+++ b/quillring/forward/ramp.py
@@ -26,11 +26,11 @@
         part = self.part(replica)
         if part <= 0:
             return False
-        nextAt = self.spent.get(replica.name, 0)
-        if now < nextAt:
+        next_at = self.spent.get(replica.name, 0)
+        if now < next_at:
             return False
         self.spent = {name: at for name, at in self.spent.items() if at > now - 1}
-        self.spent[replica.name] = max(nextAt, now - 1 / part) + 1 / part
+        self.spent[replica.name] = max(next_at, now - 1 / part) + 1 / part
         return True
 
     def part(self, replica):
@@ -51,6 +51,6 @@
             m.name for m in roster.members.values()
             if m.role in SENDING_ROLES and (m.name in graph.routes or m.name == self.node.me.name)
         ]
-        senderCount = max(1, min(len(names), int(rate / PART)))
+        sender_count = max(1, min(len(names), int(rate / PART)))
         ranked = sorted(names, key=lambda name: score(replica.name, name), reverse=True)
-        return rate / senderCount if self.node.me.name in ranked[:senderCount] else 0
+        return rate / sender_count if self.node.me.name in ranked[:sender_count] else 0
--- a/quillring/forward/request.py
+++ b/quillring/forward/request.py
@@ -13,8 +13,8 @@
     """
 
     __slots__ = (
-        "method", "target", "host", "pairs", "body", "id", "chain", "tokensIn", "tokensOut",
-        "lastEvent", "deadlineMs",
+        "method", "target", "host", "pairs", "body", "id", "chain", "tokens_in", "tokens_out",
+        "last_event", "deadline_ms",
     )
 
     def __init__(self, dialect, method, target, pairs, body):
@@ -30,20 +30,20 @@
         self.body = body
         self.id = headers.get(dialect.inquiry)
         self.chain = read_chain(headers.get(dialect.chain, ""))
-        self.tokensIn, self.tokensOut = read_tokens(headers.get(dialect.tokens, ""))
-        self.lastEvent = read_number(headers.get(dialect.resume))
-        self.deadlineMs = read_number(headers.get(dialect.deadline))
+        self.tokens_in, self.tokens_out = read_tokens(headers.get(dialect.tokens, ""))
+        self.last_event = read_number(headers.get(dialect.resume))
+        self.deadline_ms = read_number(headers.get(dialect.deadline))
 
-    def to_bytes(self, dialect, replicaName, secondsLeft, urgency, lastEvent):
+    def to_bytes(self, dialect, replica_name, seconds_left, urgency, last_event):
         """Return the request for one replica."""
         lines = [f"{self.method} {self.target} HTTP/1.1"]
         lines.extend(f"{name}: {value}" for name, value in self.pairs)
-        lines.append(f"{dialect.replica}: {replicaName}")
-        lines.append(f"{dialect.deadline}: {max(1, int(secondsLeft * 1000))}")
+        lines.append(f"{dialect.replica}: {replica_name}")
+        lines.append(f"{dialect.deadline}: {max(1, int(seconds_left * 1000))}")
         if urgency is not None:
             lines.append(f"{dialect.urgency}: {urgency}")
-        if lastEvent is not None:
-            lines.append(f"{dialect.resume}: {lastEvent}")
+        if last_event is not None:
+            lines.append(f"{dialect.resume}: {last_event}")
         if self.body or self.method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(self.body)}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + self.body
@@ -65,8 +65,8 @@
 
 def read_tokens(text):
     """Return (tokens in, most tokens out); 0 where nothing is said."""
-    tokensIn, _, tokensOut = text.partition(",")
-    return read_number(tokensIn) or 0, read_number(tokensOut) or 0
+    tokens_in, _, tokens_out = text.partition(",")
+    return read_number(tokens_in) or 0, read_number(tokens_out) or 0
 
 
 def answer_pairs(headers):
--- a/quillring/forward/serve.py
+++ b/quillring/forward/serve.py
@@ -15,29 +15,29 @@
 class Sending:
     """How far one request has come: rounds used, replicas to avoid, what the client has."""
 
-    __slots__ = ("rounds", "avoidedNames", "lastEvent", "hasHead", "endTime", "lastAnswer")
+    __slots__ = ("rounds", "avoided_names", "last_event", "has_head", "end_time", "last_answer")
 
-    def __init__(self, endTime, lastEvent):
+    def __init__(self, end_time, last_event):
         self.rounds = 0
-        self.avoidedNames = set()
-        self.lastEvent = lastEvent
-        self.hasHead = False
-        self.endTime = endTime
-        self.lastAnswer = None
+        self.avoided_names = set()
+        self.last_event = last_event
+        self.has_head = False
+        self.end_time = end_time
+        self.last_answer = None
 
 
 def urgency_of(forward, request):
     """Return the urgency a replica is told: short questions before long ones, by rank."""
-    isLong = request.tokensIn >= LONG_PROMPT
-    return min(9, URGENCIES[min(forward.urgency, len(URGENCIES) - 1)] + isLong)
+    is_long = request.tokens_in >= LONG_PROMPT
+    return min(9, URGENCIES[min(forward.urgency, len(URGENCIES) - 1)] + is_long)
 
 
-def end_time(node, forward, request, arrivedAt):
+def end_time(node, forward, request, arrived_at):
     """Return when the request is no longer worth anything: its deadline or the route's hold."""
-    seconds = forward.holdSeconds
-    if request.deadlineMs is not None:
-        seconds = min(seconds, request.deadlineMs / 1000)
-    return arrivedAt + seconds
+    seconds = forward.hold_seconds
+    if request.deadline_ms is not None:
+        seconds = min(seconds, request.deadline_ms / 1000)
+    return arrived_at + seconds
 
 
 def check_known(node):
@@ -46,41 +46,41 @@
         raise Refused(reason="no layout yet", come_back_s=node.bounds.reading)
 
 
-def serve(node, forward, request, arrivedAt):
+def serve(node, forward, request, arrived_at):
     """Script: pass a request on; emits head and bytes of a stream, or returns a whole answer."""
-    sending = Sending(end_time(node, forward, request, arrivedAt), request.lastEvent)
+    sending = Sending(end_time(node, forward, request, arrived_at), request.last_event)
     service = forward.service_for(request.id or request.target)
     while True:
         try:
-            replica = yield from acquire(node, forward, service, request, sending, arrivedAt)
+            replica = yield from acquire(node, forward, service, request, sending, arrived_at)
         except Refused:
-            if sending.lastAnswer is not None:
-                return sending.lastAnswer
+            if sending.last_answer is not None:
+                return sending.last_answer
             raise
         sending.rounds += 1
         lease = node.find("placement").begin(replica, request)
         handle = None
         try:
             handle = yield from open_answer(
-                node, replica, request, sending.lastEvent, urgency_of(forward, request),
-                sending.endTime, forward.may_repeat,
-                forward.pauseSeconds * 1.2 if may_go_on(node, forward, sending) else None)
+                node, replica, request, sending.last_event, urgency_of(forward, request),
+                sending.end_time, forward.may_repeat,
+                forward.pause_seconds * 1.2 if may_go_on(node, forward, sending) else None)
             lease.heard()
             if is_not_run(node.find("dialect"), handle):
-                sending.avoidedNames.add(replica.name)
+                sending.avoided_names.add(replica.name)
                 if handle.status == 421:
                     node.find("replicas").misplaced(replica)
                 yield from take_refusal(node, sending, forward)
                 continue
-            isStream = handle.headers.get("content-type", "").startswith("text/event-stream")
-            if isStream and handle.status == 200:
+            is_stream = handle.headers.get("content-type", "").startswith("text/event-stream")
+            if is_stream and handle.status == 200:
                 yield from relay_events(node, forward, sending, handle, lease)
                 return None
             answer = yield from read_whole(node, sending, handle)
             if handle.status not in FAILED or not may_go_on(node, forward, sending):
                 return check_whole(node, sending, answer)
-            sending.avoidedNames.add(replica.name)
-            sending.lastAnswer = answer
+            sending.avoided_names.add(replica.name)
+            sending.last_answer = answer
         except NotSent as trouble:
             note_trouble(node, sending, replica, trouble, True)
             sending.rounds -= 1
@@ -100,22 +100,22 @@
     """Tell whether another replica may be asked."""
     return (
         forward.may_repeat and sending.rounds < forward.rounds
-        and node.now() < sending.endTime
+        and node.now() < sending.end_time
     )
 
 
-def note_trouble(node, sending, replica, trouble, isSurely):
+def note_trouble(node, sending, replica, trouble, is_surely):
     """Remember a failed sending, here and in the view of its replica."""
     node.count(f"forward_{trouble.kind}_{trouble.detail.get('reason', '')}")
-    sending.avoidedNames.add(replica.name)
+    sending.avoided_names.add(replica.name)
     if trouble.detail.get("reason") not in ("left", "no time left"):
-        isStalled = trouble.detail.get("reason") == "stall"
-        node.find("placement").failed(replica, isSurely or isStalled)
+        is_stalled = trouble.detail.get("reason") == "stall"
+        node.find("placement").failed(replica, is_surely or is_stalled)
 
 
 def take_refusal(node, sending, forward):
     """Script: a replica did not run it; the last one's word goes to the client."""
-    if sending.rounds >= forward.rounds and not sending.hasHead:
+    if sending.rounds >= forward.rounds and not sending.has_head:
         raise Refused(
             reason="replicas are full", come_back_s=come_back(node, sending) / 2)
     return
@@ -125,14 +125,14 @@
 def read_whole(node, sending, handle):
     """Script: read the whole body; returns (status, header pairs, body)."""
     parts = []
-    while (part := (yield NextPart(handle, sending.endTime - node.now() + 0.05))) is not None:
+    while (part := (yield NextPart(handle, sending.end_time - node.now() + 0.05))) is not None:
         parts.append(part)
     return handle.status, answer_pairs(handle.headers), b"".join(parts)
 
 
 def check_whole(node, sending, answer):
     """Return the answer; where a stream's head is out already, nothing can follow it."""
-    if sending.hasHead:
+    if sending.has_head:
         raise OutcomeUnknown(reason="a failure amid the stream")
     return answer
 
@@ -141,7 +141,7 @@
     """Script: pass whole events on as they come, until the stream's proper end."""
     if not is_sealed(node.find("dialect"), handle):
         raise BackendTrouble(reason="no seal")
-    reader = EventReader(sending.lastEvent)
+    reader = EventReader(sending.last_event)
     while True:
         data = yield from next_part(node, forward, sending, handle, lease)
         if data is None:
@@ -151,34 +151,34 @@
         if not events:
             continue
         raw = b"".join(event.raw for event in events)
-        if sending.hasHead:
+        if sending.has_head:
             yield Emit(raw)
         else:
-            sending.hasHead = True
+            sending.has_head = True
             yield Emit((handle.status, answer_pairs(handle.headers), raw))
-        if reader.lastEvent is not None:
-            sending.lastEvent = reader.lastEvent
+        if reader.last_event is not None:
+            sending.last_event = reader.last_event
     if not reader.is_clean:
         raise BackendTrouble(reason="cut event")
-    if not sending.hasHead:
-        sending.hasHead = True
+    if not sending.has_head:
+        sending.has_head = True
         yield Emit((handle.status, answer_pairs(handle.headers), b""))
 
 
 def next_part(node, forward, sending, handle, lease):
     """Script: wait for bytes; a silent replica is left while another may go on in time."""
-    patience = forward.pauseSeconds * 1.2
+    patience = forward.pause_seconds * 1.2
     while True:
-        secondsLeft = sending.endTime - node.now() + 0.05
+        seconds_left = sending.end_time - node.now() + 0.05
         if not may_go_on(node, forward, sending):
-            return (yield NextPart(handle, secondsLeft))
+            return (yield NextPart(handle, seconds_left))
         try:
-            return (yield NextPart(handle, min(patience, secondsLeft)))
+            return (yield NextPart(handle, min(patience, seconds_left)))
         except BackendTrouble as trouble:
-            isOver = node.now() >= sending.endTime
-            isLong = patience >= forward.pauseSeconds * 4
-            if trouble.detail["reason"] != "stall" or isOver or isLong:
+            is_over = node.now() >= sending.end_time
+            is_long = patience >= forward.pause_seconds * 4
+            if trouble.detail["reason"] != "stall" or is_over or is_long:
                 raise
             if node.find("placement").is_silent(lease.replica, patience):
                 raise
-            patience = forward.pauseSeconds * 4
+            patience = forward.pause_seconds * 4
--- a/quillring/forward/table.py
+++ b/quillring/forward/table.py
@@ -9,8 +9,8 @@
     """One forward of the layout, with what the path of a request asks of it."""
 
     __slots__ = (
-        "name", "host", "prefix", "kind", "split", "rounds", "holdSeconds", "goalSeconds",
-        "urgency", "mayResume", "pauseSeconds", "fields",
+        "name", "host", "prefix", "kind", "split", "rounds", "hold_seconds", "goal_seconds",
+        "urgency", "may_resume", "pause_seconds", "fields",
     )
 
     def __init__(self, name, fields):
@@ -20,17 +20,17 @@
         self.kind = fields["kind"]
         self.split = [(service, weight) for service, weight in fields["split"] if weight > 0]
         self.rounds = max(1, fields.get("rounds") or 1)
-        self.holdSeconds = (fields.get("hold_ms") or 60_000) / 1000
-        self.goalSeconds = (fields.get("goal_ms") or 1000) / 1000
+        self.hold_seconds = (fields.get("hold_ms") or 60_000) / 1000
+        self.goal_seconds = (fields.get("goal_ms") or 1000) / 1000
         self.urgency = fields.get("urgency", 0)
-        self.mayResume = bool(fields.get("resumable"))
-        self.pauseSeconds = (fields.get("pause_ms") or 300) / 1000
+        self.may_resume = bool(fields.get("resumable"))
+        self.pause_seconds = (fields.get("pause_ms") or 300) / 1000
         self.fields = fields
 
     @property
     def may_repeat(self):
         """True where a request may run again after a replica may have begun it."""
-        return self.kind == REPEATABLE or (self.kind == STREAM and self.mayResume)
+        return self.kind == REPEATABLE or (self.kind == STREAM and self.may_resume)
 
     def service_for(self, key):
         """Return the service that the weights give to a request of this key."""
@@ -48,13 +48,13 @@
 class ForwardTable:
     """Forwards by host and longest prefix; made anew, and swapped whole, when the layout moves."""
 
-    __slots__ = ("node", "layout", "byHost", "byName")
+    __slots__ = ("node", "layout", "by_host", "by_name")
 
     def __init__(self, node):
         self.node = node
         self.layout = None
-        self.byHost = {}
-        self.byName = {}
+        self.by_host = {}
+        self.by_name = {}
 
     def _renew(self):
         layout = self.node.find("layout").layout
@@ -62,27 +62,27 @@
             return
         forwards = [
             Forward(name, fields) for name, fields in (layout or {}).get("forwards", {}).items()]
-        byHost = {}
+        by_host = {}
         for forward in sorted(forwards, key=lambda f: -len(f.prefix)):
-            byHost.setdefault(forward.host, []).append(forward)
-        self.byHost = {
+            by_host.setdefault(forward.host, []).append(forward)
+        self.by_host = {
             host: {forward.prefix: forward for forward in hosted}
-            for host, hosted in byHost.items()}
-        self.byName = {forward.name: forward for forward in forwards}
+            for host, hosted in by_host.items()}
+        self.by_name = {forward.name: forward for forward in forwards}
         self.layout = layout
 
     def is_empty(self):
         """Tell whether no layout with forwards is known yet."""
         self._renew()
-        return not self.byName
+        return not self.by_name
 
     def find(self, host, target):
         """Return the forward with the longest prefix that begins the target's path, or None."""
         self._renew()
         host = host.lower()
-        prefixes = self.byHost.get(host)
+        prefixes = self.by_host.get(host)
         if prefixes is None and ":" in host:
-            prefixes = self.byHost.get(host.partition(":")[0])
+            prefixes = self.by_host.get(host.partition(":")[0])
         if prefixes is None:
             return None
         path = target.partition("?")[0]
@@ -99,4 +99,4 @@
     def named(self, name):
         """Return the forward of a name, or None."""
         self._renew()
-        return self.byName.get(name)
+        return self.by_name.get(name)
--- a/quillring/gossip/gossip.py
+++ b/quillring/gossip/gossip.py
@@ -15,7 +15,7 @@
     """The news table of a node; a key only ever moves to a higher version."""
 
     __slots__ = (
-        "node", "table", "fresh", "listeners", "digest", "syncedAt", "startedAt",
+        "node", "table", "fresh", "listeners", "digest", "synced_at", "started_at",
     )
 
     def __init__(self, node):
@@ -24,8 +24,8 @@
         self.fresh = {}
         self.listeners = {}
         self.digest = None
-        self.syncedAt = {}
-        self.startedAt = node.now()
+        self.synced_at = {}
+        self.started_at = node.now()
         node.handle("gossip.news", self.on_news)
         node.handle("gossip.digest", self.on_digest)
         node.handle("gossip.versions", self.on_versions)
@@ -57,14 +57,14 @@
                 self.table[key] = former
             raise BadWire(reason="news", key=key) from error
         self.digest = None
-        memberCount = self.node.find("nifty").member_count()
-        self.fresh[key] = math.ceil(math.log2(memberCount + 1)) + 1
+        member_count = self.node.find("nifty").member_count()
+        self.fresh[key] = math.ceil(math.log2(member_count + 1)) + 1
         return True
 
     def _tell(self, key, value):
-        for prefix, prefixListeners in self.listeners.items():
+        for prefix, prefix_listeners in self.listeners.items():
             if key.startswith(prefix):
-                for listener in prefixListeners:
+                for listener in prefix_listeners:
                     listener(key, value)
 
     def run(self):
@@ -89,8 +89,8 @@
         self.fresh = {key: left - 1 for key, left in self.fresh.items() if left > 1}
 
     def _some_members(self, count):
-        reachedNames = sorted(self.node.find("nifty").graph.routes)
-        return self.node.world.random.sample(reachedNames, min(count, len(reachedNames)))
+        reached_names = sorted(self.node.find("nifty").graph.routes)
+        return self.node.world.random.sample(reached_names, min(count, len(reached_names)))
 
     def table_digest(self):
         """Return the digest over all keys and versions."""
@@ -101,14 +101,14 @@
 
     def ask_for_all(self):
         """At the start, while no layout is known, ask members in reach for all that is lacking."""
-        if "layout" in self.table or self.node.now() - self.startedAt > self.node.bounds.news:
+        if "layout" in self.table or self.node.now() - self.started_at > self.node.bounds.news:
             return
         versions = {key: list(version) for key, (version, _) in self.table.items()}
         nifty, chance = self.node.find("nifty"), self.node.world.random
         members = nifty.roster.members
-        reachedNames = sorted(name for name in nifty.graph.routes if name in members)
-        storeNames = [name for name in reachedNames if members[name].role == "store"]
-        for names in (storeNames, reachedNames):
+        reached_names = sorted(name for name in nifty.graph.routes if name in members)
+        store_names = [name for name in reached_names if members[name].role == "store"]
+        for names in (store_names, reached_names):
             for name in chance.sample(names, min(2, len(names))):
                 self.node.cast(name, "gossip.versions", [versions, False])
 
@@ -117,8 +117,8 @@
         now = self.node.now()
         if not self.node.find("nifty").reaches(name):
             return
-        if now - self.syncedAt.get(name, -math.inf) >= self.node.bounds.beat / 2:
-            self.syncedAt[name] = now
+        if now - self.synced_at.get(name, -math.inf) >= self.node.bounds.beat / 2:
+            self.synced_at[name] = now
             self.node.cast(name, "gossip.digest", self.table_digest())
 
     def on_news(self, items, origin):
@@ -140,18 +140,18 @@
 
     def on_versions(self, body, origin):
         """Send what the other side lacks; let it send what is lacking here."""
-        otherVersions, wantsBack = body
-        newerItems = [
+        other_versions, wants_back = body
+        newer_items = [
             [key, list(version), value]
             for key, (version, value) in self.table.items()
-            if tuple(otherVersions.get(key, ())) < version
+            if tuple(other_versions.get(key, ())) < version
         ]
-        if newerItems:
-            self.node.cast(origin, "gossip.news", newerItems)
-        isBehind = any(
+        if newer_items:
+            self.node.cast(origin, "gossip.news", newer_items)
+        is_behind = any(
             key not in self.table or self.table[key][0] < tuple(version)
-            for key, version in otherVersions.items()
+            for key, version in other_versions.items()
         )
-        if wantsBack and isBehind:
+        if wants_back and is_behind:
             versions = {key: list(version) for key, (version, _) in self.table.items()}
             self.node.cast(origin, "gossip.versions", [versions, False])
--- a/quillring/kernel/backend.py
+++ b/quillring/kernel/backend.py
@@ -77,10 +77,10 @@
 
 def fetch(effect):
     """Send an inquiry and return (status, JSON body)."""
-    keptClient = IDLE.take(effect.address) if effect.mayRepeat else None
-    if keptClient is not None:
+    kept_client = IDLE.take(effect.address) if effect.may_repeat else None
+    if kept_client is not None:
         try:
-            return _exchange(keptClient, effect)
+            return _exchange(kept_client, effect)
         except BackendTrouble as trouble:
             if trouble.detail["reason"] == "time":
                 raise
@@ -88,17 +88,17 @@
 
 
 def _exchange(client, effect):
-    isWhole = False
+    is_whole = False
     try:
         with gevent.Timeout(effect.seconds, BackendTrouble(reason="time")):
             response = _request(client, effect.method, effect.path, effect.body)
             answer = response.status_code, json.loads(response.read() or b"null")
-        isWhole = True
+        is_whole = True
         return answer
     except READ_ERRORS as error:
         raise BackendTrouble(reason=type(error).__name__) from error
     finally:
-        if isWhole and effect.mayRepeat:
+        if is_whole and effect.may_repeat:
             IDLE.put(effect.address, client)
         else:
             client.close()
--- a/quillring/kernel/connections.py
+++ b/quillring/kernel/connections.py
@@ -15,15 +15,15 @@
 class Connection:
     """A connection to a replica and the parser of what comes back on it."""
 
-    __slots__ = ("address", "sock", "parser", "answer", "idleUntil", "wasUsed")
+    __slots__ = ("address", "sock", "parser", "answer", "idle_until", "was_used")
 
     def __init__(self, address, sock):
         self.address = address
         self.sock = sock
         self.parser = httptools.HttpResponseParser(self)
         self.answer = None
-        self.idleUntil = 0
-        self.wasUsed = False
+        self.idle_until = 0
+        self.was_used = False
 
     def on_message_begin(self):
         """Begin to read an answer."""
@@ -60,18 +60,18 @@
 
     def take(self, address):
         """Return a kept connection that is sound by all that can be seen, or None."""
-        keptConnections = self.idle.get(address, [])
-        while keptConnections:
-            connection = keptConnections.pop()
-            if time.monotonic() < connection.idleUntil and not is_readable(connection.sock):
+        kept_connections = self.idle.get(address, [])
+        while kept_connections:
+            connection = kept_connections.pop()
+            if time.monotonic() < connection.idle_until and not is_readable(connection.sock):
                 return connection
             connection.close()
         return None
 
-    def put(self, connection, keepSeconds):
+    def put(self, connection, keep_seconds):
         """Keep a connection whose last answer was read whole."""
-        connection.idleUntil = time.monotonic() + keepSeconds
-        connection.wasUsed = True
+        connection.idle_until = time.monotonic() + keep_seconds
+        connection.was_used = True
         self.idle.setdefault(connection.address, []).append(connection)
         if sum(map(len, self.idle.values())) > IDLE_LIMIT:
             self.drop_old()
@@ -79,11 +79,11 @@
     def drop_old(self):
         """Close connections that would not be used again."""
         now = time.monotonic()
-        for address, keptConnections in list(self.idle.items()):
-            for connection in keptConnections:
-                if connection.idleUntil <= now:
+        for address, kept_connections in list(self.idle.items()):
+            for connection in kept_connections:
+                if connection.idle_until <= now:
                     connection.close()
-            sound = [c for c in keptConnections if c.idleUntil > now]
+            sound = [c for c in kept_connections if c.idle_until > now]
             self.idle = {**self.idle, address: sound}
         self.idle = {address: kept for address, kept in self.idle.items() if kept}
 
--- a/quillring/kernel/effects.py
+++ b/quillring/kernel/effects.py
@@ -40,7 +40,7 @@
     One that may repeat goes over a kept connection, which may break without telling why.
     """
 
-    __slots__ = ("address", "method", "path", "body", "seconds", "mayRepeat")
+    __slots__ = ("address", "method", "path", "body", "seconds", "may_repeat")
 
 
 class Open(Effect):
@@ -58,11 +58,11 @@
 class SendOn(Effect):
     """Send the bytes of one HTTP request; resume with the handle of its answer.
 
-    `answerId` is (lower-case header name, value): answers that bear another one are skipped.
+    `answer_id` is (lower-case header name, value): answers that bear another one are skipped.
     Raises NotSent when nothing reached the address, BackendTrouble when it may have run.
     """
 
-    __slots__ = ("address", "data", "seconds", "mayReuse", "answerId")
+    __slots__ = ("address", "data", "seconds", "may_reuse", "answer_id")
 
 
 class NextHead(Effect):
@@ -98,6 +98,6 @@
         if self.is_set:
             return
         self.is_set, self.value = True, value
-        wokenWatchers, self.watchers = self.watchers, []
-        for watcher in wokenWatchers:
+        woken_watchers, self.watchers = self.watchers, []
+        for watcher in woken_watchers:
             watcher()
--- a/quillring/kernel/gevent_world.py
+++ b/quillring/kernel/gevent_world.py
@@ -69,14 +69,14 @@
 class GeventWorld:
     """Time, chance, network and scripts of one process."""
 
-    __slots__ = ("random", "udpSocket", "channels", "report", "frameTimeout")
+    __slots__ = ("random", "udp_socket", "channels", "report", "frame_timeout")
 
-    def __init__(self, report, frameTimeout):
+    def __init__(self, report, frame_timeout):
         self.random = random.Random(os.urandom(16))
-        self.udpSocket = None
+        self.udp_socket = None
         self.channels = {}
         self.report = report
-        self.frameTimeout = frameTimeout
+        self.frame_timeout = frame_timeout
 
     def now(self):
         """Return monotonic seconds."""
@@ -92,8 +92,8 @@
 
     def listen(self, host, port, on_datagram, on_frame):
         """Take datagrams and frames at the address."""
-        self.udpSocket = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
-        self.udpSocket.bind((host, port))
+        self.udp_socket = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
+        self.udp_socket.bind((host, port))
         gevent.spawn(self._read_datagrams, on_datagram)
         server = gevent.server.StreamServer(
             (host, port), lambda conn, _: self._read_frames(conn, on_frame)
@@ -104,7 +104,7 @@
     def _read_datagrams(self, on_datagram):
         while True:
             try:
-                data, _ = self.udpSocket.recvfrom(65535)
+                data, _ = self.udp_socket.recvfrom(65535)
             except OSError:
                 continue
             self._guard(on_datagram, data)
@@ -133,7 +133,7 @@
     def datagram(self, address, data):
         """Send a datagram; it may be lost."""
         try:
-            self.udpSocket.sendto(data, tuple(address))
+            self.udp_socket.sendto(data, tuple(address))
         except OSError:
             return
 
@@ -141,7 +141,7 @@
         """Queue a frame on the channel to the address; it may be lost."""
         channel = self.channels.get(address)
         if channel is None:
-            channel = self.channels[address] = Channel(address, self.frameTimeout)
+            channel = self.channels[address] = Channel(address, self.frame_timeout)
             gevent.spawn(channel.run)
         if channel.queue.qsize() < QUEUE_LIMIT:
             channel.queue.put(data)
@@ -188,8 +188,8 @@
                     continue
                 try:
                     value = self.perform(effect)
-                except Trouble as raisedTrouble:
-                    trouble = raisedTrouble
+                except Trouble as raised_trouble:
+                    trouble = raised_trouble
         finally:
             script.close()
 
@@ -217,9 +217,9 @@
     def _wait(self, signal, seconds):
         if signal.is_set:
             return True
-        wakeEvent = gevent.event.Event()
-        signal.watchers.append(wakeEvent.set)
-        wakeEvent.wait(max(0, seconds))
-        if not signal.is_set and wakeEvent.set in signal.watchers:
-            signal.watchers.remove(wakeEvent.set)
+        wake_event = gevent.event.Event()
+        signal.watchers.append(wake_event.set)
+        wake_event.wait(max(0, seconds))
+        if not signal.is_set and wake_event.set in signal.watchers:
+            signal.watchers.remove(wake_event.set)
         return signal.is_set
--- a/quillring/kernel/http_client.py
+++ b/quillring/kernel/http_client.py
@@ -20,49 +20,49 @@
     """One answer under way: its head, and its body part by part."""
 
     __slots__ = (
-        "connection", "effect", "answerId", "lines", "status", "headers", "isKept", "parts",
-        "isWhole", "isOurs", "hasHead", "hasBytes", "isFramed", "isClosed", "hasSurplus",
+        "connection", "effect", "answer_id", "lines", "status", "headers", "is_kept", "parts",
+        "is_whole", "is_ours", "has_head", "has_bytes", "is_framed", "is_closed", "has_surplus",
     )
 
     def __init__(self, connection, effect):
         self.connection = connection
         self.effect = effect
-        self.answerId = effect.answerId
+        self.answer_id = effect.answer_id
         self.parts = deque()
-        self.hasBytes = False
-        self.isWhole = self.hasSurplus = False
-        self.isClosed = False
+        self.has_bytes = False
+        self.is_whole = self.has_surplus = False
+        self.is_closed = False
         self.begin()
 
     def begin(self):
         """Forget what was read: another answer begins; after our own it is surplus."""
-        if self.isWhole:
-            self.hasSurplus = True
+        if self.is_whole:
+            self.has_surplus = True
             return
         self.lines = []
-        self.status, self.headers, self.isKept = None, {}, False
-        self.isOurs = self.hasHead = self.isFramed = False
+        self.status, self.headers, self.is_kept = None, {}, False
+        self.is_ours = self.has_head = self.is_framed = False
 
-    def end_head(self, status, isKept):
+    def end_head(self, status, is_kept):
         """Take the head; an answer to another inquiry is skipped."""
-        if self.hasSurplus:
+        if self.has_surplus:
             return
-        self.status, self.isKept = status, isKept
+        self.status, self.is_kept = status, is_kept
         self.headers = {name.lower(): value for name, value in self.lines}
-        self.isOurs = status >= 200 and (
-            self.answerId is None or self.headers.get(self.answerId[0]) == self.answerId[1])
-        self.hasHead = self.isOurs
-        self.isFramed = "content-length" in self.headers or "transfer-encoding" in self.headers
+        self.is_ours = status >= 200 and (
+            self.answer_id is None or self.headers.get(self.answer_id[0]) == self.answer_id[1])
+        self.has_head = self.is_ours
+        self.is_framed = "content-length" in self.headers or "transfer-encoding" in self.headers
 
     def add(self, data):
         """Take body bytes."""
-        if self.isOurs and not self.isWhole:
+        if self.is_ours and not self.is_whole:
             self.parts.append(data)
 
     def end(self):
         """Take the end of a message; what comes after ours belongs to nobody."""
-        if self.isOurs:
-            self.isWhole = True
+        if self.is_ours:
+            self.is_whole = True
 
     def read(self):
         """Read once from the connection and parse it; BackendTrouble at its end."""
@@ -71,11 +71,11 @@
         except OSError as error:
             raise BackendTrouble(reason=type(error).__name__) from error
         if not data:
-            if self.hasHead and not self.isFramed:
-                self.isWhole, self.isKept = True, False
+            if self.has_head and not self.is_framed:
+                self.is_whole, self.is_kept = True, False
                 return
             raise BackendTrouble(reason="broken off")
-        self.hasBytes = True
+        self.has_bytes = True
         try:
             self.connection.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -95,7 +95,7 @@
         try:
             self._read_head(seconds)
         except BackendTrouble as trouble:
-            if trouble.detail["reason"] == "stall" or self.hasBytes or not self.connection.wasUsed:
+            if trouble.detail["reason"] == "stall" or self.has_bytes or not self.connection.was_used:
                 raise
             self.connection.close()
             self.connection = connect(self.effect.address, seconds)
@@ -103,16 +103,16 @@
             self._read_head(seconds)
 
     def _read_head(self, seconds):
-        if not self.hasHead:
+        if not self.has_head:
             with gevent.Timeout(max(seconds, 0.001), BackendTrouble(reason="stall")):
-                while not self.hasHead:
+                while not self.has_head:
                     self.read()
 
     def next_part(self, seconds):
         """Return the next bytes of the body, or None at its proper end."""
-        if not self.parts and not self.isWhole:
+        if not self.parts and not self.is_whole:
             with gevent.Timeout(max(seconds, 0.001), BackendTrouble(reason="stall")):
-                while not self.parts and not self.isWhole:
+                while not self.parts and not self.is_whole:
                     self.read()
         if not self.parts:
             return None
@@ -130,19 +130,19 @@
 
     def close(self):
         """End with the answer: a whole one leaves its connection to others."""
-        if self.isClosed:
+        if self.is_closed:
             return
-        self.isClosed = True
-        keepSeconds = self.keep_seconds() if self.isWhole and self.isKept else 0
-        if keepSeconds > 0 and not self.parts and not self.hasSurplus:
-            POOL.put(self.connection, keepSeconds)
+        self.is_closed = True
+        keep_seconds = self.keep_seconds() if self.is_whole and self.is_kept else 0
+        if keep_seconds > 0 and not self.parts and not self.has_surplus:
+            POOL.put(self.connection, keep_seconds)
         else:
             self.connection.close()
 
 
 def send_on(effect):
     """Send a request on a kept or a new connection and return the handle of its answer."""
-    kept = POOL.take(tuple(effect.address)) if effect.mayReuse else None
+    kept = POOL.take(tuple(effect.address)) if effect.may_reuse else None
     if kept is not None:
         answer = Answer(kept, effect)
         try:
--- a/quillring/kernel/node.py
+++ b/quillring/kernel/node.py
@@ -11,8 +11,8 @@
     """The micro-kernel of one process; the world gives time, chance, network and disk."""
 
     __slots__ = (
-        "me", "world", "bounds", "services", "handlers", "pending", "nextCall", "log", "counts",
-        "is_draining", "underWay",
+        "me", "world", "bounds", "services", "handlers", "pending", "next_call", "log", "counts",
+        "is_draining", "under_way",
     )
 
     def __init__(self, me, world, bounds=None, log=None):
@@ -22,11 +22,11 @@
         self.services = {}
         self.handlers = {}
         self.pending = {}
-        self.nextCall = 0
+        self.next_call = 0
         self.log = log or (lambda level, text, *fields: None)
         self.counts = {}
         self.is_draining = False
-        self.underWay = 0
+        self.under_way = 0
 
     def now(self):
         """Return the world's monotonic time in seconds."""
@@ -60,16 +60,16 @@
 
     def call(self, target, service, body, seconds=None):
         """Script: call a service of another node and return its answer, or raise its trouble."""
-        callId, replySignal = self._begin(target, service, body)
+        call_id, reply_signal = self._begin(target, service, body)
         try:
-            yield Wait(replySignal, self.bounds.round if seconds is None else seconds)
+            yield Wait(reply_signal, self.bounds.round if seconds is None else seconds)
         finally:
-            self.pending.pop(callId, None)
-        if not replySignal.is_set:
+            self.pending.pop(call_id, None)
+        if not reply_signal.is_set:
             raise TimedOut(target=target, service=service)
-        if isinstance(replySignal.value, Trouble):
-            raise replySignal.value
-        return replySignal.value
+        if isinstance(reply_signal.value, Trouble):
+            raise reply_signal.value
+        return reply_signal.value
 
     def gather(self, calls, need, seconds=None, repeats=False):
         """Script: make all calls at once; return {target: answer or trouble}.
@@ -78,49 +78,49 @@
         that may run twice can be repeated: those without an answer are sent again at half time.
         """
         seconds = self.bounds.round if seconds is None else seconds
-        gatheredReplies, doneSignal, begunCalls = {}, Signal(), {}
+        gathered_replies, done_signal, begun_calls = {}, Signal(), {}
 
         def settle(target, signal):
-            gatheredReplies[target] = signal.value
-            goodCount = sum(not isinstance(r, Trouble) for r in gatheredReplies.values())
-            if goodCount >= need or len(gatheredReplies) == len(calls):
-                doneSignal.set()
+            gathered_replies[target] = signal.value
+            good_count = sum(not isinstance(r, Trouble) for r in gathered_replies.values())
+            if good_count >= need or len(gathered_replies) == len(calls):
+                done_signal.set()
 
         for target, service, body in calls:
-            begunCalls[target] = self._begin(target, service, body)
-        for target, (_, signal) in begunCalls.items():
+            begun_calls[target] = self._begin(target, service, body)
+        for target, (_, signal) in begun_calls.items():
             signal.watchers.append(lambda t=target, s=signal: settle(t, s))
             if signal.is_set:
                 settle(target, signal)
-        if calls and not (yield Wait(doneSignal, seconds / 2)):
+        if calls and not (yield Wait(done_signal, seconds / 2)):
             for target, service, body in calls if repeats else ():
-                callId = begunCalls[target][0]
-                if callId in self.pending:
-                    self._send(target, {"s": service, "b": body, "c": callId})
-            yield Wait(doneSignal, seconds / 2)
-        for callId, _ in begunCalls.values():
-            self.pending.pop(callId, None)
+                call_id = begun_calls[target][0]
+                if call_id in self.pending:
+                    self._send(target, {"s": service, "b": body, "c": call_id})
+            yield Wait(done_signal, seconds / 2)
+        for call_id, _ in begun_calls.values():
+            self.pending.pop(call_id, None)
         return {
-            target: gatheredReplies.get(target, TimedOut(target=target))
+            target: gathered_replies.get(target, TimedOut(target=target))
             for target, _, _ in calls
         }
 
     def _begin(self, target, service, body):
-        self.nextCall += 1
-        callId, replySignal = self.nextCall, Signal()
+        self.next_call += 1
+        call_id, reply_signal = self.next_call, Signal()
         if target == self.me.name:
-            self.spawn(self._answer(service, body, target, replySignal.set))
-            return callId, replySignal
-        self.pending[callId] = (replySignal, target)
-        if not self._send(target, {"s": service, "b": body, "c": callId}):
-            replySignal.set(Unreachable(target=target))
-        return callId, replySignal
+            self.spawn(self._answer(service, body, target, reply_signal.set))
+            return call_id, reply_signal
+        self.pending[call_id] = (reply_signal, target)
+        if not self._send(target, {"s": service, "b": body, "c": call_id}):
+            reply_signal.set(Unreachable(target=target))
+        return call_id, reply_signal
 
     def on_graph(self, graph):
         """End the calls to nodes that no route leads to any more; whether they ran is unknown."""
-        for replySignal, target in list(self.pending.values()):
+        for reply_signal, target in list(self.pending.values()):
             if target not in graph.routes:
-                replySignal.set(TimedOut(target=target))
+                reply_signal.set(TimedOut(target=target))
 
     def _send(self, target, message):
         return self.find("nifty").send(target, message)
@@ -128,21 +128,21 @@
     def on_message(self, origin, message):
         """Take a message that nifty delivered once."""
         if "r" in message:
-            replySignal, _ = self.pending.pop(message["r"], (None, None))
-            if replySignal is not None:
+            reply_signal, _ = self.pending.pop(message["r"], (None, None))
+            if reply_signal is not None:
                 kind = message.get("t")
-                replySignal.set(rebuild(kind, message["b"]) if kind else message["b"])
+                reply_signal.set(rebuild(kind, message["b"]) if kind else message["b"])
             return
-        callId = message.get("c")
-        if callId is None:
+        call_id = message.get("c")
+        if call_id is None:
             self.spawn(self._answer(message["s"], message["b"], origin, lambda reply: None))
             return
 
         def send_reply(reply):
             if isinstance(reply, Trouble):
-                self._send(origin, {"r": callId, "t": reply.kind, "b": reply.detail})
+                self._send(origin, {"r": call_id, "t": reply.kind, "b": reply.detail})
             else:
-                self._send(origin, {"r": callId, "b": reply})
+                self._send(origin, {"r": call_id, "b": reply})
 
         self.spawn(self._answer(message["s"], message["b"], origin, send_reply))
 
--- a/quillring/kernel/raw_http.py
+++ b/quillring/kernel/raw_http.py
@@ -15,28 +15,28 @@
 class RawLimits:
     """What a client may send, and how long it may take, in bytes and seconds."""
 
-    __slots__ = ("headBytes", "bodyBytes", "headSeconds", "idleSeconds")
+    __slots__ = ("head_bytes", "body_bytes", "head_seconds", "idle_seconds")
 
-    def __init__(self, headBytes=16384, bodyBytes=4 << 20, headSeconds=3.0, idleSeconds=15.0):
-        self.headBytes = headBytes
-        self.bodyBytes = bodyBytes
-        self.headSeconds = headSeconds
-        self.idleSeconds = idleSeconds
+    def __init__(self, head_bytes=16384, body_bytes=4 << 20, head_seconds=3.0, idle_seconds=15.0):
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_seconds = head_seconds
+        self.idle_seconds = idle_seconds
 
 
 class RawRequest:
     """One request as it came: method, target, header lines, body and when its end was read."""
 
-    __slots__ = ("method", "target", "lines", "headers", "body", "isKept", "arrivedAt")
+    __slots__ = ("method", "target", "lines", "headers", "body", "is_kept", "arrived_at")
 
-    def __init__(self, method, target, lines, body, isKept, arrivedAt):
+    def __init__(self, method, target, lines, body, is_kept, arrived_at):
         self.method = method
         self.target = target
         self.lines = lines
         self.headers = {name.lower(): value for name, value in lines}
         self.body = body
-        self.isKept = isKept
-        self.arrivedAt = arrivedAt
+        self.is_kept = is_kept
+        self.arrived_at = arrived_at
 
 
 class BadClient(Trouble):
--- a/quillring/kernel/raw_server.py
+++ b/quillring/kernel/raw_server.py
@@ -21,8 +21,8 @@
     """One client's connection; requests on it are answered one after the other."""
 
     __slots__ = (
-        "server", "sock", "parser", "requests", "lines", "target", "body", "bodySize", "headSize",
-        "isReading", "handler", "isGone", "canRead",
+        "server", "sock", "parser", "requests", "lines", "target", "body", "body_size", "head_size",
+        "is_reading", "handler", "is_gone", "can_read",
     )
 
     def __init__(self, server, sock):
@@ -31,20 +31,20 @@
         self.parser = httptools.HttpRequestParser(self)
         self.requests = gevent.queue.Queue()
         self.handler = None
-        self.isGone = False
-        self.canRead = gevent.event.Event()
-        self.canRead.set()
+        self.is_gone = False
+        self.can_read = gevent.event.Event()
+        self.can_read.set()
         self._reset()
 
     def _reset(self):
         self.lines, self.target, self.body = [], b"", []
-        self.bodySize = self.headSize = 0
-        self.isReading = False
+        self.body_size = self.head_size = 0
+        self.is_reading = False
 
     def on_message_begin(self):
         """Begin to read a request."""
         self._reset()
-        self.isReading = True
+        self.is_reading = True
 
     def on_url(self, data):
         """Take a piece of the target."""
@@ -57,8 +57,8 @@
         self._grow_head(len(name) + len(value) + 4)
 
     def _grow_head(self, size):
-        self.headSize += size
-        if self.headSize > self.server.limits().headBytes:
+        self.head_size += size
+        if self.head_size > self.server.limits().head_bytes:
             raise BadClient(status=431)
 
     def on_headers_complete(self):
@@ -69,8 +69,8 @@
 
     def on_body(self, data):
         """Take bytes of the body."""
-        self.bodySize += len(data)
-        if self.bodySize > self.server.limits().bodyBytes:
+        self.body_size += len(data)
+        if self.body_size > self.server.limits().body_bytes:
             raise BadClient(status=413)
         self.body.append(data)
 
@@ -81,25 +81,25 @@
             self.lines, b"".join(self.body), self.parser.should_keep_alive(), self.server.now()))
         self._reset()
         if self.requests.qsize() >= PIPELINED:
-            self.canRead.clear()
+            self.can_read.clear()
 
     def read_all(self):
         """Read until the client closes; then whatever is under way for it ends."""
         fault = None
         try:
             while True:
-                self.canRead.wait()
+                self.can_read.wait()
                 limits = self.server.limits()
-                seconds = limits.headSeconds if self.isReading else limits.idleSeconds
-                isBusy = self.handler is not None or not self.requests.empty()
-                with gevent.Timeout(None if isBusy and not self.isReading else seconds, False):
+                seconds = limits.head_seconds if self.is_reading else limits.idle_seconds
+                is_busy = self.handler is not None or not self.requests.empty()
+                with gevent.Timeout(None if is_busy and not self.is_reading else seconds, False):
                     data = self.sock.recv(READ_SIZE)
                     if not data:
                         break
                     self.parser.feed_data(data)
                     continue
                 if self.handler is None and self.requests.empty():
-                    fault = BadClient(status=408) if self.isReading else None
+                    fault = BadClient(status=408) if self.is_reading else None
                     break
         except OSError:
             pass
@@ -108,9 +108,9 @@
         except httptools.HttpParserError as error:
             cause = error.__context__
             fault = cause if isinstance(cause, BadClient) else BadClient(status=400)
-        self.isGone = fault is None
+        self.is_gone = fault is None
         self.requests.put(fault)
-        if self.handler is not None and self.isGone:
+        if self.handler is not None and self.is_gone:
             self.handler.kill(block=False)
 
     def run(self):
@@ -119,7 +119,7 @@
         try:
             while True:
                 request = self.requests.get()
-                self.canRead.set()
+                self.can_read.set()
                 if not isinstance(request, RawRequest):
                     if request is not None:
                         self._send(head_bytes(request.detail["status"], [
@@ -127,9 +127,9 @@
                     return
                 self.handler = gevent.spawn(self._answer, request)
                 self.handler.join()
-                isSound = self.handler.value is True
+                is_sound = self.handler.value is True
                 self.handler = None
-                if not isSound or self.isGone:
+                if not is_sound or self.is_gone:
                     return
         finally:
             reader.kill(block=False)
@@ -144,8 +144,8 @@
     def _answer(self, request):
         """Answer one request; return True when the connection may serve another."""
         node = self.server.node
-        node.underWay += 1
-        hasHead = False
+        node.under_way += 1
+        has_head = False
         lines = None
         try:
             lines = node.world.lines(self.server.handle(node, request))
@@ -153,19 +153,19 @@
                 try:
                     line = next(lines)
                 except StopIteration as stop:
-                    if hasHead and stop.value is not None:
+                    if has_head and stop.value is not None:
                         return False
-                    if hasHead:
+                    if has_head:
                         self._send(b"0\r\n\r\n")
                         return self._is_kept(request)
                     status, headers, body = stop.value
-                    isKept = self._is_kept(request)
+                    is_kept = self._is_kept(request)
                     self._send(head_bytes(status, [
-                        *headers, ("Content-Length", str(len(body))), *self._keeping(isKept),
+                        *headers, ("Content-Length", str(len(body))), *self._keeping(is_kept),
                     ]) + (b"" if request.method == "HEAD" else body))
-                    return isKept
-                if not hasHead:
-                    hasHead = True
+                    return is_kept
+                if not has_head:
+                    has_head = True
                     status, headers, body = line
                     self._send(head_bytes(status, [
                         *headers, ("Transfer-Encoding", "chunked"),
@@ -179,15 +179,15 @@
             self.server.report(error)
             return False
         finally:
-            node.underWay -= 1
+            node.under_way -= 1
             if lines is not None:
                 lines.close()
 
     def _is_kept(self, request):
-        return request.isKept and not self.server.node.is_draining
+        return request.is_kept and not self.server.node.is_draining
 
-    def _keeping(self, isKept):
-        return [] if isKept else [("Connection", "close")]
+    def _keeping(self, is_kept):
+        return [] if is_kept else [("Connection", "close")]
 
 
 class RawServer:
--- a/quillring/kernel/ringlog.py
+++ b/quillring/kernel/ringlog.py
@@ -22,17 +22,17 @@
         """Write the ring to its file and start it anew."""
         if self.path is None:
             return
-        with open(self.path, "a", encoding="utf-8") as logFile:
-            logFile.write("\n".join(self.ring) + "\n")
+        with open(self.path, "a", encoding="utf-8") as log_file:
+            log_file.write("\n".join(self.ring) + "\n")
         self.ring.clear()
 
 
 def ring_log(name, path=None):
     """Return the logger of the node and its ring."""
-    nodeLogger = logging.getLogger(f"quillring.{name}")
-    nodeLogger.setLevel(logging.DEBUG)
-    nodeLogger.propagate = False
-    ringHandler = RingHandler(path)
-    ringHandler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
-    nodeLogger.handlers = [ringHandler]
-    return nodeLogger, ringHandler
+    node_logger = logging.getLogger(f"quillring.{name}")
+    node_logger.setLevel(logging.DEBUG)
+    node_logger.propagate = False
+    ring_handler = RingHandler(path)
+    ring_handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
+    node_logger.handlers = [ring_handler]
+    return node_logger, ring_handler
--- a/quillring/kernel/settings.py
+++ b/quillring/kernel/settings.py
@@ -114,8 +114,8 @@
     """Tell whether the text holds four bytes and a port that exists."""
     host, _, port = address.rpartition(":")
     numbers = host.split(".")
-    isHost = len(numbers) == 4 and all(n.isdigit() and int(n) < 256 for n in numbers)
-    return isHost and port.isdigit() and 0 < int(port) < 65536
+    is_host = len(numbers) == 4 and all(n.isdigit() and int(n) < 256 for n in numbers)
+    return is_host and port.isdigit() and 0 < int(port) < 65536
 
 
 def read_settings(path, flags):
@@ -123,8 +123,8 @@
     fields = {}
     if path is not None:
         try:
-            with open(path, encoding="utf-8") as settingsFile:
-                fields = parse_json(settingsFile.read())
+            with open(path, encoding="utf-8") as settings_file:
+                fields = parse_json(settings_file.read())
         except (OSError, ValueError) as error:
             fault = BadSetting(fault=f"settings file {path}: {error}")
             raise ExceptionGroup("settings", [fault]) from error
--- a/quillring/kernel/wsgi.py
+++ b/quillring/kernel/wsgi.py
@@ -32,13 +32,13 @@
         self.sender = sender
 
 
-def route(method, pattern, limit=BODY_LIMIT, queryWords=()):
+def route(method, pattern, limit=BODY_LIMIT, query_words=()):
     """Register a function(node, inquiry) for a path such as /v1/lots/{lot}."""
     names = re.findall(r"{(\w+)}", pattern)
     matcher = re.compile(re.sub(r"{\w+}", "([^/]+)", pattern))
 
     def enter(function):
-        ROUTES.entry((method, pattern))((matcher, names, limit, queryWords, function))
+        ROUTES.entry((method, pattern))((matcher, names, limit, query_words, function))
         return function
 
     return enter
@@ -66,11 +66,11 @@
 def find_route(method, path):
     """Return (function, path words, body limit, query words), or raise what is wrong."""
     methods = []
-    for (routeMethod, _), (matcher, names, limit, queryWords, function) in ROUTES.entries.items():
+    for (route_method, _), (matcher, names, limit, query_words, function) in ROUTES.entries.items():
         found = matcher.fullmatch(path)
-        if found and routeMethod == method:
-            return function, dict(zip(names, found.groups(), strict=True)), limit, queryWords
-        methods += [routeMethod] if found else []
+        if found and route_method == method:
+            return function, dict(zip(names, found.groups(), strict=True)), limit, query_words
+        methods += [route_method] if found else []
     if methods:
         raise WrongMethod(path=path, method=method, allowed=sorted(methods))
     raise NotFound(path=path, method=method)
@@ -100,13 +100,13 @@
         raise BadInquiry(field="body", faults=[{"field": "body", "fault": "not JSON"}]) from error
 
 
-def read_query(environ, queryWords):
+def read_query(environ, query_words):
     """Return the query; a word that the route does not know is refused."""
     query = parse_qs(environ.get("QUERY_STRING", ""), keep_blank_values=True)
-    unknownWords = sorted(set(query) - set(queryWords))
-    if unknownWords:
-        faults = [{"field": word[:100], "fault": "unknown query word"} for word in unknownWords]
-        raise BadInquiry(field=unknownWords[0][:100], faults=faults[:10])
+    unknown_words = sorted(set(query) - set(query_words))
+    if unknown_words:
+        faults = [{"field": word[:100], "fault": "unknown query word"} for word in unknown_words]
+        raise BadInquiry(field=unknown_words[0][:100], faults=faults[:10])
     return query
 
 
@@ -119,9 +119,9 @@
     def answer(environ, start_response):
         try:
             method = environ["REQUEST_METHOD"]
-            function, words, limit, queryWords = find_route(method, environ["PATH_INFO"])
+            function, words, limit, query_words = find_route(method, environ["PATH_INFO"])
             inquiry = Inquiry(
-                method, words, read_query(environ, queryWords),
+                method, words, read_query(environ, query_words),
                 read_body(environ, limit), environ.get("HTTP_X_SENDER", ""),
             )
             outcome = function(node, inquiry)
@@ -143,17 +143,17 @@
     def __init__(self, node, chunks):
         self.node = node
         self.chunks = chunks
-        self.isOpen = True
-        node.underWay += 1
+        self.is_open = True
+        node.under_way += 1
 
     def __iter__(self):
         return iter(self.chunks)
 
     def close(self):
         """End the answer; called by the server in every case."""
-        if self.isOpen:
-            self.isOpen = False
-            self.node.underWay -= 1
+        if self.is_open:
+            self.is_open = False
+            self.node.under_way -= 1
             close = getattr(self.chunks, "close", None)
             if close is not None:
                 close()
@@ -174,9 +174,9 @@
     body = trouble.to_json()
     if trouble.comes_back:
         seconds = trouble.detail.get("come_back_s") or node.bounds.news
-        spreadSeconds = max(1, round(seconds * (0.5 + node.world.random.random())))
-        headers = [("Retry-After", str(spreadSeconds))]
-        body["come_back_s"] = spreadSeconds
+        spread_seconds = max(1, round(seconds * (0.5 + node.world.random.random())))
+        headers = [("Retry-After", str(spread_seconds))]
+        body["come_back_s"] = spread_seconds
     return send_whole(start_response, body, trouble.status, headers)
 
 
@@ -184,17 +184,17 @@
     """Drive a script: its return value is a whole body, its emitted lines a streamed one."""
     lines = node.world.lines(script)
     try:
-        firstLine = next(lines)
+        first_line = next(lines)
     except StopIteration as stop:
         return send_whole(start_response, stop.value)
     start_response("200 OK", [("Content-Type", "application/x-ndjson")])
-    return stream_lines(firstLine, lines)
+    return stream_lines(first_line, lines)
 
 
-def stream_lines(firstLine, lines):
+def stream_lines(first_line, lines):
     """Yield the encoded lines; closing it closes the script."""
     try:
-        yield json.dumps(firstLine).encode() + b"\n"
+        yield json.dumps(first_line).encode() + b"\n"
         for line in lines:
             yield json.dumps(line).encode() + b"\n"
     finally:
--- a/quillring/lots/commands.py
+++ b/quillring/lots/commands.py
@@ -28,16 +28,16 @@
             raise Conflict(field="lot", lot=command["lot"])
         return state, {"lot": command["lot"], "items": known["count"], "repeated": True}
     weight = sum(len(item) for item in command["items"])
-    openWeight = sum(lot["weight"] for lot in state["lots"].values() if lot["phase"] == OPEN)
-    if openWeight + weight > OPEN_WEIGHT:
-        raise TooManyLots(lot=command["lot"], open_weight=openWeight)
+    open_weight = sum(lot["weight"] for lot in state["lots"].values() if lot["phase"] == OPEN)
+    if open_weight + weight > OPEN_WEIGHT:
+        raise TooManyLots(lot=command["lot"], open_weight=open_weight)
     lot = {
         "sender": command["sender"], "entry": command["entry"], "items": command["items"],
         "count": len(command["items"]), "digest": digest_of(command), "weight": weight,
         "results": {}, "started": {}, "phase": OPEN,
     }
-    newState = {**state, "lots": {**state["lots"], command["lot"]: lot}}
-    return newState, {"lot": command["lot"], "items": len(command["items"])}
+    new_state = {**state, "lots": {**state["lots"], command["lot"]: lot}}
+    return new_state, {"lot": command["lot"], "items": len(command["items"])}
 
 
 def digest_of(command):
@@ -77,8 +77,8 @@
         return state, {"written": False}
     results = {**lot["results"], command["n"]: command["result"]}
     changes = _end(ENDED) if len(results) == lot["count"] else {}
-    newState = _with_lot(state, command["lot"], results=results, **changes)
-    return newState, {"written": True}
+    new_state = _with_lot(state, command["lot"], results=results, **changes)
+    return new_state, {"written": True}
 
 
 @COMMANDS.entry("lot.cancel")
--- a/quillring/lots/front.py
+++ b/quillring/lots/front.py
@@ -35,10 +35,10 @@
     if service["kind"] != "model":
         raise BadInquiry(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
     part = part_of(entry["service"], len(node.find("duty").parts()) - 1)
-    ownKey = f"{node.world.random.getrandbits(96):024x}"
-    lotName = f"{part}.{sender_space(inquiry.sender)}.{inquiry.body.get('key') or ownKey}"
+    own_key = f"{node.world.random.getrandbits(96):024x}"
+    lot_name = f"{part}.{sender_space(inquiry.sender)}.{inquiry.body.get('key') or own_key}"
     answer = yield from node.find("duty").submit(part, {
-        "do": "lot.accept", "lot": lotName, "sender": inquiry.sender,
+        "do": "lot.accept", "lot": lot_name, "sender": inquiry.sender,
         "entry": inquiry.body["entry"], "items": inquiry.body["items"],
     })
     return answer
@@ -49,9 +49,9 @@
     return hashlib.sha256(sender.encode("utf-8", "surrogatepass")).hexdigest()[:16]
 
 
-def part_of_lot(node, lotName):
+def part_of_lot(node, lot_name):
     """Return the part a lot's name points to, or refuse the name."""
-    part = lotName.partition(".")[0]
+    part = lot_name.partition(".")[0]
     if part not in node.find("duty").parts():
         raise BadInquiry(field="lot", faults=[{"field": "lot", "fault": "unknown lot name"}])
     return part
@@ -60,39 +60,39 @@
 @route("GET", "/v1/lots/{lot}")
 def show_lot(node, inquiry):
     """Tell how far a lot is."""
-    lotName = inquiry.words["lot"]
-    query = {"ask": "lot.status", "lot": lotName, "sender": inquiry.sender}
-    return (yield from node.find("duty").read(part_of_lot(node, lotName), query))
+    lot_name = inquiry.words["lot"]
+    query = {"ask": "lot.status", "lot": lot_name, "sender": inquiry.sender}
+    return (yield from node.find("duty").read(part_of_lot(node, lot_name), query))
 
 
-@route("GET", "/v1/lots/{lot}/results", queryWords=("from", "count"))
+@route("GET", "/v1/lots/{lot}/results", query_words=("from", "count"))
 def show_results(node, inquiry):
     """Return the results from a position on."""
-    lotName = inquiry.words["lot"]
+    lot_name = inquiry.words["lot"]
     start, count = (
         read_count(inquiry.query.get(name, [default])[0], name)
         for name, default in (("from", "0"), ("count", "1000"))
     )
     query = {
-        "ask": "lot.results", "lot": lotName, "sender": inquiry.sender,
+        "ask": "lot.results", "lot": lot_name, "sender": inquiry.sender,
         "from": start, "count": min(count, 1000),
     }
-    return (yield from node.find("duty").read(part_of_lot(node, lotName), query))
+    return (yield from node.find("duty").read(part_of_lot(node, lot_name), query))
 
 
 @route("POST", "/v1/lots/{lot}/release")
 def release_lot(node, inquiry):
     """Forget an ended lot; its results need not be kept any longer."""
-    lotName = inquiry.words["lot"]
+    lot_name = inquiry.words["lot"]
     if node.find("nifty").level() < RELEASE_LEVEL:
         raise Refused(reason="some nodes are of the former version")
-    command = {"do": "lot.release", "lot": lotName, "sender": inquiry.sender}
-    return (yield from node.find("duty").submit(part_of_lot(node, lotName), command))
+    command = {"do": "lot.release", "lot": lot_name, "sender": inquiry.sender}
+    return (yield from node.find("duty").submit(part_of_lot(node, lot_name), command))
 
 
 @route("DELETE", "/v1/lots/{lot}")
 def cancel_lot(node, inquiry):
     """End a lot early."""
-    lotName = inquiry.words["lot"]
-    command = {"do": "lot.cancel", "lot": lotName, "sender": inquiry.sender}
-    return (yield from node.find("duty").submit(part_of_lot(node, lotName), command))
+    lot_name = inquiry.words["lot"]
+    command = {"do": "lot.cancel", "lot": lot_name, "sender": inquiry.sender}
+    return (yield from node.find("duty").submit(part_of_lot(node, lot_name), command))
--- a/quillring/lots/keeping.py
+++ b/quillring/lots/keeping.py
@@ -10,13 +10,13 @@
 class Keeping:
     """What the lots of the parts owned here weigh, and since when they have ended."""
 
-    __slots__ = ("node", "weights", "endedAt", "lookedAt")
+    __slots__ = ("node", "weights", "ended_at", "looked_at")
 
     def __init__(self, node):
         self.node = node
         self.weights = {}
-        self.endedAt = {}
-        self.lookedAt = {}
+        self.ended_at = {}
+        self.looked_at = {}
 
     def weight(self, part, name, lot):
         """Return what a lot weighs; an ended one is weighed once."""
@@ -40,18 +40,18 @@
     def drop_old(self, owner):
         """Forget lots that ended long ago by this owner's own clock; looked at now and then."""
         now, bounds = self.node.now(), self.node.bounds
-        if now - self.lookedAt.get(owner.part, -bounds.return_) < bounds.return_:
+        if now - self.looked_at.get(owner.part, -bounds.return_) < bounds.return_:
             return
-        self.lookedAt[owner.part] = now
+        self.looked_at[owner.part] = now
         lots = owner.state["lots"]
         places = [(owner.part, name) for name, lot in lots.items() if lot["phase"] != OPEN]
-        others = {key: at for key, at in self.endedAt.items() if key[0] != owner.part}
-        self.endedAt = {**others, **{key: self.endedAt.get(key, now) for key in places}}
+        others = {key: at for key, at in self.ended_at.items() if key[0] != owner.part}
+        self.ended_at = {**others, **{key: self.ended_at.get(key, now) for key in places}}
         self.weights = {
             key: known for key, known in self.weights.items()
             if key[0] != owner.part or key[1] in lots
         }
         for _, name in places:
-            if now - self.endedAt[owner.part, name] > KEPT_SECONDS and not owner.queue:
+            if now - self.ended_at[owner.part, name] > KEPT_SECONDS and not owner.queue:
                 self.node.spawn(owner.submit({"do": "lot.drop", "lot": name}))
                 return
--- a/quillring/lots/raw_commands.py
+++ b/quillring/lots/raw_commands.py
@@ -112,8 +112,8 @@
     lot = raw_lots(state).get(command["lot"])
     if lot is None or command["n"] not in lot["items"]:
         return state, {"listed": False}
-    newLot = list_items(lot, [[command["n"], command["state"], command["text"]]])
-    return with_lot(state, command["lot"], newLot), {"listed": True}
+    new_lot = list_items(lot, [[command["n"], command["state"], command["text"]]])
+    return with_lot(state, command["lot"], new_lot), {"listed": True}
 
 
 @COMMANDS.entry("raw.failed")
@@ -126,10 +126,10 @@
     if command["run"] in runs:
         return state, {"listed": False}
     if len(runs) + 1 >= lot["rounds"]:
-        newLot = list_items(lot, [[number, ERRORED, b""]])
-        return with_lot(state, command["lot"], newLot), {"listed": True}
-    newLot = {**lot, "failed": {**lot["failed"], number: [*runs, command["run"]]}}
-    return with_lot(state, command["lot"], newLot), {"listed": False}
+        new_lot = list_items(lot, [[number, ERRORED, b""]])
+        return with_lot(state, command["lot"], new_lot), {"listed": True}
+    new_lot = {**lot, "failed": {**lot["failed"], number: [*runs, command["run"]]}}
+    return with_lot(state, command["lot"], new_lot), {"listed": False}
 
 
 @COMMANDS.entry("raw.expire")
@@ -138,8 +138,8 @@
     lot = raw_lots(state).get(command["lot"])
     if lot is None or not lot["items"]:
         return state, {"listed": 0}
-    newLot = list_items(lot, [[number, ERRORED, b""] for number in lot["items"]])
-    return with_lot(state, command["lot"], newLot), {"listed": len(lot["items"])}
+    new_lot = list_items(lot, [[number, ERRORED, b""] for number in lot["items"]])
+    return with_lot(state, command["lot"], new_lot), {"listed": len(lot["items"])}
 
 
 @COMMANDS.entry("raw.end")
@@ -148,11 +148,11 @@
     lot = find_raw_lot(state, command)
     if lot["ended"]:
         return state, {"ended": True, "repeated": True}
-    newLot = {
+    new_lot = {
         **lot, "ended": True, "items": {}, "failed": {}, "tokens": 0,
         "weight": lot["weight"] - weight_of(lot["items"].values()),
     }
-    return with_lot(state, command["lot"], newLot), {"ended": True}
+    return with_lot(state, command["lot"], new_lot), {"ended": True}
 
 
 @COMMANDS.entry("raw.drop")
@@ -169,15 +169,15 @@
 def raw_results(state, query):
     """Return the results from a position on, as many as the limit takes, one at least."""
     lot = find_raw_lot(state, query)
-    chosenResults, weight = [], 0
+    chosen_results, weight = [], 0
     for result in lot["results"][query["from"]:]:
         weight += len(result[2]) + 100
-        if chosenResults and weight > query["limit"]:
+        if chosen_results and weight > query["limit"]:
             break
-        chosenResults.append(result)
+        chosen_results.append(result)
     return {
-        "items": lot["count"], "results": chosenResults,
-        "next": query["from"] + len(chosenResults),
+        "items": lot["count"], "results": chosen_results,
+        "next": query["from"] + len(chosen_results),
         "is_over": not lot["items"],
     }
 
--- a/quillring/lots/raw_front.py
+++ b/quillring/lots/raw_front.py
@@ -26,9 +26,9 @@
     return host.lower().partition(":")[0]
 
 
-def lot_key(host, lotName):
+def lot_key(host, lot_name):
     """Return the name under which a host's lot stands in its part."""
-    return f"{lotName}@{bare_host(host)}"
+    return f"{lot_name}@{bare_host(host)}"
 
 
 def part_of_host(node, host):
@@ -42,37 +42,37 @@
     Raises Refused only when it surely was not taken, OutcomeUnknown when it may still be.
     """
     duty, bounds = node.find("duty"), node.bounds
-    endTime, isUnsure = node.now() + seconds, False
+    end_time, is_unsure = node.now() + seconds, False
     while True:
-        windowEnd = min(endTime, node.now() + bounds.round)
+        window_end = min(end_time, node.now() + bounds.round)
         try:
-            return (yield from duty.submit(part, command, windowEnd - node.now()))
+            return (yield from duty.submit(part, command, window_end - node.now()))
         except (OutcomeUnknown, TimedOut):
-            isUnsure = True
+            is_unsure = True
         except Refused:
-            isFinal = node.now() < windowEnd or node.now() >= endTime
-            if isFinal and not isUnsure:
+            is_final = node.now() < window_end or node.now() >= end_time
+            if is_final and not is_unsure:
                 raise
-            if isFinal:
+            if is_final:
                 break
-        if node.now() >= endTime:
+        if node.now() >= end_time:
             break
     raise OutcomeUnknown(part=part, reason="hand it in again under the same name")
 
 
-def accept_raw_lot(node, forwardName, lotName, items, seconds=None):
+def accept_raw_lot(node, forward_name, lot_name, items, seconds=None):
     """Script: hand a lot in; items are [id, target, header pairs, body, tokens].
 
     Raises QuotaExceeded and Refused when none of it will run, OutcomeUnknown when it may. `seconds`
     bounds the wait; where none are given, the forward's goal does, and a bit.
     """
-    forward = node.find("forwards").named(forwardName)
+    forward = node.find("forwards").named(forward_name)
     node.find("freshness").check()
     if forward is None or forward.kind != "lot":
         raise NotFound(field="forward")
     fields, part = forward.fields, part_of_host(node, forward.host)
     command = {
-        "do": "raw.accept", "lot": lot_key(forward.host, lotName), "forward": forward.name,
+        "do": "raw.accept", "lot": lot_key(forward.host, lot_name), "forward": forward.name,
         "host": fields["host"], "items": items,
         "digest": hashlib.sha256(cbor2.dumps([forward.name, items])).digest()[:16],
         "try": f"{node.world.random.getrandbits(96):024x}",
@@ -80,7 +80,7 @@
         "due_ms": fields.get("due_ms") or 60_000,
         "retain_ms": fields.get("retain_ms") or 3_600_000, "rounds": forward.rounds,
     }
-    seconds = forward.goalSeconds + node.bounds.reading if seconds is None else seconds
+    seconds = forward.goal_seconds + node.bounds.reading if seconds is None else seconds
     answer = yield from submit_surely(node, part, command, seconds)
     refusal = answer.get("refused")
     if refusal is not None:
@@ -90,24 +90,24 @@
     return answer
 
 
-def read_raw_results(node, host, lotName, start, holdSeconds=0.0):
+def read_raw_results(node, host, lot_name, start, hold_seconds=0.0):
     """Script: return items, results from a position on and the next one; held until one exists.
 
     Raises NotFound only where it is sure, Refused otherwise.
     """
-    part, holdSeconds = part_of_host(node, host), min(holdSeconds, LONGEST_HOLD)
+    part, hold_seconds = part_of_host(node, host), min(hold_seconds, LONGEST_HOLD)
     query = {
-        "ask": "raw.results", "lot": lot_key(host, lotName), "from": start, "limit": RESULT_BYTES,
+        "ask": "raw.results", "lot": lot_key(host, lot_name), "from": start, "limit": RESULT_BYTES,
     }
-    body = {"query": query, "seconds": holdSeconds}
-    return (yield from read_held(node, part, query, body, holdSeconds))
+    body = {"query": query, "seconds": hold_seconds}
+    return (yield from read_held(node, part, query, body, hold_seconds))
 
 
-def read_held(node, part, query, body, holdSeconds):
+def read_held(node, part, query, body, hold_seconds):
     """Script: ask the part's owner, which may hold the call, else a majority of its stores."""
     duty, bounds = node.find("duty"), node.bounds
     try:
-        return (yield from duty.ask(part, "raw.read", body, holdSeconds + bounds.reading * 0.4))
+        return (yield from duty.ask(part, "raw.read", body, hold_seconds + bounds.reading * 0.4))
     except NotFound:
         raise
     except Trouble as trouble:
@@ -129,16 +129,16 @@
         raise Refused(reason=trouble.kind, part=part) from trouble
 
 
-def read_raw_body(node, host, lotName, itemId):
+def read_raw_body(node, host, lot_name, item_id):
     """Script: return the body of an item that is not listed yet, as bytes."""
-    query = {"ask": "raw.body", "lot": lot_key(host, lotName), "item": itemId}
+    query = {"ask": "raw.body", "lot": lot_key(host, lot_name), "item": item_id}
     part = part_of_host(node, host)
     answer = yield from surely_read(node, part, query, node.bounds.reading)
     return answer["body"]
 
 
-def end_raw_lot(node, host, lotName):
+def end_raw_lot(node, host, lot_name):
     """Script: end a lot; a second call finds it ended."""
-    command = {"do": "raw.end", "lot": lot_key(host, lotName)}
+    command = {"do": "raw.end", "lot": lot_key(host, lot_name)}
     part = part_of_host(node, host)
     return (yield from submit_surely(node, part, command, node.bounds.reading * 1.2))
--- a/quillring/lots/raw_limits.py
+++ b/quillring/lots/raw_limits.py
@@ -13,50 +13,50 @@
 class RawLimits:
     """The share of each service's slots that lots take, and replicas left alone for a moment."""
 
-    __slots__ = ("node", "shares", "strikes", "aloneUntil", "nextStarts")
+    __slots__ = ("node", "shares", "strikes", "alone_until", "next_starts")
 
     def __init__(self, node):
         self.node = node
         self.shares = {}
         self.strikes = {}
-        self.aloneUntil = {}
-        self.nextStarts = {}
+        self.alone_until = {}
+        self.next_starts = {}
 
-    def share(self, service, isNear, now):
+    def share(self, service, is_near, now):
         """Return the share of a service's slots for lots; it recovers with time."""
-        cut, cutAt = self.shares.get(service, (1.0, now))
-        factor = min(1.0, cut + GAIN * (now - cutAt))
-        return max(LEAST_SHARE, (NEAR_SHARE if isNear else CALM_SHARE) * factor)
+        cut, cut_at = self.shares.get(service, (1.0, now))
+        factor = min(1.0, cut + GAIN * (now - cut_at))
+        return max(LEAST_SHARE, (NEAR_SHARE if is_near else CALM_SHARE) * factor)
 
     def note(self, run, outcome, now):
         """Take in how a run ended: a full replica lowers the share, troubles in a row give rest."""
         known = self.node.find("replicas").table
         self.strikes = {name: count for name, count in self.strikes.items() if name in known}
         strikes = self.strikes[run.replica] = self.strikes.get(run.replica, 0) + 1
-        self.aloneUntil = {
-            name: until for name, until in self.aloneUntil.items() if until > now}
+        self.alone_until = {
+            name: until for name, until in self.alone_until.items() if until > now}
         seconds = LEFT_ALONE[outcome] * 2 ** min(strikes - 1, MOST_DOUBLINGS)
-        self.aloneUntil[run.replica] = now + seconds
+        self.alone_until[run.replica] = now + seconds
         if outcome == NOT_RUN:
-            cut, cutAt = self.shares.get(run.service, (1.0, now))
-            factor = min(1.0, cut + GAIN * (now - cutAt))
+            cut, cut_at = self.shares.get(run.service, (1.0, now))
+            factor = min(1.0, cut + GAIN * (now - cut_at))
             self.shares[run.service] = (max(LEAST_SHARE, factor * 0.9), now)
 
     def worked(self, run):
         """Take in that a run came to its end."""
         self.strikes.pop(run.replica, None)
 
-    def choose(self, service, ledger, isNear, avoidedNames, now):
+    def choose(self, service, ledger, is_near, avoided_names, now):
         """Return the replica with most room for an item, or None when there is none now."""
         placement, replicas = self.node.find("placement"), self.node.find("replicas")
-        share = self.share(service, isNear, now)
+        share = self.share(service, is_near, now)
         patience = self.node.bounds.news * 1.5
         known = placement.replicas(service)
         heard = [r for r in known if not is_quiet(r, now, patience)] or known
         fit = [
-            r for r in [r for r in heard if r.name not in avoidedNames] or heard
-            if ledger.runsByReplica.get(r.name, 0) < max(1, r.slots * share)
-            and self.aloneUntil.get(r.name, 0) <= now and self.nextStarts.get(r.name, 0) <= now
+            r for r in [r for r in heard if r.name not in avoided_names] or heard
+            if ledger.runs_by_replica.get(r.name, 0) < max(1, r.slots * share)
+            and self.alone_until.get(r.name, 0) <= now and self.next_starts.get(r.name, 0) <= now
             and replicas.may_be_sent(r) and placement.view(r).is_trusted(now)
         ]
         warm = [r for r in fit if not r.is_cold(now)]
@@ -64,8 +64,8 @@
             warm = [r for r in fit[:1] if placement.ramp.take(r, now)]
         return min(
             warm, default=None,
-            key=lambda r: (ledger.runsByReplica.get(r.name, 0) / r.slots, r.name))
+            key=lambda r: (ledger.runs_by_replica.get(r.name, 0) / r.slots, r.name))
 
     def started(self, replica, now):
         """Note a start: a replica reads one item's prompt after the other, not all at once."""
-        self.nextStarts[replica.name] = now + START_SECONDS
+        self.next_starts[replica.name] = now + START_SECONDS
--- a/quillring/lots/raw_reads.py
+++ b/quillring/lots/raw_reads.py
@@ -30,22 +30,22 @@
     def on_read(self, body, origin):
         """Answer a query, after some seconds at most while the lot has no further result."""
         owner, query = self.node.find("duty").owners.get(body["part"]), body["query"]
-        endTime = self.node.now() + body["seconds"]
+        end_time = self.node.now() + body["seconds"]
         while True:
             if owner is None or not owner.is_owner:
                 raise NotOwner(part=body["part"])
             answer = self._look(owner.state, query)
-            secondsLeft = endTime - self.node.now()
+            seconds_left = end_time - self.node.now()
             if answer is not None and (answer["results"] or answer["is_over"]):
                 return answer
-            if answer is None or secondsLeft <= 0:
+            if answer is None or seconds_left <= 0:
                 break
             signal = self.signals.setdefault(query["lot"], Signal())
-            yield Wait(signal, secondsLeft)
+            yield Wait(signal, seconds_left)
         if answer is not None and self._is_certain(owner):
             return answer
-        readState = yield from owner.fenced_state()
-        return QUERIES.find(query["ask"])(readState, query)
+        read_state = yield from owner.fenced_state()
+        return QUERIES.find(query["ask"])(read_state, query)
 
     def _look(self, state, query):
         try:
@@ -54,4 +54,4 @@
             return None
 
     def _is_certain(self, owner):
-        return self.node.now() - owner.confirmedAt < self.node.bounds.reading * CERTAIN
+        return self.node.now() - owner.confirmed_at < self.node.bounds.reading * CERTAIN
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -19,20 +19,20 @@
 class RawRunner:
     """Keeps the items of the raw lots of owned parts running until each has a result."""
 
-    __slots__ = ("node", "ledgers", "limits", "forwardSeenAt")
+    __slots__ = ("node", "ledgers", "limits", "forward_seen_at")
 
     def __init__(self, node):
         self.node = node
         self.ledgers = {}
         self.limits = RawLimits(node)
-        self.forwardSeenAt = {}
+        self.forward_seen_at = {}
         node.handle("raw.report", self.on_report)
         node.find("nifty").listeners.append(self._on_graph)
 
     def _on_graph(self, graph):
         """Look after the runs at once: a worker may be lost."""
         for ledger in self.ledgers.values():
-            ledger.renewedAt = -math.inf
+            ledger.renewed_at = -math.inf
 
     def on_batch(self, owner, batch):
         """Follow what was committed; stop what needs to run no more."""
@@ -45,25 +45,25 @@
         if ledger is None or ledger.owner is not owner:
             self.ledgers[owner.part] = RawLedger(self.node, owner)
             return
-        doneRuns = {command["run"] for command in batch if command["do"] == "raw.result"}
+        done_runs = {command["run"] for command in batch if command["do"] == "raw.result"}
         for command in batch:
             if not command["do"].startswith("raw."):
                 continue
             item = ledger.find(command["lot"], command.get("n"))
             if command["do"] == "raw.failed" and item is not None:
                 self._give_back(ledger, item, command["run"], 0.3)
-            leftRuns = ledger.sync(command["lot"])
-            strayNumbers = [item.number for item, run in leftRuns if run.id not in doneRuns]
-            for _, run in leftRuns:
-                if run.id in doneRuns:
+            left_runs = ledger.sync(command["lot"])
+            stray_numbers = [item.number for item, run in left_runs if run.id not in done_runs]
+            for _, run in left_runs:
+                if run.id in done_runs:
                     self.limits.worked(run)
-            if strayNumbers or command["do"] == "raw.end":
-                self.node.spawn(self._stop(command["lot"], strayNumbers))
+            if stray_numbers or command["do"] == "raw.end":
+                self.node.spawn(self._stop(command["lot"], stray_numbers))
 
-    def _stop(self, lotName, numbers):
+    def _stop(self, lot_name, numbers):
         """Script: have every core stop the runs of a lot, told twice since words may be lost."""
-        isEnded = raw_lots_ended(self.node, lotName)
-        body = {"lot": lotName, "numbers": None if isEnded else numbers}
+        is_ended = raw_lots_ended(self.node, lot_name)
+        body = {"lot": lot_name, "numbers": None if is_ended else numbers}
         calls = [(name, "raw.stop", body) for name in self._cores()]
         yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
 
@@ -79,11 +79,11 @@
             for ledger in list(self.ledgers.values()):
                 if not ledger.owner.may_act():
                     continue
-                seconds = bounds.reading if ledger.isReported else bounds.round
-                if self.node.now() - ledger.renewedAt >= seconds:
-                    ledger.renewedAt = self.node.now()
+                seconds = bounds.reading if ledger.is_reported else bounds.round
+                if self.node.now() - ledger.renewed_at >= seconds:
+                    ledger.renewed_at = self.node.now()
                     self._look_after(ledger)
-                if ledger.isReported and ledger.lots and not duty.is_leaving(me.name):
+                if ledger.is_reported and ledger.lots and not duty.is_leaving(me.name):
                     self._start_items(ledger)
 
     def _look_after(self, ledger):
@@ -91,7 +91,7 @@
         if ledger.lots:
             self.node.spawn(self._renew(ledger))
             self._expire(ledger)
-        ledger.isReported = ledger.isReported or not ledger.lots
+        ledger.is_reported = ledger.is_reported or not ledger.lots
         held = sum(lot["weight"] for lot in raw_lots(ledger.owner.state).values())
         if held > HELD_WEIGHT / 2:
             for name in ledger.long_over(KEPT_SECONDS)[:DROPS_AT_ONCE]:
@@ -99,7 +99,7 @@
 
     def _renew(self, ledger):
         """Script: ask all cores what they run; take over, follow, or run anew what is missing."""
-        owner, askedAt = ledger.owner, self.node.now()
+        owner, asked_at = ledger.owner, self.node.now()
         body = {"part": owner.part, "ballot": list(owner.ballot)}
         calls = [(name, "raw.renew", body) for name in self._cores()]
         replies = yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
@@ -107,22 +107,22 @@
         reported = {
             (row[0], row[1]): (worker, row) for worker, rows in heard.items() for row in rows}
         now = self.node.now()
-        for (lotName, number), (worker, row) in reported.items():
-            item = ledger.find(lotName, number)
+        for (lot_name, number), (worker, row) in reported.items():
+            item = ledger.find(lot_name, number)
             if item is not None and item.run is None:
                 self.node.count("raw_runs_taken_over")
                 ledger.begin_run(item, OwnedRun(row[2], worker, row[3], row[4], now))
             elif item is not None and item.run.id == row[2]:
-                item.run.heardAt = now
+                item.run.heard_at = now
             elif item is None and owner.is_owner:
-                self.node.spawn(self._stop(lotName, [number]))
-        ledger.isReported = True
+                self.node.spawn(self._stop(lot_name, [number]))
+        ledger.is_reported = True
         for item in ledger.running():
-            isAnswered = item.run.worker in heard and item.run.startedAt < askedAt - SETTLED
-            isGone = not self.node.find("nifty").reaches(item.run.worker)
+            is_answered = item.run.worker in heard and item.run.started_at < asked_at - SETTLED
+            is_gone = not self.node.find("nifty").reaches(item.run.worker)
             if (item.lot, item.number) not in reported and (
-                    isAnswered or isGone
-                    or now - item.run.heardAt > self.node.bounds.reading * 3):
+                    is_answered or is_gone
+                    or now - item.run.heard_at > self.node.bounds.reading * 3):
                 self.node.count("raw_runs_lost")
                 ledger.end_run(item)
 
@@ -130,14 +130,14 @@
         """List as errored what is past its time, or whose forward is surely gone."""
         now, forwards = self.node.now(), self.node.find("forwards")
         names = {lot.forward for lot in ledger.lots.values()}
-        isFresh = self.node.find("freshness").is_fresh()
+        is_fresh = self.node.find("freshness").is_fresh()
         for name in names:
-            if not isFresh or forwards.named(name) is not None or name not in self.forwardSeenAt:
-                self.forwardSeenAt[name] = now
+            if not is_fresh or forwards.named(name) is not None or name not in self.forward_seen_at:
+                self.forward_seen_at[name] = now
         for lot in ledger.lots.values():
-            isOver = now - lot.knownAt > lot.retainSeconds + self.node.bounds.reading
-            isGone = now - self.forwardSeenAt[lot.forward] > self.node.bounds.news
-            if isOver or isGone:
+            is_over = now - lot.known_at > lot.retain_seconds + self.node.bounds.reading
+            is_gone = now - self.forward_seen_at[lot.forward] > self.node.bounds.news
+            if is_over or is_gone:
                 self.node.spawn(ledger.owner.submit({"do": "raw.expire", "lot": lot.name}))
 
     def _start_items(self, ledger):
@@ -148,27 +148,27 @@
             return
         cores = self._workers(ledger)
         for lot, items in waiting:
-            forward, isNear = forwards.named(lot.forward), lot.dueAt - now < NEAR
+            forward, is_near = forwards.named(lot.forward), lot.due_at - now < NEAR
             for item in items if forward is not None else ():
                 service = forward.service_for(str(item.number))
-                if (service, isNear) in full:
+                if (service, is_near) in full:
                     continue
-                avoidedNames = item.avoided_at(now)
-                replica = self.limits.choose(service, ledger, isNear, avoidedNames, now)
+                avoided_names = item.avoided_at(now)
+                replica = self.limits.choose(service, ledger, is_near, avoided_names, now)
                 if replica is not None:
-                    self._begin(ledger, item, forward, replica, isNear, cores)
-                elif not avoidedNames:
-                    full.add((service, isNear))
+                    self._begin(ledger, item, forward, replica, is_near, cores)
+                elif not avoided_names:
+                    full.add((service, is_near))
 
-    def _begin(self, ledger, item, forward, replica, isNear, cores):
+    def _begin(self, ledger, item, forward, replica, is_near, cores):
         worker, now = choose_worker(ledger, cores, replica), self.node.now()
         if worker is None:
             return
-        runId = f"{self.node.world.random.getrandbits(64):016x}"
-        run = OwnedRun(runId, worker, replica.service, replica.name, now)
+        run_id = f"{self.node.world.random.getrandbits(64):016x}"
+        run = OwnedRun(run_id, worker, replica.service, replica.name, now)
         ledger.begin_run(item, run)
         self.limits.started(replica, now)
-        self.node.spawn(self._start(ledger, item, run, forward, isNear))
+        self.node.spawn(self._start(ledger, item, run, forward, is_near))
 
     def _workers(self, ledger):
         duty = self.node.find("duty")
@@ -176,7 +176,7 @@
         names = [n for n in duty.rank(ledger.owner.part) if not duty.is_leaving(n)]
         return [(n, members[n].domain) for n in names if not ledger.rests(n)]
 
-    def _start(self, ledger, item, run, forward, isNear):
+    def _start(self, ledger, item, run, forward, is_near):
         """Script: hand a run to its worker; what was surely not begun waits again."""
         owner = ledger.owner
         lot = raw_lots(owner.state).get(item.lot)
@@ -187,7 +187,7 @@
             "n": item.number, "run": run.id, "service": run.service, "replica": run.replica,
             "forward": forward.name, "host": lot["host"],
             "item": lot["items"][item.number][:4], "last": item.last, "text": item.text,
-            "urgency": NEAR_URGENCY if isNear else CALM_URGENCY,
+            "urgency": NEAR_URGENCY if is_near else CALM_URGENCY,
         }
         try:
             answer = yield from self.node.call(
@@ -205,13 +205,13 @@
             if item.run is run:
                 ledger.end_run(item)
 
-    def _give_back(self, ledger, item, runId, seconds):
+    def _give_back(self, ledger, item, run_id, seconds):
         """Let an item wait again after its run ended without a result."""
-        if item.run is None or item.run.id != runId:
+        if item.run is None or item.run.id != run_id:
             return
         item.avoided = item.avoided | {item.run.replica}
         item.troubles += 1
-        item.readyAt = self.node.now() + seconds * min(item.troubles, 10)
+        item.ready_at = self.node.now() + seconds * min(item.troubles, 10)
         ledger.end_run(item)
 
     def on_report(self, body, origin):
@@ -232,7 +232,7 @@
 
 def choose_worker(ledger, cores, replica):
     """Return the core that sends to a replica: one of its domain unless others have far less."""
-    loads = ledger.runsByWorker
+    loads = ledger.runs_by_worker
     fewest = min((loads.get(name, 0) for name, _ in cores), default=0)
     near = [n for n, domain in cores if domain == replica.domain]
     if near and loads.get(near[0], 0) < fewest * 2 + 8:
@@ -240,8 +240,8 @@
     return min((n for n, _ in cores), key=lambda n: loads.get(n, 0), default=None)
 
 
-def raw_lots_ended(node, lotName):
+def raw_lots_ended(node, lot_name):
     """Tell whether a lot of an owned part was ended."""
     return any(
-        raw_lots(owner.state).get(lotName, {}).get("ended", False)
+        raw_lots(owner.state).get(lot_name, {}).get("ended", False)
         for owner in node.find("duty").owners.values() if owner.state)
--- a/quillring/lots/raw_worker.py
+++ b/quillring/lots/raw_worker.py
@@ -20,8 +20,8 @@
     """One sending of an item: what it has of the text, and how to stop it."""
 
     __slots__ = (
-        "part", "lot", "number", "id", "service", "replica", "last", "text", "handle", "isStopped",
-        "isCommitting",
+        "part", "lot", "number", "id", "service", "replica", "last", "text", "handle", "is_stopped",
+        "is_committing",
     )
 
     def __init__(self, body):
@@ -30,11 +30,11 @@
         self.service, self.replica = body["service"], body["replica"]
         self.last, self.text = body["last"], [body["text"]] if body["last"] is not None else []
         self.handle = None
-        self.isStopped = self.isCommitting = False
+        self.is_stopped = self.is_committing = False
 
     def stop(self):
         """Stop it now; the replica sees its connection close."""
-        self.isStopped = True
+        self.is_stopped = True
         if self.handle is not None:
             self.handle.close()
 
@@ -69,7 +69,7 @@
         self._check_ballot(body)
         node, place = self.node, (body["part"], body["lot"], body["n"])
         for run in self.runs.values():
-            if (run.part, run.lot, run.number) == place and not run.isStopped:
+            if (run.part, run.lot, run.number) == place and not run.is_stopped:
                 return {"run": run.id}
         if node.is_draining:
             raise Refused(reason="draining")
@@ -78,8 +78,8 @@
         if forward is None or body["service"] not in dict(forward.split):
             raise Refused(reason="the layout names another service")
         replica = node.find("replicas").find(body["replica"])
-        isSame = replica is not None and replica.service == body["service"]
-        if not isSame or not node.find("replicas").may_be_sent(replica):
+        is_same = replica is not None and replica.service == body["service"]
+        if not is_same or not node.find("replicas").may_be_sent(replica):
             raise NotSent(replica=body["replica"], reason="left")
         run = self.runs[body["run"]] = RawRun(body)
         node.spawn(self._run(run, replica, body))
@@ -93,8 +93,8 @@
     def on_stop(self, body, origin):
         """Stop the runs of a lot, or those of the numbers named."""
         for run in list(self.runs.values()):
-            isNamed = body["numbers"] is None or run.number in body["numbers"]
-            if run.lot == body["lot"] and isNamed:
+            is_named = body["numbers"] is None or run.number in body["numbers"]
+            if run.lot == body["lot"] and is_named:
                 run.stop()
 
     def _leave_gone(self):
@@ -105,31 +105,31 @@
                 run.handle.close()
 
     def _run(self, run, replica, body):
-        self.node.underWay += 1
+        self.node.under_way += 1
         try:
             outcome = yield from self._attempt(run, replica, body)
-            if not run.isStopped:
-                run.isCommitting = True
+            if not run.is_stopped:
+                run.is_committing = True
                 yield from self._deliver(run, outcome)
         finally:
-            self.node.underWay -= 1
+            self.node.under_way -= 1
             self.runs.pop(run.id, None)
 
     def _attempt(self, run, replica, body):
         """Script: send the item once; return how it went. The run holds what came of its text."""
         node, dialect = self.node, self.node.find("dialect")
-        itemId, target, pairs, content = body["item"]
-        ownNames = {"host", dialect.inquiry}
+        item_id, target, pairs, content = body["item"]
+        own_names = {"host", dialect.inquiry}
         headers = [
-            ("Host", body["host"]), (dialect.inquiry, itemId),
-            *((name, value) for name, value in pairs if name.lower() not in ownNames)]
+            ("Host", body["host"]), (dialect.inquiry, item_id),
+            *((name, value) for name, value in pairs if name.lower() not in own_names)]
         request = Request(dialect, "POST", target, headers, content)
         lease = node.find("placement").begin(replica, request)
-        stallSeconds = node.bounds.ending
+        stall_seconds = node.bounds.ending
         try:
             run.handle = yield from open_answer(
-                node, replica, request, run.last, body["urgency"], node.now() + stallSeconds * 3,
-                True, stallSeconds / 2)
+                node, replica, request, run.last, body["urgency"], node.now() + stall_seconds * 3,
+                True, stall_seconds / 2)
             lease.heard()
             return (yield from self._read(run, lease))
         except NotSent as trouble:
@@ -145,7 +145,7 @@
 
     def _note(self, run, replica, trouble):
         self.node.count(f"raw_{trouble.kind}")
-        if not run.isStopped and trouble.detail.get("reason") not in ("left", "no time left"):
+        if not run.is_stopped and trouble.detail.get("reason") not in ("left", "no time left"):
             self.node.find("placement").failed(replica, isinstance(trouble, NotSent))
 
     def _read(self, run, lease):
@@ -163,8 +163,8 @@
             self._take(run, reader.feed(data))
         if not reader.is_clean or run.last is None:
             return BROKEN
-        isFramed = {"content-length", "transfer-encoding"} & set(handle.headers)
-        return WHOLE if isFramed or run.last == first else BROKEN
+        is_framed = {"content-length", "transfer-encoding"} & set(handle.headers)
+        return WHOLE if is_framed or run.last == first else BROKEN
 
     def _next_part(self, handle, lease):
         """Script: wait for bytes; a replica that is silent to all is left at half time."""
@@ -172,8 +172,8 @@
         try:
             return (yield NextPart(handle, seconds))
         except BackendTrouble as trouble:
-            isSilent = self.node.find("placement").is_silent(lease.replica, seconds)
-            if trouble.detail["reason"] != "stall" or isSilent:
+            is_silent = self.node.find("placement").is_silent(lease.replica, seconds)
+            if trouble.detail["reason"] != "stall" or is_silent:
                 raise
         return (yield NextPart(handle, seconds))
 
@@ -190,7 +190,7 @@
 
     def _deliver(self, run, outcome):
         """Script: commit or report what became of the run, until it is taken or far too late."""
-        endTime = self.node.now() + self.node.bounds.return_ * 3
+        end_time = self.node.now() + self.node.bounds.return_ * 3
         text = b"\n".join(run.text)
         fields = {"lot": run.lot, "n": run.number, "run": run.id}
         commands = {
@@ -200,7 +200,7 @@
         }
         report = {**fields, "outcome": outcome, "last": run.last, "text": text}
         duty = self.node.find("duty")
-        while self.node.now() < endTime and not run.isStopped:
+        while self.node.now() < end_time and not run.is_stopped:
             try:
                 if outcome in commands:
                     return (yield from duty.submit(run.part, commands[outcome]))
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -19,15 +19,15 @@
 class RunningItem:
     """One item under way; stopping it closes the replica's stream."""
 
-    __slots__ = ("stopSignal", "handle")
+    __slots__ = ("stop_signal", "handle")
 
     def __init__(self):
-        self.stopSignal = Signal()
+        self.stop_signal = Signal()
         self.handle = None
 
     def stop(self):
         """Stop the item now; the replica sees its connection close."""
-        self.stopSignal.set()
+        self.stop_signal.set()
         if self.handle is not None:
             self.handle.close()
 
@@ -35,13 +35,13 @@
 class LotRunner:
     """Keeps items of the lots of the owned parts running until each has a result."""
 
-    __slots__ = ("node", "running", "unsent", "firstOpen", "keeping")
+    __slots__ = ("node", "running", "unsent", "first_open", "keeping")
 
     def __init__(self, node):
         self.node = node
         self.running = {}
         self.unsent = set()
-        self.firstOpen = {}
+        self.first_open = {}
         self.keeping = node.offer("keeping", Keeping(node))
 
     def run(self):
@@ -56,13 +56,13 @@
             self._stop_ended()
 
     def _start_items(self, owner):
-        openLots = {n: lot for n, lot in owner.state["lots"].items() if lot["phase"] == OPEN}
+        open_lots = {n: lot for n, lot in owner.state["lots"].items() if lot["phase"] == OPEN}
         running = Counter(key[:2] for key in self.running)
-        self.firstOpen = {
-            place: n for place, n in self.firstOpen.items()
-            if place[0] != owner.part or place[1] in openLots
+        self.first_open = {
+            place: n for place, n in self.first_open.items()
+            if place[0] != owner.part or place[1] in open_lots
         }
-        for name, lot in openLots.items():
+        for name, lot in open_lots.items():
             room = ITEMS_AT_ONCE - running[owner.part, name]
             for number in islice(self._waiting(owner.part, name, lot), max(0, room)):
                 key = (owner.part, name, number)
@@ -71,10 +71,10 @@
 
     def _waiting(self, part, name, lot):
         """Yield the numbers that neither have a result nor run; what lies done is passed once."""
-        first = self.firstOpen.get((part, name), 0)
+        first = self.first_open.get((part, name), 0)
         while first in lot["results"]:
             first += 1
-        self.firstOpen[part, name] = first
+        self.first_open[part, name] = first
         for number in range(first, len(lot["items"])):
             if number not in lot["results"] and (part, name, number) not in self.running:
                 yield number
@@ -89,11 +89,11 @@
             if command["do"] == "lot.cancel" and lot is not None and lot["phase"] != OPEN:
                 self.node.spawn(self._tell_replicas(command["lot"], lot["entry"]))
 
-    def _tell_replicas(self, lotName, entryName):
-        entry, _, _ = self.node.find("layout").entry(entryName)
+    def _tell_replicas(self, lot_name, entry_name):
+        entry, _, _ = self.node.find("layout").entry(entry_name)
         replicas = self.node.find("replicas").hopeful(entry["service"], math.inf)
         for replica in replicas:
-            self.node.spawn(self._tell_replica(replica, f"{lotName}-"))
+            self.node.spawn(self._tell_replica(replica, f"{lot_name}-"))
         return
         yield
 
@@ -125,14 +125,14 @@
         except Trouble as trouble:
             self.node.count("item_troubles")
             self.node.log("debug", "item %s: %s", key, trouble)
-            yield Wait(self.running[key].stopSignal, self.node.bounds.beat)
+            yield Wait(self.running[key].stop_signal, self.node.bounds.beat)
         finally:
             self.running.pop(key, None)
 
     def _item_result(self, owner, key, lot):
-        node, (_, lotName, number) = self.node, key
+        node, (_, lot_name, number) = self.node, key
         entry, service, promise = node.find("layout").entry(lot["entry"])
-        endTime = node.now() + promise["time_left_ms"] / 1000
+        end_time = node.now() + promise["time_left_ms"] / 1000
         prefix = entry.get("prefix", "")
         lease = yield from node.find("dispatch").acquire(
             entry["service"], entry["class"], promise, prefix_key(prefix),
@@ -142,28 +142,28 @@
         try:
             if not may_repeat(promise):
                 answer = yield from owner.submit({
-                    "do": "lot.start", "lot": lotName, "n": number, "by": list(owner.ballot),
+                    "do": "lot.start", "lot": lot_name, "n": number, "by": list(owner.ballot),
                     "was_unsent": key in self.unsent,
                 })
                 if not answer["may_run"]:
                     return {"trouble": "outcome_unknown"}
-            check_before_sending(node, lease.replica, endTime)
+            check_before_sending(node, lease.replica, end_time)
             if not self._is_wanted(owner, key):
                 return None
-            stallSeconds = service.get("stall_ms", STALL_MS) / 1000
-            inquiryName = f"{lotName}-{number}"
+            stall_seconds = service.get("stall_ms", STALL_MS) / 1000
+            inquiry_name = f"{lot_name}-{number}"
             self.unsent.discard(key)
-            lease.mayRunOn = True
+            lease.may_run_on = True
             path = lease.replica.path("/v1/generate")
             handle = self.running[key].handle = yield Open(lease.replica.address, path, {
-                "inquiry": inquiryName, "prefix": prefix, "prompt": lot["items"][number],
+                "inquiry": inquiry_name, "prefix": prefix, "prompt": lot["items"][number],
                 "from": 0, "max_pieces": 64,
-            }, stallSeconds)
+            }, stall_seconds)
             if handle.status == 503:
-                lease.mayRunOn = False
+                lease.may_run_on = False
                 raise Busy(replica=lease.replica.name)
-            result = yield from self._read_result(handle, inquiryName, stallSeconds, key)
-            lease.mayRunOn = result is None
+            result = yield from self._read_result(handle, inquiry_name, stall_seconds, key)
+            lease.may_run_on = result is None
             return result
         except (Busy, NotSent) as trouble:
             self.unsent.add(key)
@@ -171,7 +171,7 @@
                 node.find("replicas").busy(lease.replica)
             raise
         except BackendTrouble:
-            if not self.running[key].stopSignal.is_set:
+            if not self.running[key].stop_signal.is_set:
                 node.find("replicas").stalled(lease.replica)
             raise
         finally:
@@ -179,11 +179,11 @@
             if handle is not None:
                 handle.close()
 
-    def _read_result(self, handle, inquiryName, stallSeconds, key):
+    def _read_result(self, handle, inquiry_name, stall_seconds, key):
         pieces, weight = [], 0
-        while not self.running[key].stopSignal.is_set:
-            line = yield Next(handle, stallSeconds)
-            check_line(line, inquiryName, len(pieces))
+        while not self.running[key].stop_signal.is_set:
+            line = yield Next(handle, stall_seconds)
+            check_line(line, inquiry_name, len(pieces))
             if line.get("end"):
                 return {"text": "".join(pieces)}
             pieces.append(line["piece"])
--- a/quillring/nifty/bits.py
+++ b/quillring/nifty/bits.py
@@ -36,11 +36,11 @@
 
     __slots__ = ("width", "pick")
 
-    def __init__(self, names, newPlaces):
+    def __init__(self, names, new_places):
         """Make the reading of bits over `names` as bits over {name: place}."""
         self.width = len(names)
         known = {name: place for place, name in enumerate(names)}
-        picked = [known.get(name, self.width) for name in newPlaces]
+        picked = [known.get(name, self.width) for name in new_places]
         picked = [self.width - 1 - p if p < self.width else self.width for p in reversed(picked)]
         self.pick = itemgetter(*picked, self.width, self.width)
 
--- a/quillring/nifty/cohort.py
+++ b/quillring/nifty/cohort.py
@@ -10,17 +10,17 @@
     """The members as one node knows them."""
 
     __slots__ = (
-        "node", "knownRoster", "newcomers", "oldRosters", "pace", "heard", "isStale", "on_member",
+        "node", "known_roster", "newcomers", "old_rosters", "pace", "heard", "is_stale", "on_member",
     )
 
     def __init__(self, node):
         self.node = node
-        self.knownRoster = Roster([node.me])
+        self.known_roster = Roster([node.me])
         self.newcomers = {}
-        self.oldRosters = {self.knownRoster.digest: self.knownRoster}
+        self.old_rosters = {self.known_roster.digest: self.known_roster}
         self.pace = Pace(node.bounds, 1)
         self.heard = {}
-        self.isStale = True
+        self.is_stale = True
         self.on_member = lambda member: None
 
     @property
@@ -28,19 +28,19 @@
         """The present roster; members learned since it was last read come in by one swap."""
         if self.newcomers:
             self.swap_roster(self._next_roster())
-        return self.knownRoster
+        return self.known_roster
 
     def _next_roster(self):
-        newMembers, self.newcomers = self.newcomers, {}
-        return self.knownRoster.with_members(newMembers.values())
+        new_members, self.newcomers = self.newcomers, {}
+        return self.known_roster.with_members(new_members.values())
 
     def find_member(self, name):
         """Return the member of this name, or None."""
-        return self.newcomers.get(name) or self.knownRoster.members.get(name)
+        return self.newcomers.get(name) or self.known_roster.members.get(name)
 
     def member_count(self):
         """Return how many members are known, at most."""
-        return len(self.knownRoster.names) + len(self.newcomers)
+        return len(self.known_roster.names) + len(self.newcomers)
 
     def learn(self, member):
         """Take a member record; a newer incarnation renews the address."""
@@ -58,22 +58,22 @@
             self.swap_roster(self.roster.without(name))
             self.heard.pop(name, None)
 
-    def swap_roster(self, newRoster):
+    def swap_roster(self, new_roster):
         """Put another roster in the place of the present one."""
-        keptRosters = [*self.oldRosters.values(), newRoster][-KEPT_ROSTERS:]
-        self.isStale = self.isStale or newRoster.digest != self.knownRoster.digest
-        self.knownRoster = newRoster
-        self.oldRosters = {roster.digest: roster for roster in keptRosters}
-        self.pace = Pace(self.node.bounds, len(newRoster.names))
+        kept_rosters = [*self.old_rosters.values(), new_roster][-KEPT_ROSTERS:]
+        self.is_stale = self.is_stale or new_roster.digest != self.known_roster.digest
+        self.known_roster = new_roster
+        self.old_rosters = {roster.digest: roster for roster in kept_rosters}
+        self.pace = Pace(self.node.bounds, len(new_roster.names))
         for heard in self.heard.values():
-            if heard.unread is not None and newRoster.digest == heard.digest:
-                heard.take_row(heard.digest, heard.unread, newRoster)
+            if heard.unread is not None and new_roster.digest == heard.digest:
+                heard.take_row(heard.digest, heard.unread, new_roster)
 
     def take_row(self, heard, digest, bitmap):
         """Take the bitmap that a member sent; tell whether its row changed."""
-        if self.newcomers and digest not in self.oldRosters:
+        if self.newcomers and digest not in self.old_rosters:
             self.swap_roster(self._next_roster())
-        return heard.take_row(digest, bitmap, self.oldRosters.get(digest))
+        return heard.take_row(digest, bitmap, self.old_rosters.get(digest))
 
     def is_heard(self, heard):
         """Tell whether too few beats were missed to break a link."""
@@ -86,9 +86,9 @@
 
     def reached_names(self):
         """Return the names heard lately that lately heard this node too, by their echo."""
-        heardEdge = self.node.now() - self.pace.broken
-        echoEdge = heardEdge - self.pace.period
+        heard_edge = self.node.now() - self.pace.broken
+        echo_edge = heard_edge - self.pace.period
         return frozenset([
             name for name, heard in self.heard.items()
-            if heard.at > heardEdge and heard.echoAt is not None and heard.echoAt > echoEdge
+            if heard.at > heard_edge and heard.echo_at is not None and heard.echo_at > echo_edge
         ])
--- a/quillring/nifty/graph.py
+++ b/quillring/nifty/graph.py
@@ -18,7 +18,7 @@
     A row of links is one whole number, a bit a name: what is read of it is made when asked for.
     """
 
-    __slots__ = ("home", "names", "places", "rows", "liveBits", "routes", "known")
+    __slots__ = ("home", "names", "places", "rows", "live_bits", "routes", "known")
 
     def __init__(self, home, rows):
         """Make the graph from {name: names it reaches}."""
@@ -41,18 +41,18 @@
         and of a node that is not heard the others tell.
         """
         self.home, self.names, self.places, self.known = home, names, places, {}
-        homeBit, ownRow = 1 << places[home], rows.get(home, 0)
-        told, silentBits = [0] * len(names), (1 << len(names)) - 1
+        home_bit, own_row = 1 << places[home], rows.get(home, 0)
+        told, silent_bits = [0] * len(names), (1 << len(names)) - 1
         for name, bits in rows.items():
             place = places[name]
-            silentBits &= ~(1 << place)
-            told[place] = bits | homeBit if ownRow >> place & 1 else bits & ~homeBit
+            silent_bits &= ~(1 << place)
+            told[place] = bits | home_bit if own_row >> place & 1 else bits & ~home_bit
         tellers = transposed(told, len(names))
         self.rows = [
-            (tellers[place] if silentBits >> place & 1 else bits & (silentBits | tellers[place]))
+            (tellers[place] if silent_bits >> place & 1 else bits & (silent_bits | tellers[place]))
             & ~(1 << place)
             for place, bits in enumerate(told)]
-        self.liveBits = homeBit | to_bits([p for p, bits in enumerate(self.rows) if bits])
+        self.live_bits = home_bit | to_bits([p for p, bits in enumerate(self.rows) if bits])
         self.routes = self._bellman_ford()
 
     def same_links(self, other):
@@ -64,33 +64,33 @@
 
         With hop counts as weights the distance vectors settle ring by ring, from the home outwards.
         """
-        names, rows, namesOf = self.names, self.rows, {}
+        names, rows, names_of = self.names, self.rows, {}
         ring = rows[self.places[self.home]]
         routes = {names[place]: (1, (names[place],)) for place in places_of(ring)}
-        firstHops = {place: 1 << place for place in places_of(ring)}
-        seenBits, distance = ring | 1 << self.places[self.home], 1
+        first_hops = {place: 1 << place for place in places_of(ring)}
+        seen_bits, distance = ring | 1 << self.places[self.home], 1
         while ring:
-            nextRing, distance = self._reached_from(ring) & ~seenBits, distance + 1
-            for place in places_of(nextRing):
-                hopBits = rows[place] & ring
+            next_ring, distance = self._reached_from(ring) & ~seen_bits, distance + 1
+            for place in places_of(next_ring):
+                hop_bits = rows[place] & ring
                 if distance > 2:
-                    hopBits = merged([firstHops[former] for former in places_of(hopBits)])
-                if hopBits not in namesOf:
-                    namesOf[hopBits] = self._names(hopBits)
-                firstHops[place] = hopBits
-                routes[names[place]] = distance, namesOf[hopBits]
-            seenBits |= nextRing
-            ring = nextRing
+                    hop_bits = merged([first_hops[former] for former in places_of(hop_bits)])
+                if hop_bits not in names_of:
+                    names_of[hop_bits] = self._names(hop_bits)
+                first_hops[place] = hop_bits
+                routes[names[place]] = distance, names_of[hop_bits]
+            seen_bits |= next_ring
+            ring = next_ring
         return routes
 
     def _reached_from(self, ring):
         """Return what the names of a ring reach, as soon as that is everyone."""
-        reachedBits = 0
+        reached_bits = 0
         for place in places_of(ring):
-            reachedBits |= self.rows[place]
-            if reachedBits | ring == self.liveBits:
+            reached_bits |= self.rows[place]
+            if reached_bits | ring == self.live_bits:
                 break
-        return reachedBits
+        return reached_bits
 
     def _names(self, bits):
         return tuple([self.names[place] for place in places_of(bits)])
@@ -112,7 +112,7 @@
     @property
     def live(self):
         """Return the names with any link, home included."""
-        return self._once("live", lambda: frozenset(self._names(self.liveBits)))
+        return self._once("live", lambda: frozenset(self._names(self.live_bits)))
 
     def neighbours(self):
         """Return the names that the home has a link with."""
@@ -121,10 +121,10 @@
 
     def next_hop(self, target, origin):
         """Return the neighbour to pass a message to, spread over equal routes, or None."""
-        knownRoute = self.routes.get(target)
-        if knownRoute is None:
+        known_route = self.routes.get(target)
+        if known_route is None:
             return None
-        hops = knownRoute[1]
+        hops = known_route[1]
         if len(hops) == 1:
             return hops[0]
         return self._once(
@@ -134,8 +134,8 @@
         """Return the hop count to the target, or None."""
         if target == self.home:
             return 0
-        knownRoute = self.routes.get(target)
-        return knownRoute[0] if knownRoute else None
+        known_route = self.routes.get(target)
+        return known_route[0] if known_route else None
 
     def reachable(self):
         """Return the names that a message can get to, home included."""
@@ -144,31 +144,31 @@
     @property
     def is_cut(self):
         """True while some pair of live nodes has no direct link."""
-        return len(self.bridge_nodes()) < self.liveBits.bit_count()
+        return len(self.bridge_nodes()) < self.live_bits.bit_count()
 
     def bridge_nodes(self):
         """Return the live nodes that reach every live node directly."""
         return self._once("bridges", lambda: tuple(
-            self.names[place] for place in places_of(self.liveBits)
-            if self.rows[place].bit_count() == self.liveBits.bit_count() - 1))
+            self.names[place] for place in places_of(self.live_bits)
+            if self.rows[place].bit_count() == self.live_bits.bit_count() - 1))
 
     def sides(self):
         """Return the groups of live nodes on each side of the cut, bridges left out."""
         return self._once("sides", self._find_sides)
 
     def _find_sides(self):
-        leftBits = self.liveBits
+        left_bits = self.live_bits
         if self.is_cut:
-            leftBits &= ~to_bits([self.places[name] for name in self.bridge_nodes()])
-        foundSides = []
-        while leftBits:
-            side, edgeBits = 0, leftBits & -leftBits
-            while edgeBits:
-                side |= edgeBits
-                edgeBits = merged([self.rows[p] for p in places_of(edgeBits)]) & leftBits & ~side
-            leftBits &= ~side
-            foundSides.append(self._names(side))
-        return tuple(sorted(foundSides))
+            left_bits &= ~to_bits([self.places[name] for name in self.bridge_nodes()])
+        found_sides = []
+        while left_bits:
+            side, edge_bits = 0, left_bits & -left_bits
+            while edge_bits:
+                side |= edge_bits
+                edge_bits = merged([self.rows[p] for p in places_of(edge_bits)]) & left_bits & ~side
+            left_bits &= ~side
+            found_sides.append(self._names(side))
+        return tuple(sorted(found_sides))
 
     def to_json(self):
         """Return the graph as operators see it."""
--- a/quillring/nifty/heard.py
+++ b/quillring/nifty/heard.py
@@ -15,16 +15,16 @@
     """
 
     __slots__ = (
-        "at", "incarnation", "sequence", "echoAt", "stamp", "version", "roster", "bits", "digest",
-        "unread", "acked", "readsTerse", "places", "ownBits",
+        "at", "incarnation", "sequence", "echo_at", "stamp", "version", "roster", "bits", "digest",
+        "unread", "acked", "reads_terse", "places", "own_bits",
     )
 
     def __init__(self, beat):
         self.at = 0
         self.incarnation, self.sequence, self.version = beat.incarnation, 0, beat.version
-        self.echoAt = self.stamp = self.digest = self.unread = None
-        self.roster = self.bits = self.places = self.ownBits = None
-        self.acked, self.readsTerse = 0, False
+        self.echo_at = self.stamp = self.digest = self.unread = None
+        self.roster = self.bits = self.places = self.own_bits = None
+        self.acked, self.reads_terse = 0, False
 
     @property
     def row(self):
@@ -46,9 +46,9 @@
     def bits_over(self, orders):
         """Return the row as bits in another order."""
         if self.places is not orders.places:
-            self.ownBits = orders.read(self.bits, self.roster.names, self.roster.places)
+            self.own_bits = orders.read(self.bits, self.roster.names, self.roster.places)
             self.places = orders.places
-        return self.ownBits
+        return self.own_bits
 
 
 class Beat:
@@ -56,10 +56,10 @@
 
     __slots__ = (
         "member", "name", "incarnation", "sequence", "digest", "bitmap", "stamp", "echo",
-        "version", "readsTerse",
+        "version", "reads_terse",
     )
 
-    def __init__(self, data, versions, knownMembers=None):
+    def __init__(self, data, versions, known_members=None):
         """Read a datagram; whatever is no heartbeat raises BadWire."""
         try:
             self.version, fields = unpack(data, versions)
@@ -68,14 +68,14 @@
                 self.member = self.digest = self.bitmap = None
             else:
                 record, self.sequence, self.digest, self.bitmap, self.stamp, echo = fields
-                self.member = read_member(record, knownMembers or {})
+                self.member = read_member(record, known_members or {})
                 self.name, self.incarnation = self.member.name, self.member.incarnation
-            self.echo, self.readsTerse = None, False
+            self.echo, self.reads_terse = None, False
             if echo is not None:
                 self.echo = (int(echo[0]), int(echo[1]))
                 if len(echo) > 2:
                     self.version = max(self.version, min(versions[-1], int(echo[2])))
-                self.readsTerse = len(echo) > 3 and echo[3] == TERSE
+                self.reads_terse = len(echo) > 3 and echo[3] == TERSE
         except (ValueError, TypeError, IndexError, KeyError, OverflowError) as error:
             raise BadWire(reason="beat") from error
         if not isinstance(self.sequence, int) or not is_stamp(self.stamp):
@@ -87,9 +87,9 @@
             raise BadWire(reason="beat")
 
 
-def read_member(record, knownMembers):
+def read_member(record, known_members):
     """Return the member of a record: the known one when nothing of it changed."""
-    known = knownMembers.get(record[0]) if len(record) == len(FIELDS) else None
+    known = known_members.get(record[0]) if len(record) == len(FIELDS) else None
     if known is not None and known.to_list() == record:
         return known
     return Member.from_list(record)
@@ -107,12 +107,12 @@
     """Return the envelope of a frame; whatever is none raises BadWire."""
     try:
         _, envelope = unpack(data, versions)
-        origin, incarnation, sequence, target, hopsLeft, message = envelope
+        origin, incarnation, sequence, target, hops_left, message = envelope
     except (ValueError, TypeError) as error:
         raise BadWire(reason="frame") from error
-    isMessage = isinstance(message, dict) and ("s" in message or "r" in message)
-    numbers = (incarnation, sequence, hopsLeft)
-    if not isMessage or not all(isinstance(n, int) for n in numbers):
+    is_message = isinstance(message, dict) and ("s" in message or "r" in message)
+    numbers = (incarnation, sequence, hops_left)
+    if not is_message or not all(isinstance(n, int) for n in numbers):
         raise BadWire(reason="frame")
     if not isinstance(origin, str) or not isinstance(target, str):
         raise BadWire(reason="frame")
--- a/quillring/nifty/member.py
+++ b/quillring/nifty/member.py
@@ -40,11 +40,11 @@
         """Read a member record, refusing one with wrong types."""
         if len(fields) != len(FIELDS):
             raise ValueError("member fields")
-        textFields = (fields[0], fields[2], fields[3], fields[4], fields[7])
-        numberFields = (fields[1], fields[5], fields[6])
-        if not all(isinstance(f, str) for f in textFields):
+        text_fields = (fields[0], fields[2], fields[3], fields[4], fields[7])
+        number_fields = (fields[1], fields[5], fields[6])
+        if not all(isinstance(f, str) for f in text_fields):
             raise TypeError("member text")
-        if not all(isinstance(f, int) for f in numberFields):
+        if not all(isinstance(f, int) for f in number_fields):
             raise TypeError("member number")
         return cls(*fields)
 
@@ -68,11 +68,11 @@
 
     def with_members(self, members):
         """Return the roster with these members added or renewed."""
-        newMembers = {**self.members, **{m.name: m for m in members}}
-        if len(newMembers) > len(self.members):
-            return Roster(newMembers.values())
+        new_members = {**self.members, **{m.name: m for m in members}}
+        if len(new_members) > len(self.members):
+            return Roster(new_members.values())
         renewed = Roster.__new__(Roster)
-        renewed._fill(newMembers)
+        renewed._fill(new_members)
         renewed.names, renewed.places, renewed.digest = self.names, self.places, self.digest
         return renewed
 
@@ -80,9 +80,9 @@
         """Return the roster without the member."""
         return Roster([m for m in self.members.values() if m.name != name])
 
-    def to_bitmap(self, reachedNames):
+    def to_bitmap(self, reached_names):
         """Return the compact bitmap of the names."""
-        bits = to_bits([self.places[name] for name in reachedNames if name in self.places])
+        bits = to_bits([self.places[name] for name in reached_names if name in self.places])
         return bits.to_bytes((len(self.names) + 7) // 8, "little")
 
     def from_bitmap(self, bitmap):
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -21,9 +21,9 @@
     """The peer layer of one node; newly started, it presses those it has no link to."""
 
     __slots__ = (
-        "seeds", "graph", "sequence", "beatSequence", "told", "beatTimes", "sources",
-        "refreshedAt", "mendedCount", "seen", "listeners", "stampSource", "on_strange_roster",
-        "versions", "startedAt", "answeredNames",
+        "seeds", "graph", "sequence", "beat_sequence", "told", "beat_times", "sources",
+        "refreshed_at", "mended_count", "seen", "listeners", "stamp_source", "on_strange_roster",
+        "versions", "started_at", "answered_names",
     )
 
     def __init__(self, node, seeds, versions=SPOKEN):
@@ -31,19 +31,19 @@
         self.seeds = tuple(seeds)
         self.graph = Graph(node.me.name, {})
         self.sequence = 0
-        self.beatSequence = 0
+        self.beat_sequence = 0
         self.told = (None, 0)
-        self.beatTimes = {}
+        self.beat_times = {}
         self.sources = None
-        self.refreshedAt = None
-        self.mendedCount = 0
+        self.refreshed_at = None
+        self.mended_count = 0
         self.seen = {}
         self.listeners = []
-        self.stampSource = lambda: None
+        self.stamp_source = lambda: None
         self.on_strange_roster = lambda name: None
         self.versions = versions
-        self.startedAt = node.now()
-        self.answeredNames = frozenset()
+        self.started_at = node.now()
+        self.answered_names = frozenset()
         node.handle("member.former", lambda body, origin: renew_start(self, body))
 
     def run(self):
@@ -56,36 +56,36 @@
                 yield Sleep(self.pace.period / PARTS)
 
     def _press(self, part):
-        formerNames, self.answeredNames = self.answeredNames, self.reached_names()
-        if part and self.node.now() - self.startedAt < self.pace.period * STARTING:
-            self.send_beats(formerNames & self.answeredNames)
+        former_names, self.answered_names = self.answered_names, self.reached_names()
+        if part and self.node.now() - self.started_at < self.pace.period * STARTING:
+            self.send_beats(former_names & self.answered_names)
 
-    def send_beats(self, leftOutNames=frozenset()):
+    def send_beats(self, left_out_names=frozenset()):
         """Send one heartbeat to every member not left out and to each seed not yet known."""
-        telling, ownAddress, heardOf = self._next_telling(), self.node.me.address, self.heard.get
+        telling, own_address, heard_of = self._next_telling(), self.node.me.address, self.heard.get
         addresses = self.roster.addresses
         for address, names in addresses.items():
-            if address != ownAddress and not leftOutNames.issuperset(names):
-                heard = heardOf(names[0]) if len(names) == 1 else max(
+            if address != own_address and not left_out_names.issuperset(names):
+                heard = heard_of(names[0]) if len(names) == 1 else max(
                     (self.heard[name] for name in names if name in self.heard),
                     key=lambda heard: heard.at, default=None)
                 self._send_beat(address, telling, heard)
         for address in dict.fromkeys(self.seeds):
-            if address != ownAddress and address not in addresses:
+            if address != own_address and address not in addresses:
                 self._send_beat(address, telling, None)
 
     def _next_telling(self):
         me, roster, now = self.node.me, self.roster, self.node.now()
-        self.beatSequence += 1
-        oldestTime = now - max(self.node.bounds.news * 3, self.pace.broken * 2)
-        self.beatTimes = {s: at for s, at in self.beatTimes.items() if at > oldestTime}
-        self.beatTimes[self.beatSequence] = now
+        self.beat_sequence += 1
+        oldest_time = now - max(self.node.bounds.news * 3, self.pace.broken * 2)
+        self.beat_times = {s: at for s, at in self.beat_times.items() if at > oldest_time}
+        self.beat_times[self.beat_sequence] = now
         bitmap = roster.to_bitmap(self.reached_names())
         content = (me, roster.digest, bitmap)
         if self.told[0] != content:
-            self.told = (content, self.beatSequence)
+            self.told = (content, self.beat_sequence)
         return Telling(
-            me, self.beatSequence, self.told[1], roster.digest, bitmap, self.stampSource(),
+            me, self.beat_sequence, self.told[1], roster.digest, bitmap, self.stamp_source(),
             self.versions, now - self.pace.broken)
 
     def _send_beat(self, address, telling, heard):
@@ -97,7 +97,7 @@
     def on_datagram(self, data):
         """Take a heartbeat; garbage is counted and dropped."""
         try:
-            beat = Beat(data, self.versions, self.knownRoster.members)
+            beat = Beat(data, self.versions, self.known_roster.members)
         except BadWire as trouble:
             self.node.count("bad_datagrams")
             self.node.count("other_versions", trouble.detail["reason"] == "version")
@@ -105,13 +105,13 @@
         if beat.name == self.node.me.name:
             return
         heard = former = self.heard.get(beat.name)
-        isKnown = heard is not None and heard.incarnation == beat.incarnation
-        if not isKnown or beat.sequence <= heard.sequence:
+        is_known = heard is not None and heard.incarnation == beat.incarnation
+        if not is_known or beat.sequence <= heard.sequence:
             if not self._is_news(beat, heard):
                 return
             heard = self.heard[beat.name] = Heard(beat)
         self._hear(heard, beat)
-        if not isKnown and (former is not None or self.pace.period > self.node.bounds.beat):
+        if not is_known and (former is not None or self.pace.period > self.node.bounds.beat):
             self._send_beat(beat.member.address, self._next_telling(), heard)
 
     def _is_news(self, beat, heard):
@@ -134,53 +134,53 @@
         """Take what a heartbeat tells; a link that came up is routed at once or within a part."""
         now = self.node.now()
         heard.at, heard.sequence, heard.stamp = now, beat.sequence, beat.stamp
-        heard.version, heard.readsTerse = max(heard.version, beat.version), beat.readsTerse
-        isEchoed = beat.echo is not None and beat.echo[0] == self.node.me.incarnation
-        heard.acked = beat.echo[1] if isEchoed else 0
-        if isEchoed:
-            heard.echoAt = self.beatTimes.get(beat.echo[1], heard.echoAt)
-        if beat.member is not None and beat.member is not self.knownRoster.members.get(beat.name):
+        heard.version, heard.reads_terse = max(heard.version, beat.version), beat.reads_terse
+        is_echoed = beat.echo is not None and beat.echo[0] == self.node.me.incarnation
+        heard.acked = beat.echo[1] if is_echoed else 0
+        if is_echoed:
+            heard.echo_at = self.beat_times.get(beat.echo[1], heard.echo_at)
+        if beat.member is not None and beat.member is not self.known_roster.members.get(beat.name):
             self.learn(beat.member)
         if beat.bitmap is not None and self.take_row(heard, beat.digest, beat.bitmap):
-            self.isStale = True
-        if heard.digest != self.knownRoster.digest and self.mendedCount < MENDED_A_PART:
-            self.mendedCount += 1
+            self.is_stale = True
+        if heard.digest != self.known_roster.digest and self.mended_count < MENDED_A_PART:
+            self.mended_count += 1
             self.on_strange_roster(beat.name)
-        if heard.echoAt is not None and self.graph.hops(beat.name) != 1 and (
-                heard.echoAt > now - self.pace.broken - self.pace.period):
-            self.isStale = True
-            if self.refreshedAt is None or now - self.refreshedAt >= self.pace.period / PARTS:
+        if heard.echo_at is not None and self.graph.hops(beat.name) != 1 and (
+                heard.echo_at > now - self.pace.broken - self.pace.period):
+            self.is_stale = True
+            if self.refreshed_at is None or now - self.refreshed_at >= self.pace.period / PARTS:
                 self.refresh()
 
     def refresh(self):
         """Make the graph anew if what was heard has changed; a changed one is told to listeners."""
-        heardEdge, roster, me = self.node.now() - self.pace.broken, self.roster, self.node.me.name
-        self.mendedCount = 0
-        reachedNames = self.reached_names()
-        sources = reachedNames, frozenset([
+        heard_edge, roster, me = self.node.now() - self.pace.broken, self.roster, self.node.me.name
+        self.mended_count = 0
+        reached_names = self.reached_names()
+        sources = reached_names, frozenset([
             name for name, heard in self.heard.items()
-            if heard.roster is not None and heard.at > heardEdge and name in roster.places])
-        if not self.isStale and sources == self.sources:
+            if heard.roster is not None and heard.at > heard_edge and name in roster.places])
+        if not self.is_stale and sources == self.sources:
             return
-        self.sources, self.isStale, self.refreshedAt = sources, False, self.node.now()
+        self.sources, self.is_stale, self.refreshed_at = sources, False, self.node.now()
         orders = Orders(roster.places)
         rows = {name: self.heard[name].bits_over(orders) for name in sources[1]}
-        rows[me] = roster.from_bitmap(roster.to_bitmap(reachedNames))
+        rows[me] = roster.from_bitmap(roster.to_bitmap(reached_names))
         self.node.count("graph_makings")
         self._swap_graph(Graph.of_bits(me, roster.names, roster.places, rows))
 
-    def _swap_graph(self, newGraph):
-        formerGraph = self.graph
-        if newGraph.same_links(formerGraph):
+    def _swap_graph(self, new_graph):
+        former_graph = self.graph
+        if new_graph.same_links(former_graph):
             return
-        lostNames = formerGraph.neighbours() - newGraph.neighbours()
-        for member in map(self.knownRoster.members.get, sorted(lostNames)):
+        lost_names = former_graph.neighbours() - new_graph.neighbours()
+        for member in map(self.known_roster.members.get, sorted(lost_names)):
             if member is not None:
                 self.node.world.reset(member.address)
-        self.graph = newGraph
+        self.graph = new_graph
         self.node.count("graph_changes")
         for listener in self.listeners:
-            listener(newGraph)
+            listener(new_graph)
 
     def level(self):
         """Return the newest version that every member in reach is known to speak."""
@@ -207,15 +207,15 @@
         return self._forward([me.name, me.incarnation, self.sequence, target, HOP_LIMIT, message])
 
     def _forward(self, envelope):
-        origin, _, _, target, hopsLeft, _ = envelope
+        origin, _, _, target, hops_left, _ = envelope
         hop = self.graph.next_hop(target, origin)
-        hopMember = self.roster.members.get(hop)
-        if hopMember is None or hopsLeft <= 0:
+        hop_member = self.roster.members.get(hop)
+        if hop_member is None or hops_left <= 0:
             self.node.count("unrouted")
             return False
         heard = self.heard.get(hop)
         version = self.versions[0] if heard is None else heard.version
-        self.node.world.frame(hopMember.address, pack(envelope, version))
+        self.node.world.frame(hop_member.address, pack(envelope, version))
         return True
 
     def on_frame(self, data):
@@ -225,11 +225,11 @@
         except BadWire:
             self.node.count("bad_frames")
             return
-        origin, incarnation, sequence, target, hopsLeft, message = envelope
+        origin, incarnation, sequence, target, hops_left, message = envelope
         if target != self.node.me.name:
             self.node.count("relayed")
             self.node.count("relayed_bytes", len(data))
-            self._forward([*envelope[:4], hopsLeft - 1, message])
+            self._forward([*envelope[:4], hops_left - 1, message])
             return
         window = self.seen.get(origin)
         if window is None or incarnation > window.incarnation:
--- a/quillring/nifty/pace.py
+++ b/quillring/nifty/pace.py
@@ -15,11 +15,11 @@
 
     __slots__ = ("period", "missed")
 
-    def __init__(self, bounds, memberCount):
-        longestSilence = max(bounds.return_ * 0.75, bounds.beat * MISSED)
-        wantedPeriod = max(bounds.beat, memberCount / MEMBERS_A_SECOND)
-        self.period = min(wantedPeriod, max(bounds.beat, longestSilence / FEWEST_MISSED))
-        self.missed = MISSED if self.period * MISSED <= longestSilence else FEWEST_MISSED
+    def __init__(self, bounds, member_count):
+        longest_silence = max(bounds.return_ * 0.75, bounds.beat * MISSED)
+        wanted_period = max(bounds.beat, member_count / MEMBERS_A_SECOND)
+        self.period = min(wanted_period, max(bounds.beat, longest_silence / FEWEST_MISSED))
+        self.missed = MISSED if self.period * MISSED <= longest_silence else FEWEST_MISSED
 
     @property
     def broken(self):
--- a/quillring/nifty/telling.py
+++ b/quillring/nifty/telling.py
@@ -16,21 +16,21 @@
     a terse one, which stands for the same, as long as it echoes.
     """
 
-    __slots__ = ("toldSequence", "fullPart", "tersePart", "versions", "heardEdge")
+    __slots__ = ("told_sequence", "full_part", "terse_part", "versions", "heard_edge")
 
-    def __init__(self, me, sequence, toldSequence, digest, bitmap, stamp, versions, heardEdge):
+    def __init__(self, me, sequence, told_sequence, digest, bitmap, stamp, versions, heard_edge):
         parts = [cbor2.dumps(value) for value in (me.to_list(), sequence, digest, bitmap, stamp)]
-        self.fullPart = bytes([ARRAY | FULL]) + b"".join(parts)
-        self.tersePart = bytes([ARRAY | TERSE]) + cbor2.dumps(me.name) + cbor2.dumps(
+        self.full_part = bytes([ARRAY | FULL]) + b"".join(parts)
+        self.terse_part = bytes([ARRAY | TERSE]) + cbor2.dumps(me.name) + cbor2.dumps(
             me.incarnation) + parts[1] + parts[4]
-        self.toldSequence = toldSequence
+        self.told_sequence = told_sequence
         self.versions = versions
-        self.heardEdge = heardEdge
+        self.heard_edge = heard_edge
 
     def to(self, heard):
         """Return the datagram for a member, None for one never heard."""
-        if heard is None or heard.at <= self.heardEdge:
-            return HEADS[self.versions[0]] + self.fullPart + NO_ECHO
-        knowsAll = heard.readsTerse and heard.acked >= self.toldSequence
+        if heard is None or heard.at <= self.heard_edge:
+            return HEADS[self.versions[0]] + self.full_part + NO_ECHO
+        knows_all = heard.reads_terse and heard.acked >= self.told_sequence
         echo = cbor2.dumps([heard.incarnation, heard.sequence, self.versions[-1], TERSE])
-        return HEADS[heard.version] + (self.tersePart if knowsAll else self.fullPart) + echo
+        return HEADS[heard.version] + (self.terse_part if knows_all else self.full_part) + echo
--- a/quillring/plans/commands.py
+++ b/quillring/plans/commands.py
@@ -72,13 +72,13 @@
         raise Impossible(plan=command["plan"], obstacles=refused)
     kind, target = plan["intent"]["kind"], plan["intent"]["target"]
     for name, other in state.get("plans", {}).items():
-        isSame = other["intent"]["target"] == target
-        areRetirings = kind == other["intent"]["kind"] == "retire_store"
-        areEmptyings = kind == other["intent"]["kind"] == "empty_domain"
-        if other["phase"] == RUNNING and (isSame or areRetirings or areEmptyings):
+        is_same = other["intent"]["target"] == target
+        are_retirings = kind == other["intent"]["kind"] == "retire_store"
+        are_emptyings = kind == other["intent"]["kind"] == "empty_domain"
+        if other["phase"] == RUNNING and (is_same or are_retirings or are_emptyings):
             raise Contradiction(plan=command["plan"], running=name, target=other["target"])
-    newState = _with_plan(state, command["plan"], phase=RUNNING, confirmed_by=command["id"])
-    return newState, {"plan": command["plan"], **newState["plans"][command["plan"]]}
+    new_state = _with_plan(state, command["plan"], phase=RUNNING, confirmed_by=command["id"])
+    return new_state, {"plan": command["plan"], **new_state["plans"][command["plan"]]}
 
 
 @COMMANDS.entry("plan.step")
@@ -109,8 +109,8 @@
     plan = find_plan(state, command["plan"])
     if plan["phase"] not in (PROPOSED, RUNNING):
         raise Conflict(field="plan", plan=command["plan"], phase=plan["phase"])
-    newState = _with_plan(state, command["plan"], phase=STOPPED)
-    return newState, {"plan": command["plan"], **newState["plans"][command["plan"]]}
+    new_state = _with_plan(state, command["plan"], phase=STOPPED)
+    return new_state, {"plan": command["plan"], **new_state["plans"][command["plan"]]}
 
 
 @QUERIES.entry("plans")
--- a/quillring/plans/make.py
+++ b/quillring/plans/make.py
@@ -61,13 +61,13 @@
                 "consequence": "less_room",
                 "text": f"{service}: {busy} busy, {room} slots remain",
             })
-    stayingDomains = [
+    staying_domains = [
         d for d, row in view.layout["domains"].items() if d != domain and not row.get("emptied")]
-    if not stayingDomains:
+    if not staying_domains:
         obstacles.append({"consequence": None, "text": "no domain would remain"})
     inside = {n: role for n, (role, d) in sorted(view.nodes.items()) if d == domain}
     for role in ("edge", "core"):
-        staying = [n for n, (r, d) in view.nodes.items() if r == role and d in stayingDomains]
+        staying = [n for n, (r, d) in view.nodes.items() if r == role and d in staying_domains]
         if role in inside.values() and not staying:
             obstacles.append({"consequence": f"no_{role}", "text": f"no {role} would remain"})
     steps = [
@@ -98,20 +98,20 @@
 @INTENTS.entry("move_entry")
 def plan_move_entry(view, intent):
     """Point an entry at another service of the same kind."""
-    entryName, service = intent["target"], intent.get("service")
-    if entryName not in view.layout["entries"]:
-        raise NotFound(field="target", entry=entryName)
+    entry_name, service = intent["target"], intent.get("service")
+    if entry_name not in view.layout["entries"]:
+        raise NotFound(field="target", entry=entry_name)
     if service not in view.layout["services"]:
         raise NotFound(field="service", service=service)
-    oldService = view.layout["entries"][entryName]["service"]
+    old_service = view.layout["entries"][entry_name]["service"]
     obstacles = []
-    if view.layout["services"][service]["kind"] != view.layout["services"][oldService]["kind"]:
+    if view.layout["services"][service]["kind"] != view.layout["services"][old_service]["kind"]:
         obstacles.append({"consequence": None, "text": f"{service} is of another kind"})
     if not [r for r in view.replicas if r["service"] == service]:
         obstacles.append({"consequence": "no_replica", "text": f"{service} has no replica"})
-    change = {"entries": {entryName: {"service": service}}}
-    moves = [f"{entryName}: from {oldService} to {service}"]
-    return [layout_step(f"move {entryName} to {service}", change)], obstacles, moves
+    change = {"entries": {entry_name: {"service": service}}}
+    moves = [f"{entry_name}: from {old_service} to {service}"]
+    return [layout_step(f"move {entry_name} to {service}", change)], obstacles, moves
 
 
 @INTENTS.entry("retire_store")
@@ -124,18 +124,18 @@
     retired = {
         n for n, row in view.layout.get("stores", {}).items() if row.get("retired")} | {name}
     domains = {domain for n, domain in view.stores.items() if n not in retired}
-    obstacles, isShort = [], len(domains) < GROUP_SIZE
-    if isShort and parts:
+    obstacles, is_short = [], len(domains) < GROUP_SIZE
+    if is_short and parts:
         obstacles.append({
             "consequence": "part_under_three",
             "text": f"stores in {len(domains)} domains remain for {', '.join(parts)}",
         })
-    row = {"retired": True, **({"forced": True} if isShort else {})}
+    row = {"retired": True, **({"forced": True} if is_short else {})}
     steps = [
         layout_step(f"retire {name}", {"stores": {name: row}}),
         wait_step(f"wait until no part has {name}", "store_unused", name),
     ]
-    goal = "goes on with two members" if isShort else "a spare store takes its place"
+    goal = "goes on with two members" if is_short else "a spare store takes its place"
     return steps, obstacles, [f"{part}: {name} leaves, {goal}" for part in parts]
 
 
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -75,29 +75,29 @@
             self.founding = part
             for name, group in part["groups"].items():
                 if any(store[1] == self.identity for store in group):
-                    partRecord = self.parts.setdefault(name, PartRecord())
-                    if partRecord.state is None:
-                        partRecord.state = first_state(group)
+                    part_record = self.parts.setdefault(name, PartRecord())
+                    if part_record.state is None:
+                        part_record.state = first_state(group)
             return
         if verb == "hint":
             self.hints = {**self.hints, part: [*self.hints.get(part, ()), rest[0]]}
             return
         if verb == "handed":
-            leftHints = self.hints.get(part, [])[rest[0]:]
+            left_hints = self.hints.get(part, [])[rest[0]:]
             others = {name: kept for name, kept in self.hints.items() if name != part}
-            self.hints = {**others, part: leftHints} if leftHints else others
+            self.hints = {**others, part: left_hints} if left_hints else others
             return
-        partRecord = self.parts.setdefault(part, PartRecord())
+        part_record = self.parts.setdefault(part, PartRecord())
         ballot = tuple(rest[0])
-        partRecord.promised = max(partRecord.promised, ballot)
-        if verb == "accept" and rest[1] > partRecord.applied:
-            partRecord.entries[rest[1]] = (ballot, rest[2])
+        part_record.promised = max(part_record.promised, ballot)
+        if verb == "accept" and rest[1] > part_record.applied:
+            part_record.entries[rest[1]] = (ballot, rest[2])
         if verb == "commit":
-            partRecord.learn(ballot, rest[1])
-        if verb == "install" and rest[1] > partRecord.applied:
-            partRecord.applied, partRecord.state = rest[1], rest[2]
-            partRecord.committed = max(partRecord.committed, rest[1])
-            partRecord.entries = {i: e for i, e in partRecord.entries.items() if i > rest[1]}
+            part_record.learn(ballot, rest[1])
+        if verb == "install" and rest[1] > part_record.applied:
+            part_record.applied, part_record.state = rest[1], rest[2]
+            part_record.committed = max(part_record.committed, rest[1])
+            part_record.entries = {i: e for i, e in part_record.entries.items() if i > rest[1]}
 
     def keep(self, record):
         """Script: change the memory, and return once the record is durable."""
@@ -109,11 +109,11 @@
             raise WrongIdentity(store=self.node.me.name, identity=self.identity)
         if self.slots.trouble is not None:
             raise self.slots.trouble
-        partRecord = self.parts.get(body["part"]) or PartRecord()
+        part_record = self.parts.get(body["part"]) or PartRecord()
         ballot = tuple(body["ballot"])
-        if ballot < partRecord.promised:
-            raise Fenced(part=body["part"], ballot=list(partRecord.promised))
-        return partRecord, ballot
+        if ballot < part_record.promised:
+            raise Fenced(part=body["part"], ballot=list(part_record.promised))
+        return part_record, ballot
 
     def on_found(self, body, origin):
         """Take the founding record; another founding is answered with a conflict."""
@@ -133,11 +133,11 @@
         """Promise a ballot and tell what was accepted."""
         _, ballot = self._check(body)
         yield from self.keep(["promise", body["part"], list(ballot)])
-        partRecord = self.parts[body["part"]]
-        if partRecord.promised != ballot:
-            raise Fenced(part=body["part"], ballot=list(partRecord.promised))
-        fields = partRecord.to_list()
-        if body.get("brief") and partRecord.state is not None:
+        part_record = self.parts[body["part"]]
+        if part_record.promised != ballot:
+            raise Fenced(part=body["part"], ballot=list(part_record.promised))
+        fields = part_record.to_list()
+        if body.get("brief") and part_record.state is not None:
             fields[2] = True
         return fields
 
@@ -159,19 +159,19 @@
         """Accept an entry of the ballot, and apply what its owner says is committed."""
         _, ballot = self._check(body)
         record = ["accept", body["part"], list(ballot), body["index"], body["batch"]]
-        commitRecord = ["commit", body["part"], list(ballot), body["committed"]]
+        commit_record = ["commit", body["part"], list(ballot), body["committed"]]
         self.replay(record)
-        self.replay(commitRecord)
-        yield from self.slots.commit([record, commitRecord])
+        self.replay(commit_record)
+        yield from self.slots.commit([record, commit_record])
         self._tell(body["part"])
         return self.parts[body["part"]].applied
 
     def on_commit(self, body, origin):
         """Mark entries of the ballot as committed, durably."""
-        partRecord, ballot = self._check(body)
-        isKnown = partRecord.promised == ballot and partRecord.applied >= body["committed"]
-        if isKnown and self.slots.is_idle:
-            return partRecord.applied
+        part_record, ballot = self._check(body)
+        is_known = part_record.promised == ballot and part_record.applied >= body["committed"]
+        if is_known and self.slots.is_idle:
+            return part_record.applied
         yield from self.keep(["commit", body["part"], list(body["ballot"]), body["committed"]])
         self._tell(body["part"])
         return self.parts[body["part"]].applied
@@ -187,43 +187,43 @@
 
     def on_confirm(self, body, origin):
         """Tell an owner that no higher ballot was promised here; writes nothing."""
-        partRecord, ballot = self._check(body)
-        if partRecord.promised != ballot:
-            raise Fenced(part=body["part"], ballot=list(partRecord.promised))
+        part_record, ballot = self._check(body)
+        if part_record.promised != ballot:
+            raise Fenced(part=body["part"], ballot=list(part_record.promised))
         return True
 
     def on_image(self, body, origin):
         """Give the applied state of a part to any reader."""
-        partRecord = self.parts.get(body["part"])
-        if partRecord is None or partRecord.state is None:
+        part_record = self.parts.get(body["part"])
+        if part_record is None or part_record.state is None:
             raise NotFounded(part=body["part"], store=self.node.me.name)
-        return [partRecord.applied, partRecord.state]
+        return [part_record.applied, part_record.state]
 
     def on_peek(self, body, origin):
         """Script: answer a query from the applied state, with what may be chosen beyond it."""
-        partRecord = self.parts.get(body["part"])
-        if partRecord is None or partRecord.state is None:
+        part_record = self.parts.get(body["part"])
+        if part_record is None or part_record.state is None:
             raise NotFounded(part=body["part"], store=self.node.me.name)
         if body["identity"] != self.identity:
             raise WrongIdentity(store=self.node.me.name, identity=self.identity)
         later = [
-            [index, command.get("lot")] for index, (_, batch) in partRecord.entries.items()
-            if index > partRecord.applied for command in batch
+            [index, command.get("lot")] for index, (_, batch) in part_record.entries.items()
+            if index > part_record.applied for command in batch
         ]
-        known = [partRecord.applied, partRecord.state["group"], later,
-                 *answer_query(partRecord.state, body["query"])]
+        known = [part_record.applied, part_record.state["group"], later,
+                 *answer_query(part_record.state, body["query"])]
         if body.get("beyond"):
-            known.append(partRecord.answers_beyond(body["query"]))
+            known.append(part_record.answers_beyond(body["query"]))
             if known[-1] and not (self.slots.is_idle and self.slots.trouble is None):
                 yield from self.slots.commit([])
         return known
 
     def stamp(self):
         """Return the config part's ballot and committed index for the heartbeats."""
-        configRecord = self.parts.get(CONFIG)
-        if configRecord is None or configRecord.state is None or self.slots.trouble is not None:
+        config_record = self.parts.get(CONFIG)
+        if config_record is None or config_record.state is None or self.slots.trouble is not None:
             return None
-        return [list(configRecord.promised), configRecord.committed, self.identity]
+        return [list(config_record.promised), config_record.committed, self.identity]
 
     def _tell(self, part):
         for listener in self.listeners:
--- a/quillring/quorum/autofound.py
+++ b/quillring/quorum/autofound.py
@@ -9,29 +9,29 @@
 TURN_BEATS = 8
 
 
-def found_by_itself(node, isFirstStart, partCount, size=GROUP_SIZE):
+def found_by_itself(node, is_first_start, part_count, size=GROUP_SIZE):
     """Script, on a core: found the fleet at its very first start, as soon as its stores are there.
 
     `size` is how many stores hold each part. The first seed does it; each later one only after
     another turn without a founding. With too few stores for the size, the largest odd number that
     there is must do, after a turn.
     """
-    if not isFirstStart:
+    if not is_first_start:
         return
-    gossip, bounds, startTime = node.find("gossip"), node.bounds, node.now()
-    turn, names, steadySince = bounds.beat * TURN_BEATS, (), node.now()
-    ownTime = startTime + turn * place_of(node)
+    gossip, bounds, start_time = node.find("gossip"), node.bounds, node.now()
+    turn, names, steady_since = bounds.beat * TURN_BEATS, (), node.now()
+    own_time = start_time + turn * place_of(node)
     while gossip.get("founding") is None:
         yield Sleep(bounds.chatter * 2)
         stores, now = reached_stores(node), node.now()
         if tuple(store[0] for store in stores) != names:
-            names, steadySince = tuple(store[0] for store in stores), now
-        if now < ownTime or now - steadySince < bounds.beat * STEADY_BEATS or not stores:
+            names, steady_since = tuple(store[0] for store in stores), now
+        if now < own_time or now - steady_since < bounds.beat * STEADY_BEATS or not stores:
             continue
-        if is_enough([store[2] for store in stores], size) or now >= ownTime + turn:
-            wantedSize = min(size, (len(stores) + 1) // 2 * 2 - 1)
+        if is_enough([store[2] for store in stores], size) or now >= own_time + turn:
+            wanted_size = min(size, (len(stores) + 1) // 2 * 2 - 1)
             try:
-                yield from found_fleet(node, partCount, wantedSize, stores)
+                yield from found_fleet(node, part_count, wanted_size, stores)
             except Trouble as trouble:
                 node.log("warning", "founding: %s", trouble)
 
--- a/quillring/quorum/catchup.py
+++ b/quillring/quorum/catchup.py
@@ -50,9 +50,9 @@
         owner.index, owner.state = best, whole[0]
         return
     members = owner.node.find("nifty").roster.members
-    ownDomain = owner.node.me.domain
-    isElsewhere = {s: s not in members or members[s].domain != ownDomain for s in holders}
-    for store in sorted(holders, key=lambda s: (isElsewhere[s], s)):
+    own_domain = owner.node.me.domain
+    is_elsewhere = {s: s not in members or members[s].domain != own_domain for s in holders}
+    for store in sorted(holders, key=lambda s: (is_elsewhere[s], s)):
         try:
             index, state = yield from owner.node.call(
                 store, "quorum.image", {"part": owner.part}, owner.node.bounds.news / 2)
@@ -69,9 +69,9 @@
     target, service, body = call
     entries = owner.recent.since(applied)
     if entries is not None:
-        catchUp = {**body, "entries": entries, "committed": owner.index}
+        catch_up = {**body, "entries": entries, "committed": owner.index}
         replies = yield from owner.node.gather(
-            [(target, "quorum.catch_up", catchUp)], 1, owner.node.bounds.news)
+            [(target, "quorum.catch_up", catch_up)], 1, owner.node.bounds.news)
         reply = replies[target]
         if not isinstance(reply, Trouble) and reply >= entries[-1][0]:
             owner.node.count("catch_ups")
--- a/quillring/quorum/commands.py
+++ b/quillring/quorum/commands.py
@@ -43,8 +43,8 @@
 @COMMANDS.entry("group.change")
 def change_group(state, command):
     """Change the part's stores by one member at a time."""
-    oldNames = {tuple(store) for store in state["group"]}
-    newNames = {tuple(store) for store in command["group"]}
-    if len(oldNames ^ newNames) != 1:
+    old_names = {tuple(store) for store in state["group"]}
+    new_names = {tuple(store) for store in command["group"]}
+    if len(old_names ^ new_names) != 1:
         raise Trouble(reason="one member at a time", group=state["group"])
     return {**state, "group": command["group"]}, {"group": command["group"]}
--- a/quillring/quorum/founding.py
+++ b/quillring/quorum/founding.py
@@ -4,7 +4,7 @@
 from quillring.quorum.parts import GROUP_SIZE, choose_group, is_enough, part_names
 
 
-def found_fleet(node, partCount, size=GROUP_SIZE, stores=None):
+def found_fleet(node, part_count, size=GROUP_SIZE, stores=None):
     """Script: found the fleet on the stores of the roster, or finish a founding begun before.
 
     A store that holds a founding already is found by asking all first. Then the first store by
@@ -13,27 +13,27 @@
     groups are made of these, spread as far as they are.
     """
     gossip = node.find("gossip")
-    knownFounding = gossip.get("founding")
-    if knownFounding is not None:
-        return {"fleet": knownFounding["fleet"], "was_founded": True}
+    known_founding = gossip.get("founding")
+    if known_founding is not None:
+        return {"fleet": known_founding["fleet"], "was_founded": True}
     founders = roster_stores(node) if stores is None else stores
     if stores is None and not is_enough([store[2] for store in founders], size):
         domains = sorted({store[2] for store in founders})
         raise Refused(reason="stores in three domains are needed", domains=domains)
-    heldFounding = yield from _held_founding(node, founders)
-    founding = heldFounding or make_founding(node, partCount, size, founders)
-    arbiter, *otherStores = founders
+    held_founding = yield from _held_founding(node, founders)
+    founding = held_founding or make_founding(node, part_count, size, founders)
+    arbiter, *other_stores = founders
     founding = yield from _found_at(node, arbiter, founding)
     calls = [
         (store[0], "quorum.found", {"identity": store[1], "founding": founding})
-        for store in otherStores
+        for store in other_stores
     ]
     replies = yield from node.gather(calls, len(calls), node.bounds.news)
     troubles = {name: r.kind for name, r in replies.items() if isinstance(r, Trouble)}
     if troubles:
         raise NoMajority(reason="run the command again", stores=troubles)
     gossip.put("founding", [1], founding)
-    return {"fleet": founding["fleet"], "was_founded": heldFounding is not None}
+    return {"fleet": founding["fleet"], "was_founded": held_founding is not None}
 
 
 def roster_stores(node):
@@ -42,12 +42,12 @@
     return [[m.name, m.identity, m.domain] for m in members if m.role == "store"]
 
 
-def make_founding(node, partCount, size, stores):
+def make_founding(node, part_count, size, stores):
     """Return a new founding record: the groups of all parts, and the fleet's secret."""
-    groups = {part: choose_group(part, stores, size) for part in part_names(partCount)}
-    secretBytes = node.world.secret(32)
+    groups = {part: choose_group(part, stores, size) for part in part_names(part_count)}
+    secret_bytes = node.world.secret(32)
     return {
-        "fleet": secretBytes[:6].hex(), "groups": groups, "secret": secretBytes[6:], "size": size,
+        "fleet": secret_bytes[:6].hex(), "groups": groups, "secret": secret_bytes[6:], "size": size,
     }
 
 
--- a/quillring/quorum/hints.py
+++ b/quillring/quorum/hints.py
@@ -57,14 +57,14 @@
     missing = [call for call in calls if not nifty.reaches(call[0])]
     if not missing:
         return
-    groupNames = {store[0] for store in owner.group}
+    group_names = {store[0] for store in owner.group}
     spares = [
         m.name for m in nifty.roster.members.values()
-        if m.role == "store" and m.name not in groupNames and nifty.reaches(m.name)
+        if m.role == "store" and m.name not in group_names and nifty.reaches(m.name)
     ]
     if not spares:
         return
-    spareName = max(spares, key=lambda name: score(owner.part, name))
+    spare_name = max(spares, key=lambda name: score(owner.part, name))
     for target, _, body in missing:
         owner.node.count("hints_sent")
-        owner.node.cast(spareName, "quorum.hint", {"for": target, "record": body})
+        owner.node.cast(spare_name, "quorum.hint", {"for": target, "record": body})
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -18,8 +18,8 @@
     """
 
     __slots__ = (
-        "node", "part", "group", "ballot", "index", "state", "queue", "queueSignal", "is_owner",
-        "listeners", "confirmedAt", "higher", "recent",
+        "node", "part", "group", "ballot", "index", "state", "queue", "queue_signal", "is_owner",
+        "listeners", "confirmed_at", "higher", "recent",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -31,10 +31,10 @@
         self.state = None if former is None else former.state
         self.recent = Recent()
         self.queue = []
-        self.queueSignal = Signal()
+        self.queue_signal = Signal()
         self.is_owner = False
         self.listeners = []
-        self.confirmedAt = None
+        self.confirmed_at = None
         self.higher = 0 if former is None else former.higher
 
     def _calls(self, service, **body):
@@ -55,12 +55,12 @@
         if fences:
             self.higher = max(self.higher, *(int(ballot[0]) for ballot in fences))
             raise Fenced(part=self.part, ballot=max(fences))
-        goodReplies = {t: r for t, r in replies.items() if not isinstance(r, Trouble)}
-        if len(goodReplies) < majority(self.group):
+        good_replies = {t: r for t, r in replies.items() if not isinstance(r, Trouble)}
+        if len(good_replies) < majority(self.group):
             troubles = [r for r in replies.values() if isinstance(r, Trouble)]
-            raise NoMajority(part=self.part, heard=sorted(goodReplies)) from ExceptionGroup(
+            raise NoMajority(part=self.part, heard=sorted(good_replies)) from ExceptionGroup(
                 f"stores of {self.part}", troubles)
-        return goodReplies
+        return good_replies
 
     def take_again(self):
         """Script: take the part; a ballot that only was too low is tried once more at once."""
@@ -85,26 +85,26 @@
             if (yield from self._finish_tail(promises)):
                 break
             self.ballot = (self.ballot[0] + 1, self.ballot[1])
-        self.confirmedAt = self.node.now()
+        self.confirmed_at = self.node.now()
         self.is_owner = True
         self.node.count("takeovers")
         self._tell([])
 
-    def _adopt_group(self, knownGroup):
-        if [list(s) for s in knownGroup] == [list(s) for s in self.group]:
+    def _adopt_group(self, known_group):
+        if [list(s) for s in known_group] == [list(s) for s in self.group]:
             return False
-        self.group = [list(store) for store in knownGroup]
+        self.group = [list(store) for store in known_group]
         return True
 
     def _finish_tail(self, promises):
         """Propose again every entry that may have been chosen; False after a group change."""
-        bestEntries = {}
+        best_entries = {}
         for record in promises.values():
             for index, ballot, batch in record[3]:
-                if index > self.index and tuple(ballot) >= bestEntries.get(index, ((0, ""),))[0]:
-                    bestEntries[index] = (tuple(ballot), batch)
-        while self.index + 1 in bestEntries:
-            yield from self._decide(bestEntries[self.index + 1][1])
+                if index > self.index and tuple(ballot) >= best_entries.get(index, ((0, ""),))[0]:
+                    best_entries[index] = (tuple(ballot), batch)
+        while self.index + 1 in best_entries:
+            yield from self._decide(best_entries[self.index + 1][1])
             if self._adopt_group(self.state["group"]):
                 return False
         yield from self._decide([])
@@ -118,7 +118,7 @@
         self.index += 1
         self.recent.add(self.index, batch)
         self.state, answers = apply_batch(self.state, batch)
-        self.confirmedAt = self.node.now()
+        self.confirmed_at = self.node.now()
         if self.part == CONFIG:
             yield from self._round("commit", committed=self.index)
         else:
@@ -135,13 +135,13 @@
         try:
             while self.is_owner:
                 if not self.queue:
-                    self.queueSignal = Signal()
-                    yield Wait(self.queueSignal, self.node.bounds.beat)
+                    self.queue_signal = Signal()
+                    yield Wait(self.queue_signal, self.node.bounds.beat)
                 if self.queue:
                     yield from self._write_queue()
                 else:
                     yield from self._round("confirm")
-                    self.confirmedAt = self.node.now()
+                    self.confirmed_at = self.node.now()
         except Trouble as trouble:
             self.step_down(trouble)
 
@@ -150,13 +150,13 @@
         try:
             answers = yield from self._decide([command for command, _ in batch])
         except Trouble as trouble:
-            for _, answerSignal in batch:
-                answerSignal.set(NoMajority(part=self.part, reason=trouble.kind))
+            for _, answer_signal in batch:
+                answer_signal.set(NoMajority(part=self.part, reason=trouble.kind))
             raise
         self._adopt_group(self.state["group"])
         self._tell([command for command, _ in batch])
-        for (_, answerSignal), answer in zip(batch, answers, strict=True):
-            answerSignal.set(answer)
+        for (_, answer_signal), answer in zip(batch, answers, strict=True):
+            answer_signal.set(answer)
 
     def _keep_mending(self):
         while self.is_owner:
@@ -185,36 +185,36 @@
         """Write nothing more; everything queued ends with its trouble."""
         self.is_owner = False
         queued, self.queue = self.queue, []
-        for _, answerSignal in queued:
-            answerSignal.set(NotOwner(part=self.part, reason=trouble.kind))
-        self.queueSignal.set()
+        for _, answer_signal in queued:
+            answer_signal.set(NotOwner(part=self.part, reason=trouble.kind))
+        self.queue_signal.set()
         self._tell([])
 
     def submit(self, command):
         """Script: commit one command and return its answer."""
         if not self.is_owner:
             raise NotOwner(part=self.part)
-        answerSignal = Signal()
-        self.queue.append((command, answerSignal))
-        self.queueSignal.set()
-        yield Wait(answerSignal, self.node.bounds.news)
-        if not answerSignal.is_set:
+        answer_signal = Signal()
+        self.queue.append((command, answer_signal))
+        self.queue_signal.set()
+        yield Wait(answer_signal, self.node.bounds.news)
+        if not answer_signal.is_set:
             raise NoMajority(part=self.part)
-        if isinstance(answerSignal.value, Trouble):
-            raise answerSignal.value
-        return answerSignal.value
+        if isinstance(answer_signal.value, Trouble):
+            raise answer_signal.value
+        return answer_signal.value
 
     def fenced_state(self):
         """Script: return the state after a majority confirmed that the ballot still holds."""
         if not self.is_owner:
             raise NotOwner(part=self.part)
-        readState = self.state
+        read_state = self.state
         yield from self._round("confirm")
-        return readState
+        return read_state
 
     def may_act(self):
         """Tell whether the ballot was confirmed lately enough to start work on its behalf."""
-        return self.is_owner and self.node.now() - self.confirmedAt < self.node.bounds.beat * 2
+        return self.is_owner and self.node.now() - self.confirmed_at < self.node.bounds.beat * 2
 
     def _tell(self, batch):
         for listener in self.listeners:
--- a/quillring/quorum/parts.py
+++ b/quillring/quorum/parts.py
@@ -29,11 +29,11 @@
 
     `stores` are [name, identity, domain].
     """
-    rankedStores = sorted(stores, key=lambda store: score(part, store[0]), reverse=True)
-    domains = [store[2] for store in rankedStores]
+    ranked_stores = sorted(stores, key=lambda store: score(part, store[0]), reverse=True)
+    domains = [store[2] for store in ranked_stores]
     turns = [domains[:place].count(domain) for place, domain in enumerate(domains)]
-    chosenStores = [store for _, store in sorted(zip(turns, rankedStores), key=lambda t: t[0])]
-    return chosenStores[:size] if len(chosenStores) >= size else None
+    chosen_stores = [store for _, store in sorted(zip(turns, ranked_stores), key=lambda t: t[0])]
+    return chosen_stores[:size] if len(chosen_stores) >= size else None
 
 
 def is_enough(domains, size):
--- a/quillring/quorum/peek.py
+++ b/quillring/quorum/peek.py
@@ -35,8 +35,8 @@
     """
     if len(replies) < majority(group):
         return None
-    applied, knownGroup, _, *answer = max(replies, key=lambda reply: reply[0])[:5]
-    if sorted(map(list, knownGroup)) != sorted(map(list, group)):
+    applied, known_group, _, *answer = max(replies, key=lambda reply: reply[0])[:5]
+    if sorted(map(list, known_group)) != sorted(map(list, group)):
         return None
     beyond = [reply[5] if len(reply) > 5 else [] for reply in replies]
     votes = Counter((index, tuple(ballot)) for rows in beyond for index, ballot, *_ in rows)
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -12,12 +12,12 @@
 class Repair:
     """Runs beside the owners of a core and mends the groups of their parts."""
 
-    __slots__ = ("node", "lostSince", "busyParts")
+    __slots__ = ("node", "lost_since", "busy_parts")
 
     def __init__(self, node):
         self.node = node
-        self.lostSince = {}
-        self.busyParts = set()
+        self.lost_since = {}
+        self.busy_parts = set()
 
     def run(self):
         """Script: look at every owned part; those that lack something are mended side by side."""
@@ -25,9 +25,9 @@
             yield Sleep(self.node.bounds.chatter * 2)
             self._note_lost()
             for owner in list(self.node.find("duty").owners.values()):
-                isFree = owner.part not in self.busyParts and owner.may_act()
-                if isFree and self._next_group(owner) is not None:
-                    self.busyParts.add(owner.part)
+                is_free = owner.part not in self.busy_parts and owner.may_act()
+                if is_free and self._next_group(owner) is not None:
+                    self.busy_parts.add(owner.part)
                     self.node.spawn(self._mend(owner))
 
     def _mend(self, owner):
@@ -42,14 +42,14 @@
                     break
                 yield from owner.mend()
         finally:
-            self.busyParts.discard(owner.part)
+            self.busy_parts.discard(owner.part)
 
     def _note_lost(self):
         nifty, now = self.node.find("nifty"), self.node.now()
-        storeNames = [m.name for m in nifty.roster.members.values() if m.role == "store"]
-        self.lostSince = {
-            name: self.lostSince.get(name, now)
-            for name in storeNames if not nifty.reaches(name)
+        store_names = [m.name for m in nifty.roster.members.values() if m.role == "store"]
+        self.lost_since = {
+            name: self.lost_since.get(name, now)
+            for name in store_names if not nifty.reaches(name)
         }
 
     def _change(self, owner, group):
@@ -82,7 +82,7 @@
         """Tell whether the store has been out of reach for long."""
         sync = self.node.bounds.sync
         patience = self.node.bounds.return_ * PATIENCE if sync is None else sync * SYNC_SHARE
-        since = self.lostSince.get(store[0])
+        since = self.lost_since.get(store[0])
         return since is not None and self.node.now() - since > patience
 
     def is_retired(self, store):
@@ -120,14 +120,14 @@
     def _spare(self, part, group):
         nifty = self.node.find("nifty")
         staying = [s for s in group if not (self.is_retired(s) or self.is_lost(s))]
-        usedDomains = [s[2] for s in staying if not self.is_emptied(s)]
+        used_domains = [s[2] for s in staying if not self.is_emptied(s)]
         room = majority([None] * self.node.find("duty").size()) - 1
         names = {s[0] for s in group}
         candidates = [
             [m.name, m.identity, m.domain] for m in nifty.roster.members.values()
             if m.role == "store" and m.name not in names and nifty.reaches(m.name)
-            and usedDomains.count(m.domain) < room
+            and used_domains.count(m.domain) < room
         ]
         candidates = [c for c in candidates if not self.is_retired(c)]
         return max(candidates, default=None, key=lambda c: (
-            -usedDomains.count(c[2]), score(part, c[0])))
+            -used_domains.count(c[2]), score(part, c[0])))
--- a/quillring/rollout/commands.py
+++ b/quillring/rollout/commands.py
@@ -29,18 +29,18 @@
             winning_version=state["version"], base_version=command["base_version"],
             winning_change=state.get("last_change"),
         )
-    currentLayout = state["layout"] or EMPTY
-    layout = command["change"] if command["whole"] else merge(currentLayout, command["change"])
+    current_layout = state["layout"] or EMPTY
+    layout = command["change"] if command["whole"] else merge(current_layout, command["change"])
     faults = find_faults(layout)
     if faults:
         raise BadLayout(faults=faults)
     version = state["version"] + 1
-    keptChanges = dict([*changes.items(), (command["id"], version)][-KEPT_CHANGES:])
-    newState = {
-        **state, "layout": layout, "version": version, "changes": keptChanges,
+    kept_changes = dict([*changes.items(), (command["id"], version)][-KEPT_CHANGES:])
+    new_state = {
+        **state, "layout": layout, "version": version, "changes": kept_changes,
         "last_change": command["id"],
     }
-    return newState, {"version": version}
+    return new_state, {"version": version}
 
 
 @QUERIES.entry("layout")
--- a/quillring/rollout/editions.py
+++ b/quillring/rollout/editions.py
@@ -20,21 +20,21 @@
     if editions.get(str(number)) == digest:
         return state, {"edition": number, "repeated": True}
     layout = state["layout"] or EMPTY
-    currentNumber = layout.get("edition", 0)
-    if command["base_edition"] != currentNumber:
-        raise Conflict(winning_edition=currentNumber, base_edition=command["base_edition"])
-    faults = [*number_faults(number, currentNumber), *command_faults(command)]
+    current_number = layout.get("edition", 0)
+    if command["base_edition"] != current_number:
+        raise Conflict(winning_edition=current_number, base_edition=command["base_edition"])
+    faults = [*number_faults(number, current_number), *command_faults(command)]
     if faults:
         raise BadLayout(faults=faults)
-    newLayout = lay_over(layout, command)
-    faults = cross_faults(newLayout)
+    new_layout = lay_over(layout, command)
+    faults = cross_faults(new_layout)
     if faults:
         raise BadLayout(faults=faults)
-    keptEditions = dict([*editions.items(), (str(number), digest)][-KEPT_EDITIONS:])
-    newState = {
-        **state, "layout": newLayout, "version": state["version"] + 1, "editions": keptEditions,
+    kept_editions = dict([*editions.items(), (str(number), digest)][-KEPT_EDITIONS:])
+    new_state = {
+        **state, "layout": new_layout, "version": state["version"] + 1, "editions": kept_editions,
     }
-    return newState, {"edition": number}
+    return new_state, {"edition": number}
 
 
 @QUERIES.entry("edition")
@@ -50,12 +50,12 @@
     return hashlib.sha256(json.dumps(sent, sort_keys=True).encode()).hexdigest()[:24]
 
 
-def number_faults(number, currentNumber):
+def number_faults(number, current_number):
     """Return what speaks against the number of an edition."""
     if isinstance(number, bool) or not isinstance(number, int):
         return [{"field": "edition", "fault": "not a whole number"}]
-    if number <= currentNumber:
-        return [{"field": "edition", "fault": f"not above the current one, {currentNumber}"}]
+    if number <= current_number:
+        return [{"field": "edition", "fault": f"not above the current one, {current_number}"}]
     return []
 
 
@@ -77,8 +77,8 @@
     sections = {}
     for section, _ in SECTIONS:
         former = {} if command["whole"] else layout.get(section, {})
-        goneNames = set(removed.get(section, ()))
-        kept = {name: item for name, item in former.items() if name not in goneNames}
+        gone_names = set(removed.get(section, ()))
+        kept = {name: item for name, item in former.items() if name not in gone_names}
         sections[section] = {**kept, **command[section]}
     former = {} if command["whole"] else layout
     limits = former.get("limits") if command["limits"] is None else command["limits"]
@@ -93,9 +93,9 @@
     faults, places = [], {}
     for name, forward in layout["forwards"].items():
         field = f"forwards.{name}"
-        unknownNames = sorted({s for s, _ in forward["split"]} - set(layout["services"]))
-        if unknownNames:
-            faults.append({"field": f"{field}.split", "fault": f"unknown {unknownNames[0]}"})
+        unknown_names = sorted({s for s, _ in forward["split"]} - set(layout["services"]))
+        if unknown_names:
+            faults.append({"field": f"{field}.split", "fault": f"unknown {unknown_names[0]}"})
         if sum(weight for _, weight in forward["split"]) <= 0:
             faults.append({"field": f"{field}.split", "fault": "weights add up to 0"})
         place = (forward["host"].lower(), forward["prefix"])
--- a/quillring/rollout/freshness.py
+++ b/quillring/rollout/freshness.py
@@ -17,7 +17,7 @@
 
     def on_stamp(self, body, origin):
         """Give the stamp to a node that hears no heartbeats from this store."""
-        return self.node.find("nifty").stampSource()
+        return self.node.find("nifty").stamp_source()
 
     def _store_words(self):
         """Yield (index, time the word is from) of each config store."""
@@ -25,8 +25,8 @@
         for name, identity, _ in self.node.find("duty").group(CONFIG):
             words = [self.words[name]] if name in self.words else []
             heard = nifty.heard.get(name)
-            if heard is not None and heard.stamp is not None and heard.echoAt is not None:
-                words.append((heard.stamp, heard.echoAt))
+            if heard is not None and heard.stamp is not None and heard.echo_at is not None:
+                words.append((heard.stamp, heard.echo_at))
             yield name, max(
                 ((at, stamp[1]) for stamp, at in words if stamp[2] == identity),
                 default=(None, 0),
@@ -38,15 +38,15 @@
         if image.layout is None:
             return False
         try:
-            storeWords = list(self._store_words())
+            store_words = list(self._store_words())
         except NotFounded:
             return False
-        edgeTime = self.node.now() - self.node.bounds.fresh
-        goodCount = sum(
-            at is not None and at > edgeTime and index <= image.index
-            for _, (at, index) in storeWords
+        edge_time = self.node.now() - self.node.bounds.fresh
+        good_count = sum(
+            at is not None and at > edge_time and index <= image.index
+            for _, (at, index) in store_words
         )
-        return goodCount >= majority(storeWords)
+        return good_count >= majority(store_words)
 
     def check(self):
         """Refuse new work honestly while the layout may be old."""
@@ -59,10 +59,10 @@
         while True:
             yield Sleep(self.node.bounds.beat / 2)
             try:
-                storeWords = list(self._store_words())
+                store_words = list(self._store_words())
             except NotFounded:
                 continue
-            yield from self._probe(storeWords)
+            yield from self._probe(store_words)
 
     def _keep_fetching(self):
         while True:
@@ -72,30 +72,30 @@
             except NotFounded:
                 continue
 
-    def _probe(self, storeWords):
-        askTime = self.node.now()
-        silentNames = [
-            name for name, (at, _) in storeWords
-            if at is None or at < askTime - self.node.bounds.beat * 1.5
+    def _probe(self, store_words):
+        ask_time = self.node.now()
+        silent_names = [
+            name for name, (at, _) in store_words
+            if at is None or at < ask_time - self.node.bounds.beat * 1.5
         ]
-        if not silentNames:
+        if not silent_names:
             return
-        calls = [(name, "quorum.stamp", None) for name in silentNames]
+        calls = [(name, "quorum.stamp", None) for name in silent_names]
         replies = yield from self.node.gather(calls, len(calls), self.node.bounds.beat)
-        goodWords = {
-            name: (stamp, askTime) for name, stamp in replies.items()
+        good_words = {
+            name: (stamp, ask_time) for name, stamp in replies.items()
             if stamp is not None and not isinstance(stamp, Trouble)
         }
-        self.words = {**self.words, **goodWords}
+        self.words = {**self.words, **good_words}
 
     def _fetch_newer(self):
         image = self.node.find("layout")
-        newerWords = sorted((
+        newer_words = sorted((
             (index, name) for name, (at, index) in self._store_words()
             if index > image.index or (image.layout is None and index)
         ), reverse=True)
-        for wantedIndex, name in newerWords:
-            if image.index >= wantedIndex and image.layout is not None:
+        for wanted_index, name in newer_words:
+            if image.index >= wanted_index and image.layout is not None:
                 return
             try:
                 index, state = yield from self.node.call(
--- a/quillring/rollout/image.py
+++ b/quillring/rollout/image.py
@@ -7,14 +7,14 @@
 class LayoutImage:
     """The newest layout that this node heard of."""
 
-    __slots__ = ("node", "index", "version", "layout", "takenAt")
+    __slots__ = ("node", "index", "version", "layout", "taken_at")
 
     def __init__(self, node):
         self.node = node
         self.index = 0
         self.version = 0
         self.layout = None
-        self.takenAt = None
+        self.taken_at = None
         gossip = node.find("gossip")
         gossip.listen("layout", lambda key, news: self._swap(news))
         node.handle("layout.news", self.on_news)
@@ -54,7 +54,7 @@
         index, version, layout, _ = news
         if index > self.index:
             if version != self.version:
-                self.takenAt = self.node.now()
+                self.taken_at = self.node.now()
             self.index, self.version, self.layout = index, version, layout
 
     def entry(self, name):
--- a/quillring/rollout/marks.py
+++ b/quillring/rollout/marks.py
@@ -27,8 +27,8 @@
     marks = layout.get(section) or {}
     if marks.get(name) == mark:
         return state
-    newLayout = {**layout, section: {**marks, name: mark}}
-    return {**state, "layout": newLayout, "version": state["version"] + 1}
+    new_layout = {**layout, section: {**marks, name: mark}}
+    return {**state, "layout": new_layout, "version": state["version"] + 1}
 
 
 def retire_store(node, store, seconds):
@@ -36,7 +36,7 @@
 
     Raises NotFound for an unknown store and Conflict when too few would remain.
     """
-    endTime, duty = node.now() + seconds, node.find("duty")
+    end_time, duty = node.now() + seconds, node.find("duty")
     current = yield from duty.read(CONFIG, {"ask": "edition"}, seconds)
     marks = current["layout"].get("stores") or {}
     if marks.get(store, {}).get("retired"):
@@ -51,17 +51,17 @@
     if not is_enough(remaining, duty.size()):
         raise Conflict(field="store", reason="too few stores would remain", store=store)
     command = {"do": "store.mark", "store": store, "retired": True}
-    yield from duty.submit(CONFIG, command, endTime - node.now())
+    yield from duty.submit(CONFIG, command, end_time - node.now())
 
 
 def known_stores(node):
     """Return {store: domain} of the stores of the roster and of the parts' groups."""
     members = node.find("nifty").roster.members.values()
     duty = node.find("duty")
-    groupStores = {
+    group_stores = {
         name: domain for part in duty.parts() for name, _, domain in duty.group(part)
     }
-    return {**groupStores, **{m.name: m.domain for m in members if m.role == "store"}}
+    return {**group_stores, **{m.name: m.domain for m in members if m.role == "store"}}
 
 
 def is_retired(node, store, seconds):
@@ -70,7 +70,7 @@
     The groups are those that the parts' owners committed; each must be full and caught up.
     Raises NotFound for an unknown store, and the owner's trouble when one does not answer.
     """
-    endTime, duty = node.now() + seconds, node.find("duty")
+    end_time, duty = node.now() + seconds, node.find("duty")
     current = yield from duty.read(CONFIG, {"ask": "edition"}, seconds)
     mark = (current["layout"].get("stores") or {}).get(store)
     if mark is None and store not in known_stores(node):
@@ -78,7 +78,7 @@
     if mark is None or not mark.get("retired"):
         return False
     for part in duty.parts():
-        answer = yield from duty.ask(part, "part.whole", {}, endTime - node.now())
+        answer = yield from duty.ask(part, "part.whole", {}, end_time - node.now())
         if store in answer["group"] or answer["late"] or len(answer["group"]) < duty.size():
             return False
     return True
--- a/quillring/rollout/schema.py
+++ b/quillring/rollout/schema.py
@@ -125,8 +125,8 @@
         if service["kind"] != "raw" and not re.search(NAME, name)
     )
     for name, entry in sorted(layout["entries"].items()):
-        for field, sectionName in (("service", "services"), ("class", "classes")):
-            if entry[field] not in layout[sectionName]:
+        for field, section_name in (("service", "services"), ("class", "classes")):
+            if entry[field] not in layout[section_name]:
                 faults.append({
                     "field": f"entries.{name}.{field}", "fault": f"unknown {entry[field]}",
                 })
--- a/quillring/store/disk.py
+++ b/quillring/store/disk.py
@@ -8,12 +8,12 @@
 class FolderDisk:
     """Files under one data folder."""
 
-    __slots__ = ("folder", "logFile", "logName")
+    __slots__ = ("folder", "log_file", "log_name")
 
     def __init__(self, folder):
         self.folder = folder
-        self.logFile = None
-        self.logName = None
+        self.log_file = None
+        self.log_name = None
         try:
             os.makedirs(folder, exist_ok=True)
         except OSError as error:
@@ -25,8 +25,8 @@
     def read(self, name):
         """Return the bytes of a file, or None."""
         try:
-            with open(self._path(name), "rb") as readFile:
-                return readFile.read()
+            with open(self._path(name), "rb") as read_file:
+                return read_file.read()
         except FileNotFoundError:
             return None
         except OSError as error:
@@ -35,26 +35,26 @@
     def write(self, name, data):
         """Write a whole file anew and sync it and the folder."""
         try:
-            with open(self._path(name), "wb") as writtenFile:
-                writtenFile.write(data)
-                writtenFile.flush()
-                os.fsync(writtenFile.fileno())
-            folderHandle = os.open(self.folder, os.O_RDONLY)
+            with open(self._path(name), "wb") as written_file:
+                written_file.write(data)
+                written_file.flush()
+                os.fsync(written_file.fileno())
+            folder_handle = os.open(self.folder, os.O_RDONLY)
             try:
-                os.fsync(folderHandle)
+                os.fsync(folder_handle)
             finally:
-                os.close(folderHandle)
+                os.close(folder_handle)
         except OSError as error:
             raise DiskTrouble(file=name, reason=error.strerror) from error
 
     def append(self, name, data):
         """Append to a file; what it adds lasts only after sync."""
         try:
-            if self.logName != name:
-                if self.logFile is not None:
-                    self.logFile.close()
-                self.logFile, self.logName = open(self._path(name), "ab", buffering=0), name
-            if self.logFile.write(data) != len(data):
+            if self.log_name != name:
+                if self.log_file is not None:
+                    self.log_file.close()
+                self.log_file, self.log_name = open(self._path(name), "ab", buffering=0), name
+            if self.log_file.write(data) != len(data):
                 raise DiskTrouble(file=name, reason="short write")
         except OSError as error:
             raise DiskTrouble(file=name, reason=error.strerror) from error
@@ -62,9 +62,9 @@
     def cut(self, name, size):
         """Cut a file back to a size."""
         try:
-            if self.logName == name and self.logFile is not None:
-                self.logFile.close()
-                self.logFile, self.logName = None, None
+            if self.log_name == name and self.log_file is not None:
+                self.log_file.close()
+                self.log_file, self.log_name = None, None
             os.truncate(self._path(name), size)
         except OSError as error:
             raise DiskTrouble(file=name, reason=error.strerror) from error
@@ -72,7 +72,7 @@
     def sync(self, name):
         """Make the appended bytes durable."""
         try:
-            os.fsync(self.logFile.fileno())
+            os.fsync(self.log_file.fileno())
         except OSError as error:
             raise DiskTrouble(file=name, reason=error.strerror) from error
 
