--- a/quillring/store/slots.py
+++ b/quillring/store/slots.py
@@ -23,34 +23,34 @@
     """
 
     __slots__ = (
-        "disk", "holder", "generation", "logSize", "logLimit", "waiting", "dirtySignal",
-        "trouble", "syncs", "slotSize", "isWriting",
+        "disk", "holder", "generation", "log_size", "log_limit", "waiting", "dirty_signal",
+        "trouble", "syncs", "slot_size", "is_writing",
     )
 
-    def __init__(self, disk, holder, logLimit=1 << 20):
+    def __init__(self, disk, holder, log_limit=1 << 20):
         self.disk = disk
         self.holder = holder
         self.generation = 0
-        self.logSize = 0
-        self.logLimit = logLimit
+        self.log_size = 0
+        self.log_limit = log_limit
         self.waiting = []
-        self.dirtySignal = Signal()
+        self.dirty_signal = Signal()
         self.trouble = None
         self.syncs = 0
-        self.slotSize = 0
-        self.isWriting = False
+        self.slot_size = 0
+        self.is_writing = False
 
     def recover(self):
         """Load the newest slot and its log; False when the folder was empty."""
-        slotBodies = [self._read_slot(parity) for parity in (0, 1)]
-        goodSlots = [body for body in slotBodies if isinstance(body, tuple)]
-        logGenerations = [self._log_generation(parity) for parity in (0, 1)]
-        if not goodSlots:
-            if any(body == "torn" for body in slotBodies) and any(logGenerations):
+        slot_bodies = [self._read_slot(parity) for parity in (0, 1)]
+        good_slots = [body for body in slot_bodies if isinstance(body, tuple)]
+        log_generations = [self._log_generation(parity) for parity in (0, 1)]
+        if not good_slots:
+            if any(body == "torn" for body in slot_bodies) and any(log_generations):
                 raise Damaged(file="slot", reason="no slot is readable", repair=REPAIR)
             return False
-        self.generation, image = max(goodSlots, key=lambda slot: slot[0])
-        if any(generation > self.generation for generation in logGenerations):
+        self.generation, image = max(good_slots, key=lambda slot: slot[0])
+        if any(generation > self.generation for generation in log_generations):
             raise Damaged(file="slot", reason="a log is newer than any slot", repair=REPAIR)
         self.holder.load(image)
         self._replay_log()
@@ -85,61 +85,61 @@
 
     def _replay_log(self):
         parity = self.generation % 2
-        records, goodSize = self._read_log(parity)
+        records, good_size = self._read_log(parity)
         if not records or records[0] != self.generation:
             self._start_log()
             return
         for record in records[1:]:
             self.holder.replay(record)
-        self.disk.cut(f"log.{parity}", goodSize)
-        self.logSize = goodSize
+        self.disk.cut(f"log.{parity}", good_size)
+        self.log_size = good_size
 
     def _start_log(self):
-        headRecord = pack_record(self.generation)
-        self.disk.write(f"log.{self.generation % 2}", headRecord)
-        self.logSize = len(headRecord)
+        head_record = pack_record(self.generation)
+        self.disk.write(f"log.{self.generation % 2}", head_record)
+        self.log_size = len(head_record)
 
     def turn(self):
         """Write the whole image to the other slot and start its log."""
         body = cbor2.dumps(self.holder.image())
         head = HEADER.pack(MAGIC, self.generation + 1, len(body), hashlib.sha256(body).digest())
         self.disk.write(f"slot.{(self.generation + 1) % 2}", head + body)
-        self.slotSize = len(body)
+        self.slot_size = len(body)
         self.generation += 1
         self._start_log()
 
     @property
     def is_idle(self):
         """True when all that was handed over is durable."""
-        return not self.waiting and not self.isWriting
+        return not self.waiting and not self.is_writing
 
     def commit(self, records):
         """Script: return once the records are durable; DiskTrouble when they can't be."""
         if self.trouble is not None:
             raise self.trouble
-        doneSignal = Signal()
-        self.waiting.append((records, doneSignal))
-        self.dirtySignal.set()
-        while not doneSignal.is_set:
-            yield Wait(doneSignal, 3600)
-        if doneSignal.value is not None:
-            raise doneSignal.value
-
-    def run(self, retrySeconds):
+        done_signal = Signal()
+        self.waiting.append((records, done_signal))
+        self.dirty_signal.set()
+        while not done_signal.is_set:
+            yield Wait(done_signal, 3600)
+        if done_signal.value is not None:
+            raise done_signal.value
+
+    def run(self, retry_seconds):
         """Script: write what waits in batches; a failed disk is tried again by a new slot."""
         while True:
             if self.trouble is None and not self.waiting:
-                yield Wait(self.dirtySignal, 3600)
-            self.dirtySignal = Signal()
+                yield Wait(self.dirty_signal, 3600)
+            self.dirty_signal = Signal()
             batch, self.waiting = self.waiting, []
-            self.isWriting = True
+            self.is_writing = True
             yield from self._pause()
             outcome = self._write(batch)
-            self.isWriting = False
-            for _, doneSignal in batch:
-                doneSignal.set(outcome)
+            self.is_writing = False
+            for _, done_signal in batch:
+                done_signal.set(outcome)
             if outcome is not None:
-                yield Sleep(retrySeconds)
+                yield Sleep(retry_seconds)
 
     def _pause(self):
         seconds = self.disk.pause()
@@ -147,16 +147,16 @@
             yield Sleep(seconds)
 
     def _write(self, batch):
-        logName = f"log.{self.generation % 2}"
+        log_name = f"log.{self.generation % 2}"
         data = b"".join(pack_record(record) for records, _ in batch for record in records)
         try:
-            if self.trouble is not None or self.logSize + len(data) > max(
-                    self.logLimit, self.slotSize):
+            if self.trouble is not None or self.log_size + len(data) > max(
+                    self.log_limit, self.slot_size):
                 self.turn()
             elif data:
-                self.disk.append(logName, data)
-                self.disk.sync(logName)
-                self.logSize += len(data)
+                self.disk.append(log_name, data)
+                self.disk.sync(log_name)
+                self.log_size += len(data)
             self.syncs += 1
             self.trouble = None
         except DiskTrouble as trouble:
--- a/quillring/verbs/checks.py
+++ b/quillring/verbs/checks.py
@@ -18,14 +18,14 @@
 @click.command("check-settings")
 @click.argument("path", required=False, type=click.Path())
 @click.option(
-    "--layout", "layoutPath", metavar="FILE", type=click.Path(),
+    "--layout", "layout_path", metavar="FILE", type=click.Path(),
     help="Check a whole layout or an edition of it, too.",
 )
-def check_settings(path, layoutPath):
+def check_settings(path, layout_path):
     """Check a settings file; every fault is told, and the exit code is 2 if there is one."""
-    if path is None and layoutPath is None:
+    if path is None and layout_path is None:
         raise click.UsageError("name a settings file, a layout file with --layout, or both")
-    checks = ((path, settings_report), (layoutPath, layout_report))
+    checks = ((path, settings_report), (layout_path, layout_report))
     reports = [(name, *check(name)) for name, check in checks if name is not None]
     for name, summary, faults in reports:
         for fault in faults:
@@ -51,8 +51,8 @@
 def layout_report(path):
     """Return (summary, faults) of a layout file; an edition may leave the other sections out."""
     try:
-        with open(path, encoding="utf-8") as layoutFile:
-            layout = parse_json(layoutFile.read())
+        with open(path, encoding="utf-8") as layout_file:
+            layout = parse_json(layout_file.read())
     except (OSError, ValueError) as error:
         return "", [f"layout: {error}"]
     if isinstance(layout, dict) and any(name in layout for name in MARKS_OF_EDITION):
--- a/quillring/verbs/cli.py
+++ b/quillring/verbs/cli.py
@@ -127,8 +127,8 @@
 def apply_layout(node, as_json, path, base_version, whole):
     """Apply a layout file."""
     try:
-        with open(path, encoding="utf-8") as layoutFile:
-            change = json.load(layoutFile)
+        with open(path, encoding="utf-8") as layout_file:
+            change = json.load(layout_file)
     except ValueError as error:
         raise click.UsageError(f"{path}: {error}") from error
     body = {
--- a/quillring/verbs/fleet_verbs.py
+++ b/quillring/verbs/fleet_verbs.py
@@ -68,7 +68,7 @@
     """State an intent, see the plan, confirm it, follow it, stop it."""
 
 
-def intent_command(name, kind, text, hasService=False):
+def intent_command(name, kind, text, has_service=False):
     """Make the verb that proposes one kind of plan."""
 
     @node_options
@@ -77,7 +77,7 @@
         body = {"kind": kind, "target": target, **({"service": service} if service else {})}
         run_verb(node, "POST", "/v1/plans", body, as_json)
 
-    if hasService:
+    if has_service:
         propose = click.argument("service")(propose)
     plan.command(name, help=text)(propose)
 
@@ -123,12 +123,12 @@
     """Read maintenance windows ("empty DOMAIN", "retire STORE") from an iCalendar file."""
     now = datetime.datetime.now(datetime.UTC)
     try:
-        with open(path, "rb") as calendarFile:
-            found = read_windows(calendarFile.read(), now, now + datetime.timedelta(days=days))
-        openIntents = [
+        with open(path, "rb") as calendar_file:
+            found = read_windows(calendar_file.read(), now, now + datetime.timedelta(days=days))
+        open_intents = [
             w["intent"] for w in found
             if w["intent"] and datetime.datetime.fromisoformat(w["start"]) <= now]
-        plans = [ask(node, "POST", "/v1/plans", i) for i in openIntents] if propose else []
+        plans = [ask(node, "POST", "/v1/plans", i) for i in open_intents] if propose else []
     except Trouble as trouble:
         click.echo(str(trouble), err=True)
         sys.exit(REFUSED_FAULT)
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -41,7 +41,7 @@
     patience = node.bounds.return_ * DRAIN_PATIENCE if grace is None else grace * GRACE_SHARE
     deadline = node.now() + patience
     gevent.sleep(node.bounds.beat if grace is None else grace * TAKING_SHARE)
-    while node.underWay and node.now() < deadline:
+    while node.under_way and node.now() < deadline:
         gevent.sleep(node.bounds.chatter)
     journal = node.find("journal")
     if journal is not None:
@@ -50,15 +50,15 @@
         server.stop()
 
 
-def run_process(settings, reread, makeWorld=GeventWorld, open_more=lambda node, report: ()):
+def run_process(settings, reread, make_world=GeventWorld, open_more=lambda node, report: ()):
     """Run a node until the platform stops it; a planned stop finishes what is under way.
 
     `open_more(node, report)` opens further listening addresses and returns their servers.
     """
-    nodeLogger, ringHandler = ring_log(settings.name, settings.log_file)
+    node_logger, ring_handler = ring_log(settings.name, settings.log_file)
 
     def log(level, text, *fields):
-        nodeLogger.log(LEVELS[level], text, *fields)
+        node_logger.log(LEVELS[level], text, *fields)
 
     acceptors = None
     if settings.role == "store":
@@ -69,30 +69,30 @@
         settings.name, time.time_ns() // 1000, settings.role, settings.domain,
         *settings.address, settings.http_address[1], acceptors.identity if acceptors else "",
     )
-    world = makeWorld(lambda error: nodeLogger.error("failure", exc_info=error), 1.0)
+    world = make_world(lambda error: node_logger.error("failure", exc_info=error), 1.0)
     node = make_node(me, world, settings.seeds, settings.bounds, log)
-    node.offer("ring", ringHandler)
+    node.offer("ring", ring_handler)
     start_node(node, acceptors)
     nifty = node.find("nifty")
     world.listen(*settings.address, nifty.on_datagram, nifty.on_frame)
-    server = start_server(settings.http_address, make_app(node), nodeLogger)
+    server = start_server(settings.http_address, make_app(node), node_logger)
     servers = [*open_more(node, world.report), server]
     if settings.role == "core":
         node.spawn(found_by_itself(
             node, settings.bootstrap, settings.parts, settings.losses * 2 + 1))
-    stopEvent, clashes = gevent.event.Event(), []
-    node.offer("stop", stopEvent.set)
+    stop_event, clashes = gevent.event.Event(), []
+    node.offer("stop", stop_event.set)
 
     def on_clash(body, origin):
         clashes.append((origin, node.now()))
         if clashes[-1][1] - clashes[0][1] > settings.bounds.news:
-            stopEvent.set()
+            stop_event.set()
 
     node.handle("member.clash", on_clash)
-    for signalNumber in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signalNumber, stopEvent.set)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(signal_number, stop_event.set)
     gevent.signal_handler(signal.SIGHUP, change_settings, node, reread)
-    stopEvent.wait()
+    stop_event.wait()
     if clashes and clashes[-1][1] - clashes[0][1] > settings.bounds.news:
         server.stop(timeout=0)
         raise NameTaken(name=settings.name, told_by=clashes[-1][0])
--- a/quillring/verbs/restart.py
+++ b/quillring/verbs/restart.py
@@ -40,17 +40,17 @@
         ask(http_of(member), "GET", "/v1/ready")["ready"] for member in others)
 
 
-def wait_until(name, what, isDone, seconds):
+def wait_until(name, what, is_done, seconds):
     """Wait until a condition holds; what a node can't answer yet counts as not yet."""
-    endTime, lastTrouble = time.monotonic() + seconds, None
-    while time.monotonic() < endTime:
+    end_time, last_trouble = time.monotonic() + seconds, None
+    while time.monotonic() < end_time:
         try:
-            if isDone():
+            if is_done():
                 return
         except Trouble as trouble:
-            lastTrouble = trouble.kind
+            last_trouble = trouble.kind
         gevent.sleep(POLL_SECONDS)
-    raise NotBack(name=name, waited_for=what, trouble=lastTrouble)
+    raise NotBack(name=name, waited_for=what, trouble=last_trouble)
 
 
 def rolling_restart(members, roles, names, seconds, tell):
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -112,8 +112,8 @@
             answer = yield from duty.ask(part, "part.whole", {}, node.bounds.beat)
         except Trouble as trouble:
             answer = {"trouble": trouble.kind}
-        isWhole = len(answer.get("group", ())) == duty.size() and not answer["late"]
-        rows.append({"part": part, "is_whole": isWhole, **answer})
+        is_whole = len(answer.get("group", ())) == duty.size() and not answer["late"]
+        rows.append({"part": part, "is_whole": is_whole, **answer})
     return {"is_whole": all(row["is_whole"] for row in rows), "parts": rows}
 
 
@@ -148,9 +148,9 @@
 def change_layout(node, inquiry):
     """Adopt a whole or partial layout made against a version."""
     check_body(CHANGE, inquiry.body)
-    ownId = f"{node.world.random.getrandbits(96):024x}"
+    own_id = f"{node.world.random.getrandbits(96):024x}"
     return (yield from node.find("duty").submit(CONFIG, {
-        "do": "layout.adopt", "id": inquiry.body.get("id", ownId),
+        "do": "layout.adopt", "id": inquiry.body.get("id", own_id),
         "base_version": inquiry.body["base_version"], "change": inquiry.body["layout"],
         "whole": inquiry.body.get("whole", False),
     }))
@@ -168,7 +168,7 @@
     return (yield from _mark_domain(node, inquiry, False))
 
 
-def _mark_domain(node, inquiry, isEmptied):
+def _mark_domain(node, inquiry, is_emptied):
     query = {"ask": "layout"}
     current = yield from node.find("duty").read(CONFIG, query)
     if inquiry.words["domain"] not in (current["layout"] or {}).get("domains", {}):
@@ -176,7 +176,7 @@
     return (yield from node.find("duty").submit(CONFIG, {
         "do": "layout.adopt", "id": f"{node.world.random.getrandbits(96):024x}",
         "base_version": current["version"], "whole": False,
-        "change": {"domains": {inquiry.words["domain"]: {"emptied": isEmptied}}},
+        "change": {"domains": {inquiry.words["domain"]: {"emptied": is_emptied}}},
     }))
 
 
@@ -193,7 +193,7 @@
     return {
         "name": node.me.name, "role": node.me.role, "domain": node.me.domain,
         "layout_version": image.version, "is_fresh": node.find("freshness").is_fresh(),
-        "under_way": node.underWay, "is_draining": node.is_draining,
+        "under_way": node.under_way, "is_draining": node.is_draining,
         "is_cut": node.find("nifty").graph.is_cut,
         "seeds": [f"{host}:{port}" for host, port in node.find("nifty").seeds],
     }
--- a/tests/fleet_stage.py
+++ b/tests/fleet_stage.py
@@ -11,20 +11,20 @@
 class SelfFounded:
     """A fleet whose cores found it at the first start, unless told otherwise."""
 
-    def __init__(self, seed, sizes=SIZES, readyAt=8, isFirst=lambda name: True, size=3):
+    def __init__(self, seed, sizes=SIZES, ready_at=8, is_first=lambda name: True, size=3):
         self.sim = SimFleet("ferrowa", seed, sizes)
         self.sim.bounds = Bounds(sync=5.0)
         self.size = size
         for name in self.sim.rows:
-            self.start(name, isFirst(name))
+            self.start(name, is_first(name))
         self.env = self.sim.env
-        self.env.run(until=readyAt)
+        self.env.run(until=ready_at)
 
-    def start(self, name, isFirst=False):
+    def start(self, name, is_first=False):
         """Start a node as the platform's program does."""
         node = self.sim.start(name)
         if node.me.role == "core":
-            node.spawn(found_by_itself(node, isFirst, 2, self.size))
+            node.spawn(found_by_itself(node, is_first, 2, self.size))
         return node
 
     def run(self, seconds):
@@ -62,14 +62,14 @@
         """Return the fleets that stores were founded into."""
         return {a.founding["fleet"] for a in self.stores().values() if a.founding}
 
-    def wait_for(self, isSo, seconds, step=0.05):
+    def wait_for(self, is_so, seconds, step=0.05):
         """Let time pass until something is so; return how long it took, or None."""
-        startTime = self.env.now
-        while not isSo():
-            if self.env.now - startTime > seconds:
+        start_time = self.env.now
+        while not is_so():
+            if self.env.now - start_time > seconds:
                 return None
             self.run(step)
-        return round(self.env.now - startTime, 2)
+        return round(self.env.now - start_time, 2)
 
 
 def nothing():
--- a/tests/raw_chaos.py
+++ b/tests/raw_chaos.py
@@ -17,32 +17,32 @@
     def __init__(self, seed, seconds=25, faults=6, lots=12, most_tokens=0):
         self.stage = RawStage(seed, slots=6, replicas=4, most_tokens=most_tokens)
         self.chance = self.stage.sim.chance
-        self.seconds, self.faultCount, self.lotCount = seconds, faults, lots
-        self.tries, self.acceptedAt, self.endedAt, self.counts = {}, {}, {}, {}
-        self.rows, self.rowReadAt, self.disturbedAt = {}, {}, {}
+        self.seconds, self.fault_count, self.lot_count = seconds, faults, lots
+        self.tries, self.accepted_at, self.ended_at, self.counts = {}, {}, {}, {}
+        self.rows, self.row_read_at, self.disturbed_at = {}, {}, {}
         self.violations, self.reads = [], Counter()
-        self.ways, self.isCalm = {}, True
+        self.ways, self.is_calm = {}, True
 
     def play(self):
         """Play the day; return the violations."""
         with self.stage as stage:
-            self.dayEnd = stage.env.now + self.seconds
+            self.day_end = stage.env.now + self.seconds
             for replica in stage.replicas.values():
                 replica.way = self.way
-            for number in range(self.lotCount):
+            for number in range(self.lot_count):
                 stage.env.process(self.client(f"lot{number}"))
-            for _ in range(self.faultCount):
+            for _ in range(self.fault_count):
                 stage.env.process(self.fault())
             stage.run(self.seconds + 25)
             self.judge()
         return self.violations
 
-    def way(self, replica, itemId, last):
+    def way(self, replica, item_id, last):
         """Return how a run goes wrong, now and then."""
-        if itemId in self.ways:
-            return self.ways[itemId]
+        if item_id in self.ways:
+            return self.ways[item_id]
         if self.chance.random() < 0.01:
-            self.ways[itemId] = 422
+            self.ways[item_id] = 422
             return 422
         return self.chance.choice([None] * 12 + ["break", "full", "skip", "restart"])
 
@@ -54,7 +54,7 @@
         """Process: run a script on an edge."""
         node = self.edge()
         value = yield from self.stage.sim.run_script(node, make(node))
-        self.isCalm = self.is_in_touch(node.me.name, self.stage.env.now)
+        self.is_calm = self.is_in_touch(node.me.name, self.stage.env.now)
         return (None, Trouble(reason="node died")) if value == (None, None) else value
 
     def client(self, name):
@@ -74,7 +74,7 @@
             yield env.timeout(chance.uniform(0.2, 1.0))
         else:
             return
-        self.acceptedAt[name] = env.now
+        self.accepted_at[name] = env.now
         env.process(self.reader(name))
         if chance.random() < 0.25:
             yield env.timeout(chance.uniform(0.2, 4))
@@ -87,41 +87,41 @@
                     self.violations.append(f"{name}: end finds no lot")
                     return
                 yield env.timeout(0.3)
-            self.endedAt[name] = env.now
+            self.ended_at[name] = env.now
 
     def reader(self, name):
         """Process: read a lot at any edge until the end of the day."""
         env, chance = self.stage.env, self.chance
-        while env.now < self.dayEnd + 24:
+        while env.now < self.day_end + 24:
             known = self.rows.setdefault(name, [])
             start = chance.choice([0, len(known), max(0, len(known) - 2)])
-            beganAt = env.now
-            heldCount = sum(at < beganAt - SETTLE for at in self.rowReadAt.get(name, []))
+            began_at = env.now
+            held_count = sum(at < began_at - SETTLE for at in self.row_read_at.get(name, []))
             answer, trouble = yield from self.script(
                 lambda node, start=start: raw_front.read_raw_results(
                     node, HOST, name, start, chance.choice([0, 0.8])))
             self.reads["good" if trouble is None else trouble.kind] += 1
-            if env.now - beganAt > 2.4 and self.isCalm:
-                self.violations.append(f"{name}: a read took {env.now - beganAt:.2f}")
-            if isinstance(trouble, NotFound) and beganAt > self.acceptedAt[name] + SETTLE:
+            if env.now - began_at > 2.4 and self.is_calm:
+                self.violations.append(f"{name}: a read took {env.now - began_at:.2f}")
+            if isinstance(trouble, NotFound) and began_at > self.accepted_at[name] + SETTLE:
                 self.violations.append(f"{name}: not found at {env.now:.2f}")
             if trouble is None:
-                self.take_rows(name, start, answer, heldCount)
+                self.take_rows(name, start, answer, held_count)
             yield env.timeout(chance.uniform(0.2, 0.5))
 
-    def take_rows(self, name, start, answer, heldCount):
+    def take_rows(self, name, start, answer, held_count):
         """Check what a read gave against all that was read before."""
         known = self.rows[name]
         if answer["items"] != self.counts[name]:
             self.violations.append(f"{name}: wrong count")
-        if start + len(answer["results"]) < heldCount:
+        if start + len(answer["results"]) < held_count:
             self.violations.append(f"{name}: a position read before holds nothing")
         for place, row in enumerate(answer["results"], start):
             if place < len(known) and known[place] != row:
                 self.violations.append(f"{name}: position {place} changed")
             if place == len(known):
                 known.append(row)
-                self.rowReadAt.setdefault(name, []).append(self.stage.env.now)
+                self.row_read_at.setdefault(name, []).append(self.stage.env.now)
 
     def fault(self):
         """Process: one fault and its end."""
@@ -133,7 +133,7 @@
         if kind in ("core", "store", "edge") and len(sim.up_nodes(kind)) == len(sim.names(kind)):
             name = chance.choice(sim.names(kind))
             self.disturb(name)
-            sim.kill(name, losesPower=chance.random() < 0.5)
+            sim.kill(name, loses_power=chance.random() < 0.5)
             yield env.timeout(seconds)
             sim.start(name)
             self.disturb(name)
@@ -144,17 +144,17 @@
             yield env.timeout(seconds)
             self.disturb(node.me.name)
         elif kind == "net":
-            sim.net.lossShare, sim.net.doubleShare, sim.net.reorderShare = 0.03, 0.05, 0.05
+            sim.net.loss_share, sim.net.double_share, sim.net.reorder_share = 0.03, 0.05, 0.05
             yield env.timeout(seconds)
-            sim.net.lossShare = sim.net.doubleShare = sim.net.reorderShare = 0.0
+            sim.net.loss_share = sim.net.double_share = sim.net.reorder_share = 0.0
         elif kind == "replica":
             replica = chance.choice(list(self.stage.replicas.values())[:2])
-            replica.leave() if chance.random() < 0.5 else setattr(replica, "isDead", True)
+            replica.leave() if chance.random() < 0.5 else setattr(replica, "is_dead", True)
         elif kind == "silent":
             replica = chance.choice(list(self.stage.replicas.values()))
-            replica.isSilent = True
+            replica.is_silent = True
             yield env.timeout(seconds)
-            replica.isSilent = False
+            replica.is_silent = False
         elif kind == "cut":
             names = list(sim.nodes)
             sim.cut([chance.choice(names)], chance.sample(names, 4))
@@ -163,30 +163,30 @@
 
     def disturb(self, name):
         """Remember when a node was last killed, started, frozen or thawed."""
-        self.disturbedAt.setdefault(name, []).append(self.stage.env.now)
+        self.disturbed_at.setdefault(name, []).append(self.stage.env.now)
 
     def is_in_touch(self, name, at):
         """Tell whether a node was left alone for some seconds."""
-        return not any(at - TOUCH - 4 < then <= at for then in self.disturbedAt.get(name, []))
+        return not any(at - TOUCH - 4 < then <= at for then in self.disturbed_at.get(name, []))
 
     def judge(self):
         """Judge the whole day."""
         for name, count in self.counts.items():
-            rows, ended = self.rows.get(name, []), name in self.endedAt
+            rows, ended = self.rows.get(name, []), name in self.ended_at
             ids = [row[0] for row in rows]
             if len(set(ids)) < len(ids) or not set(ids) <= {f"{name}-{n}" for n in range(count)}:
                 self.violations.append(f"{name}: an item stands twice")
-            if name in self.acceptedAt and not ended and len(rows) < count:
+            if name in self.accepted_at and not ended and len(rows) < count:
                 self.violations.append(f"{name}: {len(rows)} of {count} results")
-            for itemId, state, text in rows:
-                isDead = self.ways.get(itemId) == 422
-                wanted = ("errored", b"") if isDead else ("finished", text_of(itemId, 6))
+            for item_id, state, text in rows:
+                is_dead = self.ways.get(item_id) == 422
+                wanted = ("errored", b"") if is_dead else ("finished", text_of(item_id, 6))
                 if (state, text) != wanted:
-                    self.violations.append(f"{itemId}: {state} {text[:80]}")
-        for at, itemId, _, _, request in self.stage.arrivals:
-            name, worker = itemId.partition("-")[0], request["worker"]
+                    self.violations.append(f"{item_id}: {state} {text[:80]}")
+        for at, item_id, _, _, request in self.stage.arrivals:
+            name, worker = item_id.partition("-")[0], request["worker"]
             if name in self.tries and set(self.tries[name]) <= {503, 429}:
-                self.violations.append(f"{itemId} ran though refused at every try")
-            isLate = name in self.endedAt and at > self.endedAt[name] + ENDING
-            if isLate and self.is_in_touch(worker, at):
-                self.violations.append(f"{itemId} reached a replica after its lot's end")
+                self.violations.append(f"{item_id} ran though refused at every try")
+            is_late = name in self.ended_at and at > self.ended_at[name] + ENDING
+            if is_late and self.is_in_touch(worker, at):
+                self.violations.append(f"{item_id} reached a replica after its lot's end")
--- a/tests/raw_stage.py
+++ b/tests/raw_stage.py
@@ -15,8 +15,8 @@
 def check_whole(stage, rows, name, count):
     """Every item of the lot has its whole text, once."""
     assert sorted(row[0] for row in rows) == sorted(f"{name}-{n}" for n in range(count))
-    for itemId, state, text in rows:
-        assert (state, text) == ("finished", text_of(itemId, stage.counts.get(itemId, 6)))
+    for item_id, state, text in rows:
+        assert (state, text) == ("finished", text_of(item_id, stage.counts.get(item_id, 6)))
 
 
 def accepted(stage, name, count, **words):
@@ -32,7 +32,7 @@
         with mock.patch.object(sim_fleet, "SimWorld", RawWorld):
             self.sim = SimFleet("ferrowa", seed, SIZES)
         self.env, self.replicas, self.counts = self.sim.env, {}, {}
-        self.arrivals, self.wholeRuns = [], []
+        self.arrivals, self.whole_runs = [], []
         self.sim.backends.raw = RawBackends(self)
         self.edition, self.patch = 0, mock.patch.object(sim_fleet, "SimWorld", RawWorld)
         self.patch.start()
@@ -53,7 +53,7 @@
     def __exit__(self, *failure):
         self.patch.stop()
 
-    def configure(self, isGone=False, **fields):
+    def configure(self, is_gone=False, **fields):
         """Adopt a layout with one forward of lots, or with none."""
         forward = {
             "host": HOST, "prefix": "/bulk/", "kind": "lot", "split": [[SERVICE, 1]],
@@ -64,8 +64,8 @@
         command = {
             "do": "edition.adopt", "id": f"e{self.edition + 1}", "edition": self.edition + 1,
             "base_edition": self.edition, "whole": False, "services": {SERVICE: service},
-            "forwards": {} if isGone else {FORWARD: forward}, "limits": None,
-            "removed": {"forwards": [FORWARD]} if isGone else None,
+            "forwards": {} if is_gone else {FORWARD: forward}, "limits": None,
+            "removed": {"forwards": [FORWARD]} if is_gone else None,
             "extras": None,
         }
         self.edition += 1
@@ -113,8 +113,8 @@
 
     def read_all(self, name, seconds=30):
         """Read until every item has a result; return the rows."""
-        endTime, answer = self.env.now + seconds, None
-        while self.env.now < endTime:
+        end_time, answer = self.env.now + seconds, None
+        while self.env.now < end_time:
             answer, trouble = self.read(name)
             if trouble is None and answer["next"] == answer["items"]:
                 return answer["results"]
--- a/tests/system_calls.py
+++ b/tests/system_calls.py
@@ -48,11 +48,11 @@
     """Return (status, JSON body, seconds it took); no status when nothing came in time."""
     data = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
     headers = {} if base is None else {"base-version": str(base)}
-    node, startTime = stage.sim.nodes[core], stage.env.now
+    node, start_time = stage.sim.nodes[core], stage.env.now
     answer, trouble = stage.ask(core, handle_ctl(node, method, path, headers, data), seconds)
     assert trouble is None
     status, _, text = answer or (None, None, b"null")
-    return status, json.loads(text), stage.env.now - startTime
+    return status, json.loads(text), stage.env.now - start_time
 
 
 def replace(stage, core, body, base):
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -82,9 +82,9 @@
     assert Asker([TimedOut(), {"written": True}]).asked("part.submit") == {"written": True}
 
 
-@pytest.mark.parametrize("count, late, isWhole", [
+@pytest.mark.parametrize("count, late, is_whole", [
     (5, [], True), (3, [], False), (5, ["store-1"], False), (0, [], False)])
-def test_a_part_is_whole_when_its_group_has_the_size_of_the_founding(count, late, isWhole):
+def test_a_part_is_whole_when_its_group_has_the_size_of_the_founding(count, late, is_whole):
     def ask(part, service, body, seconds):
         if not count:
             raise NotOwner(part=part)
@@ -95,4 +95,4 @@
     script = show_whole(SimpleNamespace(find=lambda name: duty, bounds=Bounds()), None)
     with pytest.raises(StopIteration) as ended:
         next(script)
-    assert ended.value.value["is_whole"] is isWhole
+    assert ended.value.value["is_whole"] is is_whole
--- a/tests/test_autofound.py
+++ b/tests/test_autofound.py
@@ -23,7 +23,7 @@
 
 @pytest.mark.parametrize("seed", range(1, 6))
 def test_a_fleet_founds_itself_once_at_its_first_start(seed):
-    stage = SelfFounded(seed, readyAt=0.1)
+    stage = SelfFounded(seed, ready_at=0.1)
     assert founded(stage, 4) is not None
     assert stage.wait_for(lambda: all_owned(stage), 2) is not None
     stage.run(12)
@@ -34,13 +34,13 @@
 
 
 def test_no_core_founds_a_fleet_that_is_not_at_its_first_start():
-    stage = SelfFounded(1, readyAt=20, isFirst=lambda name: False)
+    stage = SelfFounded(1, ready_at=20, is_first=lambda name: False)
     assert stage.fleets() == set()
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_the_second_seed_founds_when_the_first_one_dies(seed):
-    stage = SelfFounded(seed, readyAt=0.3)
+    stage = SelfFounded(seed, ready_at=0.3)
     first = next(n for n in stage.sim.up_nodes("core") if place_of(n) == 0)
     stage.sim.kill(first.me.name)
     stage.run(3)
@@ -50,9 +50,9 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
-@pytest.mark.parametrize("frozenAt", [1.0, 1.7, 1.76, 1.8])
-def test_a_first_seed_that_freezes_amid_its_founding_makes_no_second_fleet(seed, frozenAt):
-    stage = SelfFounded(seed, readyAt=frozenAt)
+@pytest.mark.parametrize("frozen_at", [1.0, 1.7, 1.76, 1.8])
+def test_a_first_seed_that_freezes_amid_its_founding_makes_no_second_fleet(seed, frozen_at):
+    stage = SelfFounded(seed, ready_at=frozen_at)
     first = next(n for n in stage.sim.up_nodes("core") if place_of(n) == 0)
     stage.sim.freeze(first.me.name, 7)
     stage.run(20)
@@ -62,7 +62,7 @@
 
 
 def test_a_founding_begun_by_one_who_died_is_carried_on_by_the_next():
-    stage = SelfFounded(5, readyAt=1.0, isFirst=lambda name: name != "core-1")
+    stage = SelfFounded(5, ready_at=1.0, is_first=lambda name: name != "core-1")
     first = stage.sim.nodes["core-1"]
     stage.wait_for(lambda: len(reached_stores(first)) == 4, 3)
     stores = roster_stores(first)
@@ -75,7 +75,7 @@
 
 
 def test_a_founder_that_knows_of_fewer_stores_finds_the_founding_of_the_others():
-    stage = SelfFounded(5, readyAt=6)
+    stage = SelfFounded(5, ready_at=6)
     late = stage.sim.nodes["core-3"]
     fleets, few = stage.fleets(), roster_stores(late)[2:]
     late.find("gossip").table.pop("founding")
@@ -84,7 +84,7 @@
 
 
 def test_a_fleet_with_too_few_stores_is_founded_on_the_largest_odd_number_of_them():
-    stage = SelfFounded(1, {"sizes": {"edge": 1, "core": 2, "store": 2}}, readyAt=0.1)
+    stage = SelfFounded(1, {"sizes": {"edge": 1, "core": 2, "store": 2}}, ready_at=0.1)
     stage.run(3)
     assert stage.fleets() == set()
     assert founded(stage, 6) is not None
@@ -104,12 +104,12 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("wiped", [None, "store-1", "store-2", "store-3"])
 def test_owners_are_back_within_three_seconds_after_all_machines_lost_power(seed, wiped):
-    stage = SelfFounded(seed, readyAt=6)
+    stage = SelfFounded(seed, ready_at=6)
     mark = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
     assert stage.submit("core-2", mark)[1] is None
     fleets = stage.fleets()
     for name in stage.sim.rows:
-        stage.sim.kill(name, losesPower=True)
+        stage.sim.kill(name, loses_power=True)
     if wiped:
         stage.sim.disks[wiped].lose_all()
     stage.run(2)
@@ -124,7 +124,7 @@
 
 
 def test_a_fleet_whose_stores_lost_their_disks_one_after_another_outlives_a_stop_of_all():
-    stage = SelfFounded(7, SIZES, readyAt=6)
+    stage = SelfFounded(7, SIZES, ready_at=6)
     mark = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
     assert stage.submit("core-2", mark)[1] is None
     for name in ("store-1", "store-2", "store-3", "store-4"):
@@ -142,7 +142,7 @@
 
 
 def test_the_place_of_a_seed_does_not_hang_on_the_order_it_was_told_in():
-    stage = SelfFounded(1, readyAt=0.1)
+    stage = SelfFounded(1, ready_at=0.1)
     node = stage.sim.nodes["core-1"]
     seeds = [stage.sim.nodes[name].me.address for name in ("core-1", "core-2", "core-3")]
     places = set()
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -23,29 +23,29 @@
 
     def serve(self, conn, _):
         with conn, conn.makefile("rb") as reader:
-            for isFirst in (True, False):
+            for is_first in (True, False):
                 while (line := reader.readline()) not in (b"\r\n", b""):
                     if b"HTTP/1.1" in line:
-                        self.inquiries.append((isFirst, line))
-                if line and isFirst:
+                        self.inquiries.append((is_first, line))
+                if line and is_first:
                     conn.sendall(ANSWER)
 
 
-def fetch(server, mayRepeat):
-    return backend.fetch(Fetch(server.address, "POST", "/x", {}, 5, mayRepeat))
+def fetch(server, may_repeat):
+    return backend.fetch(Fetch(server.address, "POST", "/x", {}, 5, may_repeat))
 
 
 def test_what_may_repeat_survives_a_kept_connection_that_breaks_off():
     server = Server()
     assert [fetch(server, True) for _ in range(3)] == [(200, True)] * 3
-    assert [isFirst for isFirst, _ in server.inquiries] == [True, False, True, False, True]
+    assert [is_first for is_first, _ in server.inquiries] == [True, False, True, False, True]
 
 
 def test_what_may_not_repeat_never_goes_over_a_kept_connection():
     server = Server()
     assert fetch(server, True) == (200, True)
     assert [fetch(server, False) for _ in range(2)] == [(200, True)] * 2
-    assert all(isFirst for isFirst, _ in server.inquiries)
+    assert all(is_first for is_first, _ in server.inquiries)
 
 
 def test_no_answer_in_time_is_not_tried_again():
--- a/tests/test_check_settings.py
+++ b/tests/test_check_settings.py
@@ -37,9 +37,9 @@
 def test_sound_files_are_summed_up(check):
     outcome = check(SETTINGS, EDITION)
     assert outcome.exit_code == 0 and outcome.stderr == ""
-    settingsLine, layoutLine = outcome.stdout.splitlines()
-    assert settingsLine.endswith("edge edge-1 in north at 127.0.0.1:7400: no fault")
-    assert "1 services" in layoutLine and "1 forwards" in layoutLine
+    settings_line, layout_line = outcome.stdout.splitlines()
+    assert settings_line.endswith("edge edge-1 in north at 127.0.0.1:7400: no fault")
+    assert "1 services" in layout_line and "1 forwards" in layout_line
 
 
 def test_every_fault_of_both_files_is_told_with_its_field(check):
--- a/tests/test_editions.py
+++ b/tests/test_editions.py
@@ -47,8 +47,8 @@
 
 
 def refusal(state, command):
-    newState, answers = apply_batch(state, [copy.deepcopy(command)])
-    assert newState is state, "what was refused changed something"
+    new_state, answers = apply_batch(state, [copy.deepcopy(command)])
+    assert new_state is state, "what was refused changed something"
     return answers[0]
 
 
@@ -162,11 +162,11 @@
     stage.sim.kill(owner)
     assert trouble is None and answer == {"edition": 5}
 
-    def isEverywhere():
+    def is_everywhere():
         layouts = [n.find("layout").layout for n in stage.sim.nodes.values() if stage.sim.is_up(n)]
         return all((layout or {}).get("edition") == 5 for layout in layouts)
 
-    assert stage.wait_for(isEverywhere, 1.5) is not None
+    assert stage.wait_for(is_everywhere, 1.5) is not None
     assert stage.wait_for(lambda: stage.owner() not in (None, owner), 2.5) is not None
     assert stage.submit(asker, order(5))[0] == {"edition": 5, "repeated": True}
     assert stage.read(asker, {"ask": "edition"})[0]["edition"] == 5
@@ -178,10 +178,10 @@
     stage.sim.nodes["edge-1"].handlers["gossip.news"] = lambda items, origin: None
     asker = next(name for name in stage.sim.names("core") if name != owner)
     assert stage.submit(asker, order(5))[1] is None
-    deadStore = max(stage.sim.nodes[asker].find("duty").group("config"))[0]
-    edge, stamp = stage.sim.nodes["edge-1"], stage.stores()[deadStore].stamp()
-    edge.find("freshness").words = {deadStore: (stamp, edge.now())}
+    dead_store = max(stage.sim.nodes[asker].find("duty").group("config"))[0]
+    edge, stamp = stage.sim.nodes["edge-1"], stage.stores()[dead_store].stamp()
+    edge.find("freshness").words = {dead_store: (stamp, edge.now())}
     stage.sim.kill(owner)
-    stage.sim.kill(deadStore)
+    stage.sim.kill(dead_store)
     image = edge.find("layout")
     assert stage.wait_for(lambda: (image.layout or {}).get("edition") == 5, 1.9) is not None
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -33,19 +33,19 @@
     second = [HEAD, (0.01, event(2)), (0, END)]
     world, node = make(both(first, second))
     world.answers = {address(0): [first], address(1): [first]}
-    sentTo = []
+    sent_to = []
     original = world._send
 
     def send(effect):
-        sentTo.append(effect.address)
-        if len(sentTo) == 2:
+        sent_to.append(effect.address)
+        if len(sent_to) == 2:
             world.answers[tuple(effect.address)] = [second]
         return original(effect)
 
     world._send = send
     run(world, node)
     assert text(world) == event(0) + event(1) + event(2)
-    assert len(set(sentTo)) == 2
+    assert len(set(sent_to)) == 2
     assert b"last-event-id: 1" in world.sent[1][1]
 
 
@@ -73,11 +73,11 @@
     world, node = make(both([(0, SILENT)], [HEAD, (0.01, event(0)), (0, END)]))
     world.answers[address(0)] = [[HEAD, (0.01, event(0)), (9, SILENT)]]
     world.answers[address(1)] = [[HEAD, (0.01, event(0)), (9, SILENT)]]
-    startTime = world.now()
+    start_time = world.now()
     with pytest.raises(OutcomeUnknown):
         run(world, node)
     assert len(world.sent) == 2
-    assert world.handles[0].isClosed and world.now() - startTime < 5.1
+    assert world.handles[0].is_closed and world.now() - start_time < 5.1
 
 
 def test_events_of_two_runs_are_never_joined():
@@ -99,10 +99,10 @@
     world, node = make(both([HEAD, (0.01, event(0)), (0, END)]))
     beat(node, 0, 2, state="leaving")
     beat(node, 1, 2, state="gone")
-    startTime = world.now()
+    start_time = world.now()
     with pytest.raises(Refused) as refusal:
         run(world, node)
-    assert not world.sent and world.now() - startTime <= 0.25 / 4
+    assert not world.sent and world.now() - start_time <= 0.25 / 4
     assert refusal.value.detail["come_back_s"] > 0
 
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -74,10 +74,10 @@
         case = fuzz.datagram_case(chance, frame)
         try:
             _, fields = unpack(case)
-            isBeat = isinstance(fields, list) and fields and isinstance(fields[0], list)
+            is_beat = isinstance(fields, list) and fields and isinstance(fields[0], list)
         except BadWire:
-            isBeat = False
-        if not isBeat:
+            is_beat = False
+        if not is_beat:
             target.find("nifty").on_frame(case)
     names = sorted(target.handlers)
     for _ in range(400):
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -4,7 +4,7 @@
 
 
 def test_news_stops_going_round_once_the_others_tell_it_too():
-    stage = SelfFounded(5, sizes=SIZES, readyAt=12)
+    stage = SelfFounded(5, sizes=SIZES, ready_at=12)
     nodes, took = stage.sim.nodes, []
     for name, made in nodes.items():
         take = made.handlers["gossip.news"]
--- a/tests/test_marks.py
+++ b/tests/test_marks.py
@@ -7,8 +7,8 @@
 from tests.fleet_stage import SelfFounded
 
 
-def mark_domain(domain, isEmptied, **fields):
-    return {"do": "domain.mark", "domain": domain, "emptied": isEmptied, **fields}
+def mark_domain(domain, is_emptied, **fields):
+    return {"do": "domain.mark", "domain": domain, "emptied": is_emptied, **fields}
 
 
 def retire(stage, store, core="core-1"):
@@ -38,17 +38,17 @@
     assert again is state and answers[0]["emptied"]
 
 
-@pytest.mark.parametrize("areNodesLeft", [True, False])
-def test_an_emptied_domain_keeps_its_nodes_serving_when_the_mark_says_so(areNodesLeft):
+@pytest.mark.parametrize("are_nodes_left", [True, False])
+def test_an_emptied_domain_keeps_its_nodes_serving_when_the_mark_says_so(are_nodes_left):
     stage = SelfFounded(2)
-    answer, trouble = stage.submit("core-2", mark_domain("north", True, nodes=areNodesLeft))
+    answer, trouble = stage.submit("core-2", mark_domain("north", True, nodes=are_nodes_left))
     assert trouble is None
     stage.run(1)
     node = next(n for n in stage.sim.up_nodes("edge") if n.me.domain == "north")
     core = next(n for n in stage.sim.up_nodes("core") if n.me.domain == "north")
     assert node.find("layout").is_emptied("north")
-    assert node.find("duty").is_leaving(core.me.name) == areNodesLeft
-    if areNodesLeft:
+    assert node.find("duty").is_leaving(core.me.name) == are_nodes_left
+    if are_nodes_left:
         with pytest.raises(Refused):
             check_open(node)
     else:
--- a/tests/test_nifty.py
+++ b/tests/test_nifty.py
@@ -96,7 +96,7 @@
     nifty.send_beats()
     for sequence in range(1, 5):
         world.time = sequence * 0.5
-        nifty.on_datagram(beat(member("b"), sequence, {"a"}, [1, nifty.beatSequence], "ab"))
+        nifty.on_datagram(beat(member("b"), sequence, {"a"}, [1, nifty.beat_sequence], "ab"))
         nifty.send_beats()
         nifty.refresh()
         assert nifty.reaches("b")
@@ -207,9 +207,9 @@
     world.time = 2.0
     nifty.on_datagram(beat(member("b", 7), 2, {"a"}, None, "ab"))
     (address, frame), = world.frames
-    late, lateNifty, _ = node("b")
+    late, late_nifty, _ = node("b")
     late.me = member("b", 7)
-    lateNifty.on_frame(frame)
+    late_nifty.on_frame(frame)
     (script,) = late.world.spawned
     assert list(script) == [] and late.me.incarnation == 51
     nifty.on_datagram(beat(late.me, 1, {"a"}, None, "ab"))
--- a/tests/test_nifty_rows.py
+++ b/tests/test_nifty_rows.py
@@ -13,9 +13,9 @@
 
 def relaxed(home, links):
     """Distance vectors by plain Bellman-Ford: every pair is relaxed until none changes."""
-    vectors, isChanged = {home: (0, frozenset())}, True
-    while isChanged:
-        isChanged = False
+    vectors, is_changed = {home: (0, frozenset())}, True
+    while is_changed:
+        is_changed = False
         for name in sorted(vectors):
             for other in links.get(name, ()):
                 hops = vectors[name][1] if name != home else frozenset((other,))
@@ -23,14 +23,14 @@
                 if known is not None and offer[0] == known[0] and other != home:
                     offer = (offer[0], known[1] | hops)
                 if known is None or (offer[0] <= known[0] and offer != known and other != home):
-                    vectors[other], isChanged = offer, True
+                    vectors[other], is_changed = offer, True
     return {n: (d, tuple(sorted(h))) for n, (d, h) in vectors.items() if n != home}
 
 
-def both_tell(home, heardRows):
+def both_tell(home, heard_rows):
     """The links by their definition, pair by pair."""
-    own = heardRows.get(home, frozenset())
-    told = {n: (r | {home} if n in own else r - {home}) for n, r in heardRows.items()}
+    own = heard_rows.get(home, frozenset())
+    told = {n: (r | {home} if n in own else r - {home}) for n, r in heard_rows.items()}
     links = {}
     for name, reached in told.items():
         for other in reached - {name}:
@@ -45,10 +45,10 @@
     chance = random.Random(f"graph {seed}")
     names = [f"n{i}" for i in range(chance.randrange(2, 14))]
     share = chance.choice([0.15, 0.3, 0.6, 0.95])
-    heardRows = {
+    heard_rows = {
         name: frozenset(n for n in names if n != name and chance.random() < share)
         for name in names if name == "n0" or chance.random() < 0.9}
-    graph, links = Graph("n0", heardRows), both_tell("n0", heardRows)
+    graph, links = Graph("n0", heard_rows), both_tell("n0", heard_rows)
     assert {n: set(ends) for n, ends in graph.links.items() if ends} == links
     assert graph.routes == relaxed("n0", links)
     assert graph.live == {"n0", *links}
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -22,7 +22,7 @@
         return ask(fleet.http("edge-2"), "GET", "/v1/status")[1]["seeds"]
 
     def rewrite(**fields):
-        path = fleet.runFolder / "edge-2.json"
+        path = fleet.run_folder / "edge-2.json"
         path.write_text(json.dumps({**fleet.settings["edge-2"], **fields}))
         fleet.signal("edge-2", signal.SIGHUP)
 
@@ -30,14 +30,14 @@
     call = gevent.spawn(
         stream_call, [fleet.http("edge-2")], random.Random("hup"), record, time.monotonic,
         "tagging", "long", 200, 0.0)
-    newSeeds = [fleet.settings[name]["address"] for name in ("core-2", "store-3")]
-    rewrite(seeds=newSeeds)
-    fleet.wait_for("new seeds", lambda: seeds() == newSeeds)
+    new_seeds = [fleet.settings[name]["address"] for name in ("core-2", "store-3")]
+    rewrite(seeds=new_seeds)
+    fleet.wait_for("new seeds", lambda: seeds() == new_seeds)
     rewrite(seeds=["nowhere"])
-    logFile = fleet.runFolder / "edge-2.log"
-    fleet.wait_for("the fault is logged", lambda: logFile.exists() and (
-        "settings not changed" in logFile.read_text()))
-    assert seeds() == newSeeds != former
+    log_file = fleet.run_folder / "edge-2.log"
+    fleet.wait_for("the fault is logged", lambda: log_file.exists() and (
+        "settings not changed" in log_file.read_text()))
+    assert seeds() == new_seeds != former
     call.join()
     assert record.outcomes == {("long", "complete"): 1} and record.violations == []
 
@@ -54,16 +54,16 @@
 
 def test_a_rolling_restart_by_the_verb_cuts_nothing(fleet):
     fleet.wait_ready()
-    record, restarted, isOver = Record(), [], gevent.event.Event()
+    record, restarted, is_over = Record(), [], gevent.event.Event()
 
     def platform():
-        while not isOver.is_set():
+        while not is_over.is_set():
             restarted.extend(fleet.keep_running())
             gevent.sleep(0.05)
 
     def traffic(number):
         chance = random.Random(f"r{number}")
-        while not isOver.is_set():
+        while not is_over.is_set():
             ready = [a for a in edges(fleet) if ask(a, "GET", "/v1/ready")[0] == 200]
             if ready:
                 stream_call(ready, chance, record, time.monotonic, "wayfinding", "short", 20, 0.0)
@@ -73,7 +73,7 @@
     outcome = CliRunner().invoke(main, [
         "restart", "--node", fleet.http("core-1"), "--json", "--name", "store-1", "--name",
         "core-2", "--name", "edge-1"])
-    isOver.set()
+    is_over.set()
     gevent.joinall([*calls, watching], raise_error=True)
     assert outcome.exit_code == 0, outcome.output
     assert json.loads(outcome.output) == {"restarted": ["store-1", "core-2", "edge-1"]}
--- a/tests/test_peek.py
+++ b/tests/test_peek.py
@@ -97,9 +97,9 @@
             stage.env.step()
         stage.sim.kill(name)
     assert all(record.entries for record in stores)
-    startTime, reader = stage.env.now, stage.node("edge-1")
+    start_time, reader = stage.env.now, stage.node("edge-1")
     script = reader.find("duty").read("part-1", {**ASKED, "lot": "part-1.new"})
     answer, trouble = stage.finish(stage.start(stage.sim.run_script(reader, script)))
     assert trouble is None and answer["results"] == []
-    assert stage.env.now - startTime < stage.sim.bounds.reading
+    assert stage.env.now - start_time < stage.sim.bounds.reading
     assert reader.counts["peeks"] == 1
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -19,7 +19,7 @@
     placement, count = node.find("placement"), 0
     for step in range(400):
         world.time = 2000 + step / 100
-        node.find("replicas").table["r0"].coldUntil = world.time + 9
+        node.find("replicas").table["r0"].cold_until = world.time + 9
         count += placement.choose("s", request()) is not None
     assert 8 * 4 * 0.9 <= count <= 8 * 4 + 2
 
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -91,10 +91,10 @@
 
 
 def test_retiring_that_leaves_a_part_short_needs_the_named_consequence():
-    threeStores = {n: d for n, d in STORES.items() if n != "store-4"}
+    three_stores = {n: d for n, d in STORES.items() if n != "store-4"}
     groups = {"config": ["store-1", "store-2", "store-3"]}
     command = propose(
-        "p", {"kind": "retire_store", "target": "store-1"}, stores=threeStores, groups=groups)
+        "p", {"kind": "retire_store", "target": "store-1"}, stores=three_stores, groups=groups)
     state, _ = played(started(), command)
     state, answers = played(state, confirm("p"), confirm("p", accept=["part_under_three"]))
     assert isinstance(answers[0], Impossible)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -60,8 +60,8 @@
     ("PUT", "/v1/layout", {"base_version": 0, "layout": {}}, 409, "conflict", None),
 ])
 def test_bad_input_is_a_typed_4xx(fleet, method, path, body, status, trouble, field):
-    seenStatus, answer = ask(edges(fleet)[0], method, path, body)
-    assert (seenStatus, answer["trouble"], answer.get("field")) == (status, trouble, field)
+    seen_status, answer = ask(edges(fleet)[0], method, path, body)
+    assert (seen_status, answer["trouble"], answer.get("field")) == (status, trouble, field)
 
 
 def test_garbage_between_processes_is_counted_and_the_process_lives(fleet):
@@ -87,9 +87,9 @@
     for _ in range(150):
         case = fuzz.http_case(chance)
         status, answer = fuzz.exchange(fleet.http(chance.choice(("edge-1", "core-1"))), case)
-        isTyped = isinstance(answer, dict) and "trouble" in answer
-        typed += isTyped and 400 <= status < 500
-        if not (status == 200 or (400 <= status < 500 and (isTyped or case[0] == "HEAD"))):
+        is_typed = isinstance(answer, dict) and "trouble" in answer
+        typed += is_typed and 400 <= status < 500
+        if not (status == 200 or (400 <= status < 500 and (is_typed or case[0] == "HEAD"))):
             strange.append((status, answer, case))
     assert strange == []
     assert typed > 100
@@ -119,7 +119,7 @@
             200, 0.0)
         for n in range(6)
     ]
-    while len(record.firstPieces) < 6:
+    while len(record.first_pieces) < 6:
         gevent.sleep(0.01)
     stopped = gevent.spawn(fleet.stop, "edge-1")
     gevent.joinall(calls, raise_error=True)
@@ -139,7 +139,7 @@
         assert clone.processes["edge-2"].wait(60) == 3
     finally:
         clone.stop_all()
-    assert "name_taken" in (clone.runFolder / "edge-2.out").read_text()
+    assert "name_taken" in (clone.run_folder / "edge-2.out").read_text()
     assert ask(row["http_address"], "GET", "/v1/ready")[0] == 200
 
 
@@ -151,7 +151,7 @@
         assert clone.processes["store-4"].wait(60) == 3
     finally:
         clone.stop_all()
-    assert "other_identity" in (clone.runFolder / "store-4.out").read_text()
+    assert "other_identity" in (clone.run_folder / "store-4.out").read_text()
 
 
 def test_an_operators_plan_runs_by_the_command_line(fleet):
--- a/tests/test_raw_failures.py
+++ b/tests/test_raw_failures.py
@@ -28,7 +28,7 @@
         accepted(stage, "a", 40)
         stage.run(0.5 + seed * 0.4)
         owner = stage.owner()
-        ownItems = {f"a-{run.number}" for run in owner.find("raw_worker").runs.values()}
+        own_items = {f"a-{run.number}" for run in owner.find("raw_worker").runs.values()}
         stage.sim.kill(owner.me.name)
         seen = []
         for _ in range(120):
@@ -43,8 +43,8 @@
                 break
             stage.run(0.1)
         check_whole(stage, seen, "a", 40)
-        runs = Counter(itemId for _, itemId, _, _, _ in stage.arrivals)
-        assert {itemId for itemId, count in runs.items() if count > 1} <= ownItems
+        runs = Counter(item_id for _, item_id, _, _, _ in stage.arrivals)
+        assert {item_id for item_id, count in runs.items() if count > 1} <= own_items
         assert stage.counted("raw_runs_taken_over") > 0
 
 
@@ -71,9 +71,9 @@
             node for node in stage.sim.up_nodes("core")
             if node is not owner and node.find("raw_worker").runs)
         stage.sim.kill(worker.me.name)
-        startTime = stage.env.now
+        start_time = stage.env.now
         check_whole(stage, stage.read_all("a"), "a", 20)
-        assert stage.env.now - startTime < 5
+        assert stage.env.now - start_time < 5
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -83,23 +83,23 @@
         accepted(stage, "a", 40)
         stage.run(0.5)
         stage.sim.freeze(stage.owner().me.name, 9)
-        endTime = None
+        end_time = None
         for _ in range(30):
             _, trouble = stage.do(
                 stage.up("edge"), lambda node: raw_front.end_raw_lot(node, HOST, "a"))
             if trouble is None:
-                endTime = stage.env.now
+                end_time = stage.env.now
                 break
             stage.run(0.2)
         stage.run(14)
-        assert endTime is not None
-        assert all(arrival[0] < endTime + 3 for arrival in stage.arrivals)
+        assert end_time is not None
+        assert all(arrival[0] < end_time + 3 for arrival in stage.arrivals)
 
 
 def test_a_worker_begins_nothing_for_a_former_owner_or_beside_the_layout():
     with RawStage(62) as stage:
         for replica in stage.replicas.values():
-            replica.isSilent = True
+            replica.is_silent = True
         accepted(stage, "a", 1)
         stage.run(0.3)
         owner, part = stage.owner(), raw_front.part_of_host(stage.up("edge"), HOST)
@@ -125,7 +125,7 @@
 def test_the_quota_is_exact_over_all_edges():
     with RawStage(56, most_tokens=1000) as stage:
         for replica in stage.replicas.values():
-            replica.isSilent = True
+            replica.is_silent = True
         processes = [
             stage.begin(
                 stage.up("edge"),
@@ -142,16 +142,16 @@
 def test_the_end_of_the_forward_and_of_the_time_kept_list_what_is_left():
     with RawStage(57, retain_ms=4000) as stage:
         for replica in stage.replicas.values():
-            replica.isSilent = True
+            replica.is_silent = True
         accepted(stage, "a", 3)
-        startTime = stage.env.now
+        start_time = stage.env.now
         rows = stage.read_all("a")
-        assert {row[1] for row in rows} == {"errored"} and stage.env.now - startTime > 4
+        assert {row[1] for row in rows} == {"errored"} and stage.env.now - start_time > 4
         accepted(stage, "b", 3)
-        stage.configure(isGone=True)
-        startTime = stage.env.now
+        stage.configure(is_gone=True)
+        start_time = stage.env.now
         rows = stage.read_all("b")
-        assert {row[1] for row in rows} == {"errored"} and stage.env.now - startTime < 4
+        assert {row[1] for row in rows} == {"errored"} and stage.env.now - start_time < 4
 
 
 def test_no_item_goes_to_a_service_that_the_layout_no_longer_names():
@@ -159,9 +159,9 @@
         accepted(stage, "a", 30)
         stage.run(0.4)
         stage.configure(split=[["words", 1]])
-        changedAt = stage.env.now
+        changed_at = stage.env.now
         stage.run(4)
-        assert all(arrival[0] < changedAt + 2 for arrival in stage.arrivals)
+        assert all(arrival[0] < changed_at + 2 for arrival in stage.arrivals)
         assert len(stage.arrivals) < 30
 
 
@@ -169,9 +169,9 @@
 def test_an_accept_without_an_owner_promises_nothing_and_is_taken_later(seed):
     with RawStage(70 + seed) as stage:
         stage.sim.freeze(stage.owner().me.name, 20)
-        startTime = stage.env.now
+        start_time = stage.env.now
         _, trouble = stage.hand_in("a", 4)
-        assert stage.env.now - startTime < 1.9
+        assert stage.env.now - start_time < 1.9
         assert isinstance(trouble, OutcomeUnknown) and trouble.status == 502
         stage.run(1.5)
         accepted(stage, "a", 4)
@@ -180,14 +180,14 @@
 
 def test_an_item_that_failed_everywhere_alive_does_not_wait_for_a_replica_that_died():
     with RawStage(81) as stage:
-        stage.replicas["i-0"].isDead = True
+        stage.replicas["i-0"].is_dead = True
         stage.run(4)
         failed = set()
 
-        def way(replica, itemId, last):
-            isFirst = (replica.name, itemId) not in failed
-            failed.add((replica.name, itemId))
-            return 500 if isFirst else None
+        def way(replica, item_id, last):
+            is_first = (replica.name, item_id) not in failed
+            failed.add((replica.name, item_id))
+            return 500 if is_first else None
 
         for replica in stage.replicas.values():
             replica.way = way
@@ -203,7 +203,7 @@
         assert 0 < before["next"] < 30
         names = list(stage.sim.nodes)
         for name in names:
-            stage.sim.kill(name, losesPower=True)
+            stage.sim.kill(name, loses_power=True)
         stage.run(1)
         for name in names:
             stage.sim.start(name)
--- a/tests/test_raw_pages.py
+++ b/tests/test_raw_pages.py
@@ -7,14 +7,14 @@
 
 def narrow(stage, node):
     """Let the frames that come to a node take the time of a link of 15 Mbit/s, one by one."""
-    net, freeAt = stage.sim.net, [0.0]
+    net, free_at = stage.sim.net, [0.0]
     carry = net.carry
 
     def carry_slowly(home, target, data, kind):
         if tuple(target) != node.me.address or kind != "frame":
             return carry(home, target, data, kind)
-        freeAt[0] = max(freeAt[0], stage.env.now) + len(data) / LINK_BYTES
-        event = stage.env.timeout(freeAt[0] - stage.env.now)
+        free_at[0] = max(free_at[0], stage.env.now) + len(data) / LINK_BYTES
+        event = stage.env.timeout(free_at[0] - stage.env.now)
         event.callbacks.append(lambda _: carry(home, target, data, kind))
 
     net.carry = carry_slowly
--- a/tests/test_raw_runner.py
+++ b/tests/test_raw_runner.py
@@ -9,15 +9,15 @@
 
 def test_a_lot_is_run_and_read_in_one_order_from_every_node():
     with RawStage(1) as stage:
-        startTime = stage.env.now
+        start_time = stage.env.now
         accepted(stage, "a", 20)
-        assert stage.env.now - startTime < 0.4
+        assert stage.env.now - start_time < 0.4
         rows = stage.read_all("a")
         check_whole(stage, rows, "a", 20)
         for node in stage.sim.up_nodes("edge"):
             answer, trouble = stage.read("a", node=node)
             assert trouble is None and answer["results"] == rows
-        assert Counter(stage.wholeRuns).most_common(1)[0][1] == 1
+        assert Counter(stage.whole_runs).most_common(1)[0][1] == 1
         request = stage.arrivals[0][4]
         assert request["host"] == HOST and request["x-inquiry"] == stage.arrivals[0][1]
         assert request[""] == (f"POST /bulk/{stage.arrivals[0][1][2:]}?q=1 HTTP/1.1", b"body")
@@ -31,18 +31,18 @@
         assert [answer.get("repeated", False) for answer in answers] == [False, True, True, True]
         check_whole(stage, stage.read_all("a"), "a", 6)
         assert accepted(stage, "a", 6)["repeated"]
-        assert len(stage.wholeRuns) == 6
+        assert len(stage.whole_runs) == 6
 
 
 def test_a_held_read_ends_with_the_next_result_and_an_unknown_lot_is_not_found_at_once():
     with RawStage(3) as stage:
         accepted(stage, "a", 1)
-        startTime = stage.env.now
+        start_time = stage.env.now
         answer, _ = stage.read("a", hold=0.8)
-        assert answer["next"] == 1 and 0.2 < stage.env.now - startTime < 0.5
-        startTime = stage.env.now
+        assert answer["next"] == 1 and 0.2 < stage.env.now - start_time < 0.5
+        start_time = stage.env.now
         _, trouble = stage.read("nothing", hold=0.8)
-        assert isinstance(trouble, NotFound) and stage.env.now - startTime < 0.1
+        assert isinstance(trouble, NotFound) and stage.env.now - start_time < 0.1
         _, trouble = stage.do(
             stage.up("edge"),
             lambda node: raw_front.read_raw_results(node, "other.example", "a", 0))
@@ -52,12 +52,12 @@
 def test_a_body_is_given_until_its_item_is_listed():
     with RawStage(4) as stage:
         for replica in stage.replicas.values():
-            replica.isSilent = True
+            replica.is_silent = True
         accepted(stage, "a", 2)
         ask = lambda node: raw_front.read_raw_body(node, HOST, "a", "a-1")  # noqa: E731
         assert stage.do(stage.up("edge"), ask) == (b"body", None)
         for replica in stage.replicas.values():
-            replica.isSilent = False
+            replica.is_silent = False
         stage.read_all("a")
         assert isinstance(stage.do(stage.up("edge"), ask)[1], NotFound)
 
@@ -66,10 +66,10 @@
     with RawStage(50) as stage:
         broken = set()
 
-        def way(replica, itemId, last):
-            if itemId in broken:
+        def way(replica, item_id, last):
+            if item_id in broken:
                 return None
-            broken.add(itemId)
+            broken.add(item_id)
             return "break"
 
         for replica in stage.replicas.values():
@@ -83,14 +83,14 @@
 @pytest.mark.parametrize("strange", ["restart", "skip"])
 def test_a_run_that_goes_on_elsewhere_than_asked_is_not_used(strange):
     with RawStage(51) as stage:
-        first, strangeOnes = set(), set()
+        first, strange_ones = set(), set()
 
-        def way(replica, itemId, last):
-            if itemId not in first:
-                first.add(itemId)
+        def way(replica, item_id, last):
+            if item_id not in first:
+                first.add(item_id)
                 return "break"
-            if itemId not in strangeOnes:
-                strangeOnes.add(itemId)
+            if item_id not in strange_ones:
+                strange_ones.add(item_id)
                 return strange
             return None
 
@@ -98,19 +98,19 @@
             replica.way = way
         accepted(stage, "a", 8)
         check_whole(stage, stage.read_all("a"), "a", 8)
-        assert len(strangeOnes) == 8
+        assert len(strange_ones) == 8
 
 
 def test_an_item_is_errored_after_its_rounds_of_500_and_at_once_after_422():
     with RawStage(52) as stage:
         ways = {"a-0": 422, "a-1": 500}
         for replica in stage.replicas.values():
-            replica.way = lambda replica, itemId, last: ways.get(itemId)
+            replica.way = lambda replica, item_id, last: ways.get(item_id)
         accepted(stage, "a", 4)
         rows = {row[0]: (row[1], row[2]) for row in stage.read_all("a")}
         assert rows["a-0"] == rows["a-1"] == ("errored", b"")
         assert rows["a-2"][0] == rows["a-3"][0] == "finished"
-        runs = Counter(itemId for _, itemId, _, _, _ in stage.arrivals)
+        runs = Counter(item_id for _, item_id, _, _, _ in stage.arrivals)
         assert (runs["a-0"], runs["a-1"]) == (1, 3)
 
 
@@ -126,19 +126,19 @@
     with RawStage(59, slots=8) as stage:
         accepted(stage, "a", 40)
         stage.run(0.9)
-        assert {replica.mostActive for replica in stage.replicas.values()} == {6}
+        assert {replica.most_active for replica in stage.replicas.values()} == {6}
         check_whole(stage, stage.read_all("a"), "a", 40)
         assert stage.counted("raw_runs_lost") == 0
     with RawStage(59, slots=8, due_ms=1500) as stage:
         accepted(stage, "a", 40)
         stage.run(0.9)
-        assert {replica.mostActive for replica in stage.replicas.values()} == {7}
+        assert {replica.most_active for replica in stage.replicas.values()} == {7}
 
 
 def test_a_cold_replica_gets_no_more_than_it_bears():
     with RawStage(60, slots=8) as stage:
         for replica in stage.replicas.values():
-            replica.coldUntil = stage.env.now + 6
+            replica.cold_until = stage.env.now + 6
         stage.run(1)
         accepted(stage, "a", 60)
         stage.run(4)
@@ -162,13 +162,13 @@
 
 def test_a_silent_replica_and_one_that_is_gone_are_left():
     with RawStage(54) as stage:
-        stage.replicas["i-0"].isSilent = True
+        stage.replicas["i-0"].is_silent = True
         accepted(stage, "a", 12)
         stage.run(0.2)
         stage.replicas["i-1"].leave()
-        startTime = stage.env.now
+        start_time = stage.env.now
         check_whole(stage, stage.read_all("a"), "a", 12)
-        assert stage.env.now - startTime < 8
+        assert stage.env.now - start_time < 8
 
 
 def test_an_ended_lot_stops_at_once_and_sends_nothing_later():
@@ -179,11 +179,11 @@
         _, trouble = stage.do(
             stage.up("edge"), lambda node: raw_front.end_raw_lot(node, HOST, "a"))
         assert trouble is None
-        endTime = stage.env.now
+        end_time = stage.env.now
         stage.run(0.3)
         assert all(replica.active == 0 for replica in stage.replicas.values())
         stage.run(6)
-        assert all(arrival[0] < endTime + 0.1 for arrival in stage.arrivals)
+        assert all(arrival[0] < end_time + 0.1 for arrival in stage.arrivals)
         answer, _ = stage.read("a")
         assert answer["items"] == 30
         assert stage.do(
--- a/tests/test_raw_server.py
+++ b/tests/test_raw_server.py
@@ -80,7 +80,7 @@
         return 200, [], b""
         yield
 
-    client = Client(serve(handle, headBytes=400, bodyBytes=400))
+    client = Client(serve(handle, head_bytes=400, body_bytes=400))
     client.send(data)
     assert client.read().startswith(b"HTTP/1.1 " + status)
     assert not ran
@@ -136,8 +136,8 @@
         name, len(body), body, more))
 
 
-def ask(replica, name, mayReuse=True):
-    effect = SendOn(replica.address, b"GET / HTTP/1.1\r\n\r\n", 2, mayReuse, ("x-id", name))
+def ask(replica, name, may_reuse=True):
+    effect = SendOn(replica.address, b"GET / HTTP/1.1\r\n\r\n", 2, may_reuse, ("x-id", name))
     handle = send_on(effect)
     try:
         handle.next_head(2)
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -78,7 +78,7 @@
     stage.run(2)
     stage.start(wiped)
     stage.run(1)
-    stage.sim.kill(killed, losesPower=True)
+    stage.sim.kill(killed, loses_power=True)
     answer, _ = stage.submit("core-2", mark("after"))
     acked |= {"after"} if answer else set()
     assert stage.wait_for(lambda: stage.submit("core-1", mark("last"))[0], 4) is not None
@@ -92,11 +92,11 @@
     stage.sim.kill(late)
     assert stage.submit("core-1", mark("missed"))[1] is None
     node = stage.sim.nodes["core-1"]
-    isOver = []
+    is_over = []
 
     def keep_writing():
         number = 0
-        while not isOver:
+        while not is_over:
             number += 1
             yield from node.find("duty").submit("config", mark(f"w{number % 50}"))
             yield Sleep(0.01)
@@ -106,7 +106,7 @@
     stage.start(late)
     took = stage.wait_for(lambda: "missed" in ((
         stage.stores()[late].parts["config"].state["layout"] or {}).get("domains", {})), 2.5)
-    isOver.append(True)
+    is_over.append(True)
     assert took is not None
 
 
@@ -115,8 +115,8 @@
     stage = SelfFounded(seed)
     stage.sim.kill(members(stage, "part-0")[0])
     for number in range(40):
-        startTime = stage.env.now
+        start_time = stage.env.now
         trouble = stage.submit("core-1", {"do": "none", "n": number}, "part-0")[1]
         assert trouble.kind == "bad_command"
-        assert stage.env.now - startTime < 0.2
+        assert stage.env.now - start_time < 0.2
         stage.run(0.51 + number * 0.002 if number % 3 == 0 else 0.01)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -55,8 +55,8 @@
 def test_the_meter_counts_by_class_and_forgets_after_a_quarter_hour():
     made, _, world = node("a")
     meter = Meter(made)
-    for firstAt, firstEnd in ((1, 2), (2, 2), (3, 2), (None, 2)):
-        meter.note("hint", firstAt, firstEnd)
+    for first_at, first_end in ((1, 2), (2, 2), (3, 2), (None, 2)):
+        meter.note("hint", first_at, first_end)
     world.time = 14 * 60
     meter.note("seat", 1, 2)
     row = {"class": "hint", "kept": 2, "late": 1, "unserved": 1, "share_kept": 0.5}
@@ -66,7 +66,7 @@
 
 
 def test_a_beat_that_brings_nothing_new_is_told_with_others_and_not_spread():
-    stage = SelfFounded(7, readyAt=6)
+    stage = SelfFounded(7, ready_at=6)
     nodes, took = stage.sim.nodes, []
     edge = nodes["edge-1"]
     for service in ("gossip.news", "replica.alive"):
@@ -74,9 +74,9 @@
         edge.handle(service, lambda body, origin, service=service, take=take: (
             took.append(service), take(body, origin))[1])
 
-    def take_beats(sequence, takerName, names):
+    def take_beats(sequence, taker_name, names):
         for name in names:
-            nodes[takerName].find("replicas").on_beat({**beat(sequence), "name": name})
+            nodes[taker_name].find("replicas").on_beat({**beat(sequence), "name": name})
 
     names = [f"r{place}" for place in range(20)]
     for sequence in (1, 2):
@@ -88,8 +88,8 @@
         stage.run(0.5)
     assert all(edge.find("replicas").is_heard(name) for name in names)
     assert took.count("gossip.news") == 0 and 10 <= took.count("replica.alive") <= 20
-    lostTeller = edge.find("replicas").liveness.tellers()[0]
-    stage.sim.kill(lostTeller)
+    lost_teller = edge.find("replicas").liveness.tellers()[0]
+    stage.sim.kill(lost_teller)
     stage.run(0.9)
     taker = next(node.me.name for node in stage.sim.up_nodes("core"))
     take_beats(13, taker, names[:1])
@@ -99,9 +99,9 @@
 
 def test_a_cold_replica_is_spread_again_only_if_it_stays_cold_for_longer():
     table, world = replicas()
-    for sequence, coldMs in ((1, 3000), (2, 2000), (3, 2500)):
-        table.on_beat({**beat(sequence, "cold"), "cold_ms": coldMs})
+    for sequence, cold_ms in ((1, 3000), (2, 2000), (3, 2500)):
+        table.on_beat({**beat(sequence, "cold"), "cold_ms": cold_ms})
         world.time += 1
-    assert table.find("words-1").coldUntil == 4.5
+    assert table.find("words-1").cold_until == 4.5
     table.on_beat(beat(4, "ready"))
     assert table.find("words-1").state == "ready"
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -44,7 +44,7 @@
 
 def test_a_fleet_that_knows_itself_settles_within_a_few_periods():
     fleet = HollowFleet(LARGE, seed=3)
-    fleet.start_all(isWarm=True)
+    fleet.start_all(is_warm=True)
     fleet.env.run(until=fleet.bounds.beat * 3)
     assert fleet.missing_links() == 0 and fleet.faults == []
 
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -10,7 +10,7 @@
     stage.submit("core-1", change)
     names = list(stage.sim.rows)
     for name in names:
-        stage.sim.kill(name, losesPower=True)
+        stage.sim.kill(name, loses_power=True)
     stage.run(2)
     for name in names:
         stage.start(name)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -19,9 +19,9 @@
         self.records.append(record)
 
 
-def opened(folder, logLimit=1 << 20):
+def opened(folder, log_limit=1 << 20):
     holder = Holder()
-    store = SlotStore(FolderDisk(str(folder)), holder, logLimit)
+    store = SlotStore(FolderDisk(str(folder)), holder, log_limit)
     if not store.recover():
         store.turn()
     return store, holder
@@ -33,7 +33,7 @@
 
 
 def test_records_come_back_in_order_over_slot_turns(tmp_path):
-    store, holder = opened(tmp_path, logLimit=60)
+    store, holder = opened(tmp_path, log_limit=60)
     for number in range(40):
         written(store, holder, [["r", number]])
     assert store.generation > 3
@@ -43,8 +43,8 @@
 def test_a_torn_log_tail_is_cut_off(tmp_path):
     store, holder = opened(tmp_path)
     written(store, holder, [["a"], ["b"]])
-    logPath = tmp_path / "log.1"
-    logPath.write_bytes(logPath.read_bytes()[:-2])
+    log_path = tmp_path / "log.1"
+    log_path.write_bytes(log_path.read_bytes()[:-2])
     store, holder = opened(tmp_path)
     assert holder.records == [["a"]]
     written(store, holder, [["c"]])
@@ -54,8 +54,8 @@
 def test_a_torn_slot_falls_back_to_the_other_with_its_log(tmp_path):
     store, holder = opened(tmp_path)
     written(store, holder, [["a"]])
-    newSlot = tmp_path / "slot.0"
-    newSlot.write_bytes(b"QSL1 torn in the middle of the turn")
+    new_slot = tmp_path / "slot.0"
+    new_slot.write_bytes(b"QSL1 torn in the middle of the turn")
     assert opened(tmp_path)[1].records == [["a"]]
 
 
@@ -73,10 +73,10 @@
     store, holder = opened(tmp_path)
     written(store, holder, [["a", "x" * 20]])
     written(store, holder, [["b", "y" * 20]])
-    logPath = tmp_path / "log.1"
-    data = bytearray(logPath.read_bytes())
+    log_path = tmp_path / "log.1"
+    data = bytearray(log_path.read_bytes())
     data[data.index(b"xxxx") + 1] ^= 1
-    logPath.write_bytes(bytes(data))
+    log_path.write_bytes(bytes(data))
     with pytest.raises(Damaged):
         opened(tmp_path)
 
--- a/tests/test_system_ctl.py
+++ b/tests/test_system_ctl.py
@@ -29,11 +29,11 @@
 
 def test_orders_about_zones_need_no_configuration_and_may_be_repeated():
     stage = SelfFounded(2)
-    for path, isEmptied in (("Begin", True), ("Begin", True), ("Finish", False)):
+    for path, is_emptied in (("Begin", True), ("Begin", True), ("Finish", False)):
         assert call(stage, "core-1", "POST", f"/Evacuate.{path}/north")[:2] == (200, {})
         stage.run(0.5)
         images = [node.find("layout") for node in stage.sim.nodes.values()]
-        assert {image.is_emptied("north") for image in images} == {isEmptied}
+        assert {image.is_emptied("north") for image in images} == {is_emptied}
         assert not any(image.is_left("north") for image in images)
 
 
@@ -138,14 +138,14 @@
     domain = stage.sim.nodes[owner].me.domain
     for name, node in stage.sim.nodes.items():
         if node.me.domain == domain and node.me.role != "edge":
-            stage.sim.kill(name, losesPower=True)
+            stage.sim.kill(name, loses_power=True)
     left = [n for n in stage.sim.names("core") if stage.sim.is_up(stage.sim.nodes[n])]
-    startTime, tried = stage.env.now, 0
-    while stage.env.now - startTime < 4:
+    start_time, tried = stage.env.now, 0
+    while stage.env.now - start_time < 4:
         status, _, seconds = replace(stage, left[tried % len(left)], {**WHOLE, "ver": 8}, 7)
         assert seconds < 1 and status in (200, 503)
         if status == 200:
             break
         tried += 1
         stage.run(0.1)
-    assert status == 200 and stage.env.now - startTime < 4
+    assert status == 200 and stage.env.now - start_time < 4
--- a/tests/test_system_layout.py
+++ b/tests/test_system_layout.py
@@ -32,14 +32,14 @@
     assert call(stage, "core-3", "GET", "/Config.Fetch")[:2] == (200, whole)
     assert replace(stage, "core-4", whole, 0)[0] == 200
     assert replace(stage, "core-4", {**whole, "ver": 9}, 0)[0] == 412
-    newRoute = {**PLAIN, "prefix": "/new/", "later": 1.0}
-    change = {"ver": 12, "upsert": {"routes": [newRoute], "svcs": [{**OTHER, "max_conns": 5}]},
+    new_route = {**PLAIN, "prefix": "/new/", "later": 1.0}
+    change = {"ver": 12, "upsert": {"routes": [new_route], "svcs": [{**OTHER, "max_conns": 5}]},
               "remove": {"routes": ["r-3", "r-never"]}}
     assert call(stage, "core-1", "POST", "/Config.Amend", change, 7)[0] == 200
     assert call(stage, "core-1", "POST", "/Config.Amend", change, 7)[0] == 200
     assert replace(stage, "core-4", whole, 0)[0] == 200
     assert call(stage, "core-2", "GET", "/Config.Fetch")[1] == {
-        **whole, "ver": 12, "routes": [ROUTE, newRoute],
+        **whole, "ver": 12, "routes": [ROUTE, new_route],
         "svcs": [SERVICE, {**OTHER, "max_conns": 5}],
     }
 
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -30,7 +30,7 @@
     assert views[-1][1] == trace["view"]
     cut = next((at, links) for at, (links, _) in views if at > 2 and "store-1" not in links)
     assert 2 + 1 <= cut[0] <= 2 + 2 and not {"store-1", "store-2", "core-2"} & set(cut[1])
-    oneWay = next(at for at, (links, _) in views if at > 6 and "edge-2" not in links)
-    assert 6 + 1 <= oneWay <= 6 + 2
+    one_way = next(at for at, (links, _) in views if at > 6 and "edge-2" not in links)
+    assert 6 + 1 <= one_way <= 6 + 2
     whole = next(at for at, (links, _) in views if at > 10 and len(links) == 10)
     assert whole <= 10 + 1
--- a/tests/test_wsgi.py
+++ b/tests/test_wsgi.py
@@ -43,7 +43,7 @@
         assert headers["Retry-After"] == str(body["come_back_s"])
         seconds.append(body["come_back_s"])
     assert min(seconds) >= 10 and max(seconds) <= 30 and len(set(seconds)) > 15
-    assert made.underWay == 0
+    assert made.under_way == 0
 
 
 def test_a_body_over_the_limit_is_not_read():
@@ -58,10 +58,10 @@
 
     def lines(script):
         for effect in script:
-            assert made.underWay == 1 or effect.line == {"n": 1}
+            assert made.under_way == 1 or effect.line == {"n": 1}
             yield effect.line
 
     world.lines = lines
     status, headers, body = call(made, "GET", "/test/lines")
     assert status == 200 and body == [{"n": 1}, {"n": 2}]
-    assert made.underWay == 0
+    assert made.under_way == 0
