--- a/examples/embed/quorum_counter.py
+++ b/examples/embed/quorum_counter.py
@@ -4,11 +4,11 @@
 
 import gevent
 
-from quillring.duty import QUERIES
 from quillring.fleet import make_node, open_store, start_node
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.gevent_world import GeventWorld
 from quillring.nifty import Member
+from quillring.ownership import QUERIES
 from quillring.quorum import COMMANDS
 from quillring.quorum.founding import found_fleet
 from quillring.store import FolderDisk
@@ -57,8 +57,10 @@
             while node.find("gossip").get("founding") is None:
                 gevent.sleep(0.05)
             command = {"do": "counter.add", "id": node.me.name, "amount": amount}
-            node.world.drive(node.find("duty").submit("part-0", command, 20))
-        print("counter:", core.world.drive(core.find("duty").read("part-0", {"ask": "counter"})))
+            node.world.drive(node.find("ownership").submit("part-0", command, 20))
+        print(
+            "counter:", core.world.drive(core.find("ownership").read("part-0", {"ask": "counter"}))
+        )
         print("owner:", core.find("gossip").get("owner/part-0")["owner"])
 
 
--- a/proving/callers.py
+++ b/proving/callers.py
@@ -39,7 +39,8 @@
         firsts = sorted(self.first_pieces)
         return {
             "outcomes": {f"{k}/{o}": n for (k, o), n in sorted(self.outcomes.items())},
-            "violations": self.violations, "resumes": self.resumes,
+            "violations": self.violations,
+            "resumes": self.resumes,
             "first_piece_median_ms": round(firsts[len(firsts) // 2] * 1000, 1) if firsts else None,
         }
 
@@ -207,7 +208,8 @@
                 record.violate(f"result {row['n']} of {lot} changed")
             prompt = items[row["n"]]
             right_text = "".join(
-                piece_text(prompt, n) for n in range(1, piece_count(prompt, 64) + 1))
+                piece_text(prompt, n) for n in range(1, piece_count(prompt, 64) + 1)
+            )
             if row["text"] != right_text:
                 record.violate(f"wrong result {row['n']} of {lot}")
         if len(seen) == len(items):
--- a/proving/day.py
+++ b/proving/day.py
@@ -12,19 +12,30 @@
 
 MIXES = {
     "ferrowa": [
-        (10, lambda e, c, r: callers.stream_call(
-            e, c, r, time.monotonic, c.choice(("wayfinding", "wayfinding-lounge")), "short")),
+        (
+            10,
+            lambda e, c, r: callers.stream_call(
+                e, c, r, time.monotonic, c.choice(("wayfinding", "wayfinding-lounge")), "short"
+            ),
+        ),
         (25, lambda e, c, r: callers.tile_call(e, c, r, "tiles")),
-        (1, lambda e, c, r: callers.stream_call(
-            e, c, r, time.monotonic, "tagging", "long", 200)),
+        (1, lambda e, c, r: callers.stream_call(e, c, r, time.monotonic, "tagging", "long", 200)),
         (0.5, lambda e, c, r: callers.lot_call(e, c, r, "gate-notices")),
     ],
     "kilele": [
-        (10, lambda e, c, r: callers.stream_call(
-            e, c, r, time.monotonic, c.choice(("price-hints", "seller-hints")), "short")),
+        (
+            10,
+            lambda e, c, r: callers.stream_call(
+                e, c, r, time.monotonic, c.choice(("price-hints", "seller-hints")), "short"
+            ),
+        ),
         (25, lambda e, c, r: callers.seat_call(e, c, r, "seats")),
-        (1, lambda e, c, r: callers.stream_call(
-            e, c, r, time.monotonic, "seller-reviews", "long", 200)),
+        (
+            1,
+            lambda e, c, r: callers.stream_call(
+                e, c, r, time.monotonic, "seller-reviews", "long", 200
+            ),
+        ),
         (0.5, lambda e, c, r: callers.lot_call(e, c, r, "fraud-reports")),
     ],
 }
@@ -42,8 +53,7 @@
             calls.append(gevent.spawn(call, edges, random.Random(chance.random()), record))
             gevent.sleep(chance.expovariate(rate * scale))
 
-    gevent.joinall([
-        gevent.spawn(send_kind, n, rate, call) for n, (rate, call) in enumerate(mix)])
+    gevent.joinall([gevent.spawn(send_kind, n, rate, call) for n, (rate, call) in enumerate(mix)])
     gevent.joinall(calls, timeout=120, raise_error=True)
 
 
@@ -87,9 +97,14 @@
         states = {}
         for replica in fleet.replicas.values():
             _, states[replica["name"]] = callers.ask(replica["address"], "GET", "/state")
-        report = {**record.to_json(), "steps": log, "replicas": {
-            n: {k: s.get(k) for k in ("ran", "hits", "misses", "overloads", "late_starts")}
-            for n, s in states.items()}}
+        report = {
+            **record.to_json(),
+            "steps": log,
+            "replicas": {
+                n: {k: s.get(k) for k in ("ran", "hits", "misses", "overloads", "late_starts")}
+                for n, s in states.items()
+            },
+        }
         click.echo(json.dumps(report, indent=1))
         (fleet.run_folder / "report.json").write_text(json.dumps(report, indent=1))
     finally:
--- a/proving/deployments.py
+++ b/proving/deployments.py
@@ -10,8 +10,12 @@
 def promise(first, left, urgency, share, queue=64, **more):
     """Return a class of service."""
     return {
-        "first_piece_ms": first, "time_left_ms": left, "urgency": urgency, "share": share,
-        "queue": queue, **more,
+        "first_piece_ms": first,
+        "time_left_ms": left,
+        "urgency": urgency,
+        "share": share,
+        "queue": queue,
+        **more,
     }
 
 
@@ -80,8 +84,12 @@
             number += 1
             host = f"127.0.{net}.{number}"
             fields = {
-                "name": f"{role}-{i + 1}", "role": role, "domain": DOMAINS[i % 4],
-                "address": f"{host}:7400", "http_address": f"{host}:8400", "seeds": seeds,
+                "name": f"{role}-{i + 1}",
+                "role": role,
+                "domain": DOMAINS[i % 4],
+                "address": f"{host}:7400",
+                "http_address": f"{host}:8400",
+                "seeds": seeds,
                 "log_file": f"run/{role}-{i + 1}.log",
             }
             if role == "store":
@@ -98,8 +106,11 @@
         for i in range(count):
             number += 1
             yield {
-                "name": f"{service}-{i + 1}", "service": service, "domain": DOMAINS[i % 4],
-                "address": f"127.0.{deployment['net']}.{number}:9400", "slots": slots,
+                "name": f"{service}-{i + 1}",
+                "service": service,
+                "domain": DOMAINS[i % 4],
+                "address": f"127.0.{deployment['net']}.{number}:9400",
+                "slots": slots,
             }
 
 
--- a/proving/example_day.py
+++ b/proving/example_day.py
@@ -65,20 +65,20 @@
         if status != 200:
             raise RuntimeError(f"{kind} {target}: {plan}")
         status, answer = self.ask(
-            "POST", f"/v1/plans/{plan['plan']}/confirm", {"accept": list(accept)})
+            "POST", f"/v1/plans/{plan['plan']}/confirm", {"accept": list(accept)}
+        )
         if status != 200:
             raise RuntimeError(f"{kind} {target}: {answer}")
         path = f"/v1/plans/{plan['plan']}"
-        self.wait_for(
-            f"{kind} {target}", lambda: self.ask("GET", path)[1].get("phase") == "done")
+        self.wait_for(f"{kind} {target}", lambda: self.ask("GET", path)[1].get("phase") == "done")
         self.note(f"plan {kind} {target} is done")
 
     def run(self, seconds):
         """Run the steps while the mix is called; a crowd comes in the middle."""
-        calls = gevent.spawn(
-            run_traffic, self.fleet, self.mix, seconds, self.seed, self.record)
+        calls = gevent.spawn(run_traffic, self.fleet, self.mix, seconds, self.seed, self.record)
         crowd = gevent.spawn_later(
-            seconds / 3, run_traffic, self.fleet, self.mix[:2], 8, self.seed + 1, self.record, 4.0)
+            seconds / 3, run_traffic, self.fleet, self.mix[:2], 8, self.seed + 1, self.record, 4.0
+        )
         gevent.sleep(3)
         self.run_plan("empty_domain", "west", ["less_room"])
         self.run_plan("refill_domain", "west")
--- a/proving/faulty.py
+++ b/proving/faulty.py
@@ -3,8 +3,8 @@
 import json
 import os
 
+from quillring.kernel.errors import DiskError
 from quillring.kernel.gevent_world import GeventWorld
-from quillring.kernel.troubles import DiskTrouble
 from quillring.store import FolderDisk
 from quillring.verbs import cli, process, program
 
@@ -59,7 +59,7 @@
         except (OSError, ValueError):
             is_full = False
         if is_full:
-            raise DiskTrouble(file=name, reason="no space left")
+            raise DiskError(file=name, reason="no space left")
 
     def write(self, name, data):
         """Write unless full."""
--- a/proving/fuzz.py
+++ b/proving/fuzz.py
@@ -13,29 +13,85 @@
     "/v1/lots": {"entry": "gate-notices", "items": ["a"], "key": "k"},
     "/v1/seats": {"entry": "tiles", "key": "k", "seat": "4a"},
     "/v1/replicas/beats": {
-        "name": "words-9", "service": "words", "domain": "north", "address": "127.0.0.1:9",
-        "slots": 1, "state": "cold", "incarnation": 1, "sequence": 1},
+        "name": "words-9",
+        "service": "words",
+        "domain": "north",
+        "address": "127.0.0.1:9",
+        "slots": 1,
+        "state": "cold",
+        "incarnation": 1,
+        "sequence": 1,
+    },
     "/v1/plans": {"kind": "empty_domain", "target": "north"},
     "/v1/plans/none/confirm": {"accept": ["x"], "id": "i"},
     "/v1/found": {"parts": 2},
     "/v1/layout": {"base_version": 0, "layout": {"entries": {}}, "whole": False, "id": "x"},
 }
 STRANGE = (
-    None, True, False, -1, 0, 1.5, 1e300, 10 ** 40, "", "\u0000", "\ud800", "x" * 300, [], [[]],
-    {}, {"a": None}, ["x", 5], {"": {}}, "-1", "\u00b2", 2.0,
+    None,
+    True,
+    False,
+    -1,
+    0,
+    1.5,
+    1e300,
+    10**40,
+    "",
+    "\u0000",
+    "\ud800",
+    "x" * 300,
+    [],
+    [[]],
+    {},
+    {"a": None},
+    ["x", 5],
+    {"": {}},
+    "-1",
+    "\u00b2",
+    2.0,
 )
 RAW = (
-    b"NaN", b'{"entry": NaN}', b"[" * 5000, b'{"a":' * 3000, b"\xff\xfe\x00", b'"\xc3"', b"{", b"",
-    b"1e999", b"9" * 5000, b'{"a":1}{', b"null", b"[]", b"true", b'"text"',
+    b"NaN",
+    b'{"entry": NaN}',
+    b"[" * 5000,
+    b'{"a":' * 3000,
+    b"\xff\xfe\x00",
+    b'"\xc3"',
+    b"{",
+    b"",
+    b"1e999",
+    b"9" * 5000,
+    b'{"a":1}{',
+    b"null",
+    b"[]",
+    b"true",
+    b'"text"',
 )
 PATHS = (
-    "/v1/tiles/tiles/%b2/1/1", "/v1/tiles/tiles/1/1/-1", "/v1/tiles/%00/1/1/1",
-    "/v1/tiles/tiles/99999999999999999999/1/1", "/v1/streams/%ff%fe", "/v1/streams/AAAA",
-    "/v1/streams/x?after=%b2", "/v1/streams/x?after=-1", "/v1/streams/x?before=1",
-    "/v1/lots/part-0.x/results?from=x", "/v1/lots/part-0.x/results?from=" + "9" * 5000,
-    "/v1/lots/%2e%2e", "/v1/lots/config.x", "/v1/lots/part-0.x?unknown=1", "/v1/lots/\u00e9",
-    "/v1/layout?version=1", "/v1/members?x", "/v1/domains/nowhere/emptying", "/v1//layout",
-    "/v1/plans/%00", "/v1/members/%ff", "/v1/alive/", "/" + "a" * 4000, "/v1/whole?part=x",
+    "/v1/tiles/tiles/%b2/1/1",
+    "/v1/tiles/tiles/1/1/-1",
+    "/v1/tiles/%00/1/1/1",
+    "/v1/tiles/tiles/99999999999999999999/1/1",
+    "/v1/streams/%ff%fe",
+    "/v1/streams/AAAA",
+    "/v1/streams/x?after=%b2",
+    "/v1/streams/x?after=-1",
+    "/v1/streams/x?before=1",
+    "/v1/lots/part-0.x/results?from=x",
+    "/v1/lots/part-0.x/results?from=" + "9" * 5000,
+    "/v1/lots/%2e%2e",
+    "/v1/lots/config.x",
+    "/v1/lots/part-0.x?unknown=1",
+    "/v1/lots/\u00e9",
+    "/v1/layout?version=1",
+    "/v1/members?x",
+    "/v1/domains/nowhere/emptying",
+    "/v1//layout",
+    "/v1/plans/%00",
+    "/v1/members/%ff",
+    "/v1/alive/",
+    "/" + "a" * 4000,
+    "/v1/whole?part=x",
 )
 METHODS = ("GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS", "QUERY")
 
@@ -72,7 +128,7 @@
     if kind == 2:
         body = chance.choice(RAW)
     if kind == 3 and body:
-        return method, path, body[:len(body) // 2], len(body)
+        return method, path, body[: len(body) // 2], len(body)
     if kind == 4:
         path += chance.choice(("?x=1", "?", "?entry=%ff", "/", "//", "/%00"))
     return method, path, body, len(body)
@@ -101,9 +157,23 @@
     """Return a random cbor-able value."""
     kind = chance.randrange(9 if depth < 4 else 6)
     if kind < 6:
-        return chance.choice((
-            None, True, -1, 0, 1 << 70, 1.5, float("nan"), "", "core-1", "x" * 50, b"", b"\xff" * 9,
-            chance.randrange(1 << 40)))
+        return chance.choice(
+            (
+                None,
+                True,
+                -1,
+                0,
+                1 << 70,
+                1.5,
+                float("nan"),
+                "",
+                "core-1",
+                "x" * 50,
+                b"",
+                b"\xff" * 9,
+                chance.randrange(1 << 40),
+            )
+        )
     if kind < 8:
         return [random_value(chance, depth + 1) for _ in range(chance.randrange(8))]
     keys = ("s", "b", "r", "c", "part", "ballot", "round", "stream", "pieces", "from")
@@ -118,7 +188,7 @@
     if kind == 1:
         return MAGIC + bytes([chance.randrange(5)]) + cbor2.dumps(random_value(chance))
     if kind == 2:
-        return sound[:chance.randrange(len(sound))]
+        return sound[: chance.randrange(len(sound))]
     fields = cbor2.loads(sound[3:])
     if kind == 3:
         fields[chance.randrange(len(fields))] = random_value(chance)
--- a/proving/localfleet.py
+++ b/proving/localfleet.py
@@ -46,7 +46,8 @@
                     row[field] = moved[row[field]]
         for row in self.settings.values():
             row["seeds"] = [moved[seed] for seed in row["seeds"] if seed in moved] or [
-                row["address"]]
+                row["address"]
+            ]
 
     def names(self, role):
         """Return the names of the nodes of a role."""
@@ -74,10 +75,15 @@
             for node in nodes[turn:] + nodes[:turn]:
                 words += ["--node", node]
         self.processes[name] = subprocess.Popen(
-            [sys.executable, *words], stdout=out_file, stderr=out_file, start_new_session=True,
+            [sys.executable, *words],
+            stdout=out_file,
+            stderr=out_file,
+            start_new_session=True,
             env={
-                **os.environ, "PROVING_CUTS": str(self.cuts_file),
-                "PROVING_FULL": str(self.full_file)},
+                **os.environ,
+                "PROVING_CUTS": str(self.cuts_file),
+                "PROVING_FULL": str(self.full_file),
+            },
         )
 
     def start_all(self):
@@ -148,12 +154,14 @@
             return roles.count("store") == store_count
 
         self.wait_for("stores known", knows_stores)
-        self.wait_for("founded", lambda: ask(
-            self.http(cores[0]), "POST", "/v1/found", {"parts": 4})[0] == 200)
+        self.wait_for(
+            "founded", lambda: ask(self.http(cores[0]), "POST", "/v1/found", {"parts": 4})[0] == 200
+        )
         layout = json.loads((self.example / "layout.json").read_text())
         body = {"base_version": 0, "layout": layout, "whole": True, "id": "first"}
-        self.wait_for("layout", lambda: ask(
-            self.http(cores[0]), "PUT", "/v1/layout", body)[0] == 200)
+        self.wait_for(
+            "layout", lambda: ask(self.http(cores[0]), "PUT", "/v1/layout", body)[0] == 200
+        )
         self.wait_ready()
 
     def wait_whole(self):
@@ -170,7 +178,8 @@
                 return False
             _, answer = ask(self.http(name), "GET", "/v1/replicas")
             return running_replicas <= {
-                r["name"] for r in answer.get("replicas", ()) if r["may_get_work"]}
+                r["name"] for r in answer.get("replicas", ()) if r["may_get_work"]
+            }
 
         for name in self.names("edge"):
             if name in self.processes:
--- a/proving/measure.py
+++ b/proving/measure.py
@@ -5,8 +5,8 @@
 
 import click
 
-from proving.points_base import Stage
-from proving.points_state import adopt
+from proving.points.base import Stage
+from proving.points.state import adopt
 
 WIDE = {"replicas": [("words", 6, 8), ("map", 4, 8)]}
 
@@ -25,13 +25,18 @@
         stage.run(4)
         nodes = stage.sim.nodes.values()
         spent = [
-            {k: n.counts.get(k, 0) - before[n.me.name].get(k, 0) for k in (
-                "beats_sent", "beat_bytes", "graph_changes")} for n in nodes]
+            {
+                k: n.counts.get(k, 0) - before[n.me.name].get(k, 0)
+                for k in ("beats_sent", "beat_bytes", "graph_changes")
+            }
+            for n in nodes
+        ]
         rows[count] = {
             "beats_a_second": round(statistics.median(s["beats_sent"] for s in spent) / 4, 1),
             "bytes_a_second": round(statistics.median(s["beat_bytes"] for s in spent) / 4),
             "bytes_a_beat": round(
-                sum(s["beat_bytes"] for s in spent) / sum(s["beats_sent"] for s in spent)),
+                sum(s["beat_bytes"] for s in spent) / sum(s["beats_sent"] for s in spent)
+            ),
             "graph_changes": sum(s["graph_changes"] for s in spent),
         }
     return rows
@@ -54,8 +59,9 @@
         node = stage.node("edge-1")
         stage.sim.cut(["edge-1"], ["store-1"])
         found.append(until(stage, lambda n=node: n.find("nifty").graph.hops("store-1") != 1))
-        rerouted.append(found[-1] + until(
-            stage, lambda n=node: n.find("nifty").graph.hops("store-1") == 2))
+        rerouted.append(
+            found[-1] + until(stage, lambda n=node: n.find("nifty").graph.hops("store-1") == 2)
+        )
         stage.run(2)
         stage.sim.heal()
         healed.append(until(stage, lambda n=node: n.find("nifty").graph.hops("store-1") == 1))
@@ -71,9 +77,16 @@
     for number in range(6):
         stage = Stage(seed + number, sizes=sizes(20))
         adopt(stage, "core-1", {"entries": {"extra": {"service": "words", "class": "traveller"}}})
-        times.append(until(stage, lambda s=stage: all(
-            n.find("layout").version == 2 for n in s.sim.nodes.values()
-            if n.me.role != "store")))
+        times.append(
+            until(
+                stage,
+                lambda s=stage: all(
+                    n.find("layout").version == 2
+                    for n in s.sim.nodes.values()
+                    if n.me.role != "store"
+                ),
+            )
+        )
     return {"nodes": 28, "median_s": statistics.median(times), "most_s": max(times)}
 
 
@@ -106,8 +119,10 @@
         quiet = stage.sim.history.counts.get("accepted_lots", 0)
         for _ in range(count):
             stage.start(stage.callers.lot("gate-notices", 5, 0.0))
-        until(stage, lambda s=stage, q=quiet, c=count: s.sim.history.counts.get(
-            "accepted_lots", 0) >= q + c)
+        until(
+            stage,
+            lambda s=stage, q=quiet, c=count: s.sim.history.counts.get("accepted_lots", 0) >= q + c,
+        )
         spent = sum(d.syncs for d in stage.sim.disks.values()) - before
         rows[label] = round(spent / count, 2)
     return rows
@@ -118,8 +133,10 @@
     rows = {}
     for label, prefixes in (("two prefixes", 2), ("forty prefixes", 40)):
         stage = Stage(seed, sizes=sizes(7))
-        entries = {f"p-{n}": {"service": "words", "class": "traveller", "prefix": f"prefix {n}"}
-                   for n in range(prefixes)}
+        entries = {
+            f"p-{n}": {"service": "words", "class": "traveller", "prefix": f"prefix {n}"}
+            for n in range(prefixes)
+        }
         adopt(stage, "core-1", {"entries": entries})
         stage.run(1)
         chance = stage.sim.chance
@@ -142,14 +159,14 @@
     for count in (1, 2, 3):
         stage = Stage(seed, sizes={"sizes": {"edge": 4, "core": 3, "store": 4}, **WIDE})
         cores = stage.sim.names("core")
-        stage.sim.cut(
-            [*stage.sim.names("edge"), *cores[count:]], [*stage.sim.names("store")])
+        stage.sim.cut([*stage.sim.names("edge"), *cores[count:]], [*stage.sim.names("store")])
         stage.run(4)
         before = {c: stage.node(c).counts.get("relayed", 0) for c in cores[:count]}
         stage.run(5)
         rows[count] = [
             round((stage.node(c).counts.get("relayed", 0) - before[c]) / 5, 1)
-            for c in cores[:count]]
+            for c in cores[:count]
+        ]
     return rows
 
 
--- /dev/null
+++ b/proving/points/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios that provoke what must never happen."""
--- a/proving/points.py
+++ b/proving/points/__main__.py
@@ -7,30 +7,8 @@
 
 import click
 
-from proving import (
-    points_cuts,
-    points_domains,
-    points_failures,
-    points_fleet,
-    points_keeping,
-    points_lots,
-    points_reading,
-    points_resume,
-    points_serving,
-    points_starts,
-    points_state,
-    points_streams,
-    points_waits,
-)
-from proving.points_base import without
-
-POINTS = [
-    *points_streams.POINTS, *points_serving.POINTS, *points_state.POINTS, *points_lots.POINTS,
-    *points_cuts.POINTS, *points_fleet.POINTS, *points_resume.POINTS,
-    *points_domains.POINTS, *points_waits.POINTS,
-    *points_starts.POINTS, *points_keeping.POINTS,
-    *points_reading.POINTS, *points_failures.POINTS,
-]
+from proving.points.base import without
+from proving.points.catalog import POINTS
 
 
 def run_point(job):
@@ -46,8 +24,12 @@
     if guards and is_both_ways:
         found_without = len(without(guards, lambda: scenario(seed))[0])
     return {
-        "point": text, "scenario": scenario.__name__, "seed": seed, "violations": violations,
-        "without_guard": found_without, "figures": figures,
+        "point": text,
+        "scenario": scenario.__name__,
+        "seed": seed,
+        "violations": violations,
+        "without_guard": found_without,
+        "figures": figures,
         "seconds": round(time.perf_counter() - start_time, 1),
     }
 
@@ -60,15 +42,24 @@
     for name, some in sorted(by_name.items()):
         failed = sorted(row["seed"] for row in some if row["violations"])
         toothless = sorted(row["seed"] for row in some if row["without_guard"] == 0)
-        click.echo(json.dumps({
-            "scenario": name, "seeds": len(some), "failed": failed, "toothless": toothless,
-            "unguarded_runs": sum(row["without_guard"] is not None for row in some)}))
+        click.echo(
+            json.dumps(
+                {
+                    "scenario": name,
+                    "seeds": len(some),
+                    "failed": failed,
+                    "toothless": toothless,
+                    "unguarded_runs": sum(row["without_guard"] is not None for row in some),
+                }
+            )
+        )
         for row in some:
             if row["violations"]:
                 click.echo(f"  seed {row['seed']}: {row['violations'][:2]}"[:400])
                 click.echo(
                     f"  replay: python -m proving.points --seed {row['seed']} --only "
-                    f"\"{row['point']}\"")
+                    f'"{row["point"]}"'
+                )
     return any(row["violations"] for row in rows)
 
 
@@ -85,8 +76,11 @@
     """
     if seeds > 1:
         jobs = [
-            (number, one, not guarded) for one in range(seed, seed + seeds)
-            for number, point in enumerate(POINTS) if only in point[0]]
+            (number, one, not guarded)
+            for one in range(seed, seed + seeds)
+            for number, point in enumerate(POINTS)
+            if only in point[0]
+        ]
         with multiprocessing.Pool(workers, maxtasksperchild=20) as pool:
             sys.exit(1 if tell_many(list(pool.imap_unordered(run_point, jobs))) else 0)
     failed = 0
--- a/proving/points_base.py
+++ b/proving/points/base.py
@@ -10,7 +10,8 @@
 from quillring.kernel.wsgi import Inquiry
 
 SMALL = {
-    "sizes": {"edge": 4, "core": 3, "store": 4}, "replicas": [("words", 4, 4), ("map", 2, 4)],
+    "sizes": {"edge": 4, "core": 3, "store": 4},
+    "replicas": [("words", 4, 4), ("map", 2, 4)],
 }
 
 
@@ -21,7 +22,8 @@
         self.sim = SimFleet(deployment, seed, sizes)
         layout = self.sim.layout
         self.sim.layout = {
-            **layout, "classes": {**layout["classes"], "once": ONCE_CLASS},
+            **layout,
+            "classes": {**layout["classes"], "once": ONCE_CLASS},
             "entries": {**layout["entries"], "once": {"service": "words", "class": "once"}},
         }
         if versions is not None:
--- a/proving/points_cuts.py
+++ b/proving/points/cuts.py
@@ -1,13 +1,9 @@
-"""Scenarios about cuts, repair, full disks and borrowed room."""
+"""Scenarios about cuts, repair and full disks."""
 
-from unittest import mock
-
-from proving.points_base import Stage, no_check
-from proving.points_state import FRESH, adopt, names_but
-from proving.sim import backends
-from quillring.duty import Duty
-from quillring.edge.dispatch import Dispatch
+from proving.points.base import Stage
+from proving.points.state import FRESH, adopt, names_but
 from quillring.nifty.graph import Graph
+from quillring.ownership import Ownership
 from quillring.quorum.hints import Hints
 from quillring.quorum.repair import Repair
 from quillring.store.slots import SlotStore
@@ -42,7 +38,9 @@
         stage.sim.history.violate(f"service did not continue: {outcomes}")
     relayed = {n.me.name: n.counts.get("relayed", 0) for n in stage.sim.nodes.values()}
     return stage.sim.history.violations, {
-        **outcomes, "relayed": {n: c for n, c in relayed.items() if c}}
+        **outcomes,
+        "relayed": {n: c for n, c in relayed.items() if c},
+    }
 
 
 def several_bridges(seed):
@@ -54,7 +52,8 @@
     outcomes = traffic(stage, 8)
     relayed = {
         n.me.name: n.counts.get("relayed", 0) - before[n.me.name]
-        for n in stage.sim.nodes.values() if n.me.role == "core"
+        for n in stage.sim.nodes.values()
+        if n.me.role == "core"
     }
     if min(relayed.values()) * 6 < max(relayed.values()):
         stage.sim.history.violate(f"relay weight is not spread: {relayed}")
@@ -106,13 +105,18 @@
     healed_at, good_at, in_arow = stage.env.now, None, 0
     for _ in range(120):
         stage.run(0.1)
-        done = sum(n for name, n in stage.outcomes().items() if name in (
-            "probe/complete", "lot/ended"))
+        done = sum(
+            n for name, n in stage.outcomes().items() if name in ("probe/complete", "lot/ended")
+        )
         stage.finish(stage.start(stage.callers.stream("wayfinding", "probe", 4)))
         lot = stage.start(stage.callers.lot("gate-notices", 1, 0.0))
         stage.finish(lot, 3)
-        good = sum(n for name, n in stage.outcomes().items() if name in (
-            "probe/complete", "lot/ended")) - done
+        good = (
+            sum(
+                n for name, n in stage.outcomes().items() if name in ("probe/complete", "lot/ended")
+            )
+            - done
+        )
         in_arow = in_arow + 1 if good >= 2 else 0
         if in_arow == 4:
             good_at = stage.env.now
@@ -127,13 +131,15 @@
 def hinted_handoff(seed):
     """A store is isolated while lots are accepted; the spare keeps its records meanwhile."""
     stage = Stage(seed)
-    group = [s[0] for s in stage.node("core-1").find("duty").group("part-1")]
+    group = [s[0] for s in stage.node("core-1").find("ownership").group("part-1")]
     stage.sim.cut([group[0]], names_but(stage, group[0]))
     stage.run(3)
     outcomes = traffic(stage, 4)
     kept = sum(
-        len(records) for n in stage.sim.up_nodes("store")
-        for records in n.find("acceptors").hints.values())
+        len(records)
+        for n in stage.sim.up_nodes("store")
+        for records in n.find("acceptors").hints.values()
+    )
     stage.sim.heal()
     stage.run(8)
     left = sum(len(n.find("acceptors").hints) for n in stage.sim.up_nodes("store"))
@@ -173,11 +179,11 @@
 def retired_store(seed):
     """An operator retires a store machine under traffic."""
     stage = Stage(seed)
-    group = [s[0] for s in stage.node("core-1").find("duty").group("part-1")]
+    group = [s[0] for s in stage.node("core-1").find("ownership").group("part-1")]
     adopt(stage, "core-1", {"stores": {group[0]: {"retired": True}}})
     outcomes = traffic(stage, 10)
-    duty = stage.node("core-1").find("duty")
-    groups = {part: [s[0] for s in duty.group(part)] for part in duty.parts()}
+    ownership = stage.node("core-1").find("ownership")
+    groups = {part: [s[0] for s in ownership.group(part)] for part in ownership.parts()}
     if any(group[0] in names or len(names) != 3 for names in groups.values()):
         stage.sim.history.violate(f"{group[0]} is still a member: {groups}")
     return stage.sim.history.violations, outcomes
@@ -190,59 +196,37 @@
     yield from REAL_TAKE(self, part, attempts)
 
 
-REAL_TAKE = Duty._take
-
-
-def undecided_room(seed):
-    """The same, but every core dies just before the travellers come, and is back 2 s later."""
-    return borrowed_room(seed, kills_cores=True)
-
-
-def borrowed_room(seed, kills_cores=False):
-    """Overnight streams fill all idle room; then travellers come and want theirs back."""
-    stage = Stage(seed)
-    stage.only_edge("edge-1")
-    with mock.patch.object(backends, "PIECE_SECONDS", 0.1):
-        for _ in range(16):
-            stage.start(stage.callers.stream("tagging", "long", 200))
-        stage.run(2)
-        used = sum(r.logic.busy for r in stage.sim.replicas.values())
-        stage.callers.record.first_pieces.clear()
-        lost_cores = stage.sim.names("core") if kills_cores else ()
-        for name in lost_cores:
-            stage.sim.kill(name)
-        for _ in range(8):
-            stage.start(stage.callers.stream("wayfinding", "short", 10))
-        stage.run(2)
-        firsts = sorted(stage.callers.record.first_pieces)
-        for name in lost_cores:
-            stage.sim.start(name)
-        stage.run(70)
-    outcomes = stage.outcomes()
-    if outcomes.get("short/complete") != 8 or outcomes.get("long/complete") != 16:
-        stage.sim.history.violate(f"room was not given back in time: {outcomes}")
-    pauses = stage.node("edge-1").counts.get("pauses", 0)
-    slots = sum(r.row["slots"] for r in stage.sim.replicas.values() if r.row["service"] == "words")
-    return stage.sim.history.violations, {
-        **outcomes, "used_of_idle": f"{used}/{slots}", "pauses": pauses,
-        "first_piece_s": [round(f, 2) for f in (firsts[0], firsts[-1])] if firsts else None}
+REAL_TAKE = Ownership._take
 
 
 POINTS = [
-    ("a partial cut with a bridge goes on serving", partial_cut,
-     [(Graph, "_bellman_ford", lambda self: {
-         name: (1, (name,)) for name in self.links.get(self.home, ())})]),
+    (
+        "a partial cut with a bridge goes on serving",
+        partial_cut,
+        [
+            (
+                Graph,
+                "_bellman_ford",
+                lambda self: {name: (1, (name,)) for name in self.links.get(self.home, ())},
+            )
+        ],
+    ),
     ("several bridges share the relaying", several_bridges, [(Graph, "next_hop", one_hop)]),
     ("a cut without a bridge is refused honestly", cut_without_bridge, FRESH),
-    ("service returns after a closing fault", closing_fault,
-     [(Duty, "_take", take_at_first_only)]),
-    ("hints are handed over and dropped", hinted_handoff, [(Hints, "_hand_over", no_script := (
-        lambda self, name: iter(())))]),
+    (
+        "service returns after a closing fault",
+        closing_fault,
+        [(Ownership, "_take", take_at_first_only)],
+    ),
+    (
+        "hints are handed over and dropped",
+        hinted_handoff,
+        [(Hints, "_hand_over", no_script := (lambda self, name: iter(())))],
+    ),
     ("full disks accept nothing", full_disks, [(SlotStore, "_write", write_nothing)]),
-    ("a retired store leaves every part", retired_store,
-     [(Repair, "is_retired", lambda self, store: False)]),
-    ("borrowed room is given back by pausing", borrowed_room,
-     [(Dispatch, "_pause_borrowers", no_check)]),
-    ("borrowed room is given back when the deciding core is lost", undecided_room,
-     [(Dispatch, "_pause_by_urgency", no_check)]),
+    (
+        "a retired store leaves every part",
+        retired_store,
+        [(Repair, "is_retired", lambda self, store: False)],
+    ),
 ]
--- a/proving/points_domains.py
+++ b/proving/points/domains.py
@@ -3,15 +3,15 @@
 from contextlib import contextmanager
 from unittest import mock
 
-from proving.points_base import Stage, no_check
-from proving.points_state import adopt
+from proving.points.base import Stage, no_check
+from proving.points.state import adopt
 from proving.sim import backends
-from quillring.duty import Duty
 from quillring.edge import Journal, short, streams
 from quillring.edge.admission import check_admission
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.errors import QuillringError
 from quillring.lots import front
 from quillring.lots.runner import LotRunner
+from quillring.ownership import Ownership
 
 
 def emptied_nodes(seed):
@@ -40,7 +40,9 @@
     if outcomes.get("lot/ended", 0) != stage.sim.history.counts.get("accepted_lots"):
         stage.sim.history.violate(f"lots did not end: {outcomes}")
     return sorted({*stage.sim.history.violations, *taken}), {
-        **outcomes, "nodes": sorted(n.me.name for n in inside)}
+        **outcomes,
+        "nodes": sorted(n.me.name for n in inside),
+    }
 
 
 @contextmanager
@@ -58,8 +60,10 @@
             taken.append(f"{self.node.me.name} started an item")
         return real_run(self, *words)
 
-    with mock.patch.object(Journal, "hold", hold), mock.patch.object(
-            LotRunner, "_run_item", run_item):
+    with (
+        mock.patch.object(Journal, "hold", hold),
+        mock.patch.object(LotRunner, "_run_item", run_item),
+    ):
         yield
 
 
@@ -69,9 +73,9 @@
             try:
                 check_admission(node)
                 stage.sim.history.violate(f"{node.me.name} takes work, emptied at {accepted_at}")
-            except Trouble:
+            except QuillringError:
                 pass
-        owned = [p for p, owner in node.find("duty").owners.items() if owner.is_owner]
+        owned = [p for p, owner in node.find("ownership").owners.items() if owner.is_owner]
         if owned:
             stage.sim.history.violate(f"{node.me.name} owns {owned}, emptied at {accepted_at}")
 
@@ -98,16 +102,23 @@
     if outcomes.get("lot/ended", 0) != accepted:
         stage.sim.history.violate(f"{accepted} lots were accepted: {outcomes}")
     return stage.sim.history.violations, {
-        **outcomes, "accepted": accepted, "resumes": stage.sim.history.counts.get("resumes", 0)}
+        **outcomes,
+        "accepted": accepted,
+        "resumes": stage.sim.history.counts.get("resumes", 0),
+    }
 
 
 def one_domain(self, name, avoided=()):
     """Stand-in for the guard: the second holder may stand in the same domain."""
     members = self.node.find("nifty").roster.members.values()
     return sorted(
-        (m.name for m in members if m.role in ("edge", "core") and m.name not in avoided
-         and m.name != self.node.me.name),
-        key=lambda n: self.node.find("nifty").roster.members[n].domain != self.node.me.domain)
+        (
+            m.name
+            for m in members
+            if m.role in ("edge", "core") and m.name not in avoided and m.name != self.node.me.name
+        ),
+        key=lambda n: self.node.find("nifty").roster.members[n].domain != self.node.me.domain,
+    )
 
 
 def never_leaving(self, name):
@@ -116,9 +127,19 @@
 
 
 POINTS = [
-    ("an emptied domain's nodes take nothing after 5 s", emptied_nodes,
-     [(Duty, "is_leaving", never_leaving), (streams, "check_admission", no_check),
-      (short, "check_admission", no_check), (front, "check_admission", no_check)]),
-    ("a domain lost with every role loses nothing", lost_domain,
-     [(Journal, "holders", one_domain)]),
+    (
+        "an emptied domain's nodes take nothing after 5 s",
+        emptied_nodes,
+        [
+            (Ownership, "is_leaving", never_leaving),
+            (streams, "check_admission", no_check),
+            (short, "check_admission", no_check),
+            (front, "check_admission", no_check),
+        ],
+    ),
+    (
+        "a domain lost with every role loses nothing",
+        lost_domain,
+        [(Journal, "holders", one_domain)],
+    ),
 ]
--- a/proving/points_failures.py
+++ b/proving/points/failures.py
@@ -1,9 +1,9 @@
 """Scenarios about machines that freeze and wake, stores that go in turn, cores that are cut."""
 
-from proving.points_base import Stage, no_check
-from proving.points_cuts import traffic
-from proving.points_serving import rerun_round
-from proving.points_state import adopt, names_but
+from proving.points.base import Stage, no_check
+from proving.points.cuts import traffic
+from proving.points.serving import rerun_round
+from proving.points.state import adopt, names_but
 from quillring.edge import Replicas, streams
 from quillring.nifty.graph import Graph
 from quillring.quorum.repair import Repair
@@ -33,7 +33,8 @@
         sim.freeze(name, frozen_seconds)
         if role == "edge":
             sim.env.timeout(frozen_seconds - 0.001).callbacks.append(
-                lambda _: stage.node(name).world.held.clear())
+                lambda _: stage.node(name).world.held.clear()
+            )
         else:
             for other in {owner_name, "edge-1"} - {name}:
                 sim.freeze(other, frozen_seconds)
@@ -89,7 +90,7 @@
     sim, callers = stage.sim, stage.callers
     stage.start(callers.generate(1.5, callers.lot, "gate-notices", 3, 0.0))
     stage.start(callers.generate(5, callers.stream, "wayfinding", "short", 10))
-    group = stage.node("core-1").find("duty").group("part-1")
+    group = stage.node("core-1").find("ownership").group("part-1")
     name = sim.chance.choice([store[0] for store in group])
     sim.cut([name], names_but(stage, name))
     stage.run(5)
@@ -99,20 +100,22 @@
     stage.run(1)
     sim.start(name)
     stage.run(12)
-    answer, trouble = adopt(stage, "core-1", {"stores": {name: {"retired": True}}})
+    answer, error = adopt(stage, "core-1", {"stores": {name: {"retired": True}}})
     stage.run(12)
     callers.stop_at = stage.env.now
     stage.run(15)
-    duty, live = stage.node("edge-1").find("duty"), {
-        n.find("acceptors").identity for n in sim.up_nodes("store")}
-    for part in duty.parts():
-        stores = duty.group(part)
+    ownership, live = (
+        stage.node("edge-1").find("ownership"),
+        {n.find("acceptors").identity for n in sim.up_nodes("store")},
+    )
+    for part in ownership.parts():
+        stores = ownership.group(part)
         is_sound = len(stores) == 3 and {s[1] for s in stores} <= live
         if not is_sound or name in [s[0] for s in stores]:
             sim.history.violate(f"{part} has the group {stores}")
     outcomes, accepted = stage.outcomes(), sim.history.counts.get("accepted_lots", 0)
     if outcomes.get("lot/ended", 0) != accepted or not answer:
-        sim.history.violate(f"accepted {accepted}, retired {answer or trouble}: {outcomes}")
+        sim.history.violate(f"accepted {accepted}, retired {answer or error}: {outcomes}")
     return sim.history.violations, {**outcomes, "store": name}
 
 
@@ -122,7 +125,7 @@
     sim = stage.sim
     for _ in range(3):
         before = sim.history.counts.get("accepted_lots", 0)
-        group = [s[0] for s in stage.node("edge-1").find("duty").group("part-1")]
+        group = [s[0] for s in stage.node("edge-1").find("ownership").group("part-1")]
         names = sim.chance.sample(group, 2)
         (slow_name,) = set(group) - set(names)
         sim.freeze(slow_name, 1.2)
@@ -173,8 +176,7 @@
             sim.history.violate(f"{phase}: {figures[phase]}")
     if figures["alone"] != 10:
         sim.history.violate(f"{figures['alone']} of 10 got an answer while the cores were off")
-    return sim.history.violations, {
-        name: figures[name] for name in ("in two", "bridge", "healed")}
+    return sim.history.violations, {name: figures[name] for name in ("in two", "bridge", "healed")}
 
 
 def never(self, store):
@@ -194,21 +196,34 @@
     yield
 
 
-DIRECT = (Graph, "_bellman_ford", lambda self: {
-    name: (1, (name,)) for name in self.links.get(self.home, ())})
+DIRECT = (
+    Graph,
+    "_bellman_ford",
+    lambda self: {name: (1, (name,)) for name in self.links.get(self.home, ())},
+)
 FRESH = [
-    (Freshness, "is_fresh", always_fresh), (streams, "check_before_sending", no_check),
+    (Freshness, "is_fresh", always_fresh),
+    (streams, "check_before_sending", no_check),
     (Replicas, "is_heard", lambda self, name: True),
 ]
 POINTS = [
     ("a woken edge does nothing of old", woken("edge"), FRESH),
     ("a woken core does nothing of old", woken("core"), []),
     ("a woken store votes for nothing of old", woken("store"), []),
-    ("a woken replica mixes nothing and runs nothing twice", woken_replica,
-     [(streams, "one_round", rerun_round)]),
-    ("a store isolated, emptied and retired leaves all whole", isolated_store,
-     [(Repair, "is_emptied", never)]),
-    ("two stores without power after a confirmation lose nothing", two_stores_power,
-     [(slots.SlotStore, "commit", accept_at_once)]),
+    (
+        "a woken replica mixes nothing and runs nothing twice",
+        woken_replica,
+        [(streams, "one_round", rerun_round)],
+    ),
+    (
+        "a store isolated, emptied and retired leaves all whole",
+        isolated_store,
+        [(Repair, "is_emptied", never)],
+    ),
+    (
+        "two stores without power after a confirmation lose nothing",
+        two_stores_power,
+        [(slots.SlotStore, "commit", accept_at_once)],
+    ),
     ("cores cut in two or off go on or refuse", core_cuts, [DIRECT]),
 ]
--- a/proving/points_fleet.py
+++ b/proving/points/fleet.py
@@ -1,7 +1,7 @@
 """Scenarios about machines that are swapped, seeds that change, founding, floods of lots."""
 
-from proving.points_base import Stage
-from proving.points_cuts import traffic
+from proving.points.base import Stage
+from proving.points.cuts import traffic
 from proving.sim.fleet import SimFleet
 from quillring.classes import Taker
 from quillring.edge.lease import Waiter
@@ -35,9 +35,9 @@
     stage.run(12)
     stage.only_edge("edge-1")
     outcomes = traffic(stage, 5)
-    duty = stage.node("edge-1").find("duty")
+    ownership = stage.node("edge-1").find("ownership")
     live = {n.find("acceptors").identity for n in stage.sim.up_nodes("store")}
-    groups = {part: [s[1] for s in duty.group(part)] for part in duty.parts()}
+    groups = {part: [s[1] for s in ownership.group(part)] for part in ownership.parts()}
     if not all(len(g) == 3 and set(g) <= live for g in groups.values()):
         stage.sim.history.violate(f"groups {groups}")
     if any(not name.endswith(("complete", "ended")) for name in outcomes):
@@ -65,8 +65,10 @@
     ]
     sim.env.run(until=12)
     fleets = {
-        n.find("acceptors").founding["fleet"] for n in sim.up_nodes("store")
-        if n.find("acceptors").founding}
+        n.find("acceptors").founding["fleet"]
+        for n in sim.up_nodes("store")
+        if n.find("acceptors").founding
+    }
     told = {answer["fleet"] for answer, _ in (task.value for task in tasks) if answer}
     if len(fleets) != 1 or told - fleets:
         sim.history.violate(f"fleets {fleets}, operators were told {told}")
@@ -98,7 +100,10 @@
     if len(firsts) < 20 or firsts[-1] > 1.5:
         stage.sim.history.violate(f"first pieces came after {firsts[-3:]}")
     return stage.sim.history.violations, {
-        **outcomes, "accepted": accepted, "slowest_first_piece_s": round(firsts[-1], 2)}
+        **outcomes,
+        "accepted": accepted,
+        "slowest_first_piece_s": round(firsts[-1], 2),
+    }
 
 
 def equal_waiter(self, promise, *words):
@@ -114,11 +119,19 @@
 REAL_WAITER = Waiter.__init__
 REAL_LEARN = Nifty.learn
 POINTS = [
-    ("swapped machines and new seeds are taken in", swapped_machines,
-     [(Nifty, "learn", learn_once)]),
-    ("two founders found one fleet", racing_founders,
-     [(Acceptors, "on_found", found_anything)]),
-    ("a flood of lots leaves urgent classes their promise", flood_of_lots,
-     [(Waiter, "__init__", equal_waiter), (Taker, "limit", no_limit),
-      (runner, "ITEMS_AT_ONCE", 400)]),
+    (
+        "swapped machines and new seeds are taken in",
+        swapped_machines,
+        [(Nifty, "learn", learn_once)],
+    ),
+    ("two founders found one fleet", racing_founders, [(Acceptors, "on_found", found_anything)]),
+    (
+        "a flood of lots leaves urgent classes their promise",
+        flood_of_lots,
+        [
+            (Waiter, "__init__", equal_waiter),
+            (Taker, "limit", no_limit),
+            (runner, "ITEMS_AT_ONCE", 400),
+        ],
+    ),
 ]
--- a/proving/points_keeping.py
+++ b/proving/points/keeping.py
@@ -2,7 +2,7 @@
 
 from unittest import mock
 
-from proving.points_base import Stage, no_check
+from proving.points.base import Stage, no_check
 from quillring.edge import claim, journal
 from quillring.lots import front, keeping
 from quillring.lots.front import release_lot, show_results, submit_lot
@@ -10,10 +10,11 @@
 
 
 def submit(stage, key, sender, items):
-    """Hand in a lot; return (answer, trouble)."""
+    """Hand in a lot; return (answer, error)."""
     body = {"entry": "gate-notices", "key": key, "items": items}
-    return stage.finish(stage.start(
-        stage.callers.ask(submit_lot, "POST", body=body, sender=sender)))
+    return stage.finish(
+        stage.start(stage.callers.ask(submit_lot, "POST", body=body, sender=sender))
+    )
 
 
 def unread_results(seed):
@@ -23,13 +24,13 @@
     with mock.patch.object(keeping, "HELD_WEIGHT", bound):
         for number in range(60):
             items = [f"unread {number} {n}" for n in range(3)]
-            answer, trouble = submit(stage, f"k{number}", "ann", items)
+            answer, error = submit(stage, f"k{number}", "ann", items)
             if answer:
                 accepted[answer["lot"]] = items
-            elif trouble.kind == "too_many_lots":
+            elif error.kind == "too_many_lots":
                 refused += 1
             else:
-                stage.sim.history.violate(f"strange refusal {trouble}")
+                stage.sim.history.violate(f"strange refusal {error}")
             stage.run(0.7)
             heaviest = max(heaviest, *(_held(n) for n in stage.sim.up_nodes("core")))
         stage.run(10)
@@ -37,34 +38,45 @@
         if not refused or heaviest > bound:
             stage.sim.history.violate(f"{refused} refused, up to {heaviest} held of {bound}")
         for lot in list(accepted)[:6]:
-            answer, trouble = stage.finish(stage.start(
-                stage.callers.ask(release_lot, "POST", {"lot": lot}, sender="eve")))
-            if answer or trouble.kind != "not_found":
-                stage.sim.history.violate(f"another sender released a lot: {answer} {trouble}")
-            stage.finish(stage.start(
-                stage.callers.ask(release_lot, "POST", {"lot": lot}, sender="ann")))
+            answer, error = stage.finish(
+                stage.start(stage.callers.ask(release_lot, "POST", {"lot": lot}, sender="eve"))
+            )
+            if answer or error.kind != "not_found":
+                stage.sim.history.violate(f"another sender released a lot: {answer} {error}")
+            stage.finish(
+                stage.start(stage.callers.ask(release_lot, "POST", {"lot": lot}, sender="ann"))
+            )
             del accepted[lot]
-        answer, trouble = submit(stage, "later", "ann", ["one more"])
+        answer, error = submit(stage, "later", "ann", ["one more"])
         if not answer:
-            stage.sim.history.violate(f"released room was not given: {trouble}")
+            stage.sim.history.violate(f"released room was not given: {error}")
         _check_all_there(stage, accepted)
     return stage.sim.history.violations, {
-        "accepted": len(accepted) + 6, "refused": refused, "most_held": heaviest}
+        "accepted": len(accepted) + 6,
+        "refused": refused,
+        "most_held": heaviest,
+    }
 
 
 def _held(node):
-    owners = node.find("duty").owners.values()
-    return max((
-        sum(node.find("keeping").weight(o.part, n, lot) for n, lot in o.state["lots"].items())
-        for o in owners if o.is_owner), default=0)
+    owners = node.find("ownership").owners.values()
+    return max(
+        (
+            sum(node.find("keeping").weight(o.part, n, lot) for n, lot in o.state["lots"].items())
+            for o in owners
+            if o.is_owner
+        ),
+        default=0,
+    )
 
 
 def _check_all_there(stage, accepted):
     for lot, items in accepted.items():
-        answer, trouble = stage.finish(stage.start(
-            stage.callers.ask(show_results, words={"lot": lot}, sender="ann")))
+        answer, error = stage.finish(
+            stage.start(stage.callers.ask(show_results, words={"lot": lot}, sender="ann"))
+        )
         if not answer or len(answer["results"]) != len(items):
-            stage.sim.history.violate(f"results of {lot} vanished: {answer} {trouble}")
+            stage.sim.history.violate(f"results of {lot} vanished: {answer} {error}")
 
 
 def same_keys(seed):
@@ -73,14 +85,14 @@
     senders = ["ann", "bob", "", "\u00fc", "ann "]
     lots = {}
     for sender in senders:
-        answer, trouble = submit(stage, "monday", sender, [f"item of {sender}"])
-        lots[sender] = answer["lot"] if answer else trouble.kind
+        answer, error = submit(stage, "monday", sender, [f"item of {sender}"])
+        lots[sender] = answer["lot"] if answer else error.kind
     again, _ = submit(stage, "monday", "ann", ["item of ann"])
-    other, trouble = submit(stage, "monday", "ann", ["another item"])
+    other, error = submit(stage, "monday", "ann", ["another item"])
     if lots.pop("") != "bad_inquiry" or len(set(lots.values())) != 4:
         stage.sim.history.violate(f"keys of several senders met: {lots}")
-    if not again or not again.get("repeated") or other or trouble.kind != "conflict":
-        stage.sim.history.violate(f"the own key: {again} {other} {trouble}")
+    if not again or not again.get("repeated") or other or error.kind != "conflict":
+        stage.sim.history.violate(f"the own key: {again} {other} {error}")
     return stage.sim.history.violations, {"lots": len(lots)}
 
 
@@ -118,7 +130,8 @@
         stage.start(stage.callers.stream("wayfinding", "crowd", 8))
     stage.run(5)
     held = sum(
-        len(n.find("journal").streams) for n in stage.sim.nodes.values() if n.find("journal"))
+        len(n.find("journal").streams) for n in stage.sim.nodes.values() if n.find("journal")
+    )
     if held:
         stage.sim.history.violate(f"{held} refused inquiries are still in journals")
     return stage.sim.history.violations, {**stage.outcomes(), "held": held}
@@ -154,10 +167,19 @@
 POINTS = [
     ("a result nobody read does not vanish", unread_results, [(Keeping, "check", no_check)]),
     ("senders' keys do not meet", same_keys, [(front, "sender_space", lambda sender: "all")]),
-    ("a stream under way is not dropped for want of room", full_journal,
-     [(journal.Journal, "_make_room", drop_oldest)]),
-    ("a piece is held twice before a resumed sender sees it", frozen_holders,
-     [(claim, "ensure_held", lambda journal, stream: iter(()))]),
-    ("what was refused leaves nothing behind", refused_crowd,
-     [(journal.Journal, "forget", no_check)]),
+    (
+        "a stream under way is not dropped for want of room",
+        full_journal,
+        [(journal.Journal, "_make_room", drop_oldest)],
+    ),
+    (
+        "a piece is held twice before a resumed sender sees it",
+        frozen_holders,
+        [(claim, "ensure_held", lambda journal, stream: iter(()))],
+    ),
+    (
+        "what was refused leaves nothing behind",
+        refused_crowd,
+        [(journal.Journal, "forget", no_check)],
+    ),
 ]
--- a/proving/points_lots.py
+++ b/proving/points/lots.py
@@ -1,10 +1,9 @@
 """Scenarios about lots, owners and stores; each returns its violations and figures."""
 
-
 from unittest import mock
 
-from proving.points_base import Stage, no_check
-from proving.points_state import CommandsWith
+from proving.points.base import Stage, no_check
+from proving.points.state import CommandsWith
 from proving.sim import backends
 from quillring.lots.runner import LotRunner
 from quillring.quorum import acceptor, commands, owner
@@ -34,11 +33,12 @@
 def domain_lost_after_accept(seed):
     """Two stores are slow; a lot is accepted; the third one's domain and disk are lost for good."""
     stage = Stage(seed)
-    group = stage.node("core-1").find("duty").group("part-1")
+    group = stage.node("core-1").find("ownership").group("part-1")
     lost_store, *slow_stores = [store[0] for store in group]
     domain = stage.node(lost_store).me.domain
     stage.callers.edge = lambda: next(
-        n for n in stage.sim.up_nodes("edge") if n.me.domain != domain)
+        n for n in stage.sim.up_nodes("edge") if n.me.domain != domain
+    )
     for name in slow_stores:
         stage.sim.freeze(name, 1.2)
     for _ in range(4):
@@ -78,8 +78,10 @@
     stage.run(30)
     takeovers = sum(n.counts.get("takeovers", 0) for n in stage.sim.nodes.values())
     outcomes = stage.outcomes()
-    if outcomes.get("lot/lost") or stage.node("core-1").find("gossip").get(
-            "owner/part-1")["owner"] is None:
+    if (
+        outcomes.get("lot/lost")
+        or stage.node("core-1").find("gossip").get("owner/part-1")["owner"] is None
+    ):
         stage.sim.history.violate(f"lots are lost: {outcomes}")
     return stage.sim.history.violations, {**outcomes, "takeovers": takeovers}
 
@@ -101,7 +103,7 @@
                     real_violate(f"result {number} of {name} changed")
             core = stage.node("core-1")
             command = {"do": "lot.result", "lot": name, "n": 0, "result": {"text": "late"}}
-            script = core.find("duty").submit(name.partition(".")[0], command)
+            script = core.find("ownership").submit(name.partition(".")[0], command)
             if known["seen"]:
                 stage.start(stage.sim.run_script(core, script))
                 known["phase"] = "open"
@@ -130,7 +132,8 @@
         stage.run(0.2)
         cancels = [
             stage.start(callers._cancel(lot, known["sender"], known["items"]))
-            for lot, known in callers.lots.items()]
+            for lot, known in callers.lots.items()
+        ]
         for task in cancels:
             stage.finish(task, 20)
         stage.run(30)
@@ -179,11 +182,11 @@
     stage.run(0.5)
     body = {"part": CONFIG, "ballot": [99, "core-9"], "identity": identity}
     call = stage.node("core-1").call("store-1", "quorum.prepare", body)
-    _, trouble = stage.finish(stage.start(stage.sim.run_script(stage.node("core-1"), call)))
-    if not isinstance(trouble, acceptor.WrongIdentity):
-        stage.sim.history.violate(f"the emptied store voted for the old one: {trouble}")
+    _, error = stage.finish(stage.start(stage.sim.run_script(stage.node("core-1"), call)))
+    if not isinstance(error, acceptor.WrongIdentity):
+        stage.sim.history.violate(f"the emptied store voted for the old one: {error}")
     stage.run(20)
-    table = stage.node("core-1").find("duty")
+    table = stage.node("core-1").find("ownership")
     groups = {part: table.group(part) for part in table.parts()}
     for part, group in groups.items():
         if len(group) != 3 or identity in [s[1] for s in group]:
@@ -193,22 +196,48 @@
 
 
 POINTS = [
-    ("power lost right after acceptance loses no lot", power_after_accept,
-     [(slots.SlotStore, "commit", accept_at_once)]),
-    ("a domain and its disk lost loses no lot", domain_lost_after_accept,
-     [(owner, "majority", lambda group: 1)]),
-    ("an owner that wakes without its fence accepts nothing", two_owners,
-     [(acceptor.Acceptors, "_check", unfenced),
-      (acceptor.Acceptors, "on_confirm", lambda self, body, origin: True),
-      (owner.Owner, "may_act", lambda self: self.is_owner),
-      (Freshness, "check", no_check)]),
-    ("a result keeps its value", noisy_results,
-     [(commands, "COMMANDS", CommandsWith("lot.result", overwrite_result))]),
-    ("an ended lot stops within 3 s", cancelled_lot,
-     [(LotRunner, "_stop_ended", no_check), (LotRunner, "_is_wanted", lambda s, o, k: True),
-      (LotRunner, "_tell_replicas", tell_nobody)]),
-    ("an ended lot stops though its runner is frozen", frozen_owner,
-     [(LotRunner, "_tell_replicas", tell_nobody)]),
-    ("an emptied store never votes for the old one", emptied_store,
-     [(acceptor.Acceptors, "_check", unfenced)]),
+    (
+        "power lost right after acceptance loses no lot",
+        power_after_accept,
+        [(slots.SlotStore, "commit", accept_at_once)],
+    ),
+    (
+        "a domain and its disk lost loses no lot",
+        domain_lost_after_accept,
+        [(owner, "majority", lambda group: 1)],
+    ),
+    (
+        "an owner that wakes without its fence accepts nothing",
+        two_owners,
+        [
+            (acceptor.Acceptors, "_check", unfenced),
+            (acceptor.Acceptors, "on_confirm", lambda self, body, origin: True),
+            (owner.Owner, "may_act", lambda self: self.is_owner),
+            (Freshness, "check", no_check),
+        ],
+    ),
+    (
+        "a result keeps its value",
+        noisy_results,
+        [(commands, "COMMANDS", CommandsWith("lot.result", overwrite_result))],
+    ),
+    (
+        "an ended lot stops within 3 s",
+        cancelled_lot,
+        [
+            (LotRunner, "_stop_ended", no_check),
+            (LotRunner, "_is_wanted", lambda s, o, k: True),
+            (LotRunner, "_tell_replicas", tell_nobody),
+        ],
+    ),
+    (
+        "an ended lot stops though its runner is frozen",
+        frozen_owner,
+        [(LotRunner, "_tell_replicas", tell_nobody)],
+    ),
+    (
+        "an emptied store never votes for the old one",
+        emptied_store,
+        [(acceptor.Acceptors, "_check", unfenced)],
+    ),
 ]
--- a/proving/points_reading.py
+++ b/proving/points/reading.py
@@ -1,11 +1,11 @@
 """Scenarios about reading what stands: results within 1 s, plans while their core dies."""
 
-from proving.points_base import Stage
-from proving.points_state import adopt
-from quillring.duty import asking
+from proving.points.base import Stage
+from proving.points.state import adopt
 from quillring.gossip import Gossip
-from quillring.kernel.troubles import TimedOut
+from quillring.kernel.errors import TimedOut
 from quillring.lots.front import show_results
+from quillring.ownership import asking
 from quillring.plans.front import confirm, propose, show_one
 from quillring.plans.runner import PlanRunner
 from quillring.quorum.parts import CONFIG
@@ -24,11 +24,11 @@
             node, start_time = chance.choice(sim.up_nodes("edge")), sim.env.now
             written = _written(stage, lot)
             inquiry = stage.inquiry("GET", {"lot": lot}, {}, None, sender)
-            answer, trouble = yield from sim.run_script(node, show_results(node, inquiry))
+            answer, error = yield from sim.run_script(node, show_results(node, inquiry))
             seconds = sim.env.now - start_time
             reads.append(seconds)
             if not answer or seconds > sim.bounds.reading:
-                late.append(f"{lot} after {seconds:.2f} s: {trouble}")
+                late.append(f"{lot} after {seconds:.2f} s: {error}")
             elif {row["n"] for row in answer["results"]} < written:
                 late.append(f"{lot} lacks results that stood before it was asked")
             slowest.append(seconds)
@@ -47,14 +47,17 @@
     for text in late[:5]:
         sim.history.violate(text)
     return sim.history.violations, {
-        "reads": len(reads), "late": len(late), "slowest_s": round(max(slowest, default=0), 2)}
+        "reads": len(reads),
+        "late": len(late),
+        "slowest_s": round(max(slowest, default=0), 2),
+    }
 
 
 def _written(stage, lot):
     """Return the numbers of the results that a live owner of the part has written."""
     part = lot.partition(".")[0]
     for node in stage.sim.up_nodes("core"):
-        owner = node.find("duty").owners.get(part)
+        owner = node.find("ownership").owners.get(part)
         if owner is not None and owner.may_act() and lot in owner.state["lots"]:
             return set(owner.state["lots"][lot]["results"])
     return set()
@@ -67,18 +70,22 @@
 
     def asked(make, method, words, body):
         for _ in range(6):
-            answer, trouble = yield from stage.callers.ask(make, method, words, body=body)
-            if answer or not isinstance(trouble, TimedOut):
+            answer, error = yield from stage.callers.ask(make, method, words, body=body)
+            if answer or not isinstance(error, TimedOut):
                 return answer
         return None
 
     domain = stage.sim.chance.choice(("north", "east", "south"))
-    plan = stage.finish(stage.start(
-        asked(propose, "POST", {}, {"kind": "empty_domain", "target": domain})))
+    plan = stage.finish(
+        stage.start(asked(propose, "POST", {}, {"kind": "empty_domain", "target": domain}))
+    )
     name = plan["plan"]
     owner_name = stage.node("edge-1").find("gossip").get(f"owner/{CONFIG}")["owner"]
-    stage.finish(stage.start(asked(confirm, "POST", {"plan": name}, {
-        "accept": ["less_room"], "id": "operator"})))
+    stage.finish(
+        stage.start(
+            asked(confirm, "POST", {"plan": name}, {"accept": ["less_room"], "id": "operator"})
+        )
+    )
     stage.run(stage.sim.chance.uniform(0, 1))
     stage.sim.kill(owner_name)
     stage.callers.stop_at = stage.env.now + 3
@@ -88,7 +95,10 @@
     if not seen or seen["phase"] != "done" or version != 2:
         stage.sim.history.violate(f"the plan is {seen and seen['phase']}, layout {version}")
     return stage.sim.history.violations, {
-        **stage.outcomes(), "phase": seen and seen["phase"], "domain": domain}
+        **stage.outcomes(),
+        "phase": seen and seen["phase"],
+        "domain": domain,
+    }
 
 
 def growing_layout(seed):
@@ -97,19 +107,29 @@
     stage.start(stage.callers.generate(6, stage.callers.stream, "wayfinding", "short", 10))
     version, slow, sizes = 1, [], [4] * 60 + [400]
     for number, count in enumerate(sizes):
-        change = {"entries": {
-            f"grown-{number}-{n}": {"service": "words", "class": "traveller", "prefix": "p" * 40}
-            for n in range(count)}}
-        answer, trouble = adopt(stage, "core-1", change, version)
+        change = {
+            "entries": {
+                f"grown-{number}-{n}": {
+                    "service": "words",
+                    "class": "traveller",
+                    "prefix": "p" * 40,
+                }
+                for n in range(count)
+            }
+        }
+        answer, error = adopt(stage, "core-1", change, version)
         if not answer:
-            stage.sim.history.violate(f"change {number} was refused: {trouble}")
+            stage.sim.history.violate(f"change {number} was refused: {error}")
             break
         version, accepted_at = answer["version"], stage.env.now
         while any(n.find("layout").version < version for n in stage.sim.nodes.values()):
             stage.run(0.02)
             if stage.env.now - accepted_at > 2:
-                behind = [n.me.name for n in stage.sim.nodes.values()
-                          if n.find("layout").version < version]
+                behind = [
+                    n.me.name
+                    for n in stage.sim.nodes.values()
+                    if n.find("layout").version < version
+                ]
                 stage.sim.history.violate(f"{behind} lack layout {version} after 2 s")
                 break
         slow.append(stage.env.now - accepted_at)
@@ -117,7 +137,10 @@
     if set(outcomes) - {"short/complete"}:
         stage.sim.history.violate(f"traffic suffered: {outcomes}")
     return stage.sim.history.violations, {
-        **outcomes, "entries": sum(sizes), "slowest_s": round(max(slow, default=0), 2)}
+        **outcomes,
+        "entries": sum(sizes),
+        "slowest_s": round(max(slow, default=0), 2),
+    }
 
 
 def never_peek(node, part, group, query):
@@ -144,9 +167,18 @@
 
 POINTS = [
     ("a result can be read within 1 s", result_read, [(asking, "peek", never_peek)]),
-    ("a plan outlives the core that runs it", plan_core_dies,
-     [(PlanRunner, "_step", first_core_only)]),
-    ("a layout that grows is everywhere within 2 s", growing_layout,
-     [(Gossip, "push_news", no_news), (Gossip, "on_digest", no_news),
-      (Freshness, "_fetch_newer", no_news)]),
+    (
+        "a plan outlives the core that runs it",
+        plan_core_dies,
+        [(PlanRunner, "_step", first_core_only)],
+    ),
+    (
+        "a layout that grows is everywhere within 2 s",
+        growing_layout,
+        [
+            (Gossip, "push_news", no_news),
+            (Gossip, "on_digest", no_news),
+            (Freshness, "_fetch_newer", no_news),
+        ],
+    ),
 ]
--- a/proving/points_resume.py
+++ b/proving/points/resume.py
@@ -4,12 +4,12 @@
 
 import cbor2
 
-from proving.points_base import Stage, no_check
+from proving.points.base import Stage, no_check
 from proving.sim.callers import Connection
 from quillring.edge import streams
 from quillring.edge.streams import resume_stream, serve_model
 from quillring.edge.tokens import LIFE_SECONDS, make_token
-from quillring.kernel.troubles import NotFound, Trouble
+from quillring.kernel.errors import NotFound, QuillringError
 from quillring.kernel.wsgi import Inquiry
 from quillring.lots import commands
 from quillring.lots.front import cancel_lot, show_lot, show_results
@@ -21,7 +21,8 @@
     body = {"entry": entry, "prompt": prompt, "max_pieces": max_pieces}
     node = stage.node(edge)
     connection = Connection(
-        stage.sim, node, serve_model(node, Inquiry("POST", {}, {}, body, sender)))
+        stage.sim, node, serve_model(node, Inquiry("POST", {}, {}, body, sender))
+    )
     return connection, stage.finish(stage.start(connection.next(10)))
 
 
@@ -42,9 +43,9 @@
 
 
 def kind_of(connection):
-    """Return the kind of trouble an exchange ended with, or None."""
-    trouble = connection.outcome[1] if connection.outcome else None
-    return trouble.kind if trouble else None
+    """Return the kind of error an exchange ended with, or None."""
+    error = connection.outcome[1] if connection.outcome else None
+    return error.kind if error else None
 
 
 def forbidden_resume(seed):
@@ -78,27 +79,31 @@
     rest = read_rest(stage, running)
     node = stage.node("edge-2")
     stream = stage.node("edge-1").find("journal").streams[head["stream"]]
-    secret = node.find("duty").founding()["secret"]
+    secret = node.find("ownership").founding()["secret"]
     chance = stage.sim.chance
     place = chance.randrange(len(head["resume"]) - 2)
     swapped = "A" if head["resume"][place] != "A" else "B"
     forged_body = cbor2.dumps([stream.name, [1, "edge-1"], 1 << 40])
     tokens = {
         "one letter changed": (
-            head["resume"][:place] + swapped + head["resume"][place + 1:], "ann"),
+            head["resume"][:place] + swapped + head["resume"][place + 1 :],
+            "ann",
+        ),
         "made by a stranger": (
-            base64.urlsafe_b64encode(b"\0" * 16 + forged_body).decode().rstrip("="), "ann"),
+            base64.urlsafe_b64encode(b"\0" * 16 + forged_body).decode().rstrip("="),
+            "ann",
+        ),
         "another sender": (head["resume"], "bob"),
         "no sender": (head["resume"], ""),
         "expired": (make_token(secret, stream, node.world.wall() - LIFE_SECONDS - 1), "ann"),
-        "cut off": (head["resume"][:chance.randrange(1, 20)], "ann"),
+        "cut off": (head["resume"][: chance.randrange(1, 20)], "ann"),
         "not ascii": ("\u00fc" * 8, "ann"),
     }
     for label, (token, sender) in tokens.items():
         connection, line = resume(stage, "edge-2", token, sender)
-        trouble = connection.outcome[1] if connection.outcome else None
-        if line is not None or trouble is None or trouble.to_json() != {"trouble": "bad_token"}:
-            stage.sim.history.violate(f"{label}: {line} {trouble}")
+        error = connection.outcome[1] if connection.outcome else None
+        if line is not None or error is None or error.to_json() != {"trouble": "bad_token"}:
+            stage.sim.history.violate(f"{label}: {line} {error}")
     good, line = resume(stage, "edge-2", head["resume"], "ann")
     again = read_rest(stage, good)
     if again != rest:
@@ -116,9 +121,10 @@
     answers = []
     for make, method in ((show_lot, "GET"), (show_results, "GET"), (cancel_lot, "DELETE")):
         for name in (lot, f"{lot}x"):
-            answer, trouble = stage.finish(stage.start(
-                callers.ask(make, method, {"lot": name}, sender="eve")))
-            answers.append(trouble.to_json() if trouble else answer)
+            answer, error = stage.finish(
+                stage.start(callers.ask(make, method, {"lot": name}, sender="eve"))
+            )
+            answers.append(error.to_json() if error else answer)
     if any(answer != {"trouble": "not_found", "field": "lot"} for answer in answers):
         stage.sim.history.violate(f"another sender's lot was told of: {answers}")
     return stage.sim.history.violations, {"asked": len(answers)}
@@ -130,7 +136,7 @@
         body = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))[16:]
         name, served_round, _ = cbor2.loads(body)
     except (ValueError, TypeError, cbor2.CBORError) as error:
-        raise Trouble() from error
+        raise QuillringError() from error
     return name, tuple(served_round)
 
 
@@ -143,10 +149,15 @@
 
 
 POINTS = [
-    ("a class that forbids resuming is not resumed", forbidden_resume,
-     [(streams, "check_resumable", no_check)]),
-    ("a strange token discloses nothing", strange_tokens,
-     [(streams, "read_token", read_any_token)]),
-    ("another sender's lot is not told of", foreign_lot,
-     [(commands, "_find_lot", find_any_lot)]),
+    (
+        "a class that forbids resuming is not resumed",
+        forbidden_resume,
+        [(streams, "check_resumable", no_check)],
+    ),
+    (
+        "a strange token discloses nothing",
+        strange_tokens,
+        [(streams, "read_token", read_any_token)],
+    ),
+    ("another sender's lot is not told of", foreign_lot, [(commands, "_find_lot", find_any_lot)]),
 ]
--- a/proving/points_serving.py
+++ b/proving/points/serving.py
@@ -1,7 +1,6 @@
 """Scenarios about replicas and inquiries; each returns its violations and figures."""
 
-
-from proving.points_base import Stage, always_hopeful, no_check
+from proving.points.base import Stage, always_hopeful, no_check
 from quillring.classes.taker import Taker
 from quillring.edge import dispatch, replicas, streams
 from quillring.rollout.freshness import Freshness
@@ -103,7 +102,8 @@
         stage.sim.history.violate(f"urgent ones lost: {outcomes}")
     early = sorted(refusal_times)[:100]
     return stage.sim.history.violations, {
-        **outcomes, "most_waiting": max(waiting),
+        **outcomes,
+        "most_waiting": max(waiting),
         "refusal_median_ms": round(1000 * early[len(early) // 2], 1) if early else None,
     }
 
@@ -156,13 +156,27 @@
 FRESH = (Freshness, "check", no_check)
 POINTS = [
     ("what may not repeat never runs twice", lost_reply, [(streams, "one_round", rerun_round)]),
-    ("nothing runs after a refusal", frozen_before_sending,
-     [(streams, "check_before_sending", no_check)]),
-    ("a leaving replica gets nothing after 2 s", replica_leaves,
-     [(replicas.Replicas, "is_usable", all_working), FRESH]),
-    ("a cold replica never gets more than it can bear", cold_replicas,
-     [(Taker, "cold_room", all_slots)]),
-    ("crowds meet bounded queues", crowd,
-     [(dispatch.Dispatch, "acquire", endless),
-      (dispatch.Dispatch, "why_hopeless", always_hopeful)]),
+    (
+        "nothing runs after a refusal",
+        frozen_before_sending,
+        [(streams, "check_before_sending", no_check)],
+    ),
+    (
+        "a leaving replica gets nothing after 2 s",
+        replica_leaves,
+        [(replicas.Replicas, "is_usable", all_working), FRESH],
+    ),
+    (
+        "a cold replica never gets more than it can bear",
+        cold_replicas,
+        [(Taker, "cold_room", all_slots)],
+    ),
+    (
+        "crowds meet bounded queues",
+        crowd,
+        [
+            (dispatch.Dispatch, "acquire", endless),
+            (dispatch.Dispatch, "why_hopeless", always_hopeful),
+        ],
+    ),
 ]
--- a/proving/points_starts.py
+++ b/proving/points/starts.py
@@ -1,8 +1,8 @@
 """Scenarios about starts: clocks set back, versions mixed, settings changed, rolling upgrades."""
 
-from proving.points_base import Stage
-from proving.points_cuts import traffic
-from proving.points_state import drain
+from proving.points.base import Stage
+from proving.points.cuts import traffic
+from proving.points.state import drain
 from quillring.nifty import Nifty, nifty
 from quillring.nifty.wire import SPOKEN
 
@@ -20,9 +20,14 @@
         stage.sim.clocks[name] = 0
         stage.sim.start(name)
     stage.run(6)
-    lost = sorted({
-        name for node in stage.sim.nodes.values() for name in names
-        if not node.find("nifty").reaches(name)})
+    lost = sorted(
+        {
+            name
+            for node in stage.sim.nodes.values()
+            for name in names
+            if not node.find("nifty").reaches(name)
+        }
+    )
     if lost:
         stage.sim.history.violate(f"{lost} are still kept out")
     stage.only_edge(names[0])
@@ -36,8 +41,13 @@
     """A fleet of the former version is upgraded one by one under traffic; a strange one knocks."""
     stage = Stage(seed, versions=FORMER)
     sim, callers = stage.sim, stage.callers
-    wrong_fleet = {"name": "edge-9", "role": "edge", "domain": "west",
-                  "address": "127.0.41.99:7400", "seeds": [sim.rows["core-1"]["address"]]}
+    wrong_fleet = {
+        "name": "edge-9",
+        "role": "edge",
+        "domain": "west",
+        "address": "127.0.41.99:7400",
+        "seeds": [sim.rows["core-1"]["address"]],
+    }
     sim.rows["edge-9"], sim.versions["edge-9"] = wrong_fleet, STRANGE
     real_edge = callers.edge
 
@@ -93,6 +103,9 @@
 
 POINTS = [
     ("a clock set back keeps no node out", clock_set_back, [(nifty, "tell_stranger", no_word)]),
-    ("two versions work together in an upgrade", mixed_versions,
-     [(Nifty, "__init__", newest_only)]),
+    (
+        "two versions work together in an upgrade",
+        mixed_versions,
+        [(Nifty, "__init__", newest_only)],
+    ),
 ]
--- a/proving/points_state.py
+++ b/proving/points/state.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from proving.points_base import Stage
+from proving.points.base import Stage
 from quillring.quorum import commands
 from quillring.quorum.parts import CONFIG
 from quillring.rollout import schema
@@ -10,18 +10,21 @@
 
 
 def adopt(stage, node_name, change, base=None, seconds=20):
-    """An operator changes the layout at a node; return (answer, trouble)."""
+    """An operator changes the layout at a node; return (answer, error)."""
     node = stage.node(node_name)
     version = node.find("layout").version if base is None else base
     command = {
-        "do": "layout.adopt", "id": f"op {node_name} {stage.env.now}", "whole": False,
-        "base_version": version, "change": change,
+        "do": "layout.adopt",
+        "id": f"op {node_name} {stage.env.now}",
+        "whole": False,
+        "base_version": version,
+        "change": change,
     }
-    script = node.find("duty").submit(CONFIG, command)
-    answer, trouble = stage.finish(stage.start(stage.sim.run_script(node, script)), seconds)
+    script = node.find("ownership").submit(CONFIG, command)
+    answer, error = stage.finish(stage.start(stage.sim.run_script(node, script)), seconds)
     if answer:
         stage.monitor.accept(answer["version"])
-    return answer, trouble
+    return answer, error
 
 
 def names_but(stage, *left):
@@ -76,21 +79,27 @@
         node = stage.node(name)
         entry = {"service": "words" if number < 2 else "none", "class": "traveller"}
         command = {
-            "do": "layout.adopt", "id": f"race {number}", "whole": False, "base_version": 1,
+            "do": "layout.adopt",
+            "id": f"race {number}",
+            "whole": False,
+            "base_version": 1,
             "change": {"entries": {f"race-{number}": entry}},
         }
-        script = node.find("duty").submit(CONFIG, command)
+        script = node.find("ownership").submit(CONFIG, command)
         tasks.append(stage.start(stage.sim.run_script(node, script)))
     outcomes = [stage.finish(task) for task in tasks]
     stage.run(3)
     won = [answer["version"] for answer, _ in outcomes if answer]
-    lost = [trouble for _, trouble in outcomes if trouble]
+    lost = [error for _, error in outcomes if error]
     layout = stage.node("edge-1").find("layout").layout
     if len(won) != 1 or "race-2" in layout["entries"]:
         stage.sim.history.violate(f"versions {won} won, entries {sorted(layout['entries'])}")
     named = [t.detail.get("winning_version") for t in lost if t.kind == "conflict"]
     return stage.sim.history.violations, {
-        "won": won, "lost": sorted(t.kind for t in lost), "named": named}
+        "won": won,
+        "lost": sorted(t.kind for t in lost),
+        "named": named,
+    }
 
 
 def planned_restart(seed):
@@ -135,7 +144,8 @@
     """Stand-in for the guard: no base version is asked for, nothing is checked."""
     layout = schema.merge(state["layout"] or schema.EMPTY, command["change"])
     return {**state, "layout": layout, "version": state["version"] + 1}, {
-        "version": state["version"] + 1}
+        "version": state["version"] + 1
+    }
 
 
 def drain_nothing(stage, node):
@@ -166,8 +176,14 @@
 POINTS = [
     ("an emptied domain gets nothing after 5 s", emptied_domain, FRESH),
     ("a layout takes effect within 2 s and none falls back", layout_everywhere, FRESH),
-    ("a losing or invalid layout never takes effect", racing_operators,
-     [(commands, "COMMANDS", CommandsWith("layout.adopt", adopt_anything))]),
-    ("no planned restart cuts an inquiry", planned_restart,
-     [(sys.modules[__name__], "drain", drain_nothing)]),
+    (
+        "a losing or invalid layout never takes effect",
+        racing_operators,
+        [(commands, "COMMANDS", CommandsWith("layout.adopt", adopt_anything))],
+    ),
+    (
+        "no planned restart cuts an inquiry",
+        planned_restart,
+        [(sys.modules[__name__], "drain", drain_nothing)],
+    ),
 ]
--- a/proving/points_streams.py
+++ b/proving/points/streams.py
@@ -4,10 +4,10 @@
 from unittest import mock
 
 from proving.callers import Answer
-from proving.points_base import Stage, no_check
+from proving.points.base import Stage, no_check
 from proving.sim import callers
 from quillring.edge import journal, streams
-from quillring.kernel.troubles import Refused, Trouble
+from quillring.kernel.errors import QuillringError, Refused
 
 STREAMS_CUT = 4
 
@@ -15,8 +15,9 @@
 def mixed_answers(seed):
     """A replica mixes in another inquiry's pieces; another one ends before the end."""
     stage = Stage(seed)
-    for number, replica in enumerate(r for r in stage.sim.replicas.values()
-                                     if r.row["service"] == "words"):
+    for number, replica in enumerate(
+        r for r in stage.sim.replicas.values() if r.row["service"] == "words"
+    ):
         replica.mixes_up, replica.breaks_off = number % 2 == 0, number == 1
     for _ in range(30):
         stage.start(stage.callers.stream("wayfinding", "short"))
@@ -39,7 +40,9 @@
     if outcomes.get("short/complete", 0) != 14:
         stage.sim.history.violate(f"conversations were dropped: {outcomes}")
     return stage.sim.history.violations, {
-        **outcomes, "resumes": stage.sim.history.counts.get("resumes", 0)}
+        **outcomes,
+        "resumes": stage.sim.history.counts.get("resumes", 0),
+    }
 
 
 def holder_dies(seed):
@@ -48,8 +51,9 @@
     stage.only_edge("edge-1")
     tasks = [stage.start(stage.callers.stream("wayfinding", "short", 100)) for _ in range(8)]
     stage.run(0.6)
-    holders = sorted({
-        s.holder for s in stage.node("edge-1").find("journal").streams.values() if s.holder})
+    holders = sorted(
+        {s.holder for s in stage.node("edge-1").find("journal").streams.values() if s.holder}
+    )
     for holder in holders[:1]:
         stage.sim.kill(holder)
     stage.run(1.2)
@@ -107,14 +111,17 @@
             answers.append(answer)
         return real_take(answer, line, record)
 
-    with mock.patch.object(Answer, "take", take), mock.patch.object(
-            callers.Connection, "_take", half_open_take):
+    with (
+        mock.patch.object(Answer, "take", take),
+        mock.patch.object(callers.Connection, "_take", half_open_take),
+    ):
         stage.only_edge("edge-1")
         for _ in range(STREAMS_CUT):
             stage.start(stage.callers.stream("wayfinding", "short", 300, drop_after=10))
         stage.run(0.55)
-        stage.sim.cut(["edge-1", "edge-3"], [
-            n for n in stage.sim.nodes if n not in ("edge-1", "edge-3")])
+        stage.sim.cut(
+            ["edge-1", "edge-3"], [n for n in stage.sim.nodes if n not in ("edge-1", "edge-3")]
+        )
         stage.only_edge("edge-2")
         stage.run(4.5)
         stage.sim.heal()
@@ -151,8 +158,9 @@
 def append_unfenced(self, body, origin):
     """Stand-in for the guard: an append of any round is taken."""
     stream = self.streams.get(body["stream"]) or journal.Stream(
-        body["stream"], body["inquiry"], body["sender"], self.node.now(), body["round"])
-    stream.pieces[body["from"]:] = body["pieces"]
+        body["stream"], body["inquiry"], body["sender"], self.node.now(), body["round"]
+    )
+    stream.pieces[body["from"] :] = body["pieces"]
     stream.ended = body["ended"]
     self.streams[stream.name] = stream
     return len(stream.pieces)
@@ -165,7 +173,7 @@
     claim_round = [next(CLAIM_ROUNDS), ""]
     calls = [(n, "journal.claim", {**question, "round": claim_round}) for n in reached]
     claims = yield from self.node.gather(calls, len(calls))
-    good = [reply for reply in claims.values() if not isinstance(reply, Trouble)]
+    good = [reply for reply in claims.values() if not isinstance(reply, QuillringError)]
     if not good:
         raise Refused(reason="the stream's holders are out of reach")
     inquiry, pieces, ended, _ = max(good, key=lambda reply: len(reply[1]))
@@ -177,15 +185,28 @@
 
 CLAIM_ROUNDS = count(9)
 POINTS = [
-    ("no answer mixed or complete when it is not", mixed_answers,
-     [(streams, "check_line", lambda line, name, count: None)]),
-    ("no conversation dropped when an edge dies", edge_dies,
-     [(journal.Journal, "keep", local_keep)]),
-    ("no conversation dropped when the second holder dies too", holder_dies,
-     [(journal.Journal, "keep", local_keep)]),
-    ("a resumed stream is run by one edge", half_open,
-     [(journal.Journal, "on_append", append_unfenced),
-      (journal.Journal, "_check_round", no_check)]),
-    ("no answer is mixed from two runs", stale_holder,
-     [(journal.Journal, "claim", claim_longest)]),
+    (
+        "no answer mixed or complete when it is not",
+        mixed_answers,
+        [(streams, "check_line", lambda line, name, count: None)],
+    ),
+    (
+        "no conversation dropped when an edge dies",
+        edge_dies,
+        [(journal.Journal, "keep", local_keep)],
+    ),
+    (
+        "no conversation dropped when the second holder dies too",
+        holder_dies,
+        [(journal.Journal, "keep", local_keep)],
+    ),
+    (
+        "a resumed stream is run by one edge",
+        half_open,
+        [
+            (journal.Journal, "on_append", append_unfenced),
+            (journal.Journal, "_check_round", no_check),
+        ],
+    ),
+    ("no answer is mixed from two runs", stale_holder, [(journal.Journal, "claim", claim_longest)]),
 ]
--- a/proving/points_waits.py
+++ b/proving/points/waits.py
@@ -1,13 +1,13 @@
 """Scenarios about waits that became hopeless: refused as soon as that can be known."""
 
-from proving.points_base import Stage, always_hopeful
-from proving.points_state import names_but
-from quillring.duty import Duty
+from proving.points.base import Stage, always_hopeful
+from proving.points.state import names_but
 from quillring.edge.dispatch import Dispatch
 from quillring.edge.streams import serve_model
 from quillring.kernel.node import Node
 from quillring.kernel.wsgi import Inquiry
 from quillring.lots.front import submit_lot
+from quillring.ownership import Ownership
 
 
 def timed_refusals(stage, make, bodies, sender="ann"):
@@ -23,8 +23,8 @@
             return True
 
         inquiry = Inquiry("POST", {}, {}, body, f"{sender}-{number}")
-        _, trouble = yield from stage.sim.run_script(node, make(node, inquiry), sink)
-        (refusals if trouble else served).append((first_at or [env.now])[0] - start_time)
+        _, error = yield from stage.sim.run_script(node, make(node, inquiry), sink)
+        (refusals if error else served).append((first_at or [env.now])[0] - start_time)
 
     for number, body in enumerate(bodies):
         stage.start(one(number, body))
@@ -51,15 +51,18 @@
     if len(served) < 95:
         stage.sim.history.violate(f"only {len(served)} were served")
     return stage.sim.history.violations, {
-        "served": len(served), "refused": len(refusals),
-        "held_over_half_the_time": len(late)}
+        "served": len(served),
+        "refused": len(refusals),
+        "held_over_half_the_time": len(late),
+    }
 
 
 def last_replica_leaves(seed):
     """Inquiries wait for room when the last replicas say that they leave."""
     stage = Stage(seed)
     refusals, served = timed_refusals(
-        stage, serve_model, [{**b, "max_pieces": 200} for b in model_bodies(60, "tagging")])
+        stage, serve_model, [{**b, "max_pieces": 200} for b in model_bodies(60, "tagging")]
+    )
     stage.run(0.3)
     left_at = stage.env.now
     for replica in stage.sim.replicas.values():
@@ -72,14 +75,17 @@
     stage.run(30)
     slow = [t for t in refusals if t > stage.env.now - left_at]
     return stage.sim.history.violations, {
-        "served": len(served), "refused": len(refusals), "slow": len(slow)}
+        "served": len(served),
+        "refused": len(refusals),
+        "slow": len(slow),
+    }
 
 
 def lost_majority(seed):
     """Two stores of a part are down; lots for it are refused at once, not after seconds."""
     stage = Stage(seed)
     chance = stage.sim.chance
-    group = [s[0] for s in stage.node("core-1").find("duty").group("part-1")]
+    group = [s[0] for s in stage.node("core-1").find("ownership").group("part-1")]
     for name in chance.sample(group, 2):
         stage.sim.kill(name)
     stage.run(3)
@@ -88,7 +94,9 @@
     stage.run(20)
     _check_fast(stage, refusals, served)
     return stage.sim.history.violations, {
-        "refused": len(refusals), "slowest_refusal_s": round(max(refusals, default=0), 3)}
+        "refused": len(refusals),
+        "slowest_refusal_s": round(max(refusals, default=0), 3),
+    }
 
 
 def lost_cores(seed):
@@ -97,7 +105,8 @@
     cores = stage.sim.names("core")
     stage.sim.cut(cores, names_but(stage, *cores))
     early, early_served = timed_refusals(
-        stage, submit_lot, [{"entry": "gate-notices", "items": ["x"]}], "early")
+        stage, submit_lot, [{"entry": "gate-notices", "items": ["x"]}], "early"
+    )
     stage.run(3)
     bodies = [{"entry": "gate-notices", "items": ["x"]} for _ in range(20)]
     refusals, served = timed_refusals(stage, submit_lot, bodies)
@@ -106,8 +115,10 @@
     if early and max(early) > stage.sim.bounds.broken + stage.sim.bounds.beat * 1.5:
         stage.sim.history.violate(f"a call to a lost core was held for {max(early):.2f} s")
     return stage.sim.history.violations, {
-        "refused": len(refusals), "slowest_refusal_s": round(max(refusals, default=0), 3),
-        "early_s": [round(t, 2) for t in early]}
+        "refused": len(refusals),
+        "slowest_refusal_s": round(max(refusals, default=0), 3),
+        "early_s": [round(t, 2) for t in early],
+    }
 
 
 def _check_fast(stage, refusals, served):
@@ -126,15 +137,25 @@
     """Stand-in for the guard: calls to lost nodes wait for their time to pass."""
 
 
-
-
-
 POINTS = [
-    ("a queue that can't be kept is refused at once", hopeless_queue,
-     [(Dispatch, "why_hopeless", always_hopeful)]),
-    ("a wait ends when the last replica leaves", last_replica_leaves,
-     [(Dispatch, "why_hopeless", always_hopeful)]),
-    ("a lost majority is refused at once", lost_majority, [(Duty, "why_hopeless", never_lost)]),
-    ("lost cores are refused at once", lost_cores,
-     [(Duty, "why_hopeless", never_lost), (Node, "on_graph", keep_pending)]),
+    (
+        "a queue that can't be kept is refused at once",
+        hopeless_queue,
+        [(Dispatch, "why_hopeless", always_hopeful)],
+    ),
+    (
+        "a wait ends when the last replica leaves",
+        last_replica_leaves,
+        [(Dispatch, "why_hopeless", always_hopeful)],
+    ),
+    (
+        "a lost majority is refused at once",
+        lost_majority,
+        [(Ownership, "why_hopeless", never_lost)],
+    ),
+    (
+        "lost cores are refused at once",
+        lost_cores,
+        [(Ownership, "why_hopeless", never_lost), (Node, "on_graph", keep_pending)],
+    ),
 ]
--- a/proving/quorum_fuzz.py
+++ b/proving/quorum_fuzz.py
@@ -8,7 +8,7 @@
 
 from proving.sim.fleet import SimFleet
 from proving.sim.monitor import Monitor
-from quillring.kernel.troubles import DiskTrouble
+from quillring.kernel.errors import DiskError
 from quillring.quorum.parts import CONFIG
 
 SIZES = {"sizes": {"edge": 1, "core": 3, "store": 6}, "replicas": []}
@@ -36,9 +36,14 @@
                 continue
             self.number += 1
             name = f"{part}.{self.number}"
-            command = {"do": "lot.accept", "lot": name, "sender": "s", "entry": "none",
-                       "items": [name]}
-            script = self.chance.choice(cores).find("duty").submit(part, command, 3)
+            command = {
+                "do": "lot.accept",
+                "lot": name,
+                "sender": "s",
+                "entry": "none",
+                "items": [name],
+            }
+            script = self.chance.choice(cores).find("ownership").submit(part, command, 3)
             env.process(self._submit(script, part, name))
 
     def _submit(self, script, part, name):
@@ -86,8 +91,8 @@
         try:
             if self.sim.nodes[name].world.is_dead:
                 self.sim.start(name)
-        except DiskTrouble as trouble:
-            self.sim.history.violate(f"{name} does not start: {trouble}")
+        except DiskError as error:
+            self.sim.history.violate(f"{name} does not start: {error}")
 
     def _heal(self):
         yield self.sim.env.timeout(self.chance.uniform(0.3, 3))
@@ -105,12 +110,15 @@
                     continue
                 node = self.chance.choice(cores)
                 command = {
-                    "do": "layout.adopt", "id": f"{store} {sim.env.now}", "whole": False,
+                    "do": "layout.adopt",
+                    "id": f"{store} {sim.env.now}",
+                    "whole": False,
                     "base_version": node.find("layout").version,
                     "change": {"stores": {store: row}},
                 }
                 answer, _ = yield from sim.run_script(
-                    node, node.find("duty").submit(CONFIG, command, 3))
+                    node, node.find("ownership").submit(CONFIG, command, 3)
+                )
                 if answer:
                     self.monitor.accept(answer["version"])
                 yield sim.env.timeout(self.chance.uniform(1, 6))
@@ -131,26 +139,32 @@
                 sim.start(name)
         sim.env.run(until=END_AT)
         self._check()
-        counts = {name: sum(n.counts.get(name, 0) for n in sim.nodes.values())
-                  for name in ("takeovers", "group_changes", "installs", "hints_sent")}
+        counts = {
+            name: sum(n.counts.get(name, 0) for n in sim.nodes.values())
+            for name in ("takeovers", "group_changes", "installs", "hints_sent")
+        }
         return sim.history.violations, {
-            **counts, "acked": sum(len(names) for names in self.acked.values())}
+            **counts,
+            "acked": sum(len(names) for names in self.acked.values()),
+        }
 
     def _check(self):
         sim = self.sim
-        duty = sim.nodes["core-1"].find("duty")
+        ownership = sim.nodes["core-1"].find("ownership")
         for part, names in self.acked.items():
             owners = [
-                n.find("duty").owners[part] for n in sim.up_nodes("core")
-                if part in n.find("duty").owners and n.find("duty").owners[part].may_act()]
+                n.find("ownership").owners[part]
+                for n in sim.up_nodes("core")
+                if part in n.find("ownership").owners and n.find("ownership").owners[part].may_act()
+            ]
             if len(owners) != 1:
                 sim.history.violate(f"{part} has {len(owners)} owners in the end")
                 continue
             lost = sorted(set(names) - set(owners[0].state["lots"]))
             if lost:
                 sim.history.violate(f"{part} lost {len(lost)} of {len(names)}: {lost[:3]}")
-            if len(duty.group(part)) != 3:
-                sim.history.violate(f"{part} has the group {duty.group(part)}")
+            if len(ownership.group(part)) != 3:
+                sim.history.violate(f"{part} has the group {ownership.group(part)}")
 
 
 def run_one(seed):
--- a/proving/reference.py
+++ b/proving/reference.py
@@ -23,9 +23,10 @@
     if "const" in schema:
         return f"`{schema['const']}`"
     limits = [
-        f"{word} {schema[key]}" for key, word in (
-            ("minimum", "from"), ("exclusiveMinimum", "over"), ("maximum", "to"))
-        if key in schema]
+        f"{word} {schema[key]}"
+        for key, word in (("minimum", "from"), ("exclusiveMinimum", "over"), ("maximum", "to"))
+        if key in schema
+    ]
     types = schema.get("type", "")
     return " ".join([types if isinstance(types, str) else " or ".join(types), *limits])
 
@@ -44,9 +45,16 @@
 
 def reference():
     """Return the text of the reference."""
-    lines = ["# Settings and layout", "", "Made by `python -m proving.reference` from the schemas.",
-             "", "## Settings of a process", "", "| field | type | needed | what |",
-             "|---|---|---|---|"]
+    lines = [
+        "# Settings and layout",
+        "",
+        "Made by `python -m proving.reference` from the schemas.",
+        "",
+        "## Settings of a process",
+        "",
+        "| field | type | needed | what |",
+        "|---|---|---|---|",
+    ]
     for name, schema in SETTINGS["properties"].items():
         needed = "yes" if name in SETTINGS["required"] else ""
         lines.append(f"| `{name}` | {type_of(schema)} | {needed} | {schema['description']} |")
@@ -64,7 +72,8 @@
             lines += [
                 f"| `{name}` | {type_of(field)} | "
                 f"{'yes' if name in row.get('required', ()) else ''} |"
-                for name, field in row["properties"].items()]
+                for name, field in row["properties"].items()
+            ]
             lines.append("")
     return "\n".join(lines)
 
--- /dev/null
+++ b/proving/scale/__init__.py
@@ -0,0 +1,1 @@
+"""What a node costs against the number of members."""
--- a/proving/scale.py
+++ b/proving/scale/__main__.py
@@ -7,8 +7,8 @@
 
 import click
 
-from proving.scale_fit import fit, plot
-from proving.scale_runs import SCENARIOS, run_size
+from proving.scale.fit import fit, plot
+from proving.scale.runs import SCENARIOS, run_size
 
 NAMES = [scenario.__name__ for scenario in SCENARIOS]
 
@@ -38,8 +38,13 @@
 @click.option("--output", help="Path without suffix for the JSON and the plot.")
 def main(sizes, replicas, entries, only, seconds, news, warm, seed, workers, limit, output):
     """Run hollow nodes in memory and print what one of them spent."""
-    common = {"only": [w for w in only.split(",") if w], "seconds": seconds, "news": news,
-              "warm": warm, "seed": seed}
+    common = {
+        "only": [w for w in only.split(",") if w],
+        "seconds": seconds,
+        "news": news,
+        "warm": warm,
+        "seed": seed,
+    }
     jobs = [
         *({"size": size, **common} for size in numbers(sizes)),
         *({"size": 16, "replicas": count, **common} for count in numbers(replicas)),
--- a/proving/scale_fleet.py
+++ b/proving/scale/fleet.py
@@ -7,14 +7,13 @@
 
 import simpy
 
+from proving.scale.members import ZONES, carry_seconds, hollow_layout, hollow_members
 from proving.sim.net import SimNet
 from proving.sim.world import SimWorld
 from quillring.fleet import make_node
 from quillring.kernel.bounds import Bounds
-from quillring.nifty import Member
 from quillring.nifty.graph import Graph
 
-ZONES = 20
 COUNTED = ("makings", "beats_sent", "beat_bytes", "frames", "frame_bytes")
 REPLICA_BEAT_SECONDS = 0.4
 FIRST_START = 1_800_000_000_000_000
@@ -47,17 +46,26 @@
         self.entries = entries
         self.replicas = replicas
         self.starts = 0
-        self.groups = {"config": [
-            [m.name, m.identity, m.domain] for m in self.members if m.role == "store"][:3]}
+        self.groups = {
+            "config": [[m.name, m.identity, m.domain] for m in self.members if m.role == "store"][
+                :3
+            ]
+        }
 
     def start(self, member):
         """Start one hollow node, some moment within a tenth of a beat."""
         self.starts += 1
         world = HollowWorld(
-            self.env, self.net, None, member.address, f"{self.seed} {member.name} {self.starts}",
-            self.faults)
+            self.env,
+            self.net,
+            None,
+            member.address,
+            f"{self.seed} {member.name} {self.starts}",
+            self.faults,
+        )
         node = world.node = make_node(
-            member.restarted(FIRST_START + self.starts), world, self.seeds, self.bounds)
+            member.restarted(FIRST_START + self.starts), world, self.seeds, self.bounds
+        )
         nifty = node.find("nifty")
         if member.role == "store":
             nifty.stamp_source = lambda: [[1, "core-0000"], self.index, member.identity]
@@ -82,7 +90,8 @@
         for node in self.nodes.values():
             for member in known:
                 node.find("gossip").put(
-                    f"member/{member.name}", [member.incarnation], member.to_list())
+                    f"member/{member.name}", [member.incarnation], member.to_list()
+                )
             node.find("gossip").fresh = {}
         node = self.nodes[self.members[0].name]
         node.find("gossip").put("founding", [1], {"groups": self.groups})
@@ -97,16 +106,27 @@
             sequence += 1
             node = self.nodes[self.chance.choice(names)]
             if not node.world.is_dead:
-                node.find("replicas").on_beat({
-                    "name": f"words-{number}", "service": f"words-{number % 36}",
-                    "domain": f"zone-{number % ZONES}", "address": f"10.9.0.1:{9000 + number}",
-                    "slots": 8, "state": "ready", "incarnation": 1, "sequence": sequence})
+                node.find("replicas").on_beat(
+                    {
+                        "name": f"words-{number}",
+                        "service": f"words-{number % 36}",
+                        "domain": f"zone-{number % ZONES}",
+                        "address": f"10.9.0.1:{9000 + number}",
+                        "slots": 8,
+                        "state": "ready",
+                        "incarnation": 1,
+                        "sequence": sequence,
+                    }
+                )
             yield self.env.timeout(REPLICA_BEAT_SECONDS)
 
     def config_state(self):
         """Return the state of the config part at the present index."""
-        return {"version": self.index, "group": self.groups["config"],
-                "layout": hollow_layout(self.entries, self.index)}
+        return {
+            "version": self.index,
+            "group": self.groups["config"],
+            "layout": hollow_layout(self.entries, self.index),
+        }
 
     def change_layout(self):
         """Commit a further layout at the stores; a core makes it news."""
@@ -133,7 +153,8 @@
         live_names = {node.me.name for node in self.live()}
         return sum(
             sum(node.find("nifty").graph.hops(name) != 1 for name in live_names - {node.me.name})
-            for node in self.live())
+            for node in self.live()
+        )
 
     def stale_layouts(self):
         """Return how many live nodes hold another layout than the newest."""
@@ -143,7 +164,9 @@
         """Return the counted work of all nodes up to now."""
         return {
             name: sum(node.counts.get(name, 0) for node in self.nodes.values())
-            for name in COUNTED if name != "makings"}
+            for name in COUNTED
+            if name != "makings"
+        }
 
     def spend(self, seconds):
         """Let simulated time pass; return the counted work and processor time of a live node."""
@@ -164,46 +187,8 @@
         count = len(self.live())
         work = {name: (now - before[name]) / count for name, now in self.counts().items()}
         return {
-            "seconds": seconds, "makings": round(len(makings) / count, 3),
+            "seconds": seconds,
+            "makings": round(len(makings) / count, 3),
             **{name: round(value, 1) for name, value in work.items()},
             "cpu_ms": round(spent * 1000 / count, 3),
         }
-
-
-def hollow_members(size):
-    """Yield the members of a fleet: 53 control machines of 1,100, of which a third are cores."""
-    control = max(6, round(size * 53 / 1100))
-    for number in range(size):
-        role = "edge" if number >= control else "core" if number % 3 == 0 else "store"
-        name = f"{role}-{number:04d}"
-        yield Member(
-            name, 1, role, f"zone-{number % ZONES:02d}",
-            f"10.1.{number // 250}.{number % 250 + 1}", 7400, 8400,
-            f"{name}.0123456789ab" if role == "store" else "")
-
-
-def hollow_layout(entries, number):
-    """Return a layout with so many entries; each number gives another one."""
-    return {
-        "classes": {"chat": {"first_piece_ms": 1500 + number, "time_left_ms": 20_000,
-                             "urgency": 8, "share": 0.5, "queue": 64}},
-        "services": {f"words-{n}": {"kind": "model", "warm_up_ms": 4000, "stall_ms": 2000}
-                     for n in range(min(36, entries))},
-        "entries": {f"entry-{n}": {"service": f"words-{n % 36}", "class": "chat",
-                                   "prefix": f"You help the callers of tenant {n}. "}
-                    for n in range(entries)},
-        "domains": {f"zone-{n:02d}": {"emptied": False} for n in range(ZONES)},
-    }
-
-
-def carry_seconds(known=[]):  # noqa: B006
-    """Return the processor time the simulated network itself takes to carry one packet."""
-    if not known:
-        env = simpy.Environment()
-        net = SimNet(env, random.Random(1))
-        start_time = time.process_time()
-        for _ in range(20_000):
-            net.carry(("a", 1), ("b", 1), b"", "datagram")
-        env.run()
-        known.append((time.process_time() - start_time) / 20_000)
-    return known[0]
--- a/proving/scale_loopback.py
+++ b/proving/scale/loopback.py
@@ -12,8 +12,8 @@
 from proving.callers import ask
 from proving.localfleet import LocalFleet
 from proving.overhead import cpu_seconds
-from proving.scale_fleet import FIRST_START
-from proving.scale_runs import process_bytes
+from proving.scale.fleet import FIRST_START
+from proving.scale.runs import process_bytes
 from quillring.fleet import make_node
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.gevent_world import GeventWorld
@@ -35,15 +35,19 @@
         out_file = open(self.run_folder / f"{name}.out", "ab")
         words = ["-c", PROGRAM, self.settings[name]["role"]]
         self.processes[name] = subprocess.Popen(
-            [sys.executable, *words, "--settings", str(path)], stdout=out_file, stderr=out_file,
-            start_new_session=True)
+            [sys.executable, *words, "--settings", str(path)],
+            stdout=out_file,
+            stderr=out_file,
+            start_new_session=True,
+        )
 
 
 def start_hollow(number, seeds, faults):
     """Start a hollow node on loopback; return it."""
     address = (f"127.0.{44 + number // 250}.{number % 250 + 1}", 7400)
     me = Member(
-        f"edge-h{number:04d}", FIRST_START + number, "edge", ZONES[number % 4], *address, 8400, "")
+        f"edge-h{number:04d}", FIRST_START + number, "edge", ZONES[number % 4], *address, 8400, ""
+    )
     world = GeventWorld(faults.append, 1.0)
     node = make_node(me, world, seeds, Bounds())
     nifty = node.find("nifty")
@@ -68,7 +72,9 @@
         name: {
             "core_share": round((cpu_seconds(process.pid) - before[name]) / spent, 4),
             "rss_mb": round(process_bytes(process.pid) / 1e6, 1),
-        } for name, process in fleet.processes.items()}
+        }
+        for name, process in fleet.processes.items()
+    }
 
 
 @click.command()
@@ -91,8 +97,7 @@
         _, answer = ask(fleet.http("edge-1"), "GET", "/v1/members")
         hops = [member["hops"] for member in answer["members"]]
         rows["direct_links_of_edge_1"] = hops.count(1)
-        rows["hollow_links"] = sum(
-            node.find("nifty").graph.hops("edge-1") == 1 for node in nodes)
+        rows["hollow_links"] = sum(node.find("nifty").graph.hops("edge-1") == 1 for node in nodes)
     finally:
         fleet.stop_all()
     click.echo(json.dumps({"hollow": hollow, "rows": rows, "faults": len(faults)}))
--- a/proving/scale_runs.py
+++ b/proving/scale/runs.py
@@ -3,7 +3,7 @@
 import gc
 import pathlib
 
-from proving.scale_fleet import HollowFleet
+from proving.scale.fleet import HollowFleet
 from quillring.kernel.bounds import Bounds
 
 SETTLE_LIMIT = 8
@@ -81,5 +81,12 @@
             rows[scenario.__name__] = scenario(fleet, span)
     memory = (rss_bytes() - before) / size
     rows["memory"] = {"bytes_a_node": round(memory)}
-    return {"size": size, "replicas": replicas, "entries": entries, "news": news, "warm": warm,
-            "rows": rows, "faults": len(fleet.faults)}
+    return {
+        "size": size,
+        "replicas": replicas,
+        "entries": entries,
+        "news": news,
+        "warm": warm,
+        "rows": rows,
+        "faults": len(fleet.faults),
+    }
--- a/proving/scripted.py
+++ b/proving/scripted.py
@@ -3,7 +3,7 @@
 import random
 
 from quillring.kernel.effects import Emit, NextHead, NextPart, SendOn, Sleep, Wait
-from quillring.kernel.troubles import BackendTrouble, NotSent
+from quillring.kernel.errors import BackendError, NotSent
 
 SILENT, BREAK, END = "silent", "break", None
 
@@ -25,12 +25,12 @@
         if what is SILENT or left > seconds:
             self.waited += seconds
             self.world.time += seconds
-            raise BackendTrouble(reason="stall")
+            raise BackendError(reason="stall")
         self.world.time += max(0, left)
         self.waited = 0
         self.steps.pop(0)
         if what is BREAK:
-            raise BackendTrouble(reason="broken off")
+            raise BackendError(reason="broken off")
         return what
 
     def close(self):
@@ -67,18 +67,18 @@
     datagram = frame
 
     def run(self, script):
-        """Run the script to its end; return its value or raise its trouble."""
-        value, trouble = None, None
+        """Run the script to its end; return its value or raise its error."""
+        value, error = None, None
         while True:
             try:
-                effect = script.throw(trouble) if trouble else script.send(value)
+                effect = script.throw(error) if error else script.send(value)
             except StopIteration as stop:
                 return stop.value
-            value, trouble = None, None
+            value, error = None, None
             try:
                 value = self.perform(effect)
-            except BackendTrouble as raised_trouble:
-                trouble = raised_trouble
+            except BackendError as raised_error:
+                error = raised_error
 
     def perform(self, effect):
         """Bring about one effect."""
--- a/proving/sim/backends.py
+++ b/proving/sim/backends.py
@@ -4,7 +4,7 @@
 
 from proving.standin_logic import StandIn, piece_count, piece_text, seat_word, tile_word
 from quillring.kernel.effects import Signal
-from quillring.kernel.troubles import BackendTrouble, NotSent, Trouble
+from quillring.kernel.errors import BackendError, NotSent, QuillringError
 
 PIECE_SECONDS = 0.03
 
@@ -63,7 +63,10 @@
             return
         self.sequence += 1
         body = self.logic.beat(
-            self.row["service"], self.row["domain"], self.row["address"], self.sequence,
+            self.row["service"],
+            self.row["domain"],
+            self.row["address"],
+            self.sequence,
         )
         nodes = [n for n in self.sim.nodes.values() if self.sim.is_up(n)]
         self.sim.chance.shuffle(nodes)
@@ -71,7 +74,7 @@
             if self.sim.net.passes(self.address, node.me.address):
                 try:
                     node.find("replicas").on_beat(body)
-                except Trouble:
+                except QuillringError:
                     continue
                 return
 
@@ -109,7 +112,7 @@
         end_time = self.sim.env.now + max(0, seconds)
         while replica.is_frozen:
             if self.sim.env.now >= end_time:
-                raise BackendTrouble(reason="time")
+                raise BackendError(reason="time")
             yield self.sim.env.timeout(0.05)
 
     def _start(self, replica, name, prefix, work, words):
@@ -139,7 +142,7 @@
         replica.logic.finish()
         if replica.is_dead or replica.is_dark:
             yield self.sim.env.timeout(0 if replica.is_dead else max(0, effect.seconds))
-            raise BackendTrouble(reason="broken off")
+            raise BackendError(reason="broken off")
         if effect.body:
             return 200, {"inquiry": name, "confirmed": seat_word(work, effect.body["seat"])}
         return 200, {"inquiry": name, "tile": tile_word(path)}
@@ -200,4 +203,4 @@
             return handle.lines.pop(0)
         if handle.is_closed:
             return None
-        raise BackendTrouble(reason="stall")
+        raise BackendError(reason="stall")
--- a/proving/sim/callers.py
+++ b/proving/sim/callers.py
@@ -5,7 +5,7 @@
 from quillring.edge.short import serve_seat, serve_tile
 from quillring.edge.streams import resume_stream, serve_model
 from quillring.kernel.effects import Signal
-from quillring.kernel.troubles import Refused, Trouble
+from quillring.kernel.errors import QuillringError, Refused
 from quillring.kernel.wsgi import Inquiry
 from quillring.lots.front import cancel_lot, show_results, submit_lot
 
@@ -68,26 +68,27 @@
     def edge(self):
         """Return a running edge, as the platform hands connections to live nodes."""
         edges = [
-            self.sim.nodes[name] for name in self.sim.names("edge")
+            self.sim.nodes[name]
+            for name in self.sim.names("edge")
             if name in self.sim.nodes and not self.sim.nodes[name].world.is_dead
         ]
         return self.sim.chance.choice(edges) if edges else None
 
     def ask(self, make, method="GET", words=None, query=None, body=None, sender="s"):
-        """Process: one exchange that ends in one answer; return (answer, trouble)."""
+        """Process: one exchange that ends in one answer; return (answer, error)."""
         node = self.edge()
         if node is None:
-            return None, Trouble(reason="no edge")
+            return None, QuillringError(reason="no edge")
         inquiry = Inquiry(method, words or {}, query or {}, body, sender)
         try:
             script = make(node, inquiry)
-        except Trouble as trouble:
-            return None, trouble
+        except QuillringError as error:
+            return None, error
         connection = Connection(self.sim, node, script)
         yield from connection.next(PATIENCE)
         connection.is_open = False
-        answer, trouble = connection.outcome or (None, None)
-        return answer, trouble or (None if answer else Trouble(reason="no answer"))
+        answer, error = connection.outcome or (None, None)
+        return answer, error or (None if answer else QuillringError(reason="no answer"))
 
     def _name(self, kind):
         self.number += 1
@@ -121,7 +122,8 @@
         if answer.token is None:
             body = {"entry": entry, "prompt": answer.prompt, "max_pieces": answer.max_pieces}
             return Connection(
-                self.sim, node, serve_model(node, Inquiry("POST", {}, {}, body, sender)))
+                self.sim, node, serve_model(node, Inquiry("POST", {}, {}, body, sender))
+            )
         query = {"after": [str(len(answer.pieces))]}
         inquiry = Inquiry("GET", {"token": answer.token}, query, None, sender)
         return Connection(self.sim, node, resume_stream(node, inquiry))
@@ -140,14 +142,14 @@
         connection.is_open = False
 
     def _judge(self, connection, answer, is_single):
-        trouble = connection.outcome[1] if connection.outcome else None
+        error = connection.outcome[1] if connection.outcome else None
         if answer.outcome not in (None, "complete") and answer.token and not is_single:
             answer.outcome = None
-        if answer.outcome is None and trouble is not None:
-            is_final = answer.token is None or trouble.kind in ("not_found", "bad_token")
-            if isinstance(trouble, Refused) and answer.token is None:
+        if answer.outcome is None and error is not None:
+            is_final = answer.token is None or error.kind in ("not_found", "bad_token")
+            if isinstance(error, Refused) and answer.token is None:
                 self.history.refused(answer.prompt)
-            answer.outcome = trouble.kind if is_final else None
+            answer.outcome = error.kind if is_final else None
         if answer.outcome is None and is_single:
             answer.outcome = "lost_contact"
         if answer.outcome is None and answer.token is None:
@@ -157,23 +159,23 @@
         """Process: one tile."""
         words = {"entry": entry, "zoom": "12", "column": str(self.number), "row": "7"}
         self.number += 1
-        answer, trouble = yield from self.ask(serve_tile, words=words)
+        answer, error = yield from self.ask(serve_tile, words=words)
         if answer and answer["tile"] != tile_word(f"/v1/tiles/12/{words['column']}/7"):
             self.history.violate("wrong tile")
-        self.record.note("tile", trouble.kind if trouble else "complete")
+        self.record.note("tile", error.kind if error else "complete")
 
     def seat(self, entry):
         """Process: one seat confirmation, repeated under its key."""
         key = self._name("seat")
         body = {"entry": entry, "key": key, "seat": "4a"}
         for _ in range(4):
-            answer, trouble = yield from self.ask(serve_seat, "POST", body=body)
+            answer, error = yield from self.ask(serve_seat, "POST", body=body)
             if answer:
                 if answer["confirmed"] != seat_word(key, "4a"):
                     self.history.violate(f"wrong confirmation of {key}")
                 break
             yield self.sim.env.timeout(0.3)
-        self.record.note("seat", trouble.kind if trouble else "complete")
+        self.record.note("seat", error.kind if error else "complete")
 
     def lot(self, entry, size=5, cancel_share=0.2):
         """Process: submit a lot under a key, then read it until it ends, or cancel it."""
@@ -181,12 +183,12 @@
         items = [f"{key} item {n}" for n in range(size)]
         body = {"entry": entry, "key": key, "items": items}
         for _ in range(8):
-            answer, trouble = yield from self.ask(submit_lot, "POST", body=body, sender=key)
+            answer, error = yield from self.ask(submit_lot, "POST", body=body, sender=key)
             if answer:
                 break
             yield self.sim.env.timeout(0.5)
         if not answer:
-            self.record.note("lot", trouble.kind)
+            self.record.note("lot", error.kind)
             return
         self.history.count("accepted_lots")
         self.lots[answer["lot"]] = {"items": items, "sender": key, "seen": {}, "phase": "open"}
@@ -207,10 +209,11 @@
     def read_lot(self, lot):
         """Process: read all results of a lot once and check them."""
         known = self.lots[lot]
-        answer, trouble = yield from self.ask(
-            show_results, words={"lot": lot}, sender=known["sender"])
-        if trouble is not None:
-            if trouble.kind == "not_found":
+        answer, error = yield from self.ask(
+            show_results, words={"lot": lot}, sender=known["sender"]
+        )
+        if error is not None:
+            if error.kind == "not_found":
                 self.history.violate(f"accepted lot {lot} is lost")
                 known["phase"] = "lost"
             return
@@ -218,7 +221,8 @@
         for number, text in rows.items():
             prompt = known["items"][number]
             right_text = "".join(
-                piece_text(prompt, n) for n in range(1, piece_count(prompt, 64) + 1))
+                piece_text(prompt, n) for n in range(1, piece_count(prompt, 64) + 1)
+            )
             if text != right_text:
                 self.history.violate(f"wrong result {number} of {lot}: {text}")
         if set(known["seen"]) - set(rows):
--- a/proving/sim/chaos.py
+++ b/proving/sim/chaos.py
@@ -1,7 +1,7 @@
 """Random faults from a seed: every kind the brief names, healed in the end."""
 
 from proving.sim.operators import Operators
-from quillring.kernel.troubles import DiskTrouble
+from quillring.kernel.errors import DiskError
 
 
 class Chaos(Operators):
@@ -12,11 +12,28 @@
         self.monitor = monitor
         self.disks_lost = 0
         self.kinds = [
-            self.kill_edge, self.kill_core, self.kill_store, self.power_store, self.freeze_any,
-            self.cut_pair, self.cut_partial, self.cut_one_way, self.isolate_store, self.lossy,
-            self.kill_replica, self.dark_replica, self.leave_replica, self.full_disk,
-            self.race_operators, self.empty_domain, self.flap, self.split_whole,
-            self.bad_layout, self.isolate_core, self.lose_domain, self.lose_disk,
+            self.kill_edge,
+            self.kill_core,
+            self.kill_store,
+            self.power_store,
+            self.freeze_any,
+            self.cut_pair,
+            self.cut_partial,
+            self.cut_one_way,
+            self.isolate_store,
+            self.lossy,
+            self.kill_replica,
+            self.dark_replica,
+            self.leave_replica,
+            self.full_disk,
+            self.race_operators,
+            self.empty_domain,
+            self.flap,
+            self.split_whole,
+            self.bad_layout,
+            self.isolate_core,
+            self.lose_domain,
+            self.lose_disk,
         ]
 
     def run(self, start_time, end_time, count):
@@ -51,7 +68,7 @@
             try:
                 if self.sim.nodes[name].world.is_dead:
                     self.sim.start(name)
-            except DiskTrouble:
+            except DiskError:
                 self.sim.history.count("starts refused by a full disk")
 
     def _kill(self, role, **options):
@@ -90,7 +107,8 @@
         """All nodes of a domain die at once and come back."""
         domain = self.sim.chance.choice(["north", "east", "south", "west"])
         names = [
-            n.me.name for n in self.sim.nodes.values()
+            n.me.name
+            for n in self.sim.nodes.values()
             if n.me.domain == domain and not n.world.is_dead
         ]
         self.sim.history.mark(f"domain {domain} lost")
@@ -124,7 +142,7 @@
         names = sorted(self.sim.nodes)
         self.sim.chance.shuffle(names)
         third = len(names) // 3
-        yield from self._cut_for(names[:third], names[third:2 * third])
+        yield from self._cut_for(names[:third], names[third : 2 * third])
 
     def cut_one_way(self):
         """One direction is lost."""
--- a/proving/sim/disk.py
+++ b/proving/sim/disk.py
@@ -1,6 +1,6 @@
 """A simulated disk: what was not synced is dropped when the power goes."""
 
-from quillring.kernel.troubles import DiskTrouble
+from quillring.kernel.errors import DiskError
 
 
 class SimDisk:
@@ -22,7 +22,7 @@
 
     def _check_room(self, name):
         if self.is_full:
-            raise DiskTrouble(file=name, reason="no space left")
+            raise DiskError(file=name, reason="no space left")
 
     def write(self, name, data):
         """Write and sync a whole file."""
@@ -55,7 +55,8 @@
         if torn:
             log_name = max(
                 (n for n in self.durable if n.startswith("log")),
-                key=lambda n: len(self.durable[n]), default=None,
+                key=lambda n: len(self.durable[n]),
+                default=None,
             )
             if log_name is not None:
                 self.durable[log_name] += torn
--- a/proving/sim/fleet.py
+++ b/proving/sim/fleet.py
@@ -55,8 +55,7 @@
     def up_nodes(self, role):
         """Return the running nodes of a role."""
         return [
-            node for name, node in self.nodes.items()
-            if node.me.role == role and self.is_up(node)
+            node for name, node in self.nodes.items() if node.me.role == role and self.is_up(node)
         ]
 
     def start(self, name):
@@ -65,7 +64,11 @@
         self.starts += 1
         address = split_address(row["address"])
         world = SimWorld(
-            self.env, self.net, self.backends, address, f"{self.seed} {name} {self.starts}",
+            self.env,
+            self.net,
+            self.backends,
+            address,
+            f"{self.seed} {name} {self.starts}",
             self.faults,
         )
         acceptors = None
@@ -73,12 +76,18 @@
             disk = self.disks.setdefault(name, SimDisk(random.Random(f"{self.seed} {name}")))
             acceptors = open_store(disk, name, lambda: f"{self.starts:04d}")
         me = Member(
-            name, self.clocks.get(name, 100) + self.starts, row["role"], row["domain"], *address,
-            8400, acceptors.identity if acceptors else "",
+            name,
+            self.clocks.get(name, 100) + self.starts,
+            row["role"],
+            row["domain"],
+            *address,
+            8400,
+            acceptors.identity if acceptors else "",
         )
         seeds = [split_address(seed) for seed in row["seeds"]]
         node = make_node(
-            me, world, seeds, self.bounds, self._logger(name), self.versions.get(name, SPOKEN))
+            me, world, seeds, self.bounds, self._logger(name), self.versions.get(name, SPOKEN)
+        )
         start_node(node, acceptors)
         world.listen(node.find("nifty").on_datagram, node.find("nifty").on_frame)
         self.nodes[name] = node
@@ -88,6 +97,7 @@
         def log(level, text, *fields):
             if level == "error":
                 self.history.violate(f"{name}: {text % fields}")
+
         return log
 
     def kill(self, name, loses_power=False):
@@ -142,32 +152,38 @@
             self.start_replica(name)
 
     def run_script(self, node, script, sink=None):
-        """Process: run a script on a node; return (its value, None) or (None, its trouble)."""
-        from quillring.kernel.troubles import Trouble
+        """Process: run a script on a node; return (its value, None) or (None, its error)."""
+        from quillring.kernel.errors import QuillringError
+
         try:
             value = yield from node.world.drive(script, sink)
-        except Trouble as trouble:
-            return None, trouble
+        except QuillringError as error:
+            return None, error
         return value, None
 
     def found(self):
         """Process: found the fleet and adopt the example layout."""
         from quillring.quorum.founding import found_fleet
         from quillring.quorum.parts import CONFIG
+
         while True:
             yield self.env.timeout(0.5)
             node = self.nodes[self.names("core")[0]]
-            _, trouble = yield from self.run_script(node, found_fleet(node, 2))
-            if trouble is None:
+            _, error = yield from self.run_script(node, found_fleet(node, 2))
+            if error is None:
                 break
         command = {
-            "do": "layout.adopt", "id": "first", "base_version": 0, "change": self.layout,
+            "do": "layout.adopt",
+            "id": "first",
+            "base_version": 0,
+            "change": self.layout,
             "whole": True,
         }
         while True:
-            answer, trouble = yield from self.run_script(
-                node, node.find("duty").submit(CONFIG, command))
-            if trouble is None:
+            answer, error = yield from self.run_script(
+                node, node.find("ownership").submit(CONFIG, command)
+            )
+            if error is None:
                 break
             yield self.env.timeout(0.3)
         self.history.mark(f"founded, layout {answer}")
--- a/proving/sim/operators.py
+++ b/proving/sim/operators.py
@@ -1,6 +1,6 @@
 """Operators of a simulated run: they change layouts, race, hand in invalid ones."""
 
-from quillring.kernel.troubles import Conflict
+from quillring.kernel.errors import Conflict
 from quillring.quorum.parts import CONFIG
 
 
@@ -8,23 +8,37 @@
     """What operators do at random times; `sim` and `monitor` come from the heir."""
 
     def adopt(self, change, label):
-        """Process: an operator changes the layout; return (answer, trouble)."""
+        """Process: an operator changes the layout; return (answer, error)."""
         sim = self.sim
         node = sim.chance.choice(sim.up_nodes("core") or sim.up_nodes("edge"))
         command = {
-            "do": "layout.adopt", "id": f"{label} {sim.env.now}", "whole": False,
-            "base_version": node.find("layout").version, "change": change,
+            "do": "layout.adopt",
+            "id": f"{label} {sim.env.now}",
+            "whole": False,
+            "base_version": node.find("layout").version,
+            "change": change,
         }
-        answer, trouble = yield from sim.run_script(node, node.find("duty").submit(CONFIG, command))
+        answer, error = yield from sim.run_script(
+            node, node.find("ownership").submit(CONFIG, command)
+        )
         if answer:
             self.monitor.accept(answer["version"])
-        return answer, trouble
+        return answer, error
 
     def race_operators(self):
         """Two operators change the layout at once."""
-        changes = [{"classes": {}, "entries": {f"extra-{i}": {
-            "service": "words", "class": next(iter(self.sim.layout["classes"])),
-        }}} for i in (1, 2)]
+        changes = [
+            {
+                "classes": {},
+                "entries": {
+                    f"extra-{i}": {
+                        "service": "words",
+                        "class": next(iter(self.sim.layout["classes"])),
+                    }
+                },
+            }
+            for i in (1, 2)
+        ]
         tasks = [self.sim.env.process(self.adopt(c, f"op{i}")) for i, c in enumerate(changes)]
         outcomes = yield self.sim.env.all_of(tasks)
         answers = [answer for answer, _ in outcomes.values() if answer]
@@ -44,15 +58,14 @@
     def empty_domain(self):
         """A domain is emptied and refilled; also when it is not known whether it was emptied."""
         domain = self.sim.chance.choice(["north", "east", "south", "west"])
-        answer, trouble = yield from self.adopt({"domains": {domain: {"emptied": True}}}, "empty")
-        self.sim.history.mark(f"empty {domain}: {'accepted' if answer else trouble}")
+        answer, error = yield from self.adopt({"domains": {domain: {"emptied": True}}}, "empty")
+        self.sim.history.mark(f"empty {domain}: {'accepted' if answer else error}")
         if answer:
             self.sim.history.emptied.setdefault(domain, self.sim.env.now)
         yield self.sim.env.timeout(self.sim.chance.uniform(6, 10))
         self.sim.history.emptied.pop(domain, None)
         for _ in range(20):
-            answer, _ = yield from self.adopt(
-                {"domains": {domain: {"emptied": False}}}, "fill")
+            answer, _ = yield from self.adopt({"domains": {domain: {"emptied": False}}}, "fill")
             if answer:
                 self.sim.history.emptied.pop(domain, None)
                 return
--- a/proving/sim/run.py
+++ b/proving/sim/run.py
@@ -7,8 +7,12 @@
 
 HEAL_AT, BACK_WITHIN, LAST_LOOK = 40.0, 12.0, 45.0
 ONCE_CLASS = {
-    "first_piece_ms": 1500, "time_left_ms": 15_000, "urgency": 5, "share": 0.0,
-    "resumable": False, "repeatable": False,
+    "first_piece_ms": 1500,
+    "time_left_ms": 15_000,
+    "urgency": 5,
+    "share": 0.0,
+    "resumable": False,
+    "repeatable": False,
 }
 SMALL = {"sizes": {"edge": 4, "core": 3, "store": 4}}
 
@@ -17,7 +21,8 @@
     """Return a fleet that is being founded, with one class that may not repeat."""
     sim = SimFleet(deployment, seed, sizes)
     sim.layout = {
-        **sim.layout, "classes": {**sim.layout["classes"], "once": ONCE_CLASS},
+        **sim.layout,
+        "classes": {**sim.layout["classes"], "once": ONCE_CLASS},
         "entries": {**sim.layout["entries"], "once": {"service": "words", "class": "once"}},
     }
     sim.start_all()
@@ -54,7 +59,8 @@
         yield sim.env.process(callers.stream(entry, "probe"))
         sim.env.process(callers.lot(lots, 2, 0.0))
     outcomes = {
-        o: n - before.get((k, o), 0) for (k, o), n in callers.record.outcomes.items()
+        o: n - before.get((k, o), 0)
+        for (k, o), n in callers.record.outcomes.items()
         if k == "probe"
     }
     if outcomes.get("complete") != 6:
@@ -64,9 +70,9 @@
 def check_groups(sim):
     """In the end every part has three live members in three domains, with one state."""
     identities = {node.find("acceptors").identity for node in sim.up_nodes("store")}
-    duty = sim.up_nodes("core")[0].find("duty")
-    for part in duty.parts():
-        group = duty.group(part)
+    ownership = sim.up_nodes("core")[0].find("ownership")
+    for part in ownership.parts():
+        group = ownership.group(part)
         if len(group) != 3 or len({s[2] for s in group}) != 3:
             sim.history.violate(f"{part} has the group {group}")
         if not {s[1] for s in group} <= identities:
--- a/proving/sim/world.py
+++ b/proving/sim/world.py
@@ -3,11 +3,11 @@
 import random
 
 from quillring.kernel.effects import Emit, Fetch, Next, Open, Sleep, Wait
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.errors import QuillringError
 
 
 class ScriptFailure(Exception):
-    """A script ended in something that is no trouble: a fault of the program."""
+    """A script ended in something that is no error: a fault of the program."""
 
 
 class SimWorld:
@@ -92,8 +92,8 @@
     def _guard(self, script):
         try:
             return (yield from self.drive(script))
-        except Trouble as trouble:
-            self.faults.append(("trouble", str(trouble)))
+        except QuillringError as error:
+            self.faults.append(("trouble", str(error)))
         except ScriptFailure:
             raise
         except Exception as error:
@@ -101,7 +101,7 @@
 
     def drive(self, script, sink=None):
         """Run a script; lines it emits go to the sink, which may refuse them."""
-        value, trouble = None, None
+        value, error = None, None
         while True:
             while self.thaw_event is not None:
                 yield self.thaw_event
@@ -109,10 +109,10 @@
                 script.close()
                 return None
             try:
-                effect = script.throw(trouble) if trouble else script.send(value)
+                effect = script.throw(error) if error else script.send(value)
             except StopIteration as stop:
                 return stop.value
-            value, trouble = None, None
+            value, error = None, None
             if isinstance(effect, Emit):
                 if not sink(effect.line):
                     script.close()
@@ -120,8 +120,8 @@
                 continue
             try:
                 value = yield from self.perform(effect)
-            except Trouble as raised_trouble:
-                trouble = raised_trouble
+            except QuillringError as raised_error:
+                error = raised_error
 
     def perform(self, effect):
         """Bring about one effect."""
--- a/proving/standin.py
+++ b/proving/standin.py
@@ -12,9 +12,9 @@
 from proving.standin_logic import StandIn, piece_count, piece_text, seat_word, tile_word
 from quillring.kernel import backend
 from quillring.kernel.effects import Fetch
+from quillring.kernel.errors import QuillringError
 from quillring.kernel.http_server import start_server
 from quillring.kernel.settings import split_address
-from quillring.kernel.troubles import Trouble
 
 PIECE_SECONDS = 0.004
 BEAT_SECONDS = 0.4
@@ -23,8 +23,9 @@
 def answer(start_response, body, status="200 OK"):
     """Send one JSON body."""
     data = json.dumps(body).encode()
-    start_response(status, [
-        ("Content-Type", "application/json"), ("Content-Length", str(len(data)))])
+    start_response(
+        status, [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+    )
     return [data]
 
 
@@ -41,10 +42,13 @@
         body = environ["wsgi.input"].read()
         if path == "/state":
             kept = ("busy", "state", "hits", "misses", "overloads", "late_starts")
-            return answer(start_response, {
-                **{name: getattr(self.stand_in, name) for name in kept},
-                "ran": len(self.stand_in.ran),
-            })
+            return answer(
+                start_response,
+                {
+                    **{name: getattr(self.stand_in, name) for name in kept},
+                    "ran": len(self.stand_in.ran),
+                },
+            )
         fields = json.loads(body) if body else {}
         words = dict(parse_qsl(query))
         name = fields.get("inquiry") or words.get("inquiry", "")
@@ -77,13 +81,20 @@
                 gevent.sleep(PIECE_SECONDS)
                 if any(fields["inquiry"].startswith(prefix) for prefix in self.stopped):
                     return
-                yield json.dumps({
-                    "inquiry": fields["inquiry"], "n": number,
-                    "piece": piece_text(fields["prompt"], number),
-                }).encode() + b"\n"
-            yield json.dumps(
-                {"inquiry": fields["inquiry"], "end": True, "pieces": count}
-            ).encode() + b"\n"
+                yield (
+                    json.dumps(
+                        {
+                            "inquiry": fields["inquiry"],
+                            "n": number,
+                            "piece": piece_text(fields["prompt"], number),
+                        }
+                    ).encode()
+                    + b"\n"
+                )
+            yield (
+                json.dumps({"inquiry": fields["inquiry"], "end": True, "pieces": count}).encode()
+                + b"\n"
+            )
         finally:
             self.stand_in.finish()
 
@@ -112,12 +123,18 @@
         body = stand_in.beat(service, domain, address, sequence)
         for _ in range(len(nodes)):
             try:
-                backend.fetch(Fetch(
-                    split_address(nodes[turn % len(nodes)]), "POST", "/v1/replicas/beats", body,
-                    1, True,
-                ))
+                backend.fetch(
+                    Fetch(
+                        split_address(nodes[turn % len(nodes)]),
+                        "POST",
+                        "/v1/replicas/beats",
+                        body,
+                        1,
+                        True,
+                    )
+                )
                 return
-            except Trouble:
+            except QuillringError:
                 turn += 1
 
     while not stop_event.is_set():
--- a/proving/standin_logic.py
+++ b/proving/standin_logic.py
@@ -89,7 +89,13 @@
     def beat(self, service, domain, address, sequence):
         """Return the body of a beat."""
         return {
-            "name": self.name, "service": service, "domain": domain, "address": address,
-            "slots": self.slots, "busy": self.busy, "state": self.state,
-            "incarnation": self.incarnation, "sequence": sequence,
+            "name": self.name,
+            "service": service,
+            "domain": domain,
+            "address": address,
+            "slots": self.slots,
+            "busy": self.busy,
+            "state": self.state,
+            "incarnation": self.incarnation,
+            "sequence": sequence,
         }
--- a/proving/storm.py
+++ b/proving/storm.py
@@ -120,10 +120,18 @@
     def run(self, seconds, period):
         """Bring about a fault in every period."""
         faults = [
-            lambda: self.kill("edge"), lambda: self.kill("core"), lambda: self.kill("store"),
-            lambda: self.freeze("edge"), lambda: self.freeze("core"),
-            lambda: self.freeze("store"), self.cut, self.cut, self.replica,
-            self.empty, self.lose_domain, self.full,
+            lambda: self.kill("edge"),
+            lambda: self.kill("core"),
+            lambda: self.kill("store"),
+            lambda: self.freeze("edge"),
+            lambda: self.freeze("core"),
+            lambda: self.freeze("store"),
+            self.cut,
+            self.cut,
+            self.replica,
+            self.empty,
+            self.lose_domain,
+            self.full,
         ]
         end_time, running = time.monotonic() + seconds, []
         while time.monotonic() < end_time:
@@ -145,10 +153,13 @@
     try:
         fleet.start_all()
         fleet.found()
-        gevent.joinall([
-            gevent.spawn(run_traffic, fleet, MIXES[name], seconds + 5, seed, record),
-            gevent.spawn(storm.run, seconds, period),
-        ], raise_error=True)
+        gevent.joinall(
+            [
+                gevent.spawn(run_traffic, fleet, MIXES[name], seconds + 5, seed, record),
+                gevent.spawn(storm.run, seconds, period),
+            ],
+            raise_error=True,
+        )
         fleet.wait_ready()
         fleet.wait_whole()
         closing_fault(fleet, record, storm.note)
--- a/proving/sweep.py
+++ b/proving/sweep.py
@@ -28,8 +28,13 @@
     gc.enable()
     gc.collect()
     return {
-        "deployment": deployment, "seed": seed, "violations": violations, "marks": marks,
-        "outcomes": outcomes, "counts": counts, "seconds": time.perf_counter() - start_time,
+        "deployment": deployment,
+        "seed": seed,
+        "violations": violations,
+        "marks": marks,
+        "outcomes": outcomes,
+        "counts": counts,
+        "seconds": time.perf_counter() - start_time,
     }
 
 
@@ -62,7 +67,8 @@
             if result["counts"].get("dropped"):
                 click.echo(
                     f"{result['deployment']} seed {result['seed']} dropped conversations: "
-                    f"{[m for m in result['marks'] if 'dropped' in m]}")
+                    f"{[m for m in result['marks'] if 'dropped' in m]}"
+                )
             if result["violations"]:
                 failed += 1
                 click.echo(f"{result['deployment']} seed {result['seed']} failed:")
@@ -71,10 +77,17 @@
                 click.echo(f"  replay: {replay_command(result, faults, small)}")
             if verbose:
                 click.echo("\n".join(result["marks"]))
-    click.echo(json.dumps({
-        "runs": len(jobs), "failed": failed, "outcomes": dict(sorted(outcomes.items())),
-        "counts": dict(sorted(counts.items())),
-    }, indent=1))
+    click.echo(
+        json.dumps(
+            {
+                "runs": len(jobs),
+                "failed": failed,
+                "outcomes": dict(sorted(outcomes.items())),
+                "counts": dict(sorted(counts.items())),
+            },
+            indent=1,
+        )
+    )
     sys.exit(1 if failed else 0)
 
 
--- a/proving/traces.py
+++ b/proving/traces.py
@@ -6,11 +6,11 @@
 import cbor2
 import click
 
-from proving.points_base import Stage
-from proving.points_state import names_but
+from proving.points.base import Stage
+from proving.points.state import names_but
 from proving.quorum_fuzz import Fuzz
+from quillring.kernel.errors import QuillringError
 from quillring.kernel.node import Node
-from quillring.kernel.troubles import Trouble
 from quillring.nifty import Member, Nifty
 from quillring.quorum import Acceptors
 
@@ -50,6 +50,7 @@
             if len(calls) < LIMIT and not fuzz.sim.nodes[name].world.is_dead:
                 calls.append([verb, cbor2.loads(cbor2.dumps(body)), part_digests(acceptors)])
             return handler(body, origin)
+
         return on_call
 
     Acceptors.attach = attach
@@ -58,14 +59,19 @@
     finally:
         Acceptors.attach = real_attach
     *played, (_, _, held) = calls
-    return {"seed": seed, "store": name, "calls": [call[:2] for call in played], "held": held,
-            "identity": played[0][1]["identity"]}
+    return {
+        "seed": seed,
+        "store": name,
+        "calls": [call[:2] for call in played],
+        "held": held,
+        "identity": played[0][1]["identity"],
+    }
 
 
 class InstantSlots:
     """Slots that are durable at once."""
 
-    trouble = None
+    error = None
     is_idle = True
 
     def commit(self, records):
@@ -84,7 +90,7 @@
         try:
             for _ in getattr(acceptors, f"on_{verb}")(body, "trace") or ():
                 pass
-        except (Trouble, TypeError):
+        except (QuillringError, TypeError):
             continue
     return part_digests(acceptors)
 
@@ -125,8 +131,13 @@
         stage.run(3)
     finally:
         Nifty.send_beats = real_beats
-    return {"me": node.me.to_list(), "members": before, "sequence": sequence, "taken": taken,
-            "view": view()}
+    return {
+        "me": node.me.to_list(),
+        "members": before,
+        "sequence": sequence,
+        "taken": taken,
+        "view": view(),
+    }
 
 
 class TraceWorld:
--- a/quillring/classes/granter.py
+++ b/quillring/classes/granter.py
@@ -1,7 +1,7 @@
 """The deciding core of a service: grants class room to takers, and cold replicas' slots."""
 
 from quillring.classes.shares import divide, ramp, split
-from quillring.kernel.troubles import NotOwner
+from quillring.kernel.errors import NotOwner
 from quillring.nifty.graph import score
 from quillring.quorum.parts import part_of
 
@@ -29,7 +29,7 @@
         self.node = node
         self.asked = {}
         self.owned_since = {}
-        node.find("duty").on_owner.append(self._on_owner)
+        node.find("ownership").on_owner.append(self._on_owner)
         node.handle("grants.ask", self.on_ask)
 
     @property
@@ -47,9 +47,9 @@
     def on_ask(self, body, origin):
         """Grant a taker its class limits and cold slots for one service."""
         service = body["service"]
-        duty = self.node.find("duty")
-        part = part_of(service, len(duty.parts()) - 1)
-        owner = duty.owners.get(part)
+        ownership = self.node.find("ownership")
+        part = part_of(service, len(ownership.parts()) - 1)
+        owner = ownership.owners.get(part)
         if owner is None or not owner.may_act():
             raise NotOwner(part=part)
         now = self.node.now()
@@ -67,11 +67,13 @@
         replicas = self.node.find("replicas").working(service)
         room = sum(self.bearable(replica) for replica in replicas)
         takers = {
-            name: asked.demands for (s, name), asked in self.asked.items()
+            name: asked.demands
+            for (s, name), asked in self.asked.items()
             if s == service and now - asked.at < self.node.bounds.news / 2
         }
         class_names = sorted(
-            {c for demands in takers.values() for c in demands} & set(layout["classes"]))
+            {c for demands in takers.values() for c in demands} & set(layout["classes"])
+        )
         demands = {c: sum(d.get(c, 0) for d in takers.values()) for c in class_names}
         granted = divide(room, layout["classes"], demands)
         idle_part = max(0, room - sum(granted.values())) // max(1, len(takers))
@@ -97,7 +99,8 @@
         if owned_for < self.lease:
             return {r.name: held[r.name] for r in cold_replicas if held.get(r.name)}
         takers = {
-            name: asked for (s, name), asked in self.asked.items()
+            name: asked
+            for (s, name), asked in self.asked.items()
             if s == service and asked.cold_until > now
         }
         slots = {}
@@ -105,11 +108,12 @@
             elsewhere = sum(
                 asked.cold.get(replica.name, 0) for n, asked in takers.items() if n != taker
             )
-            wanted = split(self.bearable(replica), {
-                name: sum(asked.demands.values()) + 1 for name, asked in takers.items()
-            })[taker]
+            wanted = split(
+                self.bearable(replica),
+                {name: sum(asked.demands.values()) + 1 for name, asked in takers.items()},
+            )[taker]
             ranked_takers = sorted(takers, key=lambda n: score(replica.name, n), reverse=True)
             if self.bearable(replica) < len(takers):
-                wanted = int(taker in ranked_takers[:self.bearable(replica)])
+                wanted = int(taker in ranked_takers[: self.bearable(replica)])
             slots[replica.name] = max(0, min(wanted, self.bearable(replica) - elsewhere))
         return {name: count for name, count in slots.items() if count}
--- a/quillring/classes/shares.py
+++ b/quillring/classes/shares.py
@@ -29,7 +29,7 @@
     exact = {name: amount * demand / total for name, demand in demands.items()}
     parts = {name: math.floor(value) for name, value in exact.items()}
     by_remainder = sorted(exact, key=lambda n: (parts[n] - exact[n], n))
-    for name in by_remainder[:amount - sum(parts.values())]:
+    for name in by_remainder[: amount - sum(parts.values())]:
         parts[name] += 1
     return parts
 
--- a/quillring/classes/taker.py
+++ b/quillring/classes/taker.py
@@ -1,7 +1,7 @@
 """An edge's or lot runner's side of the grants: asks, holds limits, tells who must pause."""
 
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import NotFounded, Trouble
+from quillring.kernel.errors import NotFounded, QuillringError
 from quillring.quorum.parts import part_of
 
 ASKS_A_BEAT = 4
@@ -35,9 +35,9 @@
                     self.node.spawn(self._ask(service))
 
     def _ask(self, service):
-        duty, dispatch = self.node.find("duty"), self.node.find("dispatch")
+        ownership, dispatch = self.node.find("ownership"), self.node.find("dispatch")
         try:
-            part = part_of(service, len(duty.parts()) - 1)
+            part = part_of(service, len(ownership.parts()) - 1)
         except NotFounded:
             return
         news = self.node.find("gossip").get(f"owner/{part}")
@@ -45,13 +45,15 @@
             return
         ask_time = self.node.now()
         body = {
-            "service": service, "demands": dispatch.demands(service),
+            "service": service,
+            "demands": dispatch.demands(service),
             "cold": self._held_cold(service),
         }
         try:
             grant = yield from self.node.call(
-                news["owner"], "grants.ask", body, self.node.bounds.beat)
-        except Trouble:
+                news["owner"], "grants.ask", body, self.node.bounds.beat
+            )
+        except QuillringError:
             return
         self.limits = {**self.limits, service: grant["limits"]}
         self.limits_until = {**self.limits_until, service: ask_time + self.node.bounds.news * 2}
@@ -65,7 +67,8 @@
         replicas = [r for r in self.node.find("replicas").table.values() if r.state == "cold"]
         held = {
             r.name: max(r.in_flight, granted.get(r.name, 0))
-            for r in replicas if r.service == service
+            for r in replicas
+            if r.service == service
         }
         return {name: count for name, count in held.items() if count}
 
--- a/quillring/edge/admission.py
+++ b/quillring/edge/admission.py
@@ -1,6 +1,6 @@
 """Whether this node may take new work at all: the same rule for every kind of inquiry."""
 
-from quillring.kernel.troubles import Refused
+from quillring.kernel.errors import Refused
 
 
 def check_open(node):
--- a/quillring/edge/claim.py
+++ b/quillring/edge/claim.py
@@ -1,14 +1,14 @@
 """Claiming a stream: the newest copy is found, its former round fenced, a second copy ensured."""
 
 from quillring.edge.stream import Stream
-from quillring.kernel.troubles import NotFound, Refused, Trouble
+from quillring.kernel.errors import NotFound, QuillringError, Refused
 
 
 def claim_stream(journal, name, sender, served_round, check):
     """Script: find a stream wherever it is held, fence its former round, run it here.
 
     It is given back once a second node holds all of it: what a former runner could not hand
-    on before its trouble was never seen, and may not be seen before it is held twice.
+    on before its error was never seen, and may not be seen before it is held twice.
 
     `check(found)` may refuse before anything is fenced.
 
@@ -21,7 +21,7 @@
     found = yield from journal.node.gather(
         [(n, "journal.find", question) for n in names], len(names)
     )
-    holders = {n: reply for n, reply in found.items() if not isinstance(reply, Trouble)}
+    holders = {n: reply for n, reply in found.items() if not isinstance(reply, QuillringError)}
     if not holders:
         missed = any(not isinstance(reply, NotFound) for reply in found.values())
         if missed or len(names) < len(journal.keepers()):
@@ -34,8 +34,9 @@
         len(holders),
     )
     good_claims = {
-        holder: reply for holder, reply in claims.items()
-        if not isinstance(reply, Trouble) and tuple(reply[3]) >= served_round
+        holder: reply
+        for holder, reply in claims.items()
+        if not isinstance(reply, QuillringError) and tuple(reply[3]) >= served_round
     }
     if not good_claims:
         raise Refused(reason="the stream's newest holders are out of reach")
--- a/quillring/edge/dispatch.py
+++ b/quillring/edge/dispatch.py
@@ -5,7 +5,7 @@
 from quillring.edge.lease import Lease, Waiter
 from quillring.edge.pace import Pace
 from quillring.kernel.effects import Sleep, Wait
-from quillring.kernel.troubles import Refused
+from quillring.kernel.errors import Refused
 from quillring.nifty.graph import score
 
 SPILL = 0.75
@@ -52,13 +52,26 @@
         return counts
 
     def acquire(
-        self, service_name, class_name, promise, prefix, end_time, avoided=(), is_paused=False,
+        self,
+        service_name,
+        class_name,
+        promise,
+        prefix,
+        end_time,
+        avoided=(),
+        is_paused=False,
         may_pause=False,
     ):
         """Script: return a lease, or refuse at once when waiting is hopeless or over."""
         self.order += 1
         waiter = Waiter(
-            promise, self.order, service_name, prefix, avoided, class_name, may_pause,
+            promise,
+            self.order,
+            service_name,
+            prefix,
+            avoided,
+            class_name,
+            may_pause,
             end_time,
         )
         chosen_replica = None if self._is_outranked(waiter) else self._choose(waiter)
@@ -71,7 +84,8 @@
         if not is_paused and queued >= promise.get("queue", DEFAULT_QUEUE):
             self.node.count("queue_refusals")
             raise Refused(
-                reason="queue full", class_name=class_name,
+                reason="queue full",
+                class_name=class_name,
                 come_back_s=max(self.node.bounds.news, promise["first_piece_ms"] / 1000),
             )
         self.waiting.append(waiter)
@@ -101,7 +115,8 @@
         seconds = self.pace.expected_wait(waiter, self.waiting, self.leases, limit, slots)
         if seconds is not None and self.node.now() + seconds > waiter.end_time:
             return Refused(
-                reason="no room in time", class_name=waiter.class_name,
+                reason="no room in time",
+                class_name=waiter.class_name,
                 come_back_s=max(self.node.bounds.news, seconds),
             )
         return None
@@ -137,7 +152,7 @@
                 continue
             over = len(class_leases) - limit - sum(lease.is_wanted_back for lease in class_leases)
             pausable = [x for x in class_leases if x.may_pause and not x.is_wanted_back]
-            for lease in pausable[:max(0, over)]:
+            for lease in pausable[: max(0, over)]:
                 lease.is_wanted_back = True
                 self.node.count("pauses")
 
@@ -146,8 +161,11 @@
         waiting = [w for w in self.waiting if w.service == service]
         wanted = sum(x.is_wanted_back for x in self.leases if x.replica.service == service)
         pausable = sorted(
-            (x for x in self.leases
-             if x.replica.service == service and x.may_pause and not x.is_wanted_back),
+            (
+                x
+                for x in self.leases
+                if x.replica.service == service and x.may_pause and not x.is_wanted_back
+            ),
             key=lambda lease: lease.urgency,
         )
         urgent = sorted((w.urgency for w in waiting), reverse=True)[wanted:]
@@ -188,8 +206,10 @@
             return None
         now = self.node.now()
         candidates = [
-            replica for replica in self.node.find("replicas").working(waiter.service)
-            if replica.name not in waiter.avoided and replica.in_flight < self.room(replica)
+            replica
+            for replica in self.node.find("replicas").working(waiter.service)
+            if replica.name not in waiter.avoided
+            and replica.in_flight < self.room(replica)
             and now >= replica.busy_until
         ]
         if not candidates:
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -5,7 +5,7 @@
 from quillring.edge.claim import claim_stream
 from quillring.edge.stream import Stream, append_body
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import Fenced, NotFound, Refused, Trouble
+from quillring.kernel.errors import Fenced, NotFound, QuillringError, Refused
 from quillring.nifty.graph import score
 
 KEPT_STREAMS = 20_000
@@ -32,7 +32,8 @@
             yield Sleep(self.node.bounds.news)
             edge_time = self.node.now() - kept_seconds
             self.streams = {
-                n: s for n, s in self.streams.items() if s.is_running or s.touched_at > edge_time}
+                n: s for n, s in self.streams.items() if s.is_running or s.touched_at > edge_time
+            }
             self.weight = sum(stream.weight for stream in self.streams.values())
 
     def _make_room(self):
@@ -44,8 +45,9 @@
             return
         ended_streams = sorted(
             (s for s in self.streams.values() if s.ended and not s.is_running),
-            key=lambda s: s.touched_at)
-        for stream in ended_streams[:max(1, len(ended_streams) // 4)]:
+            key=lambda s: s.touched_at,
+        )
+        for stream in ended_streams[: max(1, len(ended_streams) // 4)]:
             self.forget(stream)
             self.node.count("streams_dropped")
         if self._is_full():
@@ -84,23 +86,28 @@
 
         Nodes that drain or stand in an emptied domain come last: better there than nowhere.
         """
-        is_leaving = self.node.find("duty").is_leaving
+        is_leaving = self.node.find("ownership").is_leaving
         me, nifty = self.node.me, self.node.find("nifty")
         members = [
-            m for m in nifty.roster.members.values()
-            if m.role in ("edge", "core") and m.domain != me.domain and nifty.reaches(m.name)
+            m
+            for m in nifty.roster.members.values()
+            if m.role in ("edge", "core")
+            and m.domain != me.domain
+            and nifty.reaches(m.name)
             and m.name not in avoided
         ]
         return [
-            m.name for m in sorted(
-                members, reverse=True,
+            m.name
+            for m in sorted(
+                members,
+                reverse=True,
                 key=lambda m: (not is_leaving(m.name), m.role == "edge", score(name, m.name)),
             )
         ]
 
     def _leave_leaving(self, stream):
         """Let go of a holder that is to be left alone, if another node can take its place."""
-        is_leaving = self.node.find("duty").is_leaving
+        is_leaving = self.node.find("ownership").is_leaving
         if stream.holder is not None and is_leaving(stream.holder):
             candidates = self.holders(stream.name)
             if candidates and not is_leaving(candidates[0]):
@@ -121,8 +128,8 @@
             try:
                 yield from self.node.call(holder, "journal.append", append_body(stream, 0))
                 return
-            except Trouble as trouble:
-                self.node.log("warning", "hand over %s: %s", stream.name, trouble)
+            except QuillringError as error:
+                self.node.log("warning", "hand over %s: %s", stream.name, error)
 
     def keepers(self):
         """Return the names of all nodes that may hold streams."""
@@ -151,9 +158,9 @@
             except Fenced:
                 self.streams.pop(stream.name, None)
                 raise
-            except Trouble as trouble:
+            except QuillringError as error:
                 self.node.count("holder_changes")
-                self.node.log("warning", "holder %s: %s", stream.holder, trouble)
+                self.node.log("warning", "holder %s: %s", stream.holder, error)
                 avoided_names.add(stream.holder)
                 stream.holder = None
 
@@ -175,7 +182,8 @@
         if known is None:
             self._make_room()
             stream = Stream(
-                body["stream"], body["inquiry"], body["sender"], self.node.now(), stream_round)
+                body["stream"], body["inquiry"], body["sender"], self.node.now(), stream_round
+            )
         elif known.round < stream_round:
             stream = known.claimed(self.node.now(), stream_round)
             stream.ended = False
--- a/quillring/edge/lease.py
+++ b/quillring/edge/lease.py
@@ -8,8 +8,15 @@
     """The right to run one inquiry on a replica; its room may be wanted back."""
 
     __slots__ = (
-        "dispatch", "replica", "class_name", "urgency", "may_pause", "is_held", "is_wanted_back",
-        "may_run_on", "since",
+        "dispatch",
+        "replica",
+        "class_name",
+        "urgency",
+        "may_pause",
+        "is_held",
+        "is_wanted_back",
+        "may_run_on",
+        "since",
     )
 
     def __init__(self, dispatch, replica, waiter):
@@ -36,12 +43,19 @@
 class Waiter:
     """One inquiry that waits for room."""
 
-    __slots__ = ("urgency", "order", "service", "prefix", "avoided", "signal", "class_name",
-                 "may_pause", "end_time")
+    __slots__ = (
+        "urgency",
+        "order",
+        "service",
+        "prefix",
+        "avoided",
+        "signal",
+        "class_name",
+        "may_pause",
+        "end_time",
+    )
 
-    def __init__(
-        self, promise, order, service, prefix, avoided, class_name, may_pause, end_time
-    ):
+    def __init__(self, promise, order, service, prefix, avoided, class_name, may_pause, end_time):
         self.urgency = promise["urgency"]
         self.order = order
         self.service = service
--- a/quillring/edge/liveness.py
+++ b/quillring/edge/liveness.py
@@ -4,8 +4,8 @@
 and tell all nodes. Two, so that the loss of one makes no replica look silent.
 """
 
-from quillring.duty.rank import ranked_cores
 from quillring.kernel.effects import Sleep
+from quillring.ownership.rank import ranked_cores
 
 TELLERS = 2
 
--- a/quillring/edge/memory.py
+++ b/quillring/edge/memory.py
@@ -9,7 +9,7 @@
 import cbor2
 
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import DiskTrouble, Trouble
+from quillring.kernel.errors import DiskError, QuillringError
 
 NAMES = ("replicas.0", "replicas.1")
 
@@ -35,7 +35,7 @@
         for beat in beats:
             try:
                 gossip.put(f"replica/{beat['name']}", [beat["incarnation"], beat["sequence"]], beat)
-            except (Trouble, KeyError, TypeError):
+            except (QuillringError, KeyError, TypeError):
                 self.node.count("replicas_not_recalled")
         self.kept_edition = self.node.find("replicas").edition
 
@@ -59,5 +59,5 @@
         body = cbor2.dumps([self.turn, beats])
         try:
             self.disk.write(NAMES[self.turn % 2], zlib.crc32(body).to_bytes(4, "big") + body)
-        except DiskTrouble as trouble:
-            self.node.log("warning", "replicas: %s", trouble)
+        except DiskError as error:
+            self.node.log("warning", "replicas: %s", error)
--- a/quillring/edge/pace.py
+++ b/quillring/edge/pace.py
@@ -32,7 +32,8 @@
         running = [x for x in leases if x.replica.service == waiter.service]
         pausing = sum(x.may_pause and x.urgency < waiter.urgency for x in running)
         before = sum(
-            w.service == waiter.service and w is not waiter
+            w.service == waiter.service
+            and w is not waiter
             and (-w.urgency, w.order) < (-waiter.urgency, waiter.order)
             for w in waiting
         )
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -5,27 +5,38 @@
 
 from quillring.edge.liveness import Liveness
 from quillring.kernel.checks import StrictValidator
-from quillring.kernel.troubles import Conflict
+from quillring.kernel.errors import Conflict
 from quillring.kernel.wsgi import check_body
 
 NAME = {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,80}$"}
-BEAT = StrictValidator({
-    "type": "object",
-    "additionalProperties": False,
-    "required": [
-        "name", "service", "domain", "address", "slots", "state", "incarnation", "sequence",
-    ],
-    "properties": {
-        "name": NAME, "service": {"type": "string", "maxLength": 80}, "domain": NAME,
-        "address": {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"},
-        "slots": {"type": "integer", "minimum": 1, "maximum": 10_000},
-        "busy": {"type": "integer", "minimum": 0},
-        "state": {"enum": ["cold", "ready", "leaving", "gone"]},
-        "incarnation": {"type": "integer", "minimum": 0},
-        "sequence": {"type": "integer", "minimum": 0},
-        "cold_ms": {"type": "number", "minimum": 0},
-    },
-})
+BEAT = StrictValidator(
+    {
+        "type": "object",
+        "additionalProperties": False,
+        "required": [
+            "name",
+            "service",
+            "domain",
+            "address",
+            "slots",
+            "state",
+            "incarnation",
+            "sequence",
+        ],
+        "properties": {
+            "name": NAME,
+            "service": {"type": "string", "maxLength": 80},
+            "domain": NAME,
+            "address": {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"},
+            "slots": {"type": "integer", "minimum": 1, "maximum": 10_000},
+            "busy": {"type": "integer", "minimum": 0},
+            "state": {"enum": ["cold", "ready", "leaving", "gone"]},
+            "incarnation": {"type": "integer", "minimum": 0},
+            "sequence": {"type": "integer", "minimum": 0},
+            "cold_ms": {"type": "number", "minimum": 0},
+        },
+    }
+)
 AWAY = ("leaving", "gone")
 COLD_SLACK = 0.05
 
@@ -38,8 +49,19 @@
     """
 
     __slots__ = (
-        "name", "service", "domain", "address", "slots", "state", "incarnation", "sequence",
-        "heard_at", "born_at", "in_flight", "stalled_until", "busy_until",
+        "name",
+        "service",
+        "domain",
+        "address",
+        "slots",
+        "state",
+        "incarnation",
+        "sequence",
+        "heard_at",
+        "born_at",
+        "in_flight",
+        "stalled_until",
+        "busy_until",
         "cold_until",
     )
 
@@ -64,16 +86,19 @@
     def is_over(self, beat):
         """Tell whether a beat would bring back a start of the replica that has left."""
         return (
-            self.state in AWAY and beat["state"] not in AWAY
-            and self.incarnation == beat["incarnation"])
+            self.state in AWAY
+            and beat["state"] not in AWAY
+            and self.incarnation == beat["incarnation"]
+        )
 
     def brings_nothing(self, beat, now):
         """Tell whether a beat is a mere sign of life: all else in it is known."""
         return (
-            [self.incarnation, self.service, self.domain, self.state, self.slots] == [
-                beat[name] for name in ("incarnation", "service", "domain", "state", "slots")]
+            [self.incarnation, self.service, self.domain, self.state, self.slots]
+            == [beat[name] for name in ("incarnation", "service", "domain", "state", "slots")]
             and "{}:{}".format(*self.address) == beat["address"]
-            and now + beat.get("cold_ms", 0) / 1000 <= max(now, self.cold_until) + COLD_SLACK)
+            and now + beat.get("cold_ms", 0) / 1000 <= max(now, self.cold_until) + COLD_SLACK
+        )
 
     def is_cold(self, now):
         """Tell whether the replica still warms up by its own last word."""
@@ -86,9 +111,13 @@
     def to_json(self, now):
         """Return the replica as operators see it."""
         return {
-            "name": self.name, "service": self.service, "domain": self.domain,
-            "address": f"{self.address[0]}:{self.address[1]}", "state": self.state,
-            "slots": self.slots, "incarnation": self.incarnation,
+            "name": self.name,
+            "service": self.service,
+            "domain": self.domain,
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "state": self.state,
+            "slots": self.slots,
+            "incarnation": self.incarnation,
             "in_flight_here": self.in_flight,
             "silent_s": round(min(now - self.heard_at, 1e6), 3),
         }
@@ -117,7 +146,8 @@
         version = [beat["incarnation"], beat["sequence"]]
         if known is not None and known.brings_nothing(beat, self.node.now()):
             is_news = version > [known.incarnation, known.sequence] and (
-                not self.liveness.note(beat["name"], *version))
+                not self.liveness.note(beat["name"], *version)
+            )
             self.renew(beat["name"], *version)
         else:
             is_news = known is None or not known.is_over(beat)
@@ -143,7 +173,10 @@
             return
         replica = self.table[beat["name"]] = Replica(beat, self.node.now(), former)
         if former is None or (former.state, former.address, former.slots) != (
-                replica.state, replica.address, replica.slots):
+            replica.state,
+            replica.address,
+            replica.slots,
+        ):
             self.edition += 1
         for listener in self.on_change:
             listener()
@@ -169,7 +202,8 @@
         """Tell whether a request may go out to this start of a replica, silent or not."""
         known = self.table.get(replica.name)
         return (
-            known is not None and known.state not in AWAY
+            known is not None
+            and known.state not in AWAY
             and replica.name not in self.misplaced_names
             and not self.node.find("layout").is_emptied(replica.domain)
         )
@@ -190,8 +224,10 @@
     def hopeful(self, service, end_time):
         """Return the replicas of a service that work, or may work again before a time."""
         return [
-            replica for replica in self.table.values()
-            if replica.service == service and self.is_usable(replica)
+            replica
+            for replica in self.table.values()
+            if replica.service == service
+            and self.is_usable(replica)
             and replica.stalled_until < end_time
         ]
 
--- a/quillring/edge/short.py
+++ b/quillring/edge/short.py
@@ -5,8 +5,8 @@
 from quillring.edge.streams import check_before_sending
 from quillring.kernel.checks import StrictValidator, read_count
 from quillring.kernel.effects import Fetch
-from quillring.kernel.troubles import (
-    BackendTrouble,
+from quillring.kernel.errors import (
+    BackendError,
     Busy,
     NotFound,
     NotSent,
@@ -15,16 +15,18 @@
 )
 from quillring.kernel.wsgi import check_body, route
 
-SEAT = StrictValidator({
-    "type": "object",
-    "additionalProperties": False,
-    "required": ["entry", "key", "seat"],
-    "properties": {
-        "entry": {"type": "string", "maxLength": 41},
-        "key": {"type": "string", "minLength": 1, "maxLength": 200},
-        "seat": {"type": "string", "minLength": 1, "maxLength": 200},
-    },
-})
+SEAT = StrictValidator(
+    {
+        "type": "object",
+        "additionalProperties": False,
+        "required": ["entry", "key", "seat"],
+        "properties": {
+            "entry": {"type": "string", "maxLength": 41},
+            "key": {"type": "string", "minLength": 1, "maxLength": 200},
+            "seat": {"type": "string", "minLength": 1, "maxLength": 200},
+        },
+    }
+)
 
 
 @route("GET", "/v1/tiles/{entry}/{zoom}/{column}/{row}")
@@ -57,7 +59,7 @@
     end_time = node.now() + promise["time_left_ms"] / 1000
     first_end, answered_at = node.now() + promise["first_piece_ms"] / 1000, None
     name = f"{node.me.name}-{node.world.random.getrandbits(64):016x}"
-    avoided_names, last_trouble = set(), None
+    avoided_names, last_error = set(), None
     try:
         while True:
             try:
@@ -65,13 +67,17 @@
                     entry["service"], entry["class"], promise, affinity, end_time, avoided_names
                 )
             except Refused as refusal:
-                raise last_trouble or refusal from refusal
+                raise last_error or refusal from refusal
             try:
                 check_before_sending(node, lease.replica, end_time)
                 lease.may_run_on = True
                 status, answer = yield Fetch(
-                    lease.replica.address, method, lease.replica.path(path, inquiry=name),
-                    body and {**body, "inquiry": name}, end_time - node.now(), may_repeat(promise),
+                    lease.replica.address,
+                    method,
+                    lease.replica.path(path, inquiry=name),
+                    body and {**body, "inquiry": name},
+                    end_time - node.now(),
+                    may_repeat(promise),
                 )
                 lease.may_run_on = False
                 if status == 503:
@@ -79,17 +85,17 @@
                 if status == 200 and isinstance(answer, dict) and answer.get("inquiry") == name:
                     answered_at = node.now()
                     return answer
-                raise BackendTrouble(reason="strange answer", status=status)
+                raise BackendError(reason="strange answer", status=status)
             except Busy:
                 node.find("replicas").busy(lease.replica)
-            except BackendTrouble as trouble:
+            except BackendError as error:
                 node.count("replica_troubles")
                 avoided_names.add(lease.replica.name)
-                if not isinstance(trouble, NotSent):
+                if not isinstance(error, NotSent):
                     node.find("replicas").stalled(lease.replica)
-                    last_trouble = OutcomeUnknown(reason="the replica broke off")
+                    last_error = OutcomeUnknown(reason="the replica broke off")
                     if not may_repeat(promise):
-                        raise last_trouble from trouble
+                        raise last_error from error
             finally:
                 lease.release()
     finally:
--- a/quillring/edge/stream.py
+++ b/quillring/edge/stream.py
@@ -7,7 +7,15 @@
     """The pieces of one answer; what it weighs is kept beside them."""
 
     __slots__ = (
-        "name", "inquiry", "sender", "pieces", "ended", "round", "touched_at", "holder", "weight",
+        "name",
+        "inquiry",
+        "sender",
+        "pieces",
+        "ended",
+        "round",
+        "touched_at",
+        "holder",
+        "weight",
         "is_running",
     )
 
@@ -40,7 +48,11 @@
 def append_body(stream, start):
     """Return the message that makes another node hold the stream from a piece on."""
     return {
-        "stream": stream.name, "inquiry": stream.inquiry, "sender": stream.sender,
-        "from": start, "pieces": stream.pieces[start:], "ended": stream.ended,
+        "stream": stream.name,
+        "inquiry": stream.inquiry,
+        "sender": stream.sender,
+        "from": start,
+        "pieces": stream.pieces[start:],
+        "ended": stream.ended,
         "round": list(stream.round),
     }
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -6,30 +6,32 @@
 from quillring.edge.tokens import make_token, read_token
 from quillring.kernel.checks import StrictValidator, read_count
 from quillring.kernel.effects import Emit, Next, Open
-from quillring.kernel.troubles import (
-    BackendTrouble,
+from quillring.kernel.errors import (
+    BackendError,
     BadInquiry,
     Busy,
     Conflict,
     NotSent,
     OutcomeUnknown,
+    QuillringError,
     Refused,
     TimedOut,
-    Trouble,
 )
 from quillring.kernel.wsgi import check_body, need_sender, route
 
-MODEL_INQUIRY = StrictValidator({
-    "type": "object",
-    "additionalProperties": False,
-    "required": ["entry", "prompt"],
-    "properties": {
-        "entry": {"type": "string", "maxLength": 41},
-        "prompt": {"type": "string", "maxLength": 200_000},
-        "max_pieces": {"type": "integer", "minimum": 1, "maximum": 100_000},
-        "time_left_ms": {"type": "integer", "minimum": 1, "maximum": 86_400_000},
-    },
-})
+MODEL_INQUIRY = StrictValidator(
+    {
+        "type": "object",
+        "additionalProperties": False,
+        "required": ["entry", "prompt"],
+        "properties": {
+            "entry": {"type": "string", "maxLength": 41},
+            "prompt": {"type": "string", "maxLength": 200_000},
+            "max_pieces": {"type": "integer", "minimum": 1, "maximum": 100_000},
+            "time_left_ms": {"type": "integer", "minimum": 1, "maximum": 86_400_000},
+        },
+    }
+)
 STALL_MS = 4000
 
 
@@ -52,13 +54,17 @@
 def resume_stream(node, inquiry):
     """Serve what follows the last piece the sender has."""
     check_open(node)
-    secret = node.find("duty").founding()["secret"]
+    secret = node.find("ownership").founding()["secret"]
     stream_name, token_round = read_token(
-        secret, inquiry.words["token"], inquiry.sender, node.world.wall())
+        secret, inquiry.words["token"], inquiry.sender, node.world.wall()
+    )
     sent_count = read_count(inquiry.query.get("after", ["0"])[0], "after")
     stream = yield from node.find("journal").claim(
-        stream_name, inquiry.sender, token_round,
-        lambda found: len(found) > 2 and check_resumable(node, found[2]))
+        stream_name,
+        inquiry.sender,
+        token_round,
+        lambda found: len(found) > 2 and check_resumable(node, found[2]),
+    )
     check_resumable(node, stream.inquiry["entry"])
     if len(stream.pieces) < sent_count:
         raise Conflict(field="after", held=len(stream.pieces))
@@ -78,7 +84,7 @@
         raise NotResumable(class_name=entry["class"])
 
 
-class NotResumable(Trouble):
+class NotResumable(QuillringError):
     """The class of this stream forbids resuming it."""
 
     kind = "not_resumable"
@@ -102,7 +108,7 @@
 
 def run_stream(node, stream, sent_count, end_time):
     """Script: emit what the journal holds, then go on at replicas until the end."""
-    secret = node.find("duty").founding()["secret"]
+    secret = node.find("ownership").founding()["secret"]
     token = make_token(secret, stream, node.world.wall())
     head_line = {"stream": stream.name, "resume": token, "after": sent_count}
     entry, _, promise = node.find("layout").entry(stream.inquiry["entry"])
@@ -114,11 +120,11 @@
         yield from emit_held(stream, sending)
         while not stream.ended:
             yield from one_round(node, stream, sending, end_time, avoided_names)
-    except Trouble as trouble:
+    except QuillringError as error:
         if not sending.has_head:
             raise
         node.count("broken_streams")
-        yield Emit({"end": False, **trouble.to_json(), "pieces": sending.count})
+        yield Emit({"end": False, **error.to_json(), "pieces": sending.count})
         return
     finally:
         stream.is_running = False
@@ -145,18 +151,32 @@
     prefix = entry.get("prefix", "")
     wait_end = end_time if stream.pieces else min(end_time, sending.first_end)
     lease = yield from node.find("dispatch").acquire(
-        entry["service"], entry["class"], promise, prefix_key(prefix), wait_end, avoided_names,
-        sending.is_paused, True,
+        entry["service"],
+        entry["class"],
+        promise,
+        prefix_key(prefix),
+        wait_end,
+        avoided_names,
+        sending.is_paused,
+        True,
     )
     sending.is_paused = False
     replica, handle = lease.replica, None
     try:
         check_before_sending(node, replica, end_time)
         lease.may_run_on = True
-        handle = yield Open(replica.address, replica.path("/v1/generate"), {
-            "inquiry": stream.name, "prefix": prefix, "prompt": stream.inquiry["prompt"],
-            "from": len(stream.pieces), "max_pieces": stream.inquiry.get("max_pieces", 64),
-        }, min(end_time - node.now(), service.get("stall_ms", STALL_MS) / 1000))
+        handle = yield Open(
+            replica.address,
+            replica.path("/v1/generate"),
+            {
+                "inquiry": stream.name,
+                "prefix": prefix,
+                "prompt": stream.inquiry["prompt"],
+                "from": len(stream.pieces),
+                "max_pieces": stream.inquiry.get("max_pieces", 64),
+            },
+            min(end_time - node.now(), service.get("stall_ms", STALL_MS) / 1000),
+        )
         if handle.status == 503:
             lease.may_run_on = False
             raise Busy(replica=replica.name)
@@ -164,16 +184,16 @@
     except Busy:
         node.count("busy_replicas")
         node.find("replicas").busy(replica)
-    except BackendTrouble as trouble:
+    except BackendError as error:
         node.count("replica_troubles")
-        node.log("warning", "replica %s: %s", replica.name, trouble)
+        node.log("warning", "replica %s: %s", replica.name, error)
         avoided_names.add(replica.name)
-        if not isinstance(trouble, NotSent):
+        if not isinstance(error, NotSent):
             node.find("replicas").stalled(replica)
             if node.now() >= end_time:
-                raise TimedOut(stream=stream.name) from trouble
+                raise TimedOut(stream=stream.name) from error
             if not may_run_on(promise, stream.pieces):
-                raise OutcomeUnknown(stream=stream.name) from trouble
+                raise OutcomeUnknown(stream=stream.name) from error
     finally:
         lease.release()
         if handle is not None:
@@ -192,12 +212,12 @@
 def check_line(line, inquiry_name, count):
     """Refuse a replica's line unless it is the very next one of this inquiry."""
     if not isinstance(line, dict) or line.get("inquiry") != inquiry_name:
-        raise BackendTrouble(reason="broken off" if line is None else "strange line")
+        raise BackendError(reason="broken off" if line is None else "strange line")
     if line.get("end"):
         if line.get("pieces") != count:
-            raise BackendTrouble(reason="pieces are missing")
+            raise BackendError(reason="pieces are missing")
     elif line.get("n") != count + 1 or not isinstance(line.get("piece"), str):
-        raise BackendTrouble(reason="strange piece")
+        raise BackendError(reason="strange piece")
 
 
 def read_pieces(node, stream, sending, handle, lease, service, end_time):
--- a/quillring/edge/tokens.py
+++ b/quillring/edge/tokens.py
@@ -6,12 +6,12 @@
 
 import cbor2
 
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.errors import QuillringError
 
 LIFE_SECONDS = 600
 
 
-class BadToken(Trouble):
+class BadToken(QuillringError):
     """The resume token is not valid for this sender; nothing more is disclosed."""
 
     kind = "bad_token"
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -1,18 +1,18 @@
 """Assembly: which services a node of each role is made of; the same in every world."""
 
 from quillring.classes import Granter, Meter, Taker
-from quillring.duty import Duty
 from quillring.edge import Dispatch, Journal, Replicas
 from quillring.edge.memory import ReplicaMemory
 from quillring.edge.tokens import LIFE_SECONDS
 from quillring.forward import Dialect, ForwardTable, Placement
 from quillring.gossip import Gossip
+from quillring.kernel.errors import DiskError
 from quillring.kernel.node import Node
 from quillring.kernel.registry import Registry
-from quillring.kernel.troubles import DiskTrouble
 from quillring.lots import LotRunner, start_raw_lots
 from quillring.nifty import Member, Nifty
 from quillring.nifty.wire import SPOKEN
+from quillring.ownership import Ownership
 from quillring.plans import PlanRunner
 from quillring.plans.runner import count_busy
 from quillring.quorum import Acceptors
@@ -32,7 +32,7 @@
     node = Node(me, world, bounds, log)
     nifty = node.offer("nifty", Nifty(node, seeds, versions))
     gossip = node.offer("gossip", Gossip(node))
-    node.offer("duty", Duty(node))
+    node.offer("ownership", Ownership(node))
     node.offer("layout", LayoutImage(node))
     node.offer("freshness", Freshness(node))
     node.offer("replicas", Replicas(node))
@@ -78,14 +78,14 @@
     """A core owns parts, runs lots and holds journals."""
     _start_serving(node)
     runner = node.offer("lots", LotRunner(node))
-    node.find("duty").checks.append(runner.keeping.check)
-    node.find("duty").on_owner.append(runner.on_batch)
+    node.find("ownership").checks.append(runner.keeping.check)
+    node.find("ownership").on_owner.append(runner.on_batch)
     node.offer("granter", Granter(node))
     repair = node.offer("repair", Repair(node))
     plans = node.offer("plans", PlanRunner(node))
     node.spawn(repair.run())
     node.spawn(plans.run())
-    node.spawn(node.find("duty").run())
+    node.spawn(node.find("ownership").run())
     node.spawn(runner.run())
     node.spawn(start_raw_lots(node))
 
@@ -124,13 +124,14 @@
         acceptors.slots.turn()
     if acceptors.identity.rpartition(".")[0] != name:
         raise OtherIdentity(
-            folder_of=acceptors.identity, name=name,
+            folder_of=acceptors.identity,
+            name=name,
             repair="start it under the name it was made for, or give it an empty folder",
         )
     return acceptors
 
 
-class OtherIdentity(DiskTrouble):
+class OtherIdentity(DiskError):
     """The data folder belongs to a member of another name."""
 
     kind = "other_identity"
--- a/quillring/forward/attempt.py
+++ b/quillring/forward/attempt.py
@@ -2,19 +2,26 @@
 
 from quillring.forward.request import Request
 from quillring.kernel.effects import NextHead, SendOn
-from quillring.kernel.troubles import BackendTrouble, NotSent
+from quillring.kernel.errors import BackendError, NotSent
 
 AFTER_END = 0.05
 
 
 def open_answer(
-    node, replica, request: Request, last_event, urgency, end_time, may_reuse, patience=None,
+    node,
+    replica,
+    request: Request,
+    last_event,
+    urgency,
+    end_time,
+    may_reuse,
+    patience=None,
 ):
     """Script: send the request on and return the answer's handle once its head is there.
 
     `end_time` is the node's time at which the sender waits no more. With a `patience` in seconds a
     replica from which nothing at all came for so long is left, and one that works for others gets
-    four times as long. Raises NotSent where nothing reached the replica, BackendTrouble where the
+    four times as long. Raises NotSent where nothing reached the replica, BackendError where the
     request may have run.
     """
     if not node.find("replicas").may_be_sent(replica):
@@ -37,7 +44,7 @@
 
 
 def wait_for_head(node, replica, handle, end_time, patience):
-    """Script: return once the head is there; BackendTrouble when it is not in time."""
+    """Script: return once the head is there; BackendError when it is not in time."""
     sent_at = node.now()
     for factor in (1, 4) if patience else (None,):
         seconds_left = end_time - node.now() + AFTER_END
@@ -45,9 +52,9 @@
         try:
             yield NextHead(handle, seconds)
             return
-        except BackendTrouble as trouble:
+        except BackendError as error:
             is_silent = node.find("placement").is_silent(replica, node.now() - sent_at)
-            if trouble.detail["reason"] != "stall" or factor != 1 or is_silent:
+            if error.detail["reason"] != "stall" or factor != 1 or is_silent:
                 raise
             if node.now() >= end_time:
                 raise
--- a/quillring/forward/events.py
+++ b/quillring/forward/events.py
@@ -1,6 +1,6 @@
 """Events of a stream: split, numbered, and never passed on in part."""
 
-from quillring.kernel.troubles import BackendTrouble
+from quillring.kernel.errors import BackendError
 
 
 class Event:
@@ -30,7 +30,7 @@
         self.last_event = last_event
 
     def feed(self, data):
-        """Return the events that the bytes complete; ids that do not rise raise BackendTrouble."""
+        """Return the events that the bytes complete; ids that do not rise raise BackendError."""
         self.rest += data
         if b"\r" in self.rest:
             self.rest = self.rest.replace(b"\r\n\r\n", b"\n\n")
@@ -40,7 +40,7 @@
             if event.id is None:
                 continue
             if self.last_event is not None and event.id != self.last_event + 1:
-                raise BackendTrouble(reason="events out of order", got=event.id)
+                raise BackendError(reason="events out of order", got=event.id)
             self.last_event = event.id
         return events
 
--- a/quillring/forward/placement.py
+++ b/quillring/forward/placement.py
@@ -1,4 +1,4 @@
-"""Which replica gets a request: by kept prompt parts, by load, by trouble, by ramp while cold."""
+"""Which replica gets a request: by kept prompt parts, by load, by error, by ramp while cold."""
 
 from quillring.forward.ramp import Ramp
 from quillring.forward.view import View, is_quiet
@@ -118,7 +118,8 @@
         is_elsewhere = replica.domain != self.node.me.domain
         return (
             (view.in_flight + view.reading / 4000) / replica.slots * 8
-            + OTHER_DOMAIN * is_elsewhere + 0.3 * self.node.world.random.random()
+            + OTHER_DOMAIN * is_elsewhere
+            + 0.3 * self.node.world.random.random()
         )
 
     def begin(self, replica, request):
--- a/quillring/forward/ramp.py
+++ b/quillring/forward/ramp.py
@@ -48,7 +48,8 @@
         services = (layout or {}).get("services", {})
         rate = services.get(replica.service, {}).get("warm_rate") or replica.slots
         names = [
-            m.name for m in roster.members.values()
+            m.name
+            for m in roster.members.values()
             if m.role in SENDING_ROLES and (m.name in graph.routes or m.name == self.node.me.name)
         ]
         sender_count = max(1, min(len(names), int(rate / PART)))
--- a/quillring/forward/request.py
+++ b/quillring/forward/request.py
@@ -1,9 +1,20 @@
 """One request to be forwarded, and the bytes in which it goes to a replica."""
 
-OF_ONE_CONNECTION = frozenset((
-    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-    "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect",
-))
+OF_ONE_CONNECTION = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
 
 
 class Request:
@@ -13,8 +24,17 @@
     """
 
     __slots__ = (
-        "method", "target", "host", "pairs", "body", "id", "chain", "tokens_in", "tokens_out",
-        "last_event", "deadline_ms",
+        "method",
+        "target",
+        "host",
+        "pairs",
+        "body",
+        "id",
+        "chain",
+        "tokens_in",
+        "tokens_out",
+        "last_event",
+        "deadline_ms",
     )
 
     def __init__(self, dialect, method, target, pairs, body):
--- a/quillring/forward/serve.py
+++ b/quillring/forward/serve.py
@@ -5,7 +5,7 @@
 from quillring.forward.request import answer_pairs
 from quillring.forward.waiting import acquire, come_back
 from quillring.kernel.effects import Emit, NextPart
-from quillring.kernel.troubles import BackendTrouble, NotSent, OutcomeUnknown, Refused
+from quillring.kernel.errors import BackendError, NotSent, OutcomeUnknown, Refused
 
 URGENCIES = (1, 3, 4, 5, 6)
 LONG_PROMPT = 4000
@@ -62,9 +62,15 @@
         handle = None
         try:
             handle = yield from open_answer(
-                node, replica, request, sending.last_event, urgency_of(forward, request),
-                sending.end_time, forward.may_repeat,
-                forward.pause_seconds * 1.2 if may_go_on(node, forward, sending) else None)
+                node,
+                replica,
+                request,
+                sending.last_event,
+                urgency_of(forward, request),
+                sending.end_time,
+                forward.may_repeat,
+                forward.pause_seconds * 1.2 if may_go_on(node, forward, sending) else None,
+            )
             lease.heard()
             if is_not_run(node.find("dialect"), handle):
                 sending.avoided_names.add(replica.name)
@@ -81,15 +87,15 @@
                 return check_whole(node, sending, answer)
             sending.avoided_names.add(replica.name)
             sending.last_answer = answer
-        except NotSent as trouble:
-            note_trouble(node, sending, replica, trouble, True)
+        except NotSent as error:
+            note_error(node, sending, replica, error, True)
             sending.rounds -= 1
-        except BackendTrouble as trouble:
-            note_trouble(node, sending, replica, trouble, False)
+        except BackendError as error:
+            note_error(node, sending, replica, error, False)
             if not forward.may_repeat:
-                raise OutcomeUnknown(reason="the replica broke off") from trouble
+                raise OutcomeUnknown(reason="the replica broke off") from error
             if not may_go_on(node, forward, sending):
-                raise OutcomeUnknown(reason="no round left") from trouble
+                raise OutcomeUnknown(reason="no round left") from error
         finally:
             lease.end()
             if handle is not None:
@@ -98,26 +104,22 @@
 
 def may_go_on(node, forward, sending):
     """Tell whether another replica may be asked."""
-    return (
-        forward.may_repeat and sending.rounds < forward.rounds
-        and node.now() < sending.end_time
-    )
+    return forward.may_repeat and sending.rounds < forward.rounds and node.now() < sending.end_time
 
 
-def note_trouble(node, sending, replica, trouble, is_surely):
+def note_error(node, sending, replica, error, is_surely):
     """Remember a failed sending, here and in the view of its replica."""
-    node.count(f"forward_{trouble.kind}_{trouble.detail.get('reason', '')}")
+    node.count(f"forward_{error.kind}_{error.detail.get('reason', '')}")
     sending.avoided_names.add(replica.name)
-    if trouble.detail.get("reason") not in ("left", "no time left"):
-        is_stalled = trouble.detail.get("reason") == "stall"
+    if error.detail.get("reason") not in ("left", "no time left"):
+        is_stalled = error.detail.get("reason") == "stall"
         node.find("placement").failed(replica, is_surely or is_stalled)
 
 
 def take_refusal(node, sending, forward):
     """Script: a replica did not run it; the last one's word goes to the client."""
     if sending.rounds >= forward.rounds and not sending.has_head:
-        raise Refused(
-            reason="replicas are full", come_back_s=come_back(node, sending) / 2)
+        raise Refused(reason="replicas are full", come_back_s=come_back(node, sending) / 2)
     return
     yield
 
@@ -140,7 +142,7 @@
 def relay_events(node, forward, sending, handle, lease):
     """Script: pass whole events on as they come, until the stream's proper end."""
     if not is_sealed(node.find("dialect"), handle):
-        raise BackendTrouble(reason="no seal")
+        raise BackendError(reason="no seal")
     reader = EventReader(sending.last_event)
     while True:
         data = yield from next_part(node, forward, sending, handle, lease)
@@ -159,7 +161,7 @@
         if reader.last_event is not None:
             sending.last_event = reader.last_event
     if not reader.is_clean:
-        raise BackendTrouble(reason="cut event")
+        raise BackendError(reason="cut event")
     if not sending.has_head:
         sending.has_head = True
         yield Emit((handle.status, answer_pairs(handle.headers), b""))
@@ -174,10 +176,10 @@
             return (yield NextPart(handle, seconds_left))
         try:
             return (yield NextPart(handle, min(patience, seconds_left)))
-        except BackendTrouble as trouble:
+        except BackendError as error:
             is_over = node.now() >= sending.end_time
             is_long = patience >= forward.pause_seconds * 4
-            if trouble.detail["reason"] != "stall" or is_over or is_long:
+            if error.detail["reason"] != "stall" or is_over or is_long:
                 raise
             if node.find("placement").is_silent(lease.replica, patience):
                 raise
--- a/quillring/forward/table.py
+++ b/quillring/forward/table.py
@@ -9,8 +9,18 @@
     """One forward of the layout, with what the path of a request asks of it."""
 
     __slots__ = (
-        "name", "host", "prefix", "kind", "split", "rounds", "hold_seconds", "goal_seconds",
-        "urgency", "may_resume", "pause_seconds", "fields",
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "split",
+        "rounds",
+        "hold_seconds",
+        "goal_seconds",
+        "urgency",
+        "may_resume",
+        "pause_seconds",
+        "fields",
     )
 
     def __init__(self, name, fields):
@@ -61,13 +71,15 @@
         if layout is self.layout:
             return
         forwards = [
-            Forward(name, fields) for name, fields in (layout or {}).get("forwards", {}).items()]
+            Forward(name, fields) for name, fields in (layout or {}).get("forwards", {}).items()
+        ]
         by_host = {}
         for forward in sorted(forwards, key=lambda f: -len(f.prefix)):
             by_host.setdefault(forward.host, []).append(forward)
         self.by_host = {
             host: {forward.prefix: forward for forward in hosted}
-            for host, hosted in by_host.items()}
+            for host, hosted in by_host.items()
+        }
         self.by_name = {forward.name: forward for forward in forwards}
         self.layout = layout
 
--- a/quillring/forward/view.py
+++ b/quillring/forward/view.py
@@ -20,7 +20,7 @@
         self.heard_at = 0
 
     def is_trusted(self, now):
-        """Tell whether the replica may get something: no trouble lately, or a single trial."""
+        """Tell whether the replica may get something: no error lately, or a single trial."""
         return now >= self.suspect_until and not self.is_on_trial
 
     def fail(self, now, is_surely, bounds):
@@ -28,4 +28,4 @@
         self.failures += 2 if is_surely else 1
         self.is_on_trial = False
         if self.failures > 1:
-            self.suspect_until = now + min(bounds.news * 2, bounds.beat / 2 * 1.6 ** self.failures)
+            self.suspect_until = now + min(bounds.news * 2, bounds.beat / 2 * 1.6**self.failures)
