--- a/quillring/forward/waiting.py
+++ b/quillring/forward/waiting.py
@@ -1,7 +1,7 @@
 """Waiting for a place: short, and refused as soon as it is hopeless."""
 
 from quillring.kernel.effects import Wait
-from quillring.kernel.troubles import Refused
+from quillring.kernel.errors import Refused
 
 HELD_SHARE = 0.2
 LOOK_AGAIN = 0.05
@@ -30,5 +30,6 @@
         if node.now() >= held_until:
             node.count("forward_refusals")
             raise Refused(
-                reason="no replica", service=service, come_back_s=come_back(node, sending))
+                reason="no replica", service=service, come_back_s=come_back(node, sending)
+            )
         yield Wait(placement.changed, min(LOOK_AGAIN, max(0.001, held_until - node.now())))
--- a/quillring/gossip/gossip.py
+++ b/quillring/gossip/gossip.py
@@ -6,7 +6,7 @@
 import cbor2
 
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import BadWire
+from quillring.kernel.errors import BadWire
 
 FANOUT = 3
 
@@ -15,7 +15,13 @@
     """The news table of a node; a key only ever moves to a higher version."""
 
     __slots__ = (
-        "node", "table", "fresh", "listeners", "digest", "synced_at", "started_at",
+        "node",
+        "table",
+        "fresh",
+        "listeners",
+        "digest",
+        "synced_at",
+        "started_at",
     )
 
     def __init__(self, node):
--- a/quillring/kernel/backend.py
+++ b/quillring/kernel/backend.py
@@ -8,7 +8,7 @@
 import gevent
 from geventhttpclient import HTTPClient, HTTPParseError
 
-from quillring.kernel.troubles import BackendTrouble, NotSent
+from quillring.kernel.errors import BackendError, NotSent
 
 gevent.config.resolver = "block"
 HEADERS = {"Content-Type": "application/json"}
@@ -33,8 +33,11 @@
 
 def _connect(address, seconds):
     client = HTTPClient(
-        address[0], address[1], connection_timeout=min(seconds, 1.0),
-        network_timeout=max(seconds, 0.01), concurrency=1,
+        address[0],
+        address[1],
+        connection_timeout=min(seconds, 1.0),
+        network_timeout=max(seconds, 0.01),
+        concurrency=1,
     )
     try:
         sock = client._connection_pool.get_socket()
@@ -81,8 +84,8 @@
     if kept_client is not None:
         try:
             return _exchange(kept_client, effect)
-        except BackendTrouble as trouble:
-            if trouble.detail["reason"] == "time":
+        except BackendError as error:
+            if error.detail["reason"] == "time":
                 raise
     return _exchange(_connect(effect.address, effect.seconds), effect)
 
@@ -90,13 +93,13 @@
 def _exchange(client, effect):
     is_whole = False
     try:
-        with gevent.Timeout(effect.seconds, BackendTrouble(reason="time")):
+        with gevent.Timeout(effect.seconds, BackendError(reason="time")):
             response = _request(client, effect.method, effect.path, effect.body)
             answer = response.status_code, json.loads(response.read() or b"null")
         is_whole = True
         return answer
     except READ_ERRORS as error:
-        raise BackendTrouble(reason=type(error).__name__) from error
+        raise BackendError(reason=type(error).__name__) from error
     finally:
         if is_whole and effect.may_repeat:
             IDLE.put(effect.address, client)
@@ -108,20 +111,20 @@
     """Send an inquiry and return the handle of its streamed answer."""
     client = _connect(effect.address, effect.seconds)
     try:
-        with gevent.Timeout(effect.seconds, BackendTrouble(reason="time")):
+        with gevent.Timeout(effect.seconds, BackendError(reason="time")):
             return Handle(client, _request(client, "POST", effect.path, effect.body))
-    except (*READ_ERRORS, BackendTrouble) as error:
+    except (*READ_ERRORS, BackendError) as error:
         client.close()
-        if isinstance(error, BackendTrouble):
+        if isinstance(error, BackendError):
             raise
-        raise BackendTrouble(reason=type(error).__name__) from error
+        raise BackendError(reason=type(error).__name__) from error
 
 
 def next_line(effect):
     """Return the next JSON line, or None at the end."""
     try:
-        with gevent.Timeout(effect.seconds, BackendTrouble(reason="stall")):
+        with gevent.Timeout(effect.seconds, BackendError(reason="stall")):
             line = effect.handle.response.readline(b"\n")
             return json.loads(line) if line else None
     except READ_ERRORS as error:
-        raise BackendTrouble(reason=type(error).__name__) from error
+        raise BackendError(reason=type(error).__name__) from error
--- a/quillring/kernel/bounds.py
+++ b/quillring/kernel/bounds.py
@@ -5,12 +5,26 @@
     """The bounds users were promised, and the constants that follow from them."""
 
     __slots__ = (
-        "news", "emptying", "ending", "reading", "return_", "sync", "grace", "replica_beat",
+        "news",
+        "emptying",
+        "ending",
+        "reading",
+        "return_",
+        "sync",
+        "grace",
+        "replica_beat",
     )
 
     def __init__(
-        self, news=2.0, emptying=5.0, ending=3.0, reading=1.0, return_=12.0, sync=None,
-        grace=None, replica_beat=0.5,
+        self,
+        news=2.0,
+        emptying=5.0,
+        ending=3.0,
+        reading=1.0,
+        return_=12.0,
+        sync=None,
+        grace=None,
+        replica_beat=0.5,
     ):
         self.news = news
         self.emptying = emptying
--- a/quillring/kernel/checks.py
+++ b/quillring/kernel/checks.py
@@ -5,7 +5,7 @@
 
 import jsonschema
 
-from quillring.kernel.troubles import BadInquiry
+from quillring.kernel.errors import BadInquiry
 
 DEPTH_LIMIT = 32
 DIGITS = 9
@@ -24,7 +24,8 @@
 StrictValidator = jsonschema.validators.extend(
     jsonschema.Draft202012Validator,
     type_checker=jsonschema.Draft202012Validator.TYPE_CHECKER.redefine_many(
-        {"integer": is_integer, "number": is_number}),
+        {"integer": is_integer, "number": is_number}
+    ),
 )
 
 
@@ -59,7 +60,9 @@
     level = [value]
     for _ in range(DEPTH_LIMIT):
         level = [
-            inner for outer in level if isinstance(outer, (dict, list))
+            inner
+            for outer in level
+            if isinstance(outer, (dict, list))
             for inner in (outer.values() if isinstance(outer, dict) else outer)
             if isinstance(inner, (dict, list))
         ]
--- a/quillring/kernel/connections.py
+++ b/quillring/kernel/connections.py
@@ -6,7 +6,7 @@
 import httptools
 from gevent import select
 
-from quillring.kernel.troubles import NotSent
+from quillring.kernel.errors import NotSent
 
 CONNECT_SECONDS = 0.4
 IDLE_LIMIT = 512
@@ -100,7 +100,8 @@
     """Return a new connection to an address, or raise NotSent."""
     try:
         sock = gevent.socket.create_connection(
-            tuple(address), timeout=max(0.001, min(seconds, CONNECT_SECONDS)))
+            tuple(address), timeout=max(0.001, min(seconds, CONNECT_SECONDS))
+        )
     except OSError as error:
         raise NotSent(address=list(address), reason=type(error).__name__) from error
     sock.settimeout(None)
--- a/quillring/kernel/effects.py
+++ b/quillring/kernel/effects.py
@@ -59,7 +59,7 @@
     """Send the bytes of one HTTP request; resume with the handle of its answer.
 
     `answer_id` is (lower-case header name, value): answers that bear another one are skipped.
-    Raises NotSent when nothing reached the address, BackendTrouble when it may have run.
+    Raises NotSent when nothing reached the address, BackendError when it may have run.
     """
 
     __slots__ = ("address", "data", "seconds", "may_reuse", "answer_id")
--- a/quillring/kernel/troubles.py
+++ b/quillring/kernel/errors.py
@@ -1,9 +1,9 @@
-"""Every failure has a type; a trouble crosses processes and HTTP under its kind."""
+"""Every failure has a type; an error crosses processes and HTTP under its kind."""
 
 KINDS = {}
 
 
-class Trouble(Exception):
+class QuillringError(Exception):
     """Base of all typed failures."""
 
     kind = "trouble"
@@ -24,16 +24,16 @@
         return f"{self.kind}: {fields}" if fields else self.kind
 
     def to_json(self):
-        """Return the JSON body under which callers and operators see the trouble."""
+        """Return the JSON body under which callers and operators see the error."""
         return {"trouble": self.kind, **self.detail}
 
 
 def rebuild(kind, detail):
-    """Return the trouble a peer reported, as its own type."""
-    return KINDS.get(kind, Trouble)(**{str(name): value for name, value in detail.items()})
+    """Return the error a peer reported, as its own type."""
+    return KINDS.get(kind, QuillringError)(**{str(name): value for name, value in detail.items()})
 
 
-class Unreachable(Trouble):
+class Unreachable(QuillringError):
     """No route leads to the node."""
 
     kind = "unreachable"
@@ -41,60 +41,60 @@
     comes_back = True
 
 
-class TimedOut(Trouble):
+class TimedOut(QuillringError):
     """No answer came in time; whether it ran is unknown."""
 
     kind = "timed_out"
     status = 504
 
 
-class UnknownService(Trouble):
+class UnknownService(QuillringError):
     """The node offers no service of this name."""
 
     kind = "unknown_service"
 
 
-class BadWire(Trouble):
+class BadWire(QuillringError):
     """A datagram or frame that can't be read."""
 
     kind = "bad_wire"
 
 
-class BadSetting(Trouble):
+class BadSetting(QuillringError):
     """A fault of the settings file or flags; all faults come as one exception group."""
 
     kind = "bad_setting"
 
 
-class BadInquiry(Trouble):
+class BadInquiry(QuillringError):
     """The inquiry is malformed; the field says where."""
 
     kind = "bad_inquiry"
     status = 400
 
 
-class TooLarge(Trouble):
+class TooLarge(QuillringError):
     """The body is over the limit."""
 
     kind = "too_large"
     status = 413
 
 
-class NotFound(Trouble):
+class NotFound(QuillringError):
     """Nothing of this name is known."""
 
     kind = "not_found"
     status = 404
 
 
-class WrongMethod(Trouble):
+class WrongMethod(QuillringError):
     """The path is known, but not under this method."""
 
     kind = "wrong_method"
     status = 405
 
 
-class Refused(Trouble):
+class Refused(QuillringError):
     """A final refusal: the work never ran and will not run."""
 
     kind = "refused"
@@ -102,21 +102,21 @@
     comes_back = True
 
 
-class OutcomeUnknown(Trouble):
+class OutcomeUnknown(QuillringError):
     """The work may or may not have run; it was not tried again."""
 
     kind = "outcome_unknown"
     status = 502
 
 
-class Conflict(Trouble):
+class Conflict(QuillringError):
     """Another change won; the winning version is named."""
 
     kind = "conflict"
     status = 409
 
 
-class NotOwner(Trouble):
+class NotOwner(QuillringError):
     """The node does not own the part."""
 
     kind = "not_owner"
@@ -124,7 +124,7 @@
     comes_back = True
 
 
-class Fenced(Trouble):
+class Fenced(QuillringError):
     """A higher ballot was seen; this owner writes nothing more."""
 
     kind = "fenced"
@@ -132,7 +132,7 @@
     comes_back = True
 
 
-class NoMajority(Trouble):
+class NoMajority(QuillringError):
     """Too few stores of the part answered; a write may still take effect."""
 
     kind = "no_majority"
@@ -140,7 +140,7 @@
     comes_back = True
 
 
-class NotFounded(Trouble):
+class NotFounded(QuillringError):
     """The fleet was not founded yet."""
 
     kind = "not_founded"
@@ -148,33 +148,33 @@
     comes_back = True
 
 
-class DiskTrouble(Trouble):
+class DiskError(QuillringError):
     """The data folder can't be written or read."""
 
     kind = "disk_trouble"
     status = 507
 
 
-class Damaged(DiskTrouble):
+class Damaged(DiskError):
     """The data folder is damaged; the repair step is named."""
 
     kind = "damaged"
 
 
-class BackendTrouble(Trouble):
+class BackendError(QuillringError):
     """The replica broke off or answered with nonsense."""
 
     kind = "backend_trouble"
     status = 502
 
 
-class Busy(BackendTrouble):
+class Busy(BackendError):
     """The replica had no room and took nothing."""
 
     kind = "busy"
 
 
-class NotSent(BackendTrouble):
+class NotSent(BackendError):
     """The inquiry provably never reached the replica."""
 
     kind = "not_sent"
--- a/quillring/kernel/gevent_world.py
+++ b/quillring/kernel/gevent_world.py
@@ -23,7 +23,7 @@
     Sleep,
     Wait,
 )
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.errors import QuillringError
 
 FRAME_HEAD = struct.Struct(">I")
 FRAME_LIMIT = 64 * 1024 * 1024
@@ -159,8 +159,8 @@
     def _run(self, script):
         try:
             return self.drive(script)
-        except Trouble as trouble:
-            self.report(trouble)
+        except QuillringError as error:
+            self.report(error)
         except Exception as error:
             self.report(error)
 
@@ -175,21 +175,21 @@
 
     def lines(self, script):
         """Run a script here; yield each line that it emits; return its value."""
-        value, trouble = None, None
+        value, error = None, None
         try:
             while True:
                 try:
-                    effect = script.throw(trouble) if trouble else script.send(value)
+                    effect = script.throw(error) if error else script.send(value)
                 except StopIteration as stop:
                     return stop.value
-                value, trouble = None, None
+                value, error = None, None
                 if isinstance(effect, Emit):
                     yield effect.line
                     continue
                 try:
                     value = self.perform(effect)
-                except Trouble as raised_trouble:
-                    trouble = raised_trouble
+                except QuillringError as raised_error:
+                    error = raised_error
         finally:
             script.close()
 
--- a/quillring/kernel/http_client.py
+++ b/quillring/kernel/http_client.py
@@ -9,7 +9,7 @@
 import httptools
 
 from quillring.kernel.connections import POOL, connect
-from quillring.kernel.troubles import BackendTrouble
+from quillring.kernel.errors import BackendError
 
 READ_SIZE = 65536
 KEEP_SECONDS = 4.0
@@ -20,8 +20,21 @@
     """One answer under way: its head, and its body part by part."""
 
     __slots__ = (
-        "connection", "effect", "answer_id", "lines", "status", "headers", "is_kept", "parts",
-        "is_whole", "is_ours", "has_head", "has_bytes", "is_framed", "is_closed", "has_surplus",
+        "connection",
+        "effect",
+        "answer_id",
+        "lines",
+        "status",
+        "headers",
+        "is_kept",
+        "parts",
+        "is_whole",
+        "is_ours",
+        "has_head",
+        "has_bytes",
+        "is_framed",
+        "is_closed",
+        "has_surplus",
     )
 
     def __init__(self, connection, effect):
@@ -50,7 +63,8 @@
         self.status, self.is_kept = status, is_kept
         self.headers = {name.lower(): value for name, value in self.lines}
         self.is_ours = status >= 200 and (
-            self.answer_id is None or self.headers.get(self.answer_id[0]) == self.answer_id[1])
+            self.answer_id is None or self.headers.get(self.answer_id[0]) == self.answer_id[1]
+        )
         self.has_head = self.is_ours
         self.is_framed = "content-length" in self.headers or "transfer-encoding" in self.headers
 
@@ -65,37 +79,37 @@
             self.is_whole = True
 
     def read(self):
-        """Read once from the connection and parse it; BackendTrouble at its end."""
+        """Read once from the connection and parse it; BackendError at its end."""
         try:
             data = self.connection.sock.recv(READ_SIZE)
         except OSError as error:
-            raise BackendTrouble(reason=type(error).__name__) from error
+            raise BackendError(reason=type(error).__name__) from error
         if not data:
             if self.has_head and not self.is_framed:
                 self.is_whole, self.is_kept = True, False
                 return
-            raise BackendTrouble(reason="broken off")
+            raise BackendError(reason="broken off")
         self.has_bytes = True
         try:
             self.connection.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            raise BackendTrouble(reason="no answer") from error
+            raise BackendError(reason="no answer") from error
 
     def write(self, seconds):
         """Write the request."""
         self.connection.answer = self
         try:
-            with gevent.Timeout(max(seconds, 0.001), BackendTrouble(reason="stall")):
+            with gevent.Timeout(max(seconds, 0.001), BackendError(reason="stall")):
                 self.connection.sock.sendall(self.effect.data)
         except OSError as error:
-            raise BackendTrouble(reason=type(error).__name__) from error
+            raise BackendError(reason=type(error).__name__) from error
 
     def next_head(self, seconds):
         """Return once the head is there; a kept connection that had died is replaced once."""
         try:
             self._read_head(seconds)
-        except BackendTrouble as trouble:
-            if trouble.detail["reason"] == "stall" or self.has_bytes or not self.connection.was_used:
+        except BackendError as error:
+            if error.detail["reason"] == "stall" or self.has_bytes or not self.connection.was_used:
                 raise
             self.connection.close()
             self.connection = connect(self.effect.address, seconds)
@@ -104,14 +118,14 @@
 
     def _read_head(self, seconds):
         if not self.has_head:
-            with gevent.Timeout(max(seconds, 0.001), BackendTrouble(reason="stall")):
+            with gevent.Timeout(max(seconds, 0.001), BackendError(reason="stall")):
                 while not self.has_head:
                     self.read()
 
     def next_part(self, seconds):
         """Return the next bytes of the body, or None at its proper end."""
         if not self.parts and not self.is_whole:
-            with gevent.Timeout(max(seconds, 0.001), BackendTrouble(reason="stall")):
+            with gevent.Timeout(max(seconds, 0.001), BackendError(reason="stall")):
                 while not self.parts and not self.is_whole:
                     self.read()
         if not self.parts:
@@ -148,7 +162,7 @@
         try:
             answer.write(effect.seconds)
             return answer
-        except BackendTrouble:
+        except BackendError:
             kept.close()
     answer = Answer(connect(effect.address, effect.seconds), effect)
     try:
--- a/quillring/kernel/node.py
+++ b/quillring/kernel/node.py
@@ -4,15 +4,24 @@
 
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.effects import Signal, Wait
-from quillring.kernel.troubles import TimedOut, Trouble, UnknownService, Unreachable, rebuild
+from quillring.kernel.errors import QuillringError, TimedOut, UnknownService, Unreachable, rebuild
 
 
 class Node:
     """The micro-kernel of one process; the world gives time, chance, network and disk."""
 
     __slots__ = (
-        "me", "world", "bounds", "services", "handlers", "pending", "next_call", "log", "counts",
-        "is_draining", "under_way",
+        "me",
+        "world",
+        "bounds",
+        "services",
+        "handlers",
+        "pending",
+        "next_call",
+        "log",
+        "counts",
+        "is_draining",
+        "under_way",
     )
 
     def __init__(self, me, world, bounds=None, log=None):
@@ -59,7 +68,7 @@
         self._send(target, {"s": service, "b": body})
 
     def call(self, target, service, body, seconds=None):
-        """Script: call a service of another node and return its answer, or raise its trouble."""
+        """Script: call a service of another node and return its answer, or raise its error."""
         call_id, reply_signal = self._begin(target, service, body)
         try:
             yield Wait(reply_signal, self.bounds.round if seconds is None else seconds)
@@ -67,12 +76,12 @@
             self.pending.pop(call_id, None)
         if not reply_signal.is_set:
             raise TimedOut(target=target, service=service)
-        if isinstance(reply_signal.value, Trouble):
+        if isinstance(reply_signal.value, QuillringError):
             raise reply_signal.value
         return reply_signal.value
 
     def gather(self, calls, need, seconds=None, repeats=False):
-        """Script: make all calls at once; return {target: answer or trouble}.
+        """Script: make all calls at once; return {target: answer or error}.
 
         Returns as soon as `need` of them went well, or all have ended, or the time is over. Calls
         that may run twice can be repeated: those without an answer are sent again at half time.
@@ -82,7 +91,7 @@
 
         def settle(target, signal):
             gathered_replies[target] = signal.value
-            good_count = sum(not isinstance(r, Trouble) for r in gathered_replies.values())
+            good_count = sum(not isinstance(r, QuillringError) for r in gathered_replies.values())
             if good_count >= need or len(gathered_replies) == len(calls):
                 done_signal.set()
 
@@ -101,8 +110,7 @@
         for call_id, _ in begun_calls.values():
             self.pending.pop(call_id, None)
         return {
-            target: gathered_replies.get(target, TimedOut(target=target))
-            for target, _, _ in calls
+            target: gathered_replies.get(target, TimedOut(target=target)) for target, _, _ in calls
         }
 
     def _begin(self, target, service, body):
@@ -139,7 +147,7 @@
             return
 
         def send_reply(reply):
-            if isinstance(reply, Trouble):
+            if isinstance(reply, QuillringError):
                 self._send(origin, {"r": call_id, "t": reply.kind, "b": reply.detail})
             else:
                 self._send(origin, {"r": call_id, "b": reply})
@@ -154,10 +162,10 @@
             answer = handler(body, origin)
             if inspect.isgenerator(answer):
                 answer = yield from answer
-        except Trouble as trouble:
-            answer = trouble
+        except QuillringError as error:
+            answer = error
         except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
             self.log("error", "handler %s: %r", service, error)
             self.count("handler_errors")
-            answer = Trouble(service=service)
+            answer = QuillringError(service=service)
         send_reply(answer)
--- a/quillring/kernel/raw_http.py
+++ b/quillring/kernel/raw_http.py
@@ -1,12 +1,22 @@
 """Requests and answers as bytes: what a client sent, within which limits, and what goes back."""
 
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.errors import QuillringError
 
 WORDS = {
-    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
-    409: "Conflict", 412: "Precondition Failed", 413: "Content Too Large",
-    421: "Misdirected Request", 422: "Unprocessable Content", 429: "Too Many Requests",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    409: "Conflict",
+    412: "Precondition Failed",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
@@ -39,7 +49,7 @@
         self.arrived_at = arrived_at
 
 
-class BadClient(Trouble):
+class BadClient(QuillringError):
     """The client sent what is no request within the limits."""
 
     kind = "bad_client"
@@ -58,7 +68,7 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-class ClientGone(Trouble):
+class ClientGone(QuillringError):
     """The client closed its connection."""
 
     kind = "client_gone"
--- a/quillring/kernel/settings.py
+++ b/quillring/kernel/settings.py
@@ -2,7 +2,7 @@
 
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.checks import StrictValidator, parse_json
-from quillring.kernel.troubles import BadSetting
+from quillring.kernel.errors import BadSetting
 
 ADDRESS = {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"}
 SECONDS = {"type": "number", "exclusiveMinimum": 0, "maximum": 3600}
@@ -12,24 +12,31 @@
     "required": ["name", "role", "domain", "address", "http_address", "seeds"],
     "properties": {
         "name": {
-            "type": "string", "pattern": "^[a-z][a-z0-9-]{0,40}$",
+            "type": "string",
+            "pattern": "^[a-z][a-z0-9-]{0,40}$",
             "description": "Name of the node, one of its own in the fleet.",
         },
         "role": {"enum": ["edge", "core", "store"], "description": "What the process does."},
         "domain": {
-            "type": "string", "pattern": "^[a-z][a-z0-9-]{0,40}$",
+            "type": "string",
+            "pattern": "^[a-z][a-z0-9-]{0,40}$",
             "description": "The domain (zone) the machine stands in.",
         },
         "address": {**ADDRESS, "description": "IP and port of heartbeats and messages."},
         "http_address": {**ADDRESS, "description": "IP and port of the HTTP interface."},
         "seeds": {
-            "type": "array", "items": ADDRESS, "minItems": 1, "maxItems": 3,
+            "type": "array",
+            "items": ADDRESS,
+            "minItems": 1,
+            "maxItems": 3,
             "description": "Addresses of other processes; they may be down later.",
         },
         "folder": {"type": "string", "minLength": 1, "description": "Data folder of a store."},
         "log_file": {"type": "string", "description": "Where the ring log is written out."},
         "parts": {
-            "type": "integer", "minimum": 1, "maximum": 64,
+            "type": "integer",
+            "minimum": 1,
+            "maximum": 64,
             "description": "Parts of the state beside the config part; used when founding.",
         },
         "bootstrap": {
@@ -37,15 +44,24 @@
             "description": "True at the very first start: the first seed founds the fleet.",
         },
         "losses": {
-            "type": "integer", "minimum": 0, "maximum": 8,
+            "type": "integer",
+            "minimum": 0,
+            "maximum": 8,
             "description": "Stores that may be lost at once; a part has twice as many and one.",
         },
         "bounds": {
-            "type": "object", "additionalProperties": False,
+            "type": "object",
+            "additionalProperties": False,
             "description": "The bounds promised to users, in seconds.",
             "properties": {
-                "news": SECONDS, "emptying": SECONDS, "ending": SECONDS, "reading": SECONDS,
-                "return_": SECONDS, "sync": SECONDS, "grace": SECONDS, "replica_beat": SECONDS,
+                "news": SECONDS,
+                "emptying": SECONDS,
+                "ending": SECONDS,
+                "reading": SECONDS,
+                "return_": SECONDS,
+                "sync": SECONDS,
+                "grace": SECONDS,
+                "replica_beat": SECONDS,
             },
         },
     },
@@ -56,8 +72,18 @@
     """The checked settings of one process."""
 
     __slots__ = (
-        "name", "role", "domain", "address", "http_address", "seeds", "folder", "log_file",
-        "parts", "bounds", "bootstrap", "losses",
+        "name",
+        "role",
+        "domain",
+        "address",
+        "http_address",
+        "seeds",
+        "folder",
+        "log_file",
+        "parts",
+        "bounds",
+        "bootstrap",
+        "losses",
     )
 
     def __init__(self, fields):
--- a/quillring/kernel/wsgi.py
+++ b/quillring/kernel/wsgi.py
@@ -6,16 +6,27 @@
 from urllib.parse import parse_qs
 
 from quillring.kernel.checks import parse_json
+from quillring.kernel.errors import BadInquiry, NotFound, QuillringError, TooLarge, WrongMethod
 from quillring.kernel.registry import Registry
-from quillring.kernel.troubles import BadInquiry, NotFound, TooLarge, Trouble, WrongMethod
 
 ROUTES = Registry("route")
 BODY_LIMIT = 1 << 20
 STATUS_WORDS = {
-    200: "OK", 201: "Created", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
-    405: "Method Not Allowed", 409: "Conflict", 410: "Gone", 413: "Content Too Large",
-    422: "Unprocessable Content", 500: "Internal Server Error", 502: "Bad Gateway",
-    503: "Service Unavailable", 504: "Gateway Timeout", 507: "Insufficient Storage",
+    200: "OK",
+    201: "Created",
+    400: "Bad Request",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    507: "Insufficient Storage",
 }
 
 
@@ -59,8 +70,10 @@
 def need_sender(inquiry):
     """Refuse an inquiry whose answer belongs to a sender that it does not name."""
     if not inquiry.sender or len(inquiry.sender) > 200:
-        raise BadInquiry(field="X-Sender", faults=[
-            {"field": "X-Sender", "fault": "a header of 1 to 200 characters is needed"}])
+        raise BadInquiry(
+            field="X-Sender",
+            faults=[{"field": "X-Sender", "fault": "a header of 1 to 200 characters is needed"}],
+        )
 
 
 def find_route(method, path):
@@ -121,18 +134,21 @@
             method = environ["REQUEST_METHOD"]
             function, words, limit, query_words = find_route(method, environ["PATH_INFO"])
             inquiry = Inquiry(
-                method, words, read_query(environ, query_words),
-                read_body(environ, limit), environ.get("HTTP_X_SENDER", ""),
+                method,
+                words,
+                read_query(environ, query_words),
+                read_body(environ, limit),
+                environ.get("HTTP_X_SENDER", ""),
             )
             outcome = function(node, inquiry)
             if not inspect.isgenerator(outcome):
                 return send_whole(start_response, outcome)
             return send_lines(node, start_response, outcome)
-        except Trouble as trouble:
-            return send_trouble(node, start_response, trouble)
+        except QuillringError as error:
+            return send_error(node, start_response, error)
         except Exception as error:
             node.log("error", "inquiry %s: %r", environ.get("PATH_INFO"), error)
-            return send_trouble(node, start_response, Trouble())
+            return send_error(node, start_response, QuillringError())
 
     return app
 
@@ -162,22 +178,27 @@
 def send_whole(start_response, answer, status=200, headers=()):
     """Send one JSON body."""
     body = json.dumps(answer).encode()
-    start_response(f"{status} {STATUS_WORDS.get(status, 'Status')}", [
-        ("Content-Type", "application/json"), ("Content-Length", str(len(body))), *headers,
-    ])
+    start_response(
+        f"{status} {STATUS_WORDS.get(status, 'Status')}",
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            *headers,
+        ],
+    )
     return [body]
 
 
-def send_trouble(node, start_response, trouble):
-    """Send a trouble at once; a refusal says when to come back, spread so crowds do not."""
+def send_error(node, start_response, error):
+    """Send an error at once; a refusal says when to come back, spread so crowds do not."""
     headers = []
-    body = trouble.to_json()
-    if trouble.comes_back:
-        seconds = trouble.detail.get("come_back_s") or node.bounds.news
+    body = error.to_json()
+    if error.comes_back:
+        seconds = error.detail.get("come_back_s") or node.bounds.news
         spread_seconds = max(1, round(seconds * (0.5 + node.world.random.random())))
         headers = [("Retry-After", str(spread_seconds))]
         body["come_back_s"] = spread_seconds
-    return send_whole(start_response, body, trouble.status, headers)
+    return send_whole(start_response, body, error.status, headers)
 
 
 def send_lines(node, start_response, script):
--- a/quillring/lots/__init__.py
+++ b/quillring/lots/__init__.py
@@ -15,5 +15,5 @@
     """
     node.offer("raw_worker", RawWorker(node))
     reads, runner = node.offer("raw_reads", RawReads(node)), node.offer("raw", RawRunner(node))
-    node.find("duty").on_owner.extend([runner.on_batch, reads.on_batch])
+    node.find("ownership").on_owner.extend([runner.on_batch, reads.on_batch])
     return runner.run()
--- a/quillring/lots/commands.py
+++ b/quillring/lots/commands.py
@@ -4,14 +4,14 @@
 
 import cbor2
 
-from quillring.kernel.troubles import Conflict, NotFound, Trouble
+from quillring.kernel.errors import Conflict, NotFound, QuillringError
 from quillring.quorum.commands import COMMANDS, QUERIES
 
 OPEN, ENDED, CANCELLED = "open", "ended", "cancelled"
 OPEN_WEIGHT = 16 << 20
 
 
-class TooManyLots(Trouble):
+class TooManyLots(QuillringError):
     """The part holds as much as it may, open or with results kept; the lot was not accepted."""
 
     kind = "too_many_lots"
@@ -32,9 +32,15 @@
     if open_weight + weight > OPEN_WEIGHT:
         raise TooManyLots(lot=command["lot"], open_weight=open_weight)
     lot = {
-        "sender": command["sender"], "entry": command["entry"], "items": command["items"],
-        "count": len(command["items"]), "digest": digest_of(command), "weight": weight,
-        "results": {}, "started": {}, "phase": OPEN,
+        "sender": command["sender"],
+        "entry": command["entry"],
+        "items": command["items"],
+        "count": len(command["items"]),
+        "digest": digest_of(command),
+        "weight": weight,
+        "results": {},
+        "started": {},
+        "phase": OPEN,
     }
     new_state = {**state, "lots": {**state["lots"], command["lot"]: lot}}
     return new_state, {"lot": command["lot"], "items": len(command["items"])}
@@ -123,7 +129,9 @@
     """Return how far a lot is."""
     lot = _find_lot(state, query)
     return {
-        "lot": query["lot"], "phase": lot["phase"], "items": lot["count"],
+        "lot": query["lot"],
+        "phase": lot["phase"],
+        "items": lot["count"],
         "results": len(lot["results"]),
     }
 
@@ -134,6 +142,8 @@
     lot = _find_lot(state, query)
     numbers = range(query["from"], min(lot["count"], query["from"] + query["count"]))
     return {
-        "lot": query["lot"], "phase": lot["phase"], "items": lot["count"],
+        "lot": query["lot"],
+        "phase": lot["phase"],
+        "items": lot["count"],
         "results": [{"n": n, **lot["results"][n]} for n in numbers if n in lot["results"]],
     }
--- a/quillring/lots/front.py
+++ b/quillring/lots/front.py
@@ -4,25 +4,29 @@
 
 from quillring.edge.admission import check_admission
 from quillring.kernel.checks import StrictValidator, read_count
-from quillring.kernel.troubles import BadInquiry, Refused
+from quillring.kernel.errors import BadInquiry, Refused
 from quillring.kernel.wsgi import check_body, need_sender, route
 from quillring.quorum.parts import part_of
 
 LOT_LIMIT = 8 << 20
 RELEASE_LEVEL = 2
-LOT = StrictValidator({
-    "type": "object",
-    "additionalProperties": False,
-    "required": ["entry", "items"],
-    "properties": {
-        "entry": {"type": "string", "maxLength": 41},
-        "key": {"type": "string", "pattern": "^[A-Za-z0-9_-]{1,64}$"},
-        "items": {
-            "type": "array", "minItems": 1, "maxItems": 10_000,
-            "items": {"type": "string", "maxLength": 100_000},
+LOT = StrictValidator(
+    {
+        "type": "object",
+        "additionalProperties": False,
+        "required": ["entry", "items"],
+        "properties": {
+            "entry": {"type": "string", "maxLength": 41},
+            "key": {"type": "string", "pattern": "^[A-Za-z0-9_-]{1,64}$"},
+            "items": {
+                "type": "array",
+                "minItems": 1,
+                "maxItems": 10_000,
+                "items": {"type": "string", "maxLength": 100_000},
+            },
         },
-    },
-})
+    }
+)
 
 
 @route("POST", "/v1/lots", limit=LOT_LIMIT)
@@ -34,13 +38,19 @@
     entry, service, _ = node.find("layout").entry(inquiry.body["entry"])
     if service["kind"] != "model":
         raise BadInquiry(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
-    part = part_of(entry["service"], len(node.find("duty").parts()) - 1)
+    part = part_of(entry["service"], len(node.find("ownership").parts()) - 1)
     own_key = f"{node.world.random.getrandbits(96):024x}"
     lot_name = f"{part}.{sender_space(inquiry.sender)}.{inquiry.body.get('key') or own_key}"
-    answer = yield from node.find("duty").submit(part, {
-        "do": "lot.accept", "lot": lot_name, "sender": inquiry.sender,
-        "entry": inquiry.body["entry"], "items": inquiry.body["items"],
-    })
+    answer = yield from node.find("ownership").submit(
+        part,
+        {
+            "do": "lot.accept",
+            "lot": lot_name,
+            "sender": inquiry.sender,
+            "entry": inquiry.body["entry"],
+            "items": inquiry.body["items"],
+        },
+    )
     return answer
 
 
@@ -52,7 +62,7 @@
 def part_of_lot(node, lot_name):
     """Return the part a lot's name points to, or refuse the name."""
     part = lot_name.partition(".")[0]
-    if part not in node.find("duty").parts():
+    if part not in node.find("ownership").parts():
         raise BadInquiry(field="lot", faults=[{"field": "lot", "fault": "unknown lot name"}])
     return part
 
@@ -62,7 +72,7 @@
     """Tell how far a lot is."""
     lot_name = inquiry.words["lot"]
     query = {"ask": "lot.status", "lot": lot_name, "sender": inquiry.sender}
-    return (yield from node.find("duty").read(part_of_lot(node, lot_name), query))
+    return (yield from node.find("ownership").read(part_of_lot(node, lot_name), query))
 
 
 @route("GET", "/v1/lots/{lot}/results", query_words=("from", "count"))
@@ -74,10 +84,13 @@
         for name, default in (("from", "0"), ("count", "1000"))
     )
     query = {
-        "ask": "lot.results", "lot": lot_name, "sender": inquiry.sender,
-        "from": start, "count": min(count, 1000),
+        "ask": "lot.results",
+        "lot": lot_name,
+        "sender": inquiry.sender,
+        "from": start,
+        "count": min(count, 1000),
     }
-    return (yield from node.find("duty").read(part_of_lot(node, lot_name), query))
+    return (yield from node.find("ownership").read(part_of_lot(node, lot_name), query))
 
 
 @route("POST", "/v1/lots/{lot}/release")
@@ -87,7 +100,7 @@
     if node.find("nifty").level() < RELEASE_LEVEL:
         raise Refused(reason="some nodes are of the former version")
     command = {"do": "lot.release", "lot": lot_name, "sender": inquiry.sender}
-    return (yield from node.find("duty").submit(part_of_lot(node, lot_name), command))
+    return (yield from node.find("ownership").submit(part_of_lot(node, lot_name), command))
 
 
 @route("DELETE", "/v1/lots/{lot}")
@@ -95,4 +108,4 @@
     """End a lot early."""
     lot_name = inquiry.words["lot"]
     command = {"do": "lot.cancel", "lot": lot_name, "sender": inquiry.sender}
-    return (yield from node.find("duty").submit(part_of_lot(node, lot_name), command))
+    return (yield from node.find("ownership").submit(part_of_lot(node, lot_name), command))
--- a/quillring/lots/keeping.py
+++ b/quillring/lots/keeping.py
@@ -48,7 +48,8 @@
         others = {key: at for key, at in self.ended_at.items() if key[0] != owner.part}
         self.ended_at = {**others, **{key: self.ended_at.get(key, now) for key in places}}
         self.weights = {
-            key: known for key, known in self.weights.items()
+            key: known
+            for key, known in self.weights.items()
             if key[0] != owner.part or key[1] in lots
         }
         for _, name in places:
--- a/quillring/lots/raw_commands.py
+++ b/quillring/lots/raw_commands.py
@@ -5,7 +5,7 @@
 tables only; bodies and texts are shared.
 """
 
-from quillring.kernel.troubles import Conflict, NotFound, Trouble
+from quillring.kernel.errors import Conflict, NotFound, QuillringError
 from quillring.quorum.commands import COMMANDS, QUERIES
 
 FINISHED, ERRORED = "finished", "errored"
@@ -16,7 +16,7 @@
 QUOTA, HELD = "quota", "held"
 
 
-class QuotaExceeded(Trouble):
+class QuotaExceeded(QuillringError):
     """The tokens that wait on the forward leave no room for the lot; none of it will run."""
 
     kind = "quota_exceeded"
@@ -24,7 +24,7 @@
     comes_back = True
 
 
-class HeldTooMuch(Trouble):
+class HeldTooMuch(QuillringError):
     """The part holds as many bodies and results as it may; none of the lot will run."""
 
     kind = "held_too_much"
@@ -74,8 +74,10 @@
     items, reason = command["items"], None
     tokens = sum(item[ITEM_TOKENS] for item in items)
     weight = weight_of(items)
-    if command["most_tokens"] and waiting_tokens(
-            state, command["forward"]) + tokens > command["most_tokens"]:
+    if (
+        command["most_tokens"]
+        and waiting_tokens(state, command["forward"]) + tokens > command["most_tokens"]
+    ):
         reason = QUOTA
     elif weight + sum(lot["weight"] for lot in raw_lots(state).values()) > HELD_WEIGHT:
         reason = HELD
@@ -83,10 +85,20 @@
         kept = dict([*refusals.items(), (command["try"], reason)][-KEPT_REFUSALS:])
         return {**state, "raw_refusals": kept}, {"refused": reason}
     lot = {
-        "forward": command["forward"], "host": command["host"], "digest": command["digest"],
-        "at": command["at"], "due_ms": command["due_ms"], "retain_ms": command["retain_ms"],
-        "rounds": command["rounds"], "count": len(items), "tokens": tokens, "weight": weight,
-        "items": dict(enumerate(items)), "results": [], "failed": {}, "ended": False,
+        "forward": command["forward"],
+        "host": command["host"],
+        "digest": command["digest"],
+        "at": command["at"],
+        "due_ms": command["due_ms"],
+        "retain_ms": command["retain_ms"],
+        "rounds": command["rounds"],
+        "count": len(items),
+        "tokens": tokens,
+        "weight": weight,
+        "items": dict(enumerate(items)),
+        "results": [],
+        "failed": {},
+        "ended": False,
     }
     return with_lot(state, name, lot), {"items": len(items)}
 
@@ -101,8 +113,9 @@
         "items": {n: item for n, item in lot["items"].items() if n not in numbers},
         "failed": {n: runs for n, runs in lot["failed"].items() if n not in numbers},
         "tokens": lot["tokens"] - sum(item[ITEM_TOKENS] for item in listed),
-        "weight": lot["weight"] - weight_of(listed) + sum(
-            len(text) + ITEM_WEIGHT for _, _, text in rows),
+        "weight": lot["weight"]
+        - weight_of(listed)
+        + sum(len(text) + ITEM_WEIGHT for _, _, text in rows),
     }
 
 
@@ -149,7 +162,11 @@
     if lot["ended"]:
         return state, {"ended": True, "repeated": True}
     new_lot = {
-        **lot, "ended": True, "items": {}, "failed": {}, "tokens": 0,
+        **lot,
+        "ended": True,
+        "items": {},
+        "failed": {},
+        "tokens": 0,
         "weight": lot["weight"] - weight_of(lot["items"].values()),
     }
     return with_lot(state, command["lot"], new_lot), {"ended": True}
@@ -170,13 +187,14 @@
     """Return the results from a position on, as many as the limit takes, one at least."""
     lot = find_raw_lot(state, query)
     chosen_results, weight = [], 0
-    for result in lot["results"][query["from"]:]:
+    for result in lot["results"][query["from"] :]:
         weight += len(result[2]) + 100
         if chosen_results and weight > query["limit"]:
             break
         chosen_results.append(result)
     return {
-        "items": lot["count"], "results": chosen_results,
+        "items": lot["count"],
+        "results": chosen_results,
         "next": query["from"] + len(chosen_results),
         "is_over": not lot["items"],
     }
--- a/quillring/lots/raw_front.py
+++ b/quillring/lots/raw_front.py
@@ -4,13 +4,13 @@
 
 import cbor2
 
-from quillring.kernel.troubles import (
+from quillring.kernel.errors import (
     NotFound,
     NotFounded,
     OutcomeUnknown,
+    QuillringError,
     Refused,
     TimedOut,
-    Trouble,
 )
 from quillring.lots.raw_commands import HELD, HeldTooMuch, QuotaExceeded
 from quillring.quorum.parts import part_of
@@ -33,7 +33,7 @@
 
 def part_of_host(node, host):
     """Return the part that holds a host's lots; NotFounded while the fleet is not founded."""
-    return part_of(bare_host(host), len(node.find("duty").parts()) - 1)
+    return part_of(bare_host(host), len(node.find("ownership").parts()) - 1)
 
 
 def submit_surely(node, part, command, seconds):
@@ -41,12 +41,12 @@
 
     Raises Refused only when it surely was not taken, OutcomeUnknown when it may still be.
     """
-    duty, bounds = node.find("duty"), node.bounds
+    ownership, bounds = node.find("ownership"), node.bounds
     end_time, is_unsure = node.now() + seconds, False
     while True:
         window_end = min(end_time, node.now() + bounds.round)
         try:
-            return (yield from duty.submit(part, command, window_end - node.now()))
+            return (yield from ownership.submit(part, command, window_end - node.now()))
         except (OutcomeUnknown, TimedOut):
             is_unsure = True
         except Refused:
@@ -72,13 +72,18 @@
         raise NotFound(field="forward")
     fields, part = forward.fields, part_of_host(node, forward.host)
     command = {
-        "do": "raw.accept", "lot": lot_key(forward.host, lot_name), "forward": forward.name,
-        "host": fields["host"], "items": items,
+        "do": "raw.accept",
+        "lot": lot_key(forward.host, lot_name),
+        "forward": forward.name,
+        "host": fields["host"],
+        "items": items,
         "digest": hashlib.sha256(cbor2.dumps([forward.name, items])).digest()[:16],
         "try": f"{node.world.random.getrandbits(96):024x}",
-        "most_tokens": fields.get("most_tokens") or 0, "at": int(node.world.wall() * 1000),
+        "most_tokens": fields.get("most_tokens") or 0,
+        "at": int(node.world.wall() * 1000),
         "due_ms": fields.get("due_ms") or 60_000,
-        "retain_ms": fields.get("retain_ms") or 3_600_000, "rounds": forward.rounds,
+        "retain_ms": fields.get("retain_ms") or 3_600_000,
+        "rounds": forward.rounds,
     }
     seconds = forward.goal_seconds + node.bounds.reading if seconds is None else seconds
     answer = yield from submit_surely(node, part, command, seconds)
@@ -97,7 +102,10 @@
     """
     part, hold_seconds = part_of_host(node, host), min(hold_seconds, LONGEST_HOLD)
     query = {
-        "ask": "raw.results", "lot": lot_key(host, lot_name), "from": start, "limit": RESULT_BYTES,
+        "ask": "raw.results",
+        "lot": lot_key(host, lot_name),
+        "from": start,
+        "limit": RESULT_BYTES,
     }
     body = {"query": query, "seconds": hold_seconds}
     return (yield from read_held(node, part, query, body, hold_seconds))
@@ -105,15 +113,17 @@
 
 def read_held(node, part, query, body, hold_seconds):
     """Script: ask the part's owner, which may hold the call, else a majority of its stores."""
-    duty, bounds = node.find("duty"), node.bounds
+    ownership, bounds = node.find("ownership"), node.bounds
     try:
-        return (yield from duty.ask(part, "raw.read", body, hold_seconds + bounds.reading * 0.4))
+        return (
+            yield from ownership.ask(part, "raw.read", body, hold_seconds + bounds.reading * 0.4)
+        )
     except NotFound:
         raise
-    except Trouble as trouble:
+    except QuillringError as error:
         node.count("raw_reads_elsewhere")
-        node.log("debug", "raw.read %s: %s", part, trouble)
-    known = yield from peek(node, part, duty.group(part), query)
+        node.log("debug", "raw.read %s: %s", part, error)
+    known = yield from peek(node, part, ownership.group(part), query)
     if known is not None:
         return known()
     return (yield from surely_read(node, part, query, bounds.reading * 0.6))
@@ -122,11 +132,11 @@
 def surely_read(node, part, query, seconds):
     """Script: read a part; whatever goes wrong and is no sure answer becomes a refusal."""
     try:
-        return (yield from node.find("duty").read(part, query, seconds))
+        return (yield from node.find("ownership").read(part, query, seconds))
     except (NotFound, NotFounded, Refused):
         raise
-    except Trouble as trouble:
-        raise Refused(reason=trouble.kind, part=part) from trouble
+    except QuillringError as error:
+        raise Refused(reason=error.kind, part=part) from error
 
 
 def read_raw_body(node, host, lot_name, item_id):
--- a/quillring/lots/raw_ledger.py
+++ b/quillring/lots/raw_ledger.py
@@ -11,13 +11,13 @@
 class RawItem:
     """One item without a result: how far its text is, and the run that is under way."""
 
-    __slots__ = ("lot", "number", "last", "text", "avoided", "troubles", "ready_at", "run")
+    __slots__ = ("lot", "number", "last", "text", "avoided", "errors", "ready_at", "run")
 
     def __init__(self, lot, number):
         self.lot, self.number = lot, number
         self.last, self.text = None, b""
         self.avoided = frozenset()
-        self.troubles = 0
+        self.errors = 0
         self.ready_at = 0
         self.run = None
 
@@ -59,8 +59,15 @@
     """The items of one term of a part's ownership, kept in step by the batches it commits."""
 
     __slots__ = (
-        "node", "owner", "lots", "is_reported", "renewed_at", "runs_by_replica", "runs_by_worker",
-        "over_since", "rest_until",
+        "node",
+        "owner",
+        "lots",
+        "is_reported",
+        "renewed_at",
+        "runs_by_replica",
+        "runs_by_worker",
+        "over_since",
+        "rest_until",
     )
 
     def __init__(self, node, owner):
@@ -128,6 +135,7 @@
 
     def order(self, now):
         """Return the lots, those due soonest first; those past hope come after the rest."""
+
         def rank(lot):
             return lot.due_at - now < CAN_STILL, lot.due_at, lot.name
 
--- a/quillring/lots/raw_limits.py
+++ b/quillring/lots/raw_limits.py
@@ -29,12 +29,11 @@
         return max(LEAST_SHARE, (NEAR_SHARE if is_near else CALM_SHARE) * factor)
 
     def note(self, run, outcome, now):
-        """Take in how a run ended: a full replica lowers the share, troubles in a row give rest."""
+        """Take in how a run ended: a full replica lowers the share, errors in a row give rest."""
         known = self.node.find("replicas").table
         self.strikes = {name: count for name, count in self.strikes.items() if name in known}
         strikes = self.strikes[run.replica] = self.strikes.get(run.replica, 0) + 1
-        self.alone_until = {
-            name: until for name, until in self.alone_until.items() if until > now}
+        self.alone_until = {name: until for name, until in self.alone_until.items() if until > now}
         seconds = LEFT_ALONE[outcome] * 2 ** min(strikes - 1, MOST_DOUBLINGS)
         self.alone_until[run.replica] = now + seconds
         if outcome == NOT_RUN:
@@ -54,17 +53,22 @@
         known = placement.replicas(service)
         heard = [r for r in known if not is_quiet(r, now, patience)] or known
         fit = [
-            r for r in [r for r in heard if r.name not in avoided_names] or heard
+            r
+            for r in [r for r in heard if r.name not in avoided_names] or heard
             if ledger.runs_by_replica.get(r.name, 0) < max(1, r.slots * share)
-            and self.alone_until.get(r.name, 0) <= now and self.next_starts.get(r.name, 0) <= now
-            and replicas.may_be_sent(r) and placement.view(r).is_trusted(now)
+            and self.alone_until.get(r.name, 0) <= now
+            and self.next_starts.get(r.name, 0) <= now
+            and replicas.may_be_sent(r)
+            and placement.view(r).is_trusted(now)
         ]
         warm = [r for r in fit if not r.is_cold(now)]
         if not warm:
             warm = [r for r in fit[:1] if placement.ramp.take(r, now)]
         return min(
-            warm, default=None,
-            key=lambda r: (ledger.runs_by_replica.get(r.name, 0) / r.slots, r.name))
+            warm,
+            default=None,
+            key=lambda r: (ledger.runs_by_replica.get(r.name, 0) / r.slots, r.name),
+        )
 
     def started(self, replica, now):
         """Note a start: a replica reads one item's prompt after the other, not all at once."""
--- a/quillring/lots/raw_reads.py
+++ b/quillring/lots/raw_reads.py
@@ -1,7 +1,7 @@
 """Reads of raw lots at the owner of their part, held until a result exists."""
 
 from quillring.kernel.effects import Signal, Wait
-from quillring.kernel.troubles import NotFound, NotOwner
+from quillring.kernel.errors import NotFound, NotOwner
 from quillring.quorum.commands import QUERIES
 
 CERTAIN = 0.15
@@ -29,7 +29,7 @@
 
     def on_read(self, body, origin):
         """Answer a query, after some seconds at most while the lot has no further result."""
-        owner, query = self.node.find("duty").owners.get(body["part"]), body["query"]
+        owner, query = self.node.find("ownership").owners.get(body["part"]), body["query"]
         end_time = self.node.now() + body["seconds"]
         while True:
             if owner is None or not owner.is_owner:
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -3,7 +3,8 @@
 import math
 
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import NotOwner, NotSent, TimedOut, Trouble
+from quillring.kernel.errors import NotOwner, NotSent, QuillringError, TimedOut
+from quillring.lots.raw_choice import choose_worker, raw_lots_ended
 from quillring.lots.raw_commands import HELD_WEIGHT, raw_lots
 from quillring.lots.raw_ledger import OwnedRun, RawLedger
 from quillring.lots.raw_limits import RawLimits
@@ -37,8 +38,7 @@
     def on_batch(self, owner, batch):
         """Follow what was committed; stop what needs to run no more."""
         if not owner.is_owner:
-            if self.ledgers.get(owner.part) is not None and self.ledgers[
-                    owner.part].owner is owner:
+            if self.ledgers.get(owner.part) is not None and self.ledgers[owner.part].owner is owner:
                 del self.ledgers[owner.part]
             return
         ledger = self.ledgers.get(owner.part)
@@ -68,12 +68,12 @@
         yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
 
     def _cores(self):
-        duty, nifty = self.node.find("duty"), self.node.find("nifty")
-        return [name for name in duty.cores() if nifty.reaches(name)]
+        ownership, nifty = self.node.find("ownership"), self.node.find("nifty")
+        return [name for name in ownership.cores() if nifty.reaches(name)]
 
     def run(self):
         """Script: start what waits, follow what runs, list what is over."""
-        duty, me, bounds = self.node.find("duty"), self.node.me, self.node.bounds
+        ownership, me, bounds = self.node.find("ownership"), self.node.me, self.node.bounds
         while True:
             yield Sleep(bounds.chatter / 2)
             for ledger in list(self.ledgers.values()):
@@ -83,7 +83,7 @@
                 if self.node.now() - ledger.renewed_at >= seconds:
                     ledger.renewed_at = self.node.now()
                     self._look_after(ledger)
-                if ledger.is_reported and ledger.lots and not duty.is_leaving(me.name):
+                if ledger.is_reported and ledger.lots and not ownership.is_leaving(me.name):
                     self._start_items(ledger)
 
     def _look_after(self, ledger):
@@ -103,9 +103,10 @@
         body = {"part": owner.part, "ballot": list(owner.ballot)}
         calls = [(name, "raw.renew", body) for name in self._cores()]
         replies = yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
-        heard = {t: rows for t, rows in replies.items() if not isinstance(rows, Trouble)}
+        heard = {t: rows for t, rows in replies.items() if not isinstance(rows, QuillringError)}
         reported = {
-            (row[0], row[1]): (worker, row) for worker, rows in heard.items() for row in rows}
+            (row[0], row[1]): (worker, row) for worker, rows in heard.items() for row in rows
+        }
         now = self.node.now()
         for (lot_name, number), (worker, row) in reported.items():
             item = ledger.find(lot_name, number)
@@ -121,8 +122,8 @@
             is_answered = item.run.worker in heard and item.run.started_at < asked_at - SETTLED
             is_gone = not self.node.find("nifty").reaches(item.run.worker)
             if (item.lot, item.number) not in reported and (
-                    is_answered or is_gone
-                    or now - item.run.heard_at > self.node.bounds.reading * 3):
+                is_answered or is_gone or now - item.run.heard_at > self.node.bounds.reading * 3
+            ):
                 self.node.count("raw_runs_lost")
                 ledger.end_run(item)
 
@@ -171,9 +172,9 @@
         self.node.spawn(self._start(ledger, item, run, forward, is_near))
 
     def _workers(self, ledger):
-        duty = self.node.find("duty")
+        ownership = self.node.find("ownership")
         members = self.node.find("nifty").roster.members
-        names = [n for n in duty.rank(ledger.owner.part) if not duty.is_leaving(n)]
+        names = [n for n in ownership.rank(ledger.owner.part) if not ownership.is_leaving(n)]
         return [(n, members[n].domain) for n in names if not ledger.rests(n)]
 
     def _start(self, ledger, item, run, forward, is_near):
@@ -183,15 +184,24 @@
         if lot is None or item.number not in lot["items"] or item.run is not run:
             return
         body = {
-            "part": owner.part, "ballot": list(owner.ballot), "lot": item.lot,
-            "n": item.number, "run": run.id, "service": run.service, "replica": run.replica,
-            "forward": forward.name, "host": lot["host"],
-            "item": lot["items"][item.number][:4], "last": item.last, "text": item.text,
+            "part": owner.part,
+            "ballot": list(owner.ballot),
+            "lot": item.lot,
+            "n": item.number,
+            "run": run.id,
+            "service": run.service,
+            "replica": run.replica,
+            "forward": forward.name,
+            "host": lot["host"],
+            "item": lot["items"][item.number][:4],
+            "last": item.last,
+            "text": item.text,
             "urgency": NEAR_URGENCY if is_near else CALM_URGENCY,
         }
         try:
             answer = yield from self.node.call(
-                run.worker, "raw.run", body, self.node.bounds.reading)
+                run.worker, "raw.run", body, self.node.bounds.reading
+            )
             run.id = answer["run"]
         except TimedOut:
             self.node.count("raw_starts_unsure")
@@ -199,8 +209,8 @@
         except NotSent:
             self.limits.note(run, UNSENT, self.node.now())
             self._give_back(ledger, item, run.id, PAUSES[UNSENT])
-        except Trouble as trouble:
-            self.node.count(f"raw_starts_{trouble.kind}")
+        except QuillringError as error:
+            self.node.count(f"raw_starts_{error.kind}")
             ledger.rest_worker(run.worker)
             if item.run is run:
                 ledger.end_run(item)
@@ -210,8 +220,8 @@
         if item.run is None or item.run.id != run_id:
             return
         item.avoided = item.avoided | {item.run.replica}
-        item.troubles += 1
-        item.ready_at = self.node.now() + seconds * min(item.troubles, 10)
+        item.errors += 1
+        item.ready_at = self.node.now() + seconds * min(item.errors, 10)
         ledger.end_run(item)
 
     def on_report(self, body, origin):
@@ -223,25 +233,8 @@
         if item is None:
             return {"taken": False}
         if body["last"] is not None and (item.last is None or body["last"] > item.last):
-            item.last, item.text, item.troubles = body["last"], body["text"], 0
+            item.last, item.text, item.errors = body["last"], body["text"], 0
         if item.run is not None and item.run.id == body["run"]:
             self.limits.note(item.run, body["outcome"], self.node.now())
         self._give_back(ledger, item, body["run"], PAUSES[body["outcome"]])
         return {"taken": True}
-
-
-def choose_worker(ledger, cores, replica):
-    """Return the core that sends to a replica: one of its domain unless others have far less."""
-    loads = ledger.runs_by_worker
-    fewest = min((loads.get(name, 0) for name, _ in cores), default=0)
-    near = [n for n, domain in cores if domain == replica.domain]
-    if near and loads.get(near[0], 0) < fewest * 2 + 8:
-        return near[0]
-    return min((n for n, _ in cores), key=lambda n: loads.get(n, 0), default=None)
-
-
-def raw_lots_ended(node, lot_name):
-    """Tell whether a lot of an owned part was ended."""
-    return any(
-        raw_lots(owner.state).get(lot_name, {}).get("ended", False)
-        for owner in node.find("duty").owners.values() if owner.state)
--- a/quillring/lots/raw_worker.py
+++ b/quillring/lots/raw_worker.py
@@ -8,11 +8,17 @@
 from quillring.forward.events import EventReader
 from quillring.forward.request import Request
 from quillring.kernel.effects import NextPart, Sleep
-from quillring.kernel.troubles import BackendTrouble, Fenced, NotSent, Refused, Trouble
+from quillring.kernel.errors import BackendError, Fenced, NotSent, QuillringError, Refused
 from quillring.lots.raw_commands import ERRORED, FINISHED
 
 WHOLE, DEAD, FAILED, NOT_RUN, BROKEN, UNSENT = (
-    "whole", "dead", "failed", "not_run", "broken", "unsent")
+    "whole",
+    "dead",
+    "failed",
+    "not_run",
+    "broken",
+    "unsent",
+)
 TEXT_LIMIT = 4 << 20
 
 
@@ -20,7 +26,16 @@
     """One sending of an item: what it has of the text, and how to stop it."""
 
     __slots__ = (
-        "part", "lot", "number", "id", "service", "replica", "last", "text", "handle", "is_stopped",
+        "part",
+        "lot",
+        "number",
+        "id",
+        "service",
+        "replica",
+        "last",
+        "text",
+        "handle",
+        "is_stopped",
         "is_committing",
     )
 
@@ -121,32 +136,41 @@
         item_id, target, pairs, content = body["item"]
         own_names = {"host", dialect.inquiry}
         headers = [
-            ("Host", body["host"]), (dialect.inquiry, item_id),
-            *((name, value) for name, value in pairs if name.lower() not in own_names)]
+            ("Host", body["host"]),
+            (dialect.inquiry, item_id),
+            *((name, value) for name, value in pairs if name.lower() not in own_names),
+        ]
         request = Request(dialect, "POST", target, headers, content)
         lease = node.find("placement").begin(replica, request)
         stall_seconds = node.bounds.ending
         try:
             run.handle = yield from open_answer(
-                node, replica, request, run.last, body["urgency"], node.now() + stall_seconds * 3,
-                True, stall_seconds / 2)
+                node,
+                replica,
+                request,
+                run.last,
+                body["urgency"],
+                node.now() + stall_seconds * 3,
+                True,
+                stall_seconds / 2,
+            )
             lease.heard()
             return (yield from self._read(run, lease))
-        except NotSent as trouble:
-            self._note(run, replica, trouble)
+        except NotSent as error:
+            self._note(run, replica, error)
             return UNSENT
-        except BackendTrouble as trouble:
-            self._note(run, replica, trouble)
+        except BackendError as error:
+            self._note(run, replica, error)
             return BROKEN
         finally:
             lease.end()
             if run.handle is not None:
                 run.handle.close()
 
-    def _note(self, run, replica, trouble):
-        self.node.count(f"raw_{trouble.kind}")
-        if not run.is_stopped and trouble.detail.get("reason") not in ("left", "no time left"):
-            self.node.find("placement").failed(replica, isinstance(trouble, NotSent))
+    def _note(self, run, replica, error):
+        self.node.count(f"raw_{error.kind}")
+        if not run.is_stopped and error.detail.get("reason") not in ("left", "no time left"):
+            self.node.find("placement").failed(replica, isinstance(error, NotSent))
 
     def _read(self, run, lease):
         """Script: take the answer's head, then the events in order until the proper end."""
@@ -171,9 +195,9 @@
         seconds = self.node.bounds.ending / 2
         try:
             return (yield NextPart(handle, seconds))
-        except BackendTrouble as trouble:
+        except BackendError as error:
             is_silent = self.node.find("placement").is_silent(lease.replica, seconds)
-            if trouble.detail["reason"] != "stall" or is_silent:
+            if error.detail["reason"] != "stall" or is_silent:
                 raise
         return (yield NextPart(handle, seconds))
 
@@ -182,11 +206,11 @@
             if event.id is None and not event.data:
                 continue
             if event.id is None or (run.last is None and event.id > 1):
-                raise BackendTrouble(reason="events out of order")
+                raise BackendError(reason="events out of order")
             run.text.append(b"\n".join(event.data))
             run.last = event.id
         if sum(map(len, run.text)) > TEXT_LIMIT:
-            raise BackendTrouble(reason="too large")
+            raise BackendError(reason="too large")
 
     def _deliver(self, run, outcome):
         """Script: commit or report what became of the run, until it is taken or far too late."""
@@ -199,14 +223,14 @@
             FAILED: {"do": "raw.failed", **fields},
         }
         report = {**fields, "outcome": outcome, "last": run.last, "text": text}
-        duty = self.node.find("duty")
+        ownership = self.node.find("ownership")
         while self.node.now() < end_time and not run.is_stopped:
             try:
                 if outcome in commands:
-                    return (yield from duty.submit(run.part, commands[outcome]))
-                return (yield from duty.ask(run.part, "raw.report", report, None))
-            except Trouble as trouble:
+                    return (yield from ownership.submit(run.part, commands[outcome]))
+                return (yield from ownership.ask(run.part, "raw.report", report, None))
+            except QuillringError as error:
                 self.node.count("raw_deliveries_repeated")
-                self.node.log("debug", "raw delivery %s: %s", run.id, trouble)
+                self.node.log("debug", "raw delivery %s: %s", run.id, error)
             yield Sleep(self.node.bounds.beat / 2)
         return None
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -8,7 +8,7 @@
 from quillring.edge.dispatch import prefix_key
 from quillring.edge.streams import STALL_MS, check_before_sending, check_line
 from quillring.kernel.effects import Fetch, Next, Open, Signal, Sleep, Wait
-from quillring.kernel.troubles import BackendTrouble, Busy, NotSent, Trouble
+from quillring.kernel.errors import BackendError, Busy, NotSent, QuillringError
 from quillring.lots.commands import OPEN
 from quillring.lots.keeping import Keeping
 
@@ -48,10 +48,10 @@
         """Script: start items while there is room, and stop those of ended lots."""
         while True:
             yield Sleep(self.node.bounds.beat / 5)
-            for owner in self.node.find("duty").owners.values():
+            for owner in self.node.find("ownership").owners.values():
                 if owner.may_act():
                     self.keeping.drop_old(owner)
-                    if not self.node.find("duty").is_leaving(self.node.me.name):
+                    if not self.node.find("ownership").is_leaving(self.node.me.name):
                         self._start_items(owner)
             self._stop_ended()
 
@@ -59,7 +59,8 @@
         open_lots = {n: lot for n, lot in owner.state["lots"].items() if lot["phase"] == OPEN}
         running = Counter(key[:2] for key in self.running)
         self.first_open = {
-            place: n for place, n in self.first_open.items()
+            place: n
+            for place, n in self.first_open.items()
             if place[0] != owner.part or place[1] in open_lots
         }
         for name, lot in open_lots.items():
@@ -100,9 +101,14 @@
     def _tell_replica(self, replica, prefix):
         try:
             yield Fetch(
-                replica.address, "POST", replica.path("/v1/stop", inquiry=prefix),
-                {"inquiries_of": prefix}, self.node.bounds.ending / 3, True)
-        except BackendTrouble:
+                replica.address,
+                "POST",
+                replica.path("/v1/stop", inquiry=prefix),
+                {"inquiries_of": prefix},
+                self.node.bounds.ending / 3,
+                True,
+            )
+        except BackendError:
             self.node.count("stops_not_heard")
 
     def _is_wanted(self, owner, key):
@@ -110,7 +116,7 @@
         return lot is not None and lot["phase"] == OPEN and key[2] not in lot["results"]
 
     def _stop_ended(self):
-        owners = self.node.find("duty").owners
+        owners = self.node.find("ownership").owners
         for key, item in list(self.running.items()):
             if not self._is_wanted(owners[key[0]], key):
                 item.stop()
@@ -119,12 +125,17 @@
         try:
             result = yield from self._item_result(owner, key, lot)
             if result is not None:
-                yield from owner.submit({
-                    "do": "lot.result", "lot": key[1], "n": key[2], "result": result,
-                })
-        except Trouble as trouble:
+                yield from owner.submit(
+                    {
+                        "do": "lot.result",
+                        "lot": key[1],
+                        "n": key[2],
+                        "result": result,
+                    }
+                )
+        except QuillringError as error:
             self.node.count("item_troubles")
-            self.node.log("debug", "item %s: %s", key, trouble)
+            self.node.log("debug", "item %s: %s", key, error)
             yield Wait(self.running[key].stop_signal, self.node.bounds.beat)
         finally:
             self.running.pop(key, None)
@@ -135,16 +146,24 @@
         end_time = node.now() + promise["time_left_ms"] / 1000
         prefix = entry.get("prefix", "")
         lease = yield from node.find("dispatch").acquire(
-            entry["service"], entry["class"], promise, prefix_key(prefix),
+            entry["service"],
+            entry["class"],
+            promise,
+            prefix_key(prefix),
             node.now() + node.bounds.news,
         )
         handle = None
         try:
             if not may_repeat(promise):
-                answer = yield from owner.submit({
-                    "do": "lot.start", "lot": lot_name, "n": number, "by": list(owner.ballot),
-                    "was_unsent": key in self.unsent,
-                })
+                answer = yield from owner.submit(
+                    {
+                        "do": "lot.start",
+                        "lot": lot_name,
+                        "n": number,
+                        "by": list(owner.ballot),
+                        "was_unsent": key in self.unsent,
+                    }
+                )
                 if not answer["may_run"]:
                     return {"trouble": "outcome_unknown"}
             check_before_sending(node, lease.replica, end_time)
@@ -155,22 +174,30 @@
             self.unsent.discard(key)
             lease.may_run_on = True
             path = lease.replica.path("/v1/generate")
-            handle = self.running[key].handle = yield Open(lease.replica.address, path, {
-                "inquiry": inquiry_name, "prefix": prefix, "prompt": lot["items"][number],
-                "from": 0, "max_pieces": 64,
-            }, stall_seconds)
+            handle = self.running[key].handle = yield Open(
+                lease.replica.address,
+                path,
+                {
+                    "inquiry": inquiry_name,
+                    "prefix": prefix,
+                    "prompt": lot["items"][number],
+                    "from": 0,
+                    "max_pieces": 64,
+                },
+                stall_seconds,
+            )
             if handle.status == 503:
                 lease.may_run_on = False
                 raise Busy(replica=lease.replica.name)
             result = yield from self._read_result(handle, inquiry_name, stall_seconds, key)
             lease.may_run_on = result is None
             return result
-        except (Busy, NotSent) as trouble:
+        except (Busy, NotSent) as error:
             self.unsent.add(key)
-            if isinstance(trouble, Busy):
+            if isinstance(error, Busy):
                 node.find("replicas").busy(lease.replica)
             raise
-        except BackendTrouble:
+        except BackendError:
             if not self.running[key].stop_signal.is_set:
                 node.find("replicas").stalled(lease.replica)
             raise
--- a/quillring/nifty/bits.py
+++ b/quillring/nifty/bits.py
@@ -28,7 +28,7 @@
     if not width:
         return []
     text = "".join([format(row, f"0{width}b") for row in reversed(rows)])
-    return [int(text[width - 1 - place::width], 2) for place in range(width)]
+    return [int(text[width - 1 - place :: width], 2) for place in range(width)]
 
 
 class Order:
--- a/quillring/nifty/graph.py
+++ b/quillring/nifty/graph.py
@@ -24,8 +24,12 @@
         """Make the graph from {name: names it reaches}."""
         names = tuple(sorted({home, *rows, *(n for reached in rows.values() for n in reached)}))
         places = {name: place for place, name in enumerate(names)}
-        self._make(home, names, places, {
-            name: to_bits([places[other] for other in reached]) for name, reached in rows.items()})
+        self._make(
+            home,
+            names,
+            places,
+            {name: to_bits([places[other] for other in reached]) for name, reached in rows.items()},
+        )
 
     @classmethod
     def of_bits(cls, home, names, places, rows):
@@ -51,7 +55,8 @@
         self.rows = [
             (tellers[place] if silent_bits >> place & 1 else bits & (silent_bits | tellers[place]))
             & ~(1 << place)
-            for place, bits in enumerate(told)]
+            for place, bits in enumerate(told)
+        ]
         self.live_bits = home_bit | to_bits([p for p, bits in enumerate(self.rows) if bits])
         self.routes = self._bellman_ford()
 
@@ -106,8 +111,12 @@
     @property
     def links(self):
         """Return {name: names it has a link with}."""
-        return self._once("links", lambda: {
-            name: frozenset(self._names(bits)) for name, bits in zip(self.names, self.rows)})
+        return self._once(
+            "links",
+            lambda: {
+                name: frozenset(self._names(bits)) for name, bits in zip(self.names, self.rows)
+            },
+        )
 
     @property
     def live(self):
@@ -116,8 +125,9 @@
 
     def neighbours(self):
         """Return the names that the home has a link with."""
-        return self._once("neighbours", lambda: frozenset(
-            self._names(self.rows[self.places[self.home]])))
+        return self._once(
+            "neighbours", lambda: frozenset(self._names(self.rows[self.places[self.home]]))
+        )
 
     def next_hop(self, target, origin):
         """Return the neighbour to pass a message to, spread over equal routes, or None."""
@@ -128,7 +138,8 @@
         if len(hops) == 1:
             return hops[0]
         return self._once(
-            (target, origin), lambda: max(hops, key=lambda hop: score(origin, target, hop)))
+            (target, origin), lambda: max(hops, key=lambda hop: score(origin, target, hop))
+        )
 
     def hops(self, target):
         """Return the hop count to the target, or None."""
@@ -148,9 +159,14 @@
 
     def bridge_nodes(self):
         """Return the live nodes that reach every live node directly."""
-        return self._once("bridges", lambda: tuple(
-            self.names[place] for place in places_of(self.live_bits)
-            if self.rows[place].bit_count() == self.live_bits.bit_count() - 1))
+        return self._once(
+            "bridges",
+            lambda: tuple(
+                self.names[place]
+                for place in places_of(self.live_bits)
+                if self.rows[place].bit_count() == self.live_bits.bit_count() - 1
+            ),
+        )
 
     def sides(self):
         """Return the groups of live nodes on each side of the cut, bridges left out."""
--- a/quillring/nifty/heard.py
+++ b/quillring/nifty/heard.py
@@ -1,6 +1,6 @@
-"""What a node last heard from a cohort member, and the reading of heartbeats."""
+"""What a node last heard from a peer, and the reading of heartbeats."""
 
-from quillring.kernel.troubles import BadWire
+from quillring.kernel.errors import BadWire
 from quillring.nifty.member import FIELDS, Member
 from quillring.nifty.wire import unpack
 
@@ -8,15 +8,27 @@
 
 
 class Heard:
-    """What a node last heard from a cohort member.
+    """What a node last heard from a peer.
 
     Its row stands as told: bits over the names of the roster they were made for. A bitmap made for
     an unknown roster waits unread until that roster is known.
     """
 
     __slots__ = (
-        "at", "incarnation", "sequence", "echo_at", "stamp", "version", "roster", "bits", "digest",
-        "unread", "acked", "reads_terse", "places", "own_bits",
+        "at",
+        "incarnation",
+        "sequence",
+        "echo_at",
+        "stamp",
+        "version",
+        "roster",
+        "bits",
+        "digest",
+        "unread",
+        "acked",
+        "reads_terse",
+        "places",
+        "own_bits",
     )
 
     def __init__(self, beat):
@@ -55,8 +67,16 @@
     """One heartbeat as it came in; a terse one bears neither member record nor bitmap."""
 
     __slots__ = (
-        "member", "name", "incarnation", "sequence", "digest", "bitmap", "stamp", "echo",
-        "version", "reads_terse",
+        "member",
+        "name",
+        "incarnation",
+        "sequence",
+        "digest",
+        "bitmap",
+        "stamp",
+        "echo",
+        "version",
+        "reads_terse",
     )
 
     def __init__(self, data, versions, known_members=None):
@@ -98,7 +118,9 @@
 def is_stamp(stamp):
     """Tell whether a stamp is none, or ballot, index and identity of a store."""
     return stamp is None or (
-        isinstance(stamp, list) and len(stamp) == 3 and isinstance(stamp[1], int)
+        isinstance(stamp, list)
+        and len(stamp) == 3
+        and isinstance(stamp[1], int)
         and isinstance(stamp[2], str)
     )
 
--- a/quillring/nifty/member.py
+++ b/quillring/nifty/member.py
@@ -1,4 +1,4 @@
-"""Cohort members and the roster, an immutable image swapped whole."""
+"""peers and the roster, an immutable image swapped whole."""
 
 import hashlib
 
@@ -10,7 +10,7 @@
 
 
 class Member:
-    """One node as its cohort knows it; the incarnation is new at every start."""
+    """One node as its peers know it; the incarnation is new at every start."""
 
     __slots__ = FIELDS
 
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -1,29 +1,41 @@
 """NIFTY in a process: heartbeats to all, bitmaps, graph, routes, relays, deduplication."""
 
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import BadWire
+from quillring.kernel.errors import BadWire
 from quillring.nifty.bits import Orders
-from quillring.nifty.cohort import Cohort
 from quillring.nifty.graph import Graph
-from quillring.nifty.heard import Beat, Heard, read_envelope
-from quillring.nifty.seen import SeenWindow
+from quillring.nifty.heard import Beat, Heard
+from quillring.nifty.peers import Peers
+from quillring.nifty.relay import Relay
 from quillring.nifty.starts import is_clash, renew_start, tell_stranger
 from quillring.nifty.telling import Telling
-from quillring.nifty.wire import SPOKEN, pack
+from quillring.nifty.wire import SPOKEN
 
-HOP_LIMIT = 6
 PARTS = 4
 STARTING = 4
 MENDED_A_PART = 3
 
 
-class Nifty(Cohort):
+class Nifty(Relay, Peers):
     """The peer layer of one node; newly started, it presses those it has no link to."""
 
     __slots__ = (
-        "seeds", "graph", "sequence", "beat_sequence", "told", "beat_times", "sources",
-        "refreshed_at", "mended_count", "seen", "listeners", "stamp_source", "on_strange_roster",
-        "versions", "started_at", "answered_names",
+        "seeds",
+        "graph",
+        "sequence",
+        "beat_sequence",
+        "told",
+        "beat_times",
+        "sources",
+        "refreshed_at",
+        "mended_count",
+        "seen",
+        "listeners",
+        "stamp_source",
+        "on_strange_roster",
+        "versions",
+        "started_at",
+        "answered_names",
     )
 
     def __init__(self, node, seeds, versions=SPOKEN):
@@ -66,9 +78,15 @@
         addresses = self.roster.addresses
         for address, names in addresses.items():
             if address != own_address and not left_out_names.issuperset(names):
-                heard = heard_of(names[0]) if len(names) == 1 else max(
-                    (self.heard[name] for name in names if name in self.heard),
-                    key=lambda heard: heard.at, default=None)
+                heard = (
+                    heard_of(names[0])
+                    if len(names) == 1
+                    else max(
+                        (self.heard[name] for name in names if name in self.heard),
+                        key=lambda heard: heard.at,
+                        default=None,
+                    )
+                )
                 self._send_beat(address, telling, heard)
         for address in dict.fromkeys(self.seeds):
             if address != own_address and address not in addresses:
@@ -85,8 +103,15 @@
         if self.told[0] != content:
             self.told = (content, self.beat_sequence)
         return Telling(
-            me, self.beat_sequence, self.told[1], roster.digest, bitmap, self.stamp_source(),
-            self.versions, now - self.pace.broken)
+            me,
+            self.beat_sequence,
+            self.told[1],
+            roster.digest,
+            bitmap,
+            self.stamp_source(),
+            self.versions,
+            now - self.pace.broken,
+        )
 
     def _send_beat(self, address, telling, heard):
         data = telling.to(heard)
@@ -98,9 +123,9 @@
         """Take a heartbeat; garbage is counted and dropped."""
         try:
             beat = Beat(data, self.versions, self.known_roster.members)
-        except BadWire as trouble:
+        except BadWire as error:
             self.node.count("bad_datagrams")
-            self.node.count("other_versions", trouble.detail["reason"] == "version")
+            self.node.count("other_versions", error.detail["reason"] == "version")
             return
         if beat.name == self.node.me.name:
             return
@@ -146,8 +171,11 @@
         if heard.digest != self.known_roster.digest and self.mended_count < MENDED_A_PART:
             self.mended_count += 1
             self.on_strange_roster(beat.name)
-        if heard.echo_at is not None and self.graph.hops(beat.name) != 1 and (
-                heard.echo_at > now - self.pace.broken - self.pace.period):
+        if (
+            heard.echo_at is not None
+            and self.graph.hops(beat.name) != 1
+            and (heard.echo_at > now - self.pace.broken - self.pace.period)
+        ):
             self.is_stale = True
             if self.refreshed_at is None or now - self.refreshed_at >= self.pace.period / PARTS:
                 self.refresh()
@@ -157,9 +185,16 @@
         heard_edge, roster, me = self.node.now() - self.pace.broken, self.roster, self.node.me.name
         self.mended_count = 0
         reached_names = self.reached_names()
-        sources = reached_names, frozenset([
-            name for name, heard in self.heard.items()
-            if heard.roster is not None and heard.at > heard_edge and name in roster.places])
+        sources = (
+            reached_names,
+            frozenset(
+                [
+                    name
+                    for name, heard in self.heard.items()
+                    if heard.roster is not None and heard.at > heard_edge and name in roster.places
+                ]
+            ),
+        )
         if not self.is_stale and sources == self.sources:
             return
         self.sources, self.is_stale, self.refreshed_at = sources, False, self.node.now()
@@ -199,42 +234,3 @@
     def reaches(self, name):
         """Tell whether a message can get to the node, directly or relayed."""
         return name == self.node.me.name or name in self.graph.routes
-
-    def send(self, target, message):
-        """Send a message by the best route; False when no route is known."""
-        self.sequence += 1
-        me = self.node.me
-        return self._forward([me.name, me.incarnation, self.sequence, target, HOP_LIMIT, message])
-
-    def _forward(self, envelope):
-        origin, _, _, target, hops_left, _ = envelope
-        hop = self.graph.next_hop(target, origin)
-        hop_member = self.roster.members.get(hop)
-        if hop_member is None or hops_left <= 0:
-            self.node.count("unrouted")
-            return False
-        heard = self.heard.get(hop)
-        version = self.versions[0] if heard is None else heard.version
-        self.node.world.frame(hop_member.address, pack(envelope, version))
-        return True
-
-    def on_frame(self, data):
-        """Take a frame: deliver it once here, or relay it."""
-        try:
-            envelope = read_envelope(data, self.versions)
-        except BadWire:
-            self.node.count("bad_frames")
-            return
-        origin, incarnation, sequence, target, hops_left, message = envelope
-        if target != self.node.me.name:
-            self.node.count("relayed")
-            self.node.count("relayed_bytes", len(data))
-            self._forward([*envelope[:4], hops_left - 1, message])
-            return
-        window = self.seen.get(origin)
-        if window is None or incarnation > window.incarnation:
-            window = self.seen[origin] = SeenWindow(incarnation)
-        if incarnation < window.incarnation or not window.first_time(sequence):
-            self.node.count("duplicates")
-            return
-        self.node.on_message(origin, message)
--- a/quillring/nifty/cohort.py
+++ b/quillring/nifty/peers.py
@@ -1,4 +1,4 @@
-"""Who the cohort is: the roster, and what was last heard of each member."""
+"""Who the peers are: the roster, and what was last heard of each member."""
 
 from quillring.nifty.member import Roster
 from quillring.nifty.pace import Pace
@@ -6,11 +6,18 @@
 KEPT_ROSTERS = 8
 
 
-class Cohort:
+class Peers:
     """The members as one node knows them."""
 
     __slots__ = (
-        "node", "known_roster", "newcomers", "old_rosters", "pace", "heard", "is_stale", "on_member",
+        "node",
+        "known_roster",
+        "newcomers",
+        "old_rosters",
+        "pace",
+        "heard",
+        "is_stale",
+        "on_member",
     )
 
     def __init__(self, node):
@@ -88,7 +95,10 @@
         """Return the names heard lately that lately heard this node too, by their echo."""
         heard_edge = self.node.now() - self.pace.broken
         echo_edge = heard_edge - self.pace.period
-        return frozenset([
-            name for name, heard in self.heard.items()
-            if heard.at > heard_edge and heard.echo_at is not None and heard.echo_at > echo_edge
-        ])
+        return frozenset(
+            [
+                name
+                for name, heard in self.heard.items()
+                if heard.at > heard_edge and heard.echo_at is not None and heard.echo_at > echo_edge
+            ]
+        )
--- /dev/null
+++ b/quillring/nifty/relay.py
@@ -0,0 +1,53 @@
+"""Messages between nodes: sent by the best route, relayed for others, delivered once."""
+
+from quillring.kernel.errors import BadWire
+from quillring.nifty.heard import read_envelope
+from quillring.nifty.seen import SeenWindow
+from quillring.nifty.wire import pack
+
+HOP_LIMIT = 6
+
+
+class Relay:
+    """The message side of the peer layer; a message may be lost, but is delivered once."""
+
+    __slots__ = ()
+
+    def send(self, target, message):
+        """Send a message by the best route; False when no route is known."""
+        self.sequence += 1
+        me = self.node.me
+        return self._forward([me.name, me.incarnation, self.sequence, target, HOP_LIMIT, message])
+
+    def _forward(self, envelope):
+        origin, _, _, target, hops_left, _ = envelope
+        hop = self.graph.next_hop(target, origin)
+        hop_member = self.roster.members.get(hop)
+        if hop_member is None or hops_left <= 0:
+            self.node.count("unrouted")
+            return False
+        heard = self.heard.get(hop)
+        version = self.versions[0] if heard is None else heard.version
+        self.node.world.frame(hop_member.address, pack(envelope, version))
+        return True
+
+    def on_frame(self, data):
+        """Take a frame: deliver it once here, or relay it."""
+        try:
+            envelope = read_envelope(data, self.versions)
+        except BadWire:
+            self.node.count("bad_frames")
+            return
+        origin, incarnation, sequence, target, hops_left, message = envelope
+        if target != self.node.me.name:
+            self.node.count("relayed")
+            self.node.count("relayed_bytes", len(data))
+            self._forward([*envelope[:4], hops_left - 1, message])
+            return
+        window = self.seen.get(origin)
+        if window is None or incarnation > window.incarnation:
+            window = self.seen[origin] = SeenWindow(incarnation)
+        if incarnation < window.incarnation or not window.first_time(sequence):
+            self.node.count("duplicates")
+            return
+        self.node.on_message(origin, message)
--- a/quillring/nifty/starts.py
+++ b/quillring/nifty/starts.py
@@ -7,7 +7,9 @@
     """Tell whether a newcomer bears the name of a member that lives at another address."""
     known = nifty.find_member(member.name)
     return (
-        known is not None and heard is not None and known.address != member.address
+        known is not None
+        and heard is not None
+        and known.address != member.address
         and known.incarnation == heard.incarnation != member.incarnation
         and nifty.is_heard(heard)
     )
--- a/quillring/nifty/telling.py
+++ b/quillring/nifty/telling.py
@@ -21,8 +21,13 @@
     def __init__(self, me, sequence, told_sequence, digest, bitmap, stamp, versions, heard_edge):
         parts = [cbor2.dumps(value) for value in (me.to_list(), sequence, digest, bitmap, stamp)]
         self.full_part = bytes([ARRAY | FULL]) + b"".join(parts)
-        self.terse_part = bytes([ARRAY | TERSE]) + cbor2.dumps(me.name) + cbor2.dumps(
-            me.incarnation) + parts[1] + parts[4]
+        self.terse_part = (
+            bytes([ARRAY | TERSE])
+            + cbor2.dumps(me.name)
+            + cbor2.dumps(me.incarnation)
+            + parts[1]
+            + parts[4]
+        )
         self.told_sequence = told_sequence
         self.versions = versions
         self.heard_edge = heard_edge
--- a/quillring/nifty/wire.py
+++ b/quillring/nifty/wire.py
@@ -9,7 +9,7 @@
 
 import cbor2
 
-from quillring.kernel.troubles import BadWire
+from quillring.kernel.errors import BadWire
 
 MAGIC = b"QR"
 SPOKEN = (1, 2)
--- a/quillring/duty/asking.py
+++ b/quillring/ownership/asking.py
@@ -1,13 +1,13 @@
 """Asking for a part: commands and reads go to whichever core owns it, wherever they begin."""
 
-from quillring.kernel.troubles import (
+from quillring.kernel.errors import (
     Fenced,
     NoMajority,
     NotOwner,
     OutcomeUnknown,
+    QuillringError,
     Refused,
     TimedOut,
-    Trouble,
     Unreachable,
 )
 from quillring.quorum.owner import wait_for_owner
@@ -18,7 +18,7 @@
 
 
 class Asking:
-    """The side of duty that every node has: it finds the owner and repeats what may be repeated."""
+    """The client side of ownership: finds a part's owner and repeats what may be repeated."""
 
     __slots__ = ()
 
@@ -29,7 +29,7 @@
 
     def read(self, part, query, seconds=None):
         """Script: read a part's state from its owner, or from a majority of its stores."""
-        bounds, last_trouble = self.node.bounds, NotOwner(part=part)
+        bounds, last_error = self.node.bounds, NotOwner(part=part)
         end_time = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
         while self.node.now() < end_time:
             hopelessness = self.why_hopeless(part)
@@ -39,16 +39,17 @@
                 try:
                     body = {"part": part, "query": query}
                     answer = yield from self.node.call(
-                        owner_name, "part.read", body, bounds.reading / 2)
+                        owner_name, "part.read", body, bounds.reading / 2
+                    )
                     return answer
-                except (*LOOK_ELSEWHERE, NoMajority) as trouble:
-                    last_trouble = trouble
+                except (*LOOK_ELSEWHERE, NoMajority) as error:
+                    last_error = error
             known = yield from peek(self.node, part, self.group(part), query)
             if known is not None:
                 self.node.count("peeks")
                 return known()
             yield from wait_for_owner(self.node, bounds.beat / 4)
-        raise Refused(reason=last_trouble.kind, part=part)
+        raise Refused(reason=last_error.kind, part=part)
 
     def ask(self, part, service, body, seconds):
         """Script: call a service of the core that owns the part, wherever it is.
@@ -59,36 +60,39 @@
         bounds = self.node.bounds
         end_time = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
         self.founding()
-        last_trouble, rounds, may_have_run = NotOwner(part=part), 0, False
+        last_error, rounds, may_have_run = NotOwner(part=part), 0, False
         while self.node.now() < end_time:
             hopelessness = self.why_hopeless(part)
             if hopelessness is not None:
-                last_trouble = hopelessness
+                last_error = hopelessness
                 break
             candidates = self._candidates(part)
             if candidates:
                 try:
                     answer = yield from self.node.call(
-                        candidates[rounds % len(candidates)], service, {"part": part, **body},
+                        candidates[rounds % len(candidates)],
+                        service,
+                        {"part": part, **body},
                         min(bounds.news, end_time - self.node.now()),
                     )
                     return answer
-                except (*LOOK_ELSEWHERE, NoMajority) as trouble:
-                    last_trouble = trouble
+                except (*LOOK_ELSEWHERE, NoMajority) as error:
+                    last_error = error
                     may_have_run = may_have_run or (
-                        service == "part.submit" and isinstance(trouble, (NoMajority, TimedOut)))
-                except Trouble as trouble:
-                    if may_have_run and not trouble.is_final:
-                        raise _unknown(part) from trouble
+                        service == "part.submit" and isinstance(error, (NoMajority, TimedOut))
+                    )
+                except QuillringError as error:
+                    if may_have_run and not error.is_final:
+                        raise _unknown(part) from error
                     raise
             rounds += 1
             yield from wait_for_owner(self.node, bounds.beat / 4)
         if may_have_run:
             raise _unknown(part)
-        raise Refused(reason=last_trouble.kind, part=part)
+        raise Refused(reason=last_error.kind, part=part)
 
     def why_hopeless(self, part):
-        """Return the trouble that no core this node reaches can overcome, or None.
+        """Return the error that no core this node reaches can overcome, or None.
 
         A node that has just started does not know yet whom it reaches.
         """
--- a/quillring/duty/duty.py
+++ b/quillring/ownership/ownership.py
@@ -1,15 +1,15 @@
 """Who owns which part: cores take the parts they rank first for; anyone can ask an owner."""
 
-from quillring.duty.asking import Asking
-from quillring.duty.rank import Firsts, ranked_cores
 from quillring.kernel.effects import Signal, Wait
-from quillring.kernel.troubles import Fenced, NotFounded, NotOwner, Trouble
+from quillring.kernel.errors import Fenced, NotFounded, NotOwner, QuillringError
+from quillring.ownership.asking import Asking
+from quillring.ownership.rank import Firsts, ranked_cores
 from quillring.quorum.commands import QUERIES
 from quillring.quorum.owner import Owner, wait_for_owner
 from quillring.quorum.parts import GROUP_SIZE
 
 
-class Duty(Asking):
+class Ownership(Asking):
     """The table of parts as one node sees it; on a core also the owners it runs."""
 
     __slots__ = ("node", "owners", "on_owner", "checks", "started_at", "wake_signal", "firsts")
@@ -91,8 +91,12 @@
                 owner = self.owners.get(part)
                 holds_part = owner is not None and owner.is_owner
                 is_first, is_settled = self._standing(part)
-                if is_first and not holds_part and attempts.get(part) is None and (
-                        is_settled or not self._is_owned_elsewhere(part)):
+                if (
+                    is_first
+                    and not holds_part
+                    and attempts.get(part) is None
+                    and (is_settled or not self._is_owned_elsewhere(part))
+                ):
                     attempts[part] = True
                     self.node.spawn(self._take(part, attempts))
                 elif holds_part and not is_first and is_settled and not owner.queue:
@@ -112,8 +116,11 @@
 
     def _is_owned_elsewhere(self, part):
         name = (self.node.find("gossip").get(f"owner/{part}") or {}).get("owner")
-        return name is not None and name != self.node.me.name and (
-            self.node.find("nifty").reaches(name) and not self.is_leaving(name))
+        return (
+            name is not None
+            and name != self.node.me.name
+            and (self.node.find("nifty").reaches(name) and not self.is_leaving(name))
+        )
 
     def _hand_over(self, part, owner):
         for name in self.rank(part)[:1]:
@@ -127,9 +134,9 @@
         owner.listeners.extend([*self.on_owner, self._publish])
         try:
             yield from owner.take_again()
-        except Trouble as trouble:
-            self.node.log("warning", "take %s: %s", part, trouble)
-            pause = self.node.bounds.beat / (4 if isinstance(trouble, Fenced) else 2)
+        except QuillringError as error:
+            self.node.log("warning", "take %s: %s", part, error)
+            pause = self.node.bounds.beat / (4 if isinstance(error, Fenced) else 2)
             yield from wait_for_owner(self.node, pause)
             return
         finally:
@@ -151,8 +158,8 @@
         if owner is not None and owner.is_owner:
             try:
                 yield from owner.fenced_state()
-            except Fenced as trouble:
-                owner.step_down(trouble)
+            except Fenced as error:
+                owner.step_down(error)
         self._wake()
 
     def on_submit(self, body, origin):
--- a/quillring/plans/commands.py
+++ b/quillring/plans/commands.py
@@ -1,27 +1,27 @@
 """Commands and queries of the config part that keep plans."""
 
-from quillring.kernel.troubles import Conflict, NotFound, Trouble
+from quillring.kernel.errors import Conflict, NotFound, QuillringError
 from quillring.quorum.commands import COMMANDS, QUERIES
 
 KEPT_PLANS = 32
 PROPOSED, RUNNING, DONE, STOPPED, FAILED = "proposed", "running", "done", "stopped", "failed"
 
 
-class StalePlan(Trouble):
+class StalePlan(QuillringError):
     """The plan was made against an older state; make it anew."""
 
     kind = "stale_plan"
     status = 409
 
 
-class Impossible(Trouble):
+class Impossible(QuillringError):
     """Obstacles stand in the way; some may be accepted as named consequences."""
 
     kind = "impossible"
     status = 422
 
 
-class Contradiction(Trouble):
+class Contradiction(QuillringError):
     """Another plan that is under way speaks against this one."""
 
     kind = "contradiction"
@@ -48,7 +48,7 @@
     if command["id"] in plans:
         return state, {"plan": command["id"], **plans[command["id"]]}
     ended = [n for n, p in plans.items() if p["phase"] != RUNNING]
-    dropped = set(ended[:max(0, len(plans) - KEPT_PLANS + 1)])
+    dropped = set(ended[: max(0, len(plans) - KEPT_PLANS + 1)])
     kept = {n: p for n, p in plans.items() if n not in dropped}
     plan = {**command["plan"], "phase": PROPOSED, "done": 0}
     return {**state, "plans": {**kept, command["id"]: plan}}, {"plan": command["id"], **plan}
@@ -64,7 +64,8 @@
         raise Conflict(field="plan", plan=command["plan"], phase=plan["phase"])
     if plan["against"]["version"] != state["version"]:
         raise StalePlan(
-            plan=command["plan"], made_against=plan["against"]["version"],
+            plan=command["plan"],
+            made_against=plan["against"]["version"],
             version=state["version"],
         )
     refused = [o for o in plan["obstacles"] if o["consequence"] not in command["accept"]]
@@ -90,17 +91,24 @@
     step = plan["steps"][command["step"]]
     if step["do"] == "layout":
         try:
-            state, _ = COMMANDS.find("layout.adopt")(state, {
-                "id": f"{command['plan']} step {command['step']}", "whole": False,
-                "base_version": state["version"], "change": step["change"],
-            })
-        except Trouble as trouble:
-            failed = _with_plan(state, command["plan"], phase=FAILED, trouble=trouble.to_json())
+            state, _ = COMMANDS.find("layout.adopt")(
+                state,
+                {
+                    "id": f"{command['plan']} step {command['step']}",
+                    "whole": False,
+                    "base_version": state["version"],
+                    "change": step["change"],
+                },
+            )
+        except QuillringError as error:
+            failed = _with_plan(state, command["plan"], phase=FAILED, trouble=error.to_json())
             return failed, {"phase": FAILED, "done": plan["done"]}
     done = command["step"] + 1
     phase = DONE if done == len(plan["steps"]) else RUNNING
     return _with_plan(state, command["plan"], done=done, phase=phase), {
-        "phase": phase, "done": done}
+        "phase": phase,
+        "done": done,
+    }
 
 
 @COMMANDS.entry("plan.stop")
--- a/quillring/plans/make.py
+++ b/quillring/plans/make.py
@@ -1,7 +1,7 @@
 """Making a plan from an intent and a view of the fleet: pure, changes nothing."""
 
+from quillring.kernel.errors import NotFound
 from quillring.kernel.registry import Registry
-from quillring.kernel.troubles import NotFound
 from quillring.quorum.parts import GROUP_SIZE
 
 INTENTS = Registry("intent")
@@ -25,8 +25,12 @@
     """Return {steps, obstacles, moves, against} for an intent, or raise for unknown targets."""
     steps, obstacles, moves = INTENTS.find(intent["kind"])(view, intent)
     return {
-        "intent": intent, "target": f"{intent['kind']} {intent['target']}", "steps": steps,
-        "obstacles": obstacles, "moves": moves, "against": {"version": view.version},
+        "intent": intent,
+        "target": f"{intent['kind']} {intent['target']}",
+        "steps": steps,
+        "obstacles": obstacles,
+        "moves": moves,
+        "against": {"version": view.version},
     }
 
 
@@ -50,19 +54,24 @@
     obstacles = []
     for service in sorted({r["service"] for r in leaving}):
         remaining = [
-            r for r in view.replicas
-            if r["service"] == service and r["domain"] != domain
+            r
+            for r in view.replicas
+            if r["service"] == service
+            and r["domain"] != domain
             and not view.layout["domains"].get(r["domain"], {}).get("emptied")
         ]
         busy = sum(r["busy"] for r in view.replicas if r["service"] == service)
         room = sum(r["slots"] for r in remaining)
         if room <= busy:
-            obstacles.append({
-                "consequence": "less_room",
-                "text": f"{service}: {busy} busy, {room} slots remain",
-            })
+            obstacles.append(
+                {
+                    "consequence": "less_room",
+                    "text": f"{service}: {busy} busy, {room} slots remain",
+                }
+            )
     staying_domains = [
-        d for d, row in view.layout["domains"].items() if d != domain and not row.get("emptied")]
+        d for d, row in view.layout["domains"].items() if d != domain and not row.get("emptied")
+    ]
     if not staying_domains:
         obstacles.append({"consequence": None, "text": "no domain would remain"})
     inside = {n: role for n, (role, d) in sorted(view.nodes.items()) if d == domain}
@@ -121,15 +130,16 @@
     if name not in view.stores:
         raise NotFound(field="target", store=name)
     parts = [part for part, group in sorted(view.groups.items()) if name in group]
-    retired = {
-        n for n, row in view.layout.get("stores", {}).items() if row.get("retired")} | {name}
+    retired = {n for n, row in view.layout.get("stores", {}).items() if row.get("retired")} | {name}
     domains = {domain for n, domain in view.stores.items() if n not in retired}
     obstacles, is_short = [], len(domains) < GROUP_SIZE
     if is_short and parts:
-        obstacles.append({
-            "consequence": "part_under_three",
-            "text": f"stores in {len(domains)} domains remain for {', '.join(parts)}",
-        })
+        obstacles.append(
+            {
+                "consequence": "part_under_three",
+                "text": f"stores in {len(domains)} domains remain for {', '.join(parts)}",
+            }
+        )
     row = {"retired": True, **({"forced": True} if is_short else {})}
     steps = [
         layout_step(f"retire {name}", {"stores": {name: row}}),
--- a/quillring/plans/runner.py
+++ b/quillring/plans/runner.py
@@ -1,8 +1,8 @@
 """Running confirmed plans: the core that owns the config part does one step after another."""
 
 from quillring.kernel.effects import Sleep
+from quillring.kernel.errors import QuillringError
 from quillring.kernel.registry import Registry
-from quillring.kernel.troubles import Trouble
 from quillring.plans.commands import RUNNING
 from quillring.quorum.parts import CONFIG
 
@@ -17,24 +17,28 @@
     """
     beats = node.find("gossip").under("replica/").values()
     if any(
-        beat["domain"] == domain and beat.get("busy") and beat["state"] != "gone"
+        beat["domain"] == domain
+        and beat.get("busy")
+        and beat["state"] != "gone"
         and node.find("replicas").is_heard(beat["name"])
         for beat in beats
     ):
         return False
     nifty = node.find("nifty")
     names = [
-        m.name for m in nifty.roster.members.values()
-        if m.domain == domain and m.role != "store"
+        m.name
+        for m in nifty.roster.members.values()
+        if m.domain == domain
+        and m.role != "store"
         and (nifty.reaches(m.name) or not nifty.is_silent(m.name, node.bounds.return_))
     ]
     replies = yield from node.gather([(name, "node.busy", None) for name in names], len(names))
-    return not any(isinstance(reply, Trouble) or reply for reply in replies.values())
+    return not any(isinstance(reply, QuillringError) or reply for reply in replies.values())
 
 
 def count_busy(node):
     """Return how much is under way at a node: inquiries run or waiting, parts owned."""
-    dispatch, owners = node.find("dispatch"), node.find("duty").owners.values()
+    dispatch, owners = node.find("dispatch"), node.find("ownership").owners.values()
     inquiries = len(dispatch.leases) + len(dispatch.waiting) if dispatch is not None else 0
     return inquiries + sum(owner.is_owner for owner in owners)
 
@@ -42,8 +46,8 @@
 @CONDITIONS.entry("store_unused")
 def is_store_unused(node, store):
     """Script: tell whether no part has the store as a member."""
-    duty = node.find("duty")
-    return not any(store in [s[0] for s in duty.group(part)] for part in duty.parts())
+    ownership = node.find("ownership")
+    return not any(store in [s[0] for s in ownership.group(part)] for part in ownership.parts())
     yield
 
 
@@ -59,7 +63,7 @@
         """Script: do the next step of every running plan."""
         while True:
             yield Sleep(self.node.bounds.beat)
-            owner = self.node.find("duty").owners.get(CONFIG)
+            owner = self.node.find("ownership").owners.get(CONFIG)
             if owner is None or not owner.may_act():
                 continue
             for name, plan in list(owner.state.get("plans", {}).items()):
@@ -69,9 +73,10 @@
     def _step(self, owner, name, plan):
         step = plan["steps"][plan["done"]]
         if step["do"] == "wait" and not (
-                yield from CONDITIONS.find(step["until"])(self.node, step["target"])):
+            yield from CONDITIONS.find(step["until"])(self.node, step["target"])
+        ):
             return
         try:
             yield from owner.submit({"do": "plan.step", "plan": name, "step": plan["done"]})
-        except Trouble as trouble:
-            self.node.log("warning", "plan %s: %s", name, trouble)
+        except QuillringError as error:
+            self.node.log("warning", "plan %s: %s", name, error)
--- a/quillring/plans/windows.py
+++ b/quillring/plans/windows.py
@@ -5,13 +5,17 @@
 import icalendar
 import recurring_ical_events
 
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.errors import QuillringError
 
-WORDS = {"empty": "empty_domain", "refill": "refill_domain", "retire": "retire_store",
-         "restore": "restore_store"}
+WORDS = {
+    "empty": "empty_domain",
+    "refill": "refill_domain",
+    "retire": "retire_store",
+    "restore": "restore_store",
+}
 
 
-class BadCalendar(Trouble):
+class BadCalendar(QuillringError):
     """The file is no iCalendar file."""
 
     kind = "bad_calendar"
@@ -28,8 +32,9 @@
     windows = [
         {
             "start": as_time(event["DTSTART"].dt).isoformat(),
-            "end": as_time(event["DTEND"].dt if "DTEND" in event else event["DTSTART"].dt
-                           ).isoformat(),
+            "end": as_time(
+                event["DTEND"].dt if "DTEND" in event else event["DTSTART"].dt
+            ).isoformat(),
             "summary": str(event.get("SUMMARY", "")),
             "intent": read_intent(str(event.get("SUMMARY", ""))),
         }
--- a/quillring/quorum/__init__.py
+++ b/quillring/quorum/__init__.py
@@ -6,5 +6,12 @@
 from quillring.quorum.parts import CONFIG, part_names, part_of
 
 __all__ = [
-    "Acceptors", "COMMANDS", "CONFIG", "Owner", "QUERIES", "apply_batch", "part_names", "part_of",
+    "Acceptors",
+    "COMMANDS",
+    "CONFIG",
+    "Owner",
+    "QUERIES",
+    "apply_batch",
+    "part_names",
+    "part_of",
 ]
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -1,12 +1,12 @@
 """The acceptors on a store machine: promises, accepted entries, applied state, per part."""
 
-from quillring.kernel.troubles import Conflict, Fenced, NotFounded, Trouble
+from quillring.kernel.errors import Conflict, Fenced, NotFounded, QuillringError
 from quillring.quorum.commands import answer_query, first_state
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
 
 
-class WrongIdentity(Trouble):
+class WrongIdentity(QuillringError):
     """The store is not the member that the group names."""
 
     kind = "wrong_identity"
@@ -30,8 +30,18 @@
     def attach(self, node):
         """Join the node, whose member record carries the identity found on disk."""
         self.node = node
-        for name in ("found", "founding", "prepare", "accept", "commit", "install", "image", "peek",
-                     "confirm", "catch_up"):
+        for name in (
+            "found",
+            "founding",
+            "prepare",
+            "accept",
+            "commit",
+            "install",
+            "image",
+            "peek",
+            "confirm",
+            "catch_up",
+        ):
             node.handle(f"quorum.{name}", getattr(self, f"on_{name}"))
         gossip = node.find("gossip")
         if gossip is not None:
@@ -57,7 +67,8 @@
     def image(self):
         """Return all state for a slot."""
         return {
-            "identity": self.identity, "founding": self.founding,
+            "identity": self.identity,
+            "founding": self.founding,
             "parts": {name: record.to_list() for name, record in self.parts.items()},
             "hints": self.hints,
         }
@@ -83,7 +94,7 @@
             self.hints = {**self.hints, part: [*self.hints.get(part, ()), rest[0]]}
             return
         if verb == "handed":
-            left_hints = self.hints.get(part, [])[rest[0]:]
+            left_hints = self.hints.get(part, [])[rest[0] :]
             others = {name: kept for name, kept in self.hints.items() if name != part}
             self.hints = {**others, part: left_hints} if left_hints else others
             return
@@ -107,8 +118,8 @@
     def _check(self, body):
         if body["identity"] != self.identity:
             raise WrongIdentity(store=self.node.me.name, identity=self.identity)
-        if self.slots.trouble is not None:
-            raise self.slots.trouble
+        if self.slots.error is not None:
+            raise self.slots.error
         part_record = self.parts.get(body["part"]) or PartRecord()
         ballot = tuple(body["ballot"])
         if ballot < part_record.promised:
@@ -207,21 +218,27 @@
         if body["identity"] != self.identity:
             raise WrongIdentity(store=self.node.me.name, identity=self.identity)
         later = [
-            [index, command.get("lot")] for index, (_, batch) in part_record.entries.items()
-            if index > part_record.applied for command in batch
+            [index, command.get("lot")]
+            for index, (_, batch) in part_record.entries.items()
+            if index > part_record.applied
+            for command in batch
+        ]
+        known = [
+            part_record.applied,
+            part_record.state["group"],
+            later,
+            *answer_query(part_record.state, body["query"]),
         ]
-        known = [part_record.applied, part_record.state["group"], later,
-                 *answer_query(part_record.state, body["query"])]
         if body.get("beyond"):
             known.append(part_record.answers_beyond(body["query"]))
-            if known[-1] and not (self.slots.is_idle and self.slots.trouble is None):
+            if known[-1] and not (self.slots.is_idle and self.slots.error is None):
                 yield from self.slots.commit([])
         return known
 
     def stamp(self):
         """Return the config part's ballot and committed index for the heartbeats."""
         config_record = self.parts.get(CONFIG)
-        if config_record is None or config_record.state is None or self.slots.trouble is not None:
+        if config_record is None or config_record.state is None or self.slots.error is not None:
             return None
         return [list(config_record.promised), config_record.committed, self.identity]
 
--- a/quillring/quorum/autofound.py
+++ b/quillring/quorum/autofound.py
@@ -1,7 +1,7 @@
 """The first start of a fleet: one core founds it by itself; the others come in only if it fails."""
 
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.errors import QuillringError
 from quillring.quorum.founding import found_fleet, roster_stores
 from quillring.quorum.parts import GROUP_SIZE, is_enough
 
@@ -32,8 +32,8 @@
             wanted_size = min(size, (len(stores) + 1) // 2 * 2 - 1)
             try:
                 yield from found_fleet(node, part_count, wanted_size, stores)
-            except Trouble as trouble:
-                node.log("warning", "founding: %s", trouble)
+            except QuillringError as error:
+                node.log("warning", "founding: %s", error)
 
 
 def place_of(node):
--- a/quillring/quorum/catchup.py
+++ b/quillring/quorum/catchup.py
@@ -4,7 +4,7 @@
 
 import cbor2
 
-from quillring.kernel.troubles import NoMajority, Trouble
+from quillring.kernel.errors import NoMajority, QuillringError
 
 KEPT_ENTRIES = 4096
 KEPT_WEIGHT = 12 << 20
@@ -55,8 +55,9 @@
     for store in sorted(holders, key=lambda s: (is_elsewhere[s], s)):
         try:
             index, state = yield from owner.node.call(
-                store, "quorum.image", {"part": owner.part}, owner.node.bounds.news / 2)
-        except Trouble:
+                store, "quorum.image", {"part": owner.part}, owner.node.bounds.news / 2
+            )
+        except QuillringError:
             continue
         if index >= best:
             owner.index, owner.state = index, state
@@ -71,9 +72,10 @@
     if entries is not None:
         catch_up = {**body, "entries": entries, "committed": owner.index}
         replies = yield from owner.node.gather(
-            [(target, "quorum.catch_up", catch_up)], 1, owner.node.bounds.news)
+            [(target, "quorum.catch_up", catch_up)], 1, owner.node.bounds.news
+        )
         reply = replies[target]
-        if not isinstance(reply, Trouble) and reply >= entries[-1][0]:
+        if not isinstance(reply, QuillringError) and reply >= entries[-1][0]:
             owner.node.count("catch_ups")
             return
     owner.node.count("installs")
--- a/quillring/quorum/commands.py
+++ b/quillring/quorum/commands.py
@@ -1,7 +1,7 @@
 """The commands of the logs: pure functions found by their entry in a registry."""
 
+from quillring.kernel.errors import QuillringError
 from quillring.kernel.registry import Registry
-from quillring.kernel.troubles import Trouble
 
 COMMANDS = Registry("command")
 QUERIES = Registry("query")
@@ -13,13 +13,13 @@
 
 
 def apply_batch(state, batch):
-    """Return (new state, answers); a refused command changes nothing and answers a trouble."""
+    """Return (new state, answers); a refused command changes nothing and answers an error."""
     answers = []
     for command in batch:
         try:
             state, answer = COMMANDS.find(command["do"])(state, command)
-        except Trouble as trouble:
-            answer = trouble
+        except QuillringError as error:
+            answer = error
         except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
             answer = BadCommand(reason=type(error).__name__)
         answers.append(answer)
@@ -27,14 +27,14 @@
 
 
 def answer_query(state, query):
-    """Return [None, answer] of a query, or [trouble's kind, its detail]."""
+    """Return [None, answer] of a query, or [error's kind, its detail]."""
     try:
         return [None, QUERIES.find(query["ask"])(state, query)]
-    except Trouble as trouble:
-        return [trouble.kind, trouble.detail]
+    except QuillringError as error:
+        return [error.kind, error.detail]
 
 
-class BadCommand(Trouble):
+class BadCommand(QuillringError):
     """A command that can't be applied; it changes nothing, at every store alike."""
 
     kind = "bad_command"
@@ -46,5 +46,5 @@
     old_names = {tuple(store) for store in state["group"]}
     new_names = {tuple(store) for store in command["group"]}
     if len(old_names ^ new_names) != 1:
-        raise Trouble(reason="one member at a time", group=state["group"])
+        raise QuillringError(reason="one member at a time", group=state["group"])
     return {**state, "group": command["group"]}, {"group": command["group"]}
--- a/quillring/quorum/founding.py
+++ b/quillring/quorum/founding.py
@@ -1,6 +1,6 @@
 """Founding: one idempotent step that names the stores of every part, once in a fleet's life."""
 
-from quillring.kernel.troubles import Conflict, NoMajority, Refused, Trouble
+from quillring.kernel.errors import Conflict, NoMajority, QuillringError, Refused
 from quillring.quorum.parts import GROUP_SIZE, choose_group, is_enough, part_names
 
 
@@ -29,9 +29,9 @@
         for store in other_stores
     ]
     replies = yield from node.gather(calls, len(calls), node.bounds.news)
-    troubles = {name: r.kind for name, r in replies.items() if isinstance(r, Trouble)}
-    if troubles:
-        raise NoMajority(reason="run the command again", stores=troubles)
+    errors = {name: r.kind for name, r in replies.items() if isinstance(r, QuillringError)}
+    if errors:
+        raise NoMajority(reason="run the command again", stores=errors)
     gossip.put("founding", [1], founding)
     return {"fleet": founding["fleet"], "was_founded": held_founding is not None}
 
@@ -47,7 +47,10 @@
     groups = {part: choose_group(part, stores, size) for part in part_names(part_count)}
     secret_bytes = node.world.secret(32)
     return {
-        "fleet": secret_bytes[:6].hex(), "groups": groups, "secret": secret_bytes[6:], "size": size,
+        "fleet": secret_bytes[:6].hex(),
+        "groups": groups,
+        "secret": secret_bytes[6:],
+        "size": size,
     }
 
 
--- a/quillring/quorum/hints.py
+++ b/quillring/quorum/hints.py
@@ -1,7 +1,7 @@
 """Hints: a spare store keeps what a missing acceptor should have had, and hands it over."""
 
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import Conflict, Fenced, Refused, Trouble
+from quillring.kernel.errors import Conflict, Fenced, QuillringError, Refused
 from quillring.nifty.graph import score
 from quillring.quorum.acceptor import WrongIdentity
 
@@ -42,13 +42,13 @@
                 yield from self.node.call(name, "quorum.accept", record)
             except FINAL:
                 continue
-            except Trouble:
+            except QuillringError:
                 return
         self.node.count("hints_handed", len(records))
         try:
             yield from self.acceptors.keep(["handed", name, len(records)])
-        except Trouble as trouble:
-            self.node.log("warning", "hints: %s", trouble)
+        except QuillringError as error:
+            self.node.log("warning", "hints: %s", error)
 
 
 def send_hints(owner, calls):
@@ -59,7 +59,8 @@
         return
     group_names = {store[0] for store in owner.group}
     spares = [
-        m.name for m in nifty.roster.members.values()
+        m.name
+        for m in nifty.roster.members.values()
         if m.role == "store" and m.name not in group_names and nifty.reaches(m.name)
     ]
     if not spares:
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -1,7 +1,7 @@
 """A core node's ownership of one part: won by ballot, fenced by ballot, one entry at a time."""
 
 from quillring.kernel.effects import Signal, Sleep, Wait
-from quillring.kernel.troubles import Fenced, NoMajority, NotFounded, NotOwner, Trouble
+from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
 from quillring.quorum.catchup import Recent, adopt_state, mend_store
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
@@ -18,8 +18,19 @@
     """
 
     __slots__ = (
-        "node", "part", "group", "ballot", "index", "state", "queue", "queue_signal", "is_owner",
-        "listeners", "confirmed_at", "higher", "recent",
+        "node",
+        "part",
+        "group",
+        "ballot",
+        "index",
+        "state",
+        "queue",
+        "queue_signal",
+        "is_owner",
+        "listeners",
+        "confirmed_at",
+        "higher",
+        "recent",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -40,7 +51,8 @@
     def _calls(self, service, **body):
         return [
             (
-                store[0], f"quorum.{service}",
+                store[0],
+                f"quorum.{service}",
                 {"part": self.part, "ballot": list(self.ballot), "identity": store[1], **body},
             )
             for store in self.group
@@ -55,11 +67,12 @@
         if fences:
             self.higher = max(self.higher, *(int(ballot[0]) for ballot in fences))
             raise Fenced(part=self.part, ballot=max(fences))
-        good_replies = {t: r for t, r in replies.items() if not isinstance(r, Trouble)}
+        good_replies = {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
         if len(good_replies) < majority(self.group):
-            troubles = [r for r in replies.values() if isinstance(r, Trouble)]
+            errors = [r for r in replies.values() if isinstance(r, QuillringError)]
             raise NoMajority(part=self.part, heard=sorted(good_replies)) from ExceptionGroup(
-                f"stores of {self.part}", troubles)
+                f"stores of {self.part}", errors
+            )
         return good_replies
 
     def take_again(self):
@@ -142,16 +155,16 @@
                 else:
                     yield from self._round("confirm")
                     self.confirmed_at = self.node.now()
-        except Trouble as trouble:
-            self.step_down(trouble)
+        except QuillringError as error:
+            self.step_down(error)
 
     def _write_queue(self):
         batch, self.queue = self.queue[:BATCH_LIMIT], self.queue[BATCH_LIMIT:]
         try:
             answers = yield from self._decide([command for command, _ in batch])
-        except Trouble as trouble:
+        except QuillringError as error:
             for _, answer_signal in batch:
-                answer_signal.set(NoMajority(part=self.part, reason=trouble.kind))
+                answer_signal.set(NoMajority(part=self.part, reason=error.kind))
             raise
         self._adopt_group(self.state["group"])
         self._tell([command for command, _ in batch])
@@ -175,18 +188,17 @@
         """Script: tell members in reach what is committed; return {store: index it applied}."""
         nifty = self.node.find("nifty")
         calls = [
-            call for call in self._calls("commit", committed=self.index)
-            if nifty.reaches(call[0])
+            call for call in self._calls("commit", committed=self.index) if nifty.reaches(call[0])
         ]
         replies = yield from self.node.gather(calls, len(calls))
-        return {t: r for t, r in replies.items() if not isinstance(r, Trouble)}
+        return {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
 
-    def step_down(self, trouble):
-        """Write nothing more; everything queued ends with its trouble."""
+    def step_down(self, error):
+        """Write nothing more; everything queued ends with its error."""
         self.is_owner = False
         queued, self.queue = self.queue, []
         for _, answer_signal in queued:
-            answer_signal.set(NotOwner(part=self.part, reason=trouble.kind))
+            answer_signal.set(NotOwner(part=self.part, reason=error.kind))
         self.queue_signal.set()
         self._tell([])
 
@@ -200,7 +212,7 @@
         yield Wait(answer_signal, self.node.bounds.news)
         if not answer_signal.is_set:
             raise NoMajority(part=self.part)
-        if isinstance(answer_signal.value, Trouble):
+        if isinstance(answer_signal.value, QuillringError):
             raise answer_signal.value
         return answer_signal.value
 
--- a/quillring/quorum/parts.py
+++ b/quillring/quorum/parts.py
@@ -39,6 +39,8 @@
 def is_enough(domains, size):
     """Tell whether stores in these domains form groups that the loss of no one domain stops."""
     counts = [domains.count(domain) for domain in set(domains)]
-    largest = next((most for most in range(1, size + 1) if sum(
-        min(most, count) for count in counts) >= size), size)
+    largest = next(
+        (most for most in range(1, size + 1) if sum(min(most, count) for count in counts) >= size),
+        size,
+    )
     return len(domains) >= size and size - largest >= size // 2 + 1
--- a/quillring/quorum/peek.py
+++ b/quillring/quorum/peek.py
@@ -3,18 +3,17 @@
 from collections import Counter
 from itertools import takewhile
 
-from quillring.kernel.troubles import Trouble, rebuild
+from quillring.kernel.errors import QuillringError, rebuild
 from quillring.quorum.parts import majority
 
 
 def peek(node, part, group, query):
     """Script: return a function that gives the answer or raises it, or None when it is not sure."""
     body = {"part": part, "query": query, "beyond": True}
-    calls = [
-        (store, "quorum.peek", {**body, "identity": identity}) for store, identity, _ in group]
+    calls = [(store, "quorum.peek", {**body, "identity": identity}) for store, identity, _ in group]
     for need in dict.fromkeys((majority(group), len(group))):
         replies = yield from node.gather(calls, need, node.bounds.reading / 4)
-        known = [reply for reply in replies.values() if not isinstance(reply, Trouble)]
+        known = [reply for reply in replies.values() if not isinstance(reply, QuillringError)]
         found = find_answer(known, group, query)
         if found is not None:
             return lambda: give(*found)
@@ -24,7 +23,7 @@
 
 
 def find_answer(replies, group, query):
-    """Return [trouble's kind or None, answer] that a majority's words make sure, or None.
+    """Return [error's kind or None, answer] that a majority's words make sure, or None.
 
     Whatever was chosen lies at one of the majority: applied there, or accepted beyond. An entry
     that a majority holds under one ballot is chosen: each of them has it on its disk, and a higher
@@ -40,9 +39,14 @@
         return None
     beyond = [reply[5] if len(reply) > 5 else [] for reply in replies]
     votes = Counter((index, tuple(ballot)) for rows in beyond for index, ballot, *_ in rows)
-    chosen = max((
-        list(takewhile(lambda row: votes[row[0], tuple(row[1])] >= majority(group), rows))
-        for reply, rows in zip(replies, beyond, strict=True) if reply[0] == applied), key=len)
+    chosen = max(
+        (
+            list(takewhile(lambda row: votes[row[0], tuple(row[1])] >= majority(group), rows))
+            for reply, rows in zip(replies, beyond, strict=True)
+            if reply[0] == applied
+        ),
+        key=len,
+    )
     if chosen:
         applied, _, *answer = chosen[-1]
     unsure = {lot for reply in replies for index, lot in reply[2] if index > applied}
@@ -52,7 +56,7 @@
 
 
 def give(kind, answer):
-    """Return the answer, or raise the trouble of this kind."""
+    """Return the answer, or raise the error of this kind."""
     if kind is not None:
         raise rebuild(kind, answer)
     return answer
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -1,7 +1,7 @@
 """Repair: a part's group gets back to three members by itself, one change at a time."""
 
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.errors import QuillringError
 from quillring.nifty.graph import score
 from quillring.quorum.parts import majority
 
@@ -24,7 +24,7 @@
         while True:
             yield Sleep(self.node.bounds.chatter * 2)
             self._note_lost()
-            for owner in list(self.node.find("duty").owners.values()):
+            for owner in list(self.node.find("ownership").owners.values()):
                 is_free = owner.part not in self.busy_parts and owner.may_act()
                 if is_free and self._next_group(owner) is not None:
                     self.busy_parts.add(owner.part)
@@ -38,7 +38,8 @@
                 if change is None or not (yield from self._is_sound(owner)):
                     break
                 if change != self._next_group(owner) or not (
-                        yield from self._change(owner, change)):
+                    yield from self._change(owner, change)
+                ):
                     break
                 yield from owner.mend()
         finally:
@@ -48,8 +49,7 @@
         nifty, now = self.node.find("nifty"), self.node.now()
         store_names = [m.name for m in nifty.roster.members.values() if m.role == "store"]
         self.lost_since = {
-            name: self.lost_since.get(name, now)
-            for name in store_names if not nifty.reaches(name)
+            name: self.lost_since.get(name, now) for name in store_names if not nifty.reaches(name)
         }
 
     def _change(self, owner, group):
@@ -57,8 +57,8 @@
         self.node.count("group_changes")
         try:
             yield from owner.submit({"do": "group.change", "group": group})
-        except Trouble as trouble:
-            self.node.log("warning", "group of %s: %s", owner.part, trouble)
+        except QuillringError as error:
+            self.node.log("warning", "group of %s: %s", owner.part, error)
             return False
         return True
 
@@ -69,7 +69,8 @@
         applied = yield from owner.applied_by_store()
         nifty = self.node.find("nifty")
         return all(
-            applied.get(store[0], -1) >= index for store in owner.group
+            applied.get(store[0], -1) >= index
+            for store in owner.group
             if nifty.reaches(store[0]) and not self.is_emptied(store)
         )
 
@@ -91,7 +92,7 @@
         return bool(stores.get(store[0], {}).get("retired"))
 
     def _next_group(self, owner):
-        group, size = [list(store) for store in owner.group], self.node.find("duty").size()
+        group, size = [list(store) for store in owner.group], self.node.find("ownership").size()
         spare = self._spare(owner.part, group)
         emptied = [s for s in group if self.is_emptied(s)]
         leaving = [s for s in group if self.is_retired(s) or self.is_lost(s)]
@@ -121,13 +122,17 @@
         nifty = self.node.find("nifty")
         staying = [s for s in group if not (self.is_retired(s) or self.is_lost(s))]
         used_domains = [s[2] for s in staying if not self.is_emptied(s)]
-        room = majority([None] * self.node.find("duty").size()) - 1
+        room = majority([None] * self.node.find("ownership").size()) - 1
         names = {s[0] for s in group}
         candidates = [
-            [m.name, m.identity, m.domain] for m in nifty.roster.members.values()
-            if m.role == "store" and m.name not in names and nifty.reaches(m.name)
+            [m.name, m.identity, m.domain]
+            for m in nifty.roster.members.values()
+            if m.role == "store"
+            and m.name not in names
+            and nifty.reaches(m.name)
             and used_domains.count(m.domain) < room
         ]
         candidates = [c for c in candidates if not self.is_retired(c)]
-        return max(candidates, default=None, key=lambda c: (
-            -used_domains.count(c[2]), score(part, c[0])))
+        return max(
+            candidates, default=None, key=lambda c: (-used_domains.count(c[2]), score(part, c[0]))
+        )
--- a/quillring/rollout/commands.py
+++ b/quillring/rollout/commands.py
@@ -1,13 +1,13 @@
 """Commands and queries of the config part that change and show the layout."""
 
-from quillring.kernel.troubles import Conflict, Trouble
+from quillring.kernel.errors import Conflict, QuillringError
 from quillring.quorum.commands import COMMANDS, QUERIES
 from quillring.rollout.schema import EMPTY, find_faults, merge
 
 KEPT_CHANGES = 64
 
 
-class BadLayout(Trouble):
+class BadLayout(QuillringError):
     """The layout was refused, with every reason; no node changes.
 
     Final: on the version it builds on it is always refused, and on any other it is a conflict.
@@ -26,7 +26,8 @@
         return state, {"version": changes[command["id"]], "repeated": True}
     if command["base_version"] != state["version"]:
         raise Conflict(
-            winning_version=state["version"], base_version=command["base_version"],
+            winning_version=state["version"],
+            base_version=command["base_version"],
             winning_change=state.get("last_change"),
         )
     current_layout = state["layout"] or EMPTY
@@ -37,7 +38,10 @@
     version = state["version"] + 1
     kept_changes = dict([*changes.items(), (command["id"], version)][-KEPT_CHANGES:])
     new_state = {
-        **state, "layout": layout, "version": version, "changes": kept_changes,
+        **state,
+        "layout": layout,
+        "version": version,
+        "changes": kept_changes,
         "last_change": command["id"],
     }
     return new_state, {"version": version}
--- a/quillring/rollout/editions.py
+++ b/quillring/rollout/editions.py
@@ -3,7 +3,7 @@
 import hashlib
 import json
 
-from quillring.kernel.troubles import Conflict
+from quillring.kernel.errors import Conflict
 from quillring.quorum.commands import COMMANDS, QUERIES
 from quillring.rollout.commands import BadLayout
 from quillring.rollout.schema import EMPTY, EXTRAS, FORWARD, LIMITS, RAW_SERVICE, item_faults
@@ -32,7 +32,10 @@
         raise BadLayout(faults=faults)
     kept_editions = dict([*editions.items(), (str(number), digest)][-KEPT_EDITIONS:])
     new_state = {
-        **state, "layout": new_layout, "version": state["version"] + 1, "editions": kept_editions,
+        **state,
+        "layout": new_layout,
+        "version": state["version"] + 1,
+        "editions": kept_editions,
     }
     return new_state, {"edition": number}
 
@@ -62,7 +65,8 @@
 def command_faults(command):
     """Return what speaks against the items that a command brings, each by itself."""
     faults = [
-        fault for section, validator in SECTIONS
+        fault
+        for section, validator in SECTIONS
         for fault in item_faults(section, validator, command[section])
     ]
     if command["limits"] is not None:
@@ -83,7 +87,10 @@
     former = {} if command["whole"] else layout
     limits = former.get("limits") if command["limits"] is None else command["limits"]
     return {
-        **layout, **sections, "edition": command["edition"], "limits": limits,
+        **layout,
+        **sections,
+        "edition": command["edition"],
+        "limits": limits,
         "extras": {**former.get("extras", {}), **(command.get("extras") or {})},
     }
 
--- a/quillring/rollout/freshness.py
+++ b/quillring/rollout/freshness.py
@@ -1,7 +1,7 @@
 """Freshness: an edge serves new work only on fresh word of a majority of config stores."""
 
 from quillring.kernel.effects import Sleep
-from quillring.kernel.troubles import NotFounded, Refused, Trouble
+from quillring.kernel.errors import NotFounded, QuillringError, Refused
 from quillring.quorum.parts import CONFIG, majority
 
 
@@ -22,14 +22,17 @@
     def _store_words(self):
         """Yield (index, time the word is from) of each config store."""
         nifty = self.node.find("nifty")
-        for name, identity, _ in self.node.find("duty").group(CONFIG):
+        for name, identity, _ in self.node.find("ownership").group(CONFIG):
             words = [self.words[name]] if name in self.words else []
             heard = nifty.heard.get(name)
             if heard is not None and heard.stamp is not None and heard.echo_at is not None:
                 words.append((heard.stamp, heard.echo_at))
-            yield name, max(
-                ((at, stamp[1]) for stamp, at in words if stamp[2] == identity),
-                default=(None, 0),
+            yield (
+                name,
+                max(
+                    ((at, stamp[1]) for stamp, at in words if stamp[2] == identity),
+                    default=(None, 0),
+                ),
             )
 
     def is_fresh(self):
@@ -75,7 +78,8 @@
     def _probe(self, store_words):
         ask_time = self.node.now()
         silent_names = [
-            name for name, (at, _) in store_words
+            name
+            for name, (at, _) in store_words
             if at is None or at < ask_time - self.node.bounds.beat * 1.5
         ]
         if not silent_names:
@@ -83,23 +87,29 @@
         calls = [(name, "quorum.stamp", None) for name in silent_names]
         replies = yield from self.node.gather(calls, len(calls), self.node.bounds.beat)
         good_words = {
-            name: (stamp, ask_time) for name, stamp in replies.items()
-            if stamp is not None and not isinstance(stamp, Trouble)
+            name: (stamp, ask_time)
+            for name, stamp in replies.items()
+            if stamp is not None and not isinstance(stamp, QuillringError)
         }
         self.words = {**self.words, **good_words}
 
     def _fetch_newer(self):
         image = self.node.find("layout")
-        newer_words = sorted((
-            (index, name) for name, (at, index) in self._store_words()
-            if index > image.index or (image.layout is None and index)
-        ), reverse=True)
+        newer_words = sorted(
+            (
+                (index, name)
+                for name, (at, index) in self._store_words()
+                if index > image.index or (image.layout is None and index)
+            ),
+            reverse=True,
+        )
         for wanted_index, name in newer_words:
             if image.index >= wanted_index and image.layout is not None:
                 return
             try:
                 index, state = yield from self.node.call(
-                    name, "quorum.image", {"part": CONFIG}, self.node.bounds.beat / 2)
+                    name, "quorum.image", {"part": CONFIG}, self.node.bounds.beat / 2
+                )
                 image.take(index, state)
-            except Trouble:
+            except QuillringError:
                 continue
--- a/quillring/rollout/image.py
+++ b/quillring/rollout/image.py
@@ -1,6 +1,6 @@
 """The layout on a node: an immutable image, swapped whole, that never goes back."""
 
-from quillring.kernel.troubles import NotFound
+from quillring.kernel.errors import NotFound
 from quillring.quorum.parts import CONFIG
 
 
@@ -19,7 +19,7 @@
         gossip.listen("layout", lambda key, news: self._swap(news))
         node.handle("layout.news", self.on_news)
         if node.me.role == "core":
-            node.find("duty").on_owner.append(self._publish)
+            node.find("ownership").on_owner.append(self._publish)
 
     def _publish(self, owner, batch):
         if owner.part == CONFIG and owner.is_owner:
@@ -63,8 +63,11 @@
         if name not in entries:
             raise NotFound(field="entry", entry=name)
         entry = entries[name]
-        return entry, self.layout["services"][entry["service"]], self.layout["classes"][
-            entry["class"]]
+        return (
+            entry,
+            self.layout["services"][entry["service"]],
+            self.layout["classes"][entry["class"]],
+        )
 
     def is_emptied(self, domain):
         """Tell whether operators want the domain's replicas to get nothing more."""
--- a/quillring/rollout/marks.py
+++ b/quillring/rollout/marks.py
@@ -1,6 +1,6 @@
 """Marks of operators: domains to be emptied, stores to be retired; the last one counts."""
 
-from quillring.kernel.troubles import Conflict, NotFound
+from quillring.kernel.errors import Conflict, NotFound
 from quillring.quorum.commands import COMMANDS
 from quillring.quorum.parts import CONFIG, is_enough
 from quillring.rollout.schema import EMPTY
@@ -36,8 +36,8 @@
 
     Raises NotFound for an unknown store and Conflict when too few would remain.
     """
-    end_time, duty = node.now() + seconds, node.find("duty")
-    current = yield from duty.read(CONFIG, {"ask": "edition"}, seconds)
+    end_time, ownership = node.now() + seconds, node.find("ownership")
+    current = yield from ownership.read(CONFIG, {"ask": "edition"}, seconds)
     marks = current["layout"].get("stores") or {}
     if marks.get(store, {}).get("retired"):
         return
@@ -45,21 +45,22 @@
     if store not in stores:
         raise NotFound(field="store", store=store)
     remaining = [
-        domain for name, domain in stores.items()
+        domain
+        for name, domain in stores.items()
         if name != store and nifty.reaches(name) and not marks.get(name, {}).get("retired")
     ]
-    if not is_enough(remaining, duty.size()):
+    if not is_enough(remaining, ownership.size()):
         raise Conflict(field="store", reason="too few stores would remain", store=store)
     command = {"do": "store.mark", "store": store, "retired": True}
-    yield from duty.submit(CONFIG, command, end_time - node.now())
+    yield from ownership.submit(CONFIG, command, end_time - node.now())
 
 
 def known_stores(node):
     """Return {store: domain} of the stores of the roster and of the parts' groups."""
     members = node.find("nifty").roster.members.values()
-    duty = node.find("duty")
+    ownership = node.find("ownership")
     group_stores = {
-        name: domain for part in duty.parts() for name, _, domain in duty.group(part)
+        name: domain for part in ownership.parts() for name, _, domain in ownership.group(part)
     }
     return {**group_stores, **{m.name: m.domain for m in members if m.role == "store"}}
 
@@ -68,17 +69,17 @@
     """Script: tell whether a store is marked as retired and no part needs it any more.
 
     The groups are those that the parts' owners committed; each must be full and caught up.
-    Raises NotFound for an unknown store, and the owner's trouble when one does not answer.
+    Raises NotFound for an unknown store, and the owner's error when one does not answer.
     """
-    end_time, duty = node.now() + seconds, node.find("duty")
-    current = yield from duty.read(CONFIG, {"ask": "edition"}, seconds)
+    end_time, ownership = node.now() + seconds, node.find("ownership")
+    current = yield from ownership.read(CONFIG, {"ask": "edition"}, seconds)
     mark = (current["layout"].get("stores") or {}).get(store)
     if mark is None and store not in known_stores(node):
         raise NotFound(field="store", store=store)
     if mark is None or not mark.get("retired"):
         return False
-    for part in duty.parts():
-        answer = yield from duty.ask(part, "part.whole", {}, end_time - node.now())
-        if store in answer["group"] or answer["late"] or len(answer["group"]) < duty.size():
+    for part in ownership.parts():
+        answer = yield from ownership.ask(part, "part.whole", {}, end_time - node.now())
+        if store in answer["group"] or answer["late"] or len(answer["group"]) < ownership.size():
             return False
     return True
--- a/quillring/rollout/schema.py
+++ b/quillring/rollout/schema.py
@@ -15,77 +15,112 @@
         "additionalProperties": False,
         "patternProperties": {
             NAME: {
-                "type": "object", "additionalProperties": False,
-                "properties": properties, "required": required,
+                "type": "object",
+                "additionalProperties": False,
+                "properties": properties,
+                "required": required,
             }
         },
     }
 
 
-CLASS = section({
-    "first_piece_ms": MILLISECONDS,
-    "time_left_ms": MILLISECONDS,
-    "urgency": {"type": "integer", "minimum": 1, "maximum": 9},
-    "share": {"type": "number", "minimum": 0, "maximum": 1},
-    "resumable": {"type": "boolean"},
-    "repeatable": {"type": "boolean"},
-    "queue": {"type": "integer", "minimum": 0, "maximum": 10_000},
-}, ["first_piece_ms", "time_left_ms", "urgency", "share"])
-SERVICE = section({
-    "kind": {"enum": ["model", "map", "checkout"]},
-    "warm_up_ms": MILLISECONDS,
-    "stall_ms": MILLISECONDS,
-}, ["kind"])
-ENTRY = section({
-    "service": {"type": "string"},
-    "class": {"type": "string"},
-    "weight": {"type": "number", "exclusiveMinimum": 0, "maximum": 1000},
-    "prefix": {"type": "string", "maxLength": 100_000},
-}, ["service", "class"])
+CLASS = section(
+    {
+        "first_piece_ms": MILLISECONDS,
+        "time_left_ms": MILLISECONDS,
+        "urgency": {"type": "integer", "minimum": 1, "maximum": 9},
+        "share": {"type": "number", "minimum": 0, "maximum": 1},
+        "resumable": {"type": "boolean"},
+        "repeatable": {"type": "boolean"},
+        "queue": {"type": "integer", "minimum": 0, "maximum": 10_000},
+    },
+    ["first_piece_ms", "time_left_ms", "urgency", "share"],
+)
+SERVICE = section(
+    {
+        "kind": {"enum": ["model", "map", "checkout"]},
+        "warm_up_ms": MILLISECONDS,
+        "stall_ms": MILLISECONDS,
+    },
+    ["kind"],
+)
+ENTRY = section(
+    {
+        "service": {"type": "string"},
+        "class": {"type": "string"},
+        "weight": {"type": "number", "exclusiveMinimum": 0, "maximum": 1000},
+        "prefix": {"type": "string", "maxLength": 100_000},
+    },
+    ["service", "class"],
+)
 COUNT = {"type": "integer", "minimum": 0, "maximum": 1 << 53}
 AMOUNT = {"type": "number", "minimum": 0, "maximum": 1 << 53}
 TEXT = {"type": "string", "minLength": 1, "maxLength": 2000}
 OBJECT = {"type": "object"}
 FORWARD_ITEM = {
-    "type": "object", "additionalProperties": False,
+    "type": "object",
+    "additionalProperties": False,
     "required": ["host", "prefix", "kind", "split"],
     "properties": {
         "host": TEXT,
         "prefix": {**TEXT, "pattern": "^/(.*/)?$"},
         "kind": {"enum": ["repeatable", "once", "stream", "lot"]},
         "split": {
-            "type": "array", "minItems": 1, "maxItems": 1000,
+            "type": "array",
+            "minItems": 1,
+            "maxItems": 1000,
             "items": {
-                "type": "array", "prefixItems": [TEXT, AMOUNT], "minItems": 2, "maxItems": 2,
+                "type": "array",
+                "prefixItems": [TEXT, AMOUNT],
+                "minItems": 2,
+                "maxItems": 2,
             },
         },
         "rounds": {**COUNT, "minimum": 1},
         "hold_ms": {"type": "number", "exclusiveMinimum": 0, "maximum": 1 << 53},
-        "goal_ms": AMOUNT, "pause_ms": AMOUNT, "due_ms": AMOUNT, "retain_ms": AMOUNT,
-        "urgency": COUNT, "most_tokens": AMOUNT,
-        "resumable": {"type": "boolean"}, "engine": {"type": "boolean"}, "origin": OBJECT,
+        "goal_ms": AMOUNT,
+        "pause_ms": AMOUNT,
+        "due_ms": AMOUNT,
+        "retain_ms": AMOUNT,
+        "urgency": COUNT,
+        "most_tokens": AMOUNT,
+        "resumable": {"type": "boolean"},
+        "engine": {"type": "boolean"},
+        "origin": OBJECT,
     },
 }
 RAW_SERVICE_ITEM = {
-    "type": "object", "additionalProperties": False, "required": ["kind"],
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["kind"],
     "properties": {
-        "kind": {"const": "raw"}, "probe_path": TEXT, "connections": COUNT,
-        "warm_up_ms": AMOUNT, "warm_rate": AMOUNT, "origin": OBJECT,
+        "kind": {"const": "raw"},
+        "probe_path": TEXT,
+        "connections": COUNT,
+        "warm_up_ms": AMOUNT,
+        "warm_rate": AMOUNT,
+        "origin": OBJECT,
         "engine": {
-            "type": ["object", "null"], "additionalProperties": False,
+            "type": ["object", "null"],
+            "additionalProperties": False,
             "properties": {"slots": COUNT, "kv_tokens": AMOUNT, "stride": AMOUNT},
         },
     },
 }
 LIMITS_ITEM = {
-    "type": "object", "additionalProperties": False,
+    "type": "object",
+    "additionalProperties": False,
     "properties": {
-        "head_bytes": COUNT, "body_bytes": COUNT, "head_ms": AMOUNT, "idle_ms": AMOUNT,
+        "head_bytes": COUNT,
+        "body_bytes": COUNT,
+        "head_ms": AMOUNT,
+        "idle_ms": AMOUNT,
         "origin": OBJECT,
     },
 }
 FORWARD, RAW_SERVICE, LIMITS, EXTRAS = map(
-    StrictValidator, (FORWARD_ITEM, RAW_SERVICE_ITEM, LIMITS_ITEM, OBJECT))
+    StrictValidator, (FORWARD_ITEM, RAW_SERVICE_ITEM, LIMITS_ITEM, OBJECT)
+)
 STORE = section({"retired": {"type": "boolean"}, "forced": {"type": "boolean"}}, [])
 DOMAIN = section({"emptied": {"type": "boolean"}, "nodes": {"type": "boolean"}}, [])
 SERVICES = {
@@ -101,8 +136,13 @@
     "additionalProperties": False,
     "required": ["classes", "services", "entries", "domains"],
     "properties": {
-        "classes": CLASS, "services": SERVICES, "entries": ENTRY, "domains": DOMAIN,
-        "stores": STORE, "edition": COUNT, "extras": OBJECT,
+        "classes": CLASS,
+        "services": SERVICES,
+        "entries": ENTRY,
+        "domains": DOMAIN,
+        "stores": STORE,
+        "edition": COUNT,
+        "extras": OBJECT,
         "forwards": {"type": "object", "additionalProperties": FORWARD_ITEM},
         "limits": {"anyOf": [LIMITS_ITEM, {"type": "null"}]},
     },
@@ -127,19 +167,26 @@
     for name, entry in sorted(layout["entries"].items()):
         for field, section_name in (("service", "services"), ("class", "classes")):
             if entry[field] not in layout[section_name]:
-                faults.append({
-                    "field": f"entries.{name}.{field}", "fault": f"unknown {entry[field]}",
-                })
+                faults.append(
+                    {
+                        "field": f"entries.{name}.{field}",
+                        "fault": f"unknown {entry[field]}",
+                    }
+                )
     shares = sum(c["share"] for c in layout["classes"].values())
     if shares > 1.0001:
         faults.append({"field": "classes", "fault": f"shares add up to {shares:.3f}, over 1"})
     for name, promise in sorted(layout["classes"].items()):
         if promise["first_piece_ms"] > promise["time_left_ms"]:
-            faults.append({
-                "field": f"classes.{name}.first_piece_ms", "fault": "longer than time_left_ms",
-            })
+            faults.append(
+                {
+                    "field": f"classes.{name}.first_piece_ms",
+                    "fault": "longer than time_left_ms",
+                }
+            )
     if layout["domains"] and all(
-            d.get("emptied") and d.get("nodes", True) for d in layout["domains"].values()):
+        d.get("emptied") and d.get("nodes", True) for d in layout["domains"].values()
+    ):
         faults.append({"field": "domains", "fault": "every domain would be emptied"})
     return faults
 
@@ -151,7 +198,8 @@
             "field": ".".join([section, name, *map(str, error.absolute_path)]),
             "fault": error.message[:200],
         }
-        for name, item in items.items() for error in validator.iter_errors(item)
+        for name, item in items.items()
+        for error in validator.iter_errors(item)
     ]
 
 
--- a/quillring/store/disk.py
+++ b/quillring/store/disk.py
@@ -2,7 +2,7 @@
 
 import os
 
-from quillring.kernel.troubles import DiskTrouble
+from quillring.kernel.errors import DiskError
 
 
 class FolderDisk:
@@ -17,7 +17,7 @@
         try:
             os.makedirs(folder, exist_ok=True)
         except OSError as error:
-            raise DiskTrouble(folder=folder, reason=error.strerror) from error
+            raise DiskError(folder=folder, reason=error.strerror) from error
 
     def _path(self, name):
         return os.path.join(self.folder, name)
@@ -30,7 +30,7 @@
         except FileNotFoundError:
             return None
         except OSError as error:
-            raise DiskTrouble(file=name, reason=error.strerror) from error
+            raise DiskError(file=name, reason=error.strerror) from error
 
     def write(self, name, data):
         """Write a whole file anew and sync it and the folder."""
@@ -45,7 +45,7 @@
             finally:
                 os.close(folder_handle)
         except OSError as error:
-            raise DiskTrouble(file=name, reason=error.strerror) from error
+            raise DiskError(file=name, reason=error.strerror) from error
 
     def append(self, name, data):
         """Append to a file; what it adds lasts only after sync."""
@@ -55,9 +55,9 @@
                     self.log_file.close()
                 self.log_file, self.log_name = open(self._path(name), "ab", buffering=0), name
             if self.log_file.write(data) != len(data):
-                raise DiskTrouble(file=name, reason="short write")
+                raise DiskError(file=name, reason="short write")
         except OSError as error:
-            raise DiskTrouble(file=name, reason=error.strerror) from error
+            raise DiskError(file=name, reason=error.strerror) from error
 
     def cut(self, name, size):
         """Cut a file back to a size."""
@@ -67,14 +67,14 @@
                 self.log_file, self.log_name = None, None
             os.truncate(self._path(name), size)
         except OSError as error:
-            raise DiskTrouble(file=name, reason=error.strerror) from error
+            raise DiskError(file=name, reason=error.strerror) from error
 
     def sync(self, name):
         """Make the appended bytes durable."""
         try:
             os.fsync(self.log_file.fileno())
         except OSError as error:
-            raise DiskTrouble(file=name, reason=error.strerror) from error
+            raise DiskError(file=name, reason=error.strerror) from error
 
     def pause(self):
         """Return the seconds a sync takes beyond the call itself: none here."""
--- a/quillring/store/slots.py
+++ b/quillring/store/slots.py
@@ -7,7 +7,7 @@
 import cbor2
 
 from quillring.kernel.effects import Signal, Sleep, Wait
-from quillring.kernel.troubles import Damaged, DiskTrouble
+from quillring.kernel.errors import Damaged, DiskError
 
 HEADER = struct.Struct(">4sQI32s")
 RECORD = struct.Struct(">II")
@@ -23,8 +23,17 @@
     """
 
     __slots__ = (
-        "disk", "holder", "generation", "log_size", "log_limit", "waiting", "dirty_signal",
-        "trouble", "syncs", "slot_size", "is_writing",
+        "disk",
+        "holder",
+        "generation",
+        "log_size",
+        "log_limit",
+        "waiting",
+        "dirty_signal",
+        "error",
+        "syncs",
+        "slot_size",
+        "is_writing",
     )
 
     def __init__(self, disk, holder, log_limit=1 << 20):
@@ -35,7 +44,7 @@
         self.log_limit = log_limit
         self.waiting = []
         self.dirty_signal = Signal()
-        self.trouble = None
+        self.error = None
         self.syncs = 0
         self.slot_size = 0
         self.is_writing = False
@@ -62,7 +71,7 @@
             return None
         try:
             magic, generation, length, digest = HEADER.unpack_from(data)
-            body = data[HEADER.size:HEADER.size + length]
+            body = data[HEADER.size : HEADER.size + length]
             if magic != MAGIC or hashlib.sha256(body).digest() != digest:
                 return "torn"
             return generation, cbor2.loads(body)
@@ -114,9 +123,9 @@
         return not self.waiting and not self.is_writing
 
     def commit(self, records):
-        """Script: return once the records are durable; DiskTrouble when they can't be."""
-        if self.trouble is not None:
-            raise self.trouble
+        """Script: return once the records are durable; DiskError when they can't be."""
+        if self.error is not None:
+            raise self.error
         done_signal = Signal()
         self.waiting.append((records, done_signal))
         self.dirty_signal.set()
@@ -128,7 +137,7 @@
     def run(self, retry_seconds):
         """Script: write what waits in batches; a failed disk is tried again by a new slot."""
         while True:
-            if self.trouble is None and not self.waiting:
+            if self.error is None and not self.waiting:
                 yield Wait(self.dirty_signal, 3600)
             self.dirty_signal = Signal()
             batch, self.waiting = self.waiting, []
@@ -150,18 +159,19 @@
         log_name = f"log.{self.generation % 2}"
         data = b"".join(pack_record(record) for records, _ in batch for record in records)
         try:
-            if self.trouble is not None or self.log_size + len(data) > max(
-                    self.log_limit, self.slot_size):
+            if self.error is not None or self.log_size + len(data) > max(
+                self.log_limit, self.slot_size
+            ):
                 self.turn()
             elif data:
                 self.disk.append(log_name, data)
                 self.disk.sync(log_name)
                 self.log_size += len(data)
             self.syncs += 1
-            self.trouble = None
-        except DiskTrouble as trouble:
-            self.trouble = trouble
-        return self.trouble
+            self.error = None
+        except DiskError as error:
+            self.error = error
+        return self.error
 
 
 def pack_record(value):
@@ -175,7 +185,7 @@
     if offset + RECORD.size > len(data):
         return None
     length, checksum = RECORD.unpack_from(data, offset)
-    body = data[offset + RECORD.size:offset + RECORD.size + length]
+    body = data[offset + RECORD.size : offset + RECORD.size + length]
     if len(body) != length or zlib.crc32(body) != checksum or not length:
         return None
     return cbor2.loads(body), offset + RECORD.size + length
--- a/quillring/verbs/checks.py
+++ b/quillring/verbs/checks.py
@@ -5,8 +5,8 @@
 import click
 
 from quillring.kernel.checks import parse_json
+from quillring.kernel.errors import BadSetting
 from quillring.kernel.settings import read_settings
-from quillring.kernel.troubles import BadSetting
 from quillring.rollout.editions import cross_faults
 from quillring.rollout.schema import EMPTY, find_faults
 
@@ -18,7 +18,10 @@
 @click.command("check-settings")
 @click.argument("path", required=False, type=click.Path())
 @click.option(
-    "--layout", "layout_path", metavar="FILE", type=click.Path(),
+    "--layout",
+    "layout_path",
+    metavar="FILE",
+    type=click.Path(),
     help="Check a whole layout or an edition of it, too.",
 )
 def check_settings(path, layout_path):
@@ -44,7 +47,7 @@
         host, port = settings.address
         summary = f"{settings.role} {settings.name} in {settings.domain} at {host}:{port}"
     except* BadSetting as group:
-        faults = [trouble.detail["fault"] for trouble in group.exceptions]
+        faults = [error.detail["fault"] for error in group.exceptions]
     return summary, faults
 
 
--- a/quillring/verbs/cli.py
+++ b/quillring/verbs/cli.py
@@ -6,8 +6,8 @@
 
 import click
 
+from quillring.kernel.errors import BadSetting, QuillringError
 from quillring.kernel.settings import read_settings
-from quillring.kernel.troubles import BadSetting, Trouble
 from quillring.verbs.checks import check_settings
 from quillring.verbs.client import ask
 from quillring.verbs.process import run_process
@@ -42,14 +42,14 @@
         try:
             settings = read_settings(path, flags)
         except* BadSetting as group:
-            faults = [trouble.detail["fault"] for trouble in group.exceptions]
+            faults = [error.detail["fault"] for error in group.exceptions]
         if faults:
             click.echo("\n".join(f"quillring {role}: {fault}" for fault in faults), err=True)
             sys.exit(USAGE_FAULT)
         try:
             run_process(settings, lambda: read_settings(path, flags))
-        except Trouble as trouble:
-            click.echo(f"quillring {role}: {trouble}", err=True)
+        except QuillringError as error:
+            click.echo(f"quillring {role}: {error}", err=True)
             sys.exit(REFUSED_FAULT)
         except OSError as error:
             click.echo(f"quillring {role}: {error}", err=True)
@@ -67,7 +67,10 @@
     """Add the options every operator's verb has."""
     function = click.option("--json", "as_json", is_flag=True, help="Print JSON.")(function)
     return click.option(
-        "--node", required=True, metavar="IP:PORT", help="HTTP address of any live node.",
+        "--node",
+        required=True,
+        metavar="IP:PORT",
+        help="HTTP address of any live node.",
     )(function)
 
 
@@ -75,9 +78,9 @@
     """Ask a node and print its answer; exit 3 on a refusal, 4 when it can't be reached."""
     try:
         answer = ask(node, method, path, body)
-    except Trouble as trouble:
-        click.echo(json.dumps(trouble.to_json()) if as_json else str(trouble), err=True)
-        sys.exit(UNREACHABLE_FAULT if trouble.kind == "not_sent" else REFUSED_FAULT)
+    except QuillringError as error:
+        click.echo(json.dumps(error.to_json()) if as_json else str(error), err=True)
+        sys.exit(UNREACHABLE_FAULT if error.kind == "not_sent" else REFUSED_FAULT)
     click.echo(json.dumps(answer) if as_json else show_table(answer))
 
 
@@ -91,7 +94,7 @@
     main.command(name, help=text)(run_show)
 
 
-show_command("members", "/v1/members", "Show the cohort members.")
+show_command("members", "/v1/members", "Show the peers.")
 show_command("graph", "/v1/graph", "Show the graph, routes, sides and bridges.")
 show_command("parts", "/v1/parts", "Show the parts with owners and ballots.")
 show_command("replicas", "/v1/replicas", "Show the replicas.")
@@ -132,7 +135,10 @@
     except ValueError as error:
         raise click.UsageError(f"{path}: {error}") from error
     body = {
-        "base_version": base_version, "layout": change, "whole": whole, "id": os.urandom(8).hex(),
+        "base_version": base_version,
+        "layout": change,
+        "whole": whole,
+        "id": os.urandom(8).hex(),
     }
     run_verb(node, "PUT", "/v1/layout", body, as_json)
 
--- a/quillring/verbs/client.py
+++ b/quillring/verbs/client.py
@@ -2,14 +2,14 @@
 
 from quillring.kernel import backend
 from quillring.kernel.effects import Fetch
+from quillring.kernel.errors import BadInquiry, rebuild
 from quillring.kernel.settings import is_real_address, split_address
-from quillring.kernel.troubles import BadInquiry, rebuild
 
 PATIENCE_SECONDS = 15
 
 
 def ask(node, method, path, body=None):
-    """Return a node's JSON answer, or raise the trouble it reports."""
+    """Return a node's JSON answer, or raise the error it reports."""
     if not is_real_address(node):
         raise BadInquiry(field="--node", reason="not an IP:PORT")
     status, answer = backend.fetch(
--- a/quillring/verbs/fleet_verbs.py
+++ b/quillring/verbs/fleet_verbs.py
@@ -6,7 +6,7 @@
 
 import click
 
-from quillring.kernel.troubles import Trouble
+from quillring.kernel.errors import QuillringError
 from quillring.plans.windows import read_windows
 from quillring.verbs.cli import REFUSED_FAULT, main, node_options, run_verb
 from quillring.verbs.client import ask
@@ -19,8 +19,8 @@
     """Show every node: role, layout version, freshness, work under way."""
     try:
         members = ask(node, "GET", "/v1/members")["members"]
-    except Trouble as trouble:
-        click.echo(str(trouble), err=True)
+    except QuillringError as error:
+        click.echo(str(error), err=True)
         sys.exit(REFUSED_FAULT)
     rows = [status_of(member) for member in members]
     click.echo(json.dumps({"nodes": rows}) if as_json else show_table({"nodes": rows}))
@@ -33,8 +33,8 @@
     fields = ("layout_version", "is_fresh", "under_way", "is_draining", "is_cut")
     try:
         status = ask(f"{member['host']}:{member['http_port']}", "GET", "/v1/status")
-    except Trouble as trouble:
-        return {**blank, **dict.fromkeys(fields), "answer": trouble.kind}
+    except QuillringError as error:
+        return {**blank, **dict.fromkeys(fields), "answer": error.kind}
     return {**blank, **{field: status[field] for field in fields}, "answer": "ok"}
 
 
@@ -50,8 +50,8 @@
     """Return a GET's answer, or end with the exit code of a refusal."""
     try:
         return ask(node, "GET", path)
-    except Trouble as trouble:
-        click.echo(str(trouble), err=True)
+    except QuillringError as error:
+        click.echo(str(error), err=True)
         sys.exit(REFUSED_FAULT)
 
 
@@ -126,11 +126,13 @@
         with open(path, "rb") as calendar_file:
             found = read_windows(calendar_file.read(), now, now + datetime.timedelta(days=days))
         open_intents = [
-            w["intent"] for w in found
-            if w["intent"] and datetime.datetime.fromisoformat(w["start"]) <= now]
+            w["intent"]
+            for w in found
+            if w["intent"] and datetime.datetime.fromisoformat(w["start"]) <= now
+        ]
         plans = [ask(node, "POST", "/v1/plans", i) for i in open_intents] if propose else []
-    except Trouble as trouble:
-        click.echo(str(trouble), err=True)
+    except QuillringError as error:
+        click.echo(str(error), err=True)
         sys.exit(REFUSED_FAULT)
     answer = {"windows": found, "plans": plans}
     click.echo(json.dumps(answer) if as_json else show_table(answer))
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -8,17 +8,17 @@
 import gevent
 
 from quillring.fleet import make_node, open_store, start_node
+from quillring.kernel.errors import QuillringError
 from quillring.kernel.gevent_world import GeventWorld
 from quillring.kernel.http_server import start_server
 from quillring.kernel.ringlog import ring_log
-from quillring.kernel.troubles import Trouble
 from quillring.kernel.wsgi import make_app
 from quillring.nifty import Member
 from quillring.quorum.autofound import found_by_itself
 from quillring.store import FolderDisk
 
 
-class NameTaken(Trouble):
+class NameTaken(QuillringError):
     """Another live member bears this name at another address."""
 
     kind = "name_taken"
@@ -36,7 +36,7 @@
     Where the platform gives a grace, all of that ends within it.
     """
     node.is_draining = True
-    node.find("duty").announce_drain()
+    node.find("ownership").announce_drain()
     grace = node.bounds.grace
     patience = node.bounds.return_ * DRAIN_PATIENCE if grace is None else grace * GRACE_SHARE
     deadline = node.now() + patience
@@ -66,8 +66,13 @@
             FolderDisk(settings.folder), settings.name, lambda: os.urandom(6).hex()
         )
     me = Member(
-        settings.name, time.time_ns() // 1000, settings.role, settings.domain,
-        *settings.address, settings.http_address[1], acceptors.identity if acceptors else "",
+        settings.name,
+        time.time_ns() // 1000,
+        settings.role,
+        settings.domain,
+        *settings.address,
+        settings.http_address[1],
+        acceptors.identity if acceptors else "",
     )
     world = make_world(lambda error: node_logger.error("failure", exc_info=error), 1.0)
     node = make_node(me, world, settings.seeds, settings.bounds, log)
@@ -78,8 +83,9 @@
     server = start_server(settings.http_address, make_app(node), node_logger)
     servers = [*open_more(node, world.report), server]
     if settings.role == "core":
-        node.spawn(found_by_itself(
-            node, settings.bootstrap, settings.parts, settings.losses * 2 + 1))
+        node.spawn(
+            found_by_itself(node, settings.bootstrap, settings.parts, settings.losses * 2 + 1)
+        )
     stop_event, clashes = gevent.event.Event(), []
     node.offer("stop", stop_event.set)
 
@@ -103,5 +109,5 @@
     """Take changed seeds; everything else needs a restart, and faulty settings change nothing."""
     try:
         node.find("nifty").seeds = reread().seeds
-    except* Trouble as group:
+    except* QuillringError as group:
         node.log("error", "settings not changed: %s", group.exceptions)
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -3,7 +3,7 @@
 from quillring.edge import short, streams
 from quillring.edge.admission import check_admission
 from quillring.kernel.checks import StrictValidator
-from quillring.kernel.troubles import Conflict, NotFound, NotFounded, Refused, Trouble
+from quillring.kernel.errors import Conflict, NotFound, NotFounded, QuillringError, Refused
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
 from quillring.plans import front as plans_front
@@ -11,23 +11,27 @@
 from quillring.quorum.parts import CONFIG
 
 PLUGINS = (short, streams, front, plans_front)
-CHANGE = StrictValidator({
-    "type": "object",
-    "additionalProperties": False,
-    "required": ["base_version", "layout"],
-    "properties": {
-        "base_version": {"type": "integer", "minimum": 0},
-        "layout": {"type": "object"},
-        "whole": {"type": "boolean"},
-        "id": {"type": "string", "minLength": 1, "maxLength": 64},
-    },
-})
-FOUND = StrictValidator({
-    "type": "object",
-    "additionalProperties": False,
-    "required": ["parts"],
-    "properties": {"parts": {"type": "integer", "minimum": 1, "maximum": 64}},
-})
+CHANGE = StrictValidator(
+    {
+        "type": "object",
+        "additionalProperties": False,
+        "required": ["base_version", "layout"],
+        "properties": {
+            "base_version": {"type": "integer", "minimum": 0},
+            "layout": {"type": "object"},
+            "whole": {"type": "boolean"},
+            "id": {"type": "string", "minLength": 1, "maxLength": 64},
+        },
+    }
+)
+FOUND = StrictValidator(
+    {
+        "type": "object",
+        "additionalProperties": False,
+        "required": ["parts"],
+        "properties": {"parts": {"type": "integer", "minimum": 1, "maximum": 64}},
+    }
+)
 
 
 @route("POST", "/v1/replicas/beats")
@@ -63,12 +67,14 @@
 
 @route("GET", "/v1/members")
 def show_members(node, inquiry):
-    """Return the cohort members as this node sees them."""
+    """Return the peers as this node sees them."""
     nifty = node.find("nifty")
-    return {"members": [
-        {**member.to_json(), "hops": nifty.graph.hops(member.name)}
-        for member in nifty.roster.members.values()
-    ]}
+    return {
+        "members": [
+            {**member.to_json(), "hops": nifty.graph.hops(member.name)}
+            for member in nifty.roster.members.values()
+        ]
+    }
 
 
 @route("DELETE", "/v1/members/{name}")
@@ -93,26 +99,29 @@
 @route("GET", "/v1/parts")
 def show_parts(node, inquiry):
     """Return each part with its group, owner and ballot as last heard."""
-    duty, gossip = node.find("duty"), node.find("gossip")
-    return {"parts": [
-        {
-            "part": part, "group": [store[0] for store in duty.group(part)],
-            **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
-        }
-        for part in duty.parts()
-    ]}
+    ownership, gossip = node.find("ownership"), node.find("gossip")
+    return {
+        "parts": [
+            {
+                "part": part,
+                "group": [store[0] for store in ownership.group(part)],
+                **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
+            }
+            for part in ownership.parts()
+        ]
+    }
 
 
 @route("GET", "/v1/whole")
 def show_whole(node, inquiry):
     """Tell whether every part has an owner and a full group of stores that hold everything."""
-    duty, rows = node.find("duty"), []
-    for part in duty.parts():
+    ownership, rows = node.find("ownership"), []
+    for part in ownership.parts():
         try:
-            answer = yield from duty.ask(part, "part.whole", {}, node.bounds.beat)
-        except Trouble as trouble:
-            answer = {"trouble": trouble.kind}
-        is_whole = len(answer.get("group", ())) == duty.size() and not answer["late"]
+            answer = yield from ownership.ask(part, "part.whole", {}, node.bounds.beat)
+        except QuillringError as error:
+            answer = {"trouble": error.kind}
+        is_whole = len(answer.get("group", ())) == ownership.size() and not answer["late"]
         rows.append({"part": part, "is_whole": is_whole, **answer})
     return {"is_whole": all(row["is_whole"] for row in rows), "parts": rows}
 
@@ -131,10 +140,12 @@
 def show_replicas(node, inquiry):
     """Return the replicas as this node sees them."""
     replicas = node.find("replicas")
-    return {"replicas": [
-        {**replica.to_json(node.now()), "may_get_work": replicas.may_get_work(replica)}
-        for _, replica in sorted(replicas.table.items())
-    ]}
+    return {
+        "replicas": [
+            {**replica.to_json(node.now()), "may_get_work": replicas.may_get_work(replica)}
+            for _, replica in sorted(replicas.table.items())
+        ]
+    }
 
 
 @route("GET", "/v1/layout")
@@ -149,11 +160,18 @@
     """Adopt a whole or partial layout made against a version."""
     check_body(CHANGE, inquiry.body)
     own_id = f"{node.world.random.getrandbits(96):024x}"
-    return (yield from node.find("duty").submit(CONFIG, {
-        "do": "layout.adopt", "id": inquiry.body.get("id", own_id),
-        "base_version": inquiry.body["base_version"], "change": inquiry.body["layout"],
-        "whole": inquiry.body.get("whole", False),
-    }))
+    return (
+        yield from node.find("ownership").submit(
+            CONFIG,
+            {
+                "do": "layout.adopt",
+                "id": inquiry.body.get("id", own_id),
+                "base_version": inquiry.body["base_version"],
+                "change": inquiry.body["layout"],
+                "whole": inquiry.body.get("whole", False),
+            },
+        )
+    )
 
 
 @route("POST", "/v1/domains/{domain}/emptying")
@@ -170,14 +188,21 @@
 
 def _mark_domain(node, inquiry, is_emptied):
     query = {"ask": "layout"}
-    current = yield from node.find("duty").read(CONFIG, query)
+    current = yield from node.find("ownership").read(CONFIG, query)
     if inquiry.words["domain"] not in (current["layout"] or {}).get("domains", {}):
         raise NotFound(field="domain", domain=inquiry.words["domain"])
-    return (yield from node.find("duty").submit(CONFIG, {
-        "do": "layout.adopt", "id": f"{node.world.random.getrandbits(96):024x}",
-        "base_version": current["version"], "whole": False,
-        "change": {"domains": {inquiry.words["domain"]: {"emptied": is_emptied}}},
-    }))
+    return (
+        yield from node.find("ownership").submit(
+            CONFIG,
+            {
+                "do": "layout.adopt",
+                "id": f"{node.world.random.getrandbits(96):024x}",
+                "base_version": current["version"],
+                "whole": False,
+                "change": {"domains": {inquiry.words["domain"]: {"emptied": is_emptied}}},
+            },
+        )
+    )
 
 
 @route("GET", "/v1/promises")
@@ -191,9 +216,13 @@
     """Return what this node is and how it does."""
     image = node.find("layout")
     return {
-        "name": node.me.name, "role": node.me.role, "domain": node.me.domain,
-        "layout_version": image.version, "is_fresh": node.find("freshness").is_fresh(),
-        "under_way": node.under_way, "is_draining": node.is_draining,
+        "name": node.me.name,
+        "role": node.me.role,
+        "domain": node.me.domain,
+        "layout_version": image.version,
+        "is_fresh": node.find("freshness").is_fresh(),
+        "under_way": node.under_way,
+        "is_draining": node.is_draining,
         "is_cut": node.find("nifty").graph.is_cut,
         "seeds": [f"{host}:{port}" for host, port in node.find("nifty").seeds],
     }
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,8 +3,16 @@
 from proving.localfleet import LocalFleet
 
 NAMES = [
-    "core-1", "core-2", "store-1", "store-2", "store-3", "edge-1", "edge-2", "words-1",
-    "words-2", "map-1",
+    "core-1",
+    "core-2",
+    "store-1",
+    "store-2",
+    "store-3",
+    "edge-1",
+    "edge-2",
+    "words-1",
+    "words-2",
+    "map-1",
 ]
 
 
--- a/tests/fleet_stage.py
+++ b/tests/fleet_stage.py
@@ -32,7 +32,7 @@
         self.env.run(until=self.env.now + seconds)
 
     def ask(self, name, script, seconds=10):
-        """Run a script on a node; return (its value, its trouble), (None, None) if it hangs."""
+        """Run a script on a node; return (its value, its error), (None, None) if it hangs."""
         node = self.sim.nodes[name]
         task = self.env.process(self.sim.run_script(node, script))
         self.env.run(until=task | self.env.timeout(seconds))
@@ -40,17 +40,19 @@
 
     def submit(self, name, command, part="config", seconds=0.8):
         """Commit a command at a core."""
-        return self.ask(name, self.sim.nodes[name].find("duty").submit(part, command, seconds))
+        return self.ask(name, self.sim.nodes[name].find("ownership").submit(part, command, seconds))
 
     def read(self, name, query, part="config", seconds=0.8):
         """Read under the fence at a node."""
-        return self.ask(name, self.sim.nodes[name].find("duty").read(part, query, seconds))
+        return self.ask(name, self.sim.nodes[name].find("ownership").read(part, query, seconds))
 
     def owner(self, part="config"):
         """Return the core that owns a part by its own sight and that of its stores, or None."""
         owners = [
-            node.find("duty").owners[part] for node in self.sim.up_nodes("core")
-            if part in node.find("duty").owners and node.find("duty").owners[part].is_owner
+            node.find("ownership").owners[part]
+            for node in self.sim.up_nodes("core")
+            if part in node.find("ownership").owners
+            and node.find("ownership").owners[part].is_owner
         ]
         return max(owners, key=lambda owner: owner.ballot).node.me.name if owners else None
 
--- a/tests/forward_stage.py
+++ b/tests/forward_stage.py
@@ -25,12 +25,23 @@
     me = Member("edge-1", 1, "edge", "north", "10.0.0.9", 7000, 7001, "")
     node = make_node(me, world, [], Bounds())
     layout = {
-        "domains": {}, "services": {"s": {"kind": "raw", "warm_rate": 8}},
-        "forwards": {"f": {
-            "host": "h", "prefix": "/a/", "kind": kind, "split": [["s", 1]], "rounds": rounds,
-            "hold_ms": 5000, "goal_ms": 250, "urgency": 0, "resumable": resumable,
-            "pause_ms": 300, **fields,
-        }},
+        "domains": {},
+        "services": {"s": {"kind": "raw", "warm_rate": 8}},
+        "forwards": {
+            "f": {
+                "host": "h",
+                "prefix": "/a/",
+                "kind": kind,
+                "split": [["s", 1]],
+                "rounds": rounds,
+                "hold_ms": 5000,
+                "goal_ms": 250,
+                "urgency": 0,
+                "resumable": resumable,
+                "pause_ms": 300,
+                **fields,
+            }
+        },
     }
     node.find("gossip").put("layout", [1], [1, 1, layout, []])
     for number in range(replicas):
@@ -39,11 +50,19 @@
 
 
 def beat(node, number, sequence=1, **fields):
-    node.find("replicas").on_beat({
-        "name": f"r{number}", "service": "s", "domain": "north",
-        "address": f"10.0.0.1:{9000 + number}", "slots": 8, "state": "ready",
-        "incarnation": 0, "sequence": sequence, **fields,
-    })
+    node.find("replicas").on_beat(
+        {
+            "name": f"r{number}",
+            "service": "s",
+            "domain": "north",
+            "address": f"10.0.0.1:{9000 + number}",
+            "slots": 8,
+            "state": "ready",
+            "incarnation": 0,
+            "sequence": sequence,
+            **fields,
+        }
+    )
 
 
 def request(dialect=None, **headers):
--- a/tests/raw_chaos.py
+++ b/tests/raw_chaos.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from quillring.kernel.troubles import NotFound, Trouble
+from quillring.kernel.errors import NotFound, QuillringError
 from quillring.lots import raw_front
 from tests.raw_stage import FORWARD, HOST, RawStage, text_of
 
@@ -55,7 +55,7 @@
         node = self.edge()
         value = yield from self.stage.sim.run_script(node, make(node))
         self.is_calm = self.is_in_touch(node.me.name, self.stage.env.now)
-        return (None, Trouble(reason="node died")) if value == (None, None) else value
+        return (None, QuillringError(reason="node died")) if value == (None, None) else value
 
     def client(self, name):
         """Process: hand a lot in, read it to its end, sometimes end it early."""
@@ -65,9 +65,10 @@
         items = self.stage.items(name, count)
         self.counts[name], self.tries[name] = count, []
         for _ in range(6):
-            _, trouble = yield from self.script(
-                lambda node: raw_front.accept_raw_lot(node, FORWARD, name, items))
-            status = 202 if trouble is None else trouble.status
+            _, error = yield from self.script(
+                lambda node: raw_front.accept_raw_lot(node, FORWARD, name, items)
+            )
+            status = 202 if error is None else error.status
             self.tries[name].append(status)
             if status == 202:
                 break
@@ -79,11 +80,12 @@
         if chance.random() < 0.25:
             yield env.timeout(chance.uniform(0.2, 4))
             while True:
-                _, trouble = yield from self.script(
-                    lambda node: raw_front.end_raw_lot(node, HOST, name))
-                if trouble is None:
+                _, error = yield from self.script(
+                    lambda node: raw_front.end_raw_lot(node, HOST, name)
+                )
+                if error is None:
                     break
-                if isinstance(trouble, NotFound):
+                if isinstance(error, NotFound):
                     self.violations.append(f"{name}: end finds no lot")
                     return
                 yield env.timeout(0.3)
@@ -97,15 +99,17 @@
             start = chance.choice([0, len(known), max(0, len(known) - 2)])
             began_at = env.now
             held_count = sum(at < began_at - SETTLE for at in self.row_read_at.get(name, []))
-            answer, trouble = yield from self.script(
+            answer, error = yield from self.script(
                 lambda node, start=start: raw_front.read_raw_results(
-                    node, HOST, name, start, chance.choice([0, 0.8])))
-            self.reads["good" if trouble is None else trouble.kind] += 1
+                    node, HOST, name, start, chance.choice([0, 0.8])
+                )
+            )
+            self.reads["good" if error is None else error.kind] += 1
             if env.now - began_at > 2.4 and self.is_calm:
                 self.violations.append(f"{name}: a read took {env.now - began_at:.2f}")
-            if isinstance(trouble, NotFound) and began_at > self.accepted_at[name] + SETTLE:
+            if isinstance(error, NotFound) and began_at > self.accepted_at[name] + SETTLE:
                 self.violations.append(f"{name}: not found at {env.now:.2f}")
-            if trouble is None:
+            if error is None:
                 self.take_rows(name, start, answer, held_count)
             yield env.timeout(chance.uniform(0.2, 0.5))
 
@@ -127,8 +131,9 @@
         """Process: one fault and its end."""
         env, chance, sim = self.stage.env, self.chance, self.stage.sim
         yield env.timeout(chance.uniform(0.5, self.seconds * 0.8))
-        kind = chance.choice([
-            "core", "core", "store", "edge", "freeze", "freeze", "net", "replica", "silent", "cut"])
+        kind = chance.choice(
+            ["core", "core", "store", "edge", "freeze", "freeze", "net", "replica", "silent", "cut"]
+        )
         seconds = chance.uniform(0.5, 4)
         if kind in ("core", "store", "edge") and len(sim.up_nodes(kind)) == len(sim.names(kind)):
             name = chance.choice(sim.names(kind))
--- a/tests/raw_replica.py
+++ b/tests/raw_replica.py
@@ -2,7 +2,7 @@
 
 from proving.sim.world import SimWorld
 from quillring.kernel.effects import NextHead, NextPart, SendOn, Signal
-from quillring.kernel.troubles import BackendTrouble, NotSent, Trouble
+from quillring.kernel.errors import BackendError, NotSent, QuillringError
 
 SERVICE = "engine"
 EVENT_SECONDS = 0.05
@@ -48,17 +48,17 @@
         is_head = isinstance(effect, NextHead)
         while True:
             if self.is_closed:
-                raise BackendTrouble(reason="closed")
+                raise BackendError(reason="closed")
             if is_head and self.status is not None:
                 return None
             if not is_head and self.parts:
                 return self.parts.pop(0)
             if self.is_broken:
-                raise BackendTrouble(reason="broken off")
+                raise BackendError(reason="broken off")
             if not is_head and self.is_over:
                 return None
             if world.env.now >= end_time:
-                raise BackendTrouble(reason="stall")
+                raise BackendError(reason="stall")
             yield from world.wait(self.signal, end_time - world.env.now)
 
     def close(self):
@@ -87,9 +87,14 @@
         """Send a beat to any node that is up."""
         self.sequence += 1
         body = {
-            "name": self.name, "service": SERVICE, "domain": self.zone, "slots": self.slots,
-            "address": f"{self.address[0]}:{self.address[1]}", "state": self.state,
-            "incarnation": 1, "sequence": self.sequence,
+            "name": self.name,
+            "service": SERVICE,
+            "domain": self.zone,
+            "slots": self.slots,
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "state": self.state,
+            "incarnation": 1,
+            "sequence": self.sequence,
             "cold_ms": max(0, round((self.cold_until - self.stage.env.now) * 1000)),
         }
         nodes = [node for node in self.stage.sim.nodes.values() if self.stage.sim.is_up(node)]
@@ -97,8 +102,8 @@
             return
         try:
             self.stage.sim.chance.choice(nodes).find("replicas").on_beat(body)
-        except Trouble as trouble:
-            raise AssertionError(trouble) from trouble
+        except QuillringError as error:
+            raise AssertionError(error) from error
 
     def leave(self):
         """End at once and say so."""
@@ -150,15 +155,15 @@
         """Process: send a request; returns the handle of its answer."""
         yield self.stage.env.timeout(0.001)
         replica = next(
-            (r for r in self.stage.replicas.values() if r.address == tuple(effect.address)), None)
+            (r for r in self.stage.replicas.values() if r.address == tuple(effect.address)), None
+        )
         if replica is None or replica.is_dead:
             raise NotSent(reason="refused")
         head, _, body = effect.data.partition(b"\r\n\r\n")
         first, *lines = head.decode().split("\r\n")
         request = {k.lower(): v for k, _, v in (line.partition(": ") for line in lines)}
         handle = RawHandle()
-        worker = next(
-            name for name, node in self.stage.sim.nodes.items() if node.world is world)
+        worker = next(name for name, node in self.stage.sim.nodes.items() if node.world is world)
         request = {**request, "": (first, body), "worker": worker}
         self.stage.env.process(self._serve(replica, handle, request))
         return handle
--- a/tests/raw_stage.py
+++ b/tests/raw_stage.py
@@ -2,7 +2,7 @@
 
 from unittest import mock
 
-from proving.points_base import SMALL
+from proving.points.base import SMALL
 from proving.sim import fleet as sim_fleet
 from proving.sim.fleet import SimFleet
 from quillring.lots import raw_front
@@ -20,8 +20,8 @@
 
 
 def accepted(stage, name, count, **words):
-    answer, trouble = stage.hand_in(name, count, **words)
-    assert trouble is None, trouble
+    answer, error = stage.hand_in(name, count, **words)
+    assert error is None, error
     return answer
 
 
@@ -56,22 +56,35 @@
     def configure(self, is_gone=False, **fields):
         """Adopt a layout with one forward of lots, or with none."""
         forward = {
-            "host": HOST, "prefix": "/bulk/", "kind": "lot", "split": [[SERVICE, 1]],
-            "rounds": 3, "goal_ms": 400, "due_ms": 8000, "retain_ms": 40_000, "most_tokens": 0,
+            "host": HOST,
+            "prefix": "/bulk/",
+            "kind": "lot",
+            "split": [[SERVICE, 1]],
+            "rounds": 3,
+            "goal_ms": 400,
+            "due_ms": 8000,
+            "retain_ms": 40_000,
+            "most_tokens": 0,
             **fields,
         }
         service = {"kind": "raw", "warm_rate": 10, "warm_up_ms": 0, "engine": {"slots": 8}}
         command = {
-            "do": "edition.adopt", "id": f"e{self.edition + 1}", "edition": self.edition + 1,
-            "base_edition": self.edition, "whole": False, "services": {SERVICE: service},
-            "forwards": {} if is_gone else {FORWARD: forward}, "limits": None,
+            "do": "edition.adopt",
+            "id": f"e{self.edition + 1}",
+            "edition": self.edition + 1,
+            "base_edition": self.edition,
+            "whole": False,
+            "services": {SERVICE: service},
+            "forwards": {} if is_gone else {FORWARD: forward},
+            "limits": None,
             "removed": {"forwards": [FORWARD]} if is_gone else None,
             "extras": None,
         }
         self.edition += 1
-        value, trouble = self.do(
-            self.up("core"), lambda node: node.find("duty").submit("config", command, 8))
-        assert trouble is None, trouble
+        value, error = self.do(
+            self.up("core"), lambda node: node.find("ownership").submit("config", command, 8)
+        )
+        assert error is None, error
 
     def run(self, seconds):
         """Let time pass."""
@@ -86,7 +99,7 @@
         return self.env.process(self.sim.run_script(node, make(node)))
 
     def do(self, node, make, seconds=20):
-        """Run a script on a node; return (its value, None) or (None, its trouble)."""
+        """Run a script on a node; return (its value, None) or (None, its error)."""
         process = self.begin(node, make)
         self.env.run(until=process | self.env.timeout(seconds))
         assert process.triggered, "the script did not end in time"
@@ -95,31 +108,33 @@
     def items(self, name, count, tokens=10, body=b"body"):
         """Return the items of a lot."""
         return [
-            [f"{name}-{n}", f"/bulk/{n}?q=1", [["Model", "m"]], body, tokens]
-            for n in range(count)]
+            [f"{name}-{n}", f"/bulk/{n}?q=1", [["Model", "m"]], body, tokens] for n in range(count)
+        ]
 
     def hand_in(self, name, count, node=None, tokens=10):
-        """Hand a lot in at an edge; return (answer, trouble)."""
+        """Hand a lot in at an edge; return (answer, error)."""
         items = self.items(name, count, tokens)
         return self.do(
             node or self.up("edge"),
-            lambda node: raw_front.accept_raw_lot(node, FORWARD, name, items))
+            lambda node: raw_front.accept_raw_lot(node, FORWARD, name, items),
+        )
 
     def read(self, name, start=0, hold=0.0, node=None):
-        """Read results at an edge; return (answer, trouble)."""
+        """Read results at an edge; return (answer, error)."""
         return self.do(
             node or self.up("edge"),
-            lambda node: raw_front.read_raw_results(node, HOST, name, start, hold))
+            lambda node: raw_front.read_raw_results(node, HOST, name, start, hold),
+        )
 
     def read_all(self, name, seconds=30):
         """Read until every item has a result; return the rows."""
         end_time, answer = self.env.now + seconds, None
         while self.env.now < end_time:
-            answer, trouble = self.read(name)
-            if trouble is None and answer["next"] == answer["items"]:
+            answer, error = self.read(name)
+            if error is None and answer["next"] == answer["items"]:
                 return answer["results"]
             self.run(0.2)
-        raise AssertionError(f"{name} has no result for every item: {answer}, {trouble}")
+        raise AssertionError(f"{name} has no result for every item: {answer}, {error}")
 
     def owner(self):
         """Return the node that owns the lots' part."""
