--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -3,7 +3,7 @@
 import re
 
 from proving.deployments import DEPLOYMENTS, layout_of, replicas_of, settings_of
-from proving.points import POINTS
+from proving.points.catalog import POINTS
 from proving.reference import reference
 from quillring.kernel.settings import find_faults
 from quillring.kernel.wsgi import ROUTES
--- a/tests/test_points.py
+++ b/tests/test_points.py
@@ -1,7 +1,7 @@
 import pytest
 
-from proving.points import POINTS
-from proving.points_base import without
+from proving.points.base import without
+from proving.points.catalog import POINTS
 
 GUARDED = [(text, scenario, guards) for text, scenario, guards in POINTS if guards]
 
--- /dev/null
+++ b/tests/test_raw_restarts.py
@@ -0,0 +1,46 @@
+from unittest import mock
+
+from quillring.lots import raw_front
+from quillring.lots.raw_commands import QuotaExceeded
+from tests.raw_stage import RawStage, accepted, check_whole
+
+
+def test_all_nodes_restarted_from_disk_keep_results_and_finish_the_rest():
+    with RawStage(80, slots=2) as stage:
+        accepted(stage, "a", 30)
+        stage.run(1.2)
+        before, _ = stage.read("a")
+        assert 0 < before["next"] < 30
+        names = list(stage.sim.nodes)
+        for name in names:
+            stage.sim.kill(name, loses_power=True)
+        stage.run(1)
+        for name in names:
+            stage.sim.start(name)
+        stage.run(6)
+        rows = stage.read_all("a")
+        assert rows[: before["next"]] == before["results"]
+        check_whole(stage, rows, "a", 30)
+
+
+def test_without_the_durable_refusal_a_late_accept_would_run_what_was_refused():
+    command = {"try": "t"}
+    with RawStage(90, most_tokens=50) as stage:
+        accepted(stage, "a", 5)
+        sent = []
+        real = raw_front.submit_surely
+
+        def keep(node, part, command, seconds):
+            sent.append((part, command))
+            return real(node, part, command, seconds)
+
+        with mock.patch.object(raw_front, "submit_surely", keep):
+            _, error = stage.hand_in("b", 5)
+        assert isinstance(error, QuotaExceeded) and command
+        stage.read_all("a")
+        part, command = sent[0]
+        answer, _ = stage.do(
+            stage.up("edge"), lambda node: node.find("ownership").submit(part, command)
+        )
+        assert answer == {"refused": "quota"}
+        assert not any(arrival[1].startswith("b-") for arrival in stage.arrivals)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,7 +1,7 @@
 import pytest
 
-from proving.scale_fleet import HollowFleet
-from proving.scale_runs import SCENARIOS, run_size
+from proving.scale.fleet import HollowFleet
+from proving.scale.runs import SCENARIOS, run_size
 
 SMALL, LARGE = 10, 30
 BEATS = 8
