--- /dev/null
+++ b/proving/model/store_machine.py
@@ -0,0 +1,137 @@
+"""A modelled store: the production acceptors over the production log, on a disk in memory."""
+
+import cbor2
+
+from proving.model.events import WrongVote
+from proving.model.machines import Machine, applied_event
+from proving.sim.disk import SimDisk
+from quillring.fleet import open_store
+from quillring.quorum import Acceptors
+from quillring.store import SlotStore
+
+SYNC_SECONDS = 1.0
+OWN_IDENTITY = ("prepare", "accept", "commit", "install", "confirm", "catch_up", "peek", "found")
+
+
+class HeldDisk(SimDisk):
+    """A disk whose syncs end at once, or, while it is held, only by the model's choice."""
+
+    def __init__(self):
+        super().__init__(None)
+        self.is_held = False
+
+    def pause(self):
+        """Return how long the sync takes: any length that is not 0 waits for the model."""
+        return SYNC_SECONDS if self.is_held else 0
+
+
+class StoreMachine(Machine):
+    """A store; `crash` loses memory and what was not synced, `wipe` the disk as well."""
+
+    def __init__(self, name, model):
+        super().__init__(name, model)
+        self.disk = HeldDisk()
+        self.acceptors = None
+        self.applied = {}
+        self.is_recovered = True
+        self._open()
+
+    def _open(self):
+        self.acceptors = open_store(self.disk, self.name, lambda: str(self.starts + 1))
+        self.start(self.acceptors.identity)
+        self.acceptors.attach(self.node)
+        for service in OWN_IDENTITY:
+            name = f"quorum.{service}"
+            if name in self.node.handlers:
+                self.node.handle(name, self._watched(service, self.node.handlers[name]))
+        self.node.spawn(self.acceptors.slots.run(SYNC_SECONDS))
+        self.world.run()
+        self.applied = {}
+
+    def _watched(self, service, handler):
+        """Return the handler with an event for an answer under another's identity."""
+
+        def on_call(body, origin):
+            answer = yield from as_script(handler(body, origin))
+            if body["identity"] != self.acceptors.identity and not self._is_founded_by(body):
+                self.events.append(WrongVote(self.name, service))
+            return answer
+
+        return on_call
+
+    def _is_founded_by(self, body):
+        return "founding" in body
+
+    def on_found(self, step_input):
+        """Take the founding that the model begins with."""
+        founding = self.model.founding
+        body = {"identity": self.acceptors.identity, "founding": founding}
+        self.node.spawn(as_script(self.acceptors.on_found(body, self.name)))
+
+    def on_hold(self, step_input):
+        """Deliver a message while the disk takes its time over a sync."""
+        self.disk.is_held = True
+        self.on_message(step_input)
+
+    def on_sync(self, step_input):
+        """Let the sync that takes its time end."""
+        self.disk.is_held = False
+        for label in self.world.timers():
+            self.world.fire(label)
+
+    def on_crash(self, step_input):
+        """Lose the memory and all that was not synced; start again."""
+        self.disk.lose_power()
+        self.disk.is_held = False
+        self._open()
+
+    def on_wipe(self, step_input):
+        """Lose the disk; start as a new member."""
+        self.disk.lose_all()
+        self.disk.is_held = False
+        self._open()
+
+    def observe(self):
+        """Tell the states that became known as committed here."""
+        for part, record in self.acceptors.parts.items():
+            if record.state is not None and self.applied.get(part) != record.applied:
+                self.applied[part] = record.applied
+                if part == self.model.part:
+                    self.events.append(applied_event(record.applied, record.state))
+
+    def facts(self):
+        """Return what the model may choose here: whether a sync is held."""
+        return self.disk.is_held
+
+    def opaque(self, value):
+        """Tell acceptors and slots by their contents on disk and in memory."""
+        if isinstance(value, Acceptors):
+            return ("acceptors",)
+        if isinstance(value, SlotStore):
+            records = [waiting[0] for waiting in value.waiting]
+            return ("slots", cbor2.dumps(records), value.is_writing, value.error is None)
+        return super().opaque(value)
+
+    def form(self):
+        """Return the digest of memory, durable contents and scripts under way."""
+        return super().form(
+            cbor2.dumps(self.acceptors.image()), self._durable_form(), self.disk.is_held
+        )
+
+    def _durable_form(self):
+        """Return what a start from this disk would find; folded logs of equal meaning are equal."""
+        key = tuple(sorted(self.disk.durable.items()))
+        known = self.model.durable_forms.get(key)
+        if known is None:
+            copied_disk = HeldDisk()
+            copied_disk.durable = dict(self.disk.durable)
+            found = open_store(copied_disk, self.name, lambda: "none")
+            known = self.model.durable_forms[key] = cbor2.dumps(found.image())
+        return known
+
+
+def as_script(answer):
+    """Return a handler's answer, which may be a value or a script, as a script."""
+    if hasattr(answer, "send"):
+        return (yield from answer)
+    return answer
--- /dev/null
+++ b/proving/model/system.py
@@ -0,0 +1,221 @@
+"""The whole system as the product of its processes: states, choices and what follows from one."""
+
+from bisect import insort
+from typing import NamedTuple
+
+from proving.model import invariants
+from proving.model.locals import LocalStates
+from proving.model.machines import Input
+from proving.model.network import ANSWER, REQUEST, Messages
+from proving.model.worlds import Bounds
+
+COST = {
+    "deliver late": "late_answers",
+    "hold": "holds",
+    "duplicate": "duplicates",
+    "lose": "losses",
+    "timer": "timers",
+    "take": "takes",
+    "submit": "submits",
+    "read": "reads",
+    "peek": "peeks",
+    "resign": "resigns",
+    "found": "foundings",
+    "wipe": "wipes",
+}
+
+
+class Choice(NamedTuple):
+    """One thing that may happen next: a message is taken, a process acts or fails."""
+
+    verb: str
+    node: str
+    subject: object = None
+
+
+class State(NamedTuple):
+    """One state of the whole system."""
+
+    locals: tuple
+    network: tuple
+    memory: invariants.Memory
+    spent: Bounds
+    placed: tuple
+
+
+class Draft:
+    """A state that is being made out of another."""
+
+    __slots__ = ("locals", "network", "memory", "has_effect")
+
+    def __init__(self, state):
+        self.locals = list(state.locals)
+        self.network = list(state.network)
+        self.memory = state.memory
+        self.has_effect = False
+
+
+class System:
+    """A world with its tables; `choices` and `follow` span the graph of states."""
+
+    def __init__(self, world):
+        self.world = world
+        self.names = (*world.core_names, *world.store_names)
+        self.places = {name: place for place, name in enumerate(self.names)}
+        self.processes = LocalStates(world)
+        self.messages = Messages()
+        self.operators = tuple(sorted(world.operators))
+
+    def first_state(self):
+        """Return the state in which everything begins."""
+        numbers = tuple(self.processes.begin(name) for name in self.names)
+        spent = Bounds(*[0] * len(Bounds._fields))
+        state = State(numbers, (), invariants.Memory(), spent, (0,) * len(self.operators))
+        if not self.world.is_founded:
+            return state
+        draft = Draft(state)
+        for store in self.world.founding_group:
+            self._step(draft, store[0], Input("found"))
+        return state._replace(locals=tuple(draft.locals), memory=draft.memory)
+
+    def choices(self, state):
+        """Return all that may happen next, in a fixed order."""
+        found = []
+        for number in dict.fromkeys(state.network):
+            found.extend(self._message_choices(number))
+        for name in self.names:
+            facts = self.processes.facts(state.locals[self.places[name]])
+            if name.startswith("core"):
+                found.extend(self._core_choices(state, name, *facts))
+            else:
+                found.extend(self._store_choices(name, facts))
+        return [choice for choice in found if self._may_spend(state, choice)]
+
+    def _message_choices(self, number):
+        message = self.messages[number]
+        yield Choice("deliver", message.target, number)
+        if message.kind == REQUEST:
+            yield Choice("deliver late", message.target, number)
+        if message.kind != ANSWER:
+            yield Choice("hold", message.target, number)
+        yield Choice("duplicate", message.target, number)
+        yield Choice("lose", message.target, number)
+
+    def _core_choices(self, state, name, is_owner, busy, timers):
+        if not self.world.is_founded:
+            if "found" not in busy:
+                yield Choice("found", name)
+        elif not is_owner and "take" not in busy:
+            yield Choice("take", name)
+        if is_owner:
+            yield Choice("resign", name)
+            if "read" not in busy:
+                yield Choice("read", name)
+            yield from self._submit_choices(state, name)
+        if "peek" not in busy and state.memory.log:
+            for group in dict.fromkeys((self.world.founding_group, state.memory.newest_group())):
+                yield Choice("peek", name, group)
+        for label in dict.fromkeys(timers):
+            yield Choice("timer", name, label)
+        yield Choice("crash", name)
+
+    def _submit_choices(self, state, name):
+        for operator, place in zip(self.operators, state.placed):
+            if place < len(self.world.operators[operator]):
+                yield Choice("submit", name, (operator, place))
+
+    def _store_choices(self, name, is_held):
+        if is_held:
+            yield Choice("sync", name)
+        yield Choice("crash", name)
+        yield Choice("wipe", name)
+
+    def _bound_of(self, choice):
+        if choice.verb == "crash":
+            return "core_crashes" if choice.node.startswith("core") else "crashes"
+        return COST.get(choice.verb)
+
+    def _may_spend(self, state, choice):
+        bound = self._bound_of(choice)
+        return bound is None or getattr(state.spent, bound) < getattr(self.world.bounds, bound)
+
+    def follow(self, state, choice):
+        """Return the state after a choice, or None where it changes nothing.
+
+        Raises BrokenInvariant when the choice breaks a rule.
+        """
+        draft = Draft(state)
+        if isinstance(choice.subject, int):
+            self._take_message(draft, choice)
+        else:
+            self._act(draft, choice)
+        if not draft.has_effect:
+            return None
+        bound = self._bound_of(choice)
+        spent = state.spent
+        if bound is not None:
+            spent = spent._replace(**{bound: getattr(spent, bound) + 1})
+        placed = state.placed
+        if choice.verb == "submit":
+            turn = self.operators.index(choice.subject[0])
+            placed = (*placed[:turn], placed[turn] + 1, *placed[turn + 1 :])
+        return State(
+            tuple(draft.locals), tuple(draft.network), draft.memory, spent, placed
+        )
+
+    def _take_message(self, draft, choice):
+        message = self.messages[choice.subject]
+        if choice.verb != "duplicate":
+            draft.network.remove(choice.subject)
+        if choice.verb == "lose":
+            draft.has_effect = True
+            return
+        verb = "hold" if choice.verb == "hold" else "message"
+        step_input = Input(verb, message.origin, message.data)
+        answers = self._step(draft, message.target, step_input)
+        self._hand_on(draft, message.target, answers, choice.verb == "deliver late")
+
+    def _act(self, draft, choice):
+        verb = "found_fleet" if choice.verb == "found" else choice.verb
+        answers = self._step(draft, choice.node, Input(verb, choice.subject))
+        self._hand_on(draft, choice.node, answers, False)
+
+    def _hand_on(self, draft, origin, answers, is_late):
+        """Deliver answers at once, unless they are to come late."""
+        for number in answers:
+            if is_late:
+                insort(draft.network, number)
+                draft.has_effect = True
+            else:
+                message = self.messages[number]
+                step_input = Input("message", origin, message.data)
+                self._step(draft, message.target, step_input)
+
+    def _step(self, draft, name, step_input):
+        """Let a process take an input; return its answers, and put its requests on the network."""
+        place = self.places[name]
+        number, reaction = self.processes.step(draft.locals[place], step_input)
+        if number != draft.locals[place] or reaction.events:
+            draft.has_effect = True
+        draft.locals[place] = number
+        for event in reaction.events:
+            draft.memory = invariants.note(draft.memory, event)
+        answers = []
+        for target, data in reaction.sent:
+            sent = self.messages.number(name, target, data)
+            if self.messages[sent].kind == ANSWER:
+                answers.append(sent)
+            else:
+                draft.has_effect = True
+                insort(draft.network, sent)
+        return answers
+
+    def describe(self, choice):
+        """Return a choice as a trace tells it: (verb, node, text)."""
+        if isinstance(choice.subject, int):
+            return [choice.verb, choice.node, self.messages[choice.subject].text]
+        if choice.verb == "peek":
+            return [choice.verb, choice.node, " ".join(store[1] for store in choice.subject)]
+        if choice.verb == "submit":
+            return [choice.verb, choice.node, f"{choice.subject[0]} {choice.subject[1]}"]
+        return [choice.verb, choice.node, choice.subject or ""]
