--- /dev/null
+++ b/proving/model/bugs.py
@@ -0,0 +1,239 @@
+"""Seeded bugs: one guard of the product taken out each, to show that the checker finds it.
+
+Each is a context manager that patches the product where others call it.
+"""
+
+from contextlib import contextmanager
+from typing import NamedTuple
+from unittest import mock
+
+import quillring.quorum.owner as owner_module
+import quillring.quorum.peek as peek_module
+from proving.model.errors import UnknownName
+from proving.model.store_machine import as_script
+from quillring.quorum import Acceptors
+from quillring.quorum.commands import COMMANDS
+from quillring.quorum.owner import Owner
+from quillring.quorum.record import PartRecord
+
+
+class Bug(NamedTuple):
+    """A guard taken out: the patch, the world it shows in, and the bounds to look within."""
+
+    about: str
+    patch: object
+    world: str
+    bounds: dict
+
+
+class InstantSlots:
+    """Slots that pretend to be durable at once, and write nothing."""
+
+    error = None
+    is_idle = True
+
+    def commit(self, records):
+        """Script: nothing to wait for."""
+        return
+        yield
+
+
+def around(name, change):
+    """Return a patch of an acceptor's handler: `change(real, self, body, origin)` is a script."""
+    real = getattr(Acceptors, name)
+
+    def handler(self, body, origin):
+        return (yield from as_script(change(real, self, body, origin)))
+
+    return mock.patch.object(Acceptors, name, handler)
+
+
+@contextmanager
+def all_of(patches):
+    """Apply several patches together."""
+    entered = []
+    try:
+        for patch in patches:
+            patch.start()
+            entered.append(patch)
+        yield
+    finally:
+        for patch in reversed(entered):
+            patch.stop()
+
+
+def accept_below_promise():
+    """An acceptor accepts an entry under a ballot below the one it promised."""
+
+    def change(real, self, body, origin):
+        record = self.parts.get(body["part"])
+        if record is not None:
+            record.promised = min(record.promised, tuple(body["ballot"]))
+        return real(self, body, origin)
+
+    return all_of([around("on_accept", change)])
+
+
+def confirm_anyone():
+    """An acceptor confirms any ballot."""
+    return all_of([around("on_confirm", lambda real, self, body, origin: True)])
+
+
+def answer_for_former_self():
+    """An acceptor doesn't compare the identity that a call names with its own."""
+
+    def change(real, self, body, origin):
+        return real(self, {**body, "identity": self.identity}, origin)
+
+    names = ("on_prepare", "on_accept", "on_commit", "on_install", "on_catch_up", "on_confirm")
+    return all_of([around(name, change) for name in names])
+
+
+def without_sync(real, self, body, origin):
+    """Script: run a handler whose records never reach the disk."""
+    slots, self.slots = self.slots, InstantSlots()
+    try:
+        return (yield from as_script(real(self, body, origin)))
+    finally:
+        self.slots = slots
+
+
+def promise_in_memory():
+    """A promise is answered before it is durable."""
+    return all_of([around("on_prepare", without_sync)])
+
+
+def accept_in_memory():
+    """An accepted entry is answered before it is durable."""
+    return all_of([around("on_accept", without_sync)])
+
+
+def forget_tail():
+    """A new owner doesn't propose again what may have been chosen."""
+
+    def change(real, self, body, origin):
+        fields = yield from as_script(real(self, body, origin))
+        fields[3] = []
+        return fields
+
+    return all_of([around("on_prepare", change)])
+
+
+def reuse_ballot():
+    """A core that takes a part again begins with its first ballot once more."""
+    real = Owner.__init__
+
+    def begin(self, node, part, group, former=None):
+        real(self, node, part, group)
+
+    return all_of([mock.patch.object(Owner, "__init__", begin)])
+
+
+def learn_any_ballot():
+    """A store applies whatever entry it holds at an index that was committed."""
+    real = PartRecord.learn
+
+    def learn(self, ballot, committed):
+        self.entries = {index: (ballot, batch) for index, (_, batch) in self.entries.items()}
+        real(self, ballot, committed)
+
+    return all_of([mock.patch.object(PartRecord, "learn", learn)])
+
+
+def change_group_at_will():
+    """A group changes to any other one in one step."""
+
+    def change_group(state, command):
+        return {**state, "group": command["group"]}, {"group": command["group"]}
+
+    return all_of([mock.patch.dict(COMMANDS.entries, {"group.change": change_group})])
+
+
+def adopt_oldest():
+    """A new owner starts from the oldest state among the promises."""
+    real = owner_module.adopt_state
+
+    def adopt_state(owner, promises):
+        oldest = min(promises, key=lambda store: promises[store][1])
+        return real(owner, {oldest: promises[oldest]})
+
+    return all_of([mock.patch.object(owner_module, "adopt_state", adopt_state)])
+
+
+def ignore_base_version():
+    """A configuration is adopted whatever version it was made on."""
+    real = COMMANDS.find("layout.adopt")
+
+    def adopt_layout(state, command):
+        return real(state, {**command, "base_version": state["version"]})
+
+    return all_of([mock.patch.dict(COMMANDS.entries, {"layout.adopt": adopt_layout})])
+
+
+def peek_applied_only():
+    """A read from the stores counts only what they applied."""
+    real = peek_module.find_answer
+
+    def find_answer(replies, group, query):
+        applied_only = [[reply[0], reply[1], [], *reply[3:5]] for reply in replies]
+        return real(applied_only, group, query)
+
+    return all_of([mock.patch.object(peek_module, "find_answer", find_answer)])
+
+
+def decide_alone():
+    """An owner counts one store as a majority."""
+    return all_of([mock.patch.object(owner_module, "majority", lambda group: 1)])
+
+
+def read_without_fence():
+    """An owner answers a read without asking whether its ballot still holds."""
+
+    def fenced_state(self):
+        return self.state
+        yield
+
+    return all_of([mock.patch.object(Owner, "fenced_state", fenced_state)])
+
+
+def take_second_founding():
+    """A store that holds a founding confirms another one."""
+
+    def change(real, self, body, origin):
+        if self.founding is not None:
+            return body["founding"]["fleet"]
+        return real(self, body, origin)
+
+    return all_of([around("on_found", change)])
+
+
+BUGS = {
+    "accept-below-promise": Bug(accept_below_promise.__doc__, accept_below_promise, "takeover", {}),
+    "confirm-anyone": Bug(confirm_anyone.__doc__, confirm_anyone, "reads", {"peeks": 0}),
+    "answer-for-former-self": Bug(
+        answer_for_former_self.__doc__, answer_for_former_self, "emptied", {}
+    ),
+    "promise-in-memory": Bug(promise_in_memory.__doc__, promise_in_memory, "power", {}),
+    "accept-in-memory": Bug(accept_in_memory.__doc__, accept_in_memory, "power", {}),
+    "forget-tail": Bug(forget_tail.__doc__, forget_tail, "takeover", {}),
+    "reuse-ballot": Bug(reuse_ballot.__doc__, reuse_ballot, "terms", {}),
+    "learn-any-ballot": Bug(learn_any_ballot.__doc__, learn_any_ballot, "takeover", {}),
+    "change-group-at-will": Bug(change_group_at_will.__doc__, change_group_at_will, "leap", {}),
+    "adopt-oldest": Bug(adopt_oldest.__doc__, adopt_oldest, "takeover", {}),
+    "ignore-base-version": Bug(ignore_base_version.__doc__, ignore_base_version, "takeover", {}),
+    "peek-applied-only": Bug(peek_applied_only.__doc__, peek_applied_only, "reads", {"reads": 0}),
+    "decide-alone": Bug(decide_alone.__doc__, decide_alone, "takeover", {}),
+    "read-without-fence": Bug(
+        read_without_fence.__doc__, read_without_fence, "reads", {"peeks": 0}
+    ),
+    "take-second-founding": Bug(
+        take_second_founding.__doc__, take_second_founding, "founding", {}
+    ),
+}
+
+
+def find_bug(name):
+    """Return the bug of this name; UnknownName tells those that there are."""
+    if name not in BUGS:
+        raise UnknownName(bug=name, known=sorted(BUGS))
+    return BUGS[name]
--- a/proving/model/core_machine.py
+++ b/proving/model/core_machine.py
@@ -1,5 +1,7 @@
 """A modelled core: production owners of one part, operators' commands, reads and foundings."""
 
+from typing import NamedTuple
+
 from proving.model.events import Acknowledged, Established, Founded, ReadBegan, ReadEnded
 from proving.model.machines import Machine, applied_event, digest_state
 from quillring.kernel.errors import NotOwner, QuillringError
@@ -10,6 +12,15 @@
 CONFIGURATION = {"ask": "layout"}
 
 
+class CoreFacts(NamedTuple):
+    """What decides over the choices at a core."""
+
+    is_owner: bool
+    busy: frozenset
+    timers: tuple
+    calls: frozenset
+
+
 class News:
     """Stands for gossip at one node: what it put there itself."""
 
@@ -137,11 +148,12 @@
             self.events.insert(0, applied_event(owner.index, owner.state))
 
     def facts(self):
-        """Return (whether the part is owned here, what is under way, the timers that may fire)."""
+        """Return what may be chosen here."""
         is_owner = self.owner is not None and self.owner.is_owner
-        return is_owner, frozenset(self.busy), self.world.timers()
+        calls = frozenset(self.node.pending)
+        return CoreFacts(is_owner, frozenset(self.busy), self.world.timers(), calls)
 
     def form(self):
         """Return the digest of the owner, its scripts and calls under way."""
         known = self.node.find("gossip").known
-        return super().form(self.owner, self.busy, known, self.told)
+        return super().form(self.starts, self.owner, self.busy, known, self.told)
--- a/proving/model/explore.py
+++ b/proving/model/explore.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from operator import le
 from typing import NamedTuple
 
 from proving.model.errors import BrokenInvariant
@@ -43,12 +44,14 @@
         self.budget = budget
         self.began_at = time.monotonic()
         self.origins = {}
+        self.spendings = {}
         self.steps = 0
 
     def run(self, depth):
         """Explore down to a depth; end at the first broken rule, which is a nearest one."""
         first_state = self.system.first_state()
         self.origins = {first_state: None}
+        self._is_news(first_state)
         frontier, reached = [first_state], 0
         while frontier and reached < depth:
             next_frontier = []
@@ -76,11 +79,23 @@
             except BrokenInvariant as error:
                 path = [*self._path(state), choice]
                 return make_finding(self.system, error, path)
-            if next_state is not None and next_state not in self.origins:
+            if next_state is not None and self._is_news(next_state):
                 self.origins[next_state] = (state, choice)
                 next_frontier.append(next_state)
         return None
 
+    def _is_news(self, state):
+        """Tell whether no path led here that spent as little of each bound, or less."""
+        situation, spent = state.situation(), state.spent
+        known = self.spendings.get(situation)
+        if known is None:
+            self.spendings[situation] = [spent]
+            return True
+        if any(all(map(le, former, spent)) for former in known):
+            return False
+        known.append(spent)
+        return True
+
     def _path(self, state):
         path = []
         while self.origins[state] is not None:
--- a/proving/model/freeze.py
+++ b/proving/model/freeze.py
@@ -7,12 +7,14 @@
 """
 
 import hashlib
+import marshal
 from collections import deque
 from types import CellType, FunctionType, GeneratorType, MethodType
 
 from quillring.kernel.errors import QuillringError
 from quillring.kernel.node import Node
 
+PLAIN_VERSION = 0
 PLAIN = (type(None), bool, int, float, str, bytes)
 
 
@@ -28,6 +30,11 @@
         """Return the canonical form of a value."""
         if isinstance(value, PLAIN):
             return value
+        if isinstance(value, (list, tuple, dict)):
+            try:
+                return marshal.dumps(value, PLAIN_VERSION)
+            except ValueError:
+                pass
         if isinstance(value, (list, tuple, deque)):
             return ("list", *map(self.freeze, value))
         if isinstance(value, dict):
@@ -81,4 +88,4 @@
 
 def digest_of(form):
     """Return a short digest of a canonical form."""
-    return hashlib.blake2b(repr(form).encode(), digest_size=12).digest()
+    return hashlib.blake2b(marshal.dumps(form, PLAIN_VERSION), digest_size=12).digest()
--- a/proving/model/machines.py
+++ b/proving/model/machines.py
@@ -119,4 +119,4 @@
             for task in self.world.tasks
         ]
         memory = (self.node.pending, self.node.next_call, tasks, *more)
-        return digest_of((self.starts, self.world.secrets, freezer.freeze(memory)))
+        return digest_of((self.world.secrets, freezer.freeze(memory)))
--- a/proving/model/network.py
+++ b/proving/model/network.py
@@ -15,6 +15,7 @@
     target: str
     data: bytes
     kind: str
+    call: int | None
     text: str
 
 
@@ -43,13 +44,13 @@
     fields = cbor2.loads(data)
     if "r" in fields:
         text = f"{origin} > {target} answer {fields['r']} {fields.get('t') or ''}".rstrip()
-        return Message(origin, target, data, ANSWER, text)
+        return Message(origin, target, data, ANSWER, fields["r"], text)
     body = fields["b"] if isinstance(fields["b"], dict) else {}
     told = " ".join(f"{name}={_told(body[name])}" for name in TOLD_FIELDS if name in body)
     kind = CAST if fields.get("c") is None else REQUEST
     call = "" if kind == CAST else f" call {fields['c']}"
     text = f"{origin} > {target} {fields['s']} {told}".rstrip() + call
-    return Message(origin, target, data, kind, text)
+    return Message(origin, target, data, kind, fields.get("c"), text)
 
 
 def _told(value):
