--- a/proving/model/worlds.py
+++ b/proving/model/worlds.py
@@ -128,6 +128,11 @@
             "fenced reads and reads from the stores beside two owners",
             3, 3, 2, IN_TURN, Bounds(takes=2, reads=1, peeks=1, late_answers=1), 20,
         ),
+        World(
+            "peeks",
+            "reads from the stores of a part that tells commits without waiting for answers",
+            3, 3, 2, IN_TURN, Bounds(takes=1, peeks=1), 16, part="part-0",
+        ),
         World(
             "silence",
             "time-outs, repeats of calls and mending beside two owners",
