A batch changes a part's group once at most

Cause: change_group compares with the state before its own command, so two changes that an owner writes in one entry moved the group by two members at once, from 1,2,3 to 2,3,4: {1,2} and {3,4} are majorities of one and the next without a common member. Found by a random walk of the model checker (world 'group'). Ruled out: repair, the only caller today, makes each change from the group that its owner holds, and of two such changes the second is refused by the check that stands; so no two versions of the program apply one entry differently. Change: apply_batch refuses a second change in an entry.

--- a/quillring/quorum/commands.py
+++ b/quillring/quorum/commands.py
@@ -13,11 +13,18 @@
 
 
 def apply_batch(state, batch):
-    """Return (new state, answers); a refused command changes nothing and answers an error."""
-    answers = []
+    """Return (new state, answers); a refused command changes nothing and answers an error.
+
+    One batch is one entry of the log: the group that accepts the next one differs by one member
+    from the group that accepted this one, so the group changes once in a batch at most.
+    """
+    answers, first_group = [], state.get("group")
     for command in batch:
         try:
-            state, answer = COMMANDS.find(command["do"])(state, command)
+            new_state, answer = COMMANDS.find(command["do"])(state, command)
+            if first_group != state.get("group") != new_state.get("group"):
+                raise QuillringError(reason="one change in an entry", group=state["group"])
+            state = new_state
         except QuillringError as error:
             answer = error
         except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
