An owner's confirmation counts from when it was asked for, not from when it was read

Cause: Owner noted the end of a round as the moment its ballot was confirmed. A core that froze between asking and reading the answers woke to answers as old as its freeze, and took them for a confirmation of now: may_act() was true until its next round although another core owned the part, and a read that was under way came back with the state of before the freeze. Ruled out: the answers are not wrong (each was true when given), and gather's own limit does not help, because a waiting process finds timer and answers together when it wakes. Change: the moment before the round is kept; a read whose confirmation is older than the bound on reading is refused as NoMajority, which a caller may try elsewhere.

--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -98,7 +98,6 @@
             if (yield from self._finish_tail(promises)):
                 break
             self.ballot = (self.ballot[0] + 1, self.ballot[1])
-        self.confirmed_at = self.node.now()
         self.is_owner = True
         self.node.count("takeovers")
         self._tell([])
@@ -125,13 +124,14 @@
 
     def _decide(self, batch):
         """Script: have a majority accept the next entry; apply it; return the answers."""
+        asked_at = self.node.now()
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
         send_hints(self, self._calls("accept", **entry))
         yield from self._round("accept", **entry)
         self.index += 1
         self.recent.add(self.index, batch)
         self.state, answers = apply_batch(self.state, batch)
-        self.confirmed_at = self.node.now()
+        self.confirmed_at = asked_at
         if self.part == CONFIG:
             yield from self._round("commit", committed=self.index)
         else:
@@ -153,8 +153,7 @@
                 if self.queue:
                     yield from self._write_queue()
                 else:
-                    yield from self._round("confirm")
-                    self.confirmed_at = self.node.now()
+                    yield from self._confirm()
         except QuillringError as error:
             self.step_down(error)
 
@@ -216,12 +215,23 @@
             raise answer_signal.value
         return answer_signal.value
 
+    def _confirm(self):
+        """Script: have a majority confirm the ballot; it holds as of the moment of asking."""
+        asked_at = self.node.now()
+        yield from self._round("confirm")
+        self.confirmed_at = max(asked_at, self.confirmed_at)
+
     def fenced_state(self):
-        """Script: return the state after a majority confirmed that the ballot still holds."""
+        """Script: return the state after a majority confirmed that the ballot still holds.
+
+        Raises NotOwner, Fenced, or NoMajority, also for a confirmation that is no longer recent.
+        """
         if not self.is_owner:
             raise NotOwner(part=self.part)
-        read_state = self.state
-        yield from self._round("confirm")
+        read_state, asked_at = self.state, self.node.now()
+        yield from self._confirm()
+        if self.node.now() - asked_at > self.node.bounds.reading:
+            raise NoMajority(part=self.part, reason="the confirmation is old")
         return read_state
 
     def may_act(self):
--- /dev/null
+++ b/tests/test_stalls.py
@@ -0,0 +1,116 @@
+"""Owners and stores that stop for seconds and wake: nothing old is confirmed or handed out."""
+
+from unittest import mock
+
+import pytest
+
+from quillring.quorum.owner import Owner
+from quillring.quorum.parts import CONFIG
+from tests.fleet_stage import SelfFounded
+
+FREEZES = (2, 20, 60)
+REAL_ROUND = Owner._round
+
+
+def mark(domain, emptied=True):
+    """Return an operator's order about a domain."""
+    return {"do": "domain.mark", "domain": domain, "emptied": emptied, "nodes": False}
+
+
+def frozen_during(fleet, service, seconds):
+    """Freeze the owner of the configuration right after it began to ask for something."""
+    name = fleet.owner()
+    owner = fleet.sim.nodes[name].find("ownership").owners[CONFIG]
+    frozen_at = []
+
+    def freezing_round(self, asked_service, **body):
+        if self is owner and asked_service == service and not frozen_at:
+            frozen_at.append(fleet.env.now)
+            fleet.env.process(freeze_soon())
+        return REAL_ROUND(self, asked_service, **body)
+
+    def freeze_soon():
+        yield fleet.env.timeout(0.0001)
+        fleet.sim.freeze(name, seconds)
+
+    with mock.patch.object(Owner, "_round", freezing_round):
+        fleet.wait_for(lambda: frozen_at, 2, 0.01)
+        fleet.run(frozen_at[0] + seconds - 0.001 - fleet.env.now)
+    return name, owner
+
+
+@pytest.mark.parametrize("seconds", FREEZES)
+def test_an_owner_that_wakes_amid_a_confirmation_may_not_act_on_it(seconds):
+    fleet = SelfFounded(11)
+    name, owner = frozen_during(fleet, "confirm", seconds)
+    assert fleet.owner() not in (None, name), "nobody took the part over"
+    acted = []
+    for _ in range(300):
+        fleet.run(0.002)
+        if owner.may_act():
+            acted.append(fleet.env.now)
+    assert acted == []
+    fleet.run(fleet.sim.bounds.news)
+    assert not owner.is_owner and not owner.may_act()
+
+
+@pytest.mark.parametrize("seconds", FREEZES)
+def test_a_read_that_slept_through_a_takeover_hands_out_nothing_old(seconds):
+    fleet = SelfFounded(12)
+    assert fleet.submit("core-1", mark("north", False))[1] is None
+    name = fleet.owner()
+    node = fleet.sim.nodes[name]
+    owner = node.find("ownership").owners[CONFIG]
+    reads = []
+
+    def ask_during(self, service, **body):
+        if self is owner and service == "confirm" and reads and len(reads) == 1:
+            reads.append(fleet.env.now)
+            fleet.env.process(freeze_soon())
+        return REAL_ROUND(self, service, **body)
+
+    def freeze_soon():
+        yield fleet.env.timeout(0.0001)
+        fleet.sim.freeze(name, seconds)
+
+    def read():
+        reads.append("begun")
+        script = node.find("ownership").read(CONFIG, {"ask": "edition"}, 0.8)
+        return (yield from fleet.sim.run_script(node, script))
+
+    with mock.patch.object(Owner, "_round", ask_during):
+        task = fleet.env.process(read())
+        fleet.run(seconds - 0.3)
+        other = next(n for n in fleet.sim.names("core") if n != name)
+        assert fleet.submit(other, mark("north"))[1] is None
+        fleet.run(3)
+    assert task.triggered
+    answer, error = task.value
+    assert error is not None or answer["layout"]["domains"]["north"]["emptied"], answer
+
+
+@pytest.mark.parametrize("seconds", FREEZES)
+def test_what_was_queued_before_a_freeze_is_told_as_unknown_or_holds(seconds):
+    fleet = SelfFounded(13)
+    name = fleet.owner()
+    node = fleet.sim.nodes[name]
+    zones = ["north", "east", "south"]
+    tasks = [
+        fleet.env.process(
+            fleet.sim.run_script(node, node.find("ownership").submit(CONFIG, mark(zone), 0.8))
+        )
+        for zone in zones
+    ]
+    fleet.run(0.0004)
+    fleet.sim.freeze(name, seconds)
+    fleet.run(seconds + 4)
+    other = next(n for n in fleet.sim.names("core") if n != name)
+    current, error = fleet.read(other, {"ask": "edition"})
+    assert error is None
+    domains = current["layout"].get("domains", {}) if current["layout"] else {}
+    for zone, task in zip(zones, tasks, strict=True):
+        assert task.triggered
+        answer, error = task.value
+        holds = domains.get(zone, {}).get("emptied", False)
+        assert holds or answer is None, f"{zone} was confirmed and does not hold"
+        assert not holds or error is None or error.kind == "outcome_unknown", error
