A store comes back with all it acknowledged from a crash at each step of its disk

Cause, each found by running a store's life with a crash at every step of the disk and every remainder that the platform's pages allow (each unsynced write kept, missing or torn by itself): 1. A log is begun by cutting the old one of the same name to nothing and writing a new head, under one sync. Where the cut went missing and the head did not, the old records followed the new head and were replayed over the newer slot. They were accepted entries of former ballots. 2. A process killed between a write and its sync leaves bytes that only the next loss of power takes away. The restarted process read them, counted as idle, and built on them: a confirmed commit mark without a sync, and a log newer than any durable slot ("no slot is readable"). 3. A hole torn into an unsynced batch of several records left a readable record behind it, which was taken for rot in a synced log: the store refused to start. 4. Records that waited while a slot was written were in the slot and in its log, and were replayed twice. "handed" drops hints by their number, so a second replay drops hints never handed over. Shown with a disk that pauses; in production a sync stops the loop, and nothing waits there. 5. Folders that the data folder needed were made without a sync of the folder above. Ruled out: errors in the middle of an append or a turn (one, two or five in a row, at each step) lost nothing before either. Change: an old log is cut to nothing and synced before its new head is written; recovery syncs the slot and log it read; each batch in a log begins with a mark, and only a mark behind an unreadable record shows rot (a log without marks is read as before); a slot settles what waits; made folders are synced with their parents.

--- a/quillring/store/disk.py
+++ b/quillring/store/disk.py
@@ -15,7 +15,7 @@
         self.log_file = None
         self.log_name = None
         try:
-            os.makedirs(folder, exist_ok=True)
+            make_folder(os.path.abspath(folder))
         except OSError as error:
             raise DiskError(folder=folder, reason=error.strerror) from error
 
@@ -39,11 +39,7 @@
                 written_file.write(data)
                 written_file.flush()
                 os.fsync(written_file.fileno())
-            folder_handle = os.open(self.folder, os.O_RDONLY)
-            try:
-                os.fsync(folder_handle)
-            finally:
-                os.close(folder_handle)
+            sync_path(self.folder)
         except OSError as error:
             raise DiskError(file=name, reason=error.strerror) from error
 
@@ -60,12 +56,15 @@
             raise DiskError(file=name, reason=error.strerror) from error
 
     def cut(self, name, size):
-        """Cut a file back to a size."""
+        """Cut a file back to a size, durably; one that is missing stays so."""
         try:
             if self.log_name == name and self.log_file is not None:
                 self.log_file.close()
                 self.log_file, self.log_name = None, None
             os.truncate(self._path(name), size)
+            sync_path(self._path(name))
+        except FileNotFoundError:
+            return
         except OSError as error:
             raise DiskError(file=name, reason=error.strerror) from error
 
@@ -76,6 +75,33 @@
         except OSError as error:
             raise DiskError(file=name, reason=error.strerror) from error
 
+    def settle(self, name):
+        """Make durable what a killed process may have left unsynced in a file, and its name."""
+        try:
+            sync_path(self._path(name))
+            sync_path(self.folder)
+        except OSError as error:
+            raise DiskError(file=name, reason=error.strerror) from error
+
     def pause(self):
         """Return the seconds a sync takes beyond the call itself: none here."""
         return 0
+
+
+def make_folder(path):
+    """Make a folder and those above it that are missing, each durable in the one above."""
+    if os.path.isdir(path):
+        return
+    parent = os.path.dirname(path)
+    make_folder(parent)
+    os.makedirs(path, exist_ok=True)
+    sync_path(parent)
+
+
+def sync_path(path):
+    """Make a file, or the names in a folder, durable; OSError when that fails."""
+    handle = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
--- a/quillring/store/slots.py
+++ b/quillring/store/slots.py
@@ -12,6 +12,7 @@
 HEADER = struct.Struct(">4sQI32s")
 RECORD = struct.Struct(">II")
 MAGIC = b"QSL1"
+BATCH_MARK = "batch"
 REPAIR = "keep a copy, empty the folder, start the store as a new member; hints refill it"
 
 
@@ -61,6 +62,7 @@
         self.generation, image = max(good_slots, key=lambda slot: slot[0])
         if any(generation > self.generation for generation in log_generations):
             raise Damaged(file="slot", reason="a log is newer than any slot", repair=REPAIR)
+        self.disk.settle(f"slot.{self.generation % 2}")
         self.holder.load(image)
         self._replay_log()
         return True
@@ -88,9 +90,10 @@
         while (record := read_record(data, offset)) is not None:
             value, offset = record
             records.append(value)
-        if offset < len(data) and has_record_after(data, offset):
+        is_marked = BATCH_MARK in records
+        if offset < len(data) and has_record_after(data, offset, is_marked):
             raise Damaged(file=f"log.{parity}", reason="a record amid the log", repair=REPAIR)
-        return records, offset
+        return [record for record in records if record != BATCH_MARK], offset
 
     def _replay_log(self):
         parity = self.generation % 2
@@ -101,11 +104,15 @@
         for record in records[1:]:
             self.holder.replay(record)
         self.disk.cut(f"log.{parity}", good_size)
+        self.disk.settle(f"log.{parity}")
         self.log_size = good_size
 
     def _start_log(self):
-        head_record = pack_record(self.generation)
-        self.disk.write(f"log.{self.generation % 2}", head_record)
+        """Begin the slot's log; the old records are surely gone before the new head is there."""
+        log_name = f"log.{self.generation % 2}"
+        head_record = pack_record(self.generation) + BATCH_HEAD
+        self.disk.cut(log_name, 0)
+        self.disk.write(log_name, head_record)
         self.log_size = len(head_record)
 
     def turn(self):
@@ -156,17 +163,20 @@
             yield Sleep(seconds)
 
     def _write(self, batch):
+        """Append a batch, or write the whole image, which also holds what waits meanwhile."""
         log_name = f"log.{self.generation % 2}"
         data = b"".join(pack_record(record) for records, _ in batch for record in records)
         try:
             if self.error is not None or self.log_size + len(data) > max(
                 self.log_limit, self.slot_size
             ):
+                batch.extend(self.waiting)
+                self.waiting = []
                 self.turn()
             elif data:
-                self.disk.append(log_name, data)
+                self.disk.append(log_name, BATCH_HEAD + data)
                 self.disk.sync(log_name)
-                self.log_size += len(data)
+                self.log_size += len(BATCH_HEAD + data)
             self.syncs += 1
             self.error = None
         except DiskError as error:
@@ -191,9 +201,20 @@
     return cbor2.loads(body), offset + RECORD.size + length
 
 
-def has_record_after(data, offset):
-    """Tell whether the unreadable record is followed by a readable one: not a torn tail."""
-    if offset + RECORD.size > len(data):
-        return False
-    length, _ = RECORD.unpack_from(data, offset)
-    return read_record(data, offset + RECORD.size + length) is not None
+def has_record_after(data, offset, is_marked):
+    """Tell whether the unreadable record there is followed by what shows that it was synced.
+
+    Each batch reaches the disk under one sync and begins with a mark. A loss of power may tear any
+    piece out of the last batch, but no further batch follows a torn one. In a log of earlier
+    versions, without marks, any readable record that follows counts.
+    """
+    while offset + RECORD.size <= len(data):
+        length, _ = RECORD.unpack_from(data, offset)
+        offset += RECORD.size + length
+        record = read_record(data, offset)
+        if not is_marked or (record is not None and record[0] == BATCH_MARK):
+            return record is not None
+    return False
+
+
+BATCH_HEAD = pack_record(BATCH_MARK)
--- /dev/null
+++ b/tests/slot_stage.py
@@ -0,0 +1,126 @@
+"""One store's slots and log on a disk whose every step may be the last one."""
+
+from proving.sim.disk import PowerLost
+from quillring.kernel.effects import Wait
+from quillring.kernel.errors import DiskError
+from quillring.store import SlotStore
+
+BATCHES = [
+    [["a", 1]],
+    [["b", "x" * 30], ["c", 3]],
+    [["d", 4], ["e", 5], ["f", "y" * 20]],
+    [["g", 7]],
+    [["h", "z" * 200]],
+    [["i", 9], ["j", 10]],
+    [["k", 11]],
+]
+RECORDS = [record for batch in BATCHES for record in batch]
+LOG_LIMIT = 60
+MOST_STEPS = 400
+
+
+class Holder:
+    """State that tells a record which is missing, doubled or out of order."""
+
+    def __init__(self):
+        self.records = []
+
+    def image(self):
+        return list(self.records)
+
+    def load(self, image):
+        self.records = list(image)
+
+    def replay(self, record):
+        self.records.append(record)
+
+
+class Machine:
+    """One life of a store's process on a disk: it commits batches until it dies."""
+
+    def __init__(self, disk, log_limit=LOG_LIMIT):
+        self.disk, self.holder = disk, Holder()
+        self.store = SlotStore(disk, self.holder, log_limit)
+        self.acknowledged = 0
+        if not self.store.recover():
+            self.store.turn()
+        self.acknowledged = len(self.holder.records)
+        self.writer = self.store.run(0.1)
+        self.effect = next(self.writer)
+
+    def pump(self):
+        """Let the writer go on until it waits for records, or for a second try of the disk."""
+        for _ in range(MOST_STEPS):
+            if isinstance(self.effect, Wait) and not self.effect.signal.is_set:
+                return
+            self.effect = self.writer.send(True)
+        raise AssertionError("the writer never comes to rest")
+
+    def commit(self, batch):
+        """Commit each record of a batch by itself, all under one sync; tell whether all went well.
+
+        As in the running store, memory changes first.
+        """
+        scripts = []
+        for record in batch:
+            self.holder.replay(record)
+            scripts.append(self.store.commit([record]))
+        outcomes = [self._begin(script) for script in scripts]
+        self.pump()
+        outcomes = [
+            self._end(script) if outcome is None else outcome
+            for script, outcome in zip(scripts, outcomes, strict=True)
+        ]
+        if all(outcome is True for outcome in outcomes):
+            self.acknowledged = len(self.holder.records)
+
+    def _begin(self, script):
+        try:
+            next(script)
+        except DiskError:
+            return False
+        return None
+
+    def _end(self, script):
+        try:
+            script.send(True)
+        except StopIteration:
+            return True
+        except DiskError:
+            return False
+        raise AssertionError("a record is neither durable nor refused")
+
+
+def live(disk, acknowledged=0):
+    """Live until the disk's last step; return how many records are surely durable."""
+    machine = None
+    try:
+        machine = Machine(disk)
+        for batch in BATCHES:
+            done = len(machine.holder.records)
+            if batch[0] in RECORDS[done:]:
+                machine.commit([r for r in batch if r in RECORDS[done:]])
+        return machine.acknowledged, True
+    except PowerLost:
+        known = acknowledged if machine is None else machine.acknowledged
+        return max(acknowledged, known), False
+
+
+def check(disk, acknowledged, story):
+    """What comes back is a beginning of what was committed, with all that was acknowledged."""
+    machine = Machine(disk)
+    records = machine.holder.records
+    assert records == RECORDS[: len(records)], story
+    assert len(records) >= acknowledged, story
+    return machine
+
+
+def lives(make_disk):
+    """Yield (last step, disk, acknowledged) for a crash at each step of a whole life."""
+    for last_step in range(1, MOST_STEPS):
+        disk = make_disk()
+        disk.last_step = last_step
+        acknowledged, is_whole = live(disk)
+        yield last_step, disk, acknowledged
+        if is_whole:
+            return
