Scenario: a control machine cut off for twenty seconds while callers go on asking it

The users' first point, brought about in simulated time: the core that owns the configuration and a store beside it are cut off from all others, both ways, outgoing only and incoming only; a read and a change reach that core four times a second, and two changes are acknowledged elsewhere. Connections that are reset or refused are not told apart here: between nodes both lose the frame, as a silent cut does.

--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -11,6 +11,7 @@
     resume,
     rooms,
     serving,
+    stalls,
     starts,
     state,
     streams,
@@ -32,4 +33,5 @@
     *keeping.POINTS,
     *reading.POINTS,
     *failures.POINTS,
+    *stalls.POINTS,
 ]
