A lot is due by its owner's own clock; tests of wall clocks a minute apart and stepping

Cause: the owner of a part counted a lot's age as its own wall clock less that of the edge which took it, also for lots that it committed itself a moment before. With clocks a minute apart a new lot counted as past its due time: it ran after all others, at the urgency of one that is nearly due. Ruled out, by tests that pass before and after: lots lost, doubled or listed as errored while clocks differ, step and owners change; items given up early or long after their time (the time kept runs by the owner's steady clock); tokens of streams refused within nine minutes; nodes kept out when they restart with a clock that was stepped by a minute. Change: a lot that this term committed has the age 0; the wall clocks are compared only for lots found at a takeover, where they set nothing but the order in which lots run.

--- a/proving/sim/world.py
+++ b/proving/sim/world.py
@@ -21,6 +21,7 @@
         self.random = random.Random(seed)
         self.faults = faults
         self.skew = self.random.uniform(0, 1000)
+        self.wall_offset = 0.0
         self.is_dead = False
         self.thaw_event = None
         self.held = []
@@ -31,8 +32,8 @@
         return self.env.now + self.skew
 
     def wall(self):
-        """Return the wall clock."""
-        return self.env.now + 1_800_000_000
+        """Return the wall clock, which may differ between machines and step."""
+        return self.env.now + 1_800_000_000 + self.wall_offset
 
     def secret(self, count):
         """Return seeded bytes."""
--- a/quillring/lots/raw_ledger.py
+++ b/quillring/lots/raw_ledger.py
@@ -42,8 +42,7 @@
 
     __slots__ = ("name", "forward", "due_at", "known_at", "retain_seconds", "items")
 
-    def __init__(self, name, lot, now, wall):
-        age = min(max(0.0, wall - lot["at"] / 1000), lot["due_ms"] / 1000)
+    def __init__(self, name, lot, now, age):
         self.name, self.forward = name, lot["forward"]
         self.due_at = now - age + lot["due_ms"] / 1000
         self.known_at = now
@@ -55,6 +54,14 @@
         return [i for i in self.items.values() if i.run is None and i.ready_at <= now]
 
 
+def age_by_wall(lot, wall):
+    """Return how old a lot was when its part changed hands, in seconds, as wall clocks tell it.
+
+    They may differ between machines, so it is only used for the order in which lots run.
+    """
+    return min(max(0.0, wall - lot["at"] / 1000), lot["due_ms"] / 1000)
+
+
 class RawLedger:
     """The items of one term of a part's ownership, kept in step by the batches it commits."""
 
@@ -75,18 +82,21 @@
         self.is_reported, self.renewed_at = False, -math.inf
         self.runs_by_replica, self.runs_by_worker = {}, {}
         self.lots, self.over_since, self.rest_until = {}, {}, {}
-        for name in raw_lots(owner.state):
-            self.sync(name)
+        for name, lot in raw_lots(owner.state).items():
+            self.sync(name, age_by_wall(lot, node.world.wall()))
+
+    def sync(self, name, age=0.0):
+        """Bring one lot in step with the state; returns the runs of items that need none more.
 
-    def sync(self, name):
-        """Bring one lot in step with the state; returns the runs of items that need none more."""
+        `age` is that of a lot which this term did not commit itself, in seconds.
+        """
         lot, known = raw_lots(self.owner.state).get(name), self.lots.get(name)
         if lot is None or not lot["items"]:
             self.lots.pop(name, None)
             self.over_since.setdefault(name, self.node.now())
             gone_items = [] if known is None else list(known.items.values())
         elif known is None:
-            self.lots[name] = OpenLot(name, lot, self.node.now(), self.node.world.wall())
+            self.lots[name] = OpenLot(name, lot, self.node.now(), age)
             return []
         else:
             gone_items = [item for n, item in known.items.items() if n not in lot["items"]]
