Tests of stores whose disks stall, are slow or full

The suspects: a sync of 8 s in one store (its process going on, or stopped as a whole), a disk 30 times slower, a disk that takes no bytes, each at each store of the part in turn. Found: no order takes 0.5 s, no lot misses its goal of 0.4 s, since a round ends with the majority; a full store refuses, gives no stamp, still gives its applied state to readers, and is whole within 3 s of room. A confirmation by a store whose promise is not durable yet does no harm: the ballot's owner only asks once a majority holds the promise durably, so after a loss of power the former owner still finds a majority that refuses it. Prepare, accept, commit and install wait for the disk and leave nothing behind when power is lost during the stall.

--- /dev/null
+++ b/tests/test_slow_disks.py
@@ -0,0 +1,194 @@
+"""Disks of stores that stall, are slow or full: the others go on, nothing unsynced is promised."""
+
+import random
+
+import pytest
+
+from proving.sim.disk import SimDisk
+from quillring.fleet import open_store
+from quillring.kernel.errors import DiskError, Fenced, QuillringError
+from quillring.quorum.parts import CONFIG
+from tests.fleet_stage import SelfFounded
+from tests.raw_stage import RawStage
+
+STALL = 8.0
+ORDER_BOUND = 0.5
+GOAL = 0.4
+
+
+def order(number):
+    """Return an operator's order that differs from the one before."""
+    return {
+        "do": "domain.mark",
+        "domain": f"zone-{number}",
+        "emptied": True,
+        "nodes": False,
+    }
+
+
+def stall_disk(sim, name):
+    """Let the next sync of a store take eight seconds, while its process goes on."""
+    disk = sim.disks[name]
+    former, disk.sync_seconds = disk.sync_seconds, (STALL, STALL)
+    sim.env.timeout(1).callbacks.append(lambda _: setattr(disk, "sync_seconds", former))
+
+
+def block_process(sim, name):
+    """Stop a store's whole process for eight seconds, as a sync in its one loop does."""
+    sim.freeze(name, STALL)
+
+
+def slow_disk(sim, name):
+    """Let the syncs of a store take thirty times as long from now on."""
+    sim.disks[name].sync_seconds = (0.03, 0.18)
+
+
+def fill_disk(sim, name):
+    """Let a store's disk take no more bytes for eight seconds."""
+    sim.disks[name].is_full = True
+    sim.env.timeout(STALL).callbacks.append(lambda _: setattr(sim.disks[name], "is_full", False))
+
+
+TROUBLES = [stall_disk, block_process, slow_disk, fill_disk]
+
+
+def config_stores(fleet):
+    return [store[0] for store in fleet.sim.nodes["core-1"].find("ownership").group(CONFIG)]
+
+
+@pytest.mark.parametrize("bring_about", TROUBLES)
+@pytest.mark.parametrize("place", range(3))
+def test_the_disk_of_one_store_holds_up_no_order(bring_about, place):
+    fleet = SelfFounded(101 + place)
+    name = config_stores(fleet)[place]
+    bring_about(fleet.sim, name)
+    slowest = 0
+    for number in range(30):
+        begun_at = fleet.env.now
+        _, error = fleet.submit("core-2", order(number))
+        assert error is None, error
+        slowest = max(slowest, fleet.env.now - begun_at)
+        fleet.run(0.3)
+    assert slowest < ORDER_BOUND
+
+
+@pytest.mark.parametrize("bring_about", TROUBLES)
+@pytest.mark.parametrize("place", range(3))
+def test_the_disk_of_one_store_holds_up_no_lot(bring_about, place):
+    with RawStage(111 + place) as stage:
+        owner = stage.owner()
+        part = next(p for p, o in owner.find("raw").ledgers.items() if o.owner.is_owner)
+        bring_about(stage.sim, owner.find("ownership").group(part)[place][0])
+        for number in range(16):
+            begun_at = stage.env.now
+            _, error = stage.hand_in(f"lot-{number}", 1)
+            assert error is None, error
+            assert stage.env.now - begun_at < GOAL
+            stage.run(0.5)
+        for number in range(16):
+            assert len(stage.read_all(f"lot-{number}")) == 1
+
+
+def test_a_full_disk_refuses_and_is_whole_again_once_there_is_room():
+    fleet = SelfFounded(121)
+    name = config_stores(fleet)[0]
+    acceptors = fleet.stores()[name]
+    before = acceptors.parts[CONFIG].applied
+    fill_disk(fleet.sim, name)
+    for number in range(4):
+        assert fleet.submit("core-2", order(number))[1] is None
+    assert isinstance(acceptors.slots.error, DiskError)
+    assert acceptors.stamp() is None
+    index, state = acceptors.on_image({"part": CONFIG}, "anyone")
+    assert index >= before and state["group"]
+    fleet.run(STALL)
+    newest = max(a.parts[CONFIG].applied for a in fleet.stores().values() if CONFIG in a.parts)
+    is_whole = fleet.wait_for(lambda: acceptors.parts[CONFIG].applied == newest, 3)
+    assert is_whole is not None and acceptors.slots.error is None
+
+
+class BareNode:
+    """What an acceptor needs of its node."""
+
+    class Me:
+        name = "store"
+
+    me = Me()
+
+
+class Store:
+    """One acceptor on a disk; what it answers waits until the disk is synced."""
+
+    def __init__(self, name, disk=None):
+        self.name, self.disk = name, disk or SimDisk(random.Random(1), (0, 0))
+        self.acceptors = open_store(self.disk, name, lambda: "1")
+        self.acceptors.node = BareNode()
+        self.writer = self.acceptors.slots.run(0.5)
+        next(self.writer)
+
+    def ask(self, service, ballot, **body):
+        """Return the answer or error, or the script that waits for the disk."""
+        fields = {"part": CONFIG, "identity": self.acceptors.identity, "ballot": ballot, **body}
+        try:
+            answer = getattr(self.acceptors, f"on_{service}")(fields, "core")
+            if hasattr(answer, "send"):
+                next(answer)
+            return answer
+        except StopIteration as stop:
+            return stop.value
+        except QuillringError as error:
+            return error
+
+    def sync(self, script):
+        """Let the disk sync; return what the script answers then."""
+        self.writer.send(True)
+        try:
+            script.send(True)
+        except StopIteration as stop:
+            return stop.value
+        raise AssertionError("it still waits")
+
+    def after_power_loss(self):
+        """Return the store as it starts after a loss of power."""
+        self.disk.lose_power()
+        return Store(self.name, self.disk)
+
+
+def three_stores(ballot):
+    """Return three stores that promised a ballot durably."""
+    stores = [Store(f"store-{n}") for n in range(3)]
+    for store in stores:
+        store.sync(store.ask("prepare", ballot))
+    return stores
+
+
+def test_a_confirmation_without_a_durable_promise_lets_no_former_owner_write():
+    former, newer = [1, "a"], [2, "b"]
+    first, second, late = three_stores(former)
+    for store in (first, second):
+        store.sync(store.ask("prepare", newer))
+    waiting = late.ask("prepare", newer)
+    assert hasattr(waiting, "send"), "it promised before its disk was synced"
+    assert late.ask("confirm", newer) is True
+    assert isinstance(late.ask("confirm", former), Fenced)
+    late = late.after_power_loss()
+    entry = {"index": 1, "batch": [], "committed": 0}
+    votes = [store.ask("accept", former, **entry) for store in (first, second, late)]
+    assert [isinstance(vote, Fenced) for vote in votes] == [True, True, False]
+    confirmed = [store.ask("confirm", former) for store in (first, second, late)]
+    assert sum(answer is True for answer in confirmed) < 2
+
+
+def test_nothing_is_answered_that_a_stalled_disk_does_not_hold():
+    ballot = [1, "a"]
+    store = three_stores(ballot)[0]
+    asked = [
+        store.ask("prepare", [2, "b"]),
+        store.ask("accept", [2, "b"], index=1, batch=[], committed=0),
+        store.ask("commit", [2, "b"], committed=1),
+        store.ask("install", [2, "b"], index=5, state={"group": []}),
+    ]
+    assert all(hasattr(answer, "send") for answer in asked)
+    store = store.after_power_loss()
+    record = store.acceptors.parts[CONFIG]
+    assert (record.promised, record.applied, record.entries) == ((1, "a"), 0, {})
