A layout that is shown says whether it is current; the status of a store names its disk's error

Cause: GET /v1/layout shows what the node knows. On a node that is cut off that may be an old layout, and nothing in the answer said so. A store whose disk took nothing told it to nobody but the owners that asked it. Change: the answer has is_fresh, the same judgement by which the node refuses new work; /v1/status and the status verb have disk_error.

--- a/quillring/verbs/fleet_verbs.py
+++ b/quillring/verbs/fleet_verbs.py
@@ -30,12 +30,12 @@
 def status_of(member):
     """Return one node's row; a node that does not answer is shown as such."""
     blank = {"name": member["name"], "role": member["role"], "domain": member["domain"]}
-    fields = ("layout_version", "is_fresh", "under_way", "is_draining", "is_cut")
+    fields = ("layout_version", "is_fresh", "under_way", "is_draining", "is_cut", "disk_error")
     try:
         status = ask(f"{member['host']}:{member['http_port']}", "GET", "/v1/status")
     except QuillringError as error:
         return {**blank, **dict.fromkeys(fields), "answer": error.kind}
-    return {**blank, **{field: status[field] for field in fields}, "answer": "ok"}
+    return {**blank, **{field: status.get(field) for field in fields}, "answer": "ok"}
 
 
 @main.command()
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -150,9 +150,14 @@
 
 @route("GET", "/v1/layout")
 def show_layout(node, inquiry):
-    """Return the layout this node acts on."""
+    """Return the layout this node knows, and whether a majority lately said that it is current."""
     image = node.find("layout")
-    return {"version": image.version, "index": image.index, "layout": image.layout}
+    return {
+        "version": image.version,
+        "index": image.index,
+        "is_fresh": node.find("freshness").is_fresh(),
+        "layout": image.layout,
+    }
 
 
 @route("PUT", "/v1/layout")
@@ -214,7 +219,8 @@
 @route("GET", "/v1/status")
 def show_status(node, inquiry):
     """Return what this node is and how it does."""
-    image = node.find("layout")
+    image, acceptors = node.find("layout"), node.find("acceptors")
+    disk_error = None if acceptors is None else acceptors.slots.error
     return {
         "name": node.me.name,
         "role": node.me.role,
@@ -224,6 +230,7 @@
         "under_way": node.under_way,
         "is_draining": node.is_draining,
         "is_cut": node.find("nifty").graph.is_cut,
+        "disk_error": None if disk_error is None else str(disk_error),
         "seeds": [f"{host}:{port}" for host, port in node.find("nifty").seeds],
     }
 
--- a/tests/test_slow_disks.py
+++ b/tests/test_slow_disks.py
@@ -8,6 +8,7 @@
 from quillring.fleet import open_store
 from quillring.kernel.errors import DiskError, Fenced, QuillringError
 from quillring.quorum.parts import CONFIG
+from quillring.verbs.routes import show_status
 from tests.fleet_stage import SelfFounded
 from tests.raw_stage import RawStage
 
@@ -98,6 +99,7 @@
     for number in range(4):
         assert fleet.submit("core-2", order(number))[1] is None
     assert isinstance(acceptors.slots.error, DiskError)
+    assert "no space left" in show_status(fleet.sim.nodes[name], None)["disk_error"]
     assert acceptors.stamp() is None
     index, state = acceptors.on_image({"part": CONFIG}, "anyone")
     assert index >= before and state["group"]
@@ -105,6 +107,7 @@
     newest = max(a.parts[CONFIG].applied for a in fleet.stores().values() if CONFIG in a.parts)
     is_whole = fleet.wait_for(lambda: acceptors.parts[CONFIG].applied == newest, 3)
     assert is_whole is not None and acceptors.slots.error is None
+    assert show_status(fleet.sim.nodes[name], None)["disk_error"] is None
 
 
 class BareNode:
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -6,6 +6,7 @@
 
 from quillring.quorum.owner import Owner
 from quillring.quorum.parts import CONFIG
+from quillring.verbs.routes import show_layout
 from tests.fleet_stage import SelfFounded
 
 FREEZES = (2, 20, 60)
@@ -114,3 +115,16 @@
         holds = domains.get(zone, {}).get("emptied", False)
         assert holds or answer is None, f"{zone} was confirmed and does not hold"
         assert not holds or error is None or error.kind == "outcome_unknown", error
+
+
+def test_a_node_that_is_cut_off_shows_its_layout_as_not_fresh():
+    fleet = SelfFounded(14)
+    assert fleet.submit("core-1", mark("north"))[1] is None
+    fleet.run(1)
+    for name in ("core-2", "edge-1"):
+        node = fleet.sim.nodes[name]
+        assert show_layout(node, None)["is_fresh"]
+        fleet.sim.cut([name], [other for other in fleet.sim.nodes if other != name])
+        fleet.run(fleet.sim.bounds.news)
+        shown = show_layout(node, None)
+        assert shown["layout"]["domains"]["north"]["emptied"] and not shown["is_fresh"]
