--- a/proving/__init__.py
+++ b/proving/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs: stand-ins, simulator, scenarios of failure and measurements."""
