Late copies of operators' orders fail a fence; retirements are checked in their turn

Cause: `domain.mark` and `store.mark` carried nothing that tells an old copy from a new order. A "begin evacuation" held in a relay or socket for 20 s was committed after its end had been acknowledged. `retire_store` counted the remaining stores before the command, so two retirements in one moment at two cores were both told 200 with two of four stores left. Stores that were just restarting did not count as remaining, so a retirement right after a store's loss was refused for good.

Ruled out: the deduplication of messages (a copy that was never delivered is no double), an expiry by clocks (they step and freeze).

Change: an order names the configuration version its node had seen when it came in; the state notes the version at which each zone or store was last ordered (256 kept, then a floor). An order that had not seen the last one gets `stale_order` (503, to be sent again), unless it asks for what is in force. A stale order is not renewed by its node, which may just have woken with it. A retirement names the stores its node counts on, and the command subtracts those retired or about to be retired by a plan. A store counts until it has been away for the bound on return. Commands without the new fields are replayed as before.

--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -7,6 +7,7 @@
     fleet,
     keeping,
     lots,
+    orders,
     reading,
     resume,
     rooms,
@@ -32,4 +33,5 @@
     *keeping.POINTS,
     *reading.POINTS,
     *failures.POINTS,
+    *orders.POINTS,
 ]
--- a/quillring/rollout/marks.py
+++ b/quillring/rollout/marks.py
@@ -1,8 +1,9 @@
-"""Marks of operators: domains to be emptied, stores to be retired; the last one counts."""
+"""Orders of operators: zones to be emptied, stores to be retired; the last one counts."""
 
 from quillring.kernel.errors import Conflict, NotFound
 from quillring.quorum.commands import COMMANDS
 from quillring.quorum.parts import CONFIG, is_enough
+from quillring.rollout.orders import place_order, submit_order
 from quillring.rollout.schema import EMPTY
 
 
@@ -10,25 +11,46 @@
 def mark_domain(state, command):
     """Empty a domain or take that back; `nodes` tells whether its nodes leave, or replicas only."""
     mark = {"emptied": bool(command["emptied"]), "nodes": bool(command.get("nodes", True))}
-    return lay_mark(state, "domains", command["domain"], mark), mark
+    seen_version = command.get("seen_version")
+    return place_order(state, "domains", command["domain"], mark, seen_version), mark
 
 
 @COMMANDS.entry("store.mark")
 def mark_store(state, command):
-    """Retire a store or take that back."""
-    former = ((state["layout"] or EMPTY).get("stores") or {}).get(command["store"], {})
-    mark = {**former, "retired": bool(command["retired"])}
-    return lay_mark(state, "stores", command["store"], mark), mark
+    """Retire a store or take that back; a retirement names the stores its node counts on.
 
+    Whether enough of these remain is decided here, in the command's turn: of two retirements at
+    once the second finds the first one done. Raises Conflict when too few would remain.
+    """
+    store, is_retired_now = command["store"], bool(command["retired"])
+    former = ((state["layout"] or EMPTY).get("stores") or {}).get(store, {})
+    mark = {**former, "retired": is_retired_now}
+    if is_retired_now and former != mark and command.get("counted") is not None:
+        check_remaining(state, store, command["counted"], command["size"])
+    return place_order(state, "stores", store, mark, command.get("seen_version")), mark
+
+
+def check_remaining(state, store, counted, size):
+    """Raise Conflict unless enough of the counted stores remain without one more.
+
+    `counted` is {store: domain}, `size` how many stores hold each part.
+    """
+    retired_names = {store, *leaving_stores(state)}
+    remaining = [domain for name, domain in counted.items() if name not in retired_names]
+    if not is_enough(remaining, size):
+        raise Conflict(field="store", reason="too few stores would remain", store=store)
 
-def lay_mark(state, section, name, mark):
-    """Return the state with the mark in its layout; one that stands already changes nothing."""
-    layout = state["layout"] or EMPTY
-    marks = layout.get(section) or {}
-    if marks.get(name) == mark:
-        return state
-    new_layout = {**layout, section: {**marks, name: mark}}
-    return {**state, "layout": new_layout, "version": state["version"] + 1}
+
+def leaving_stores(state):
+    """Return the stores that are retired, or that a plan under way is about to retire."""
+    marks = (state["layout"] or EMPTY).get("stores") or {}
+    retired_names = {name for name, mark in marks.items() if mark.get("retired")}
+    planned_names = {
+        plan["intent"]["target"]
+        for plan in state.get("plans", {}).values()
+        if plan["phase"] == "running" and plan["intent"]["kind"] == "retire_store"
+    }
+    return retired_names | planned_names
 
 
 def retire_store(node, store, seconds):
@@ -41,18 +63,31 @@
     marks = current["layout"].get("stores") or {}
     if marks.get(store, {}).get("retired"):
         return
-    stores, nifty = known_stores(node), node.find("nifty")
+    stores = known_stores(node)
     if store not in stores:
         raise NotFound(field="store", store=store)
-    remaining = [
-        domain
-        for name, domain in stores.items()
-        if name != store and nifty.reaches(name) and not marks.get(name, {}).get("retired")
-    ]
-    if not is_enough(remaining, ownership.size()):
-        raise Conflict(field="store", reason="too few stores would remain", store=store)
-    command = {"do": "store.mark", "store": store, "retired": True}
-    yield from ownership.submit(CONFIG, command, end_time - node.now())
+    command = {
+        "do": "store.mark",
+        "store": store,
+        "retired": True,
+        "counted": {name: domain for name, domain in stores.items() if not is_gone(node, name)},
+        "size": ownership.size(),
+    }
+    yield from submit_order(node, command, end_time - node.now())
+
+
+def is_gone(node, store):
+    """Tell whether a store has been out of reach for longer than a restart takes.
+
+    One that is just away still counts among those that remain: a retirement waits for it, and
+    nothing is taken from its parts before enough others hold them whole.
+    """
+    nifty = node.find("nifty")
+    if nifty.reaches(store):
+        return False
+    heard = nifty.heard.get(store)
+    heard_at = nifty.started_at if heard is None else max(heard.at, nifty.started_at)
+    return node.now() - heard_at > node.bounds.return_
 
 
 def known_stores(node):
