The deploy file lists the system packages that a clean build needs

Cause: the users' machines have nothing that is not listed under `packages`. Looked at: what `build` calls (`[` of the shell, `python3 -m pip`), whether each requirement has a wheel, and what the wheels' libraries link to (greenlet alone to libstdc++). Ruled out: a compiler, python3-dev and python3-venv. The two new tests failed before the list was there (KeyError: packages).

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,5 +1,7 @@
 import math
 import pathlib
+import re
+import shlex
 import tomllib
 
 import pytest
@@ -8,6 +10,8 @@
 
 DEPLOY = pathlib.Path(__file__).parent.parent / "deploy/system.toml"
 MOST_STORES = 10
+BUILT_IN = {"[", "||"}
+PACKAGE_OF = {"python3": "python3", "pip": "python3-pip"}
 
 
 def roles():
@@ -38,3 +42,24 @@
 
 def test_a_machine_that_is_added_to_a_zone_of_one_takes_part():
     assert len(machines((2,))) == 2
+
+
+def test_every_package_that_the_build_calls_is_listed_by_a_sound_name():
+    deploy = tomllib.loads(DEPLOY.read_text())
+    packages = deploy["packages"]
+    assert packages == list(dict.fromkeys(packages))
+    assert all(re.fullmatch("[a-z0-9][a-z0-9+.-]+", name) for name in packages)
+    words = shlex.split(deploy["build"])
+    test_end = words.index("]")
+    assert words[0] in BUILT_IN and words[test_end + 1] in BUILT_IN
+    program, dash_m, module = words[test_end + 2 : test_end + 5]
+    assert dash_m == "-m"
+    assert {PACKAGE_OF[program], PACKAGE_OF[module]} <= set(packages)
+    programs = {role["run"].split()[0] for role in deploy["roles"].values()}
+    assert {PACKAGE_OF[name] for name in programs} <= set(packages)
+
+
+def test_each_listed_package_has_its_reason_on_the_page():
+    page = (DEPLOY.parent.parent / "docs/platform.md").read_text()
+    packages = tomllib.loads(DEPLOY.read_text())["packages"]
+    assert [name for name in packages if f"| `{name}` |" not in page] == []
