One id never confirms two layouts, and the stop of a stopped plan is acknowledged again

Cause: `layout.adopt` looked for its id alone, so a second operator with another change under the same id was told the version of the first. `plan.stop` sent again after a lost answer got a conflict. Change: the state keeps a digest of what each kept id said; another change under it is a conflict, the same one on a newer base is still told as taken. A stopped plan may be stopped again. Ids kept by the version before have no digest and are answered as before.

--- a/quillring/plans/commands.py
+++ b/quillring/plans/commands.py
@@ -113,8 +113,13 @@
 
 @COMMANDS.entry("plan.stop")
 def stop_plan(state, command):
-    """Stop a plan between two steps; what is done stays as it is, which is sound."""
+    """Stop a plan between two steps; what is done stays as it is, which is sound.
+
+    A plan that was stopped stays stopped, so the order may be repeated and may come late.
+    """
     plan = find_plan(state, command["plan"])
+    if plan["phase"] == STOPPED:
+        return state, {"plan": command["plan"], **plan}
     if plan["phase"] not in (PROPOSED, RUNNING):
         raise Conflict(field="plan", plan=command["plan"], phase=plan["phase"])
     new_state = _with_plan(state, command["plan"], phase=STOPPED)
--- a/quillring/rollout/commands.py
+++ b/quillring/rollout/commands.py
@@ -1,5 +1,8 @@
 """Commands and queries of the config part that change and show the layout."""
 
+import hashlib
+import json
+
 from quillring.kernel.errors import Conflict, QuillringError
 from quillring.quorum.commands import COMMANDS, QUERIES
 from quillring.rollout.schema import EMPTY, find_faults, merge
@@ -21,8 +24,11 @@
 @COMMANDS.entry("layout.adopt")
 def adopt_layout(state, command):
     """Adopt a whole or partial layout that was made against the current version."""
-    changes = state.get("changes", {})
+    changes, digests = state.get("changes", {}), state.get("change_digests", {})
+    digest = digest_of_change(command)
     if command["id"] in changes:
+        if digests.get(command["id"], digest) != digest:
+            raise Conflict(field="id", id=command["id"], reason="another change bears this id")
         return state, {"version": changes[command["id"]], "repeated": True}
     if command["base_version"] != state["version"]:
         raise Conflict(
@@ -37,16 +43,24 @@
         raise BadLayout(faults=faults)
     version = state["version"] + 1
     kept_changes = dict([*changes.items(), (command["id"], version)][-KEPT_CHANGES:])
+    kept_digests = {name: digests[name] for name in kept_changes if name in digests}
     new_state = {
         **state,
         "layout": layout,
         "version": version,
         "changes": kept_changes,
+        "change_digests": {**kept_digests, command["id"]: digest},
         "last_change": command["id"],
     }
     return new_state, {"version": version}
 
 
+def digest_of_change(command):
+    """Return the digest of what a change says; the version it builds on doesn't count."""
+    sent = [command["whole"], command["change"]]
+    return hashlib.sha256(json.dumps(sent, sort_keys=True).encode()).hexdigest()[:24]
+
+
 @QUERIES.entry("layout")
 def show_layout(state, query):
     """Return the layout and its version."""
