--- a/quillring/ownership/asking.py
+++ b/quillring/ownership/asking.py
@@ -14,6 +14,7 @@
 from quillring.quorum.parts import majority
 from quillring.quorum.peek import peek
 
+LONGEST_PAUSE = 1.5
 LOOK_ELSEWHERE = (Fenced, NotOwner, TimedOut, Unreachable)
 
 
@@ -38,17 +39,18 @@
             for owner_name in self._candidates(part)[:1]:
                 try:
                     body = {"part": part, "query": query}
-                    answer = yield from self.node.call(
-                        owner_name, "part.read", body, bounds.reading / 2
-                    )
+                    seconds = min(bounds.reading / 2, end_time - self.node.now())
+                    answer = yield from self.node.call(owner_name, "part.read", body, seconds)
                     return answer
                 except (*LOOK_ELSEWHERE, NoMajority) as error:
                     last_error = error
-            known = yield from peek(self.node, part, self.group(part), query)
-            if known is not None:
-                self.node.count("peeks")
-                return known()
-            yield from wait_for_owner(self.node, bounds.beat / 4)
+            seconds = min(bounds.reading / 2, end_time - self.node.now())
+            if seconds > 0:
+                known = yield from peek(self.node, part, self.group(part), query, seconds)
+                if known is not None:
+                    self.node.count("peeks")
+                    return known()
+            yield from self._pause(end_time)
         raise Refused(reason=last_error.kind, part=part)
 
     def ask(self, part, service, body, seconds):
@@ -86,7 +88,7 @@
                         raise _unknown(part) from error
                     raise
             rounds += 1
-            yield from wait_for_owner(self.node, bounds.beat / 4)
+            yield from self._pause(end_time)
         if may_have_run:
             raise _unknown(part)
         raise Refused(reason=last_error.kind, part=part)
@@ -104,6 +106,12 @@
             return NoMajority(part=part, heard=sorted(reached))
         return None if self.rank(part) else Unreachable(part=part)
 
+    def _pause(self, end_time):
+        """Script: a pause between two attempts, which does not outlast the asking."""
+        seconds = min(self.node.bounds.beat / 4, (end_time - self.node.now()) / LONGEST_PAUSE)
+        if seconds > 0:
+            yield from wait_for_owner(self.node, seconds)
+
     def _candidates(self, part):
         news = self.node.find("gossip").get(f"owner/{part}")
         ranked_names = self.rank(part)
--- a/quillring/quorum/peek.py
+++ b/quillring/quorum/peek.py
@@ -7,12 +7,16 @@
 from quillring.quorum.parts import majority
 
 
-def peek(node, part, group, query):
-    """Script: return a function that gives the answer or raises it, or None when it is not sure."""
+def peek(node, part, group, query, seconds=None):
+    """Script: return a function that gives the answer or raises it, or None when it is not sure.
+
+    It takes `seconds` at most, by default half the bound on reading.
+    """
+    seconds = node.bounds.reading / 2 if seconds is None else seconds
     body = {"part": part, "query": query, "beyond": True}
     calls = [(store, "quorum.peek", {**body, "identity": identity}) for store, identity, _ in group]
     for need in dict.fromkeys((majority(group), len(group))):
-        replies = yield from node.gather(calls, need, node.bounds.reading / 4)
+        replies = yield from node.gather(calls, need, seconds / 2)
         known = [reply for reply in replies.values() if not isinstance(reply, QuillringError)]
         found = find_answer(known, group, query)
         if found is not None:
