--- a/quillring/forward/waiting.py
+++ b/quillring/forward/waiting.py
@@ -7,29 +7,37 @@
 LOOK_AGAIN = 0.05
 
 
-def come_back(node, sending):
+def come_back(node, progress):
     """Return after how many seconds to come back: a fourth of the time that is left."""
-    return max(0.05, (sending.end_time - node.now()) / 4)
+    return max(0.05, (progress.end_time - node.now()) / 4)
 
 
-def acquire(node, forward, service, request, sending, arrived_at):
+def choose(placement, service, request, progress):
+    """Return a replica not tried yet; for a stream that has begun, one tried before will do."""
+    chosen_replica = placement.choose(service, request, progress.avoided_names)
+    if chosen_replica is None and progress.avoided_names and progress.has_head:
+        return placement.choose(service, request)
+    return chosen_replica
+
+
+def acquire(node, forward, service, request, progress, arrived_at):
     """Script: return a replica for the request, or refuse within a fifth of its goal.
 
-    A stream that has begun, whose client has pieces already, waits until its end.
+    A stream that has begun, whose client has pieces already, waits until its end. Nothing is
+    chosen once the request's time is over: no attempt could follow.
     """
     placement = node.find("placement")
-    held_until = sending.end_time
-    if not sending.has_head:
+    held_until = progress.end_time
+    if not progress.has_head:
         held_until = min(held_until, arrived_at + forward.goal_seconds * HELD_SHARE)
     while True:
-        chosen_replica = placement.choose(service, request, sending.avoided_names)
-        if chosen_replica is None and sending.avoided_names and sending.has_head:
-            chosen_replica = placement.choose(service, request)
-        if chosen_replica is not None:
-            return chosen_replica
+        if node.now() < progress.end_time:
+            chosen_replica = choose(placement, service, request, progress)
+            if chosen_replica is not None:
+                return chosen_replica
         if node.now() >= held_until:
             node.count("forward_refusals")
             raise Refused(
-                reason="no replica", service=service, come_back_s=come_back(node, sending)
+                reason="no replica", service=service, come_back_s=come_back(node, progress)
             )
         yield Wait(placement.changed, min(LOOK_AGAIN, max(0.001, held_until - node.now())))
