Own interface: the HTTP library below no longer sends GET and DELETE up to three times

Cause: geventhttpclient's `request` sends GET, HEAD, PUT, DELETE and the like again after a close or a reset, as many times as its pool has places and once more; no setting turns it off. A request of a class that forbids repeating (a tile by GET) reached the replica three times. And a repeatable request whose kept connection broke off was called NotSent when the new connection was refused. Ruled out: POST (never sent again by the library), streams (opened by POST). Change: the client's pool is told that it has no further sendings; NotSent after a broken kept connection becomes BackendError.

--- a/quillring/kernel/backend.py
+++ b/quillring/kernel/backend.py
@@ -12,6 +12,7 @@
 
 gevent.config.resolver = "block"
 HEADERS = {"Content-Type": "application/json"}
+SENDINGS_BEYOND_THE_FIRST = 0
 READ_ERRORS = (OSError, HTTPParseError, ValueError)
 
 
@@ -44,16 +45,26 @@
     except OSError as error:
         raise NotSent(address=list(address), reason=type(error).__name__) from error
     client._connection_pool.return_socket(sock)
+    send_once(client)
     return client
 
 
+def send_once(client):
+    """Keep the library from sending GET and DELETE up to three times after a close or a reset.
+
+    It allows as many sendings beyond the first as its pool has places, and one more; no setting
+    of its own turns that off.
+    """
+    client._connection_pool.size = SENDINGS_BEYOND_THE_FIRST - 1
+
+
 def _request(client, method, path, body):
     data = b"" if body is None else json.dumps(body).encode()
     return client.request(method, path, body=data, headers=HEADERS)
 
 
 class Idle:
-    """Connections kept open between inquiries that may repeat, the latest used again first."""
+    """Connections kept open between requests that may repeat, the latest used again first."""
 
     __slots__ = ("clients", "room")
 
@@ -79,7 +90,11 @@
 
 
 def fetch(effect):
-    """Send an inquiry and return (status, JSON body)."""
+    """Send a request and return (status, JSON body).
+
+    One that may repeat is sent once more, on a new connection, where a kept one broke off; it may
+    have run by then, so that a refused new connection is no NotSent.
+    """
     kept_client = IDLE.take(effect.address) if effect.may_repeat else None
     if kept_client is not None:
         try:
@@ -87,6 +102,11 @@
         except BackendError as error:
             if error.detail["reason"] == "time":
                 raise
+        try:
+            client = _connect(effect.address, effect.seconds)
+        except NotSent as error:
+            raise BackendError(**error.detail) from error
+        return _exchange(client, effect)
     return _exchange(_connect(effect.address, effect.seconds), effect)
 
 
@@ -108,7 +128,7 @@
 
 
 def open_stream(effect):
-    """Send an inquiry and return the handle of its streamed answer."""
+    """Send a request and return the handle of its streamed answer."""
     client = _connect(effect.address, effect.seconds)
     try:
         with gevent.Timeout(effect.seconds, BackendError(reason="time")):
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -5,8 +5,8 @@
 from gevent.server import StreamServer
 
 from quillring.kernel import backend
-from quillring.kernel.effects import Fetch
-from quillring.kernel.errors import BackendError
+from quillring.kernel.effects import Fetch, Open
+from quillring.kernel.errors import BackendError, NotSent
 from quillring.kernel.http_server import start_server
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue"
@@ -60,3 +60,46 @@
     server = start_server(("127.0.0.1", 0), lambda environ, start: [])
     assert server.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
     server.stop()
+
+
+class Closing:
+    """Reads each request and closes without a word."""
+
+    def __init__(self):
+        self.requests = []
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        self.address = ("127.0.0.1", self.server.server_port)
+
+    def serve(self, conn, _):
+        with conn, conn.makefile("rb") as reader:
+            lines = []
+            while (line := reader.readline()) not in (b"\r\n", b""):
+                lines.append(line)
+            if lines:
+                self.requests.append(lines[0])
+
+
+@pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
+def test_what_may_not_repeat_is_sent_once_also_by_the_library_below(method):
+    server = Closing()
+    with pytest.raises(BackendError):
+        backend.fetch(Fetch(server.address, method, "/x", None, 5, False))
+    assert len(server.requests) == 1
+
+
+def test_a_stream_is_opened_once():
+    server = Closing()
+    with pytest.raises(BackendError):
+        backend.open_stream(Open(server.address, "/x", {}, 5))
+    assert len(server.requests) == 1
+
+
+def test_what_may_have_run_over_a_kept_connection_is_never_called_not_sent():
+    server = Server()
+    assert fetch(server, True) == (200, True)
+    server.server.stop(timeout=0)
+    with pytest.raises(BackendError) as failure:
+        fetch(server, True)
+    assert not isinstance(failure.value, NotSent)
+    assert len(server.inquiries) == 2
