Calls between nodes: a reply settles only the call of this life to the node that sent it

Cause: a reply bears nothing but the call's number, and numbers began at 1 in each life. A late reply meant for the former life of a process, or one from another node than was asked, settled whatever call had that number, and could turn one store's answer into another's word. Change: ids begin at a place given by a hash of name and incarnation (32 bits), and the origin of a reply is compared with the node that was asked. Both sides of a version apart go on: ids are returned as they came.

--- a/quillring/kernel/node.py
+++ b/quillring/kernel/node.py
@@ -1,11 +1,34 @@
-"""A node: services that find each other by name, and calls between nodes over nifty."""
+"""A node: services that find each other by name, and calls between nodes over nifty.
 
+A reply settles a call only if it comes from the node that was asked, under an id of this life of
+the process: ids begin at a place that name and incarnation give. Whoever answers returns the id as
+it came, whatever version it speaks.
+"""
+
+import hashlib
 import inspect
+from typing import NamedTuple
 
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.errors import QuillringError, TimedOut, UnknownService, Unreachable, rebuild
 
+CALL_BITS = 31
+LIFE_BYTES = 4
+
+
+class PendingCall(NamedTuple):
+    """A call under way: the signal its reply sets, and the node that was asked."""
+
+    reply_signal: Signal
+    target: str
+
+
+def first_call_id(me):
+    """Return the id below the first call of a life: 32 bits for the life, 31 for its calls."""
+    life = hashlib.blake2b(f"{me.name}/{me.incarnation}".encode(), digest_size=LIFE_BYTES)
+    return int.from_bytes(life.digest(), "big") << CALL_BITS
+
 
 class Node:
     """The micro-kernel of one process; the world gives time, chance, network and disk."""
@@ -31,7 +54,7 @@
         self.services = {}
         self.handlers = {}
         self.pending = {}
-        self.next_call = 0
+        self.next_call = first_call_id(me)
         self.log = log or (lambda level, text, *fields: None)
         self.counts = {}
         self.is_draining = False
@@ -119,16 +142,16 @@
         if target == self.me.name:
             self.spawn(self._answer(service, body, target, reply_signal.set))
             return call_id, reply_signal
-        self.pending[call_id] = (reply_signal, target)
+        self.pending[call_id] = PendingCall(reply_signal, target)
         if not self._send(target, {"s": service, "b": body, "c": call_id}):
             reply_signal.set(Unreachable(target=target))
         return call_id, reply_signal
 
     def on_graph(self, graph):
         """End the calls to nodes that no route leads to any more; whether they ran is unknown."""
-        for reply_signal, target in list(self.pending.values()):
-            if target not in graph.routes:
-                reply_signal.set(TimedOut(target=target))
+        for call in list(self.pending.values()):
+            if call.target not in graph.routes:
+                call.reply_signal.set(TimedOut(target=call.target))
 
     def _send(self, target, message):
         return self.find("nifty").send(target, message)
@@ -136,10 +159,7 @@
     def on_message(self, origin, message):
         """Take a message that nifty delivered once."""
         if "r" in message:
-            reply_signal, _ = self.pending.pop(message["r"], (None, None))
-            if reply_signal is not None:
-                kind = message.get("t")
-                reply_signal.set(rebuild(kind, message["b"]) if kind else message["b"])
+            self._settle(origin, message)
             return
         call_id = message.get("c")
         if call_id is None:
@@ -154,6 +174,19 @@
 
         self.spawn(self._answer(message["s"], message["b"], origin, send_reply))
 
+    def _settle(self, origin, message):
+        """Settle the call that a reply is due to; one that nobody waits for changes nothing."""
+        call_id = message["r"]
+        call = self.pending.get(call_id) if isinstance(call_id, int) else None
+        if call is None:
+            return
+        if call.target != origin:
+            self.count("replies_of_others")
+            return
+        del self.pending[call_id]
+        kind = message.get("t")
+        call.reply_signal.set(rebuild(kind, message["b"]) if kind else message["b"])
+
     def _answer(self, service, body, origin, send_reply):
         handler = self.handlers.get(service)
         try:
