Frames: dropped after ten time-outs, discarded with their connection, never handed on in part

Cause: a frame could wait in a channel's queue without end (1,024 of them at up to four seconds each), what the system had not sent yet was delivered after the close, once a cut healed, and a frame cut short was handed to the reader before its length was looked at. Ruled out: a frame cut short that was ever read as a message (cbor refuses it); it now isn't tried. Change: frames bear the time they were queued at; closing sets SO_LINGER 0, which discards what is unsent and leaves what has arrived; frames cut short end the connection. What no bound here covers: a relay or a receiver that is itself frozen holds what has arrived without limit. Against that stand the sequence window (no end in time), the ids of calls, and the fences of each order; docs/retries.md lists them.

--- a/quillring/kernel/gevent_world.py
+++ b/quillring/kernel/gevent_world.py
@@ -1,5 +1,6 @@
 """The production world: gevent drives the scripts, sockets carry datagrams and frames."""
 
+import contextlib
 import os
 import random
 import struct
@@ -28,10 +29,16 @@
 FRAME_HEAD = struct.Struct(">I")
 FRAME_LIMIT = 64 * 1024 * 1024
 QUEUE_LIMIT = 1024
+HELD_FACTOR = 10
+DISCARD_UNSENT = struct.pack("ii", 1, 0)
 
 
 class Channel:
-    """The one-way connection to an address; frames queued on it may be lost."""
+    """The one-way connection to an address; frames queued on it may be lost.
+
+    A frame that has waited HELD_FACTOR times `timeout` is dropped, and closing discards what the
+    system has not sent yet: so much is the longest that a copy is held here through a cut.
+    """
 
     __slots__ = ("address", "timeout", "queue", "conn")
 
@@ -41,10 +48,17 @@
         self.queue = gevent.queue.Queue()
         self.conn = None
 
+    def put(self, data):
+        """Queue a frame, unless too many wait already."""
+        if self.queue.qsize() < QUEUE_LIMIT:
+            self.queue.put((time.monotonic(), data))
+
     def run(self):
         """Write frames for ever, connecting anew after a failure."""
         while True:
-            data = self.queue.get()
+            queued_at, data = self.queue.get()
+            if time.monotonic() - queued_at > self.timeout * HELD_FACTOR:
+                continue
             for _ in range(2):
                 try:
                     self._connect().sendall(FRAME_HEAD.pack(len(data)) + data)
@@ -63,6 +77,8 @@
         """Close the connection, if there is one."""
         conn, self.conn = self.conn, None
         if conn is not None:
+            with contextlib.suppress(OSError):
+                conn.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, DISCARD_UNSENT)
             conn.close()
 
 
@@ -120,8 +136,10 @@
                     data = reader.read(length) if length <= FRAME_LIMIT else b""
                 except OSError:
                     return
+                if len(data) < length <= FRAME_LIMIT:
+                    return
                 self._guard(on_frame, data)
-                if len(data) < length:
+                if length > FRAME_LIMIT:
                     return
 
     def _guard(self, handler, data):
@@ -143,8 +161,7 @@
         if channel is None:
             channel = self.channels[address] = Channel(address, self.frame_timeout)
             gevent.spawn(channel.run)
-        if channel.queue.qsize() < QUEUE_LIMIT:
-            channel.queue.put(data)
+        channel.put(data)
 
     def reset(self, address):
         """Drop the connection to a lost member, so that a healed link begins afresh at once."""
