A request whose client has gone before it is read does not run

Cause: a process that was frozen finds requests in its sockets with the close of their clients behind them. The reader noted the close before the first handler was started, and only a running handler was stopped; so an order given up 20 s ago was submitted with all that the node had just learnt, which no fence of the order can tell from a new one. The same for callers' requests. Change: the connection answers nothing more once its client has gone. Before: 2 of the 4 new cases failed. After: they pass, as do test_raw_server and test_raw_failures.

--- a/quillring/kernel/raw_connection.py
+++ b/quillring/kernel/raw_connection.py
@@ -115,12 +115,17 @@
             self.sock.sendall(INTERIM)
 
     def run(self):
-        """Answer the requests of the connection in their order."""
+        """Answer the requests of the connection in their order, unless its client has gone.
+
+        A process that was frozen finds requests whose clients gave them up long ago.
+        """
         reading = gevent.spawn(self.read_all)
         try:
             while True:
                 request = self.requests.get()
                 self.can_read.set()
+                if self.is_gone:
+                    return
                 if not isinstance(request, RawRequest):
                     self._send_refusal(request)
                     return
