--- /dev/null
+++ b/proving/histories/__init__.py
@@ -0,0 +1,1 @@
+"""Histories of operators' and clients' calls, checked for linearizability."""
--- a/proving/sim/fleet.py
+++ b/proving/sim/fleet.py
@@ -20,7 +20,12 @@
 
 
 class SimFleet:
-    """All processes of one deployment in simulated time, from one seed."""
+    """All processes of one deployment in simulated time, from one seed.
+
+    A heir may name another `world_class`, whose processes speak to more kinds of replicas.
+    """
+
+    world_class = None
 
     def __init__(self, deployment, seed, sizes=None):
         self.seed = seed
@@ -63,7 +68,7 @@
         row = self.rows[name]
         self.starts += 1
         address = split_address(row["address"])
-        world = SimWorld(
+        world = (self.world_class or SimWorld)(
             self.env,
             self.net,
             self.backends,
--- a/proving/sim/net.py
+++ b/proving/sim/net.py
@@ -1,4 +1,6 @@
-"""The simulated network: delay, loss, doubling, reorder, one-way cuts."""
+"""The simulated network: delay, loss, doubling, reorder, one-way cuts, copies that come late."""
+
+LONGEST_HOLD = 25.0
 
 
 class SimNet:
@@ -12,6 +14,10 @@
         self.loss_share = 0.0
         self.double_share = 0.0
         self.reorder_share = 0.0
+        self.late_copy_share = 0.0
+        self.late_share = 0.0
+        self.longest_hold = LONGEST_HOLD
+        self.late_packets = 0
         self.min_delay, self.max_delay = 0.0005, 0.003
         self.carried = 0
 
@@ -29,6 +35,7 @@
         """Heal every cut and stop losing, doubling and reordering."""
         self.cuts.clear()
         self.loss_share = self.double_share = self.reorder_share = 0.0
+        self.late_copy_share = self.late_share = 0.0
 
     def passes(self, home, target):
         """Tell whether the way is open."""
@@ -42,8 +49,17 @@
         return seconds
 
     def carry(self, home, target, data, kind):
-        """Carry a packet, or lose or double it."""
+        """Carry a packet, or lose or double it, or hold it or a copy of it for seconds.
+
+        What is held comes through a cut that is over by then, and to whichever process has the
+        address at that time: a relay or a socket may hold a message for so long.
+        """
         self.carried += 1
+        if self._is_drawn(self.late_copy_share):
+            self._hold(home, target, data, kind)
+        if self._is_drawn(self.late_share):
+            self._hold(home, target, data, kind)
+            return
         if not self.passes(home, target) or self.chance.random() < self.loss_share:
             return
         copies = 2 if self.chance.random() < self.double_share else 1
@@ -51,6 +67,16 @@
             event = self.env.timeout(self.delay())
             event.callbacks.append(lambda _: self._arrive(home, target, data, kind))
 
+    def _is_drawn(self, share):
+        """Tell whether a rare thing happens; a share of zero takes nothing from the chance."""
+        return share > 0 and self.chance.random() < share
+
+    def _hold(self, home, target, data, kind):
+        """Deliver a packet after it was held for up to `longest_hold` seconds."""
+        self.late_packets += 1
+        event = self.env.timeout(self.chance.uniform(self.max_delay, self.longest_hold))
+        event.callbacks.append(lambda _: self._arrive(home, target, data, kind))
+
     def _arrive(self, home, target, data, kind):
         world = self.receivers.get(target)
         if world is not None and self.passes(home, target):
--- /dev/null
+++ b/proving/sim/raw_replicas.py
@@ -0,0 +1,173 @@
+"""Simulated raw replicas: whole requests in, events out, and ways to go wrong."""
+
+from proving.sim.world import SimWorld
+from quillring.kernel.effects import NextHead, NextPart, SendOn, Signal
+from quillring.kernel.errors import BackendError, NotSent, QuillringError
+
+SERVICE = "engine"
+EVENT_SECONDS = 0.05
+
+
+def text_of(item_id, count):
+    """Return the whole text of an item."""
+    return "\n".join(f"{item_id} piece {n}" for n in range(1, count + 1)).encode()
+
+
+class RawWorld(SimWorld):
+    """A simulated world that also speaks to raw replicas."""
+
+    def perform(self, effect):
+        """Bring about one effect."""
+        if isinstance(effect, SendOn):
+            return self.backends.raw.send_on(self, effect)
+        if isinstance(effect, (NextHead, NextPart)):
+            return effect.handle.wait(self, effect)
+        return super().perform(effect)
+
+
+class RawHandle:
+    """One answer under way."""
+
+    def __init__(self):
+        self.status, self.headers = None, {}
+        self.parts, self.is_over, self.is_broken, self.is_closed = [], False, False, False
+        self.signal = Signal()
+
+    def put(self, data=None, status=None, headers=None, is_over=False, is_broken=False):
+        """Let the replica's side go on."""
+        if status is not None:
+            self.status, self.headers = status, headers
+        self.parts.extend([data] if data else [])
+        self.is_over, self.is_broken = self.is_over or is_over, self.is_broken or is_broken
+        signal, self.signal = self.signal, Signal()
+        signal.set()
+
+    def wait(self, world, effect):
+        """Process: the outcome of NextHead or NextPart."""
+        end_time = world.env.now + effect.seconds
+        is_head = isinstance(effect, NextHead)
+        while True:
+            if self.is_closed:
+                raise BackendError(reason="closed")
+            if is_head and self.status is not None:
+                return None
+            if not is_head and self.parts:
+                return self.parts.pop(0)
+            if self.is_broken:
+                raise BackendError(reason="broken off")
+            if not is_head and self.is_over:
+                return None
+            if world.env.now >= end_time:
+                raise BackendError(reason="stall")
+            yield from world.wait(self.signal, end_time - world.env.now)
+
+    def close(self):
+        """Close the connection; the replica drops the request."""
+        self.is_closed = True
+        self.put()
+
+
+class RawReplica:
+    """One raw replica; `way` is a function(replica, item id, last event) -> how to go wrong."""
+
+    def __init__(self, stage, name, zone, slots):
+        self.stage, self.name, self.zone, self.slots = stage, name, zone, slots
+        self.address = ("10.9.0.1", 7000 + len(stage.replicas))
+        self.state, self.sequence, self.active = "ready", 0, 0
+        self.is_dead = self.is_silent = False
+        self.way, self.cold_until, self.most_active = None, 0, 0
+        stage.env.process(self._beat())
+
+    def _beat(self):
+        while not self.is_dead:
+            self.beat()
+            yield self.stage.env.timeout(0.4)
+
+    def beat(self):
+        """Send a beat to any node that is up."""
+        self.sequence += 1
+        body = {
+            "name": self.name,
+            "service": SERVICE,
+            "domain": self.zone,
+            "slots": self.slots,
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "state": self.state,
+            "incarnation": 1,
+            "sequence": self.sequence,
+            "cold_ms": max(0, round((self.cold_until - self.stage.env.now) * 1000)),
+        }
+        nodes = [node for node in self.stage.sim.nodes.values() if self.stage.sim.is_up(node)]
+        if not nodes:
+            return
+        try:
+            self.stage.sim.chance.choice(nodes).find("replicas").on_beat(body)
+        except QuillringError as error:
+            raise AssertionError(error) from error
+
+    def leave(self):
+        """End at once and say so."""
+        self.state, self.is_dead = "gone", True
+        self.beat()
+
+    def serve(self, handle, request):
+        """Process: answer one request."""
+        stage, item_id = self.stage, request["x-inquiry"]
+        last = int(request["last-event-id"]) if "last-event-id" in request else None
+        head = {"x-inquiry": item_id, "transfer-encoding": "chunked"}
+        count, way = stage.counts.get(item_id, 6), self.way and self.way(self, item_id, last)
+        if self.active >= self.slots or way == "full":
+            return handle.put(status=503, headers={**head, "x-not-run": "1"}, is_over=True)
+        if request["x-replica-named"] != self.name:
+            return handle.put(status=421, headers=head, is_over=True)
+        stage.arrivals.append((stage.env.now, item_id, self.name, last, request))
+        if way in (500, 422):
+            return handle.put(status=way, headers=head, is_over=True)
+        self.active += 1
+        self.most_active = max(self.most_active, self.active)
+        start = 0 if way == "restart" else last or 0
+        handle.put(status=200, headers={**head, "x-seal": "s"})
+        for number in range(start + 1, count + 1):
+            yield stage.env.timeout(EVENT_SECONDS)
+            if handle.is_closed or self.is_dead:
+                break
+            while self.is_silent and not handle.is_closed:
+                yield stage.env.timeout(0.05)
+            if way == "skip" and number == start + 2 < count:
+                continue
+            if way == "break" and number == start + 3:
+                break
+            handle.put(f"id: {number}\ndata: {item_id} piece {number}\n\n".encode())
+        else:
+            handle.put(is_over=True)
+            stage.whole_runs.append(item_id)
+        self.active -= 1
+        handle.put(is_broken=not handle.is_over)
+
+
+class RawBackends:
+    """The connections to all raw replicas."""
+
+    def __init__(self, stage):
+        self.stage = stage
+
+    def send_on(self, world, effect):
+        """Process: send a request; returns the handle of its answer."""
+        yield self.stage.env.timeout(0.001)
+        replica = next(
+            (r for r in self.stage.replicas.values() if r.address == tuple(effect.address)), None
+        )
+        if replica is None or replica.is_dead:
+            raise NotSent(reason="refused")
+        head, _, body = effect.data.partition(b"\r\n\r\n")
+        first, *lines = head.decode().split("\r\n")
+        request = {k.lower(): v for k, _, v in (line.partition(": ") for line in lines)}
+        handle = RawHandle()
+        worker = next(name for name, node in self.stage.sim.nodes.items() if node.world is world)
+        request = {**request, "": (first, body), "worker": worker}
+        self.stage.env.process(self._serve(replica, handle, request))
+        return handle
+
+    def _serve(self, replica, handle, request):
+        yield self.stage.env.timeout(0.001)
+        yield from replica.serve(handle, request) or ()
