--- a/proving/histories/calls.py
+++ b/proving/histories/calls.py
@@ -33,6 +33,7 @@
 from quillring.quorum.parts import CONFIG
 from quillring.rollout.commands import BadLayout
 from quillring.rollout.marks import retire_store
+from quillring.rollout.orders import StaleOrder, submit_order
 
 TRY_SECONDS = 0.8
 HOST, FORWARD = "lots.example", "bulk"
@@ -98,12 +99,12 @@
                 "emptied": order.is_emptied,
                 "nodes": False,
             }
-            return ownership.submit(CONFIG, command, TRY_SECONDS)
+            return submit_order(node, command, TRY_SECONDS)
         case RetireStore():
             return retire_store(node, order.store, TRY_SECONDS)
         case RestoreStore():
             command = {"do": "store.mark", "store": order.store, "retired": False}
-            return ownership.submit(CONFIG, command, TRY_SECONDS)
+            return submit_order(node, command, TRY_SECONDS)
         case AcceptLot():
             items = stage.items(name, order.digest, order.count)
             return raw_front.accept_raw_lot(node, FORWARD, name, items)
@@ -128,7 +129,7 @@
         case NotFound():
             is_handed_in = isinstance(order, AcceptLot)
             return NotTaken("no such route") if is_handed_in else Missing()
-        case Refused() | QuotaExceeded() | HeldTooMuch():
+        case Refused() | QuotaExceeded() | HeldTooMuch() | StaleOrder():
             return NotTaken(str(error))
     return Unknown()
 
