Raw lots spread over all parts by their own key; tokens are reserved in one ledger

Ruled out: shares of the quota leased to the parts (a lot that fits in the sum but in no share would be refused; shares move by a commit in two parts as well), and a quota summed over parts at each acceptance (not exact: two parts may accept at once).

Change: a lot lives in the part of its key (lot and host). Where its forward has a limit, the part of the host keeps a ledger: raw.reserve gives a ticket before the lot's part accepts; raw.release lowers entries to what still waits, asked for by the ledger's owner; raw.fence makes a lot's part refuse for ever all tickets up to one, so that the reservation of a lot that never arrived can be taken back. Reads, ends and bodies look in the lot's own part, then, where it surely is not there, in the host's part, for lots accepted by the former version; these enter the ledger with the first reservation. Wire version 3 says that a member knows the commands; as long as one in reach does not, lots go to the host's part as before. Owners of several parts tell each other how many items wait and share the slots of each replica by that. What a part may hold is 40 MiB over the number of parts; its weight is counted along, no longer summed at each acceptance.

--- a/quillring/lots/__init__.py
+++ b/quillring/lots/__init__.py
@@ -1,11 +1,12 @@
 """Lots: accepted once durable in two domains, every item gets one result at its position."""
 
+from quillring.lots.raw_quota import RawQuota
 from quillring.lots.raw_reads import RawReads
 from quillring.lots.raw_runner import RawRunner
 from quillring.lots.raw_worker import RawWorker
 from quillring.lots.runner import LotRunner
 
-__all__ = ["LotRunner", "RawReads", "RawRunner", "RawWorker", "start_raw_lots"]
+__all__ = ["LotRunner", "RawQuota", "RawReads", "RawRunner", "RawWorker", "start_raw_lots"]
 
 
 def start_raw_lots(node):
@@ -16,4 +17,7 @@
     node.offer("raw_worker", RawWorker(node))
     reads, runner = node.offer("raw_reads", RawReads(node)), node.offer("raw", RawRunner(node))
     node.find("ownership").on_owner.extend([runner.on_batch, reads.on_batch])
+    quota = node.offer("raw_quota", RawQuota(node))
+    node.spawn(quota.run())
+    node.spawn(runner.demand.run())
     return runner.run()
--- a/quillring/lots/raw_commands.py
+++ b/quillring/lots/raw_commands.py
@@ -1,63 +1,79 @@
 """Commands and queries of raw lots: items that go to replicas unchanged, results in one order.
 
-A raw lot lives in the part that its host hashes to: reads name no more than host and lot, and the
-tokens that wait on one forward are counted in one place. Every change copies the lot's own small
-tables only; bodies and texts are shared.
+A raw lot lives in the part that its key (lot and host) hashes to; the tokens that wait on a forward
+are reserved in the part of its host before (`raw_reservations`). Every change copies the lot's own
+small tables only; bodies and texts are shared, and what the part holds is counted along.
 """
 
-from quillring.kernel.errors import Conflict, NotFound, QuillringError
+from quillring.kernel.errors import Conflict, NotFound
+from quillring.lots.raw_state import (
+    ERRORED,
+    FENCED,
+    FINISHED,
+    HELD,
+    HELD_WEIGHT,
+    ITEM_BODY,
+    ITEM_ID,
+    ITEM_TOKENS,
+    ITEM_WEIGHT,
+    KEPT_REFUSALS,
+    MOVED,
+    QUOTA,
+    HeldTooMuch,
+    QuotaExceeded,
+    find_raw_lot,
+    held_weight,
+    raw_lots,
+    waiting_tokens,
+    weight_of,
+    with_lot,
+    with_lots,
+)
 from quillring.quorum.commands import COMMANDS, QUERIES
 
-FINISHED, ERRORED = "finished", "errored"
-ITEM_ID, ITEM_TARGET, ITEM_PAIRS, ITEM_BODY, ITEM_TOKENS = range(5)
-ITEM_WEIGHT = 400
-HELD_WEIGHT = 40 << 20
-KEPT_REFUSALS = 128
-QUOTA, HELD = "quota", "held"
+__all__ = [
+    "ERRORED",
+    "FINISHED",
+    "HELD",
+    "QUOTA",
+    "HeldTooMuch",
+    "QuotaExceeded",
+    "raw_lots",
+    "waiting_tokens",
+    "with_lot",
+]
 
 
-class QuotaExceeded(QuillringError):
-    """The tokens that wait on the forward leave no room for the lot; none of it will run."""
+def repeat_answer(lot, command):
+    """Return the answer to a lot that is handed in again; Conflict where it is another one."""
+    if lot["digest"] != command["digest"]:
+        raise Conflict(field="lot")
+    return {"items": lot["count"], "repeated": True}
 
-    kind = "quota_exceeded"
-    status = 429
-    comes_back = True
-
-
-class HeldTooMuch(QuillringError):
-    """The part holds as many bodies and results as it may; none of the lot will run."""
-
-    kind = "held_too_much"
-    status = 503
-    comes_back = True
-
-
-def raw_lots(state):
-    """Return {lot: its record} of a part."""
-    return state.get("raw") or {}
-
-
-def find_raw_lot(state, command):
-    """Return the record of the lot that a command or query names, or raise NotFound."""
-    lot = raw_lots(state).get(command["lot"])
-    if lot is None:
-        raise NotFound(field="lot")
-    return lot
-
-
-def waiting_tokens(state, forward):
-    """Return the tokens of the accepted items of a forward that have no result yet."""
-    return sum(lot["tokens"] for lot in raw_lots(state).values() if lot["forward"] == forward)
 
+def keep_refusal(state, attempt, reason):
+    """Return the state that refuses this try from now on, and the answer."""
+    refusals = state.get("raw_refusals") or {}
+    kept = dict([*refusals.items(), (attempt, reason)][-KEPT_REFUSALS:])
+    return {**state, "raw_refusals": kept}, {"refused": reason}
 
-def weight_of(items):
-    """Return about how many bytes items take."""
-    return sum(len(item[ITEM_BODY]) + ITEM_WEIGHT for item in items)
 
+def why_refused(state, command, tokens, weight):
+    """Return why a part does not take a new lot, or None.
 
-def with_lot(state, name, lot):
-    """Return the state with a lot's record put in its place."""
-    return {**state, "raw": {**raw_lots(state), name: lot}}
+    A lot with a ticket was counted by the ledger that gave it. One without is of a former version,
+    or its forward has no limit; in a part that keeps a ledger already the former way is closed.
+    """
+    if command.get("ticket") is not None:
+        if command["ticket"] <= (state.get("raw_fences") or {}).get(command["ledger"], 0):
+            return FENCED
+    elif command["most_tokens"]:
+        if state.get("raw_ledger") is not None:
+            return MOVED
+        if waiting_tokens(state, command["forward"]) + tokens > command["most_tokens"]:
+            return QUOTA
+    most_weight = command.get("most_weight") or HELD_WEIGHT
+    return HELD if held_weight(state) + weight > most_weight else None
 
 
 @COMMANDS.entry("raw.accept")
@@ -65,25 +81,17 @@
     """Accept a lot once; a try that was refused stays refused, however late it comes again."""
     name, known = command["lot"], raw_lots(state).get(command["lot"])
     if known is not None:
-        if known["digest"] != command["digest"]:
-            raise Conflict(field="lot")
-        return state, {"items": known["count"], "repeated": True}
+        return state, repeat_answer(known, command)
     refusals = state.get("raw_refusals") or {}
     if command["try"] in refusals:
         return state, {"refused": refusals[command["try"]]}
-    items, reason = command["items"], None
-    tokens = sum(item[ITEM_TOKENS] for item in items)
-    weight = weight_of(items)
-    if (
-        command["most_tokens"]
-        and waiting_tokens(state, command["forward"]) + tokens > command["most_tokens"]
-    ):
-        reason = QUOTA
-    elif weight + sum(lot["weight"] for lot in raw_lots(state).values()) > HELD_WEIGHT:
-        reason = HELD
+    items = command["items"]
+    tokens, weight = sum(item[ITEM_TOKENS] for item in items), weight_of(items)
+    reason = why_refused(state, command, tokens, weight)
+    if reason in (FENCED, MOVED):
+        return state, {"refused": reason}
     if reason is not None:
-        kept = dict([*refusals.items(), (command["try"], reason)][-KEPT_REFUSALS:])
-        return {**state, "raw_refusals": kept}, {"refused": reason}
+        return keep_refusal(state, command["try"], reason)
     lot = {
         "forward": command["forward"],
         "host": command["host"],
@@ -100,6 +108,10 @@
         "failed": {},
         "ended": False,
     }
+    if command.get("ticket") is not None:
+        lot = {**lot, "ledger": command["ledger"], "ticket": command["ticket"]}
+    if "most_weight" in command and "raw_held" not in state:
+        state = {**state, "raw_held": held_weight(state)}
     return with_lot(state, name, lot), {"items": len(items)}
 
 
@@ -174,12 +186,17 @@
 
 @COMMANDS.entry("raw.drop")
 def drop_raw_lot(state, command):
-    """Forget a lot of which nothing waits any more."""
+    """Forget a lot of which nothing waits any more; its ticket takes no lot again."""
     lot = raw_lots(state).get(command["lot"])
     if lot is None or lot["items"]:
         return state, {"dropped": False}
     lots = {name: kept for name, kept in raw_lots(state).items() if name != command["lot"]}
-    return {**state, "raw": lots}, {"dropped": True}
+    state = with_lots(state, lots, -lot["weight"])
+    if "ticket" in lot:
+        fences = state.get("raw_fences") or {}
+        ticket = max(lot["ticket"], fences.get(lot["ledger"], 0))
+        state = {**state, "raw_fences": {**fences, lot["ledger"]: ticket}}
+    return state, {"dropped": True}
 
 
 @QUERIES.entry("raw.results")
@@ -200,6 +217,12 @@
     }
 
 
+@QUERIES.entry("raw.known")
+def is_raw_lot_known(state, query):
+    """Return the answer to a lot that is handed in again; NotFound where it is not known here."""
+    return repeat_answer(find_raw_lot(state, query), query)
+
+
 @QUERIES.entry("raw.body")
 def raw_body(state, query):
     """Return the body of an item that is not listed yet."""
--- a/quillring/lots/raw_front.py
+++ b/quillring/lots/raw_front.py
@@ -12,28 +12,19 @@
     Refused,
     TimedOut,
 )
-from quillring.lots.raw_commands import HELD, HeldTooMuch, QuotaExceeded
-from quillring.quorum.parts import part_of
+from quillring.lots.raw_places import (
+    are_lots_spread,
+    in_either_part,
+    most_weight_of_part,
+    place_of_lot,
+)
+from quillring.lots.raw_state import FENCED, HELD, ITEM_TOKENS, MOVED, HeldTooMuch, QuotaExceeded
 from quillring.quorum.peek import peek
 
 RESULT_BYTES = 200_000
 LONGEST_HOLD = 0.8
 RETURN_SECONDS = 0.5
-
-
-def bare_host(host):
-    """Return a host's name without its port, in lower case."""
-    return host.lower().partition(":")[0]
-
-
-def lot_key(host, lot_name):
-    """Return the name under which a host's lot stands in its part."""
-    return f"{lot_name}@{bare_host(host)}"
-
-
-def part_of_host(node, host):
-    """Return the part that holds a host's lots; NotFounded while the fleet is not founded."""
-    return part_of(bare_host(host), len(node.find("ownership").parts()) - 1)
+LOOK_SHARE = 0.4
 
 
 def submit_surely(node, part, command, seconds):
@@ -70,10 +61,10 @@
     node.find("freshness").check()
     if forward is None or forward.kind != "lot":
         raise NotFound(field="forward")
-    fields, part = forward.fields, part_of_host(node, forward.host)
+    fields, place = forward.fields, place_of_lot(node, forward.host, lot_name)
     command = {
         "do": "raw.accept",
-        "lot": lot_key(forward.host, lot_name),
+        "lot": place.key,
         "forward": forward.name,
         "host": fields["host"],
         "items": items,
@@ -86,7 +77,11 @@
         "rounds": forward.rounds,
     }
     seconds = forward.goal_seconds + node.bounds.reading if seconds is None else seconds
-    answer = yield from submit_surely(node, part, command, seconds)
+    end_time, is_spread = node.now() + seconds, are_lots_spread(node)
+    if is_spread and command["most_tokens"]:
+        answer = yield from accept_reserved(node, place, command, end_time)
+    else:
+        answer = yield from accept_unreserved(node, place, command, end_time, is_spread)
     refusal = answer.get("refused")
     if refusal is not None:
         node.count(f"raw_refused_{refusal}")
@@ -95,20 +90,85 @@
     return answer
 
 
+def accept_reserved(node, place, command, end_time):
+    """Script: reserve the lot's tokens at its home, then have its own part accept it.
+
+    A reservation that was taken back meanwhile is made anew. Where there is no room for the lot, it
+    may still be one that was accepted before.
+    """
+    command = {**command, "most_weight": most_weight_of_part(node)}
+    reserve = {
+        "do": "raw.reserve",
+        "part": place.own,
+        "home": place.home,
+        "tokens": sum(item[ITEM_TOKENS] for item in command["items"]),
+        "fenced": None,
+        **{name: command[name] for name in ("lot", "forward", "digest", "try", "most_tokens")},
+    }
+    while True:
+        try:
+            reserved = yield from submit_surely(node, place.home, reserve, end_time - node.now())
+        except OutcomeUnknown as error:
+            raise Refused(reason="no reservation", part=place.home) from error
+        if reserved.get("refused") is not None:
+            known = yield from find_accepted(node, place.own, command)
+            return known or reserved
+        if "ticket" not in reserved:
+            return reserved
+        ticket = {"ledger": place.home, "ticket": reserved["ticket"]}
+        answer = yield from submit_surely(
+            node, place.own, {**command, **ticket}, end_time - node.now()
+        )
+        if answer.get("refused") != FENCED:
+            return answer
+        node.count("raw_accepts_fenced")
+        reserve = {**reserve, "fenced": reserved["ticket"]}
+        if node.now() >= end_time:
+            raise Refused(reason="the reservation ran out", part=place.own)
+
+
+def accept_unreserved(node, place, command, end_time, is_spread):
+    """Script: accept a lot of a forward without limit, or where some member is of a former version.
+
+    Nothing is reserved then, so the part in which the lot may lie already is asked first.
+    """
+    part, other = (place.own, place.home) if is_spread else (place.home, place.own)
+    known = None if part == other else (yield from find_accepted(node, other, command))
+    if known is not None:
+        return known
+    weight = {"most_weight": most_weight_of_part(node)} if is_spread else {}
+    answer = yield from submit_surely(node, part, {**command, **weight}, end_time - node.now())
+    if answer.get("refused") == MOVED:
+        return (yield from accept_reserved(node, place, command, end_time))
+    return answer
+
+
+def find_accepted(node, part, command):
+    """Script: return the answer to a lot that a part accepted before, None where it surely did not.
+
+    Raises Refused where nobody can tell: nothing was handed in then.
+    """
+    query = {"ask": "raw.known", "lot": command["lot"], "digest": command["digest"]}
+    try:
+        return (yield from surely_read(node, part, query, node.bounds.reading * LOOK_SHARE))
+    except NotFound:
+        return None
+
+
 def read_raw_results(node, host, lot_name, start, hold_seconds=0.0):
     """Script: return items, results from a position on and the next one; held until one exists.
 
     Raises NotFound only where it is sure, Refused otherwise.
     """
-    part, hold_seconds = part_of_host(node, host), min(hold_seconds, LONGEST_HOLD)
-    query = {
-        "ask": "raw.results",
-        "lot": lot_key(host, lot_name),
-        "from": start,
-        "limit": RESULT_BYTES,
-    }
+    hold_seconds = min(hold_seconds, LONGEST_HOLD)
+    place = place_of_lot(node, host, lot_name)
+    query = {"ask": "raw.results", "lot": place.key, "from": start, "limit": RESULT_BYTES}
     body = {"query": query, "seconds": hold_seconds}
-    return (yield from read_held(node, part, query, body, hold_seconds))
+    return (
+        yield from in_either_part(
+            place, lambda part: read_held(node, part, query, body, hold_seconds)
+        )
+    )
 
 
 def read_held(node, part, query, body, hold_seconds):
@@ -141,14 +201,20 @@
 
 def read_raw_body(node, host, lot_name, item_id):
     """Script: return the body of an item that is not listed yet, as bytes."""
-    query = {"ask": "raw.body", "lot": lot_key(host, lot_name), "item": item_id}
-    part = part_of_host(node, host)
-    answer = yield from surely_read(node, part, query, node.bounds.reading)
+    place = place_of_lot(node, host, lot_name)
+    query = {"ask": "raw.body", "lot": place.key, "item": item_id}
+    answer = yield from in_either_part(
+        place, lambda part: surely_read(node, part, query, node.bounds.reading)
+    )
     return answer["body"]
 
 
 def end_raw_lot(node, host, lot_name):
     """Script: end a lot; a second call finds it ended."""
-    command = {"do": "raw.end", "lot": lot_key(host, lot_name)}
-    part = part_of_host(node, host)
-    return (yield from submit_surely(node, part, command, node.bounds.reading * 1.2))
+    place = place_of_lot(node, host, lot_name)
+    command = {"do": "raw.end", "lot": place.key}
+    return (
+        yield from in_either_part(
+            place, lambda part: submit_surely(node, part, command, node.bounds.reading * 1.2)
+        )
+    )
--- a/quillring/lots/raw_limits.py
+++ b/quillring/lots/raw_limits.py
@@ -1,11 +1,15 @@
 """How many items of raw lots may run at once: a share of the slots, less when replicas are full."""
 
+import math
+
 from quillring.forward.view import is_quiet
 from quillring.lots.raw_worker import BROKEN, NOT_RUN, UNSENT
+from quillring.nifty.graph import score
 
 CALM_SHARE, NEAR_SHARE, LEAST_SHARE = 0.75, 0.85, 0.08
 GAIN = 0.05
 START_SECONDS = 0.02
+LEAST_PORTION = 0.1
 MOST_DOUBLINGS = 3
 LEFT_ALONE = {NOT_RUN: 0.3, BROKEN: 0.6, UNSENT: 1.0}
 
@@ -45,8 +49,11 @@
         """Take in that a run came to its end."""
         self.strikes.pop(run.replica, None)
 
-    def choose(self, service, ledger, is_near, avoided_names, now):
-        """Return the replica with most room for an item, or None when there is none now."""
+    def choose(self, service, ledger, is_near, avoided_names, portion, now):
+        """Return the replica with most room for an item, or None when there is none now.
+
+        `portion` is what the ledger's part may take of the slots that lots take.
+        """
         placement, replicas = self.node.find("placement"), self.node.find("replicas")
         share = self.share(service, is_near, now)
         patience = self.node.bounds.news * 1.5
@@ -55,7 +62,7 @@
         fit = [
             r
             for r in [r for r in heard if r.name not in avoided_names] or heard
-            if ledger.runs_by_replica.get(r.name, 0) < max(1, r.slots * share)
+            if ledger.runs_by_replica.get(r.name, 0) < portion.room(slots_for(r, share), phase(r))
             and self.alone_until.get(r.name, 0) <= now
             and self.next_starts.get(r.name, 0) <= now
             and replicas.may_be_sent(r)
@@ -70,6 +77,16 @@
             key=lambda r: (ledger.runs_by_replica.get(r.name, 0) / r.slots, r.name),
         )
 
-    def started(self, replica, now):
+    def started(self, replica, portion, now):
         """Note a start: a replica reads one item's prompt after the other, not all at once."""
-        self.next_starts[replica.name] = now + START_SECONDS
+        self.next_starts[replica.name] = now + START_SECONDS / max(portion.ratio, LEAST_PORTION)
+
+
+def slots_for(replica, share):
+    """Return how many of a replica's slots all lots together may take."""
+    return math.ceil(max(1, replica.slots * share))
+
+
+def phase(replica):
+    """Return a number from 0 to 1 for a replica, the same at every node."""
+    return int.from_bytes(score("portion", replica.name)[:4], "big") / (1 << 32)
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -5,9 +5,11 @@
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import NotOwner, NotSent, QuillringError, TimedOut
 from quillring.lots.raw_choice import choose_worker, raw_lots_ended
-from quillring.lots.raw_commands import HELD_WEIGHT, raw_lots
+from quillring.lots.raw_demand import RawDemand
 from quillring.lots.raw_ledger import OwnedRun, RawLedger
 from quillring.lots.raw_limits import RawLimits
+from quillring.lots.raw_places import most_weight_of_part
+from quillring.lots.raw_state import held_weight, raw_lots
 from quillring.lots.raw_worker import BROKEN, NOT_RUN, UNSENT
 
 PAUSES = {NOT_RUN: 0.2, UNSENT: 0.1, BROKEN: 0.05}
@@ -15,17 +17,21 @@
 SETTLED = 0.3
 KEPT_SECONDS, DROPS_AT_ONCE = 900, 8
 CALM_URGENCY, NEAR_URGENCY = 7, 6
+LOT_CHANGES = frozenset(
+    ("raw.accept", "raw.result", "raw.failed", "raw.expire", "raw.end", "raw.drop")
+)
 
 
 class RawRunner:
     """Keeps the items of the raw lots of owned parts running until each has a result."""
 
-    __slots__ = ("node", "ledgers", "limits", "forward_seen_at")
+    __slots__ = ("node", "ledgers", "limits", "demand", "forward_seen_at")
 
     def __init__(self, node):
         self.node = node
         self.ledgers = {}
         self.limits = RawLimits(node)
+        self.demand = node.offer("raw_demand", RawDemand(node))
         self.forward_seen_at = {}
         node.handle("raw.report", self.on_report)
         node.find("nifty").listeners.append(self._on_graph)
@@ -40,14 +46,16 @@
         if not owner.is_owner:
             if self.ledgers.get(owner.part) is not None and self.ledgers[owner.part].owner is owner:
                 del self.ledgers[owner.part]
+                self.demand.note(owner.part, None)
             return
         ledger = self.ledgers.get(owner.part)
         if ledger is None or ledger.owner is not owner:
-            self.ledgers[owner.part] = RawLedger(self.node, owner)
+            ledger = self.ledgers[owner.part] = RawLedger(self.node, owner)
+            self.demand.note(owner.part, ledger)
             return
         done_runs = {command["run"] for command in batch if command["do"] == "raw.result"}
         for command in batch:
-            if not command["do"].startswith("raw."):
+            if command["do"] not in LOT_CHANGES:
                 continue
             item = ledger.find(command["lot"], command.get("n"))
             if command["do"] == "raw.failed" and item is not None:
@@ -59,6 +67,7 @@
                     self.limits.worked(run)
             if stray_numbers or command["do"] == "raw.end":
                 self.node.spawn(self._stop(command["lot"], stray_numbers))
+        self.demand.note(owner.part, ledger)
 
     def _stop(self, lot_name, numbers):
         """Script: have every core stop the runs of a lot, told twice since words may be lost."""
@@ -92,8 +101,7 @@
             self.node.spawn(self._renew(ledger))
             self._expire(ledger)
         ledger.is_reported = ledger.is_reported or not ledger.lots
-        held = sum(lot["weight"] for lot in raw_lots(ledger.owner.state).values())
-        if held > HELD_WEIGHT / 2:
+        if held_weight(ledger.owner.state) > most_weight_of_part(self.node) / 2:
             for name in ledger.long_over(KEPT_SECONDS)[:DROPS_AT_ONCE]:
                 self.node.spawn(ledger.owner.submit({"do": "raw.drop", "lot": name}))
 
@@ -155,8 +163,10 @@
                 if (service, is_near) in full:
                     continue
                 avoided_names = item.avoided_at(now)
-                replica = self.limits.choose(service, ledger, is_near, avoided_names, now)
+                portion = self.demand.portion(ledger.owner.part, service)
+                replica = self.limits.choose(service, ledger, is_near, avoided_names, portion, now)
                 if replica is not None:
+                    self.limits.started(replica, portion, now)
                     self._begin(ledger, item, forward, replica, is_near, cores)
                 elif not avoided_names:
                     full.add((service, is_near))
@@ -168,7 +178,6 @@
         run_id = f"{self.node.world.random.getrandbits(64):016x}"
         run = OwnedRun(run_id, worker, replica.service, replica.name, now)
         ledger.begin_run(item, run)
-        self.limits.started(replica, now)
         self.node.spawn(self._start(ledger, item, run, forward, is_near))
 
     def _workers(self, ledger):
--- a/quillring/nifty/wire.py
+++ b/quillring/nifty/wire.py
@@ -5,6 +5,7 @@
 one its sender speaks, which readers of version 1 pass over.
 Echoes also name the form of terse heartbeats their sender reads; former readers pass over that.
 Version 2 added `lot.release`, `member.former` and the entry in answers to `journal.find`.
+Version 3 added lots outside their host's part, `raw.reserve`, `raw.release`, `raw.fence`.
 """
 
 import cbor2
@@ -12,7 +13,7 @@
 from quillring.kernel.errors import BadWire
 
 MAGIC = b"QR"
-SPOKEN = (1, 2)
+SPOKEN = (2, 3)
 FRAME_LIMIT = 64 * 1024 * 1024
 HEADS = [MAGIC + bytes([version]) for version in range(256)]
 
--- a/tests/raw_stage.py
+++ b/tests/raw_stage.py
@@ -6,6 +6,7 @@
 from proving.sim import fleet as sim_fleet
 from proving.sim.fleet import SimFleet
 from quillring.lots import raw_front
+from quillring.lots.raw_places import place_of_lot
 from tests.raw_replica import SERVICE, RawBackends, RawReplica, RawWorld, text_of
 
 HOST, FORWARD = "Lots.example", "bulk"
@@ -136,11 +137,34 @@
             self.run(0.2)
         raise AssertionError(f"{name} has no result for every item: {answer}, {error}")
 
-    def owner(self):
-        """Return the node that owns the lots' part."""
-        node = self.up("edge")
-        part = raw_front.part_of_host(node, HOST)
-        return self.sim.nodes[node.find("gossip").get(f"owner/{part}")["owner"]]
+    def former_version(self):
+        """Let edges hand lots in as the former version did: in their host's part."""
+        return mock.patch.object(raw_front, "are_lots_spread", lambda node: False)
+
+    def part(self, name="a"):
+        """Return the part in which a lot lives."""
+        return place_of_lot(self.up("edge"), HOST, name).own
+
+    def home(self):
+        """Return the part that keeps the reservations of the forward."""
+        return place_of_lot(self.up("edge"), HOST, "").home
+
+    def owner(self, name="a"):
+        """Return the node that owns a lot's part."""
+        return self.owner_of(self.part(name))
+
+    def owner_of(self, part):
+        """Return the node that owns a part."""
+        return self.sim.nodes[self.up("edge").find("gossip").get(f"owner/{part}")["owner"]]
+
+    def state_of(self, part):
+        """Return a part's newest state that any running core or store has applied."""
+        cores, stores = self.sim.up_nodes("core"), self.sim.up_nodes("store")
+        owners = [core.find("ownership").owners.get(part) for core in cores]
+        records = [store.find("acceptors").parts.get(part) for store in stores]
+        known = [(o.index, o.state) for o in owners if o is not None and o.state is not None]
+        known += [(r.applied, r.state) for r in records if r is not None and r.state is not None]
+        return max(known, key=lambda row: row[0])[1]
 
     def counted(self, name):
         """Return a counter summed over all nodes."""
--- a/tests/test_raw_failures.py
+++ b/tests/test_raw_failures.py
@@ -52,7 +52,7 @@
     with RawStage(30 + seed) as stage:
         accepted(stage, "a", 16)
         owner = stage.owner()
-        part = raw_front.part_of_host(owner, HOST)
+        part = stage.part()
         while not any(
             lot["results"] for lot in raw_lots(owner.find("ownership").owners[part].state).values()
         ):
@@ -105,7 +105,7 @@
             replica.is_silent = True
         accepted(stage, "a", 1)
         stage.run(0.3)
-        owner, part = stage.owner(), raw_front.part_of_host(stage.up("edge"), HOST)
+        owner, part = stage.owner(), stage.part()
         worker = next(node for node in stage.sim.up_nodes("core") if node is not owner)
         body = {
             "part": part,
--- a/tests/test_raw_pages.py
+++ b/tests/test_raw_pages.py
@@ -1,5 +1,5 @@
 from quillring.lots.raw_commands import raw_lots, with_lot
-from quillring.lots.raw_front import lot_key, part_of_host
+from quillring.lots.raw_places import lot_key
 from tests.raw_stage import HOST, RawStage, accepted
 
 LINK_BYTES = 15e6 / 8
@@ -25,7 +25,7 @@
         accepted(stage, "a", 40)
         stage.read_all("a")
         node = stage.sim.up_nodes("edge")[0]
-        part, key = part_of_host(node, HOST), lot_key(HOST, "a")
+        part, key = stage.part(), lot_key(HOST, "a")
         owner = stage.owner().find("ownership").owners[part]
         holders = [
             store.find("acceptors").parts[part]
--- /dev/null
+++ b/tests/test_raw_spread.py
@@ -0,0 +1,127 @@
+"""Lots of one host over all parts: places, shared slots, lots of a former version."""
+
+from collections import Counter
+
+import pytest
+
+from quillring.kernel.errors import NotFound
+from quillring.lots import raw_front, raw_places
+from quillring.lots.raw_places import LotPlace, lot_key
+from quillring.lots.raw_state import QuotaExceeded, raw_lots
+from quillring.quorum.parts import part_of
+from tests.raw_stage import FORWARD, HOST, RawStage, accepted, check_whole
+
+
+def accept_as_before(stage, name, count, tokens=10):
+    """Commit a lot in its host's part, with the command of the former version."""
+    with stage.former_version():
+        answer, error = stage.hand_in(name, count, tokens=tokens)
+    assert error is None, error
+    assert lot_key(HOST, name) in raw_lots(stage.state_of(stage.home()))
+    return answer
+
+
+def name_outside_home(stage, prefix="old"):
+    """Return the name of a lot that lives in another part than its host's."""
+    names = (f"{prefix}{number}" for number in range(50))
+    return next(name for name in names if stage.part(name) != stage.home())
+
+
+def test_the_lots_of_one_host_spread_evenly_over_any_number_of_parts():
+    for parts in (4, 8, 64):
+        counts = Counter(part_of(lot_key(HOST, f"lot{n}"), parts) for n in range(100 * parts))
+        assert len(counts) == parts
+        assert max(counts.values()) < 150 and min(counts.values()) > 60
+
+
+def test_lots_of_one_host_lie_in_every_part_and_each_in_one():
+    with RawStage(101, slots=32) as stage:
+        names = [f"l{number}" for number in range(16)]
+        for name in names:
+            accepted(stage, name, 2)
+        for name in names:
+            check_whole(stage, stage.read_all(name), name, 2)
+        parts = [p for p in stage.up("edge").find("ownership").parts() if p != "config"]
+        held = [set(raw_lots(stage.state_of(part))) for part in parts]
+        assert sorted(key for keys in held for key in keys) == sorted(
+            lot_key(HOST, name) for name in names
+        )
+        assert all(len(keys) >= 4 for keys in held)
+
+
+def test_owners_of_several_parts_share_the_slots_that_lots_may_take():
+    with RawStage(102, slots=8) as stage:
+        home, own = stage.home(), name_outside_home(stage)
+        other = next(f"m{n}" for n in range(50) if stage.part(f"m{n}") == home)
+        accepted(stage, own, 60)
+        accepted(stage, other, 60)
+        stage.run(2.5)
+        assert {replica.most_active for replica in stage.replicas.values()} == {6}
+        for name in (own, other):
+            check_whole(stage, stage.read_all(name), name, 60)
+
+
+@pytest.mark.parametrize("most_tokens", [0, 500])
+def test_a_lot_of_the_former_version_is_read_finished_and_taken_once(most_tokens):
+    with RawStage(103, slots=2, most_tokens=most_tokens) as stage:
+        name = name_outside_home(stage)
+        accept_as_before(stage, name, 12)
+        answer, error = stage.do(
+            stage.up("edge"), lambda node: raw_front.read_raw_body(node, HOST, name, f"{name}-11")
+        )
+        assert (answer, error) == (b"body", None)
+        assert accepted(stage, name, 12)["repeated"]
+        rows = stage.read_all(name)
+        check_whole(stage, rows, name, 12)
+        assert accepted(stage, name, 12)["repeated"]
+        assert Counter(stage.whole_runs).most_common(1)[0][1] == 1
+        assert lot_key(HOST, name) not in raw_lots(stage.state_of(stage.part(name)))
+
+
+def test_a_lot_of_the_former_version_can_be_ended():
+    with RawStage(104, slots=1) as stage:
+        name = name_outside_home(stage)
+        accept_as_before(stage, name, 30)
+        ask = lambda node: raw_front.end_raw_lot(node, HOST, name)  # noqa: E731
+        assert stage.do(stage.up("edge"), ask)[1] is None
+        ended_at = stage.env.now
+        stage.run(3)
+        assert all(arrival[0] < ended_at + 0.1 for arrival in stage.arrivals)
+        ask = lambda node: raw_front.end_raw_lot(node, HOST, "none")  # noqa: E731
+        assert isinstance(stage.do(stage.up("edge"), ask)[1], NotFound)
+
+
+def test_lots_of_the_former_version_count_against_the_quota_until_they_are_done():
+    with RawStage(105, slots=2, most_tokens=300) as stage:
+        for replica in stage.replicas.values():
+            replica.is_silent = True
+        name = name_outside_home(stage)
+        accept_as_before(stage, name, 20)
+        assert isinstance(stage.hand_in("b", 11)[1], QuotaExceeded)
+        accepted(stage, "c", 10)
+        for replica in stage.replicas.values():
+            replica.is_silent = False
+        stage.read_all(name)
+        stage.run(1)
+        accepted(stage, "d", 20)
+
+
+def test_a_command_of_the_former_version_is_not_taken_beside_a_ledger():
+    with RawStage(106, slots=2, most_tokens=300) as stage:
+        for replica in stage.replicas.values():
+            replica.is_silent = True
+        accepted(stage, "a", 20)
+        with stage.former_version():
+            assert isinstance(stage.hand_in("b", 20)[1], QuotaExceeded)
+            accepted(stage, "c", 10)
+        assert lot_key(HOST, "c") in raw_lots(stage.state_of(stage.part("c")))
+
+
+def test_places_are_the_same_whatever_the_case_and_port_of_the_host():
+    with RawStage(107) as stage:
+        node = stage.up("edge")
+        assert raw_places.place_of_lot(node, "LOTS.example:80", "a") == (
+            raw_places.place_of_lot(node, HOST, "a")
+        )
+        assert isinstance(raw_places.place_of_lot(node, HOST, "a"), LotPlace)
+        assert node.find("forwards").named(FORWARD).host == "lots.example"
