A lost store is swapped in one log entry, its successor caught up before it votes

Cause: replacing a member added the spare first (group of four, majority three, one of them dead), then removed the dead one; an emptied member was removed first (group of two). A loss in between, or right after the successor joined, left no majority for good.

Ruled out: a plain swap command counting on overlapping majorities. For three stores {a, dead} of the former and {b, new} of the next group do not intersect, and the same holds for every odd size; it is safe only because entry i + 1 is decided by the group after entry i and no owner proposes to a group that has not promised its ballot. Joint consensus with two majorities: needs a new state on disk and on the wire, and bears no loss that this doesn't.

Change: one entry holds add and remove (both commands known to the former version, so a mixed fleet applies it alike); the owner has the new group promise its ballot before the next entry; the joining store gets the whole state first and is no member until then; parts with the fewest losses to spare come first, three at once per core; a slow member no longer delays the replacement of one that is gone.

--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -6,6 +6,7 @@
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
 from quillring.quorum.parts import CONFIG, majority
+from quillring.quorum.swap import promise_again
 
 BATCH_LIMIT = 64
 
@@ -166,10 +167,13 @@
             for _, answer_signal in batch:
                 answer_signal.set(NoMajority(part=self.part, reason=error.kind))
             raise
-        self._adopt_group(self.state["group"])
-        self._tell([command for command, _ in batch])
-        for (_, answer_signal), answer in zip(batch, answers, strict=True):
-            answer_signal.set(answer)
+        try:
+            if self._adopt_group(self.state["group"]):
+                yield from promise_again(self, self._round("prepare", brief=True))
+        finally:
+            self._tell([command for command, _ in batch])
+            for (_, answer_signal), answer in zip(batch, answers, strict=True):
+                answer_signal.set(answer)
 
     def _keep_mending(self):
         while self.is_owner:
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -1,12 +1,14 @@
-"""Repair: a part's group gets back to three members by itself, one change at a time."""
+"""Repair: a part's group gets back to full strength by itself, one change at a time."""
 
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import QuillringError
 from quillring.nifty.graph import score
 from quillring.quorum.parts import majority
+from quillring.quorum.swap import catch_up, is_durable_without, new_group, submit_first
 
 PATIENCE = 5
 SYNC_SHARE = 0.5
+PARTS_AT_ONCE = 3
 
 
 class Repair:
@@ -20,24 +22,37 @@
         self.busy_parts = set()
 
     def run(self):
-        """Script: look at every owned part; those that lack something are mended side by side."""
+        """Script: look at every owned part; a few that lack something are mended side by side.
+
+        Those with the fewest live members come first: they are the nearest to losing a majority.
+        """
         while True:
             yield Sleep(self.node.bounds.chatter * 2)
             self._note_lost()
-            for owner in list(self.node.find("ownership").owners.values()):
-                is_free = owner.part not in self.busy_parts and owner.may_act()
-                if is_free and self._next_group(owner) is not None:
-                    self.busy_parts.add(owner.part)
-                    self.node.spawn(self._mend(owner))
+            owners = [
+                owner
+                for owner in self.node.find("ownership").owners.values()
+                if owner.part not in self.busy_parts and owner.may_act()
+            ]
+            broken = [owner for owner in owners if self._next_change(owner) is not None]
+            room = PARTS_AT_ONCE - len(self.busy_parts)
+            for owner in sorted(broken, key=self._spare_losses)[: max(0, room)]:
+                self.busy_parts.add(owner.part)
+                self.node.spawn(self._mend(owner))
+
+    def _spare_losses(self, owner):
+        """Return how many more losses the part bears, and its name to break a tie."""
+        live = [s for s in owner.group if not (self.is_lost(s) or self.is_emptied(s))]
+        return len(live) - majority(owner.group), owner.part
 
     def _mend(self, owner):
         """Script: change the group by one member after another until it is as it should be."""
         try:
             while owner.may_act():
-                change = self._next_group(owner)
-                if change is None or not (yield from self._is_sound(owner)):
+                change = self._next_change(owner)
+                if change is None or not (yield from self._prepare(owner, change)):
                     break
-                if change != self._next_group(owner) or not (
+                if change != self._next_change(owner) or not (
                     yield from self._change(owner, change)
                 ):
                     break
@@ -52,28 +67,25 @@
             name: self.lost_since.get(name, now) for name in store_names if not nifty.reaches(name)
         }
 
-    def _change(self, owner, group):
-        self.node.log("warning", "group of %s becomes %s", owner.part, group)
+    def _prepare(self, owner, change):
+        """Script: bring the joining store up to date; tell whether the change loses nothing."""
+        if change.joining is not None and not (yield from catch_up(owner, change.joining)):
+            return False
+        yield from owner.mend()
+        index = owner.index
+        applied = yield from owner.applied_by_store()
+        return is_durable_without(owner, change, applied, index)
+
+    def _change(self, owner, change):
+        self.node.log("warning", "group of %s becomes %s", owner.part, change.group)
         self.node.count("group_changes")
         try:
-            yield from owner.submit({"do": "group.change", "group": group})
+            yield from submit_first(owner, change.commands(owner.group))
         except QuillringError as error:
             self.node.log("warning", "group of %s: %s", owner.part, error)
             return False
         return True
 
-    def _is_sound(self, owner):
-        """Script: tell whether all live members have all entries, so that one may change."""
-        yield from owner.mend()
-        index = owner.index
-        applied = yield from owner.applied_by_store()
-        nifty = self.node.find("nifty")
-        return all(
-            applied.get(store[0], -1) >= index
-            for store in owner.group
-            if nifty.reaches(store[0]) and not self.is_emptied(store)
-        )
-
     def is_emptied(self, store):
         """Tell whether the store came back as a new member with an empty disk."""
         member = self.node.find("nifty").roster.members.get(store[0])
@@ -91,21 +103,23 @@
         stores = (self.node.find("layout").layout or {}).get("stores", {})
         return bool(stores.get(store[0], {}).get("retired"))
 
-    def _next_group(self, owner):
+    def _next_change(self, owner):
+        """Return the next change that the part's group needs, or None."""
         group, size = [list(store) for store in owner.group], self.node.find("ownership").size()
         spare = self._spare(owner.part, group)
-        emptied = [s for s in group if self.is_emptied(s)]
-        leaving = [s for s in group if self.is_retired(s) or self.is_lost(s)]
+        gone = [s for s in group if self.is_emptied(s) or self.is_lost(s)]
+        leaving = [*gone, *(s for s in group if self.is_retired(s) and s not in gone)]
         if len(group) > size:
-            surplus = emptied or leaving or self._doubled(group) or group[-1:]
-            return [s for s in group if s != surplus[0]]
+            surplus = leaving or self._doubled(group) or group[-1:]
+            return new_group(group, leaving=surplus[0], is_gone=surplus[0] in gone)
         if len(group) < size:
-            return [*group, spare] if spare else None
-        if emptied:
-            return [s for s in group if s != emptied[0]]
-        if leaving and not spare and self.is_forced(leaving[0]):
-            return [s for s in group if s != leaving[0]]
-        return [*group, spare] if leaving and spare else None
+            return new_group(group, joining=spare) if spare else None
+        if leaving and spare:
+            return new_group(group, spare, leaving[0], leaving[0] in gone)
+        for store in leaving:
+            if self.is_emptied(store) or self.is_forced(store):
+                return new_group(group, leaving=store, is_gone=store in gone)
+        return None
 
     def is_forced(self, store):
         """Tell whether operators accepted a part under three members for this retiring."""
@@ -123,7 +137,7 @@
         staying = [s for s in group if not (self.is_retired(s) or self.is_lost(s))]
         used_domains = [s[2] for s in staying if not self.is_emptied(s)]
         room = majority([None] * self.node.find("ownership").size()) - 1
-        names = {s[0] for s in group}
+        names = {s[0] for s in group if not self.is_emptied(s)}
         candidates = [
             [m.name, m.identity, m.domain]
             for m in nifty.roster.members.values()
