--- a/proving/sim/net.py
+++ b/proving/sim/net.py
@@ -1,4 +1,4 @@
-"""The simulated network: delay, loss, doubling, reorder, one-way cuts."""
+"""The simulated network: delay, loss, doubling, reorder, one-way cuts, slow links."""
 
 
 class SimNet:
@@ -14,6 +14,10 @@
         self.reorder_share = 0.0
         self.min_delay, self.max_delay = 0.0005, 0.003
         self.carried = 0
+        self.link_bytes_per_second = None
+        self.frame_seconds = 1.0
+        self.free_at = {}
+        self.largest_frame = 0
 
     def attach(self, address, world):
         """Let the world receive at an address."""
@@ -48,9 +52,26 @@
             return
         copies = 2 if self.chance.random() < self.double_share else 1
         for _ in range(copies):
-            event = self.env.timeout(self.delay())
+            seconds = self._sending_seconds(home, data) if kind == "frame" else 0
+            if seconds is None:
+                return
+            event = self.env.timeout(self.delay() + seconds)
             event.callbacks.append(lambda _: self._arrive(home, target, data, kind))
 
+    def _sending_seconds(self, home, data):
+        """Return how long a frame takes over the sender's link, with those sent before it.
+
+        None for one that the link can't carry within `frame_seconds`: its channel gives it up, and
+        was busy with it for as long.
+        """
+        self.largest_frame = max(self.largest_frame, len(data))
+        if self.link_bytes_per_second is None:
+            return 0
+        own_seconds = len(data) / self.link_bytes_per_second
+        start_time = max(self.env.now, self.free_at.get(home, 0))
+        self.free_at[home] = start_time + min(own_seconds, self.frame_seconds)
+        return None if own_seconds > self.frame_seconds else self.free_at[home] - self.env.now
+
     def _arrive(self, home, target, data, kind):
         world = self.receivers.get(target)
         if world is not None and self.passes(home, target):
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -4,6 +4,7 @@
 from quillring.quorum.commands import answer_query, first_state
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
+from quillring.quorum.transfers import Transfers
 
 
 class WrongIdentity(QuillringError):
@@ -16,7 +17,16 @@
 class Acceptors:
     """The store's side of every part; all that it answers is durable first."""
 
-    __slots__ = ("node", "identity", "parts", "founding", "slots", "hints", "listeners")
+    __slots__ = (
+        "node",
+        "identity",
+        "parts",
+        "founding",
+        "slots",
+        "hints",
+        "listeners",
+        "transfers",
+    )
 
     def __init__(self):
         self.node = None
@@ -26,6 +36,7 @@
         self.slots = None
         self.hints = {}
         self.listeners = []
+        self.transfers = Transfers(self)
 
     def attach(self, node):
         """Join the node, whose member record carries the identity found on disk."""
@@ -43,6 +54,7 @@
             "catch_up",
         ):
             node.handle(f"quorum.{name}", getattr(self, f"on_{name}"))
+        self.transfers.attach(node)
         gossip = node.find("gossip")
         if gossip is not None:
             self.listeners.append(self._publish)
@@ -71,6 +83,7 @@
             "founding": self.founding,
             "parts": {name: record.to_list() for name, record in self.parts.items()},
             "hints": self.hints,
+            "arriving": self.transfers.to_map(),
         }
 
     def load(self, image):
@@ -78,6 +91,7 @@
         self.identity, self.founding = image["identity"], image["founding"]
         self.parts = {n: PartRecord.from_list(fields) for n, fields in image["parts"].items()}
         self.hints = image["hints"]
+        self.transfers.load(image.get("arriving", {}))
 
     def replay(self, record):
         """Take one log record; the running store changes its memory by the same function."""
@@ -100,22 +114,20 @@
             return
         part_record = self.parts.setdefault(part, PartRecord())
         ballot = tuple(rest[0])
-        part_record.promised = max(part_record.promised, ballot)
-        if verb == "accept" and rest[1] > part_record.applied:
-            part_record.entries[rest[1]] = (ballot, rest[2])
-        if verb == "commit":
-            part_record.learn(ballot, rest[1])
-        if verb == "install" and rest[1] > part_record.applied:
-            part_record.applied, part_record.state = rest[1], rest[2]
-            part_record.committed = max(part_record.committed, rest[1])
-            part_record.entries = {i: e for i, e in part_record.entries.items() if i > rest[1]}
+        part_record.replay(verb, ballot, rest[1:])
+        if verb == "piece":
+            state = self.transfers.take(part, ballot, *rest[1:])
+            if state is not None:
+                part_record.install(rest[1], state)
+        self.transfers.forget(part, part_record)
 
     def keep(self, record):
         """Script: change the memory, and return once the record is durable."""
         self.replay(record)
         yield from self.slots.commit([record])
 
-    def _check(self, body):
+    def check(self, body):
+        """Return (record of the part, ballot) of a call that this store may follow, or raise."""
         if body["identity"] != self.identity:
             raise WrongIdentity(store=self.node.me.name, identity=self.identity)
         if self.slots.error is not None:
@@ -142,7 +154,7 @@
 
     def on_prepare(self, body, origin):
         """Promise a ballot and tell what was accepted."""
-        _, ballot = self._check(body)
+        _, ballot = self.check(body)
         yield from self.keep(["promise", body["part"], list(ballot)])
         part_record = self.parts[body["part"]]
         if part_record.promised != ballot:
@@ -154,51 +166,45 @@
 
     def on_catch_up(self, body, origin):
         """Accept all the entries that this store missed, and apply them."""
-        self._check(body)
+        self.check(body)
         part, ballot = body["part"], list(body["ballot"])
-        records = [
-            *(["accept", part, ballot, index, batch] for index, batch in body["entries"]),
-            ["commit", part, ballot, body["committed"]],
-        ]
+        records = [["accept", part, ballot, index, batch] for index, batch in body["entries"]]
+        records.append(["commit", part, ballot, body["committed"]])
         for record in records:
             self.replay(record)
         yield from self.slots.commit(records)
-        self._tell(part)
-        return self.parts[part].applied
+        return self.tell(part)
 
     def on_accept(self, body, origin):
         """Accept an entry of the ballot, and apply what its owner says is committed."""
-        _, ballot = self._check(body)
+        _, ballot = self.check(body)
         record = ["accept", body["part"], list(ballot), body["index"], body["batch"]]
         commit_record = ["commit", body["part"], list(ballot), body["committed"]]
         self.replay(record)
         self.replay(commit_record)
         yield from self.slots.commit([record, commit_record])
-        self._tell(body["part"])
-        return self.parts[body["part"]].applied
+        return self.tell(body["part"])
 
     def on_commit(self, body, origin):
         """Mark entries of the ballot as committed, durably."""
-        part_record, ballot = self._check(body)
+        part_record, ballot = self.check(body)
         is_known = part_record.promised == ballot and part_record.applied >= body["committed"]
         if is_known and self.slots.is_idle:
             return part_record.applied
         yield from self.keep(["commit", body["part"], list(body["ballot"]), body["committed"]])
-        self._tell(body["part"])
-        return self.parts[body["part"]].applied
+        return self.tell(body["part"])
 
     def on_install(self, body, origin):
         """Take the owner's whole state of a part in place of missed entries."""
-        self._check(body)
+        self.check(body)
         yield from self.keep(
             ["install", body["part"], list(body["ballot"]), body["index"], body["state"]]
         )
-        self._tell(body["part"])
-        return self.parts[body["part"]].applied
+        return self.tell(body["part"])
 
     def on_confirm(self, body, origin):
         """Tell an owner that no higher ballot was promised here; writes nothing."""
-        part_record, ballot = self._check(body)
+        part_record, ballot = self.check(body)
         if part_record.promised != ballot:
             raise Fenced(part=body["part"], ballot=list(part_record.promised))
         return True
@@ -217,16 +223,10 @@
             raise NotFounded(part=body["part"], store=self.node.me.name)
         if body["identity"] != self.identity:
             raise WrongIdentity(store=self.node.me.name, identity=self.identity)
-        later = [
-            [index, command.get("lot")]
-            for index, (_, batch) in part_record.entries.items()
-            if index > part_record.applied
-            for command in batch
-        ]
         known = [
             part_record.applied,
             part_record.state["group"],
-            later,
+            part_record.lots_beyond(),
             *answer_query(part_record.state, body["query"]),
         ]
         if body.get("beyond"):
@@ -242,6 +242,8 @@
             return None
         return [list(config_record.promised), config_record.committed, self.identity]
 
-    def _tell(self, part):
+    def tell(self, part):
+        """Tell the listeners what is committed in a part; return the index applied."""
         for listener in self.listeners:
             listener(part, self.parts[part])
+        return self.parts[part].applied
--- a/quillring/quorum/catchup.py
+++ b/quillring/quorum/catchup.py
@@ -1,83 +1,158 @@
-"""Bringing owners and stores in step at the least cost: no state is sent that is there already."""
+"""Bringing owners and stores in step at the least cost: no state is sent that is there already.
 
-from collections import deque
+Entries are sent where they are kept, the whole state only where they are not, and either in pieces
+of bounded size, one at a time, so that no message grows with a part's state.
+"""
 
-import cbor2
+from quillring.kernel.errors import Conflict, NoMajority, QuillringError, UnknownService
+from quillring.quorum.commands import apply_batch
+from quillring.quorum.transfer import PIECE_BYTES, START, Place, StateBuilder, cut_piece
 
-from quillring.kernel.errors import NoMajority, QuillringError
-
-KEPT_ENTRIES = 4096
-KEPT_WEIGHT = 12 << 20
-
-
-class Recent:
-    """The entries an owner committed lately, in bounded weight."""
-
-    __slots__ = ("entries", "weight")
-
-    def __init__(self):
-        self.entries = deque()
-        self.weight = 0
-
-    def add(self, index, batch):
-        """Remember a committed entry; the oldest ones go when there are too many."""
-        weight = len(cbor2.dumps(batch))
-        self.entries.append((index, batch, weight))
-        self.weight += weight
-        while len(self.entries) > KEPT_ENTRIES or self.weight > KEPT_WEIGHT:
-            self.weight -= self.entries.popleft()[2]
-
-    def since(self, applied):
-        """Return [[index, batch], ...] after an index, or None when some are gone."""
-        if not self.entries or self.entries[0][0] > applied + 1:
-            return None
-        return [[index, batch] for index, batch, _ in self.entries if index > applied]
+MOST_RESUMPTIONS = 8
 
 
 def adopt_state(owner, promises):
     """Script: give a new owner the newest applied state among the promises of a majority.
 
-    What it held in a former term counts when it is as new: what was applied at an index is the
-    same everywhere. Else one of the newest stores sends it, one of the own domain if there is any.
+    What it held in a former term counts: what was applied at an index is the same everywhere, so
+    it only lacks the entries since. Else one of the newest stores sends the state, one of the own
+    domain if there is any.
     """
     known = {store: record for store, record in promises.items() if record[2] is not None}
     best = max(record[1] for record in known.values())
-    if owner.state is not None and owner.index == best:
+    if owner.state is not None and owner.index >= best:
         return
     holders = [store for store, record in known.items() if record[1] == best]
     whole = [known[store][2] for store in holders if known[store][2] is not True]
     if whole:
         owner.index, owner.state = best, whole[0]
         return
-    members = owner.node.find("nifty").roster.members
-    own_domain = owner.node.me.domain
-    is_elsewhere = {s: s not in members or members[s].domain != own_domain for s in holders}
-    for store in sorted(holders, key=lambda s: (is_elsewhere[s], s)):
+    for store in _nearest_first(owner.node, holders):
         try:
-            index, state = yield from owner.node.call(
-                store, "quorum.image", {"part": owner.part}, owner.node.bounds.news / 2
-            )
-        except QuillringError:
-            continue
-        if index >= best:
-            owner.index, owner.state = index, state
+            if owner.state is not None and (yield from _adopt_entries(owner, store, best)):
+                return
+            owner.state = yield from _fetch_state(owner, store, best)
+            owner.index = best
+            owner.recent.clear()
             return
+        except QuillringError as error:
+            owner.node.log("warning", "state of %s from %s: %s", owner.part, store, error)
     raise NoMajority(part=owner.part, reason="no store gave the state")
 
 
+def _nearest_first(node, stores):
+    members, own_domain = node.find("nifty").roster.members, node.me.domain
+    is_elsewhere = {s: s not in members or members[s].domain != own_domain for s in stores}
+    return sorted(stores, key=lambda store: (is_elsewhere[store], store))
+
+
+def _adopt_entries(owner, store, best):
+    """Script: apply the entries up to an index that a store still has; False if some are gone."""
+    entries = yield from _fetch_entries(owner, store, owner.index, best)
+    for index, batch in entries or ():
+        owner.state, _ = apply_batch(owner.state, batch)
+        owner.index = index
+        owner.recent.add(index, batch)
+    return owner.index >= best
+
+
+def _fetch_entries(owner, store, after, last):
+    """Script: return [[index, batch], ...] after one index up to another, or None if gone."""
+    entries = []
+    while after < last:
+        body = {"part": owner.part, "after": after}
+        try:
+            rows = yield from owner.node.call(
+                store, "quorum.entries", body, owner.node.bounds.reading
+            )
+        except UnknownService:
+            return None
+        if not rows:
+            return None
+        entries.extend(row for row in rows if row[0] <= last)
+        after = rows[-1][0]
+    return entries
+
+
+def _fetch_state(owner, store, index):
+    """Script: return the state that a store applied at an index, fetched piece by piece."""
+    builder, place, seconds = StateBuilder(), START, owner.node.bounds.news / 2
+    while place is not None:
+        body = {"part": owner.part, "index": index, "place": list(place)}
+        try:
+            data, following = yield from owner.node.call(store, "quorum.piece", body, seconds)
+        except UnknownService:
+            reply = yield from owner.node.call(store, "quorum.image", {"part": owner.part}, seconds)
+            if reply[0] != index:
+                raise Conflict(part=owner.part, applied=reply[0]) from None
+            return reply[1]
+        owner.node.count("pieces_fetched")
+        builder.add(data, following)
+        place = None if following is None else Place(*following)
+    return builder.whole()
+
+
 def mend_store(owner, applied, call):
-    """Script: send one late store what it misses: entries where they are kept, else the state."""
-    target, service, body = call
-    entries = owner.recent.since(applied)
-    if entries is not None:
-        catch_up = {**body, "entries": entries, "committed": owner.index}
-        replies = yield from owner.node.gather(
-            [(target, "quorum.catch_up", catch_up)], 1, owner.node.bounds.news
+    """Script: send one late store what it misses; raises when it can't be brought on now."""
+    target, _, body = call
+    if (yield from _send_entries(owner, applied, target, body)):
+        owner.node.count("catch_ups")
+        return
+    owner.node.count("installs")
+    yield from _install(owner, target, body)
+
+
+def _send_entries(owner, applied, target, body):
+    """Script: send the entries a store misses; False when they are gone, or don't help."""
+    if owner.recent.since(applied) is None:
+        yield from _learn_entries(owner, applied, target)
+    while applied < owner.index:
+        entries = owner.recent.since(applied, PIECE_BYTES)
+        if not entries:
+            return False
+        catch_up = {**body, "entries": entries, "committed": entries[-1][0]}
+        reply = yield from owner.node.call(
+            target, "quorum.catch_up", catch_up, owner.node.bounds.news
         )
-        reply = replies[target]
-        if not isinstance(reply, QuillringError) and reply >= entries[-1][0]:
-            owner.node.count("catch_ups")
+        if reply <= applied:
+            return False
+        applied = reply
+    return True
+
+
+def _learn_entries(owner, applied, target):
+    """Script: ask one other store for the entries that were applied before this term."""
+    first = owner.recent.first or owner.index + 1
+    nifty = owner.node.find("nifty")
+    names = [s[0] for s in owner.group if s[0] != target and nifty.reaches(s[0])]
+    for store in _nearest_first(owner.node, names):
+        try:
+            entries = yield from _fetch_entries(owner, store, applied, first - 1)
+        except QuillringError:
+            continue
+        if entries:
+            owner.recent.put_before(entries)
             return
-    owner.node.count("installs")
-    install = {**body, "index": owner.index, "state": owner.state}
-    yield from owner.node.gather([(target, service, install)], 1, owner.node.bounds.news)
+
+
+def _install(owner, target, body):
+    """Script: send the state to a store piece by piece; it tells where to go on after a loss."""
+    index, state, place, resumptions = owner.index, owner.state, START, 0
+    seconds = owner.node.bounds.news
+    while place is not None and owner.is_owner:
+        data, following = cut_piece(state, place)
+        fields = {"index": index, "place": list(place), "data": data, "following": following}
+        try:
+            yield from owner.node.call(target, "quorum.install_piece", {**body, **fields}, seconds)
+        except Conflict as error:
+            resumptions += 1
+            if resumptions > MOST_RESUMPTIONS:
+                raise
+            place = Place(*error.detail["place"])
+            continue
+        except UnknownService:
+            whole = {**body, "index": index, "state": state}
+            yield from owner.node.call(target, "quorum.install", whole, seconds)
+            return
+        owner.node.count("pieces_sent")
+        place = following
--- /dev/null
+++ b/quillring/quorum/mending.py
@@ -0,0 +1,68 @@
+"""Bringing late members of a part's group in step, one at a time, with a growing pause."""
+
+from typing import NamedTuple
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.errors import QuillringError
+from quillring.quorum.catchup import mend_store
+
+
+class Rest(NamedTuple):
+    """A member is left alone until a time, for so many seconds, after it could not be mended."""
+
+    until: float
+    seconds: float
+
+
+class Mending:
+    """What one term's owner does for the members that miss something."""
+
+    __slots__ = ("owner", "target", "is_busy", "rests")
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.target = None
+        self.is_busy = False
+        self.rests = {}
+
+    def run(self):
+        """Script: mend while the term lasts."""
+        while self.owner.is_owner:
+            yield Sleep(self.owner.node.bounds.beat / 2)
+            yield from self.mend()
+
+    def mend(self):
+        """Script: give the members in reach what they miss; nothing while that is under way."""
+        if self.is_busy:
+            return
+        self.is_busy = True
+        try:
+            yield from self._mend_late()
+        finally:
+            self.is_busy, self.target = False, None
+
+    def _mend_late(self):
+        owner, index = self.owner, self.owner.index
+        applied = yield from owner.applied_by_store()
+        for call in owner.calls("install"):
+            name = call[0]
+            is_late = applied.get(name, index) < index
+            if not (is_late and owner.is_owner) or self._rests(name):
+                continue
+            self.target = name
+            try:
+                yield from mend_store(owner, applied[name], call)
+                self.rests.pop(name, None)
+            except QuillringError as error:
+                self._rest(name, error)
+
+    def _rests(self, name):
+        rest = self.rests.get(name)
+        return rest is not None and self.owner.node.now() < rest.until
+
+    def _rest(self, name, error):
+        node, former = self.owner.node, self.rests.get(name)
+        seconds = node.bounds.beat / 2 if former is None else former.seconds * 2
+        seconds = min(seconds, node.bounds.news * 2)
+        self.rests[name] = Rest(node.now() + seconds, seconds)
+        node.log("warning", "%s: mending %s: %s", self.owner.part, name, error)
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -2,10 +2,12 @@
 
 from quillring.kernel.effects import Signal, Sleep, Wait
 from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
-from quillring.quorum.catchup import Recent, adopt_state, mend_store
+from quillring.quorum.catchup import adopt_state
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
+from quillring.quorum.mending import Mending
 from quillring.quorum.parts import CONFIG, majority
+from quillring.quorum.recent import Recent
 
 BATCH_LIMIT = 64
 
@@ -31,6 +33,7 @@
         "confirmed_at",
         "higher",
         "recent",
+        "mending",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -41,6 +44,7 @@
         self.index = 0 if former is None else former.index
         self.state = None if former is None else former.state
         self.recent = Recent()
+        self.mending = Mending(self)
         self.queue = []
         self.queue_signal = Signal()
         self.is_owner = False
@@ -48,7 +52,8 @@
         self.confirmed_at = None
         self.higher = 0 if former is None else former.higher
 
-    def _calls(self, service, **body):
+    def calls(self, service, **body):
+        """Return the calls of a service to each store of the group, under the ballot."""
         return [
             (
                 store[0],
@@ -61,7 +66,7 @@
     def _round(self, service, **body):
         """Script: ask the group; return good answers of a majority, or raise."""
         replies = yield from self.node.gather(
-            self._calls(service, **body), majority(self.group), self.node.bounds.round, True
+            self.calls(service, **body), majority(self.group), self.node.bounds.round, True
         )
         fences = [r.detail["ballot"] for r in replies.values() if isinstance(r, Fenced)]
         if fences:
@@ -126,7 +131,7 @@
     def _decide(self, batch):
         """Script: have a majority accept the next entry; apply it; return the answers."""
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
-        send_hints(self, self._calls("accept", **entry))
+        send_hints(self, self.calls("accept", **entry))
         yield from self._round("accept", **entry)
         self.index += 1
         self.recent.add(self.index, batch)
@@ -139,12 +144,12 @@
         return answers
 
     def _cast_commit(self):
-        for target, service, body in self._calls("commit", committed=self.index):
+        for target, service, body in self.calls("commit", committed=self.index):
             self.node.cast(target, service, body)
 
     def run(self):
         """Script: write what is queued while the ballot holds; a lost fence ends it."""
-        self.node.spawn(self._keep_mending())
+        self.node.spawn(self.mending.run())
         try:
             while self.is_owner:
                 if not self.queue:
@@ -171,24 +176,15 @@
         for (_, answer_signal), answer in zip(batch, answers, strict=True):
             answer_signal.set(answer)
 
-    def _keep_mending(self):
-        while self.is_owner:
-            yield Sleep(self.node.bounds.beat / 2)
-            yield from self.mend()
-
     def mend(self):
         """Script: give the members of the group in reach what they miss."""
-        index = self.index
-        applied = yield from self.applied_by_store()
-        for call in self._calls("install"):
-            if self.is_owner and applied.get(call[0], index) < index:
-                yield from mend_store(self, applied[call[0]], call)
+        yield from self.mending.mend()
 
     def applied_by_store(self):
         """Script: tell members in reach what is committed; return {store: index it applied}."""
         nifty = self.node.find("nifty")
         calls = [
-            call for call in self._calls("commit", committed=self.index) if nifty.reaches(call[0])
+            call for call in self.calls("commit", committed=self.index) if nifty.reaches(call[0])
         ]
         replies = yield from self.node.gather(calls, len(calls))
         return {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
--- /dev/null
+++ b/quillring/quorum/recent.py
@@ -0,0 +1,69 @@
+"""The entries applied lately, kept so that who missed a few of them needs no whole state."""
+
+from collections import deque
+
+import cbor2
+
+KEPT_ENTRIES = 4096
+KEPT_WEIGHT = 12 << 20
+
+
+class Recent:
+    """Consecutive applied entries, in bounded number and weight (bytes)."""
+
+    __slots__ = ("entries", "weight", "most_weight")
+
+    def __init__(self, most_weight=KEPT_WEIGHT):
+        self.entries = deque()
+        self.weight = 0
+        self.most_weight = most_weight
+
+    @property
+    def first(self):
+        """The index of the oldest entry kept, or None."""
+        return self.entries[0][0] if self.entries else None
+
+    def add(self, index, batch):
+        """Remember an applied entry; the oldest ones go when there are too many."""
+        if self.entries and self.entries[-1][0] != index - 1:
+            self.clear()
+        weight = len(cbor2.dumps(batch))
+        self.entries.append((index, batch, weight))
+        self.weight += weight
+        self._trim()
+
+    def put_before(self, entries):
+        """Take [[index, batch], ...] that end where the entries kept begin; else change nothing."""
+        if self.entries and entries and entries[-1][0] != self.first - 1:
+            return
+        for index, batch in reversed(entries):
+            weight = len(cbor2.dumps(batch))
+            self.entries.appendleft((index, batch, weight))
+            self.weight += weight
+        self._trim()
+
+    def _trim(self):
+        while len(self.entries) > KEPT_ENTRIES or self.weight > self.most_weight:
+            self.weight -= self.entries.popleft()[2]
+
+    def clear(self):
+        """Forget all entries."""
+        self.entries.clear()
+        self.weight = 0
+
+    def since(self, applied, limit=None):
+        """Return [[index, batch], ...] after an index, or None when some are gone.
+
+        With a limit, in bytes, no more than it allows, but one at least.
+        """
+        if not self.entries or self.entries[0][0] > applied + 1:
+            return None
+        chosen, weight = [], 0
+        for index, batch, entry_weight in self.entries:
+            if index <= applied:
+                continue
+            weight += entry_weight
+            if chosen and limit is not None and weight > limit:
+                break
+            chosen.append([index, batch])
+        return chosen
--- a/quillring/quorum/record.py
+++ b/quillring/quorum/record.py
@@ -3,12 +3,15 @@
 from itertools import count
 
 from quillring.quorum.commands import answer_query, apply_batch
+from quillring.quorum.recent import Recent
+
+RECENT_WEIGHT = 2 << 20
 
 
 class PartRecord:
     """What one acceptor holds of a part."""
 
-    __slots__ = ("promised", "applied", "state", "entries", "committed")
+    __slots__ = ("promised", "applied", "state", "entries", "committed", "recent")
 
     def __init__(self, promised=(0, ""), applied=0, state=None, entries=None, committed=0):
         self.promised = tuple(promised)
@@ -16,6 +19,7 @@
         self.state = state
         self.entries = entries or {}
         self.committed = committed
+        self.recent = Recent(RECENT_WEIGHT)
 
     def to_list(self):
         """Return the record for a slot or a prepare answer."""
@@ -28,6 +32,16 @@
         promised, applied, state, tail, committed = fields
         return cls(promised, applied, state, {i: (tuple(b), v) for i, b, v in tail}, committed)
 
+    def replay(self, verb, ballot, fields):
+        """Take the log record of a part; every one promises its ballot."""
+        self.promised = max(self.promised, ballot)
+        if verb == "accept" and fields[0] > self.applied:
+            self.entries[fields[0]] = (ballot, fields[1])
+        if verb == "commit":
+            self.learn(ballot, fields[0])
+        if verb == "install":
+            self.install(*fields)
+
     def learn(self, ballot, committed):
         """Apply what the ballot's owner says is committed; stop at a gap."""
         while self.applied < committed:
@@ -36,9 +50,28 @@
                 break
             self.state, _ = apply_batch(self.state, entry[1])
             self.applied += 1
+            self.recent.add(self.applied, entry[1])
             del self.entries[self.applied]
         self.committed = max(self.committed, self.applied)
 
+    def install(self, index, state):
+        """Take a whole state in place of missed entries, unless what is here is as new."""
+        if index <= self.applied:
+            return
+        self.applied, self.state = index, state
+        self.committed = max(self.committed, index)
+        self.entries = {i: entry for i, entry in self.entries.items() if i > index}
+        self.recent.clear()
+
+    def lots_beyond(self):
+        """Return [[index, lot or None], ...] of the commands accepted and not applied here."""
+        return [
+            [index, command.get("lot")]
+            for index, (_, batch) in self.entries.items()
+            if index > self.applied
+            for command in batch
+        ]
+
     def answers_beyond(self, query):
         """Return [[index, ballot, kind, answer], ...] after each accepted entry in turn.
 
--- /dev/null
+++ b/quillring/quorum/transfers.py
@@ -0,0 +1,107 @@
+"""The store's side of moving a part's state and entries in bounded pieces."""
+
+from quillring.kernel.errors import Conflict, NotFounded
+from quillring.quorum.transfer import PIECE_BYTES, START, Place, StateBuilder, cut_piece
+
+
+class Arriving:
+    """A state that an owner sends piece by piece; `index` is what it will have applied."""
+
+    __slots__ = ("ballot", "index", "builder")
+
+    def __init__(self, ballot, index, builder):
+        self.ballot = ballot
+        self.index = index
+        self.builder = builder
+
+
+class Transfers:
+    """Gives out pieces of applied states, and puts together those that owners install."""
+
+    __slots__ = ("acceptors", "arriving")
+
+    def __init__(self, acceptors):
+        self.acceptors = acceptors
+        self.arriving = {}
+
+    def attach(self, node):
+        """Answer the calls of owners."""
+        node.handle("quorum.piece", self.on_piece)
+        node.handle("quorum.entries", self.on_entries)
+        node.handle("quorum.install_piece", self.on_install_piece)
+
+    def to_map(self):
+        """Return what has come so far of each part, for a slot."""
+        return {
+            part: [list(a.ballot), a.index, a.builder.to_list()]
+            for part, a in self.arriving.items()
+        }
+
+    def load(self, arriving):
+        """Take what a slot holds."""
+        self.arriving = {
+            part: Arriving(tuple(ballot), index, StateBuilder.from_list(fields))
+            for part, (ballot, index, fields) in arriving.items()
+        }
+
+    def take(self, part, ballot, index, place, data, following):
+        """Take a piece; return the whole state behind the last one, else None.
+
+        A piece that does not begin where the one before ended changes nothing.
+        """
+        place = Place(*place)
+        if place == START:
+            self.arriving[part] = Arriving(ballot, index, StateBuilder())
+        arriving = self._expected(part, ballot, index)
+        if arriving is None or arriving.builder.place != place:
+            return None
+        arriving.builder.add(data, following)
+        if following is not None:
+            return None
+        return self.arriving.pop(part).builder.whole()
+
+    def forget(self, part, record):
+        """Drop what a newer ballot, or what was applied meanwhile, made useless."""
+        arriving = self.arriving.get(part)
+        if arriving is not None and (
+            arriving.ballot < record.promised or arriving.index <= record.applied
+        ):
+            del self.arriving[part]
+
+    def _expected(self, part, ballot, index):
+        arriving = self.arriving.get(part)
+        is_same = arriving is not None and (arriving.ballot, arriving.index) == (ballot, index)
+        return arriving if is_same else None
+
+    def on_piece(self, body, origin):
+        """Give a piece of the state applied at an index, as [data, place behind it or None]."""
+        record = self._record(body["part"])
+        if record.applied != body["index"]:
+            raise Conflict(part=body["part"], applied=record.applied)
+        data, following = cut_piece(record.state, Place(*body["place"]))
+        return [data, None if following is None else list(following)]
+
+    def on_entries(self, body, origin):
+        """Give applied entries after an index, as many as a piece may hold; None if gone."""
+        return self._record(body["part"]).recent.since(body["after"], PIECE_BYTES)
+
+    def _record(self, part):
+        record = self.acceptors.parts.get(part)
+        if record is None or record.state is None:
+            raise NotFounded(part=part, store=self.acceptors.node.me.name)
+        return record
+
+    def on_install_piece(self, body, origin):
+        """Script: keep a piece of an owner's state, durably; the last one puts it in place.
+
+        A piece that is not the next one is answered with a conflict that names the place wanted.
+        """
+        _, ballot = self.acceptors.check(body)
+        part, index, place = body["part"], body["index"], Place(*body["place"])
+        arriving = self._expected(part, ballot, index)
+        wanted_place = START if arriving is None else arriving.builder.place
+        if place not in (wanted_place, START):
+            raise Conflict(part=part, place=list(wanted_place))
+        fields = [index, list(place), body["data"], body["following"]]
+        yield from self.acceptors.keep(["piece", part, list(ballot), *fields])
+        return self.acceptors.tell(part)
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,77 @@
+"""A part with much state changes hands: every message stays small, and its lots are served."""
+
+from quillring.lots import raw_front
+from tests.raw_stage import FORWARD, RawStage
+
+LINK = 8 << 20
+LOTS, ITEMS, BODY = 24, 100, b"b" * 5000
+MOST_FRAME = 1 << 20
+
+
+def filled(seed):
+    """A stage whose part of lots holds more than a link carries in a second."""
+    stage = RawStage(seed, replicas=0)
+    for number in range(LOTS):
+        items = stage.items(f"lot-{number}", ITEMS, body=BODY)
+        answer, error = stage.do(
+            stage.up("edge"),
+            lambda node, items=items, number=number: raw_front.accept_raw_lot(
+                node, FORWARD, f"lot-{number}", items
+            ),
+        )
+        assert error is None, error
+    stage.sim.net.link_bytes_per_second = LINK
+    return stage
+
+
+def lose_all_power(stage):
+    for name in list(stage.sim.nodes):
+        stage.sim.kill(name, loses_power=True)
+    stage.run(1)
+    for name in stage.sim.rows:
+        stage.sim.start(name)
+
+
+def readable(stage, seconds):
+    """Wait until every lot can be read; return how long it took, or None."""
+    start_time, left = stage.env.now, set(range(LOTS))
+    while left and stage.env.now - start_time < seconds:
+        for number in sorted(left):
+            answer, _ = stage.read(f"lot-{number}")
+            if answer is None:
+                break
+            assert answer["items"] == ITEMS
+            left.discard(number)
+        stage.run(0.1)
+    return None if left else stage.env.now - start_time
+
+
+def test_after_all_power_was_lost_a_large_part_has_an_owner_and_takes_lots_within_the_bound():
+    with filled(1) as stage:
+        lose_all_power(stage)
+        stage.run(stage.sim.bounds.return_)
+        answer, error = stage.hand_in("afterwards", 2)
+        assert error is None, error
+        assert readable(stage, 4) is not None
+
+
+def test_no_message_grows_with_a_part_that_changes_hands_and_fills_an_emptied_store():
+    with filled(2) as stage:
+        part = raw_front.part_of_host(stage.up("edge"), "lots.example")
+        stage.sim.net.largest_frame = 0
+        former = stage.owner()
+        stage.sim.kill(former.me.name)
+        stage.run(6)
+        owner = stage.owner().find("ownership").owners[part]
+        assert owner.is_owner and owner.node is not former
+        stage.sim.lose_disk(owner.group[0][0])
+        stage.run(1)
+        stage.sim.start(owner.group[0][0])
+        stage.run(20)
+        applied = [
+            node.find("acceptors").parts[part].applied
+            for node in stage.sim.up_nodes("store")
+            if node.me.name in [store[0] for store in owner.group]
+        ]
+        assert len(applied) == 3 and min(applied) >= owner.index - 1
+        assert stage.sim.net.largest_frame < MOST_FRAME
