Few cores try to take a part after a common start, and winners are left to win

Cause: every core ranked itself first until it had heard the others, so after a common start nearly all tried for every part and fenced each other off (in a trial with log lines: 10 cores and 109 attempts on four parts in two seconds after a loss of all power, 18 of them won); each winner fetched the whole state.

Change: a starting core tries once the nodes it reaches have stayed the same for a beat, and only with a majority of the stores in reach. A core that is fenced off by a live start of another does not raise the ballot unless its rank is settled, and waits until the winner's news could have come.

--- a/quillring/ownership/ownership.py
+++ b/quillring/ownership/ownership.py
@@ -3,7 +3,9 @@
 from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.errors import Fenced, NotFounded, NotOwner, QuillringError
 from quillring.ownership.asking import Asking
-from quillring.ownership.rank import Firsts, ranked_cores
+from quillring.ownership.handover import Handover
+from quillring.ownership.rank import ranked_cores
+from quillring.ownership.standing import Standing
 from quillring.quorum.commands import QUERIES
 from quillring.quorum.owner import Owner, wait_for_owner
 from quillring.quorum.parts import GROUP_SIZE
@@ -12,7 +14,17 @@
 class Ownership(Asking):
     """The table of parts as one node sees it; on a core also the owners it runs."""
 
-    __slots__ = ("node", "owners", "on_owner", "checks", "started_at", "wake_signal", "firsts")
+    __slots__ = (
+        "node",
+        "owners",
+        "on_owner",
+        "checks",
+        "started_at",
+        "wake_signal",
+        "standing",
+        "handover",
+        "taking",
+    )
 
     def __init__(self, node):
         self.node = node
@@ -21,12 +33,16 @@
         self.checks = []
         self.started_at = node.now()
         self.wake_signal = Signal()
-        self.firsts = Firsts()
+        self.standing = Standing(node)
+        self.handover = None
+        self.taking = set()
         if node.me.role == "core":
             node.handle("part.submit", self.on_submit)
             node.handle("part.read", self.on_read)
             node.handle("part.whole", self.on_whole)
             node.handle("part.free", self.on_free)
+            self.handover = Handover(self)
+            node.find("nifty").listeners.append(self.standing.on_graph)
             node.find("nifty").listeners.append(self._wake)
             node.find("gossip").listen("founding", self._wake)
             node.find("gossip").listen("group/", self._wake)
@@ -80,7 +96,6 @@
 
     def run(self):
         """Script, on a core: take the parts it ranks first for, hand over the others."""
-        attempts = {}
         while True:
             seconds = self.node.bounds.beat * (0.8 + 0.4 * self.node.world.random.random())
             if (yield Wait(self.wake_signal, seconds)):
@@ -88,21 +103,26 @@
             if self.node.find("gossip").get("founding") is None:
                 continue
             for part in self.parts():
-                owner = self.owners.get(part)
-                holds_part = owner is not None and owner.is_owner
-                is_first, is_settled = self._standing(part)
-                if (
-                    is_first
-                    and not holds_part
-                    and attempts.get(part) is None
-                    and (is_settled or not self._is_owned_elsewhere(part))
-                ):
-                    attempts[part] = True
-                    self.node.spawn(self._take(part, attempts))
-                elif holds_part and not is_first and is_settled and not owner.queue:
-                    self._hand_over(part, owner)
-
-    def _standing(self, part):
+                self._look_after(part)
+
+    def _look_after(self, part):
+        """Take a part that this core should own; hand over one that another should."""
+        owner = self.owners.get(part)
+        holds_part = owner is not None and owner.is_owner
+        is_first, is_settled = self._rank_standing(part)
+        if holds_part and not is_first and is_settled and not owner.queue:
+            self._hand_over(part, owner)
+        elif is_first and not holds_part and part not in self.taking:
+            is_due = is_settled or not self._is_owned_elsewhere(part)
+            if is_due and not self.standing.is_starting():
+                self._begin_taking(part, is_settled)
+
+    def _begin_taking(self, part, is_settled):
+        if self.standing.has_majority(self.group(part)):
+            self.taking.add(part)
+            self.node.spawn(self._take(part, is_settled))
+
+    def _rank_standing(self, part):
         """Tell whether this core ranks first, and whether that is settled.
 
         While the loss of a node is noticed at different times, the graph looks cut, and the ranks
@@ -110,9 +130,9 @@
         """
         name, me = next(iter(self.rank(part)), None), self.node.me.name
         is_leaving = self.node.is_draining or self.is_leaving(me)
-        seconds = self.firsts.note(part, name, self.node.now())
+        seconds = self.standing.note(part, name)
         is_first = name == me and not self.node.is_draining
-        return is_first, is_leaving or seconds >= self.node.bounds.beat * 2
+        return is_first, is_leaving or self.standing.is_settled(seconds)
 
     def _is_owned_elsewhere(self, part):
         name = (self.node.find("gossip").get(f"owner/{part}") or {}).get("owner")
@@ -125,25 +145,34 @@
     def _hand_over(self, part, owner):
         for name in self.rank(part)[:1]:
             if name != self.node.me.name:
-                owner.step_down(NotOwner(part=part))
-                self.node.cast(name, "part.free", part)
+                self.handover.begin(part, owner, name)
 
-    def _take(self, part, attempts):
+    def _take(self, part, is_settled):
         former = self.owners.get(part)
         owner = self.owners[part] = Owner(self.node, part, self.group(part), former)
         owner.listeners.extend([*self.on_owner, self._publish])
         try:
-            yield from owner.take_again()
+            yield from owner.take_again(lambda ballot: self._gives_way(ballot, is_settled))
         except QuillringError as error:
             self.node.log("warning", "take %s: %s", part, error)
-            pause = self.node.bounds.beat / (4 if isinstance(error, Fenced) else 2)
-            yield from wait_for_owner(self.node, pause)
+            yield from wait_for_owner(self.node, self._pause_after(error))
             return
         finally:
-            attempts[part] = None
+            self.taking.discard(part)
             self._wake()
         self.node.spawn(owner.run())
 
+    def _gives_way(self, ballot, is_settled):
+        """Tell whether the core whose ballot is higher is to be left to win the part."""
+        return not is_settled and self.standing.is_contended(ballot)
+
+    def _pause_after(self, error):
+        """Return seconds: where another core is winning, its news comes first."""
+        beat = self.node.bounds.beat
+        if not isinstance(error, Fenced):
+            return beat / 2
+        return beat * 2 if self.standing.is_contended(error.detail["ballot"]) else beat / 4
+
     def _publish(self, owner, batch):
         gossip = self.node.find("gossip")
         if owner.is_owner:
--- a/quillring/ownership/rank.py
+++ b/quillring/ownership/rank.py
@@ -12,18 +12,3 @@
         reverse=True,
         key=lambda name: (name not in leaving_names, name in bridge_names, score(key, name)),
     )
-
-
-class Firsts:
-    """Since when which core has ranked first for each part, as one node sees it."""
-
-    __slots__ = ("known",)
-
-    def __init__(self):
-        self.known = {}
-
-    def note(self, part, name, now):
-        """Take who ranks first now; return for how many seconds it has."""
-        if self.known.get(part, (None,))[0] != name:
-            self.known[part] = (name, now)
-        return now - self.known[part][1]
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -80,11 +80,16 @@
             )
         return good_replies
 
-    def take_again(self):
-        """Script: take the part; a ballot that only was too low is tried once more at once."""
+    def take_again(self, gives_way):
+        """Script: take the part; a ballot that only was too low is tried once more at once.
+
+        Not so where `gives_way(ballot)` says that the one who won the higher ballot may go on.
+        """
         try:
             yield from self.take()
-        except Fenced:
+        except Fenced as error:
+            if gives_way(error.detail["ballot"]):
+                raise
             yield from self.take()
 
     def take(self):
