--- a/quillring/ownership/asking.py
+++ b/quillring/ownership/asking.py
@@ -10,9 +10,9 @@
     TimedOut,
     Unreachable,
 )
-from quillring.quorum.owner import wait_for_owner
 from quillring.quorum.parts import majority
 from quillring.quorum.peek import peek
+from quillring.quorum.waits import wait_for_owner
 
 LONGEST_PAUSE = 1.5
 LOOK_ELSEWHERE = (Fenced, NotOwner, TimedOut, Unreachable)
--- a/quillring/ownership/ownership.py
+++ b/quillring/ownership/ownership.py
@@ -7,8 +7,9 @@
 from quillring.ownership.rank import ranked_cores
 from quillring.ownership.standing import Standing
 from quillring.quorum.commands import QUERIES
-from quillring.quorum.owner import Owner, wait_for_owner
+from quillring.quorum.owner import Owner
 from quillring.quorum.parts import GROUP_SIZE
+from quillring.quorum.waits import wait_for_owner
 
 
 class Ownership(Asking):
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -1,6 +1,6 @@
 """A core node's ownership of one part: won by ballot, fenced by ballot, one entry at a time."""
 
-from quillring.kernel.effects import Signal, Sleep, Wait
+from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
 from quillring.quorum.catchup import adopt_state
 from quillring.quorum.commands import apply_batch
@@ -246,8 +246,3 @@
     def _tell(self, batch):
         for listener in self.listeners:
             listener(self, batch)
-
-
-def wait_for_owner(node, seconds):
-    """Script: a pause between two rounds of finding a part's owner."""
-    yield Sleep(seconds * (0.5 + node.world.random.random()))
