--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -7,6 +7,7 @@
     fleet,
     keeping,
     lots,
+    orders,
     reading,
     resume,
     rooms,
@@ -33,5 +34,6 @@
     *keeping.POINTS,
     *reading.POINTS,
     *failures.POINTS,
+    *orders.POINTS,
     *stalls.POINTS,
 ]
