Slots are written in steps beside the log

After a recovery the size of the slot was unknown, so that the first write turned again.

Change: a slot is cut into rows and written in steps of 256 KiB, each synced, with a rest between; its head comes last. Records go to the next log meanwhile, which names the log that it follows and how long that was. A slot says how many records of its log it holds. Slots and logs of the version before still load. Only after a failed write is a slot written at once, before anything is answered.

--- a/proving/sim/disk.py
+++ b/proving/sim/disk.py
@@ -30,6 +30,21 @@
         self.durable[name] = data
         self.pending.pop(name, None)
 
+    def begin(self, name, head):
+        """Begin a file that is written in steps."""
+        self.write(name, head)
+
+    def extend(self, name, data):
+        """Append to the file and sync it."""
+        self._check_room(name)
+        self.syncs += 1
+        self.durable[name] += data
+
+    def finish(self, name, head):
+        """Write the head of the file anew and sync it."""
+        self._check_room(name)
+        self.durable[name] = head + self.durable[name][len(head) :]
+
     def append(self, name, data):
         """Append without syncing."""
         self._check_room(name)
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -4,6 +4,7 @@
 from quillring.quorum.commands import answer_query, first_state
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
+from quillring.quorum.slot_rows import load_rows, to_rows
 from quillring.quorum.transfers import Transfers
 
 
@@ -76,22 +77,19 @@
         if self.founding is None:
             self.node.spawn(self.keep(["found", founding]))
 
-    def image(self):
+    def rows(self):
         """Return all state for a slot."""
-        return {
-            "identity": self.identity,
-            "founding": self.founding,
-            "parts": {name: record.to_list() for name, record in self.parts.items()},
-            "hints": self.hints,
-            "arriving": self.transfers.to_map(),
-        }
+        return to_rows(self)
 
-    def load(self, image):
+    def load_rows(self, rows):
         """Take the state of a slot."""
+        load_rows(self, rows)
+
+    def load(self, image):
+        """Take the state of a slot of the version before, which is one value."""
         self.identity, self.founding = image["identity"], image["founding"]
         self.parts = {n: PartRecord.from_list(fields) for n, fields in image["parts"].items()}
         self.hints = image["hints"]
-        self.transfers.load(image.get("arriving", {}))
 
     def replay(self, record):
         """Take one log record; the running store changes its memory by the same function."""
--- /dev/null
+++ b/quillring/quorum/slot_rows.py
@@ -0,0 +1,41 @@
+"""The state of a store's acceptors as rows of a slot, each of bounded size, and back."""
+
+from quillring.quorum.record import PartRecord
+from quillring.quorum.transfer import rows_of, take_row
+
+
+def to_rows(acceptors):
+    """Return all state as immutable rows; what changes later does not change them."""
+    rows = [["store", acceptors.identity, acceptors.founding]]
+    for name, records in acceptors.hints.items():
+        rows.extend(["hint", name, record] for record in records)
+    for name, record in acceptors.parts.items():
+        promised, applied, state, tail, committed = record.to_list()
+        rows.append(["part", name, [promised, applied, None, tail, committed]])
+        rows.extend(["state", name, *fields] for fields in rows_of(state or {}))
+    for name, fields in acceptors.transfers.to_map().items():
+        ballot, index, (sections, rest, place) = fields
+        rows.append(["arriving", name, [ballot, index, [{}, rest, place]]])
+        rows.extend(["arrived", name, *fields] for fields in rows_of(sections))
+    return rows
+
+
+def load_rows(acceptors, rows):
+    """Take the state of a slot."""
+    parts, hints, arriving = {}, {}, {}
+    for kind, name, *fields in rows:
+        if kind == "store":
+            acceptors.identity, acceptors.founding = name, fields[0]
+        elif kind == "hint":
+            hints.setdefault(name, []).append(fields[0])
+        elif kind == "part":
+            parts[name] = PartRecord.from_list(fields[0])
+        elif kind == "state":
+            parts[name].state = parts[name].state or {}
+            take_row(parts[name].state, fields)
+        elif kind == "arriving":
+            arriving[name] = fields[0]
+        elif kind == "arrived":
+            take_row(arriving[name][2][0], fields)
+    acceptors.parts, acceptors.hints = parts, hints
+    acceptors.transfers.load(arriving)
--- a/quillring/quorum/transfer.py
+++ b/quillring/quorum/transfer.py
@@ -52,6 +52,14 @@
             yield section, key, kept
 
 
+def take_row(sections, fields):
+    """Put a row of `rows_of` into the state that is being made."""
+    if len(fields) == 2:
+        sections[fields[0]] = fields[1]
+    else:
+        sections[fields[0]][fields[1]] = fields[2]
+
+
 def cut_piece(state, place, limit=PIECE_BYTES):
     """Return the piece of an immutable state from a place on, `limit` bytes long at most."""
     data, (row, offset) = b"", place
@@ -87,19 +95,13 @@
             end = start + LENGTH.size + length
             if end > len(self.rest):
                 break
-            self._take_row(cbor2.loads(bytes(self.rest[start + LENGTH.size : end])))
+            take_row(self.sections, cbor2.loads(bytes(self.rest[start + LENGTH.size : end])))
             start, place = end, Place(place.row + 1, 0)
         del self.rest[:start]
         self.place = Place(place.row, len(self.rest))
         if following is not None and Place(*following) != self.place:
             raise BadPiece(place=list(self.place), following=list(following))
 
-    def _take_row(self, fields):
-        if len(fields) == 2:
-            self.sections[fields[0]] = fields[1]
-        else:
-            self.sections[fields[0]][fields[1]] = fields[2]
-
     def whole(self):
         """Return the state; BadPiece when its last row is not there in full."""
         if self.rest:
--- a/quillring/store/disk.py
+++ b/quillring/store/disk.py
@@ -8,12 +8,13 @@
 class FolderDisk:
     """Files under one data folder."""
 
-    __slots__ = ("folder", "log_file", "log_name")
+    __slots__ = ("folder", "log_file", "log_name", "slot_file")
 
     def __init__(self, folder):
         self.folder = folder
         self.log_file = None
         self.log_name = None
+        self.slot_file = None
         try:
             os.makedirs(folder, exist_ok=True)
         except OSError as error:
@@ -39,11 +40,47 @@
                 written_file.write(data)
                 written_file.flush()
                 os.fsync(written_file.fileno())
-            folder_handle = os.open(self.folder, os.O_RDONLY)
-            try:
-                os.fsync(folder_handle)
-            finally:
-                os.close(folder_handle)
+            self._sync_folder()
+        except OSError as error:
+            raise DiskError(file=name, reason=error.strerror) from error
+
+    def _sync_folder(self):
+        folder_handle = os.open(self.folder, os.O_RDONLY)
+        try:
+            os.fsync(folder_handle)
+        finally:
+            os.close(folder_handle)
+
+    def begin(self, name, head):
+        """Begin a file anew that is written in steps; its head is written again at the end."""
+        try:
+            if self.slot_file is not None:
+                self.slot_file.close()
+            self.slot_file = open(self._path(name), "wb", buffering=0)
+            self._extend(name, head)
+            self._sync_folder()
+        except OSError as error:
+            raise DiskError(file=name, reason=error.strerror) from error
+
+    def extend(self, name, data):
+        """Append to the file begun last and sync it."""
+        try:
+            self._extend(name, data)
+        except OSError as error:
+            raise DiskError(file=name, reason=error.strerror) from error
+
+    def _extend(self, name, data):
+        if self.slot_file.write(data) != len(data):
+            raise DiskError(file=name, reason="short write")
+        os.fsync(self.slot_file.fileno())
+
+    def finish(self, name, head):
+        """Write the head of the file begun last, sync and close it."""
+        try:
+            self.slot_file.seek(0)
+            self._extend(name, head)
+            self.slot_file.close()
+            self.slot_file = None
         except OSError as error:
             raise DiskError(file=name, reason=error.strerror) from error
 
--- a/quillring/store/slots.py
+++ b/quillring/store/slots.py
@@ -1,32 +1,35 @@
-"""Two slots written in turn and a short checksummed log between them."""
+"""Two slots written in turn and short checksummed logs between them.
 
-import hashlib
-import struct
-import zlib
-
-import cbor2
+Each generation has a slot and a log. While the next slot is being written, in small steps beside
+the ordinary work, what comes in goes to the next log already, which says that it follows the
+present one: until the new slot stands, the state is the old slot and both logs.
+"""
 
 from quillring.kernel.effects import Signal, Sleep, Wait
 from quillring.kernel.errors import Damaged, DiskError
+from quillring.store.log_file import Log, log_name
+from quillring.store.records import has_record_after, pack_record, read_records
+from quillring.store.slot_file import SlotWriter, read_slot, slot_name
 
-HEADER = struct.Struct(">4sQI32s")
-RECORD = struct.Struct(">II")
-MAGIC = b"QSL1"
 REPAIR = "keep a copy, empty the folder, start the store as a new member; hints refill it"
+STEP_REST_SECONDS = 0.002
 
 
 class SlotStore:
     """The recoverable state of one store machine.
 
-    `holder` has image() -> value, load(image) and replay(record); records reach the disk in the
-    order of commit(), in batches under one fsync.
+    `holder` has rows() -> list of immutable values, load_rows(rows), load(image) for slots of the
+    first form, and replay(record); records reach the disk in the order of commit(), in batches
+    under one fsync.
     """
 
     __slots__ = (
         "disk",
         "holder",
         "generation",
+        "log_generation",
         "log_size",
+        "log_count",
         "log_limit",
         "waiting",
         "dirty_signal",
@@ -34,13 +37,14 @@
         "syncs",
         "slot_size",
         "is_writing",
+        "writer",
     )
 
     def __init__(self, disk, holder, log_limit=1 << 20):
         self.disk = disk
         self.holder = holder
-        self.generation = 0
-        self.log_size = 0
+        self.generation = self.log_generation = 0
+        self.log_size = self.log_count = 0
         self.log_limit = log_limit
         self.waiting = []
         self.dirty_signal = Signal()
@@ -48,74 +52,98 @@
         self.syncs = 0
         self.slot_size = 0
         self.is_writing = False
+        self.writer = None
 
     def recover(self):
-        """Load the newest slot and its log; False when the folder was empty."""
-        slot_bodies = [self._read_slot(parity) for parity in (0, 1)]
-        good_slots = [body for body in slot_bodies if isinstance(body, tuple)]
-        log_generations = [self._log_generation(parity) for parity in (0, 1)]
-        if not good_slots:
-            if any(body == "torn" for body in slot_bodies) and any(log_generations):
+        """Load the newest slot and its logs; False when the folder was empty."""
+        files = [self.disk.read(slot_name(parity)) for parity in (0, 1)]
+        slots = [None if data is None else read_slot(data) for data in files]
+        logs = {log.generation: log for log in map(self._read_log, (0, 1)) if log is not None}
+        if not any(slots):
+            if any(data is not None for data in files) and logs:
                 raise Damaged(file="slot", reason="no slot is readable", repair=REPAIR)
             return False
-        self.generation, image = max(good_slots, key=lambda slot: slot[0])
-        if any(generation > self.generation for generation in log_generations):
-            raise Damaged(file="slot", reason="a log is newer than any slot", repair=REPAIR)
-        self.holder.load(image)
-        self._replay_log()
+        slot = max(filter(None, slots), key=lambda slot: slot.generation)
+        self.generation, self.slot_size = slot.generation, slot.size
+        self._check_newer_logs(logs)
+        if slot.rows is None:
+            self.holder.load(slot.image)
+        else:
+            self.holder.load_rows(slot.rows)
+        self._replay_logs(logs, slot.skipped)
         return True
 
-    def _read_slot(self, parity):
-        data = self.disk.read(f"slot.{parity}")
-        if data is None:
-            return None
-        try:
-            magic, generation, length, digest = HEADER.unpack_from(data)
-            body = data[HEADER.size : HEADER.size + length]
-            if magic != MAGIC or hashlib.sha256(body).digest() != digest:
-                return "torn"
-            return generation, cbor2.loads(body)
-        except (struct.error, ValueError, cbor2.CBORError):
-            return "torn"
-
-    def _log_generation(self, parity):
-        records, _ = self._read_log(parity)
-        return records[0] if records and isinstance(records[0], int) else 0
+    def _check_newer_logs(self, logs):
+        """Raise Damaged if a log is newer than any slot, but for the next one of a turn."""
+        for generation, log in logs.items():
+            former = logs.get(self.generation)
+            is_next = log.follows == self.generation and former is not None
+            if is_next and former.good_size >= log.former_size:
+                continue
+            if generation > self.generation:
+                raise Damaged(file="slot", reason="a log is newer than any slot", repair=REPAIR)
 
     def _read_log(self, parity):
-        data = self.disk.read(f"log.{parity}") or b""
-        records, offset = [], 0
-        while (record := read_record(data, offset)) is not None:
-            value, offset = record
-            records.append(value)
-        if offset < len(data) and has_record_after(data, offset):
-            raise Damaged(file=f"log.{parity}", reason="a record amid the log", repair=REPAIR)
-        return records, offset
-
-    def _replay_log(self):
-        parity = self.generation % 2
-        records, good_size = self._read_log(parity)
-        if not records or records[0] != self.generation:
-            self._start_log()
+        data = self.disk.read(log_name(parity)) or b""
+        records, good_size = read_records(data)
+        if good_size < len(data) and has_record_after(data, good_size):
+            raise Damaged(file=log_name(parity), reason="a record amid the log", repair=REPAIR)
+        return Log.from_records(records, good_size)
+
+    def _replay_logs(self, logs, skipped):
+        if self.generation not in logs:
+            self._start_log(self.generation)
             return
-        for record in records[1:]:
-            self.holder.replay(record)
-        self.disk.cut(f"log.{parity}", good_size)
-        self.log_size = good_size
-
-    def _start_log(self):
-        head_record = pack_record(self.generation)
-        self.disk.write(f"log.{self.generation % 2}", head_record)
-        self.log_size = len(head_record)
+        for generation in (self.generation, self.generation + 1):
+            log = logs.get(generation)
+            if log is None:
+                break
+            for record in log.records[skipped:]:
+                self.holder.replay(record)
+            skipped = 0
+            self.disk.cut(log_name(generation), log.good_size)
+            self.log_generation = generation
+            self.log_size, self.log_count = log.good_size, len(log.records)
+
+    def _start_log(self, generation):
+        self._write_log_head(generation, generation)
+
+    def _follow_log(self):
+        generation, former = self.generation + 1, self.generation
+        fields = {"generation": generation, "follows": former, "former_size": self.log_size}
+        self._write_log_head(generation, fields)
+
+    def _write_log_head(self, generation, head):
+        head_record = pack_record(head)
+        self.disk.write(log_name(generation), head_record)
+        self.log_generation = generation
+        self.log_size, self.log_count = len(head_record), 0
 
     def turn(self):
-        """Write the whole image to the other slot and start its log."""
-        body = cbor2.dumps(self.holder.image())
-        head = HEADER.pack(MAGIC, self.generation + 1, len(body), hashlib.sha256(body).digest())
-        self.disk.write(f"slot.{(self.generation + 1) % 2}", head + body)
-        self.slot_size = len(body)
-        self.generation += 1
-        self._start_log()
+        """Write all state to the other slot at once and start its log anew."""
+        skipped = self.log_count if self.log_generation > self.generation else 0
+        self.writer = SlotWriter(self.disk, self.generation + 1, self.holder.rows(), skipped)
+        self._finish_turn()
+        self._start_log(self.generation)
+
+    def _begin_turn(self):
+        """Begin the next slot; what it holds of the records that wait is not replayed on it."""
+        if self.log_generation == self.generation:
+            self._follow_log()
+        skipped = self.log_count + sum(len(records) for records, _ in self.waiting)
+        self.writer = SlotWriter(self.disk, self.generation + 1, self.holder.rows(), skipped)
+
+    def _step_turn(self):
+        """Write some of the next slot; True once it stands."""
+        if not self.writer.step():
+            return False
+        self.generation, self.slot_size = self.writer.generation, self.writer.size
+        self.writer = None
+        return True
+
+    def _finish_turn(self):
+        while not self._step_turn():
+            pass
 
     @property
     def is_idle(self):
@@ -137,63 +165,66 @@
     def run(self, retry_seconds):
         """Script: write what waits in batches; a failed disk is tried again by a new slot."""
         while True:
-            if self.error is None and not self.waiting:
+            if self.writer is not None:
+                yield Sleep(STEP_REST_SECONDS)
+            elif self.error is None and not self.waiting and not self._is_turn_due():
                 yield Wait(self.dirty_signal, 3600)
             self.dirty_signal = Signal()
-            batch, self.waiting = self.waiting, []
-            self.is_writing = True
-            yield from self._pause()
-            outcome = self._write(batch)
-            self.is_writing = False
-            for _, done_signal in batch:
-                done_signal.set(outcome)
-            if outcome is not None:
+            if self.waiting or self.error is not None:
+                yield from self._write_waiting()
+            if self.error is None:
+                yield from self._go_on_turning()
+            else:
                 yield Sleep(retry_seconds)
 
+    def _write_waiting(self):
+        batch, self.waiting = self.waiting, []
+        self.is_writing = True
+        yield from self._pause()
+        outcome = self._write(batch)
+        self.is_writing = False
+        for _, done_signal in batch:
+            done_signal.set(outcome)
+
+    def _go_on_turning(self):
+        if self.writer is None and not self._is_turn_due():
+            return
+        yield from self._pause()
+        self._try(self._begin_turn if self.writer is None else self._step_turn)
+
+    def _is_turn_due(self):
+        is_long = self.log_size > max(self.log_limit, self.slot_size)
+        return is_long or (self.writer is None and self.log_generation > self.generation)
+
     def _pause(self):
         seconds = self.disk.pause()
         if seconds:
             yield Sleep(seconds)
 
     def _write(self, batch):
-        log_name = f"log.{self.generation % 2}"
+        """Write a batch and sync it; return None or the DiskError that kept it from the disk."""
         data = b"".join(pack_record(record) for records, _ in batch for record in records)
+        if self.error is not None:
+            return self._try(self.turn)
+        if data and self._try(lambda: self._append(data)) is None:
+            self.log_count += sum(len(records) for records, _ in batch)
+        outcome = self.error
+        if outcome is None and self._is_turn_due():
+            self._try(self._begin_turn if self.writer is None else self._finish_turn)
+        return outcome
+
+    def _append(self, data):
+        name = log_name(self.log_generation)
+        self.disk.append(name, data)
+        self.disk.sync(name)
+        self.log_size += len(data)
+
+    def _try(self, action):
+        """Do something at the disk; return and keep its error, or None."""
         try:
-            if self.error is not None or self.log_size + len(data) > max(
-                self.log_limit, self.slot_size
-            ):
-                self.turn()
-            elif data:
-                self.disk.append(log_name, data)
-                self.disk.sync(log_name)
-                self.log_size += len(data)
+            action()
             self.syncs += 1
             self.error = None
         except DiskError as error:
-            self.error = error
+            self.error, self.writer = error, None
         return self.error
-
-
-def pack_record(value):
-    """Return the bytes of one log record."""
-    body = cbor2.dumps(value)
-    return RECORD.pack(len(body), zlib.crc32(body)) + body
-
-
-def read_record(data, offset):
-    """Return (value, next offset) of the record there, or None when it is torn."""
-    if offset + RECORD.size > len(data):
-        return None
-    length, checksum = RECORD.unpack_from(data, offset)
-    body = data[offset + RECORD.size : offset + RECORD.size + length]
-    if len(body) != length or zlib.crc32(body) != checksum or not length:
-        return None
-    return cbor2.loads(body), offset + RECORD.size + length
-
-
-def has_record_after(data, offset):
-    """Tell whether the unreadable record is followed by a readable one: not a torn tail."""
-    if offset + RECORD.size > len(data):
-        return False
-    length, _ = RECORD.unpack_from(data, offset)
-    return read_record(data, offset + RECORD.size + length) is not None
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,9 +9,12 @@
     def __init__(self):
         self.records = []
 
-    def image(self):
+    def rows(self):
         return list(self.records)
 
+    def load_rows(self, rows):
+        self.records = list(rows)
+
     def load(self, image):
         self.records = list(image)
 
