--- a/tests/slot_stage.py
+++ b/tests/slot_stage.py
@@ -1,6 +1,6 @@
 """One store's slots and log on a disk whose every step may be the last one."""
 
-from proving.sim.disk import PowerLost
+from proving.sim.disk import CrashDisk, PowerLost
 from quillring.kernel.effects import Wait
 from quillring.kernel.errors import DiskError
 from quillring.store import SlotStore
@@ -25,9 +25,12 @@
     def __init__(self):
         self.records = []
 
-    def image(self):
+    def rows(self):
         return list(self.records)
 
+    def load_rows(self, rows):
+        self.records = list(rows)
+
     def load(self, image):
         self.records = list(image)
 
@@ -36,10 +39,14 @@
 
 
 class Machine:
-    """One life of a store's process on a disk: it commits batches until it dies."""
+    """One life of a store's process on a disk: it commits batches until it dies.
+
+    An eager one commits the next batch as soon as the last one is durable, while the next slot is
+    still being written; else the writer comes to rest between two batches.
+    """
 
-    def __init__(self, disk, log_limit=LOG_LIMIT):
-        self.disk, self.holder = disk, Holder()
+    def __init__(self, disk, log_limit=LOG_LIMIT, is_eager=False):
+        self.disk, self.holder, self.is_eager = disk, Holder(), is_eager
         self.store = SlotStore(disk, self.holder, log_limit)
         self.acknowledged = 0
         if not self.store.recover():
@@ -48,10 +55,11 @@
         self.writer = self.store.run(0.1)
         self.effect = next(self.writer)
 
-    def pump(self):
-        """Let the writer go on until it waits for records, or for a second try of the disk."""
+    def pump(self, is_done=lambda: False):
+        """Let the writer go on until it waits for records, or until something is done."""
         for _ in range(MOST_STEPS):
-            if isinstance(self.effect, Wait) and not self.effect.signal.is_set:
+            is_resting = isinstance(self.effect, Wait) and not self.effect.signal.is_set
+            if is_resting or is_done():
                 return
             self.effect = self.writer.send(True)
         raise AssertionError("the writer never comes to rest")
@@ -61,12 +69,12 @@
 
         As in the running store, memory changes first.
         """
-        scripts = []
+        scripts, waits = [], []
         for record in batch:
             self.holder.replay(record)
             scripts.append(self.store.commit([record]))
-        outcomes = [self._begin(script) for script in scripts]
-        self.pump()
+        outcomes = [self._begin(script, waits) for script in scripts]
+        self.pump(lambda: self.is_eager and all(wait.signal.is_set for wait in waits))
         outcomes = [
             self._end(script) if outcome is None else outcome
             for script, outcome in zip(scripts, outcomes, strict=True)
@@ -74,9 +82,9 @@
         if all(outcome is True for outcome in outcomes):
             self.acknowledged = len(self.holder.records)
 
-    def _begin(self, script):
+    def _begin(self, script, waits):
         try:
-            next(script)
+            waits.append(next(script))
         except DiskError:
             return False
         return None
@@ -91,15 +99,16 @@
         raise AssertionError("a record is neither durable nor refused")
 
 
-def live(disk, acknowledged=0):
+def live(disk, acknowledged=0, is_eager=False):
     """Live until the disk's last step; return how many records are surely durable."""
     machine = None
     try:
-        machine = Machine(disk)
+        machine = Machine(disk, is_eager=is_eager)
         for batch in BATCHES:
             done = len(machine.holder.records)
             if batch[0] in RECORDS[done:]:
                 machine.commit([r for r in batch if r in RECORDS[done:]])
+        machine.pump()
         return machine.acknowledged, True
     except PowerLost:
         known = acknowledged if machine is None else machine.acknowledged
@@ -115,12 +124,12 @@
     return machine
 
 
-def lives(make_disk):
+def lives(is_eager):
     """Yield (last step, disk, acknowledged) for a crash at each step of a whole life."""
     for last_step in range(1, MOST_STEPS):
-        disk = make_disk()
+        disk = CrashDisk()
         disk.last_step = last_step
-        acknowledged, is_whole = live(disk)
+        acknowledged, is_whole = live(disk, is_eager=is_eager)
         yield last_step, disk, acknowledged
         if is_whole:
             return
--- a/tests/test_slot_crashes.py
+++ b/tests/test_slot_crashes.py
@@ -6,9 +6,10 @@
 from tests.slot_stage import RECORDS, Machine, check, live, lives
 
 
-def test_after_a_loss_of_power_at_any_step_all_that_was_acknowledged_comes_back():
+@pytest.mark.parametrize("is_eager", [False, True])
+def test_after_a_loss_of_power_at_any_step_all_that_was_acknowledged_comes_back(is_eager):
     count = 0
-    for last_step, disk, acknowledged in lives(CrashDisk):
+    for last_step, disk, acknowledged in lives(is_eager):
         for number, left in enumerate(disk.after_power_loss()):
             story = f"step {last_step}, remains {number}"
             machine = check(left, acknowledged, story)
@@ -19,9 +20,10 @@
     assert count > 150
 
 
-def test_what_a_killed_process_left_unsynced_is_durable_before_it_counts():
+@pytest.mark.parametrize("is_eager", [False, True])
+def test_what_a_killed_process_left_unsynced_is_durable_before_it_counts(is_eager):
     count = 0
-    for last_step, disk, acknowledged in lives(CrashDisk):
+    for last_step, disk, acknowledged in lives(is_eager):
         found = disk.killed()
         machine = check(found, acknowledged, f"killed at step {last_step}")
         shown = len(machine.holder.records)
@@ -31,14 +33,15 @@
     assert count > 30
 
 
-def test_a_second_crash_at_any_step_after_a_first_one_loses_nothing():
+@pytest.mark.parametrize("is_eager", [False, True])
+def test_a_second_crash_at_any_step_after_a_first_one_loses_nothing(is_eager):
     count = 0
-    for first_step, disk, acknowledged in lives(CrashDisk):
+    for first_step, disk, acknowledged in lives(is_eager):
         for loses_power in (False, True):
             for last_step in range(1, 12):
                 found = next(disk.after_power_loss()) if loses_power else disk.killed()
                 found.last_step = last_step
-                known, is_whole = live(found, acknowledged)
+                known, is_whole = live(found, acknowledged, is_eager)
                 for number, left in enumerate(found.after_power_loss()):
                     story = f"steps {first_step} and {last_step}, {loses_power}, remains {number}"
                     check(left, known, story)
@@ -48,17 +51,19 @@
     assert count > 1000
 
 
+@pytest.mark.parametrize("is_eager", [False, True])
 @pytest.mark.parametrize("length", [1, 2, 5])
-def test_a_disk_that_fails_at_any_step_and_has_room_again_loses_nothing(length):
+def test_a_disk_that_fails_at_any_step_and_has_room_again_loses_nothing(length, is_eager):
     count = 0
-    for first_failure in range(9, 60):
+    first_step = Machine(CrashDisk()).disk.steps + 1
+    for first_failure in range(first_step, first_step + 80):
         disk = CrashDisk()
         disk.failing_steps = range(first_failure, first_failure + length)
-        acknowledged, _ = live(disk)
+        acknowledged, _ = live(disk, is_eager=is_eager)
         for number, left in enumerate(disk.after_power_loss()):
             check(left, acknowledged, f"failed from step {first_failure}, remains {number}")
             count += 1
-    assert count >= 51
+    assert count >= 80
 
 
 def test_a_hole_torn_anywhere_into_an_unsynced_batch_is_a_torn_tail():
