A slot written at once after a failed write goes on with the log that it counts records of

Cause: when a disk failed while the next slot was being written, the whole state was written at once to that slot, with the number of records that its log held already; then this log was begun anew. After the next start as many records of the new log were left out, although acknowledged. Change: the log stays, cut back to what was durable in it; only a log not in use yet is begun.

--- a/quillring/store/slots.py
+++ b/quillring/store/slots.py
@@ -129,11 +129,15 @@
         self.log_size, self.log_count = len(head_record), 0
 
     def turn(self):
-        """Write all state to the other slot at once and start its log anew."""
-        skipped = self.log_count if self.log_generation > self.generation else 0
+        """Write all state to the other slot at once; its log begins anew, unless it is in use."""
+        has_log = self.log_generation > self.generation
+        skipped = self.log_count if has_log else 0
         self.writer = SlotWriter(self.disk, self.generation + 1, self.holder.rows(), skipped)
         self._finish_turn()
-        self._start_log(self.generation)
+        if has_log:
+            self.disk.cut(log_name(self.generation), self.log_size)
+        else:
+            self._start_log(self.generation)
 
     def _begin_turn(self):
         """Begin the next slot; what it holds of the records that wait is not replayed on it."""
