--- a/proving/many_changes.py
+++ b/proving/many_changes.py
@@ -18,7 +18,6 @@
 from quillring.quorum.autofound import found_by_itself
 from quillring.quorum.parts import CONFIG
 
-SIZES = {"sizes": {"edge": 2, "core": 3, "store": 4}}
 READY_AT = 8
 STEP = 0.01
 PATIENCE = 30
@@ -28,8 +27,9 @@
 class ManyChanges:
     """A founded fleet whose configuration is changed again and again."""
 
-    def __init__(self, seed, parts, routes):
-        self.sim = SimFleet("ferrowa", seed, SIZES)
+    def __init__(self, seed, parts, routes, stores=4):
+        sizes = {"sizes": {"edge": 2, "core": 3, "store": stores}}
+        self.sim = SimFleet("ferrowa", seed, sizes)
         self.sim.bounds = Bounds(sync=NEVER_LOST)
         self.env, self.parts, self.routes = self.sim.env, parts, routes
         self.number, self.sent_bytes = 0, {}
@@ -183,9 +183,9 @@
 CASES = (frozen_store, restarted_store, emptied_store, new_owner)
 
 
-def measure(case, changes, routes, parts, seed=1):
+def measure(case, changes, routes, parts, stores, seed=1):
     """Return the figures of one case after so many changes."""
-    fleet = ManyChanges(seed, parts, routes)
+    fleet = ManyChanges(seed, parts, routes, stores)
     fleet.change(1)
     taken, (seconds, sent) = case(fleet, changes)
     store = fleet.group()[-1]
@@ -204,12 +204,15 @@
 @click.option("--changes", default="10,100,1000", help="Numbers of changes, with commas.")
 @click.option("--routes", default=60)
 @click.option("--parts", default=64)
+@click.option("--stores", default=4, help="With 3 there is no spare that keeps hints.")
 @click.option("--seed", default=1)
-def main(changes, routes, parts, seed):
+def main(changes, routes, parts, stores, seed):
     """Measure each case after each number of changes, and print a row each."""
     for case in CASES:
         for count in map(int, changes.split(",")):
-            print(case.__name__, count, measure(case, count, routes, parts, seed), flush=True)
+            print(
+                case.__name__, count, measure(case, count, routes, parts, stores, seed), flush=True
+            )
 
 
 if __name__ == "__main__":
