A late beat of a replica does not take back what newer ones told

Cause: signs of life that bring nothing new raise the sequence in the table, not that of the news; a late copy of an older beat with another state, address or warm-up was newer than the news and taken. Ruled out: a replica that leaves or is gone never comes back, whatever comes late, in any order. Change: a beat is news only if it is newer than the newest sign of life.

--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -144,13 +144,12 @@
         if known is not None and known.incarnation > beat["incarnation"]:
             raise Conflict(field="incarnation", winning_incarnation=known.incarnation)
         version = [beat["incarnation"], beat["sequence"]]
+        is_newer = known is None or version > [known.incarnation, known.sequence]
         if known is not None and known.brings_nothing(beat, self.node.now()):
-            is_news = version > [known.incarnation, known.sequence] and (
-                not self.liveness.note(beat["name"], *version)
-            )
+            is_news = is_newer and not self.liveness.note(beat["name"], *version)
             self.renew(beat["name"], *version)
         else:
-            is_news = known is None or not known.is_over(beat)
+            is_news = is_newer and (known is None or not known.is_over(beat))
         key = f"replica/{beat['name']}"
         if is_news and self.node.find("gossip").put(key, version, beat):
             for name in self.node.find("nifty").graph.routes:
