A part counts as whole by what was committed when it was asked

Cause: part.whole compared the stores' applied index with the owner's index read afterwards; under steady writes they never met, so a retirement was told as not finished for as long as lots came in. Now the index is read first and a store is late only below it.

--- a/quillring/ownership/ownership.py
+++ b/quillring/ownership/ownership.py
@@ -7,6 +7,7 @@
 from quillring.quorum.commands import QUERIES
 from quillring.quorum.owner import Owner, wait_for_owner
 from quillring.quorum.parts import GROUP_SIZE
+from quillring.quorum.retirement import tell_whole
 
 
 class Ownership(Asking):
@@ -175,11 +176,8 @@
         return QUERIES.find(body["query"]["ask"])(read_state, body["query"])
 
     def on_whole(self, body, origin):
-        """Tell whether a part owned here has three stores that hold everything."""
-        owner = self._owner(body["part"])
-        applied = yield from owner.applied_by_store()
-        late = [s[0] for s in owner.group if applied.get(s[0]) != owner.index]
-        return {"group": [s[0] for s in owner.group], "late": late}
+        """Tell whether the stores of a part owned here hold everything."""
+        return tell_whole(self._owner(body["part"]))
 
     def _owner(self, part):
         owner = self.owners.get(part)
--- /dev/null
+++ b/quillring/quorum/retirement.py
@@ -0,0 +1,137 @@
+"""Retirement of a store: when no part needs it any more, and why that stays so.
+
+A store is free when these are seen in this order:
+
+1. The store itself, if it is in reach, knows that it is retired and keeps no hints for a member in
+   reach. From then on it refuses to join a part (`quorum.join`), whoever asks.
+2. The owner of each part finds every member of a full group without the store up to date under its
+   ballot, and no change under way that lets the store join. An owner that asked the store before
+   step 1 either answers here, and tells of it, or is fenced by the members that answered.
+
+So no later owner can bring the store back, and each part bears as many losses as it was made for.
+"""
+
+from typing import NamedTuple
+
+from quillring.kernel.effects import Signal, Wait
+from quillring.kernel.errors import Conflict, QuillringError, UnknownService
+
+
+class PartAnswer(NamedTuple):
+    """What a part's owner tells of its group: store names, and those not up to date or joining."""
+
+    group: tuple
+    late: tuple
+    joining: tuple
+
+    def is_whole_without(self, store, size):
+        """Tell whether the part is at full strength and neither has nor awaits the store."""
+        is_apart = store not in self.group and store not in self.joining
+        return is_apart and not self.late and len(self.group) >= size
+
+
+class Leaving:
+    """The store's side: whether it may join a part, and whether it has handed over its hints."""
+
+    __slots__ = ("node", "acceptors")
+
+    def __init__(self, node, acceptors):
+        self.node = node
+        self.acceptors = acceptors
+        node.handle("quorum.join", self.on_join)
+        node.handle("quorum.leaving", self.on_leaving)
+
+    def on_join(self, body, origin):
+        """Agree to become a member of a part; Conflict when this store may be retired."""
+        if not self.node.find("layout").index or self._is_retired():
+            raise Conflict(store=self.node.me.name, reason="retired or without news of it")
+        return True
+
+    def on_leaving(self, body, origin):
+        """Tell whether this store knows of its retirement and which hints it still has to give."""
+        reaches = self.node.find("nifty").reaches
+        hints = sorted(name for name in self.acceptors.hints if reaches(name))
+        return {"retired": self._is_retired(), "hints": hints}
+
+    def _is_retired(self):
+        return is_marked(self.node, self.node.me.name)
+
+
+def is_marked(node, store):
+    """Tell whether the newest layout of a node names the store as retired."""
+    stores = (node.find("layout").layout or {}).get("stores") or {}
+    return bool(stores.get(store, {}).get("retired"))
+
+
+def may_join(node, store):
+    """Script: ask a store whether it may become a member; one of a former version is not asked."""
+    try:
+        yield from node.call(store, "quorum.join", None)
+    except UnknownService:
+        return True
+    except QuillringError:
+        return False
+    return True
+
+
+def tell_whole(owner):
+    """Script, at the owner: answer `part.whole`; what was committed when it was asked counts."""
+    index = owner.index
+    applied = yield from owner.applied_by_store()
+    repair = owner.node.find("repair")
+    joining = repair.joining.get(owner.part) if repair is not None else None
+    return {
+        "group": [store[0] for store in owner.group],
+        "late": [store[0] for store in owner.group if applied.get(store[0], -1) < index],
+        "joining": [joining] if joining is not None else [],
+    }
+
+
+def is_free(node, store, seconds):
+    """Script: tell whether a store that is marked as retired is needed no more.
+
+    Raises an owner's error when a part can't be asked in time.
+    """
+    if not (yield from _is_ready(node, store)):
+        return False
+    answers = yield from ask_all_parts(node, seconds)
+    size = node.find("ownership").size()
+    return all(answer.is_whole_without(store, size) for answer in answers)
+
+
+def _is_ready(node, store):
+    """Script: tell whether the store knows that it leaves; one out of reach can't join anything."""
+    if not node.find("nifty").reaches(store):
+        return True
+    try:
+        answer = yield from node.call(store, "quorum.leaving", None)
+    except UnknownService:
+        return True
+    except QuillringError:
+        return False
+    return answer["retired"] and not answer["hints"]
+
+
+def ask_all_parts(node, seconds):
+    """Script: ask the owners of all parts at once; return their PartAnswers or raise an error."""
+    ownership, outcomes, done_signal = node.find("ownership"), {}, Signal()
+    parts = ownership.parts()
+
+    def ask_part(part):
+        try:
+            outcomes[part] = yield from ownership.ask(part, "part.whole", {}, seconds)
+        except QuillringError as error:
+            outcomes[part] = error
+        if len(outcomes) == len(parts):
+            done_signal.set()
+
+    for part in parts:
+        node.spawn(ask_part(part))
+    yield Wait(done_signal, seconds * 2)
+    for outcome in outcomes.values():
+        if isinstance(outcome, QuillringError):
+            raise outcome
+    return [
+        PartAnswer(tuple(o["group"]), tuple(o["late"]), tuple(o.get("joining", ())))
+        for o in outcomes.values()
+    ]
