Retirement: finished only when nothing can need or bring back the store

The store now refuses to join once it knows that it is retired, 'finished' waits for that, and an owner tells of a change under way that lets it join.

Ruled out by argument and test: an owner that adopts an older group after 'finished', as every member of the newer group holds the change and a majority of the older one accepted it.

--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -18,6 +18,7 @@
 from quillring.quorum import Acceptors
 from quillring.quorum.hints import Hints
 from quillring.quorum.repair import Repair
+from quillring.quorum.retirement import Leaving
 from quillring.rollout import Freshness, LayoutImage
 from quillring.rollout import commands as rollout_commands
 from quillring.store import SlotStore
@@ -110,6 +111,7 @@
     memory.recall()
     node.spawn(memory.run())
     node.spawn(acceptors.slots.run(node.bounds.beat))
+    node.offer("leaving", Leaving(node, acceptors))
     node.spawn(hints.run())
     if acceptors.founding is not None:
         node.find("gossip").put("founding", [1], acceptors.founding)
--- a/quillring/quorum/hints.py
+++ b/quillring/quorum/hints.py
@@ -4,6 +4,7 @@
 from quillring.kernel.errors import Conflict, Fenced, QuillringError, Refused
 from quillring.nifty.graph import score
 from quillring.quorum.acceptor import WrongIdentity
+from quillring.quorum.retirement import is_marked
 
 KEPT_HINTS = 10_000
 FINAL = (Fenced, WrongIdentity, Conflict)
@@ -61,7 +62,10 @@
     spares = [
         m.name
         for m in nifty.roster.members.values()
-        if m.role == "store" and m.name not in group_names and nifty.reaches(m.name)
+        if m.role == "store"
+        and m.name not in group_names
+        and nifty.reaches(m.name)
+        and not is_marked(owner.node, m.name)
     ]
     if not spares:
         return
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -4,6 +4,7 @@
 from quillring.kernel.errors import QuillringError
 from quillring.nifty.graph import score
 from quillring.quorum.parts import majority
+from quillring.quorum.retirement import is_marked, may_join
 from quillring.quorum.swap import catch_up, is_durable_without, new_group, submit_first
 
 PATIENCE = 5
@@ -14,12 +15,14 @@
 class Repair:
     """Runs beside the owners of a core and mends the groups of their parts."""
 
-    __slots__ = ("node", "lost_since", "busy_parts")
+    __slots__ = ("node", "lost_since", "busy_parts", "joining", "refused_until")
 
     def __init__(self, node):
         self.node = node
         self.lost_since = {}
         self.busy_parts = set()
+        self.joining = {}
+        self.refused_until = {}
 
     def run(self):
         """Script: look at every owned part; a few that lack something are mended side by side.
@@ -56,8 +59,10 @@
                     yield from self._change(owner, change)
                 ):
                     break
+                self.joining.pop(owner.part, None)
                 yield from owner.mend()
         finally:
+            self.joining.pop(owner.part, None)
             self.busy_parts.discard(owner.part)
 
     def _note_lost(self):
@@ -69,13 +74,21 @@
 
     def _prepare(self, owner, change):
         """Script: bring the joining store up to date; tell whether the change loses nothing."""
-        if change.joining is not None and not (yield from catch_up(owner, change.joining)):
+        if change.joining is not None and not (yield from self._invite(owner, change.joining)):
             return False
         yield from owner.mend()
         index = owner.index
         applied = yield from owner.applied_by_store()
         return is_durable_without(owner, change, applied, index)
 
+    def _invite(self, owner, store):
+        """Script: bring a store that agrees to join up to date; ask others after a refusal."""
+        self.joining[owner.part] = store[0]
+        if not (yield from may_join(self.node, store[0])):
+            self.refused_until[store[0]] = self.node.now() + self.node.bounds.news
+            return False
+        return (yield from catch_up(owner, store))
+
     def _change(self, owner, change):
         self.node.log("warning", "group of %s becomes %s", owner.part, change.group)
         self.node.count("group_changes")
@@ -100,8 +113,7 @@
 
     def is_retired(self, store):
         """Tell whether operators want the store machine out of every part."""
-        stores = (self.node.find("layout").layout or {}).get("stores", {})
-        return bool(stores.get(store[0], {}).get("retired"))
+        return is_marked(self.node, store[0])
 
     def _next_change(self, owner):
         """Return the next change that the part's group needs, or None."""
@@ -146,7 +158,12 @@
             and nifty.reaches(m.name)
             and used_domains.count(m.domain) < room
         ]
-        candidates = [c for c in candidates if not self.is_retired(c)]
+        now = self.node.now()
+        candidates = [
+            c
+            for c in candidates
+            if not self.is_retired(c) and self.refused_until.get(c[0], now) <= now
+        ]
         return max(
             candidates, default=None, key=lambda c: (-used_domains.count(c[2]), score(part, c[0]))
         )
--- a/quillring/rollout/marks.py
+++ b/quillring/rollout/marks.py
@@ -3,6 +3,7 @@
 from quillring.kernel.errors import Conflict, NotFound
 from quillring.quorum.commands import COMMANDS
 from quillring.quorum.parts import CONFIG, is_enough
+from quillring.quorum.retirement import is_free
 from quillring.rollout.schema import EMPTY
 
 
@@ -78,8 +79,4 @@
         raise NotFound(field="store", store=store)
     if mark is None or not mark.get("retired"):
         return False
-    for part in ownership.parts():
-        answer = yield from ownership.ask(part, "part.whole", {}, end_time - node.now())
-        if store in answer["group"] or answer["late"] or len(answer["group"]) < ownership.size():
-            return False
-    return True
+    return (yield from is_free(node, store, end_time - node.now()))
--- a/tests/fleet_stage.py
+++ b/tests/fleet_stage.py
@@ -11,10 +11,11 @@
 class SelfFounded:
     """A fleet whose cores found it at the first start, unless told otherwise."""
 
-    def __init__(self, seed, sizes=SIZES, ready_at=8, is_first=lambda name: True, size=3):
+    def __init__(self, seed, sizes=SIZES, ready_at=8, is_first=lambda name: True, size=3, parts=2):
         self.sim = SimFleet("ferrowa", seed, sizes)
         self.sim.bounds = Bounds(sync=5.0)
         self.size = size
+        self.parts = parts
         for name in self.sim.rows:
             self.start(name, is_first(name))
         self.env = self.sim.env
@@ -24,7 +25,7 @@
         """Start a node as the platform's program does."""
         node = self.sim.start(name)
         if node.me.role == "core":
-            node.spawn(found_by_itself(node, is_first, 2, self.size))
+            node.spawn(found_by_itself(node, is_first, self.parts, self.size))
         return node
 
     def run(self, seconds):
--- /dev/null
+++ b/tests/test_retirement.py
@@ -0,0 +1,124 @@
+"""A retirement is finished only when no part needs the store, whatever happens right after."""
+
+from unittest import mock
+
+import pytest
+
+from quillring.kernel.effects import Sleep
+from quillring.quorum.hints import Hints
+from quillring.quorum.repair import Repair
+from quillring.rollout.marks import is_retired
+from tests.fleet_stage import SelfFounded
+from tests.test_repair import PARTS, is_whole, mark, members, owners
+
+FIVE = {"sizes": {"edge": 1, "core": 4, "store": 5}}
+
+
+def retire(stage, store):
+    command = {"do": "store.mark", "store": store, "retired": True}
+    assert stage.submit("core-1", command, seconds=3)[1] is None
+
+
+def is_finished(stage, store, name="core-1"):
+    return stage.ask(name, is_retired(stage.sim.nodes[name], store, 2))[0]
+
+
+def keep_writing(node, part, is_over, pause):
+    number = 0
+    while not is_over:
+        number += 1
+        yield from node.find("ownership").submit(part, mark(f"{part}-{number % 9}"), 5)
+        yield Sleep(pause)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_retirement_finishes_while_commands_keep_coming(seed):
+    stage, is_over = SelfFounded(seed), []
+    store, node = members(stage)[0], stage.sim.nodes["core-1"]
+    for part in PARTS:
+        for _ in range(4):
+            node.spawn(keep_writing(node, part, is_over, 0.002))
+    stage.run(1)
+    retire(stage, store)
+    took = stage.wait_for(lambda: is_finished(stage, store), 3)
+    is_over.append(True)
+    assert took is not None
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_retirement_waits_for_the_hints_kept_for_others(seed):
+    stage = SelfFounded(seed, FIVE)
+    store = next(n for n in stage.sim.names("store") if n not in members(stage, "part-0"))
+    other = members(stage, "part-0")[0]
+    with mock.patch.object(Hints, "_hand_over", lambda self, name: iter(())):
+        record = {"part": "part-0", "ballot": [0, ""], "identity": "", "index": 0}
+        acceptors = stage.stores()[store]
+        stage.ask(store, acceptors.keep(["hint", other, {**record, "batch": [], "committed": 0}]))
+        retire(stage, store)
+        stage.run(6)
+        assert not is_finished(stage, store)
+    assert stage.wait_for(lambda: is_finished(stage, store), 2) is not None
+    assert not acceptors.hints
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_a_store_told_to_be_free_joins_no_part_though_an_owner_has_old_news(seed):
+    stage = SelfFounded(seed, FIVE)
+    store = next(n for n in stage.sim.names("store") if n not in members(stage, "part-0"))
+    retire(stage, store)
+    assert stage.wait_for(lambda: is_finished(stage, store), 6) is not None
+    with mock.patch.object(Repair, "is_retired", lambda self, store: False):
+        spares = [n for n in stage.sim.names("store") if n not in members(stage, "part-0")]
+        for name in (*(n for n in spares if n != store), members(stage, "part-0")[0]):
+            stage.sim.kill(name)
+        stage.run(8)
+        assert not [
+            part for part in PARTS if part in owners(stage) and store in members(stage, part)
+        ]
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_nothing_is_lost_when_all_goes_wrong_right_after_a_retirement_finished(seed):
+    stage, is_over = SelfFounded(seed, FIVE), []
+    store = members(stage)[seed % 3]
+    for number in range(6):
+        assert stage.submit("core-1", mark(f"d{number}"))[1] is None
+    node = stage.sim.nodes["core-1"]
+    node.spawn(keep_writing(node, "config", is_over, 0.003))
+    retire(stage, store)
+    assert stage.wait_for(lambda: is_finished(stage, store), 6, 0.01) is not None
+    for part in PARTS:
+        assert store not in [s[0] for s in owners(stage)[part].group]
+    stage.sim.lose_disk(store)
+    owner_name = stage.owner()
+    stage.sim.kill(owner_name)
+    wiped = next(n for n in members_by_gossip(stage) if n != store)
+    stage.sim.lose_disk(wiped)
+    is_over.append(True)
+    stage.run(1)
+    stage.start(wiped)
+    assert stage.wait_for(lambda: len(owners(stage)) == len(PARTS), 6) is not None
+    assert stage.wait_for(lambda: is_whole(stage), 8) is not None
+    assert {f"d{number}" for number in range(6)} < marked_at(stage)
+
+
+def members_by_gossip(stage):
+    node = stage.sim.up_nodes("edge")[0]
+    return [store[0] for store in node.find("ownership").group("config")]
+
+
+def marked_at(stage):
+    name = next(n.me.name for n in stage.sim.up_nodes("core"))
+    answer, error = stage.read(name, {"ask": "edition"}, seconds=3)
+    assert error is None
+    return set(answer["layout"]["domains"])
+
+
+def test_many_parts_far_away_are_asked_within_one_short_call():
+    stage = SelfFounded(1, FIVE, parts=48)
+    stage.sim.net.min_delay, stage.sim.net.max_delay = 0.015, 0.025
+    store = members(stage)[0]
+    retire(stage, store)
+    stage.run(12)
+    answer, error = stage.ask("core-1", is_retired(stage.sim.nodes["core-1"], store, 0.8))
+    assert error is None and answer
