Scenario isolated_store also looks at the groups before the retirement

Cause: its guard-out (an emptied store is not seen as one) no longer failed, as a retirement now swaps the emptied store out in one step even then: the change does not wait for the leaving store itself. The groups were looked at only at the end.

--- a/proving/points/failures.py
+++ b/proving/points/failures.py
@@ -84,6 +84,17 @@
     return stage.sim.history.violations, outcomes
 
 
+def check_groups(stage, when, left_name=None):
+    """Every part has three live members, each under its present identity, without the one named."""
+    ownership = stage.node("edge-1").find("ownership")
+    live = {n.find("acceptors").identity for n in stage.sim.up_nodes("store")}
+    for part in ownership.parts():
+        stores = ownership.group(part)
+        is_sound = len(stores) == 3 and {s[1] for s in stores} <= live
+        if not is_sound or left_name in [s[0] for s in stores]:
+            stage.sim.history.violate(f"{part} has the group {stores} {when}")
+
+
 def isolated_store(seed):
     """A store is isolated, then emptied, then retired, under traffic; every part stays whole."""
     stage = Stage(seed)
@@ -100,19 +111,12 @@
     stage.run(1)
     sim.start(name)
     stage.run(12)
+    check_groups(stage, "after the store came back empty")
     answer, error = adopt(stage, "core-1", {"stores": {name: {"retired": True}}})
     stage.run(12)
     callers.stop_at = stage.env.now
     stage.run(15)
-    ownership, live = (
-        stage.node("edge-1").find("ownership"),
-        {n.find("acceptors").identity for n in sim.up_nodes("store")},
-    )
-    for part in ownership.parts():
-        stores = ownership.group(part)
-        is_sound = len(stores) == 3 and {s[1] for s in stores} <= live
-        if not is_sound or name in [s[0] for s in stores]:
-            sim.history.violate(f"{part} has the group {stores}")
+    check_groups(stage, "after the retirement", name)
     outcomes, accepted = stage.outcomes(), sim.history.counts.get("accepted_lots", 0)
     if outcomes.get("lot/ended", 0) != accepted or not answer:
         sim.history.violate(f"accepted {accepted}, retired {answer or error}: {outcomes}")
