A store that knows of its removal gives no stamp of the config part

Cause: a removed store's heartbeats went on carrying the config part's index, which an observer with an old group counts.

--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -236,10 +236,12 @@
         return known
 
     def stamp(self):
-        """Return the config part's ballot and committed index for the heartbeats."""
+        """Return the config part's ballot and committed index, None if no member can give it."""
         config_record = self.parts.get(CONFIG)
         if config_record is None or config_record.state is None or self.slots.error is not None:
             return None
+        if not any(store[1] == self.identity for store in config_record.state["group"]):
+            return None
         return [list(config_record.promised), config_record.committed, self.identity]
 
     def _tell(self, part):
