Freshness counts the stores of the group in the layout's own state, no other

Cause: an edge judged the word of the stores by the newest group it had heard of, and the layout by another message. A group newer than the layout is no better: its joined members may not know the entry that is missing here.

Change: the image keeps the group of its own index, freshness needs a majority of that one; the proof stands in the module. Stores of both groups are asked for newer layouts.

So no number of the group is needed in promises and answers: the index at which the state stands names the group.

--- a/quillring/rollout/freshness.py
+++ b/quillring/rollout/freshness.py
@@ -1,4 +1,11 @@
-"""Freshness: an edge serves new work only on fresh word of a majority of config stores."""
+"""Freshness: an edge serves new work only on fresh word of a majority of config stores.
+
+The majority is one of the group that stands in the very state the node holds, at its index x: entry
+x + 1 is decided by that group and committed at a majority of it before it is acknowledged. So any
+majority of it includes a store that knows of whatever was acknowledged after x. A group heard of
+otherwise, older or newer, proves nothing: stores removed from it may not know what came later, and
+stores that joined it may not know what came before.
+"""
 
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import NotFounded, QuillringError, Refused
@@ -19,10 +26,16 @@
         """Give the stamp to a node that hears no heartbeats from this store."""
         return self.node.find("nifty").stamp_source()
 
-    def _store_words(self):
-        """Yield (index, time the word is from) of each config store."""
+    def _known_stores(self):
+        """Return the stores of the newest group heard of, and of the one in the layout's state."""
+        heard_group = self.node.find("ownership").group(CONFIG)
+        own_group = self.node.find("layout").group or []
+        return [*own_group, *(s for s in heard_group if list(s) not in map(list, own_group))]
+
+    def _store_words(self, stores):
+        """Yield (name, (time the word is from, index)) of each of the config stores."""
         nifty = self.node.find("nifty")
-        for name, identity, _ in self.node.find("ownership").group(CONFIG):
+        for name, identity, _ in stores:
             words = [self.words[name]] if name in self.words else []
             heard = nifty.heard.get(name)
             if heard is not None and heard.stamp is not None and heard.echo_at is not None:
@@ -38,12 +51,9 @@
     def is_fresh(self):
         """Tell whether a majority lately confirmed that no newer layout is committed."""
         image = self.node.find("layout")
-        if image.layout is None:
-            return False
-        try:
-            store_words = list(self._store_words())
-        except NotFounded:
+        if image.layout is None or not image.group:
             return False
+        store_words = list(self._store_words(image.group))
         edge_time = self.node.now() - self.node.bounds.fresh
         good_count = sum(
             at is not None and at > edge_time and index <= image.index
@@ -62,7 +72,7 @@
         while True:
             yield Sleep(self.node.bounds.beat / 2)
             try:
-                store_words = list(self._store_words())
+                store_words = list(self._store_words(self._known_stores()))
             except NotFounded:
                 continue
             yield from self._probe(store_words)
@@ -98,7 +108,7 @@
         newer_words = sorted(
             (
                 (index, name)
-                for name, (at, index) in self._store_words()
+                for name, (at, index) in self._store_words(self._known_stores())
                 if index > image.index or (image.layout is None and index)
             ),
             reverse=True,
--- a/quillring/rollout/image.py
+++ b/quillring/rollout/image.py
@@ -7,13 +7,14 @@
 class LayoutImage:
     """The newest layout that this node heard of."""
 
-    __slots__ = ("node", "index", "version", "layout", "taken_at")
+    __slots__ = ("node", "index", "version", "layout", "group", "taken_at")
 
     def __init__(self, node):
         self.node = node
         self.index = 0
         self.version = 0
         self.layout = None
+        self.group = None
         self.taken_at = None
         gossip = node.find("gossip")
         gossip.listen("layout", lambda key, news: self._swap(news))
@@ -51,11 +52,12 @@
             gossip.fresh["layout"] = 1
 
     def _swap(self, news):
-        index, version, layout, _ = news
+        index, version, layout, group = news
         if index > self.index:
             if version != self.version:
                 self.taken_at = self.node.now()
             self.index, self.version, self.layout = index, version, layout
+            self.group = group
 
     def entry(self, name):
         """Return (entry, service, class) by the entry's name, or raise NotFound."""
