First start: a majority of the seeds agrees on the founding, each vote kept by a store

Change: single-decree Paxos among the seeds told at the first start. A seed's vote outlives its process in the store on its machine (setting 'witness'); a seed without one votes only in a life that is the first start. The operator's verb and its rule of the first store stay as they were.

--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -16,6 +16,7 @@
 from quillring.plans import PlanRunner
 from quillring.plans.runner import count_busy
 from quillring.quorum import Acceptors
+from quillring.quorum.electing import Elector, Witness
 from quillring.quorum.hints import Hints
 from quillring.quorum.repair import Repair
 from quillring.quorum.retirement import Leaving
@@ -34,6 +35,7 @@
     nifty = node.offer("nifty", Nifty(node, seeds, versions))
     gossip = node.offer("gossip", Gossip(node))
     node.offer("ownership", Ownership(node))
+    node.offer("elector", Elector(node))
     node.offer("layout", LayoutImage(node))
     node.offer("freshness", Freshness(node))
     node.offer("replicas", Replicas(node))
@@ -112,6 +114,7 @@
     node.spawn(memory.run())
     node.spawn(acceptors.slots.run(node.bounds.beat))
     node.offer("leaving", Leaving(node, acceptors))
+    node.offer("witness", Witness(node, acceptors.slots.disk))
     node.spawn(hints.run())
     if acceptors.founding is not None:
         node.find("gossip").put("founding", [1], acceptors.founding)
--- a/quillring/kernel/settings.py
+++ b/quillring/kernel/settings.py
@@ -43,6 +43,11 @@
             "type": "boolean",
             "description": "True at the very first start: the first seed founds the fleet.",
         },
+        "witness": {
+            "type": "string",
+            "pattern": "^[a-z][a-z0-9-]{0,40}$",
+            "description": "Store on the same machine that keeps this seed's vote on the founding.",
+        },
         "losses": {
             "type": "integer",
             "minimum": 0,
@@ -84,6 +89,7 @@
         "bounds",
         "bootstrap",
         "losses",
+        "witness",
     )
 
     def __init__(self, fields):
@@ -99,6 +105,7 @@
         self.bounds = Bounds(**fields.get("bounds", {}))
         self.bootstrap = fields.get("bootstrap", False)
         self.losses = fields.get("losses", 1)
+        self.witness = fields.get("witness")
 
 
 def split_address(text):
--- a/quillring/quorum/autofound.py
+++ b/quillring/quorum/autofound.py
@@ -2,6 +2,7 @@
 
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import QuillringError
+from quillring.quorum.electing import agree
 from quillring.quorum.founding import found_fleet, roster_stores
 from quillring.quorum.parts import GROUP_SIZE, is_enough
 
@@ -13,11 +14,14 @@
     """Script, on a core: found the fleet at its very first start, as soon as its stores are there.
 
     `size` is how many stores hold each part. The first seed does it; each later one only after
-    another turn without a founding. With too few stores for the size, the largest odd number that
-    there is must do, after a turn.
+    another turn without a founding. A majority of the seeds has to agree on the record, so that
+    the sides of a cut cannot both found. With too few stores for the size, the largest odd number
+    that there is must do, after a turn.
     """
+    node.find("elector").is_first_start = is_first_start
     if not is_first_start:
         return
+    node.spawn(node.find("elector").begin())
     gossip, bounds, start_time = node.find("gossip"), node.bounds, node.now()
     turn, names, steady_since = bounds.beat * TURN_BEATS, (), node.now()
     own_time = start_time + turn * place_of(node)
@@ -31,7 +35,7 @@
         if is_enough([store[2] for store in stores], size) or now >= own_time + turn:
             wanted_size = min(size, (len(stores) + 1) // 2 * 2 - 1)
             try:
-                yield from found_fleet(node, part_count, wanted_size, stores)
+                yield from found_fleet(node, part_count, wanted_size, stores, agree)
             except QuillringError as error:
                 node.log("warning", "founding: %s", error)
 
--- a/quillring/quorum/founding.py
+++ b/quillring/quorum/founding.py
@@ -4,13 +4,14 @@
 from quillring.quorum.parts import GROUP_SIZE, choose_group, is_enough, part_names
 
 
-def found_fleet(node, part_count, size=GROUP_SIZE, stores=None):
+def found_fleet(node, part_count, size=GROUP_SIZE, stores=None, choose=None):
     """Script: found the fleet on the stores of the roster, or finish a founding begun before.
 
     A store that holds a founding already is found by asking all first. Then the first store by
     name is asked alone: of two racing founders the one whose record it keeps has won, and the
     other carries on with the winner's record. With `stores` ([name, identity, domain]) given, the
-    groups are made of these, spread as far as they are.
+    groups are made of these, spread as far as they are. With `choose` (a script of node and record
+    that returns the one agreed on), that one is founded and no other.
     """
     gossip = node.find("gossip")
     known_founding = gossip.get("founding")
@@ -22,8 +23,11 @@
         raise Refused(reason="stores in three domains are needed", domains=domains)
     held_founding = yield from _held_founding(node, founders)
     founding = held_founding or make_founding(node, part_count, size, founders)
-    arbiter, *other_stores = founders
-    founding = yield from _found_at(node, arbiter, founding)
+    if choose is not None:
+        founding, other_stores = (yield from choose(node, founding)), founders
+    else:
+        arbiter, *other_stores = founders
+        founding = yield from _found_at(node, arbiter, founding)
     calls = [
         (store[0], "quorum.found", {"identity": store[1], "founding": founding})
         for store in other_stores
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -82,6 +82,8 @@
     world.listen(*settings.address, nifty.on_datagram, nifty.on_frame)
     server = start_server(settings.http_address, make_app(node), node_logger)
     servers = [*open_more(node, world.report), server]
+    elector = node.find("elector")
+    elector.is_first_start, elector.witness = settings.bootstrap, settings.witness
     if settings.role == "core":
         node.spawn(
             found_by_itself(node, settings.bootstrap, settings.parts, settings.losses * 2 + 1)
--- a/tests/fleet_stage.py
+++ b/tests/fleet_stage.py
@@ -11,11 +11,21 @@
 class SelfFounded:
     """A fleet whose cores found it at the first start, unless told otherwise."""
 
-    def __init__(self, seed, sizes=SIZES, ready_at=8, is_first=lambda name: True, size=3, parts=2):
+    def __init__(
+        self,
+        seed,
+        sizes=SIZES,
+        ready_at=8,
+        is_first=lambda name: True,
+        size=3,
+        parts=2,
+        has_witnesses=False,
+    ):
         self.sim = SimFleet("ferrowa", seed, sizes)
         self.sim.bounds = Bounds(sync=5.0)
         self.size = size
         self.parts = parts
+        self.has_witnesses = has_witnesses
         for name in self.sim.rows:
             self.start(name, is_first(name))
         self.env = self.sim.env
@@ -25,6 +35,8 @@
         """Start a node as the platform's program does."""
         node = self.sim.start(name)
         if node.me.role == "core":
+            if self.has_witnesses:
+                node.find("elector").witness = name.replace("core", "store")
             node.spawn(found_by_itself(node, is_first, self.parts, self.size))
         return node
 
