--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -2,11 +2,13 @@
 
 from proving.points import (
     cuts,
+    departed,
     domains,
     failures,
     fleet,
     keeping,
     lots,
+    membership,
     reading,
     resume,
     rooms,
@@ -32,4 +34,6 @@
     *keeping.POINTS,
     *reading.POINTS,
     *failures.POINTS,
+    *membership.POINTS,
+    *departed.POINTS,
 ]
