--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -2,11 +2,13 @@
 
 from proving.points import (
     cuts,
+    departed,
     domains,
     failures,
     fleet,
     keeping,
     lots,
+    membership,
     orders,
     reading,
     resume,
@@ -36,4 +38,6 @@
     *failures.POINTS,
     *orders.POINTS,
     *stalls.POINTS,
+    *membership.POINTS,
+    *departed.POINTS,
 ]
