--- a/proving/histories/bugs.py
+++ b/proving/histories/bugs.py
@@ -1,6 +1,197 @@
-"""Seeded bugs."""
+"""Seeded bugs: guards of the product taken out one at a time, to see that histories miss each."""
 
+import contextlib
+import gc
+import multiprocessing
+import time
+from typing import NamedTuple
+from unittest import mock
 
-def find_all_bugs(first, jobs, echo):
-    """Later."""
-    return True
+from proving.histories.run import run_seed
+from quillring.kernel.effects import Signal
+from quillring.kernel.errors import Conflict, Refused
+from quillring.lots import raw_commands
+from quillring.ownership import asking
+from quillring.quorum import owner, peek
+from quillring.quorum.acceptor import Acceptors, PartRecord
+from quillring.quorum.commands import COMMANDS
+from quillring.rollout import editions, marks
+from quillring.rollout.freshness import Freshness
+from quillring.rollout.image import LayoutImage
+from quillring.rollout.orders import place_order
+from quillring.store.slots import SlotStore
+
+MOST_SEEDS_A_BUG = 40
+SHOWN_TEXT = 60
+
+
+class Bug(NamedTuple):
+    """A guard and what stands in for it: (object, attribute, stand-in), or a command's name."""
+
+    name: str
+    guard: str
+    target: object
+    attribute: str
+    stand_in: object
+
+    def patch(self):
+        """Return a context in which the guard is taken out."""
+        if self.target is COMMANDS:
+            return mock.patch.dict(COMMANDS.entries, {self.attribute: self.stand_in})
+        return mock.patch.object(self.target, self.attribute, self.stand_in)
+
+
+class Row(NamedTuple):
+    """What came of one seeded bug; `seed` is None where no seed showed it."""
+
+    bug: Bug
+    seed: int | None
+    tried: int
+    operations: int
+    seconds: float
+    found: str
+
+
+def adopt_on_any_base(state, command):
+    """Stand-in: a configuration made on another version is adopted all the same."""
+    try:
+        return editions.adopt_edition(state, command)
+    except Conflict as error:
+        base = error.detail.get("winning_edition")
+        return editions.adopt_edition(state, {**command, "base_edition": base})
+
+
+def adopt_without_memory(state, command):
+    """Stand-in: what was adopted before is not known again."""
+    return editions.adopt_edition({**state, "editions": {}}, command)
+
+
+def local_state(self):
+    """Stand-in: a read is answered from the owner's memory alone."""
+    return self.state
+    yield
+
+
+def place_unfenced(state, section, name, order, seen_version):
+    """Stand-in: an order about a zone or store counts however old it is."""
+    return place_order(state, section, name, order, None)
+
+
+def no_check(*words):
+    """Stand-in for a check."""
+
+
+def no_faults(*words):
+    """Stand-in for a check that lists faults."""
+    return []
+
+
+def check_without_ballot(self, body):
+    """Stand-in: an acceptor takes what an owner of an older term sends."""
+    record = self.parts.get(body["part"]) or PartRecord()
+    return record, max(tuple(body["ballot"]), record.promised)
+
+
+def commit_without_sync(self, records):
+    """Stand-in: a store answers before its disk has the records."""
+    self.waiting.append((records, Signal()))
+    self.dirty_signal.set()
+    return
+    yield
+
+
+def accept_anew(state, command):
+    """Stand-in: a lot that is handed in again starts afresh."""
+    lots = {n: lot for n, lot in raw_commands.raw_lots(state).items() if n != command["lot"]}
+    return raw_commands.accept_raw_lot({**state, "raw": lots}, command)
+
+
+def end_nothing(state, command):
+    """Stand-in: an end is acknowledged, and the lot goes on."""
+    raw_commands.find_raw_lot(state, command)
+    return state, {"ended": True}
+
+
+def list_in_front(lot, rows, list_items=raw_commands.list_items):
+    """Stand-in: a result goes to the first position."""
+    listed = list_items(lot, rows)
+    return {**listed, "results": [*listed["results"][-len(rows) :], *lot["results"]]}
+
+
+def take_any_news(self, body, origin):
+    """Stand-in: a node takes whatever configuration it is told last."""
+    _, news = body
+    self.index, self.version, self.layout = news[:3]
+
+
+def told_as_refused(part):
+    """Stand-in: an order that may have run is told as refused."""
+    return Refused(part=part, reason="not known")
+
+
+def newest_of_any(replies, group, query):
+    """Stand-in: what may be chosen beyond the applied state is not looked at."""
+    return max(replies, key=lambda reply: reply[0])[3:5] if replies else None
+
+
+def always_fresh(self):
+    """Stand-in: a node counts as fresh however long it heard of no majority."""
+    return self.node.find("layout").layout is not None
+
+
+BUGS = (
+    Bug("base not compared", "edition.adopt: base", COMMANDS, "edition.adopt", adopt_on_any_base),
+    Bug(
+        "repeats unknown", "edition.adopt: digests", COMMANDS, "edition.adopt", adopt_without_memory
+    ),
+    Bug("number not compared", "editions.number_faults", editions, "number_faults", no_faults),
+    Bug("local read", "Owner.fenced_state", owner.Owner, "fenced_state", local_state),
+    Bug("unfenced orders", "orders.place_order", marks, "place_order", place_unfenced),
+    Bug("any retirement", "marks.check_remaining", marks, "check_remaining", no_check),
+    Bug("terms not compared", "Acceptors._check", Acceptors, "_check", check_without_ballot),
+    Bug("answer before sync", "SlotStore.commit", SlotStore, "commit", commit_without_sync),
+    Bug("lot accepted anew", "raw.accept: digest", COMMANDS, "raw.accept", accept_anew),
+    Bug("end not kept", "raw.end", COMMANDS, "raw.end", end_nothing),
+    Bug("results move", "raw_commands.list_items", raw_commands, "list_items", list_in_front),
+    Bug("snapshot goes back", "LayoutImage.on_news", LayoutImage, "on_news", take_any_news),
+    Bug("unknown told as refused", "asking._unknown", asking, "_unknown", told_as_refused),
+    Bug("reads past the log", "peek.find_answer", peek, "find_answer", newest_of_any),
+    Bug("always fresh", "Freshness.is_fresh", Freshness, "is_fresh", always_fresh),
+)
+
+
+def find_bug(job):
+    """Play seeds with one guard taken out until a history shows it."""
+    number, first, most = job
+    bug, start_time, operations = BUGS[number], time.perf_counter(), 0
+    for seed in range(first, first + most):
+        gc.disable()
+        with bug.patch():
+            result = run_seed(seed)
+        gc.enable()
+        operations += result.operations
+        if result.findings:
+            finding = result.findings[0]
+            found = f"{finding.target}: {finding.text[:SHOWN_TEXT]}"
+            seconds = time.perf_counter() - start_time
+            return Row(bug, seed, seed - first + 1, operations, seconds, found)
+    return Row(bug, None, most, operations, time.perf_counter() - start_time, "")
+
+
+def find_all_bugs(first, jobs, echo, most=MOST_SEEDS_A_BUG):
+    """Print a table of all seeded bugs; return whether one was not found."""
+    work, missed = [(number, first, most) for number in range(len(BUGS))], 0
+    echo(f"{'seeded bug':<24} {'guard taken out':<24} {'seed':>5} {'runs':>5} {'s':>5}  found by")
+    with contextlib.ExitStack() as stack:
+        rows = map(find_bug, work)
+        if jobs > 1:
+            rows = stack.enter_context(multiprocessing.Pool(jobs)).imap(find_bug, work, 1)
+        for row in rows:
+            missed += row.seed is None
+            seed = "-" if row.seed is None else row.seed
+            echo(
+                f"{row.bug.name:<24} {row.bug.guard:<24} {seed:>5} {row.tried:>5} "
+                f"{row.seconds:>5.0f}  {row.found}"
+            )
+    echo(f"{len(BUGS) - missed} of {len(BUGS)} found, at most {most} seeds each from {first}")
+    return bool(missed)
--- a/proving/histories/run.py
+++ b/proving/histories/run.py
@@ -19,6 +19,7 @@
 )
 from proving.histories.snapshots import check_snapshots
 from proving.histories.stage import HistoryStage
+from proving.sim.world import ScriptFailure
 
 OPERATORS, LOT_CLIENTS = 5, 2
 FAULTS = 7
@@ -70,7 +71,19 @@
         return f"lot{self.lots}"
 
     def play(self):
-        """Play the run; return its history."""
+        """Play the run; return its history, up to where a script of the product failed."""
+        sim, history = self.stage.sim, self.stage.history
+        try:
+            self._play_all()
+        except ScriptFailure as error:
+            self.findings.append(Finding("program", f"{error} at {self.stage.env.now:.3f}"))
+        self._note_runs()
+        history.steps = [*sim.history.marks]
+        self.counts["packets held"] = sim.net.late_packets
+        self.findings.extend(Finding("simulator", text) for text in sim.history.violations)
+        return history
+
+    def _play_all(self):
         env, sim = self.stage.env, self.stage.sim
         self._set_up()
         sim.net.late_copy_share, sim.net.late_share = LATE_COPY_SHARE, LATE_SHARE
@@ -83,14 +96,7 @@
         for worker in workers:
             env.process(worker.work(CALLS_UNTIL))
         env.run(until=HEAL_AT + 0.5)
-        last_look = env.process(self._look_at_last())
-        env.run(until=last_look)
-        self._note_runs()
-        history = self.stage.history
-        history.steps = [*sim.history.marks]
-        self.counts["packets held"] = sim.net.late_packets
-        self.findings.extend(Finding("simulator", text) for text in sim.history.violations)
-        return history
+        env.run(until=env.process(self._look_at_last()))
 
     def _set_up(self):
         """Adopt the first configuration, as an operation of the history."""
--- /dev/null
+++ b/tests/test_histories.py
@@ -0,0 +1,155 @@
+"""The checker of histories: what it accepts, what it rejects, and how long that takes."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from proving.histories.checker import check_operations
+from proving.histories.models import ConfigurationModel, ZoneModel
+from proving.histories.operations import (
+    Conflicting,
+    Done,
+    FetchConfiguration,
+    Invalid,
+    MarkZone,
+    NotTaken,
+    Unknown,
+)
+from tests.history_rows import adopt, is_linearizable, operation, seen
+
+PROFILE = settings(max_examples=60, derandomize=True, deadline=None, database=None)
+
+
+def sequential_register(chance, count):
+    """Return (order, answer) of a sequential history of the configuration register."""
+    number, value, taken, rows = 0, 0, {}, []
+    for turn in range(count):
+        kind = chance.choice(["read", "adopt", "adopt", "repeat", "lose", "invalid"])
+        if kind == "repeat" and taken:
+            rows.append((chance.choice(list(taken.values())), Done()))
+        elif kind == "adopt":
+            number, value = number + 1, turn + 1
+            taken[number] = adopt(number, number - 1, value)
+            rows.append((taken[number], Done()))
+        elif kind == "lose" and number:
+            rows.append((adopt(number + 1, number - 1, -turn - 1), Conflicting(number)))
+        elif kind == "invalid":
+            rows.append((adopt(number + 1, number, -turn - 1, is_valid=False), Invalid()))
+        else:
+            rows.append((FetchConfiguration(), seen(number, value)))
+    return rows
+
+
+def overlapping(rows, chance, width):
+    """Return operations that take effect in this order, each within its own interval."""
+    operations = [
+        operation(order, answer, turn - chance.uniform(0, width), turn + chance.uniform(0, width))
+        for turn, (order, answer) in enumerate(rows)
+    ]
+    chance.shuffle(operations)
+    return operations
+
+
+@PROFILE
+@given(st.integers(0, 1 << 30), st.integers(1, 60), st.floats(0, 6))
+def test_sequential_histories_shuffled_within_overlap_are_accepted(seed, count, width):
+    chance = random.Random(seed)
+    operations = overlapping(sequential_register(chance, count), chance, width)
+    assert check_operations(ConfigurationModel(), operations).is_linearizable
+
+
+@PROFILE
+@given(st.integers(0, 1 << 30), st.integers(5, 60), st.floats(0, 6))
+def test_a_mutated_read_is_rejected(seed, count, width):
+    chance = random.Random(seed)
+    rows = [*sequential_register(chance, count), (FetchConfiguration(), seen(0, 0))]
+    reads = [n for n, (order, _) in enumerate(rows) if isinstance(order, FetchConfiguration)]
+    place = chance.choice(reads)
+    rows[place] = (FetchConfiguration(), seen(7, -7))
+    verdict = check_operations(ConfigurationModel(), overlapping(rows, chance, width))
+    assert verdict.is_linearizable is False and verdict.stuck
+
+
+@PROFILE
+@given(st.integers(0, 1 << 30), st.integers(5, 40))
+def test_without_overlap_a_read_of_an_older_configuration_is_rejected(seed, count):
+    chance = random.Random(seed)
+    rows = [(adopt(1, 0, 1), Done()), (adopt(2, 1, 2), Done())]
+    rows.extend((FetchConfiguration(), seen(2, 2)) for _ in range(count))
+    rows.insert(chance.randrange(2, len(rows) + 1), (FetchConfiguration(), seen(1, 1)))
+    assert (
+        check_operations(ConfigurationModel(), overlapping(rows, chance, 0)).is_linearizable
+        is False
+    )
+
+
+@PROFILE
+@given(st.integers(0, 1 << 30), st.integers(1, 40), st.floats(0, 5))
+def test_lost_answers_keep_a_linearizable_history_so(seed, count, width):
+    chance = random.Random(seed)
+    operations = [
+        operation(o.order, Unknown(), o.begin) if chance.random() < 0.3 else o
+        for o in overlapping(sequential_register(chance, count), chance, width)
+    ]
+    assert check_operations(ConfigurationModel(), operations).is_linearizable
+
+
+def test_two_orders_under_one_number_are_never_both_taken():
+    first, second = adopt(1, 0, 1), adopt(1, 0, 2)
+    assert is_linearizable(
+        ConfigurationModel(), (first, Done(), 0, 5), (second, Conflicting(1), 0, 5)
+    )
+    assert not is_linearizable(ConfigurationModel(), (first, Done(), 0, 5), (second, Done(), 0, 5))
+
+
+def test_a_repeat_is_acknowledged_and_never_refused():
+    order, newer = adopt(1, 0, 1), adopt(2, 1, 2)
+    taken = (order, Done(), 0, 1), (newer, Done(), 2, 3)
+    assert is_linearizable(ConfigurationModel(), *taken, (order, Done(), 4, 5))
+    assert not is_linearizable(ConfigurationModel(), *taken, (order, Conflicting(2), 4, 5))
+    assert not is_linearizable(ConfigurationModel(), *taken, (order, Invalid(), 4, 5))
+
+
+def test_a_refused_order_never_takes_effect():
+    order = adopt(1, 0, 1)
+    read = (FetchConfiguration(), seen(1, 1), 2, 3)
+    assert is_linearizable(ConfigurationModel(), (order, Unknown(), 0), read)
+    for answer in (NotTaken(), Conflicting(0), Invalid()):
+        assert not is_linearizable(ConfigurationModel(), (order, answer, 0, 1), read)
+
+
+def test_an_unknown_order_takes_effect_late_or_never_but_not_before_it_began():
+    order, seen_it = adopt(1, 0, 1), (FetchConfiguration(), seen(1, 1), 90, 91)
+    not_yet = (FetchConfiguration(), seen(0, 0), 80, 81)
+    assert is_linearizable(ConfigurationModel(), (order, Unknown(), 0), not_yet)
+    assert is_linearizable(ConfigurationModel(), (order, Unknown(), 0), not_yet, seen_it)
+    assert not is_linearizable(ConfigurationModel(), (order, Unknown(), 92), seen_it)
+    gone_again = (FetchConfiguration(), seen(0, 0), 95, 96)
+    assert not is_linearizable(ConfigurationModel(), (order, Unknown(), 0), seen_it, gone_again)
+
+
+def test_histories_of_hundreds_of_operations_with_lost_answers_need_few_configurations():
+    for seed in range(10):
+        chance = random.Random(seed)
+        operations = [
+            operation(o.order, Unknown(), o.begin) if chance.random() < 0.15 else o
+            for o in overlapping(sequential_register(chance, 400), chance, 4)
+        ]
+        verdict = check_operations(ConfigurationModel(), operations, 50_000)
+        assert verdict.is_linearizable
+
+
+def test_lost_orders_about_one_zone_do_not_blow_the_search_up():
+    chance, rows = random.Random(3), []
+    for turn in range(300):
+        is_lost = chance.random() < 0.4
+        order = MarkZone(chance.random() < 0.5)
+        rows.append((order, Unknown(), turn) if is_lost else (order, Done(), turn, turn + 3))
+    verdict = check_operations(ZoneModel(), [operation(*row) for row in rows], 50_000)
+    assert verdict.is_linearizable
+
+
+def test_a_search_that_is_given_up_says_so():
+    rows = [operation(adopt(1, 0, n), Done(), 0, 100) for n in range(12)]
+    assert check_operations(ConfigurationModel(), rows, 3).is_linearizable is None
--- /dev/null
+++ b/tests/test_histories_runs.py
@@ -0,0 +1,76 @@
+"""Recorded runs, saved histories and the command."""
+
+import pytest
+from click.testing import CliRunner
+
+from proving.histories.__main__ import main
+from proving.histories.operations import (
+    CONFIGURATION,
+    BadHistory,
+    Done,
+    FetchConfiguration,
+    History,
+    Operation,
+    Snapshot,
+    load_history,
+    save_history,
+)
+from proving.histories.run import judge, run_seed
+from proving.histories.snapshots import check_snapshots
+from tests.history_rows import DOMAINS, adopt, seen
+
+
+def snapshot(at, index, number, incarnation=1, is_fresh=True):
+    """Return a snapshot of one edge."""
+    return Snapshot("edge-1", incarnation, at, index, number, is_fresh)
+
+
+def test_snapshots_never_go_back_within_one_life_and_fresh_ones_are_not_behind():
+    done = Operation("c", "n", CONFIGURATION, adopt(2, 1, 1), 0.0, 1.0, Done())
+    good = [snapshot(0, 3, 1), snapshot(2, 5, 2), snapshot(9, 0, 0, 2, False)]
+    assert check_snapshots(History(1, [done], good)) == []
+    assert check_snapshots(History(1, [done], [snapshot(2, 5, 2), snapshot(3, 4, 1)]))
+    assert check_snapshots(History(1, [done], [snapshot(4, 3, 1)]))
+    assert check_snapshots(History(1, [done], [snapshot(4, 3, 1, is_fresh=False)])) == []
+
+
+def test_a_saved_history_is_judged_as_it_was(tmp_path):
+    rows = [
+        Operation("c", "n", CONFIGURATION, adopt(1, 0, 1), 0.0, 1.0, Done()),
+        Operation("c", "n", CONFIGURATION, FetchConfiguration(), 2.0, 3.0, seen(0, 0)),
+    ]
+    history = History(5, rows, [snapshot(1, 1, 1)], tuple(DOMAINS))
+    path = tmp_path / "history.json"
+    save_history(history, path)
+    assert load_history(path) == history
+    findings, undecided, _ = judge(load_history(path))
+    assert [finding.target for finding in findings] == [CONFIGURATION] and undecided == []
+    result = CliRunner().invoke(main, ["--replay", str(path)])
+    assert result.exit_code == 1 and "not linearizable" in result.output
+
+
+def test_bad_arguments_and_files_are_told(tmp_path):
+    path = tmp_path / "none.json"
+    for text in (None, "{}", "[", '{"seed": 1, "operations": [{"client": 1}]}'):
+        if text is not None:
+            path.write_text(text)
+        with pytest.raises(BadHistory):
+            load_history(path)
+        result = CliRunner().invoke(main, ["--replay", str(path)])
+        assert result.exit_code == 1 and "bad_history" in result.output
+    for words in (
+        ["--seeds", "0"],
+        ["--jobs", "0"],
+        ["--first", "-1"],
+        ["--faults", "1000"],
+        ["--seeds", "2", "--bugs"],
+        ["--replay", "1", "--bugs"],
+    ):
+        assert CliRunner().invoke(main, words).exit_code == 2
+
+
+def test_a_recorded_run_under_faults_is_linearizable_and_the_same_each_time():
+    result, again = run_seed(3), run_seed(3)
+    assert result.findings == () and result.undecided == ()
+    assert result.operations > 200
+    assert again.history == result.history
