--- a/proving/histories/clients.py
+++ b/proving/histories/clients.py
@@ -28,6 +28,7 @@
 
 ITEM_NAMES = ("a", "b", "c", "d")
 PATIENCE = (0.3, 4.0)
+LONG_PATIENCE = (10.0, 15.0)
 LOST_ANSWER_SHARE = 0.12
 RESEND_SHARE, REPEAT_SHARE, OLD_REPEAT_SHARE = 0.75, 0.15, 0.05
 MOST_RESENDS, MOST_READS = 4, 6
@@ -56,13 +57,16 @@
             return self.stage.sim.nodes[self.chance.choice(names)]
         return self.stage.sim.nodes[self.chance.choice(up_names)]
 
-    def send(self, target, order, node=None):
-        """Process: send an order once and record it; return its answer."""
+    def send(self, target, order, node=None, patience=PATIENCE):
+        """Process: send an order once and record it; return its answer.
+
+        `patience` are the least and the most seconds that the client waits.
+        """
         node, begin = node or self.pick_node(), self.env.now
         process = self.env.process(
             self.stage.sim.run_script(node, make_script(self.stage, node, target, order))
         )
-        yield process | self.env.timeout(self.chance.uniform(*PATIENCE))
+        yield process | self.env.timeout(self.chance.uniform(*patience))
         outcome = self.outcome_of(process, node)
         if isinstance(order, FetchConfiguration):
             answers = parts_of_fetch(*(outcome or (None, None)))
@@ -113,6 +117,7 @@
             (self.mark_store, 6),
             (self.repeat_old, 4),
             (self.race, 4),
+            (self.ask_sleeper, 12),
         ]
         names, weights = zip(*deeds, strict=True)
         while self.env.now < end_time:
@@ -169,6 +174,20 @@
         order = FetchConfiguration()
         self.learn(order, (yield from self.send(CONFIGURATION, order)))
 
+    def ask_sleeper(self):
+        """Process: an order waits in the socket of a frozen node, and is the first it finds."""
+        nodes = [
+            node
+            for name, node in self.stage.sim.nodes.items()
+            if not name.startswith("store") and node.world.thaw_event is not None
+        ]
+        helper = Client(self.run, f"{self.name} waiting")
+        orders = [(CONFIGURATION, FetchConfiguration()), (CONFIGURATION, self.make_change())]
+        for node in nodes[:1]:
+            target, order = self.chance.choice(orders)
+            self.env.process(helper.send(target, order, node, LONG_PATIENCE))
+        yield from self.pause(0, 0.2)
+
     def mark_zone(self):
         """Process: empty a zone or restore it."""
         zone = self.chance.choice(ZONES)
--- a/proving/histories/run.py
+++ b/proving/histories/run.py
@@ -21,6 +21,7 @@
 from proving.histories.stage import HistoryStage
 from proving.sim.world import ScriptFailure
 
+PROGRAM = "program"
 OPERATORS, LOT_CLIENTS = 5, 2
 FAULTS = 7
 FAULTS_FROM, CALLS_UNTIL, HEAL_AT, BACK_WITHIN = 2.0, 23.0, 24.0, 12.0
@@ -76,7 +77,7 @@
         try:
             self._play_all()
         except ScriptFailure as error:
-            self.findings.append(Finding("program", f"{error} at {self.stage.env.now:.3f}"))
+            self.findings.append(Finding(PROGRAM, f"{error} at {self.stage.env.now:.3f}"))
         self._note_runs()
         history.steps = [*sim.history.marks]
         self.counts["packets held"] = sim.net.late_packets
--- a/tests/test_histories_runs.py
+++ b/tests/test_histories_runs.py
@@ -4,6 +4,7 @@
 from click.testing import CliRunner
 
 from proving.histories.__main__ import main
+from proving.histories.bugs import BUGS, find_bug
 from proving.histories.operations import (
     CONFIGURATION,
     BadHistory,
@@ -74,3 +75,14 @@
     assert result.findings == () and result.undecided == ()
     assert result.operations > 200
     assert again.history == result.history
+
+
+@pytest.mark.parametrize("seed", [11, 12])
+def test_more_recorded_runs_are_linearizable(seed):
+    result = run_seed(seed)
+    assert (result.findings, result.undecided) == ((), ())
+
+
+def test_a_seeded_bug_is_found_in_its_first_run():
+    row = find_bug(([bug.name for bug in BUGS].index("lot accepted anew"), 1, 1))
+    assert row.seed == 1 and row.found.startswith("lot/")
