--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -12,6 +12,7 @@
     resume,
     rooms,
     serving,
+    stalls,
     starts,
     state,
     streams,
@@ -34,4 +35,5 @@
     *reading.POINTS,
     *failures.POINTS,
     *orders.POINTS,
+    *stalls.POINTS,
 ]
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -1,11 +1,14 @@
 """A core node's ownership of one part: won by ballot, fenced by ballot, one entry at a time."""
 
-from quillring.kernel.effects import Signal, Sleep, Wait
+from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
-from quillring.quorum.catchup import Recent, adopt_state, mend_store
+from quillring.quorum.catchup import adopt_state
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
+from quillring.quorum.mending import Mending
 from quillring.quorum.parts import CONFIG, majority
+from quillring.quorum.recent import Recent
+from quillring.quorum.swap import promise_again
 
 BATCH_LIMIT = 64
 
@@ -31,6 +34,7 @@
         "confirmed_at",
         "higher",
         "recent",
+        "mending",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -41,6 +45,7 @@
         self.index = 0 if former is None else former.index
         self.state = None if former is None else former.state
         self.recent = Recent()
+        self.mending = Mending(self)
         self.queue = []
         self.queue_signal = Signal()
         self.is_owner = False
@@ -48,7 +53,8 @@
         self.confirmed_at = None
         self.higher = 0 if former is None else former.higher
 
-    def _calls(self, service, **body):
+    def calls(self, service, **body):
+        """Return the calls of a service to each store of the group, under the ballot."""
         return [
             (
                 store[0],
@@ -61,7 +67,7 @@
     def _round(self, service, **body):
         """Script: ask the group; return good answers of a majority, or raise."""
         replies = yield from self.node.gather(
-            self._calls(service, **body), majority(self.group), self.node.bounds.round, True
+            self.calls(service, **body), majority(self.group), self.node.bounds.round, True
         )
         fences = [r.detail["ballot"] for r in replies.values() if isinstance(r, Fenced)]
         if fences:
@@ -75,11 +81,16 @@
             )
         return good_replies
 
-    def take_again(self):
-        """Script: take the part; a ballot that only was too low is tried once more at once."""
+    def take_again(self, gives_way):
+        """Script: take the part; a ballot that only was too low is tried once more at once.
+
+        Not so where `gives_way(ballot)` says that the one who won the higher ballot may go on.
+        """
         try:
             yield from self.take()
-        except Fenced:
+        except Fenced as error:
+            if gives_way(error.detail["ballot"]):
+                raise
             yield from self.take()
 
     def take(self):
@@ -98,7 +109,6 @@
             if (yield from self._finish_tail(promises)):
                 break
             self.ballot = (self.ballot[0] + 1, self.ballot[1])
-        self.confirmed_at = self.node.now()
         self.is_owner = True
         self.node.count("takeovers")
         self._tell([])
@@ -125,13 +135,14 @@
 
     def _decide(self, batch):
         """Script: have a majority accept the next entry; apply it; return the answers."""
+        asked_at = self.node.now()
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
-        send_hints(self, self._calls("accept", **entry))
+        send_hints(self, self.calls("accept", **entry))
         yield from self._round("accept", **entry)
         self.index += 1
         self.recent.add(self.index, batch)
         self.state, answers = apply_batch(self.state, batch)
-        self.confirmed_at = self.node.now()
+        self.confirmed_at = asked_at
         if self.part == CONFIG:
             yield from self._round("commit", committed=self.index)
         else:
@@ -139,12 +150,12 @@
         return answers
 
     def _cast_commit(self):
-        for target, service, body in self._calls("commit", committed=self.index):
+        for target, service, body in self.calls("commit", committed=self.index):
             self.node.cast(target, service, body)
 
     def run(self):
         """Script: write what is queued while the ballot holds; a lost fence ends it."""
-        self.node.spawn(self._keep_mending())
+        self.node.spawn(self.mending.run())
         try:
             while self.is_owner:
                 if not self.queue:
@@ -153,8 +164,7 @@
                 if self.queue:
                     yield from self._write_queue()
                 else:
-                    yield from self._round("confirm")
-                    self.confirmed_at = self.node.now()
+                    yield from self._confirm()
         except QuillringError as error:
             self.step_down(error)
 
@@ -166,29 +176,23 @@
             for _, answer_signal in batch:
                 answer_signal.set(NoMajority(part=self.part, reason=error.kind))
             raise
-        self._adopt_group(self.state["group"])
-        self._tell([command for command, _ in batch])
-        for (_, answer_signal), answer in zip(batch, answers, strict=True):
-            answer_signal.set(answer)
-
-    def _keep_mending(self):
-        while self.is_owner:
-            yield Sleep(self.node.bounds.beat / 2)
-            yield from self.mend()
+        try:
+            if self._adopt_group(self.state["group"]):
+                yield from promise_again(self, self._round("prepare", brief=True))
+        finally:
+            self._tell([command for command, _ in batch])
+            for (_, answer_signal), answer in zip(batch, answers, strict=True):
+                answer_signal.set(answer)
 
     def mend(self):
         """Script: give the members of the group in reach what they miss."""
-        index = self.index
-        applied = yield from self.applied_by_store()
-        for call in self._calls("install"):
-            if self.is_owner and applied.get(call[0], index) < index:
-                yield from mend_store(self, applied[call[0]], call)
+        yield from self.mending.mend()
 
     def applied_by_store(self):
         """Script: tell members in reach what is committed; return {store: index it applied}."""
         nifty = self.node.find("nifty")
         calls = [
-            call for call in self._calls("commit", committed=self.index) if nifty.reaches(call[0])
+            call for call in self.calls("commit", committed=self.index) if nifty.reaches(call[0])
         ]
         replies = yield from self.node.gather(calls, len(calls))
         return {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
@@ -216,12 +220,23 @@
             raise answer_signal.value
         return answer_signal.value
 
+    def _confirm(self):
+        """Script: have a majority confirm the ballot; it holds as of the moment of asking."""
+        asked_at = self.node.now()
+        yield from self._round("confirm")
+        self.confirmed_at = max(asked_at, self.confirmed_at)
+
     def fenced_state(self):
-        """Script: return the state after a majority confirmed that the ballot still holds."""
+        """Script: return the state after a majority confirmed that the ballot still holds.
+
+        Raises NotOwner, Fenced, or NoMajority, also for a confirmation that is no longer recent.
+        """
         if not self.is_owner:
             raise NotOwner(part=self.part)
-        read_state = self.state
-        yield from self._round("confirm")
+        read_state, asked_at = self.state, self.node.now()
+        yield from self._confirm()
+        if self.node.now() - asked_at > self.node.bounds.reading:
+            raise NoMajority(part=self.part, reason="the confirmation is old")
         return read_state
 
     def may_act(self):
@@ -231,8 +246,3 @@
     def _tell(self, batch):
         for listener in self.listeners:
             listener(self, batch)
-
-
-def wait_for_owner(node, seconds):
-    """Script: a pause between two rounds of finding a part's owner."""
-    yield Sleep(seconds * (0.5 + node.world.random.random()))
