--- a/quillring/kernel/http_client.py
+++ b/quillring/kernel/http_client.py
@@ -73,11 +73,10 @@
             self.is_whole, self.is_kept = True, False
 
     def _bears_our_id(self):
-        """Tell whether the head names the request's id and no other."""
-        if self.answer_id is None:
-            return True
+        """Tell whether the head names the request's id and no other, or none where it has none."""
         id_header, request_id = self.answer_id
-        return {v for name, v in self.lines if name.lower() == id_header} == {request_id}
+        named_ids = {value for name, value in self.lines if name.lower() == id_header}
+        return named_ids == ({request_id} if request_id is not None else set())
 
     def add(self, data):
         """Take body bytes."""
@@ -174,7 +173,7 @@
     one: a replica runs nothing of which the end is missing.
     """
     end_time = time.monotonic() + effect.seconds
-    may_reuse = effect.may_reuse and effect.answer_id is not None
+    may_reuse = effect.may_reuse and effect.answer_id[1] is not None
     kept = POOL.take(tuple(effect.address), effect.answer_id) if may_reuse else None
     if kept is not None:
         answer = Answer(kept, effect)
--- /dev/null
+++ b/tests/fake_wire.py
@@ -0,0 +1,70 @@
+"""Connections to a scripted replica without sockets or time, for property tests."""
+
+from itertools import pairwise
+
+from quillring.kernel import connections, http_client
+from quillring.kernel.connections import Connection, Pool
+from quillring.kernel.errors import BackendError
+
+END, RESET = "end", "reset"
+
+
+class FakeSocket:
+    """What the replica puts into `arrived` is received piece by piece, cut at any place."""
+
+    def __init__(self):
+        self.written = []
+        self.arrived = []
+        self.is_closed = False
+
+    def sendall(self, data):
+        if self.is_closed or RESET in self.arrived:
+            raise ConnectionResetError
+        self.written.append(data)
+
+    def recv(self, size):
+        if self.is_closed:
+            raise OSError
+        if not self.arrived:
+            raise BackendError(reason="stall")
+        if self.arrived[0] in (END, RESET):
+            if self.arrived[0] == RESET:
+                raise ConnectionResetError
+            return b""
+        return self.arrived.pop(0)
+
+    def put(self, data, cuts=()):
+        """Let bytes arrive, cut at the places given."""
+        places = [0, *sorted({cut % (len(data) + 1) for cut in cuts}), len(data)]
+        pieces = [data[a:b] for a, b in pairwise(places)]
+        self.arrived.extend(piece for piece in pieces if piece)
+
+    def close(self):
+        self.is_closed = True
+
+
+class FakeWire:
+    """Stands in for `connect` and the pool; `sockets` holds every connection made."""
+
+    def __init__(self):
+        self.sockets = []
+        self.pool = Pool()
+        self.old = {}
+
+    def connect(self, address, seconds):
+        self.sockets.append(FakeSocket())
+        return Connection(tuple(address), self.sockets[-1])
+
+    def start(self):
+        self.old = {
+            (http_client, "connect"): self.connect,
+            (http_client, "POOL"): self.pool,
+            (connections, "is_readable"): lambda sock: bool(sock.arrived),
+        }
+        for (module, name), stand_in in list(self.old.items()):
+            self.old[module, name] = getattr(module, name)
+            setattr(module, name, stand_in)
+
+    def stop(self):
+        for (module, name), real in self.old.items():
+            setattr(module, name, real)
--- a/tests/scripted_peer.py
+++ b/tests/scripted_peer.py
@@ -20,8 +20,9 @@
 
 
 def request(name, method=b"POST"):
-    """Return the bytes of a request under an id."""
-    return b"%s / HTTP/1.1\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n" % (method, name)
+    """Return the bytes of a request, under an id if it has one."""
+    id_line = b"X-Id: %s\r\n" % name if name else b""
+    return b"%s / HTTP/1.1\r\n%sContent-Length: 0\r\n\r\n" % (method, id_line)
 
 
 def reset(sock):
@@ -81,9 +82,8 @@
 
 def open_request(peer, name, may_reuse=True, seconds=5, method=b"POST"):
     """Send a request; return the handle of its answer."""
-    answer_id = None if name is None else (ID_HEADER, name)
-    data = request((name or "none").encode(), method)
-    return send_on(SendOn(peer.address, data, seconds, may_reuse, answer_id))
+    data = request(name and name.encode(), method)
+    return send_on(SendOn(peer.address, data, seconds, may_reuse, (ID_HEADER, name)))
 
 
 def read_body(handle, seconds=5):
--- /dev/null
+++ b/tests/test_pipelining_machine.py
@@ -0,0 +1,229 @@
+"""Property tests: a client's connection with pipelined requests, cut anywhere, ended any way."""
+
+from itertools import pairwise
+from unittest import mock
+
+import gevent
+import gevent.socket
+import httptools
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from quillring.kernel import raw_connection
+from quillring.kernel.effects import Emit
+from quillring.kernel.errors import QuillringError
+from quillring.kernel.gevent_world import GeventWorld
+from quillring.kernel.node import Node
+from quillring.kernel.raw_connection import RawConnection
+from quillring.kernel.raw_http import RawLimits
+from quillring.kernel.raw_reader import RequestReader
+from quillring.nifty import Member
+from tests.profiles import profile
+
+WHOLE, STREAM, BREAK, LATE_FAILURE = "whole", "stream", "break", "late-failure"
+WAYS = st.sampled_from([WHOLE, WHOLE, STREAM, STREAM, BREAK, LATE_FAILURE])
+FORMS = st.sampled_from(["length", "chunks", "expect", "bare", "last", "upgrade", "nonsense"])
+ENDS = st.sampled_from(["half-close", "stays"])
+LAST_FORMS = ("last", "upgrade", "nonsense")
+
+
+class Server:
+    """The part of a raw server that one connection needs; notes every request that runs."""
+
+    def __init__(self):
+        self.faults, self.ran = [], []
+        self.node = Node(
+            Member("n", 1, "edge", "z", "h", 1, 2, ""), GeventWorld(self.faults.append, 1.0)
+        )
+
+    def limits(self):
+        return RawLimits(idle_seconds=30, head_seconds=30)
+
+    def now(self):
+        return 0.0
+
+    def report(self, error):
+        self.faults.append(error)
+
+    def handle(self, node, raw):
+        _, number, way = raw.target.split("/")
+        self.ran.append((int(number), raw.body))
+        answer = answer_of(int(number))
+        if way == WHOLE:
+            return 200, [], answer
+        yield Emit((200, [], answer[:4]))
+        if way == BREAK:
+            raise QuillringError()
+        yield Emit(answer[4:])
+        return (502, [], b"unknown") if way == LATE_FAILURE else None
+
+
+def answer_of(number):
+    return b"answer to request %d" % number
+
+
+def body_of(number, form):
+    return b"" if form in ("bare", "last", "upgrade") else b"body %d" % number
+
+
+def request_bytes(number, way, form):
+    if form == "nonsense":
+        return b"NO REQUEST\r\n\r\n"
+    body = body_of(number, form)
+    method = b"POST" if body else b"GET"
+    head = b"%s /%d/%s HTTP/1.1\r\nHost: h\r\n" % (method, number, way.encode())
+    more = {
+        "length": b"Content-Length: %d\r\n\r\n%s" % (len(body), body),
+        "expect": b"Expect: 100-continue\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body),
+        "chunks": b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(body), body),
+        "bare": b"\r\n",
+        "last": b"Connection: close\r\n\r\n",
+        "upgrade": b"Connection: Upgrade\r\nUpgrade: x\r\n\r\n",
+    }
+    return head + more[form]
+
+
+class Answers:
+    """Reads what came back: [(status, body, is whole)], interim answers left out."""
+
+    def __init__(self, data):
+        self.found, self.status = [], None
+        parser = httptools.HttpResponseParser(self)
+        self.parser = parser
+        parser.feed_data(data)
+
+    def on_headers_complete(self):
+        self.status = self.parser.get_status_code()
+        if self.status != 100:
+            self.found.append([self.status, b"", False])
+
+    def on_body(self, data):
+        self.found[-1][1] += data
+
+    def on_message_complete(self):
+        if self.status != 100:
+            self.found[-1][2] = True
+
+
+def exchange(requests, cuts, length, end, join_seconds=0):
+    """Play one connection; return (the server, all bytes that came back, requests sent whole).
+
+    `join_seconds` is for requests the last of which ends the connection.
+    """
+    server = Server()
+    ours, theirs = gevent.socket.socketpair()
+    connection = gevent.spawn(RawConnection(server, theirs).run)
+    pieces = [request_bytes(n, way, form) for n, (way, form) in enumerate(requests)]
+    data = b"".join(pieces)
+    sent = data[:length]
+    places = [0, *sorted({cut % (len(sent) + 1) for cut in cuts}), len(sent)]
+    got = []
+    reading = gevent.spawn(read_all, ours, got)
+    for start, stop in pairwise(places):
+        try:
+            ours.sendall(sent[start:stop])
+        except OSError:
+            break
+        gevent.sleep(0)
+    settle(connection)
+    connection.join(join_seconds)
+    if end == "half-close" and not connection.dead:
+        ours.shutdown(gevent.socket.SHUT_WR)
+        connection.join(5)
+        assert connection.dead
+    connection.kill()
+    reading.join(5)
+    ours.close()
+    whole_count = sum(len(b"".join(pieces[: n + 1])) <= length for n in range(len(pieces)))
+    return server, b"".join(got), whole_count
+
+
+def read_all(sock, got):
+    try:
+        while data := sock.recv(65536):
+            got.append(data)
+    except OSError:
+        return
+
+
+def settle(connection):
+    """Let the connection work until a hundred turns of the loop have brought nothing new."""
+    for _ in range(100):
+        if connection.dead:
+            return
+        gevent.sleep(0)
+
+
+def is_last(way, form):
+    return form in LAST_FORMS or way in (BREAK, LATE_FAILURE)
+
+
+def check(requests, cuts, length, end):
+    server, data, whole_count = exchange(requests, cuts, length, end)
+    assert not server.faults
+    answers = Answers(data).found
+    numbers = [number for number, _ in server.ran]
+    assert numbers == list(range(len(numbers))), "each request runs once, in its turn"
+    assert len(numbers) <= whole_count, "no request that was cut short runs"
+    for number, body in server.ran:
+        assert body == body_of(number, requests[number][1])
+    assert len(answers) <= whole_count + 1
+    for number, (status, body, is_whole) in enumerate(answers):
+        if status != 200:
+            assert status == 400 and number == len(answers) - 1
+            assert requests[number][1] == "nonsense"
+            continue
+        assert answer_of(number).startswith(body), "an answer in another's place"
+        way = requests[number][0]
+        assert not is_whole or (body == answer_of(number) and way in (WHOLE, STREAM))
+        assert not is_last(*requests[number]) or number == len(answers) - 1
+
+
+REQUESTS = st.lists(st.tuples(WAYS, FORMS), min_size=1, max_size=6)
+CUTS = st.lists(st.integers(0, 2000), max_size=4)
+
+
+@profile(250)
+@given(REQUESTS, CUTS, st.integers(0, 1200), ENDS)
+def test_one_answer_a_request_in_order_whatever_the_cuts(requests, cuts, length, end):
+    check(requests, cuts, length, end)
+
+
+def test_whatever_came_whole_is_answered_whole():
+    requests = [(way, form) for way in (WHOLE, STREAM) for form in ("length", "chunks", "bare")]
+    requests.append((WHOLE, "last"))
+    server, data, count = exchange(requests, range(0, 500, 11), 2000, "stays", 5)
+    assert [n for n, _ in server.ran] == list(range(count)) == list(range(len(requests)))
+    assert Answers(data).found == [[200, answer_of(n), True] for n in range(count)]
+
+
+def hand_on_early(reader):
+    """Stand-in for the guard: a request is handed on once its head is there."""
+    reader.offer_to_go_on()
+    reader.on_message_complete()
+
+
+def never_unsound(connection, request, lines):
+    """Stand-in for the guard: a stream that fails late ends like a whole one."""
+    result = REAL_SEND_LINES(connection, request, lines)
+    if not result:
+        connection._send(raw_connection.LAST_CHUNK)
+    return True
+
+
+REAL_SEND_LINES = RawConnection._send_lines
+
+
+@pytest.mark.parametrize(
+    "target, name, stand_in",
+    [
+        (RequestReader, "on_headers_complete", hand_on_early),
+        (RawConnection, "_send_lines", never_unsound),
+    ],
+)
+def test_each_guard_taken_out_is_found(target, name, stand_in):
+    requests = [(STREAM, "length"), (LATE_FAILURE, "chunks"), (WHOLE, "bare")]
+    with mock.patch.object(target, name, stand_in), pytest.raises(AssertionError):
+        for length in range(20, 300, 5):
+            check(requests, [], length, "half-close")
--- a/tests/test_wrong_caller.py
+++ b/tests/test_wrong_caller.py
@@ -5,6 +5,8 @@
 from quillring.kernel.errors import BackendError, NotSent
 from tests.scripted_peer import ScriptedPeer, answer, answers, ask, open_request, read_body, reset
 
+NAMELESS = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nours"
+
 
 def read_then_reset(peer, sock):
     """Script: one whole answer, and a reset in place of the second."""
@@ -62,11 +64,16 @@
         if peer.read(sock):
             sock.sendall(answer(b"a", b"late copy of 1"))
 
-    peer = ScriptedPeer(surplus_in_place_of_the_next, answers(answer(b"none", b"ours")))
+    peer = ScriptedPeer(surplus_in_place_of_the_next, answers(NAMELESS))
     assert ask(peer, "a") == b"1"
     assert ask(peer, None) == b"ours"
 
 
+def test_an_answer_that_bears_an_id_belongs_to_no_request_without_one():
+    peer = ScriptedPeer(answers(answer(b"a", b"theirs") + NAMELESS))
+    assert ask(peer, None) == b"ours"
+
+
 def test_a_connection_never_carries_one_id_twice():
     def late_copy(peer, sock):
         peer.read(sock)
