Messages: a node that starts takes nothing of a former life of a member it knows

Cause: the window of seen messages is the receiver's memory. A node that had just started had none, so that a message of its sender's former life, held in a relay or a socket, was taken as new though the roster named a later life. Seen failing first: tests/test_held_messages.py, 1 of 4. Ruled out by the other three: a copy is delivered once in any order and however late, a former life never after a message of the newer one, and relays drop what has no hops left. Change: without a window the roster's life counts.

--- a/quillring/nifty/relay.py
+++ b/quillring/nifty/relay.py
@@ -44,10 +44,22 @@
             self.node.count("relayed_bytes", len(data))
             self._forward([*envelope[:4], hops_left - 1, message])
             return
+        if self._is_new(origin, incarnation, sequence):
+            self.node.on_message(origin, message)
+        else:
+            self.node.count("duplicates")
+
+    def _is_new(self, origin, incarnation, sequence):
+        """Tell whether a message is the first copy, and of no former life of its sender.
+
+        The window knows the lives this node got messages from, the roster also those that it only
+        heard of: a node that starts anew has no window yet.
+        """
         window = self.seen.get(origin)
+        if window is None:
+            known = self.find_member(origin)
+            if known is not None and incarnation < known.incarnation:
+                return False
         if window is None or incarnation > window.incarnation:
             window = self.seen[origin] = SeenWindow(incarnation)
-        if incarnation < window.incarnation or not window.first_time(sequence):
-            self.node.count("duplicates")
-            return
-        self.node.on_message(origin, message)
+        return incarnation == window.incarnation and window.first_time(sequence)
