Points: answers for another caller, and what may not repeat through resets and silences

Cause: the first sending to the second replica went out on a connection that had died, the second sending was refused with the word of not run, and the replica was taken for one that ran nothing. Change: after a dead connection neither NotSent nor the word of not run is passed on; a 421 is noted.

--- a/tests/fake_wire.py
+++ b/proving/fake_wire.py
@@ -1,4 +1,4 @@
-"""Connections to a scripted replica without sockets or time, for property tests."""
+"""Connections to a scripted replica without sockets or time, for property tests and scenarios."""
 
 from itertools import pairwise
 
@@ -18,11 +18,13 @@
         self.is_closed = False
 
     def sendall(self, data):
+        """Note what was written; ConnectionResetError on a broken connection."""
         if self.is_closed or RESET in self.arrived:
             raise ConnectionResetError
         self.written.append(data)
 
     def recv(self, size):
+        """Return the next piece; nothing there is a stall, the end is b"" or a reset."""
         if self.is_closed:
             raise OSError
         if not self.arrived:
@@ -40,6 +42,7 @@
         self.arrived.extend(piece for piece in pieces if piece)
 
     def close(self):
+        """Close this side."""
         self.is_closed = True
 
 
@@ -52,10 +55,12 @@
         self.old = {}
 
     def connect(self, address, seconds):
+        """Return a new connection over a fake socket."""
         self.sockets.append(FakeSocket())
         return Connection(tuple(address), self.sockets[-1])
 
     def start(self):
+        """Take the place of the real connections."""
         self.old = {
             (http_client, "connect"): self.connect,
             (http_client, "POOL"): self.pool,
@@ -66,5 +71,6 @@
             setattr(module, name, stand_in)
 
     def stop(self):
+        """Put the real ones back."""
         for (module, name), real in self.old.items():
             setattr(module, name, real)
--- /dev/null
+++ b/proving/points/callers.py
@@ -0,0 +1,217 @@
+"""Scenarios about wrong callers: surplus answers, and what may not repeat through resets."""
+
+import random
+
+from proving.fake_wire import END, RESET, FakeWire
+from proving.scripted import BREAK, SILENT, STALE, ScriptedAnswer, ScriptedWorld
+from quillring.fleet import make_node
+from quillring.forward import Request
+from quillring.forward.serve import serve
+from quillring.forward.table import Forward
+from quillring.kernel.bounds import Bounds
+from quillring.kernel.connections import Pool
+from quillring.kernel.effects import SendOn
+from quillring.kernel.errors import BackendError, OutcomeUnknown, QuillringError, Refused
+from quillring.kernel.http_client import Answer, send_on
+from quillring.nifty import Member
+
+ADDRESS = ("10.0.0.1", 9000)
+ID_HEADER = "request-id"
+EXCHANGES, REQUESTS = 600, 400
+ROUNDS, REPLICAS = 2, 4
+
+
+def surplus_answers(seed):
+    """Replicas send late copies, foreign answers and cut ones on kept connections."""
+    chance, wire = random.Random(seed), FakeWire()
+    wire.start()
+    try:
+        return _exchange_all(chance, wire)
+    finally:
+        wire.stop()
+
+
+def _exchange_all(chance, wire):
+    violations, figures, carried = [], {"whole": 0, "broken": 0}, {}
+    for number in range(EXCHANGES):
+        name = f"r{number if chance.random() < 0.8 else chance.randrange(number + 1)}"
+        body = b"answer to sending %d" % number
+        request = f"POST / HTTP/1.1\r\nRequest-Id: {name}\r\nContent-Length: 0\r\n\r\n".encode()
+        may_reuse = chance.random() < 0.9
+        handle = send_on(SendOn(ADDRESS, request, 1, may_reuse, (ID_HEADER, name)))
+        sock = handle.connection.sock
+        if not may_reuse and len(sock.written) > 1:
+            violations.append(f"sending {number} went out on a kept connection")
+        answer = answer_bytes(name, body)
+        before = carried.setdefault(sock, [])
+        _answer_somehow(chance, sock, answer, before)
+        before.append(answer)
+        got = _read(handle)
+        figures["broken" if got is None else "whole"] += 1
+        if got is not None and got != body:
+            violations.append(f"sending {number} got {got!r}")
+        if chance.random() < 0.2 and not sock.is_closed:
+            sock.put(chance.choice(before))
+    return violations, {**figures, "connections": len(wire.sockets)}
+
+
+def _answer_somehow(chance, sock, answer, before):
+    """Put the answer due on the wire, with what may stand before and behind it."""
+    cuts = [chance.randrange(200) for _ in range(chance.randrange(3))]
+    if before and chance.random() < 0.3:
+        sock.put(chance.choice(before), cuts)
+    if chance.random() < 0.1:
+        sock.put(b"HTTP/1.1 100 Continue\r\n\r\n" + answer_bytes("foreign", b"of another"), cuts)
+    if chance.random() < 0.1:
+        sock.put(answer[: chance.randrange(len(answer))])
+        sock.arrived.append(chance.choice([END, RESET]))
+        return
+    sock.put(answer, cuts)
+
+
+def answer_bytes(name, body):
+    """Return a whole answer under an id."""
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def _read(handle):
+    """Return the whole body of an answer, or None where it broke off."""
+    parts = []
+    try:
+        handle.next_head(1)
+        while (part := handle.next_part(1)) is not None:
+            parts.append(part)
+    except BackendError:
+        return None
+    finally:
+        handle.close()
+    return b"".join(parts)
+
+
+class FaultyWorld(ScriptedWorld):
+    """A scripted world whose replicas fail in a way drawn anew for each sending."""
+
+    def __init__(self, seed):
+        super().__init__(seed=seed)
+        self.chance = random.Random(seed)
+        self.may_have_run = []
+
+    def _send(self, effect):
+        way = self.chance.choice(WAYS)
+        self.sent.append((effect.address, effect.data, effect.may_reuse))
+        if way is NOT_RUN_WAY:
+            return ScriptedAnswer(self, way)
+        self.may_have_run.append((tuple(effect.address), effect.may_reuse))
+        return ScriptedAnswer(self, STALE_WAY if effect.may_reuse and way is RESET_WAY else way)
+
+
+SEALED = {"x-seal": "s", "x-inquiry": "q"}
+STREAM = {**SEALED, "content-type": "text/event-stream"}
+EVENT = b"id: 0\ndata: p\n\n"
+NOT_RUN_WAY = [(0.01, (503, {"x-inquiry": "q", "x-not-run": "1"}))]
+RESET_WAY, STALE_WAY = [(0.01, BREAK)], [(0.01, STALE)]
+KINDS = [("once", False), ("stream", False), ("stream", True), ("repeatable", False)]
+WAYS = [
+    NOT_RUN_WAY,
+    RESET_WAY,
+    [(9, SILENT)],
+    [(0.01, (503, SEALED)), (0, None)],
+    [(0.01, (200, SEALED)), (0.01, b"part"), (0.01, BREAK)],
+    [(0.01, (200, STREAM)), (0.01, EVENT), (0.01, BREAK)],
+    [(0.01, (200, STREAM)), (0.01, EVENT), (9, SILENT)],
+    [(0.01, (200, SEALED)), (0.01, b"whole"), (0, None)],
+]
+
+
+def resets_and_silences(seed):
+    """Replicas reset, fall silent and refuse, for requests of every kind."""
+    chance, violations, outcomes = random.Random(seed), [], {}
+    for number in range(REQUESTS):
+        kind, is_resumable = chance.choice(KINDS)
+        world = FaultyWorld(chance.random())
+        outcome = _forward(world, kind, is_resumable)
+        runs = world.may_have_run
+        is_single = kind == "once" or (kind == "stream" and not is_resumable)
+        if is_single and len(runs) > 1:
+            violations.append(f"request {number} ({kind}) may have run {len(runs)} times")
+        if is_single and any(may_reuse for _, may_reuse in runs):
+            violations.append(f"request {number} ({kind}) went out on a kept connection")
+        if is_single and runs and outcome == "refused":
+            violations.append(f"request {number} ({kind}) may have run and was refused")
+        if len({address for address, _ in runs}) > ROUNDS:
+            violations.append(f"request {number} ({kind}) ran on too many replicas")
+        name = f"{'once' if is_single else 'repeatable'}/{outcome}"
+        outcomes[name] = outcomes.get(name, 0) + 1
+    return violations, dict(sorted(outcomes.items()))
+
+
+def _forward(world, kind, is_resumable):
+    """Pass one request on; return how it ended for its client."""
+    node = make_node(
+        Member("edge-1", 1, "edge", "north", "10.0.0.9", 7000, 7001, ""), world, [], Bounds()
+    )
+    node.find("gossip").put("layout", [1], [1, 1, _layout(kind, is_resumable), []])
+    for number in range(REPLICAS):
+        node.find("replicas").on_beat(_beat(number))
+    pairs = [("Host", "h"), ("X-Inquiry", "q"), ("X-Deadline-Ms", "4000")]
+    request = Request(node.find("dialect"), "POST", "/a/x", pairs, b"")
+    try:
+        answer = world.run(serve(node, node.find("forwards").find("h", "/a/x"), request, 1000.0))
+    except Refused:
+        return "refused"
+    except OutcomeUnknown:
+        return "outcome unknown"
+    except QuillringError as error:
+        return error.kind
+    return "complete" if answer is None else str(answer[0])
+
+
+def _layout(kind, is_resumable):
+    forward = {
+        "host": "h",
+        "prefix": "/a/",
+        "kind": kind,
+        "split": [["s", 1]],
+        "rounds": ROUNDS,
+        "hold_ms": 5000,
+        "goal_ms": 250,
+        "resumable": is_resumable,
+        "pause_ms": 300,
+    }
+    services = {"s": {"kind": "raw", "warm_rate": 8}}
+    return {"domains": {}, "services": services, "forwards": {"f": forward}}
+
+
+def _beat(number):
+    return {
+        "name": f"r{number}",
+        "service": "s",
+        "domain": "north",
+        "address": f"10.0.0.1:{9000 + number}",
+        "slots": 8,
+        "state": "ready",
+        "incarnation": 0,
+        "sequence": 1,
+    }
+
+
+def take_any(pool, address, answer_id=None):
+    """Stand-in for the guard: any kept connection will do."""
+    kept = pool.idle.get(address)
+    return kept.pop() if kept else None
+
+
+ALWAYS = property(lambda forward: True)
+POINTS = [
+    (
+        "an answer never reaches another caller",
+        surplus_answers,
+        [(Answer, "_bears_our_id", lambda answer: True), (Pool, "take", take_any)],
+    ),
+    (
+        "what may not repeat is sent once through resets and silences",
+        resets_and_silences,
+        [(Forward, "may_repeat", ALWAYS)],
+    ),
+]
--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -1,6 +1,7 @@
 """The catalog of scenarios: (what must never happen, scenario, guards that stand against it)."""
 
 from proving.points import (
+    callers,
     cuts,
     domains,
     failures,
@@ -32,4 +33,5 @@
     *keeping.POINTS,
     *reading.POINTS,
     *failures.POINTS,
+    *callers.POINTS,
 ]
--- a/quillring/forward/attempt.py
+++ b/quillring/forward/attempt.py
@@ -5,6 +5,7 @@
 from quillring.kernel.errors import BackendError, NotSent, StaleConnection
 
 AFTER_END = 0.05
+WRONG_REPLICA = 421
 
 
 def open_answer(
@@ -32,13 +33,28 @@
             return (yield from send_once(*fields, True, patience))
         except StaleConnection:
             node.count("forward_stale_connections")
-        try:
-            return (yield from send_once(*fields, False, patience))
-        except NotSent as error:
-            raise BackendError(**error.detail) from error
+        return (yield from send_again(*fields, patience))
     return (yield from send_once(*fields, False, patience))
 
 
+def send_again(node, replica, request, last_event, urgency, end_time, patience):
+    """Script: send once more what a dead connection may have brought to the replica.
+
+    Whatever the second sending comes to, the request may have run: neither NotSent nor the
+    replica's word of not run is passed on.
+    """
+    fields = (node, replica, request, last_event, urgency, end_time)
+    try:
+        handle = yield from send_once(*fields, False, patience)
+    except NotSent as error:
+        raise BackendError(**error.detail) from error
+    if is_not_run(node.find("dialect"), handle):
+        handle.close()
+        note_misplaced(node, replica, handle)
+        raise BackendError(reason="not run this time")
+    return handle
+
+
 def send_once(node, replica, request, last_event, urgency, end_time, may_reuse, patience):
     """Script: send the request on one connection and return the handle once its head is there."""
     if not node.find("replicas").may_be_sent(replica):
@@ -77,9 +93,15 @@
                 raise
 
 
+def note_misplaced(node, replica, handle):
+    """Note it where another replica answered at the address."""
+    if handle.status == WRONG_REPLICA:
+        node.find("replicas").misplaced(replica)
+
+
 def is_not_run(dialect, handle):
     """Tell whether the replica says that it did not run the request and never will."""
-    return handle.status == 421 or dialect.not_run in handle.headers
+    return handle.status == WRONG_REPLICA or dialect.not_run in handle.headers
 
 
 def is_sealed(dialect, handle):
--- a/quillring/forward/serve.py
+++ b/quillring/forward/serve.py
@@ -1,6 +1,6 @@
 """The way of a forwarded request through a node: one function a kind, read top to bottom."""
 
-from quillring.forward.attempt import is_not_run, is_sealed, open_answer
+from quillring.forward.attempt import is_not_run, is_sealed, note_misplaced, open_answer
 from quillring.forward.progress import (
     GO_ON,
     STREAM_ENDED,
@@ -126,8 +126,7 @@
     A stream that has begun may be offered to further replicas: those that refused it ran nothing.
     """
     progress.avoided_names.add(replica.name)
-    if handle.status == 421:
-        node.find("replicas").misplaced(replica)
+    note_misplaced(node, replica, handle)
     if progress.attempts >= forward.rounds and not progress.has_head:
         raise Refused(reason="replicas are full", come_back_s=come_back(node, progress) / 2)
 
--- a/tests/test_connection_machine.py
+++ b/tests/test_connection_machine.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
+from proving.fake_wire import END, RESET, FakeWire
 from quillring.kernel import http_client
 from quillring.kernel.connections import Pool
 from quillring.kernel.effects import SendOn
 from quillring.kernel.errors import BackendError
 from quillring.kernel.http_client import Answer, send_on
-from tests.fake_wire import END, RESET, FakeWire
 from tests.profiles import profile
 from tests.scripted_peer import ID_HEADER, request
 
--- a/tests/test_forward_once.py
+++ b/tests/test_forward_once.py
@@ -67,6 +67,16 @@
     assert len(replicas_reached(world)) == 2
 
 
+@pytest.mark.parametrize("status", [503, 421])
+def test_a_refusal_after_a_dead_connection_says_nothing_of_the_first_sending(status):
+    refusal = [(0.01, (status, {"x-inquiry": "q1", "x-not-run": "1"}))]
+    world, node = make({0: [[(0, STALE)], refusal]}, kind="repeatable", rounds=1, replicas=1)
+    with pytest.raises(OutcomeUnknown):
+        run(world, node)
+    assert len(world.sent) == 2 and world.handles[1].is_closed
+    assert bool(node.find("placement").replicas("s")) == (status == 503)
+
+
 @pytest.mark.parametrize("rounds", [1, 2, 3])
 @pytest.mark.parametrize("kind", ["repeatable", "stream"])
 def test_no_more_replicas_run_a_request_than_its_route_allows(kind, rounds):
