--- a/proving/points/callers.py
+++ b/proving/points/callers.py
@@ -19,6 +19,7 @@
 ID_HEADER = "request-id"
 EXCHANGES, REQUESTS = 600, 400
 ROUNDS, REPLICAS = 2, 4
+START_TIME, DEADLINE_SECONDS, HELD_PAST_END = 1000.0, 4, 0.25
 
 
 def surplus_answers(seed):
@@ -141,6 +142,8 @@
             violations.append(f"request {number} ({kind}) may have run and was refused")
         if len({address for address, _ in runs}) > ROUNDS:
             violations.append(f"request {number} ({kind}) ran on too many replicas")
+        if world.now() > START_TIME + DEADLINE_SECONDS + HELD_PAST_END:
+            violations.append(f"request {number} ({kind}) was held past its time")
         name = f"{'once' if is_single else 'repeatable'}/{outcome}"
         outcomes[name] = outcomes.get(name, 0) + 1
     return violations, dict(sorted(outcomes.items()))
@@ -154,10 +157,12 @@
     node.find("gossip").put("layout", [1], [1, 1, _layout(kind, is_resumable), []])
     for number in range(REPLICAS):
         node.find("replicas").on_beat(_beat(number))
-    pairs = [("Host", "h"), ("X-Inquiry", "q"), ("X-Deadline-Ms", "4000")]
+    pairs = [("Host", "h"), ("X-Inquiry", "q"), ("X-Deadline-Ms", str(DEADLINE_SECONDS * 1000))]
     request = Request(node.find("dialect"), "POST", "/a/x", pairs, b"")
     try:
-        answer = world.run(serve(node, node.find("forwards").find("h", "/a/x"), request, 1000.0))
+        answer = world.run(
+            serve(node, node.find("forwards").find("h", "/a/x"), request, START_TIME)
+        )
     except Refused:
         return "refused"
     except OutcomeUnknown:
--- a/quillring/kernel/http_client.py
+++ b/quillring/kernel/http_client.py
@@ -61,7 +61,7 @@
         self.is_ours = self.has_head = self.is_framed = False
 
     def end_head(self, status, is_kept):
-        """Take the head; an answer to another inquiry is skipped."""
+        """Take the head; an answer to another request is skipped."""
         if self.has_surplus:
             return
         self.status, self.is_kept = status, is_kept
