Clients' connections: a request that came while the process was frozen is served

Cause: a process that stood still past a connection's time closed it with the request lying unread in the socket, though it had come in time (clients take up connections that rested for up to four fifths of it); the same for a head that came in two halves. Change: nothing is closed for its time while something lies unread.

--- a/quillring/kernel/raw_connection.py
+++ b/quillring/kernel/raw_connection.py
@@ -11,6 +11,7 @@
 import gevent.socket
 import httptools
 
+from quillring.kernel.connections import is_readable
 from quillring.kernel.errors import QuillringError
 from quillring.kernel.raw_http import BadClient, ClientGone, RawRequest, chunk, head_bytes
 from quillring.kernel.raw_reader import RequestReader
@@ -71,10 +72,8 @@
                     return CLIENT_GONE
                 if data is not None:
                     self.reader.feed(data)
-                elif not self._is_busy() and self.reader.is_reading:
-                    return BadClient(status=408)
-                elif not self._is_busy() and self._rest_left() <= 0:
-                    return CLIENT_GONE
+                elif (end := self._end_of_time()) is not None:
+                    return end
         except OSError:
             return CLIENT_GONE
         except httptools.HttpParserUpgrade:
@@ -89,6 +88,7 @@
         """Return the next bytes, b"" at the client's end, or None when the time for them is over.
 
         A client may rest between two requests for `idle_seconds` from the end of the last answer.
+        What came while the process was frozen came in time.
         """
         limits = self.server.limits()
         seconds = limits.idle_seconds
@@ -102,6 +102,14 @@
             return data
         return None
 
+    def _end_of_time(self):
+        """Return why nothing more is waited for, or None while the client has time left."""
+        if self._is_busy() or is_readable(self.sock):
+            return None
+        if self.reader.is_reading:
+            return BadClient(status=408)
+        return CLIENT_GONE if self._rest_left() <= 0 else None
+
     def _is_busy(self):
         return self.handler is not None or not self.requests.empty()
 
--- a/tests/test_raw_clients.py
+++ b/tests/test_raw_clients.py
@@ -6,9 +6,11 @@
 import gevent.event
 import gevent.socket
 import pytest
+from gevent import select
 
 from quillring.kernel.effects import Emit, Signal, Wait
 from quillring.kernel.errors import QuillringError
+from quillring.kernel.raw_connection import RawConnection
 from quillring.kernel.raw_server import RawServer
 from tests.test_raw_server import Client, echo, serve  # noqa: F401
 
@@ -145,6 +147,27 @@
     assert client.read().endswith(b"X-Target: /a\r\nContent-Length: 0\r\n\r\n")
 
 
+def test_a_request_that_came_while_the_process_was_frozen_is_served(serve):  # noqa: F811
+    clock, has_slept = [100.0], []
+    receive = RawConnection._receive
+
+    def sleep_through(connection):
+        if has_slept:
+            return receive(connection)
+        assert select.select([connection.sock], [], [], 5)[0]
+        has_slept.append(True)
+        clock[0] += 100
+        return None
+
+    with (
+        mock.patch.object(RawServer, "now", lambda server: clock[0]),
+        mock.patch.object(RawConnection, "_receive", sleep_through),
+    ):
+        client = Client(serve(echo, idle_seconds=10))
+        client.send(GET % b"a")
+        assert read_until(client, b"X-Target: /a\r\nContent-Length: 0\r\n\r\n")
+
+
 def test_a_rest_counts_from_the_end_of_the_last_answer(serve):  # noqa: F811
     clock = [100.0]
     with mock.patch.object(RawServer, "now", lambda server: clock[0]):
