Sending to replicas: a process that stood still before the writing sends nothing out of time

Cause: between the look at the time left and the writing lies the connection's making; a process frozen there wrote the request after its client's deadline, to a replica that may have left since. Seen failing first: 2 cases of tests/test_wrong_caller.py (kept and new connection). Change: the time is looked at again right before the first byte; later it is NotSent. After: 39 of 39 in test_wrong_caller, test_connection_machine, test_raw_server.

--- a/quillring/kernel/http_client.py
+++ b/quillring/kernel/http_client.py
@@ -12,7 +12,7 @@
 import httptools
 
 from quillring.kernel.connections import POOL, connect
-from quillring.kernel.errors import BackendError, StaleConnection
+from quillring.kernel.errors import BackendError, NotSent, StaleConnection
 
 READ_SIZE = 65536
 KEEP_SECONDS = 4.0
@@ -108,12 +108,16 @@
                 raise BackendError(reason="no answer") from error
             self.has_surplus = True
 
-    def write(self, seconds):
-        """Write the request."""
+    def write_until(self, end_time):
+        """Write the request; NotSent where a process that stood still comes too late for it."""
+        seconds = end_time - time.monotonic()
+        if seconds <= 0:
+            self.connection.close()
+            raise NotSent(reason="no time left")
         self.connection.answer = self
         self.connection.carried_ids.add(self.answer_id)
         try:
-            with gevent.Timeout(max(seconds, 0.001), BackendError(reason="stall")):
+            with gevent.Timeout(seconds, BackendError(reason="stall")):
                 self.connection.sock.sendall(self.effect.data)
         except OSError as error:
             raise BackendError(reason=type(error).__name__) from error
@@ -178,13 +182,15 @@
     if kept is not None:
         answer = Answer(kept, effect)
         try:
-            answer.write(effect.seconds)
+            answer.write_until(end_time)
             return answer
+        except NotSent:
+            raise
         except BackendError:
             kept.close()
     answer = Answer(connect(effect.address, end_time - time.monotonic()), effect)
     try:
-        answer.write(end_time - time.monotonic())
+        answer.write_until(end_time)
     except BaseException:
         answer.close()
         raise
--- a/tests/test_wrong_caller.py
+++ b/tests/test_wrong_caller.py
@@ -1,7 +1,10 @@
 """No answer of a replica reaches another request, whatever lies on the connection."""
 
+from unittest import mock
+
 import pytest
 
+from quillring.kernel import http_client
 from quillring.kernel.effects import SendOn
 from quillring.kernel.errors import BackendError, NotSent
 from quillring.kernel.http_client import send_on
@@ -194,3 +197,29 @@
     peer = ScriptedPeer(answers(b"HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nperhaps cut"))
     with pytest.raises(BackendError):
         ask(peer, "a", False)
+
+
+@pytest.mark.parametrize("may_reuse", [True, False])
+def test_a_process_that_stood_still_before_the_writing_sends_nothing_out_of_time(may_reuse):
+    peer = ScriptedPeer(
+        answers(answer(b"a", b"1"), answer(b"b", b"late")), answers(answer(b"b", b"late"))
+    )
+    assert ask(peer, "a") == b"1"
+    real_connect, real_take, clock = http_client.connect, http_client.POOL.take, [50.0]
+
+    def connect(address, seconds):
+        clock[0] += 20
+        return real_connect(address, seconds)
+
+    def take(pool, address, answer_id):
+        clock[0] += 20
+        return real_take(address, answer_id)
+
+    with (
+        mock.patch.object(http_client, "time", mock.Mock(monotonic=lambda: clock[0])),
+        mock.patch.object(http_client, "connect", connect),
+        mock.patch.object(type(http_client.POOL), "take", take),
+        pytest.raises(NotSent),
+    ):
+        ask(peer, "b", may_reuse)
+    assert len(peer.received) == 1
