--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -1,6 +1,7 @@
 """The catalog of scenarios: (what must never happen, scenario, guards that stand against it)."""
 
 from proving.points import (
+    callers,
     cuts,
     departed,
     domains,
@@ -40,4 +41,5 @@
     *stalls.POINTS,
     *membership.POINTS,
     *departed.POINTS,
+    *callers.POINTS,
 ]
--- a/quillring/kernel/http_client.py
+++ b/quillring/kernel/http_client.py
@@ -12,7 +12,7 @@
 import httptools
 
 from quillring.kernel.connections import POOL, connect
-from quillring.kernel.errors import BackendError, StaleConnection
+from quillring.kernel.errors import BackendError, NotSent, StaleConnection
 
 READ_SIZE = 65536
 KEEP_SECONDS = 4.0
@@ -61,7 +61,7 @@
         self.is_ours = self.has_head = self.is_framed = False
 
     def end_head(self, status, is_kept):
-        """Take the head; an answer to another inquiry is skipped."""
+        """Take the head; an answer to another request is skipped."""
         if self.has_surplus:
             return
         self.status, self.is_kept = status, is_kept
@@ -73,11 +73,10 @@
             self.is_whole, self.is_kept = True, False
 
     def _bears_our_id(self):
-        """Tell whether the head names the request's id and no other."""
-        if self.answer_id is None:
-            return True
+        """Tell whether the head names the request's id and no other, or none where it has none."""
         id_header, request_id = self.answer_id
-        return {v for name, v in self.lines if name.lower() == id_header} == {request_id}
+        named_ids = {value for name, value in self.lines if name.lower() == id_header}
+        return named_ids == ({request_id} if request_id is not None else set())
 
     def add(self, data):
         """Take body bytes."""
@@ -109,12 +108,16 @@
                 raise BackendError(reason="no answer") from error
             self.has_surplus = True
 
-    def write(self, seconds):
-        """Write the request."""
+    def write_until(self, end_time):
+        """Write the request; NotSent where a process that stood still comes too late for it."""
+        seconds = end_time - time.monotonic()
+        if seconds <= 0:
+            self.connection.close()
+            raise NotSent(reason="no time left")
         self.connection.answer = self
         self.connection.carried_ids.add(self.answer_id)
         try:
-            with gevent.Timeout(max(seconds, 0.001), BackendError(reason="stall")):
+            with gevent.Timeout(seconds, BackendError(reason="stall")):
                 self.connection.sock.sendall(self.effect.data)
         except OSError as error:
             raise BackendError(reason=type(error).__name__) from error
@@ -174,18 +177,20 @@
     one: a replica runs nothing of which the end is missing.
     """
     end_time = time.monotonic() + effect.seconds
-    may_reuse = effect.may_reuse and effect.answer_id is not None
+    may_reuse = effect.may_reuse and effect.answer_id[1] is not None
     kept = POOL.take(tuple(effect.address), effect.answer_id) if may_reuse else None
     if kept is not None:
         answer = Answer(kept, effect)
         try:
-            answer.write(effect.seconds)
+            answer.write_until(end_time)
             return answer
+        except NotSent:
+            raise
         except BackendError:
             kept.close()
     answer = Answer(connect(effect.address, end_time - time.monotonic()), effect)
     try:
-        answer.write(end_time - time.monotonic())
+        answer.write_until(end_time)
     except BaseException:
         answer.close()
         raise
