--- /dev/null
+++ b/tests/test_raw_quota.py
@@ -0,0 +1,187 @@
+"""The quota over several parts: exact under lost owners and answers, and nothing stays reserved."""
+
+from unittest import mock
+
+import pytest
+
+from quillring.kernel.effects import Sleep
+from quillring.kernel.errors import OutcomeUnknown, QuillringError, Refused
+from quillring.lots import raw_front
+from quillring.lots.raw_reservations import reserved_lots, reserved_tokens
+from quillring.lots.raw_state import QuotaExceeded, raw_lots
+from tests.raw_stage import FORWARD, HOST, RawStage, accepted, check_whole
+
+
+def waiting(stage):
+    """Return the tokens that wait over all parts, and those that are reserved."""
+    parts = [part for part in stage.up("edge").find("ownership").parts() if part != "config"]
+    lots = [lot for part in parts for lot in raw_lots(stage.state_of(part)).values()]
+    return (
+        sum(lot["tokens"] for lot in lots),
+        reserved_tokens(stage.state_of(stage.home()), FORWARD),
+    )
+
+
+def silence(stage, is_silent=True):
+    for replica in stage.replicas.values():
+        replica.is_silent = is_silent
+
+
+def name_outside_home(stage):
+    return next(f"n{n}" for n in range(50) if stage.part(f"n{n}") != stage.home())
+
+
+def begin(stage, name, count, tokens=10):
+    items = stage.items(name, count, tokens)
+    return stage.begin(
+        stage.up("edge"), lambda node: raw_front.accept_raw_lot(node, FORWARD, name, items)
+    )
+
+
+def hold(seconds):
+    yield Sleep(seconds)
+    raise OutcomeUnknown()
+
+
+def commands_sent(is_accept_held=False):
+    """Return (list of commands, patch that fills it as edges hand them in).
+
+    An accept that is held does not leave the edge.
+    """
+    sent, real = [], raw_front.submit_surely
+
+    def submit(node, part, command, seconds):
+        sent.append((part, command))
+        if is_accept_held and command["do"] == "raw.accept":
+            return hold(seconds)
+        return real(node, part, command, seconds)
+
+    return sent, mock.patch.object(raw_front, "submit_surely", submit)
+
+
+def test_the_quota_is_exact_over_the_parts_and_all_of_it_is_used():
+    with RawStage(201, most_tokens=1000) as stage:
+        silence(stage)
+        processes = [begin(stage, f"l{n}", 5, 30) for n in range(20)]
+        stage.run(2)
+        outcomes = [process.value[1] for process in processes]
+        assert outcomes.count(None) == 6
+        assert waiting(stage) == (900, 900)
+        assert len({stage.part(f"l{n}") for n in range(20) if outcomes[n] is None}) > 1
+        silence(stage, False)
+        for number, outcome in enumerate(outcomes):
+            if outcome is None:
+                check_whole(stage, stage.read_all(f"l{number}"), f"l{number}", 5)
+        stage.run(1)
+        assert waiting(stage) == (0, 0)
+
+
+def test_tokens_of_items_that_are_done_are_free_again_within_a_second():
+    with RawStage(202, most_tokens=300, slots=32) as stage:
+        accepted(stage, "a", 30)
+        assert isinstance(stage.hand_in("b", 1)[1], QuotaExceeded)
+        stage.read_all("a")
+        stage.run(0.6)
+        accepted(stage, "b", 30)
+
+
+def test_a_lot_that_was_accepted_is_known_again_however_full_the_quota_is():
+    with RawStage(203, most_tokens=200, slots=32) as stage:
+        name = name_outside_home(stage)
+        accepted(stage, name, 20)
+        check_whole(stage, stage.read_all(name), name, 20)
+        stage.run(1)
+        silence(stage)
+        accepted(stage, "full", 20)
+        assert accepted(stage, name, 20)["repeated"]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_reservation_of_a_lot_that_never_arrives_is_taken_back(seed):
+    with RawStage(210 + seed, most_tokens=300) as stage:
+        name, edge = name_outside_home(stage), stage.up("edge")
+        sent, patch = commands_sent(is_accept_held=True)
+        with patch:
+            items = stage.items(name, 30)
+            process = stage.begin(
+                edge, lambda node: raw_front.accept_raw_lot(node, FORWARD, name, items)
+            )
+            while not sent or sent[-1][1]["do"] != "raw.accept":
+                stage.env.step()
+            stage.sim.kill(edge.me.name)
+        stage.env.run(until=stage.env.now + 0.001)
+        assert not process.triggered or process.value != ({"items": 30}, None)
+        assert waiting(stage) == (0, 300)
+        stage.run(2)
+        assert waiting(stage) == (0, 0)
+        part, command = sent[-1]
+        answer, _ = stage.do(
+            stage.up("edge"), lambda node: node.find("ownership").submit(part, command)
+        )
+        assert answer == {"refused": "fenced"}
+        accepted(stage, "other", 30)
+        stage.run(1)
+        assert not any(arrival[1].startswith(f"{name}-") for arrival in stage.arrivals)
+
+
+@pytest.mark.parametrize("killed", ["home", "part"])
+@pytest.mark.parametrize("seed", range(3))
+def test_an_owner_killed_between_reserving_and_accepting_breaks_no_quota(seed, killed):
+    with RawStage(220 + seed, most_tokens=300) as stage:
+        silence(stage)
+        name = name_outside_home(stage)
+        sent, patch = commands_sent()
+        with patch:
+            process = begin(stage, name, 20)
+            while not sent or sent[-1][1]["do"] != "raw.accept":
+                stage.env.step()
+            part = stage.home() if killed == "home" else stage.part(name)
+            stage.sim.kill(stage.owner_of(part).me.name)
+            stage.env.run(until=process)
+        error = process.value[1]
+        assert error is None or isinstance(error, QuillringError)
+        most = 0
+        for number in range(30):
+            begin(stage, f"x{number}", 7)
+            stage.run(0.2)
+            most = max(most, waiting(stage)[0])
+        assert 0 < most <= 300
+        silence(stage, False)
+        stage.run(10)
+        if error is not None:
+            accepted(stage, name, 20)
+        check_whole(stage, stage.read_all(name), name, 20)
+        stage.run(8)
+        assert waiting(stage) == (0, 0)
+
+
+def test_an_accept_that_was_fenced_gets_a_new_ticket_and_is_taken():
+    with RawStage(230, most_tokens=300) as stage:
+        name, home = name_outside_home(stage), stage.home()
+        real, fenced = raw_front.submit_surely, []
+
+        def submit(node, part, command, seconds):
+            if command["do"] == "raw.accept" and not fenced:
+                fence = {"do": "raw.fence", "lot": "", "ledger": home, "lots": []}
+                fenced.append(
+                    (yield from real(node, part, {**fence, "ticket": command["ticket"]}, seconds))
+                )
+            return (yield from real(node, part, command, seconds))
+
+        with mock.patch.object(raw_front, "submit_surely", submit):
+            answer, error = stage.hand_in(name, 20)
+        assert (answer, error, fenced) == ({"items": 20}, None, [{"left": {}}])
+        assert stage.counted("raw_accepts_fenced") == 1
+        assert reserved_lots(stage.state_of(home))[f"{name}@{HOST.lower()}"]["ticket"] == 2
+        check_whole(stage, stage.read_all(name), name, 20)
+        stage.run(1)
+        assert waiting(stage) == (0, 0)
+
+
+def test_without_the_ledgers_owner_nothing_is_taken_and_that_is_said():
+    with RawStage(231, most_tokens=300) as stage:
+        stage.sim.freeze(stage.owner_of(stage.home()).me.name, 20)
+        _, error = stage.hand_in(name_outside_home(stage), 4)
+        assert isinstance(error, Refused) and error.status == 503
+        stage.run(4)
+        assert waiting(stage)[0] == 0 and not stage.arrivals
