--- a/tests/raw_chaos.py
+++ b/tests/raw_chaos.py
@@ -21,7 +21,7 @@
         self.tries, self.accepted_at, self.ended_at, self.counts = {}, {}, {}, {}
         self.rows, self.row_read_at, self.disturbed_at = {}, {}, {}
         self.violations, self.reads = [], Counter()
-        self.ways, self.is_calm = {}, True
+        self.ways, self.is_calm, self.most_tokens = {}, True, most_tokens
 
     def play(self):
         """Play the day; return the violations."""
@@ -33,10 +33,21 @@
                 stage.env.process(self.client(f"lot{number}"))
             for _ in range(self.fault_count):
                 stage.env.process(self.fault())
+            if self.most_tokens:
+                stage.env.process(self.watch_quota())
             stage.run(self.seconds + 25)
             self.judge()
         return self.violations
 
+    def watch_quota(self):
+        """Process: what waits over all parts never exceeds the limit of the forward."""
+        while True:
+            yield self.stage.env.timeout(0.05)
+            waiting, reserved = self.stage.waiting()
+            if waiting > self.most_tokens or reserved > self.most_tokens:
+                at = self.stage.env.now
+                self.violations.append(f"{waiting} wait, {reserved} reserved at {at:.2f}")
+
     def way(self, replica, item_id, last):
         """Return how a run goes wrong, now and then."""
         if item_id in self.ways:
@@ -176,6 +187,9 @@
 
     def judge(self):
         """Judge the whole day."""
+        waiting, reserved = self.stage.waiting()
+        if reserved != waiting:
+            self.violations.append(f"{reserved} are reserved for {waiting} at the end")
         for name, count in self.counts.items():
             rows, ended = self.rows.get(name, []), name in self.ended_at
             ids = [row[0] for row in rows]
--- a/tests/raw_stage.py
+++ b/tests/raw_stage.py
@@ -6,7 +6,10 @@
 from proving.sim import fleet as sim_fleet
 from proving.sim.fleet import SimFleet
 from quillring.lots import raw_front
-from quillring.lots.raw_places import place_of_lot
+from quillring.lots.raw_places import bare_host, lot_key
+from quillring.lots.raw_reservations import reserved_tokens
+from quillring.lots.raw_state import raw_lots
+from quillring.quorum.parts import part_of
 from tests.raw_replica import SERVICE, RawBackends, RawReplica, RawWorld, text_of
 
 HOST, FORWARD = "Lots.example", "bulk"
@@ -45,6 +48,8 @@
             self.replicas[name] = RawReplica(self, name, zone, slots)
         self.env.process(self.sim.found())
         self.env.run(until=6)
+        names = self.up("core").find("ownership").parts()
+        self.parts = [part for part in names if part != "config"]
         self.configure(**fields)
         self.run(2)
 
@@ -143,11 +148,11 @@
 
     def part(self, name="a"):
         """Return the part in which a lot lives."""
-        return place_of_lot(self.up("edge"), HOST, name).own
+        return part_of(lot_key(HOST, name), len(self.parts))
 
     def home(self):
         """Return the part that keeps the reservations of the forward."""
-        return place_of_lot(self.up("edge"), HOST, "").home
+        return part_of(bare_host(HOST), len(self.parts))
 
     def owner(self, name="a"):
         """Return the node that owns a lot's part."""
@@ -166,6 +171,12 @@
         known += [(r.applied, r.state) for r in records if r is not None and r.state is not None]
         return max(known, key=lambda row: row[0])[1]
 
+    def waiting(self):
+        """Return the tokens that wait over all parts, and those that are reserved."""
+        lots = [lot for part in self.parts for lot in raw_lots(self.state_of(part)).values()]
+        reserved = reserved_tokens(self.state_of(self.home()), FORWARD)
+        return sum(lot["tokens"] for lot in lots), reserved
+
     def counted(self, name):
         """Return a counter summed over all nodes."""
         return sum(node.counts.get(name, 0) for node in self.sim.nodes.values())
--- a/tests/test_raw_quota.py
+++ b/tests/test_raw_quota.py
@@ -7,21 +7,11 @@
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import OutcomeUnknown, QuillringError, Refused
 from quillring.lots import raw_front
-from quillring.lots.raw_reservations import reserved_lots, reserved_tokens
-from quillring.lots.raw_state import QuotaExceeded, raw_lots
+from quillring.lots.raw_reservations import reserved_lots
+from quillring.lots.raw_state import QuotaExceeded
 from tests.raw_stage import FORWARD, HOST, RawStage, accepted, check_whole
 
 
-def waiting(stage):
-    """Return the tokens that wait over all parts, and those that are reserved."""
-    parts = [part for part in stage.up("edge").find("ownership").parts() if part != "config"]
-    lots = [lot for part in parts for lot in raw_lots(stage.state_of(part)).values()]
-    return (
-        sum(lot["tokens"] for lot in lots),
-        reserved_tokens(stage.state_of(stage.home()), FORWARD),
-    )
-
-
 def silence(stage, is_silent=True):
     for replica in stage.replicas.values():
         replica.is_silent = is_silent
@@ -66,14 +56,14 @@
         stage.run(2)
         outcomes = [process.value[1] for process in processes]
         assert outcomes.count(None) == 6
-        assert waiting(stage) == (900, 900)
+        assert stage.waiting() == (900, 900)
         assert len({stage.part(f"l{n}") for n in range(20) if outcomes[n] is None}) > 1
         silence(stage, False)
         for number, outcome in enumerate(outcomes):
             if outcome is None:
                 check_whole(stage, stage.read_all(f"l{number}"), f"l{number}", 5)
         stage.run(1)
-        assert waiting(stage) == (0, 0)
+        assert stage.waiting() == (0, 0)
 
 
 def test_tokens_of_items_that_are_done_are_free_again_within_a_second():
@@ -111,9 +101,9 @@
             stage.sim.kill(edge.me.name)
         stage.env.run(until=stage.env.now + 0.001)
         assert not process.triggered or process.value != ({"items": 30}, None)
-        assert waiting(stage) == (0, 300)
+        assert stage.waiting() == (0, 300)
         stage.run(2)
-        assert waiting(stage) == (0, 0)
+        assert stage.waiting() == (0, 0)
         part, command = sent[-1]
         answer, _ = stage.do(
             stage.up("edge"), lambda node: node.find("ownership").submit(part, command)
@@ -144,7 +134,7 @@
         for number in range(30):
             begin(stage, f"x{number}", 7)
             stage.run(0.2)
-            most = max(most, waiting(stage)[0])
+            most = max(most, stage.waiting()[0])
         assert 0 < most <= 300
         silence(stage, False)
         stage.run(10)
@@ -152,7 +142,7 @@
             accepted(stage, name, 20)
         check_whole(stage, stage.read_all(name), name, 20)
         stage.run(8)
-        assert waiting(stage) == (0, 0)
+        assert stage.waiting() == (0, 0)
 
 
 def test_an_accept_that_was_fenced_gets_a_new_ticket_and_is_taken():
@@ -175,7 +165,7 @@
         assert reserved_lots(stage.state_of(home))[f"{name}@{HOST.lower()}"]["ticket"] == 2
         check_whole(stage, stage.read_all(name), name, 20)
         stage.run(1)
-        assert waiting(stage) == (0, 0)
+        assert stage.waiting() == (0, 0)
 
 
 def test_without_the_ledgers_owner_nothing_is_taken_and_that_is_said():
@@ -184,4 +174,4 @@
         _, error = stage.hand_in(name_outside_home(stage), 4)
         assert isinstance(error, Refused) and error.status == 503
         stage.run(4)
-        assert waiting(stage)[0] == 0 and not stage.arrivals
+        assert stage.waiting()[0] == 0 and not stage.arrivals
