Promises bear no entries, entries are bounded, and operators see takeovers

Entries could hold 64 commands of any size. Nothing told an operator what a takeover waited for.

An entry takes commands up to 256 KiB, one at least. `parts` and GET /v1/parts show the newest takeover of each part: core, ballot, phase, what it waits for, bytes fetched, seconds; the core's log has a line for each phase, for success and for the end with its cause.

Seen failing first: the test of promises on the sources before (each bore the lot). The tests of the view and of the size of entries have nothing to call there.

--- a/quillring/ownership/ownership.py
+++ b/quillring/ownership/ownership.py
@@ -6,6 +6,7 @@
 from quillring.ownership.handover import Handover
 from quillring.ownership.rank import ranked_cores
 from quillring.ownership.standing import Standing
+from quillring.ownership.takeovers import status_of
 from quillring.quorum.commands import QUERIES
 from quillring.quorum.owner import Owner, wait_for_owner
 from quillring.quorum.parts import GROUP_SIZE
@@ -41,6 +42,7 @@
             node.handle("part.read", self.on_read)
             node.handle("part.whole", self.on_whole)
             node.handle("part.free", self.on_free)
+            node.handle("part.takeovers", self.on_takeovers)
             self.handover = Handover(self)
             node.find("nifty").listeners.append(self.standing.on_graph)
             node.find("nifty").listeners.append(self._wake)
@@ -154,7 +156,7 @@
         try:
             yield from owner.take_again(lambda ballot: self._gives_way(ballot, is_settled))
         except QuillringError as error:
-            self.node.log("warning", "take %s: %s", part, error)
+            owner.takeover.end(error)
             yield from wait_for_owner(self.node, self._pause_after(error))
             return
         finally:
@@ -203,6 +205,10 @@
         read_state = yield from self._owner(body["part"]).fenced_state()
         return QUERIES.find(body["query"]["ask"])(read_state, body["query"])
 
+    def on_takeovers(self, body, origin):
+        """Tell how far this core is with each part that it took or tried to take."""
+        return {part: status_of(owner) for part, owner in self.owners.items()}
+
     def on_whole(self, body, origin):
         """Tell whether a part owned here has three stores that hold everything."""
         owner = self._owner(body["part"])
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -5,6 +5,7 @@
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
 from quillring.quorum.slot_rows import load_rows, to_rows
+from quillring.quorum.tail import TAIL_INDEXES
 from quillring.quorum.transfers import Transfers
 
 
@@ -160,6 +161,8 @@
         fields = part_record.to_list()
         if body.get("brief") and part_record.state is not None:
             fields[2] = True
+        if body.get("brief") == TAIL_INDEXES:
+            fields[3] = [[index, ballot, None] for index, ballot, _ in fields[3]]
         return fields
 
     def on_catch_up(self, body, origin):
--- a/quillring/quorum/catchup.py
+++ b/quillring/quorum/catchup.py
@@ -6,6 +6,7 @@
 
 from quillring.kernel.errors import Conflict, NoMajority, QuillringError, UnknownService
 from quillring.quorum.commands import apply_batch
+from quillring.quorum.takeover import STATE
 from quillring.quorum.transfer import PIECE_BYTES, START, Place, StateBuilder, cut_piece
 
 MOST_RESUMPTIONS = 8
@@ -28,6 +29,7 @@
         owner.index, owner.state = best, whole[0]
         return
     for store in _nearest_first(owner.node, holders):
+        owner.takeover.enter(STATE, [store])
         try:
             if owner.state is not None and (yield from _adopt_entries(owner, store, best)):
                 return
@@ -87,6 +89,7 @@
                 raise Conflict(part=owner.part, applied=reply[0]) from None
             return reply[1]
         owner.node.count("pieces_fetched")
+        owner.takeover.fetched += len(data)
         builder.add(data, following)
         place = None if following is None else Place(*following)
     return builder.whole()
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -2,14 +2,15 @@
 
 from quillring.kernel.effects import Signal, Sleep, Wait
 from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
+from quillring.quorum.batching import split_batch
 from quillring.quorum.catchup import adopt_state
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
 from quillring.quorum.mending import Mending
 from quillring.quorum.parts import CONFIG, majority
 from quillring.quorum.recent import Recent
-
-BATCH_LIMIT = 64
+from quillring.quorum.tail import TAIL_INDEXES, best_entries, fetch_batch
+from quillring.quorum.takeover import ENTRIES, PROMISES, Takeover
 
 
 class Owner:
@@ -34,6 +35,7 @@
         "higher",
         "recent",
         "mending",
+        "takeover",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -45,6 +47,7 @@
         self.state = None if former is None else former.state
         self.recent = Recent()
         self.mending = Mending(self)
+        self.takeover = Takeover(node, part)
         self.queue = []
         self.queue_signal = Signal()
         self.is_owner = False
@@ -95,22 +98,26 @@
     def take(self):
         """Script: win a ballot at a majority, finish what others began; then own the part."""
         self.is_owner = False
+        self.takeover.begin()
         me = self.node.me
         self.ballot = (max(self.higher, self.ballot[0]) + 1, f"{me.name}#{me.incarnation}")
         while True:
-            promises = yield from self._round("prepare", brief=True)
+            self.takeover.enter(PROMISES, [store[0] for store in self.group], self.ballot)
+            promises = yield from self._round("prepare", brief=TAIL_INDEXES)
             if all(record[2] is None for record in promises.values()):
                 raise NotFounded(part=self.part)
             yield from adopt_state(self, promises)
             if self._adopt_group(self.state["group"]):
                 self.ballot = (self.ballot[0] + 1, self.ballot[1])
                 continue
+            self.takeover.enter(ENTRIES)
             if (yield from self._finish_tail(promises)):
                 break
             self.ballot = (self.ballot[0] + 1, self.ballot[1])
         self.confirmed_at = self.node.now()
         self.is_owner = True
         self.node.count("takeovers")
+        self.takeover.succeed(self.index)
         self._tell([])
 
     def _adopt_group(self, known_group):
@@ -121,13 +128,10 @@
 
     def _finish_tail(self, promises):
         """Propose again every entry that may have been chosen; False after a group change."""
-        best_entries = {}
-        for record in promises.values():
-            for index, ballot, batch in record[3]:
-                if index > self.index and tuple(ballot) >= best_entries.get(index, ((0, ""),))[0]:
-                    best_entries[index] = (tuple(ballot), batch)
-        while self.index + 1 in best_entries:
-            yield from self._decide(best_entries[self.index + 1][1])
+        best = best_entries(promises, self.index)
+        while self.index + 1 in best:
+            batch = yield from fetch_batch(self, self.index + 1, best[self.index + 1])
+            yield from self._decide(batch)
             if self._adopt_group(self.state["group"]):
                 return False
         yield from self._decide([])
@@ -169,7 +173,7 @@
             self.step_down(error)
 
     def _write_queue(self):
-        batch, self.queue = self.queue[:BATCH_LIMIT], self.queue[BATCH_LIMIT:]
+        batch, self.queue = split_batch(self.queue)
         try:
             answers = yield from self._decide([command for command, _ in batch])
         except QuillringError as error:
@@ -197,6 +201,7 @@
     def step_down(self, error):
         """Write nothing more; everything queued ends with its error."""
         self.is_owner = False
+        self.takeover.end(error)
         queued, self.queue = self.queue, []
         for _, answer_signal in queued:
             answer_signal.set(NotOwner(part=self.part, reason=error.kind))
--- /dev/null
+++ b/quillring/quorum/tail.py
@@ -0,0 +1,50 @@
+"""The entries that a new owner must propose again: accepted, and applied at no store it heard.
+
+Promises name them by index and ballot only; the few that matter are fetched one by one.
+"""
+
+from typing import NamedTuple
+
+from quillring.kernel.errors import NoMajority, QuillringError
+
+TAIL_INDEXES = "index"
+
+
+class TailEntry(NamedTuple):
+    """An accepted entry as promises name it; `batch` is None where only its holders have it."""
+
+    ballot: tuple
+    batch: list | None
+    holders: list
+
+
+def best_entries(promises, after):
+    """Return {index: the entry of the highest ballot} of the accepted ones after an index."""
+    best = {}
+    for store, record in promises.items():
+        for index, ballot, batch in record[3]:
+            entry, known = TailEntry(tuple(ballot), batch, [store]), best.get(index)
+            if index <= after or (known is not None and known.ballot > entry.ballot):
+                continue
+            if known is not None and known.ballot == entry.ballot:
+                entry = TailEntry(entry.ballot, batch or known.batch, [*known.holders, store])
+            best[index] = entry
+    return best
+
+
+def fetch_batch(owner, index, entry):
+    """Script: return the batch of an accepted entry; NoMajority when no holder gives it now."""
+    if entry.batch is not None:
+        return entry.batch
+    body = {"part": owner.part, "index": index}
+    for store in entry.holders:
+        try:
+            ballot, batch = yield from owner.node.call(
+                store, "quorum.accepted", body, owner.node.bounds.reading
+            )
+        except QuillringError as error:
+            owner.node.log("warning", "entry %s of %s from %s: %s", index, owner.part, store, error)
+            continue
+        if tuple(ballot) == entry.ballot:
+            return batch
+    raise NoMajority(part=owner.part, reason="no store gave an accepted entry", index=index)
--- a/quillring/quorum/transfers.py
+++ b/quillring/quorum/transfers.py
@@ -28,6 +28,7 @@
         """Answer the calls of owners."""
         node.handle("quorum.piece", self.on_piece)
         node.handle("quorum.entries", self.on_entries)
+        node.handle("quorum.accepted", self.on_accepted)
         node.handle("quorum.install_piece", self.on_install_piece)
 
     def to_map(self):
@@ -85,6 +86,14 @@
         """Give applied entries after an index, as many as a piece may hold; None if gone."""
         return self._record(body["part"]).recent.since(body["after"], PIECE_BYTES)
 
+    def on_accepted(self, body, origin):
+        """Give the entry accepted at an index, as [ballot, batch]."""
+        record = self.acceptors.parts.get(body["part"])
+        if record is None or body["index"] not in record.entries:
+            raise NotFounded(part=body["part"], store=self.acceptors.node.me.name)
+        ballot, batch = record.entries[body["index"]]
+        return [list(ballot), batch]
+
     def _record(self, part):
         record = self.acceptors.parts.get(part)
         if record is None or record.state is None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,6 +1,8 @@
 """A part with much state changes hands: every message stays small, and its lots are served."""
 
+from quillring.kernel.errors import Refused
 from quillring.lots import raw_front
+from quillring.quorum.batching import BATCH_BYTES, split_batch
 from tests.raw_stage import FORWARD, RawStage
 
 LINK = 8 << 20
@@ -75,3 +77,55 @@
         ]
         assert len(applied) == 3 and min(applied) >= owner.index - 1
         assert stage.sim.net.largest_frame < MOST_FRAME
+
+
+def test_commands_that_wait_go_into_entries_of_bounded_size():
+    queue = [({"do": "raw.accept", "body": bytes(100_000)}, None) for _ in range(9)]
+    sizes = []
+    while queue:
+        batch, queue = split_batch(queue)
+        sizes.append(len(batch))
+    assert sizes == [2, 2, 2, 2, 1]
+    huge = ({"do": "raw.accept", "body": bytes(BATCH_BYTES * 2)}, None)
+    assert [len(part) for part in split_batch([huge, huge])] == [1, 1]
+
+
+def test_promises_bear_no_entries_and_an_unapplied_one_is_finished_by_the_next_owner():
+    with RawStage(3, replicas=0) as stage:
+        part = raw_front.part_of_host(stage.up("edge"), "lots.example")
+        owner = stage.owner().find("ownership").owners[part]
+        edge, items = stage.up("edge"), stage.items("late", 40, body=BODY)
+        for node in stage.sim.up_nodes("store"):
+            node.handlers["quorum.commit"] = refuse
+        answer, error = stage.do(
+            edge, lambda node: raw_front.accept_raw_lot(node, FORWARD, "late", items)
+        )
+        assert error is None, error
+        stage.sim.net.largest_frame = 0
+        stage.sim.kill(owner.node.me.name)
+        for store in [store[0] for store in owner.group]:
+            stage.sim.kill(store, loses_power=True)
+            stage.sim.start(store)
+        promises = []
+        for node in stage.sim.up_nodes("store"):
+            watch_promises(node, promises)
+        stage.run(6)
+        assert any(row[0] > 1 for fields in promises for row in fields[3])
+        assert all(row[2] is None for fields in promises for row in fields[3])
+        answer, error = stage.read("late")
+        assert error is None and answer["items"] == 40
+
+
+def refuse(body, origin):
+    raise Refused(reason="this store hears of no commits")
+
+
+def watch_promises(node, promises):
+    answer = node.handlers["quorum.prepare"]
+
+    def watched(body, origin):
+        fields = yield from answer(body, origin)
+        promises.append(fields)
+        return fields
+
+    node.handlers["quorum.prepare"] = watched
--- /dev/null
+++ b/tests/test_takeover_view.py
@@ -0,0 +1,52 @@
+"""What operators see of parts that change hands: `parts`, and the log of the core."""
+
+from quillring.kernel.errors import NotOwner
+from quillring.quorum.takeover import ENDED, OWNED, STATE
+from quillring.verbs.routes import show_parts
+from tests.raw_stage import RawStage
+from tests.test_takeover import LINK, filled, lose_all_power
+
+
+def parts_seen(stage, node):
+    answer, error = stage.do(node, lambda node: show_parts(node, None))
+    assert error is None, error
+    return {row["part"]: row for row in answer["parts"]}
+
+
+def test_the_view_names_phase_and_source_of_a_takeover_under_way_and_its_size_after():
+    with filled(3) as stage:
+        part = stage.owner().find("ownership").owners
+        part = next(name for name, owner in part.items() if owner.index > 20)
+        stage.sim.net.link_bytes_per_second = LINK // 8
+        lose_all_power(stage)
+        seen = []
+        for _ in range(300):
+            stage.run(0.1)
+            for node in stage.sim.up_nodes("core"):
+                owner = node.find("ownership").owners.get(part)
+                if owner is not None and owner.takeover.phase == STATE:
+                    seen.append((node, owner.takeover.to_json()))
+            if seen and seen[-1][1]["bytes_fetched"] > 0:
+                break
+        node, status = seen[-1]
+        assert status["waits_for"][0].startswith("store") and status["bytes_fetched"] > 0
+        row = parts_seen(stage, node)[part]
+        assert row["takeover"]["phase"] == STATE and row["takeover"]["core"] == node.me.name
+        stage.sim.net.link_bytes_per_second = LINK
+        stage.run(10)
+        row = parts_seen(stage, stage.up("edge"))[part]
+        assert row["takeover"]["phase"] == OWNED and row["owner"] == row["takeover"]["core"]
+        assert row["takeover"]["bytes_fetched"] > LINK and row["takeover"]["seconds"] > 1
+
+
+def test_the_log_tells_of_a_takeover_and_of_its_end():
+    with RawStage(4, replicas=0) as stage:
+        node, lines = stage.owner(), []
+        node.log = lambda level, text, *fields: lines.append(text % fields)
+        ownership = node.find("ownership")
+        part = next(name for name, owner in ownership.owners.items() if owner.is_owner)
+        ownership.owners[part].step_down(NotOwner(part=part))
+        assert ownership.owners[part].takeover.phase == ENDED
+        assert any(line.startswith(f"end of {part}, ballot") for line in lines)
+        stage.run(3)
+        assert any(line.startswith(f"took {part}: ballot") for line in lines)
