--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -1,16 +1,21 @@
 """The catalog of scenarios: (what must never happen, scenario, guards that stand against it)."""
 
 from proving.points import (
+    callers,
     cuts,
+    departed,
     domains,
     failures,
     fleet,
     keeping,
     lots,
+    membership,
+    orders,
     reading,
     resume,
     rooms,
     serving,
+    stalls,
     starts,
     state,
     streams,
@@ -32,4 +37,9 @@
     *keeping.POINTS,
     *reading.POINTS,
     *failures.POINTS,
+    *orders.POINTS,
+    *stalls.POINTS,
+    *membership.POINTS,
+    *departed.POINTS,
+    *callers.POINTS,
 ]
--- a/proving/points/reading.py
+++ b/proving/points/reading.py
@@ -143,7 +143,7 @@
     }
 
 
-def never_peek(node, part, group, query):
+def never_peek(node, part, group, *query):
     """Stand-in for the guard: nothing is read without an owner."""
     return None
     yield
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -1,13 +1,17 @@
 """A core node's ownership of one part: won by ballot, fenced by ballot, one entry at a time."""
 
-from quillring.kernel.effects import Signal, Sleep, Wait
+from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
-from quillring.quorum.catchup import Recent, adopt_state, mend_store
+from quillring.quorum.batching import split_batch
+from quillring.quorum.catchup import adopt_state
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
+from quillring.quorum.mending import Mending
 from quillring.quorum.parts import CONFIG, majority
-
-BATCH_LIMIT = 64
+from quillring.quorum.recent import Recent
+from quillring.quorum.swap import promise_again
+from quillring.quorum.tail import TAIL_INDEXES, best_entries, fetch_batch
+from quillring.quorum.takeover import ENTRIES, PROMISES, Takeover
 
 
 class Owner:
@@ -31,6 +35,8 @@
         "confirmed_at",
         "higher",
         "recent",
+        "mending",
+        "takeover",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -41,6 +47,8 @@
         self.index = 0 if former is None else former.index
         self.state = None if former is None else former.state
         self.recent = Recent()
+        self.mending = Mending(self)
+        self.takeover = Takeover(node, part)
         self.queue = []
         self.queue_signal = Signal()
         self.is_owner = False
@@ -48,7 +56,8 @@
         self.confirmed_at = None
         self.higher = 0 if former is None else former.higher
 
-    def _calls(self, service, **body):
+    def calls(self, service, **body):
+        """Return the calls of a service to each store of the group, under the ballot."""
         return [
             (
                 store[0],
@@ -61,7 +70,7 @@
     def _round(self, service, **body):
         """Script: ask the group; return good answers of a majority, or raise."""
         replies = yield from self.node.gather(
-            self._calls(service, **body), majority(self.group), self.node.bounds.round, True
+            self.calls(service, **body), majority(self.group), self.node.bounds.round, True
         )
         fences = [r.detail["ballot"] for r in replies.values() if isinstance(r, Fenced)]
         if fences:
@@ -75,32 +84,40 @@
             )
         return good_replies
 
-    def take_again(self):
-        """Script: take the part; a ballot that only was too low is tried once more at once."""
+    def take_again(self, gives_way):
+        """Script: take the part; a ballot that only was too low is tried once more at once.
+
+        Not so where `gives_way(ballot)` says that the one who won the higher ballot may go on.
+        """
         try:
             yield from self.take()
-        except Fenced:
+        except Fenced as error:
+            if gives_way(error.detail["ballot"]):
+                raise
             yield from self.take()
 
     def take(self):
         """Script: win a ballot at a majority, finish what others began; then own the part."""
         self.is_owner = False
+        self.takeover.begin()
         me = self.node.me
         self.ballot = (max(self.higher, self.ballot[0]) + 1, f"{me.name}#{me.incarnation}")
         while True:
-            promises = yield from self._round("prepare", brief=True)
+            self.takeover.enter(PROMISES, [store[0] for store in self.group], self.ballot)
+            promises = yield from self._round("prepare", brief=TAIL_INDEXES)
             if all(record[2] is None for record in promises.values()):
                 raise NotFounded(part=self.part)
             yield from adopt_state(self, promises)
             if self._adopt_group(self.state["group"]):
                 self.ballot = (self.ballot[0] + 1, self.ballot[1])
                 continue
+            self.takeover.enter(ENTRIES)
             if (yield from self._finish_tail(promises)):
                 break
             self.ballot = (self.ballot[0] + 1, self.ballot[1])
-        self.confirmed_at = self.node.now()
         self.is_owner = True
         self.node.count("takeovers")
+        self.takeover.succeed(self.index)
         self._tell([])
 
     def _adopt_group(self, known_group):
@@ -111,13 +128,10 @@
 
     def _finish_tail(self, promises):
         """Propose again every entry that may have been chosen; False after a group change."""
-        best_entries = {}
-        for record in promises.values():
-            for index, ballot, batch in record[3]:
-                if index > self.index and tuple(ballot) >= best_entries.get(index, ((0, ""),))[0]:
-                    best_entries[index] = (tuple(ballot), batch)
-        while self.index + 1 in best_entries:
-            yield from self._decide(best_entries[self.index + 1][1])
+        best = best_entries(promises, self.index)
+        while self.index + 1 in best:
+            batch = yield from fetch_batch(self, self.index + 1, best[self.index + 1])
+            yield from self._decide(batch)
             if self._adopt_group(self.state["group"]):
                 return False
         yield from self._decide([])
@@ -125,13 +139,14 @@
 
     def _decide(self, batch):
         """Script: have a majority accept the next entry; apply it; return the answers."""
+        asked_at = self.node.now()
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
-        send_hints(self, self._calls("accept", **entry))
+        send_hints(self, self.calls("accept", **entry))
         yield from self._round("accept", **entry)
         self.index += 1
         self.recent.add(self.index, batch)
         self.state, answers = apply_batch(self.state, batch)
-        self.confirmed_at = self.node.now()
+        self.confirmed_at = asked_at
         if self.part == CONFIG:
             yield from self._round("commit", committed=self.index)
         else:
@@ -139,12 +154,12 @@
         return answers
 
     def _cast_commit(self):
-        for target, service, body in self._calls("commit", committed=self.index):
+        for target, service, body in self.calls("commit", committed=self.index):
             self.node.cast(target, service, body)
 
     def run(self):
         """Script: write what is queued while the ballot holds; a lost fence ends it."""
-        self.node.spawn(self._keep_mending())
+        self.node.spawn(self.mending.run())
         try:
             while self.is_owner:
                 if not self.queue:
@@ -153,42 +168,35 @@
                 if self.queue:
                     yield from self._write_queue()
                 else:
-                    yield from self._round("confirm")
-                    self.confirmed_at = self.node.now()
+                    yield from self._confirm()
         except QuillringError as error:
             self.step_down(error)
 
     def _write_queue(self):
-        batch, self.queue = self.queue[:BATCH_LIMIT], self.queue[BATCH_LIMIT:]
+        batch, self.queue = split_batch(self.queue)
         try:
             answers = yield from self._decide([command for command, _ in batch])
         except QuillringError as error:
             for _, answer_signal in batch:
                 answer_signal.set(NoMajority(part=self.part, reason=error.kind))
             raise
-        self._adopt_group(self.state["group"])
-        self._tell([command for command, _ in batch])
-        for (_, answer_signal), answer in zip(batch, answers, strict=True):
-            answer_signal.set(answer)
-
-    def _keep_mending(self):
-        while self.is_owner:
-            yield Sleep(self.node.bounds.beat / 2)
-            yield from self.mend()
+        try:
+            if self._adopt_group(self.state["group"]):
+                yield from promise_again(self, self._round("prepare", brief=True))
+        finally:
+            self._tell([command for command, _ in batch])
+            for (_, answer_signal), answer in zip(batch, answers, strict=True):
+                answer_signal.set(answer)
 
     def mend(self):
         """Script: give the members of the group in reach what they miss."""
-        index = self.index
-        applied = yield from self.applied_by_store()
-        for call in self._calls("install"):
-            if self.is_owner and applied.get(call[0], index) < index:
-                yield from mend_store(self, applied[call[0]], call)
+        yield from self.mending.mend()
 
     def applied_by_store(self):
         """Script: tell members in reach what is committed; return {store: index it applied}."""
         nifty = self.node.find("nifty")
         calls = [
-            call for call in self._calls("commit", committed=self.index) if nifty.reaches(call[0])
+            call for call in self.calls("commit", committed=self.index) if nifty.reaches(call[0])
         ]
         replies = yield from self.node.gather(calls, len(calls))
         return {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
@@ -196,6 +204,7 @@
     def step_down(self, error):
         """Write nothing more; everything queued ends with its error."""
         self.is_owner = False
+        self.takeover.end(error)
         queued, self.queue = self.queue, []
         for _, answer_signal in queued:
             answer_signal.set(NotOwner(part=self.part, reason=error.kind))
@@ -216,12 +225,23 @@
             raise answer_signal.value
         return answer_signal.value
 
+    def _confirm(self):
+        """Script: have a majority confirm the ballot; it holds as of the moment of asking."""
+        asked_at = self.node.now()
+        yield from self._round("confirm")
+        self.confirmed_at = max(asked_at, self.confirmed_at)
+
     def fenced_state(self):
-        """Script: return the state after a majority confirmed that the ballot still holds."""
+        """Script: return the state after a majority confirmed that the ballot still holds.
+
+        Raises NotOwner, Fenced, or NoMajority, also for a confirmation that is no longer recent.
+        """
         if not self.is_owner:
             raise NotOwner(part=self.part)
-        read_state = self.state
-        yield from self._round("confirm")
+        read_state, asked_at = self.state, self.node.now()
+        yield from self._confirm()
+        if self.node.now() - asked_at > self.node.bounds.reading:
+            raise NoMajority(part=self.part, reason="the confirmation is old")
         return read_state
 
     def may_act(self):
@@ -231,8 +251,3 @@
     def _tell(self, batch):
         for listener in self.listeners:
             listener(self, batch)
-
-
-def wait_for_owner(node, seconds):
-    """Script: a pause between two rounds of finding a part's owner."""
-    yield Sleep(seconds * (0.5 + node.world.random.random()))
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -6,6 +6,7 @@
 from quillring.kernel.errors import Conflict, NotFound, NotFounded, QuillringError, Refused
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
+from quillring.ownership.takeovers import newest_takeovers
 from quillring.plans import front as plans_front
 from quillring.quorum.founding import found_fleet
 from quillring.quorum.parts import CONFIG
@@ -98,14 +99,20 @@
 
 @route("GET", "/v1/parts")
 def show_parts(node, inquiry):
-    """Return each part with its group, owner and ballot as last heard."""
+    """Return each part with its group, owner and ballot as last heard, and the newest takeover.
+
+    The takeovers are asked of the cores in reach, and are None where none of them knows of one.
+    """
     ownership, gossip = node.find("ownership"), node.find("gossip")
+    ownership.founding()
+    takeovers = yield from newest_takeovers(node)
     return {
         "parts": [
             {
                 "part": part,
                 "group": [store[0] for store in ownership.group(part)],
                 **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
+                "takeover": takeovers.get(part),
             }
             for part in ownership.parts()
         ]
@@ -150,9 +157,14 @@
 
 @route("GET", "/v1/layout")
 def show_layout(node, inquiry):
-    """Return the layout this node acts on."""
+    """Return the layout this node knows, and whether a majority lately said that it is current."""
     image = node.find("layout")
-    return {"version": image.version, "index": image.index, "layout": image.layout}
+    return {
+        "version": image.version,
+        "index": image.index,
+        "is_fresh": node.find("freshness").is_fresh(),
+        "layout": image.layout,
+    }
 
 
 @route("PUT", "/v1/layout")
@@ -214,7 +226,8 @@
 @route("GET", "/v1/status")
 def show_status(node, inquiry):
     """Return what this node is and how it does."""
-    image = node.find("layout")
+    image, acceptors = node.find("layout"), node.find("acceptors")
+    disk_error = None if acceptors is None else acceptors.slots.error
     return {
         "name": node.me.name,
         "role": node.me.role,
@@ -224,6 +237,7 @@
         "under_way": node.under_way,
         "is_draining": node.is_draining,
         "is_cut": node.find("nifty").graph.is_cut,
+        "disk_error": None if disk_error is None else str(disk_error),
         "seeds": [f"{host}:{port}" for host, port in node.find("nifty").seeds],
     }
 
