--- a/proving/model/store_machine.py
+++ b/proving/model/store_machine.py
@@ -115,8 +115,9 @@
 
     def form(self):
         """Return the digest of memory, durable contents and scripts under way."""
-        memory = cbor2.dumps(self.acceptors.image())
-        return super().form(memory, self._durable_form(), self.disk.is_held, self.disks)
+        memory = cbor2.dumps(self.acceptors.rows())
+        recent = [record.recent for record in self.acceptors.parts.values()]
+        return super().form(memory, recent, self._durable_form(), self.disk.is_held, self.disks)
 
     def _durable_form(self):
         """Return what a start from this disk would find; folded logs of equal meaning are equal."""
@@ -126,7 +127,7 @@
             copied_disk = HeldDisk()
             copied_disk.durable = dict(self.disk.durable)
             found = open_store(copied_disk, self.name, lambda: "none")
-            known = self.model.durable_forms[key] = cbor2.dumps(found.image())
+            known = self.model.durable_forms[key] = cbor2.dumps(found.rows())
         return known
 
 
