--- a/proving/model/bugs.py
+++ b/proving/model/bugs.py
@@ -3,15 +3,15 @@
 Each is a context manager that patches the product where others call it.
 """
 
-from contextlib import contextmanager
 from typing import NamedTuple
 from unittest import mock
 
 import quillring.quorum.owner as owner_module
 import quillring.quorum.peek as peek_module
+import quillring.quorum.record as record_module
 from proving.model.errors import UnknownName
+from proving.model.patches import all_of, around, without_sync
 from proving.model.store_machine import as_script
-from quillring.quorum import Acceptors
 from quillring.quorum.commands import COMMANDS
 from quillring.quorum.owner import Owner
 from quillring.quorum.record import PartRecord
@@ -30,42 +30,6 @@
         return self.patch.__doc__
 
 
-class InstantSlots:
-    """Slots that pretend to be durable at once, and write nothing."""
-
-    error = None
-    is_idle = True
-
-    def commit(self, records):
-        """Script: nothing to wait for."""
-        return
-        yield
-
-
-def around(name, change):
-    """Return a patch of an acceptor's handler: `change(real, self, body, origin)` is a script."""
-    real = getattr(Acceptors, name)
-
-    def handler(self, body, origin):
-        return (yield from as_script(change(real, self, body, origin)))
-
-    return mock.patch.object(Acceptors, name, handler)
-
-
-@contextmanager
-def all_of(patches):
-    """Apply several patches together."""
-    entered = []
-    try:
-        for patch in patches:
-            patch.start()
-            entered.append(patch)
-        yield
-    finally:
-        for patch in reversed(entered):
-            patch.stop()
-
-
 def accept_below_promise():
     """An acceptor accepts an entry under a ballot below the one it promised."""
 
@@ -93,15 +57,6 @@
     return all_of([around(name, change) for name in names])
 
 
-def without_sync(real, self, body, origin):
-    """Script: run a handler whose records never reach the disk."""
-    slots, self.slots = self.slots, InstantSlots()
-    try:
-        return (yield from as_script(real(self, body, origin)))
-    finally:
-        self.slots = slots
-
-
 def promise_in_memory():
     """A promise is answered before it is durable."""
     return all_of([around("on_prepare", without_sync)])
@@ -153,6 +108,21 @@
     return all_of([mock.patch.dict(COMMANDS.entries, {"group.change": change_group})])
 
 
+def change_group_twice():
+    """An entry of the log may change the group more than once."""
+    real = owner_module.apply_batch
+
+    def apply_batch(state, batch):
+        answers = []
+        for command in batch:
+            state, answer = real(state, [command])
+            answers.extend(answer)
+        return state, answers
+
+    modules = (owner_module, record_module)
+    return all_of([mock.patch.object(module, "apply_batch", apply_batch) for module in modules])
+
+
 def adopt_oldest():
     """A new owner starts from the oldest state among the promises."""
     real = owner_module.adopt_state
@@ -215,6 +185,7 @@
 TWO_LOSSES = {"takes": 1, "holds": 0, "delays": 0, "switches": 1}
 ONE_RETURN = {"takes": 1, "submits": 1, "duplicates": 0, "switches": 1, "delays": 2}
 ONE_PEEK = {"takes": 0, "submits": 1, "late_answers": 0, "delays": 0}
+ONE_ENTRY = {"takes": 0, "peeks": 0, "switches": 0}
 TWO_FOUNDERS = {"foundings": 2, "crashes": 0, "holds": 0, "timers": 0, "late_answers": 0}
 
 BUGS = {
@@ -227,6 +198,7 @@
     "reuse-ballot": Bug(reuse_ballot, "terms", ONE_RETURN),
     "learn-any-ballot": Bug(learn_any_ballot, "takeover", {}),
     "change-group-at-will": Bug(change_group_at_will, "leap", {}),
+    "change-group-twice": Bug(change_group_twice, "group", ONE_ENTRY),
     "adopt-oldest": Bug(adopt_oldest, "takeover", {}),
     "ignore-base-version": Bug(ignore_base_version, "takeover", {}),
     "peek-applied-only": Bug(peek_applied_only, "peeks", ONE_PEEK),
--- /dev/null
+++ b/proving/model/patches.py
@@ -0,0 +1,52 @@
+"""Patches of the product's public seams, for the seeded bugs."""
+
+from contextlib import contextmanager
+from unittest import mock
+
+from proving.model.store_machine import as_script
+from quillring.quorum import Acceptors
+
+
+class InstantSlots:
+    """Slots that pretend to be durable at once, and write nothing."""
+
+    error = None
+    is_idle = True
+
+    def commit(self, records):
+        """Script: nothing to wait for."""
+        return
+        yield
+
+
+def around(name, change):
+    """Return a patch of an acceptor's handler: `change(real, self, body, origin)` is a script."""
+    real = getattr(Acceptors, name)
+
+    def handler(self, body, origin):
+        return (yield from as_script(change(real, self, body, origin)))
+
+    return mock.patch.object(Acceptors, name, handler)
+
+
+@contextmanager
+def all_of(patches):
+    """Apply several patches together."""
+    entered = []
+    try:
+        for patch in patches:
+            patch.start()
+            entered.append(patch)
+        yield
+    finally:
+        for patch in reversed(entered):
+            patch.stop()
+
+
+def without_sync(real, self, body, origin):
+    """Script: run a handler whose records never reach the disk."""
+    slots, self.slots = self.slots, InstantSlots()
+    try:
+        return (yield from as_script(real(self, body, origin)))
+    finally:
+        self.slots = slots
