--- a/proving/model/locals.py
+++ b/proving/model/locals.py
@@ -74,10 +74,15 @@
         return number
 
     def _machine(self, number):
-        """Return a process that stands in this state."""
+        """Return a process that stands in this state, to be moved on."""
         machine = self.machines.pop(number, None)
-        if machine is not None:
-            return machine
+        if machine is None:
+            self.replays += 1
+            machine = self.make_again(number)
+        return machine
+
+    def make_again(self, number):
+        """Return a new process that took the inputs which led to a state first."""
         inputs, state = [], self.states[number]
         while state.parent is not None:
             inputs.append(state.step_input)
@@ -85,7 +90,6 @@
         machine = self._make(state.name)
         for step_input in reversed(inputs):
             machine.react(step_input)
-        self.replays += 1
         return machine
 
     def step(self, number, step_input):
