--- a/tests/test_acceptor_properties.py
+++ b/tests/test_acceptor_properties.py
@@ -24,31 +24,11 @@
 from quillring.kernel.errors import Fenced, QuillringError
 from quillring.kernel.node import Node
 from quillring.quorum.acceptor import WrongIdentity
-from quillring.quorum.commands import apply_batch, first_state
+from tests.chosen_entries import CHOSEN, ENTRY_COUNT, GROUP, batch_of
 
 PROFILES = {"ci": (60, 25), "long": (3000, 60)}
 PART = "part-0"
-GROUP = [[f"store-{n}", f"store-{n}.1", f"zone-{n}"] for n in (1, 2, 3)]
 BALLOTS = st.tuples(st.integers(1, 4), st.sampled_from(("core-1#1", "core-2#1")))
-ENTRY_COUNT = 8
-
-
-def batch_of(index):
-    """Return the one batch that was chosen at an index."""
-    return [
-        {"do": "lot.accept", "lot": f"lot-{index}", "sender": "s", "entry": "e", "items": ["x"]}
-    ]
-
-
-def chosen_states():
-    """Return the state after each index, from the sequential application of what was chosen."""
-    states = [first_state(GROUP)]
-    for index in range(1, ENTRY_COUNT + 1):
-        states.append(apply_batch(states[-1], batch_of(index))[0])
-    return states
-
-
-CHOSEN = chosen_states()
 
 
 class AcceptorMachine(RuleBasedStateMachine):
