--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -188,13 +188,11 @@
 
     def _start(self, ledger, item, run, forward, is_near):
         """Script: hand a run to its worker; what was surely not begun waits again."""
-        owner = ledger.owner
-        lot = raw_lots(owner.state).get(item.lot)
+        owner, lot = ledger.owner, raw_lots(ledger.owner.state).get(item.lot)
         if lot is None or item.number not in lot["items"] or item.run is not run:
             return
         if not owner.may_act():
-            ledger.end_run(item)
-            return
+            return ledger.end_run(item)
         body = {
             "part": owner.part,
             "ballot": list(owner.ballot),
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -7,7 +7,7 @@
 import pytest
 
 from quillring.edge.tokens import LIFE_SECONDS, BadToken, make_token, read_token
-from quillring.lots import raw_front
+from quillring.lots.raw_places import lot_key
 from quillring.quorum.parts import CONFIG
 from tests.fleet_stage import SelfFounded
 from tests.raw_stage import HOST, RawStage, accepted, check_whole
@@ -32,9 +32,8 @@
 
 def ledger_lot(stage, name):
     """Return what the owner of the lots' part keeps of a lot."""
-    node = stage.owner()
-    part = raw_front.part_of_host(node, HOST)
-    return node.find("raw").ledgers[part].lots[raw_front.lot_key(HOST, name)]
+    ledger = stage.owner(name).find("raw").ledgers[stage.part(name)]
+    return ledger.lots[lot_key(HOST, name)]
 
 
 def test_the_wall_clock_is_read_only_where_these_tests_look():
