--- a/proving/sim/world.py
+++ b/proving/sim/world.py
@@ -22,6 +22,7 @@
         self.faults = faults
         self.skew = self.random.uniform(0, 1000)
         self.wall_offset = 0.0
+        self.step_seconds = self.free_at = 0.0
         self.is_dead = False
         self.thaw_event = None
         self.held = []
@@ -104,6 +105,8 @@
         """Run a script; lines it emits go to the sink, which may refuse them."""
         value, error = None, None
         while True:
+            if self.step_seconds:
+                yield from self._wait_for_turn()
             while self.thaw_event is not None:
                 yield self.thaw_event
             if self.is_dead:
@@ -124,6 +127,11 @@
             except QuillringError as raised_error:
                 error = raised_error
 
+    def _wait_for_turn(self):
+        """Process: on a slow machine each step of a script takes its time, one after another."""
+        self.free_at = max(self.env.now, self.free_at) + self.step_seconds
+        yield self.env.timeout(self.free_at - self.env.now)
+
     def perform(self, effect):
         """Bring about one effect."""
         match effect:
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -10,6 +10,7 @@
 from tests.fleet_stage import SelfFounded
 
 FREEZES = (2, 20, 60)
+SLOW_STEPS = (0.002, 0.008, 0.03)
 REAL_ROUND = Owner._round
 
 
@@ -128,3 +129,47 @@
         fleet.run(fleet.sim.bounds.news)
         shown = show_layout(node, None)
         assert shown["layout"]["domains"]["north"]["emptied"] and not shown["is_fresh"]
+
+
+def other_owners(fleet, owner):
+    """Return the ballots above an owner's that other cores own the configuration under."""
+    owners = [
+        node.find("ownership").owners.get(CONFIG)
+        for node in fleet.sim.up_nodes("core")
+        if node is not owner.node
+    ]
+    return [o.ballot for o in owners if o is not None and o.is_owner and o.ballot > owner.ballot]
+
+
+@pytest.mark.parametrize("step_seconds", SLOW_STEPS)
+@pytest.mark.parametrize("seed", [21, 22])
+def test_a_slowed_owner_acts_no_longer_than_its_window_beside_a_newer_one(seed, step_seconds):
+    fleet = SelfFounded(seed)
+    name = fleet.owner()
+    node = fleet.sim.nodes[name]
+    node.world.step_seconds = step_seconds
+    other = next(n for n in fleet.sim.names("core") if n != name)
+    tasks, newer_since, overlap = [], {}, 0
+    for step in range(800):
+        if step % 40 == 0:
+            order = mark(f"zone-{step}")
+            asked = node if step % 80 else fleet.sim.nodes[other]
+            script = asked.find("ownership").submit(CONFIG, order, 0.8)
+            tasks.append((order["domain"], fleet.env.process(fleet.sim.run_script(asked, script))))
+        fleet.run(0.02)
+        owner = node.find("ownership").owners.get(CONFIG)
+        for ballot in other_owners(fleet, owner):
+            since = newer_since.setdefault(ballot, fleet.env.now)
+            if owner.may_act():
+                overlap = max(overlap, fleet.env.now - since)
+    assert overlap <= fleet.sim.bounds.beat * 2
+    node.world.step_seconds = 0
+    fleet.run(4)
+    current, error = fleet.read(other, {"ask": "edition"})
+    assert error is None
+    domains = current["layout"]["domains"]
+    for zone, task in tasks:
+        answer, error = task.value if task.triggered else (None, None)
+        assert answer is None or domains.get(zone, {}).get("emptied"), f"{zone} does not hold"
+        assert error is None or error.status >= 500, error
+    assert sum(task.value[1] is None for _, task in tasks[::2] if task.triggered) >= 5
