--- a/proving/sim/net.py
+++ b/proving/sim/net.py
@@ -1,4 +1,6 @@
-"""The simulated network: delay, loss, doubling, reorder, one-way cuts."""
+"""The simulated network: delay, loss, doubling, reorder, cuts, late copies, slow links."""
+
+LONGEST_HOLD = 25.0
 
 
 class SimNet:
@@ -12,8 +14,16 @@
         self.loss_share = 0.0
         self.double_share = 0.0
         self.reorder_share = 0.0
+        self.late_copy_share = 0.0
+        self.late_share = 0.0
+        self.longest_hold = LONGEST_HOLD
+        self.late_packets = 0
         self.min_delay, self.max_delay = 0.0005, 0.003
         self.carried = 0
+        self.link_bytes_per_second = None
+        self.frame_seconds = 1.0
+        self.free_at = {}
+        self.largest_frame = 0
 
     def attach(self, address, world):
         """Let the world receive at an address."""
@@ -29,6 +39,7 @@
         """Heal every cut and stop losing, doubling and reordering."""
         self.cuts.clear()
         self.loss_share = self.double_share = self.reorder_share = 0.0
+        self.late_copy_share = self.late_share = 0.0
 
     def passes(self, home, target):
         """Tell whether the way is open."""
@@ -42,15 +53,51 @@
         return seconds
 
     def carry(self, home, target, data, kind):
-        """Carry a packet, or lose or double it."""
+        """Carry a packet, or lose or double it, or hold it or a copy of it for seconds.
+
+        What is held comes through a cut that is over by then, and to whichever process has the
+        address at that time: a relay or a socket may hold a message for so long.
+        """
         self.carried += 1
+        if self._is_drawn(self.late_copy_share):
+            self._hold(home, target, data, kind)
+        if self._is_drawn(self.late_share):
+            self._hold(home, target, data, kind)
+            return
         if not self.passes(home, target) or self.chance.random() < self.loss_share:
             return
         copies = 2 if self.chance.random() < self.double_share else 1
         for _ in range(copies):
-            event = self.env.timeout(self.delay())
+            seconds = self._sending_seconds(home, data) if kind == "frame" else 0
+            if seconds is None:
+                return
+            event = self.env.timeout(self.delay() + seconds)
             event.callbacks.append(lambda _: self._arrive(home, target, data, kind))
 
+    def _is_drawn(self, share):
+        """Tell whether a rare thing happens; a share of zero takes nothing from the chance."""
+        return share > 0 and self.chance.random() < share
+
+    def _hold(self, home, target, data, kind):
+        """Deliver a packet after it was held for up to `longest_hold` seconds."""
+        self.late_packets += 1
+        event = self.env.timeout(self.chance.uniform(self.max_delay, self.longest_hold))
+        event.callbacks.append(lambda _: self._arrive(home, target, data, kind))
+
+    def _sending_seconds(self, home, data):
+        """Return how long a frame takes over the sender's link, with those sent before it.
+
+        None for one that the link can't carry within `frame_seconds`: its channel gives it up, and
+        was busy with it for as long.
+        """
+        self.largest_frame = max(self.largest_frame, len(data))
+        if self.link_bytes_per_second is None:
+            return 0
+        own_seconds = len(data) / self.link_bytes_per_second
+        start_time = max(self.env.now, self.free_at.get(home, 0))
+        self.free_at[home] = start_time + min(own_seconds, self.frame_seconds)
+        return None if own_seconds > self.frame_seconds else self.free_at[home] - self.env.now
+
     def _arrive(self, home, target, data, kind):
         world = self.receivers.get(target)
         if world is not None and self.passes(home, target):
