--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -42,4 +42,8 @@
     *membership.POINTS,
     *departed.POINTS,
     *callers.POINTS,
+    *membership.POINTS,
+    *departed.POINTS,
+    *orders.POINTS,
+    *stalls.POINTS,
 ]
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -239,9 +239,8 @@
     def stamp(self):
         """Return the config part's ballot and committed index, None if no member can give it."""
         config_record = self.parts.get(CONFIG)
-        if config_record is None or config_record.state is None or self.slots.error is not None:
-            return None
-        if not any(store[1] == self.identity for store in config_record.state["group"]):
+        is_silent = config_record is None or self.slots.error is not None
+        if is_silent or not config_record.has_member(self.identity):
             return None
         return [list(config_record.promised), config_record.committed, self.identity]
 
