A new term keeps the entries of the one before; only stores and cores count for a steady start

Cause, by reading: an owner whose state was ahead of all promises began its next term with no entries, so stores that lacked only these would have been sent the whole state. Edges that start late moved the time at which a starting core may try.

--- a/quillring/ownership/standing.py
+++ b/quillring/ownership/standing.py
@@ -22,8 +22,13 @@
         self.started_at = node.now()
 
     def on_graph(self, graph):
-        """Note since when this node has reached the nodes it does."""
-        reached = frozenset(graph.reachable())
+        """Note since when this node has reached the stores and cores it does."""
+        members = self.node.find("nifty").roster.members
+        reached = frozenset(
+            name
+            for name in graph.reachable()
+            if name in members and members[name].role in ("core", "store")
+        )
         if reached != self.reached:
             self.reached, self.reached_at = reached, self.node.now()
 
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -45,7 +45,7 @@
         self.ballot = (0, "") if former is None else former.ballot
         self.index = 0 if former is None else former.index
         self.state = None if former is None else former.state
-        self.recent = Recent()
+        self.recent = Recent() if former is None else former.recent.copy()
         self.mending = Mending(self)
         self.takeover = Takeover(node, part)
         self.queue = []
--- a/quillring/quorum/recent.py
+++ b/quillring/quorum/recent.py
@@ -18,6 +18,12 @@
         self.weight = 0
         self.most_weight = most_weight
 
+    def copy(self):
+        """Return the same entries for another term, which adds its own."""
+        other = Recent(self.most_weight)
+        other.entries, other.weight = self.entries.copy(), self.weight
+        return other
+
     @property
     def first(self):
         """The index of the oldest entry kept, or None."""
--- a/tests/test_slot_turns.py
+++ b/tests/test_slot_turns.py
@@ -11,6 +11,7 @@
 from quillring.kernel.effects import Signal
 from quillring.kernel.errors import Damaged
 from quillring.quorum.commands import first_state
+from quillring.quorum.transfer import START, cut_piece
 from quillring.store import SlotStore
 from quillring.store.slot_file import HEADER, STEP_BYTES
 from tests.test_store import Holder
@@ -137,6 +138,29 @@
     assert again.parts["part-0"].applied == 5 and again.identity == "store-1.x"
 
 
+def test_a_state_that_arrives_in_pieces_is_gone_on_with_after_a_turn_and_a_crash():
+    lots = {f"lot-{n}": {"items": [bytes(3000)] * 100} for n in range(4)}
+    state = {**first_state(GROUP), "raw": lots}
+    pieces, place = [], START
+    while place is not None:
+        data, following = cut_piece(state, place)
+        pieces.append(["piece", "part-0", [1, "c"], 5, list(place), data, following])
+        place = following
+    acceptors = open_store(WatchedDisk(), "store-1", lambda: "x")
+    middle = len(pieces) // 2
+    for record in pieces[:middle]:
+        acceptors.replay(record)
+    acceptors.slots._begin_turn()
+    acceptors.slots._finish_turn()
+    assert acceptors.slots._write([(pieces[middle : middle + 1], Signal())]) is None
+    again = open_store(disk_of(acceptors.slots.disk.durable), "store-1", lambda: "y")
+    assert again.parts["part-0"].state is None
+    for record in pieces[middle + 1 :]:
+        again.replay(record)
+    assert again.parts["part-0"].state == state and again.parts["part-0"].applied == 5
+    assert not again.transfers.arriving
+
+
 def test_a_slot_of_the_version_before_still_loads():
     state = {**first_state(GROUP), "raw": {"lot": {"items": {0: ["i"]}}}}
     image = {
