--- a/quillring/kernel/backend.py
+++ b/quillring/kernel/backend.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import time
 
 import gevent
 from geventhttpclient import HTTPClient, HTTPParseError
@@ -12,6 +13,8 @@
 
 gevent.config.resolver = "block"
 HEADERS = {"Content-Type": "application/json"}
+SHORTEST_WAIT = 0.01
+SENDINGS_BEYOND_THE_FIRST = 0
 READ_ERRORS = (OSError, HTTPParseError, ValueError)
 
 
@@ -35,8 +38,8 @@
     client = HTTPClient(
         address[0],
         address[1],
-        connection_timeout=min(seconds, 1.0),
-        network_timeout=max(seconds, 0.01),
+        connection_timeout=max(min(seconds, 1.0), SHORTEST_WAIT),
+        network_timeout=max(seconds, SHORTEST_WAIT),
         concurrency=1,
     )
     try:
@@ -44,16 +47,26 @@
     except OSError as error:
         raise NotSent(address=list(address), reason=type(error).__name__) from error
     client._connection_pool.return_socket(sock)
+    send_once(client)
     return client
 
 
+def send_once(client):
+    """Keep the library from sending GET and DELETE up to three times after a close or a reset.
+
+    It allows as many sendings beyond the first as its pool has places, and one more; no setting
+    of its own turns that off.
+    """
+    client._connection_pool.size = SENDINGS_BEYOND_THE_FIRST - 1
+
+
 def _request(client, method, path, body):
     data = b"" if body is None else json.dumps(body).encode()
     return client.request(method, path, body=data, headers=HEADERS)
 
 
 class Idle:
-    """Connections kept open between inquiries that may repeat, the latest used again first."""
+    """Connections kept open between requests that may repeat, the latest used again first."""
 
     __slots__ = ("clients", "room")
 
@@ -79,21 +92,32 @@
 
 
 def fetch(effect):
-    """Send an inquiry and return (status, JSON body)."""
+    """Send a request and return (status, JSON body).
+
+    One that may repeat is sent once more, on a new connection, where a kept one broke off; it may
+    have run by then, so that a refused new connection is no NotSent.
+    """
+    end_time = time.monotonic() + effect.seconds
     kept_client = IDLE.take(effect.address) if effect.may_repeat else None
     if kept_client is not None:
         try:
-            return _exchange(kept_client, effect)
+            return _exchange(kept_client, effect, effect.seconds)
         except BackendError as error:
             if error.detail["reason"] == "time":
                 raise
-    return _exchange(_connect(effect.address, effect.seconds), effect)
+        seconds_left = end_time - time.monotonic()
+        try:
+            client = _connect(effect.address, seconds_left)
+        except NotSent as error:
+            raise BackendError(**error.detail) from error
+        return _exchange(client, effect, seconds_left)
+    return _exchange(_connect(effect.address, effect.seconds), effect, effect.seconds)
 
 
-def _exchange(client, effect):
+def _exchange(client, effect, seconds):
     is_whole = False
     try:
-        with gevent.Timeout(effect.seconds, BackendError(reason="time")):
+        with gevent.Timeout(max(seconds, SHORTEST_WAIT), BackendError(reason="time")):
             response = _request(client, effect.method, effect.path, effect.body)
             answer = response.status_code, json.loads(response.read() or b"null")
         is_whole = True
@@ -108,7 +132,7 @@
 
 
 def open_stream(effect):
-    """Send an inquiry and return the handle of its streamed answer."""
+    """Send a request and return the handle of its streamed answer."""
     client = _connect(effect.address, effect.seconds)
     try:
         with gevent.Timeout(effect.seconds, BackendError(reason="time")):
--- a/quillring/ownership/ownership.py
+++ b/quillring/ownership/ownership.py
@@ -8,8 +8,10 @@
 from quillring.ownership.standing import Standing
 from quillring.ownership.takeovers import status_of
 from quillring.quorum.commands import QUERIES
-from quillring.quorum.owner import Owner, wait_for_owner
+from quillring.quorum.owner import Owner
 from quillring.quorum.parts import GROUP_SIZE
+from quillring.quorum.retirement import tell_whole
+from quillring.quorum.waits import wait_for_owner
 
 
 class Ownership(Asking):
@@ -210,11 +212,8 @@
         return {part: status_of(owner) for part, owner in self.owners.items()}
 
     def on_whole(self, body, origin):
-        """Tell whether a part owned here has three stores that hold everything."""
-        owner = self._owner(body["part"])
-        applied = yield from owner.applied_by_store()
-        late = [s[0] for s in owner.group if applied.get(s[0]) != owner.index]
-        return {"group": [s[0] for s in owner.group], "late": late}
+        """Tell whether the stores of a part owned here hold everything."""
+        return tell_whole(self._owner(body["part"]))
 
     def _owner(self, part):
         owner = self.owners.get(part)
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -1,6 +1,6 @@
 """A core node's ownership of one part: won by ballot, fenced by ballot, one entry at a time."""
 
-from quillring.kernel.effects import Signal, Sleep, Wait
+from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
 from quillring.quorum.batching import split_batch
 from quillring.quorum.catchup import adopt_state
@@ -9,6 +9,7 @@
 from quillring.quorum.mending import Mending
 from quillring.quorum.parts import CONFIG, majority
 from quillring.quorum.recent import Recent
+from quillring.quorum.swap import promise_again
 from quillring.quorum.tail import TAIL_INDEXES, best_entries, fetch_batch
 from quillring.quorum.takeover import ENTRIES, PROMISES, Takeover
 
@@ -114,7 +115,6 @@
             if (yield from self._finish_tail(promises)):
                 break
             self.ballot = (self.ballot[0] + 1, self.ballot[1])
-        self.confirmed_at = self.node.now()
         self.is_owner = True
         self.node.count("takeovers")
         self.takeover.succeed(self.index)
@@ -139,13 +139,14 @@
 
     def _decide(self, batch):
         """Script: have a majority accept the next entry; apply it; return the answers."""
+        asked_at = self.node.now()
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
         send_hints(self, self.calls("accept", **entry))
         yield from self._round("accept", **entry)
         self.index += 1
         self.recent.add(self.index, batch)
         self.state, answers = apply_batch(self.state, batch)
-        self.confirmed_at = self.node.now()
+        self.confirmed_at = asked_at
         if self.part == CONFIG:
             yield from self._round("commit", committed=self.index)
         else:
@@ -167,8 +168,7 @@
                 if self.queue:
                     yield from self._write_queue()
                 else:
-                    yield from self._round("confirm")
-                    self.confirmed_at = self.node.now()
+                    yield from self._confirm()
         except QuillringError as error:
             self.step_down(error)
 
@@ -180,10 +180,13 @@
             for _, answer_signal in batch:
                 answer_signal.set(NoMajority(part=self.part, reason=error.kind))
             raise
-        self._adopt_group(self.state["group"])
-        self._tell([command for command, _ in batch])
-        for (_, answer_signal), answer in zip(batch, answers, strict=True):
-            answer_signal.set(answer)
+        try:
+            if self._adopt_group(self.state["group"]):
+                yield from promise_again(self, self._round("prepare", brief=True))
+        finally:
+            self._tell([command for command, _ in batch])
+            for (_, answer_signal), answer in zip(batch, answers, strict=True):
+                answer_signal.set(answer)
 
     def mend(self):
         """Script: give the members of the group in reach what they miss."""
@@ -222,12 +225,23 @@
             raise answer_signal.value
         return answer_signal.value
 
+    def _confirm(self):
+        """Script: have a majority confirm the ballot; it holds as of the moment of asking."""
+        asked_at = self.node.now()
+        yield from self._round("confirm")
+        self.confirmed_at = max(asked_at, self.confirmed_at)
+
     def fenced_state(self):
-        """Script: return the state after a majority confirmed that the ballot still holds."""
+        """Script: return the state after a majority confirmed that the ballot still holds.
+
+        Raises NotOwner, Fenced, or NoMajority, also for a confirmation that is no longer recent.
+        """
         if not self.is_owner:
             raise NotOwner(part=self.part)
-        read_state = self.state
-        yield from self._round("confirm")
+        read_state, asked_at = self.state, self.node.now()
+        yield from self._confirm()
+        if self.node.now() - asked_at > self.node.bounds.reading:
+            raise NoMajority(part=self.part, reason="the confirmation is old")
         return read_state
 
     def may_act(self):
@@ -237,8 +251,3 @@
     def _tell(self, batch):
         for listener in self.listeners:
             listener(self, batch)
-
-
-def wait_for_owner(node, seconds):
-    """Script: a pause between two rounds of finding a part's owner."""
-    yield Sleep(seconds * (0.5 + node.world.random.random()))
--- a/quillring/store/disk.py
+++ b/quillring/store/disk.py
@@ -16,7 +16,7 @@
         self.log_name = None
         self.slot_file = None
         try:
-            os.makedirs(folder, exist_ok=True)
+            make_folder(os.path.abspath(folder))
         except OSError as error:
             raise DiskError(folder=folder, reason=error.strerror) from error
 
@@ -40,17 +40,10 @@
                 written_file.write(data)
                 written_file.flush()
                 os.fsync(written_file.fileno())
-            self._sync_folder()
+            sync_path(self.folder)
         except OSError as error:
             raise DiskError(file=name, reason=error.strerror) from error
 
-    def _sync_folder(self):
-        folder_handle = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(folder_handle)
-        finally:
-            os.close(folder_handle)
-
     def begin(self, name, head):
         """Begin a file anew that is written in steps; its head is written again at the end."""
         try:
@@ -58,7 +51,7 @@
                 self.slot_file.close()
             self.slot_file = open(self._path(name), "wb", buffering=0)
             self._extend(name, head)
-            self._sync_folder()
+            sync_path(self.folder)
         except OSError as error:
             raise DiskError(file=name, reason=error.strerror) from error
 
@@ -97,12 +90,15 @@
             raise DiskError(file=name, reason=error.strerror) from error
 
     def cut(self, name, size):
-        """Cut a file back to a size."""
+        """Cut a file back to a size, durably; one that is missing stays so."""
         try:
             if self.log_name == name and self.log_file is not None:
                 self.log_file.close()
                 self.log_file, self.log_name = None, None
             os.truncate(self._path(name), size)
+            sync_path(self._path(name))
+        except FileNotFoundError:
+            return
         except OSError as error:
             raise DiskError(file=name, reason=error.strerror) from error
 
@@ -113,6 +109,33 @@
         except OSError as error:
             raise DiskError(file=name, reason=error.strerror) from error
 
+    def settle(self, name):
+        """Make durable what a killed process may have left unsynced in a file, and its name."""
+        try:
+            sync_path(self._path(name))
+            sync_path(self.folder)
+        except OSError as error:
+            raise DiskError(file=name, reason=error.strerror) from error
+
     def pause(self):
         """Return the seconds a sync takes beyond the call itself: none here."""
         return 0
+
+
+def make_folder(path):
+    """Make a folder and those above it that are missing, each durable in the one above."""
+    if os.path.isdir(path):
+        return
+    parent = os.path.dirname(path)
+    make_folder(parent)
+    os.makedirs(path, exist_ok=True)
+    sync_path(parent)
+
+
+def sync_path(path):
+    """Make a file, or the names in a folder, durable; OSError when that fails."""
+    handle = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
--- a/quillring/store/log_file.py
+++ b/quillring/store/log_file.py
@@ -28,6 +28,21 @@
         return None
 
 
+def log_head(generation, follows=None, former_size=0):
+    """Return the head record of a log whose batches begin with marks."""
+    return {
+        "generation": generation,
+        "follows": follows,
+        "former_size": former_size,
+        "marked": True,
+    }
+
+
+def is_marked_head(records):
+    """Tell whether the head says that each batch begins with a mark; earlier logs have none."""
+    return bool(records) and isinstance(records[0], dict) and bool(records[0].get("marked"))
+
+
 def log_name(generation):
     """Return the file of a generation's log."""
     return f"log.{generation % 2}"
--- a/quillring/store/records.py
+++ b/quillring/store/records.py
@@ -6,6 +6,7 @@
 import cbor2
 
 RECORD = struct.Struct(">II")
+BATCH_MARK = "batch"
 
 
 def pack_record(value):
@@ -34,9 +35,20 @@
     return values, offset
 
 
-def has_record_after(data, offset):
-    """Tell whether the unreadable record is followed by a readable one: not a torn tail."""
-    if offset + RECORD.size > len(data):
-        return False
-    length, _ = RECORD.unpack_from(data, offset)
-    return read_record(data, offset + RECORD.size + length) is not None
+def has_record_after(data, offset, is_marked):
+    """Tell whether the unreadable record there is followed by what shows that it was synced.
+
+    Each batch reaches the disk under one sync and begins with a mark. A loss of power may tear any
+    piece out of the last batch, but no further batch follows a torn one. In a log of earlier
+    versions, without marks, any readable record that follows counts.
+    """
+    while offset + RECORD.size <= len(data):
+        length, _ = RECORD.unpack_from(data, offset)
+        offset += RECORD.size + length
+        record = read_record(data, offset)
+        if not is_marked or (record is not None and record[0] == BATCH_MARK):
+            return record is not None
+    return False
+
+
+BATCH_HEAD = pack_record(BATCH_MARK)
--- a/quillring/store/slots.py
+++ b/quillring/store/slots.py
@@ -7,8 +7,14 @@
 
 from quillring.kernel.effects import Signal, Sleep, Wait
 from quillring.kernel.errors import Damaged, DiskError
-from quillring.store.log_file import Log, log_name
-from quillring.store.records import has_record_after, pack_record, read_records
+from quillring.store.log_file import Log, is_marked_head, log_head, log_name
+from quillring.store.records import (
+    BATCH_HEAD,
+    BATCH_MARK,
+    has_record_after,
+    pack_record,
+    read_records,
+)
 from quillring.store.slot_file import SlotWriter, read_slot, slot_name
 
 REPAIR = "keep a copy, empty the folder, start the store as a new member; hints refill it"
@@ -66,6 +72,7 @@
         slot = max(filter(None, slots), key=lambda slot: slot.generation)
         self.generation, self.slot_size = slot.generation, slot.size
         self._check_newer_logs(logs)
+        self.disk.settle(slot_name(self.generation))
         if slot.rows is None:
             self.holder.load(slot.image)
         else:
@@ -86,9 +93,10 @@
     def _read_log(self, parity):
         data = self.disk.read(log_name(parity)) or b""
         records, good_size = read_records(data)
-        if good_size < len(data) and has_record_after(data, good_size):
+        is_marked = BATCH_MARK in records or is_marked_head(records)
+        if good_size < len(data) and has_record_after(data, good_size, is_marked):
             raise Damaged(file=log_name(parity), reason="a record amid the log", repair=REPAIR)
-        return Log.from_records(records, good_size)
+        return Log.from_records([r for r in records if r != BATCH_MARK], good_size)
 
     def _replay_logs(self, logs, skipped):
         if self.generation not in logs:
@@ -102,29 +110,34 @@
                 self.holder.replay(record)
             skipped = 0
             self.disk.cut(log_name(generation), log.good_size)
+            self.disk.settle(log_name(generation))
             self.log_generation = generation
             self.log_size, self.log_count = log.good_size, len(log.records)
 
     def _start_log(self, generation):
-        self._write_log_head(generation, generation)
+        self._write_log_head(log_head(generation))
 
     def _follow_log(self):
-        generation, former = self.generation + 1, self.generation
-        fields = {"generation": generation, "follows": former, "former_size": self.log_size}
-        self._write_log_head(generation, fields)
+        self._write_log_head(log_head(self.generation + 1, self.generation, self.log_size))
 
-    def _write_log_head(self, generation, head):
-        head_record = pack_record(head)
+    def _write_log_head(self, head):
+        """Begin a log; the old records are surely gone before the new head is there."""
+        generation, head_record = head["generation"], pack_record(head)
+        self.disk.cut(log_name(generation), 0)
         self.disk.write(log_name(generation), head_record)
         self.log_generation = generation
         self.log_size, self.log_count = len(head_record), 0
 
     def turn(self):
-        """Write all state to the other slot at once and start its log anew."""
-        skipped = self.log_count if self.log_generation > self.generation else 0
+        """Write all state to the other slot at once; its log begins anew, unless it is in use."""
+        has_log = self.log_generation > self.generation
+        skipped = self.log_count if has_log else 0
         self.writer = SlotWriter(self.disk, self.generation + 1, self.holder.rows(), skipped)
         self._finish_turn()
-        self._start_log(self.generation)
+        if has_log:
+            self.disk.cut(log_name(self.generation), self.log_size)
+        else:
+            self._start_log(self.generation)
 
     def _begin_turn(self):
         """Begin the next slot; what it holds of the records that wait is not replayed on it."""
@@ -214,10 +227,10 @@
         return outcome
 
     def _append(self, data):
-        name = log_name(self.log_generation)
-        self.disk.append(name, data)
+        name, marked_data = log_name(self.log_generation), BATCH_HEAD + data
+        self.disk.append(name, marked_data)
         self.disk.sync(name)
-        self.log_size += len(data)
+        self.log_size += len(marked_data)
 
     def _try(self, action):
         """Do something at the disk; return and keep its error, or None."""
