--- a/quillring/lots/raw_demand.py
+++ b/quillring/lots/raw_demand.py
@@ -2,7 +2,7 @@
 
 from quillring.kernel.effects import Sleep
 
-TELL_PERIOD, HEARD_FOR = 0.2, 1.2
+TELL_PERIOD, HEARD_FOR = 0.4, 1.5
 
 
 class Portion:
@@ -33,8 +33,8 @@
 class RawDemand:
     """What the owners of all parts have to run: {part: {service: items}}, told between cores.
 
-    Each core tells what it owns when that begins or ends, and every fifth of the reading bound in
-    between; what was not told again for 1.2 of it counts no more. Owners that differ in what they
+    Each core tells what it owns when that begins or ends, and every 0.4 of the reading bound in
+    between; what was not told again for 1.5 of it counts no more. Owners that differ in what they
     heard start too much or too little for a moment: a full replica says so, and nothing is lost.
     """
 
--- a/quillring/lots/raw_quota.py
+++ b/quillring/lots/raw_quota.py
@@ -5,7 +5,7 @@
 from quillring.lots.raw_reservations import NO_LOT, reserved_lots, tokens_left
 
 CROWDED = 0.5
-CROWDED_PERIOD, CALM_PERIOD, UNKNOWN_PATIENCE = 0.2, 0.6, 0.5
+CROWDED_PERIOD, CALM_PERIOD, UNKNOWN_PATIENCE = 0.4, 0.8, 0.5
 
 
 class RawQuota:
@@ -36,7 +36,7 @@
     def run(self):
         """Script: look after the ledgers of owned parts."""
         while True:
-            yield Sleep(self.node.bounds.reading * CROWDED_PERIOD / 2)
+            yield Sleep(self.node.bounds.reading * CROWDED_PERIOD / 4)
             for owner in list(self.node.find("ownership").owners.values()):
                 if owner.may_act() and self._is_due(owner):
                     self.asked_at[owner.part] = self.node.now()
