Tests: a fleet upgraded member by member keeps lots in the host's part until the last one

Found while writing it: a member of the former version that starts for the first time among newer ones never joins (it greets in a version they no longer read), so versions are mixed only by upgrading, as docs/limits.md asks. Also: all parts together take no more weight than the bound, whichever part is full first.

--- a/tests/raw_stage.py
+++ b/tests/raw_stage.py
@@ -9,6 +9,7 @@
 from quillring.lots.raw_places import bare_host, lot_key
 from quillring.lots.raw_reservations import reserved_tokens
 from quillring.lots.raw_state import raw_lots
+from quillring.nifty.wire import SPOKEN
 from quillring.quorum.parts import part_of
 from tests.raw_replica import SERVICE, RawBackends, RawReplica, RawWorld, text_of
 
@@ -32,7 +33,7 @@
 class RawStage:
     """A small founded fleet with a forward of lots and three replicas, at second 8 of its life."""
 
-    def __init__(self, seed, slots=8, replicas=3, **fields):
+    def __init__(self, seed, slots=8, replicas=3, versions=SPOKEN, **fields):
         with mock.patch.object(sim_fleet, "SimWorld", RawWorld):
             self.sim = SimFleet("ferrowa", seed, SIZES)
         self.env, self.replicas, self.counts = self.sim.env, {}, {}
@@ -40,6 +41,7 @@
         self.sim.backends.raw = RawBackends(self)
         self.edition, self.patch = 0, mock.patch.object(sim_fleet, "SimWorld", RawWorld)
         self.patch.start()
+        self.sim.versions = dict.fromkeys(self.sim.rows, versions)
         self.sim.start_all()
         domains = sorted({node.me.domain for node in self.sim.nodes.values()})
         for number in range(replicas):
@@ -142,6 +144,14 @@
             self.run(0.2)
         raise AssertionError(f"{name} has no result for every item: {answer}, {error}")
 
+    def upgrade(self, name):
+        """Stop a node and start it under the newest version."""
+        self.sim.kill(name)
+        self.sim.versions = {**self.sim.versions, name: SPOKEN}
+        self.run(0.2)
+        self.sim.start(name)
+        self.run(2)
+
     def former_version(self):
         """Let edges hand lots in as the former version did: in their host's part."""
         return mock.patch.object(raw_front, "are_lots_spread", lambda node: False)
--- a/tests/test_raw_spread.py
+++ b/tests/test_raw_spread.py
@@ -7,7 +7,8 @@
 from quillring.kernel.errors import NotFound
 from quillring.lots import raw_front, raw_places
 from quillring.lots.raw_places import LotPlace, lot_key
-from quillring.lots.raw_state import QuotaExceeded, raw_lots
+from quillring.lots.raw_state import HeldTooMuch, QuotaExceeded, raw_lots
+from quillring.nifty.wire import SPOKEN
 from quillring.quorum.parts import part_of
 from tests.raw_stage import FORWARD, HOST, RawStage, accepted, check_whole
 
@@ -125,3 +126,44 @@
         )
         assert isinstance(raw_places.place_of_lot(node, HOST, "a"), LotPlace)
         assert node.find("forwards").named(FORWARD).host == "lots.example"
+
+
+def keys_at_home(stage, names):
+    """Return those of the lots that lie in their host's part."""
+    return {lot_key(HOST, name) for name in names} & set(raw_lots(stage.state_of(stage.home())))
+
+
+def test_lots_stay_in_the_hosts_part_until_the_last_member_is_upgraded():
+    former = tuple(version - 1 for version in SPOKEN)
+    with RawStage(108, slots=32, most_tokens=1000, versions=former) as stage:
+        *others, last = list(stage.sim.nodes)
+        names = [f"l{number}" for number in range(8)]
+        for name in names[:4]:
+            accepted(stage, name, 2)
+        for node_name in others:
+            stage.upgrade(node_name)
+        for name in names[4:]:
+            accepted(stage, name, 2)
+        assert len(keys_at_home(stage, names)) == 8
+        stage.upgrade(last)
+        later = [f"m{number}" for number in range(8)]
+        for name in later:
+            accepted(stage, name, 2)
+        at_home = {lot_key(HOST, name) for name in later if stage.part(name) == stage.home()}
+        assert keys_at_home(stage, later) == at_home and 0 < len(at_home) < 8
+        for name in names + later:
+            check_whole(stage, stage.read_all(name), name, 2)
+        stage.run(1)
+        assert stage.waiting() == (0, 0)
+
+
+def test_all_parts_together_hold_no_more_than_the_bound(monkeypatch):
+    monkeypatch.setattr(raw_places, "HELD_WEIGHT", 20_000)
+    with RawStage(109, slots=8) as stage:
+        for replica in stage.replicas.values():
+            replica.is_silent = True
+        errors = [stage.hand_in(f"l{number}", 4)[1] for number in range(24)]
+        held = [stage.state_of(part)["raw_held"] for part in stage.parts]
+        assert all(8_000 < weight <= 10_000 for weight in held)
+        assert {type(error) for error in errors} == {type(None), HeldTooMuch}
+        assert HeldTooMuch().status == 503
