--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -4,6 +4,8 @@
 from quillring.quorum.commands import answer_query, first_state
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
+from quillring.quorum.slot_rows import load_rows, to_rows
+from quillring.quorum.tail import TAIL_INDEXES
 from quillring.quorum.transfers import Transfers
 
 
@@ -76,22 +78,19 @@
         if self.founding is None:
             self.node.spawn(self.keep(["found", founding]))
 
-    def image(self):
+    def rows(self):
         """Return all state for a slot."""
-        return {
-            "identity": self.identity,
-            "founding": self.founding,
-            "parts": {name: record.to_list() for name, record in self.parts.items()},
-            "hints": self.hints,
-            "arriving": self.transfers.to_map(),
-        }
+        return to_rows(self)
 
-    def load(self, image):
+    def load_rows(self, rows):
         """Take the state of a slot."""
+        load_rows(self, rows)
+
+    def load(self, image):
+        """Take the state of a slot of the version before, which is one value."""
         self.identity, self.founding = image["identity"], image["founding"]
         self.parts = {n: PartRecord.from_list(fields) for n, fields in image["parts"].items()}
         self.hints = image["hints"]
-        self.transfers.load(image.get("arriving", {}))
 
     def replay(self, record):
         """Take one log record; the running store changes its memory by the same function."""
@@ -162,6 +161,8 @@
         fields = part_record.to_list()
         if body.get("brief") and part_record.state is not None:
             fields[2] = True
+        if body.get("brief") == TAIL_INDEXES:
+            fields[3] = [[index, ballot, None] for index, ballot, _ in fields[3]]
         return fields
 
     def on_catch_up(self, body, origin):
@@ -236,10 +237,12 @@
         return known
 
     def stamp(self):
-        """Return the config part's ballot and committed index for the heartbeats."""
+        """Return the config part's ballot and committed index, None if no member can give it."""
         config_record = self.parts.get(CONFIG)
         if config_record is None or config_record.state is None or self.slots.error is not None:
             return None
+        if not any(store[1] == self.identity for store in config_record.state["group"]):
+            return None
         return [list(config_record.promised), config_record.committed, self.identity]
 
     def tell(self, part):
