--- a/quillring/forward/progress.py
+++ b/quillring/forward/progress.py
@@ -46,7 +46,7 @@
 def may_go_on(node, forward, progress):
     """Tell whether another replica may be asked after one that may have run the request."""
     is_in_time = node.now() < progress.end_time
-    return forward.may_repeat and progress.attempts < forward.rounds and is_in_time
+    return forward.may_repeat and progress.attempts < forward.tries and is_in_time
 
 
 def check_may_follow(node, forward, progress, error):
@@ -54,7 +54,7 @@
     if not forward.may_repeat:
         raise OutcomeUnknown(reason="the replica broke off") from error
     if not may_go_on(node, forward, progress):
-        raise OutcomeUnknown(reason="no round left") from error
+        raise OutcomeUnknown(reason="no attempt left") from error
 
 
 def note_error(node, progress, replica, error, is_surely):
--- a/quillring/forward/serve.py
+++ b/quillring/forward/serve.py
@@ -127,7 +127,7 @@
     """
     progress.avoided_names.add(replica.name)
     note_misplaced(node, replica, handle)
-    if progress.attempts >= forward.rounds and not progress.has_head:
+    if progress.attempts >= forward.tries and not progress.has_head:
         raise Refused(reason="replicas are full", come_back_s=come_back(node, progress) / 2)
 
 
--- a/quillring/forward/table.py
+++ b/quillring/forward/table.py
@@ -14,7 +14,7 @@
         "prefix",
         "kind",
         "split",
-        "rounds",
+        "tries",
         "hold_seconds",
         "goal_seconds",
         "urgency",
@@ -29,7 +29,7 @@
         self.prefix = fields["prefix"]
         self.kind = fields["kind"]
         self.split = [(service, weight) for service, weight in fields["split"] if weight > 0]
-        self.rounds = max(1, fields.get("rounds") or 1)
+        self.tries = max(1, fields.get("rounds") or 1)
         self.hold_seconds = (fields.get("hold_ms") or 60_000) / 1000
         self.goal_seconds = (fields.get("goal_ms") or 1000) / 1000
         self.urgency = fields.get("urgency", 0)
--- a/quillring/lots/raw_front.py
+++ b/quillring/lots/raw_front.py
@@ -74,7 +74,7 @@
         "at": int(node.world.wall() * 1000),
         "due_ms": fields.get("due_ms") or 60_000,
         "retain_ms": fields.get("retain_ms") or 3_600_000,
-        "rounds": forward.rounds,
+        "rounds": forward.tries,
     }
     seconds = forward.goal_seconds + node.bounds.reading if seconds is None else seconds
     end_time, is_spread = node.now() + seconds, are_lots_spread(node)
