--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -1,12 +1,15 @@
 """The catalog of scenarios: (what must never happen, scenario, guards that stand against it)."""
 
 from proving.points import (
+    callers,
     cuts,
+    departed,
     domains,
     failures,
     fleet,
     keeping,
     lots,
+    membership,
     orders,
     reading,
     resume,
@@ -36,4 +39,7 @@
     *failures.POINTS,
     *orders.POINTS,
     *stalls.POINTS,
+    *membership.POINTS,
+    *departed.POINTS,
+    *callers.POINTS,
 ]
--- a/tests/test_slot_files.py
+++ b/tests/test_slot_files.py
@@ -8,7 +8,7 @@
 from proving.sim.disk import CrashDisk
 from quillring.kernel.errors import Damaged
 from quillring.store import FolderDisk
-from quillring.store.slots import pack_record
+from quillring.store.records import pack_record
 from tests.slot_stage import RECORDS, Machine, check
 
 
