--- a/tests/test_histories_found.py
+++ b/tests/test_histories_found.py
@@ -113,7 +113,8 @@
         owner = stage.sim.nodes[edge.find("gossip").get(f"owner/{place.own}")["owner"]]
         query = {"ask": "raw.results", "lot": place.key, "from": 0, "limit": 1000}
         cut_answers_to(stage, owner)
-        command = {"do": "raw.result", "lot": place.key, "n": 0, "state": "finished", "text": b"x"}
+        command = {"do": "raw.result", "lot": place.key, "n": 0, "state": "finished"}
+        command.update(text=b"x", run="r")
         stage.begin(owner, lambda node: node.find("ownership").submit(place.own, command, 2))
         stage.run(0.05)
         assert len(peek_at_edge(stage, place.own, query)["results"]) == 1
