--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -2,6 +2,7 @@
 
 from proving.points import (
     callers,
+    changes,
     cuts,
     departed,
     domains,
@@ -42,4 +43,5 @@
     *membership.POINTS,
     *departed.POINTS,
     *callers.POINTS,
+    *changes.POINTS,
 ]
--- a/proving/points/orders.py
+++ b/proving/points/orders.py
@@ -3,7 +3,10 @@
 from unittest import mock
 
 from proving.points.base import Stage, no_check
-from quillring.kernel.errors import Conflict
+from proving.points.state import adopt
+from quillring.kernel.errors import Conflict, NotOwner
+from quillring.ownership import Ownership
+from quillring.quorum.owner import Owner
 from quillring.rollout import marks, orders
 from quillring.rollout.marks import retire_store
 from quillring.rollout.orders import submit_order
@@ -104,6 +107,69 @@
     return stage.sim.history.violations, {"taken": len(taken)}
 
 
+def cut_off_core(seed):
+    """The owner of the configuration is cut off for 20 s and frozen for a part of that.
+
+    Operators reach it all the while, and change the configuration elsewhere.
+    """
+    stage = Stage(seed)
+    core = owner_of(stage)
+    others = [name for name in stage.sim.names("core") if name != core]
+    direction = stage.sim.chance.choice(("both", "in", "out"))
+    far_names = [name for name in stage.sim.nodes if name != core]
+    homes, targets = (far_names, [core]) if direction == "in" else ([core], far_names)
+    stage.sim.cut(homes, targets, both_ways=direction == "both")
+    taken, answers = 0, []
+    stage.sim.freeze(core, HELD_SECONDS * 0.6)
+    end_time, thaw_time = stage.env.now + HELD_SECONDS, stage.env.now + HELD_SECONDS * 0.6
+    while stage.env.now < end_time:
+        if stage.env.now < thaw_time:
+            adopted, _ = adopt(stage, others[taken % 2], {"domains": {"west": {}}})
+            taken += adopted is not None
+            stage.env.run(until=min(thaw_time, stage.env.now + 0.5))
+            continue
+        answers.append(ask_once(stage, core))
+        stage.run(0.1)
+    stage.sim.heal()
+    stage.run(4)
+    late = max((seconds for _, _, seconds in answers), default=0)
+    newest = stage.node(others[0]).find("layout").version
+    for read, ordered, _ in answers:
+        if read is not None or ordered is not None:
+            stage.sim.history.violate(f"{core} answered {read}, {ordered}; newest is {newest}")
+    if taken < 4 or late > 1 or stage.node(core).find("layout").version != newest:
+        stage.sim.history.violate(f"{taken} changes taken, slowest answer {late}")
+    return stage.sim.history.violations, {"taken": taken, "asked": len(answers), "cut": direction}
+
+
+def ask_once(stage, name):
+    """An operator reads the version at a node and orders there; (version, answer, slowest s)."""
+    node, start_time = stage.node(name), stage.env.now
+    script = node.find("ownership").read("config", {"ask": "version"}, TRY_SECONDS)
+    read, _ = stage.finish(stage.start(stage.sim.run_script(node, script)))
+    read_seconds, start_time = stage.env.now - start_time, stage.env.now
+    ordered, _ = order_zone(stage, name, "north", True)
+    seconds = max(read_seconds, stage.env.now - start_time)
+    return read and read["version"], ordered, round(seconds, 2)
+
+
+def unfenced_state(self):
+    """Stand-in for the guard: an owner answers from its memory without asking its stores."""
+    return self.state
+    yield
+
+
+def former_owner(self, part):
+    """Stand-in for the guard: whoever owned the part once answers for it."""
+    if part not in self.owners:
+        raise NotOwner(part=part)
+    return self.owners[part]
+
+
+def never_hopeless(self, part):
+    """Stand-in for the guard: a core that reaches nobody still tries."""
+
+
 def no_last_order(state, section, name):
     """Stand-in for the guard: no order is known to be the last."""
     return 0
@@ -120,4 +186,13 @@
         two_retirements,
         [(marks, "check_remaining", no_check)],
     ),
+    (
+        "a core cut off for 20 s hands out and confirms nothing",
+        cut_off_core,
+        [
+            (Owner, "fenced_state", unfenced_state),
+            (Ownership, "_owner", former_owner),
+            (Ownership, "why_hopeless", never_hopeless),
+        ],
+    ),
 ]
