Hints that a store needs no more are not sent to it, and what a spare keeps is bounded in bytes

Cause: a spare kept up to 10,000 records for a missing store whatever their size, and sent each of them on its return, though the owner brings the store in step at once, and though a store that lost its disk is a new member and refuses every one. Change: an answer tells what the store has applied of that part, and all up to that is left out; a new identity ends the hand-over of the old one's. A spare keeps 16 MiB of hints at most; they are no votes.

--- a/quillring/quorum/hints.py
+++ b/quillring/quorum/hints.py
@@ -1,5 +1,9 @@
 """Hints: a spare store keeps what a missing acceptor should have had, and hands it over."""
 
+import math
+
+import cbor2
+
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import Conflict, Fenced, QuillringError, Refused
 from quillring.nifty.graph import score
@@ -7,27 +11,36 @@
 from quillring.quorum.retirement import is_marked
 
 KEPT_HINTS = 10_000
+KEPT_BYTES = 16 << 20
 FINAL = (Fenced, WrongIdentity, Conflict)
 
 
 class Hints:
     """The spare's side; hints add durability, they are no votes."""
 
-    __slots__ = ("node", "acceptors")
+    __slots__ = ("node", "acceptors", "kept_bytes")
 
     def __init__(self, node, acceptors):
         self.node = node
         self.acceptors = acceptors
+        self.kept_bytes = None
         node.handle("quorum.hint", self.on_hint)
 
     def on_hint(self, body, origin):
         """Keep a record for a missing acceptor, durably."""
         kept = sum(len(records) for records in self.acceptors.hints.values())
-        if kept >= KEPT_HINTS:
+        if kept >= KEPT_HINTS or self._count_bytes() >= KEPT_BYTES:
             raise Refused(reason="too many hints")
+        self.kept_bytes += len(cbor2.dumps(body["record"]))
         yield from self.acceptors.keep(["hint", body["for"], body["record"]])
         return True
 
+    def _count_bytes(self):
+        if self.kept_bytes is None:
+            hints = self.acceptors.hints.values()
+            self.kept_bytes = sum(len(cbor2.dumps(record)) for kept in hints for record in kept)
+        return self.kept_bytes
+
     def run(self):
         """Script: hand hints over to each acceptor that is back, then drop them."""
         while True:
@@ -37,10 +50,20 @@
                     yield from self._hand_over(name)
 
     def _hand_over(self, name):
-        records = self.acceptors.hints.get(name, ())
+        """Script: hand over what the acceptor still needs; a new member under its name needs none.
+
+        An answer tells what it has applied by now, from its owner or other stores: all up to that
+        is not sent.
+        """
+        records, applied = self.acceptors.hints.get(name, ()), {}
         for record in records:
+            log = (record["part"], record["identity"])
+            if record["index"] <= applied.get(log, 0):
+                continue
             try:
-                yield from self.node.call(name, "quorum.accept", record)
+                applied[log] = yield from self.node.call(name, "quorum.accept", record)
+            except WrongIdentity:
+                applied[log] = math.inf
             except FINAL:
                 continue
             except QuillringError:
@@ -48,6 +71,7 @@
         self.node.count("hints_handed", len(records))
         try:
             yield from self.acceptors.keep(["handed", name, len(records)])
+            self.kept_bytes = None
         except QuillringError as error:
             self.node.log("warning", "hints: %s", error)
 
--- /dev/null
+++ b/tests/test_hints.py
@@ -0,0 +1,60 @@
+"""What a spare keeps for a missing store, and hands over, is bounded."""
+
+import pytest
+
+from proving.many_changes import ManyChanges
+from quillring.kernel.errors import Refused
+from quillring.quorum import hints
+from quillring.quorum.parts import CONFIG
+
+
+def is_handed_over(fleet):
+    return not any(n.find("acceptors").hints for n in fleet.sim.up_nodes("store"))
+
+
+@pytest.mark.parametrize("comes_back_empty", [False, True])
+def test_hints_that_a_store_needs_no_more_are_not_sent_to_it(comes_back_empty):
+    fleet = ManyChanges(1, 2, 20)
+    fleet.change(1)
+    store = fleet.group()[0]
+    fleet.sim.kill(store, loses_power=True)
+    fleet.run(2)
+    assert fleet.change(100) == 100
+    assert sum(len(n.find("acceptors").hints) for n in fleet.sim.up_nodes("store")) == 1
+    if comes_back_empty:
+        fleet.sim.disks[store].lose_all()
+    handed = []
+    node = fleet.start(store)
+    real_accept = node.handlers["quorum.accept"]
+
+    def accept(body, origin):
+        handed.append(body["index"])
+        return real_accept(body, origin)
+
+    node.handlers["quorum.accept"] = accept
+    fleet.time_and_bytes(store, lambda: is_handed_over(fleet))
+    assert is_handed_over(fleet)
+    assert len(handed) < 10
+    fleet.run(1)
+    assert fleet.change(1) == 1
+    fleet.run(1)
+    assert all(fleet.is_in_step(name) for name in fleet.group())
+
+
+def test_a_spare_keeps_no_more_hints_than_so_many_bytes(monkeypatch):
+    monkeypatch.setattr(hints, "KEPT_BYTES", 100_000)
+    fleet = ManyChanges(1, 2, 20)
+    fleet.change(1)
+    store = fleet.group()[0]
+    fleet.sim.kill(store)
+    fleet.run(2)
+    assert fleet.change(60) == 60
+    spare = next(n for n in fleet.sim.up_nodes("store") if n.find("acceptors").hints)
+    kept = sum(len(records) for records in spare.find("acceptors").hints.values())
+    assert 10 < kept < 40
+    body = {"for": store, "record": {"part": CONFIG}}
+    with pytest.raises(Refused):
+        next(spare.find("hints").on_hint(body, "core-1"))
+    fleet.start(store)
+    seconds, _ = fleet.time_and_bytes(store, lambda: fleet.is_in_step(store))
+    assert seconds is not None
