--- a/proving/many_changes.py
+++ b/proving/many_changes.py
@@ -16,7 +16,7 @@
 from quillring.fleet import open_store
 from quillring.kernel.bounds import Bounds
 from quillring.quorum.autofound import found_by_itself
-from quillring.quorum.parts import CONFIG
+from quillring.quorum.parts import CONFIG, GROUP_SIZE
 
 READY_AT = 8
 STEP = 0.01
@@ -110,6 +110,10 @@
         """Return the names of the stores that keep the configuration."""
         return [store[0] for store in self.owner().group]
 
+    def identity(self, store):
+        """Return the identity of a store, which it loses with its disk."""
+        return self.sim.nodes[store].find("acceptors").identity
+
     def is_in_step(self, store):
         """Tell whether a store of the group has applied the newest configuration."""
         record = self.sim.nodes[store].find("acceptors").parts.get(CONFIG)
@@ -160,11 +164,25 @@
 
 
 def emptied_store(fleet, count):
-    """Change so often, then let a store of the group come back with an empty disk."""
+    """Change so often, then let a store of the group come back with an empty disk.
+
+    It comes back as a new member, and it or a spare takes the place of the old one.
+    """
     taken, store = fleet.change(count), fleet.group()[0]
+    former = fleet.identity(store)
     fleet.sim.lose_disk(store)
     fleet.start(store)
-    return taken, fleet.time_and_bytes(store, lambda: fleet.is_in_step(store))
+
+    def is_whole():
+        owner = fleet.owner()
+        return (
+            owner is not None
+            and former not in [identity for _, identity, _ in owner.group]
+            and len(owner.group) == GROUP_SIZE
+            and all(fleet.is_in_step(name) for name in fleet.group())
+        )
+
+    return taken, fleet.time_and_bytes(store, is_whole)
 
 
 def new_owner(fleet, count):
