A late store is sent the state where that is smaller than the entries it missed

Cause: entries went before the state whatever their number, so that what a store was sent after a restart grew with the number of changes it missed: 207 kB after 60 and 792 kB after 240 whole configurations of 20 routes, each of which it checked once more, while the state takes 10.5 kB. Change: the state goes where the entries weigh more; it is read no further than the entries weigh.

--- a/quillring/quorum/catchup.py
+++ b/quillring/quorum/catchup.py
@@ -1,13 +1,15 @@
 """Bringing owners and stores in step at the least cost: no state is sent that is there already.
 
-Entries are sent where they are kept, the whole state only where they are not, and either in pieces
-of bounded size, one at a time, so that no message grows with a part's state.
+Entries are sent where they are kept, the whole state only where they are not or weigh more than it,
+and either in pieces of bounded size, one at a time, so that no message grows with a part's state.
 """
 
+import cbor2
+
 from quillring.kernel.errors import Conflict, NoMajority, QuillringError, UnknownService
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.takeover import STATE
-from quillring.quorum.transfer import PIECE_BYTES, START, Place, StateBuilder, cut_piece
+from quillring.quorum.transfer import PIECE_BYTES, START, Place, StateBuilder, cut_piece, rows_of
 
 MOST_RESUMPTIONS = 8
 
@@ -109,6 +111,8 @@
     """Script: send the entries a store misses; False when they are gone, or don't help."""
     if owner.recent.since(applied) is None:
         yield from _learn_entries(owner, applied, target)
+    if is_state_smaller(owner.state, owner.recent.weight_since(applied)):
+        return False
     while applied < owner.index:
         entries = owner.recent.since(applied, PIECE_BYTES)
         if not entries:
@@ -123,6 +127,17 @@
     return True
 
 
+def is_state_smaller(state, weight):
+    """Tell whether a state takes fewer bytes than entries of a weight; it is read no further."""
+    if weight <= PIECE_BYTES // 4:
+        return False
+    for fields in rows_of(state):
+        weight -= len(cbor2.dumps(fields))
+        if weight < 0:
+            return False
+    return True
+
+
 def _learn_entries(owner, applied, target):
     """Script: ask one other store for the entries that were applied before this term."""
     first = owner.recent.first or owner.index + 1
--- a/quillring/quorum/recent.py
+++ b/quillring/quorum/recent.py
@@ -42,6 +42,10 @@
             self.weight += weight
         self._trim()
 
+    def weight_since(self, applied):
+        """Return the bytes of the entries kept after an index."""
+        return sum(weight for index, _, weight in self.entries if index > applied)
+
     def _trim(self):
         while len(self.entries) > KEPT_ENTRIES or self.weight > self.most_weight:
             self.weight -= self.entries.popleft()[2]
--- /dev/null
+++ b/tests/test_catchup_bytes.py
@@ -0,0 +1,23 @@
+"""What a late store is sent is bounded by the state, whatever the number of changes it missed."""
+
+import pytest
+
+from proving.many_changes import ManyChanges, frozen_store, restarted_store
+from quillring.quorum.catchup import is_state_smaller
+from quillring.quorum.transfer import PIECE_BYTES
+
+
+@pytest.mark.parametrize("case", [frozen_store, restarted_store], ids=lambda case: case.__name__)
+def test_a_store_that_missed_hundreds_of_changes_is_sent_the_state_and_not_all_of_them(case):
+    fleet = ManyChanges(1, 2, 20, stores=3)
+    fleet.change(1)
+    taken, (seconds, sent) = case(fleet, 240)
+    assert taken == 240 and seconds is not None and seconds < 4
+    assert sent < PIECE_BYTES // 4
+
+
+def test_a_state_is_chosen_only_where_it_is_smaller_than_the_entries():
+    state = {"group": [], "lots": {f"lot-{n}": b"x" * 1000 for n in range(300)}}
+    assert not is_state_smaller(state, 200_000)
+    assert is_state_smaller(state, 400_000)
+    assert not is_state_smaller({"group": []}, 1000)
