--- a/quillring/quorum/hints.py
+++ b/quillring/quorum/hints.py
@@ -12,6 +12,7 @@
 
 KEPT_HINTS = 10_000
 KEPT_BYTES = 16 << 20
+OWNERS_FIRST = 2
 FINAL = (Fenced, WrongIdentity, Conflict)
 
 
@@ -42,11 +43,19 @@
         return self.kept_bytes
 
     def run(self):
-        """Script: hand hints over to each acceptor that is back, then drop them."""
+        """Script: hand hints over to each acceptor that is back, then drop them.
+
+        Its parts' owners come first: most often they bring it in step, and no hint is needed.
+        """
+        back_since = {}
         while True:
             yield Sleep(self.node.bounds.beat)
-            for name in list(self.acceptors.hints):
-                if self.node.find("nifty").reaches(name):
+            reaches, now = self.node.find("nifty").reaches, self.node.now()
+            back_since = {
+                name: back_since.get(name, now) for name in self.acceptors.hints if reaches(name)
+            }
+            for name, since in back_since.items():
+                if now - since >= self.node.bounds.beat * OWNERS_FIRST:
                     yield from self._hand_over(name)
 
     def _hand_over(self, name):
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -6,15 +6,17 @@
 from quillring.kernel.errors import Refused
 from quillring.quorum import hints
 from quillring.quorum.parts import CONFIG
+from quillring.quorum.transfer import PIECE_BYTES
 
 
 def is_handed_over(fleet):
     return not any(n.find("acceptors").hints for n in fleet.sim.up_nodes("store"))
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("comes_back_empty", [False, True])
-def test_hints_that_a_store_needs_no_more_are_not_sent_to_it(comes_back_empty):
-    fleet = ManyChanges(1, 2, 20)
+def test_hints_that_a_store_needs_no_more_are_not_sent_to_it(comes_back_empty, seed):
+    fleet = ManyChanges(seed, 2, 20)
     fleet.change(1)
     store = fleet.group()[0]
     fleet.sim.kill(store, loses_power=True)
@@ -32,9 +34,9 @@
         return real_accept(body, origin)
 
     node.handlers["quorum.accept"] = accept
-    fleet.time_and_bytes(store, lambda: is_handed_over(fleet))
+    _, sent = fleet.time_and_bytes(store, lambda: is_handed_over(fleet))
     assert is_handed_over(fleet)
-    assert len(handed) < 10
+    assert len(handed) < 10 and sent < PIECE_BYTES // 2
     fleet.run(1)
     assert fleet.change(1) == 1
     fleet.run(1)
