--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -2,6 +2,7 @@
 
 from proving.points import (
     callers,
+    changes,
     cuts,
     departed,
     domains,
@@ -46,4 +47,5 @@
     *departed.POINTS,
     *orders.POINTS,
     *stalls.POINTS,
+    *changes.POINTS,
 ]
