A reservation alone tells no lot to lose: the lot's own part decides

Change: on a Conflict of the ledger the lot's own part is asked: the same lot there is acknowledged, another one is a Conflict, none is a refusal that comes back once the reservation has gone.

Before: both tests of test_histories_found fail.

--- a/quillring/lots/raw_front.py
+++ b/quillring/lots/raw_front.py
@@ -5,6 +5,7 @@
 import cbor2
 
 from quillring.kernel.errors import (
+    Conflict,
     NotFound,
     NotFounded,
     OutcomeUnknown,
@@ -110,6 +111,12 @@
             reserved = yield from submit_surely(node, place.home, reserve, end_time - node.now())
         except OutcomeUnknown as error:
             raise Refused(reason="no reservation", part=place.home) from error
+        except Conflict as error:
+            known = yield from find_accepted(node, place.own, command)
+            if known is None:
+                reason = "another lot of this name is reserved"
+                raise Refused(reason=reason, part=place.home) from error
+            return known
         if reserved.get("refused") is not None:
             known = yield from find_accepted(node, place.own, command)
             return known or reserved
@@ -193,7 +200,7 @@
     """Script: read a part; whatever goes wrong and is no sure answer becomes a refusal."""
     try:
         return (yield from node.find("ownership").read(part, query, seconds))
-    except (NotFound, NotFounded, Refused):
+    except (Conflict, NotFound, NotFounded, Refused):
         raise
     except QuillringError as error:
         raise Refused(reason=error.kind, part=part) from error
