A read at an owner waits for the entry that it has in flight

Cause: stores may have accepted an entry whose owner got no answer yet. A read at a majority of them counts it as chosen; the owner answered the next read from the state before, for half a round and more: a configuration, or a lot's results, went back. The confirmation of the ballot says nothing of the owner's own entry.

Ruled out: leaving such entries out of reads at the stores, which would have no answer during takeovers; a second round of confirmation, which finds the same.

Change: the entry in flight is noted (quorum.in_flight); fenced reads wait for it, reads of lots only where it is about their lot.

Before: the last two tests of test_histories_found fail.

--- a/quillring/lots/raw_reads.py
+++ b/quillring/lots/raw_reads.py
@@ -10,7 +10,8 @@
 class RawReads:
     """Answers reads, and wakes those that wait for the next result of a lot.
 
-    What is listed is committed and never changes, so it goes out from the state at hand. That
+    What is listed is committed and never changes, so it goes out from the state at hand, with the
+    entry in flight about the lot: the stores may have told of it already (`InFlight`). That
     there is nothing is only said under a fence that is newer than a fraction of the reading bound.
     """
 
@@ -31,6 +32,8 @@
         """Answer a query, after some seconds at most while the lot has no further result."""
         owner, query = self.node.find("ownership").owners.get(body["part"]), body["query"]
         end_time = self.node.now() + body["seconds"]
+        if owner is not None:
+            yield from owner.in_flight.wait(query["lot"])
         while True:
             if owner is None or not owner.is_owner:
                 raise NotOwner(part=body["part"])
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -6,6 +6,7 @@
 from quillring.quorum.catchup import adopt_state
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
+from quillring.quorum.in_flight import InFlight
 from quillring.quorum.mending import Mending
 from quillring.quorum.parts import CONFIG, majority
 from quillring.quorum.recent import Recent
@@ -37,6 +38,7 @@
         "recent",
         "mending",
         "takeover",
+        "in_flight",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -49,6 +51,7 @@
         self.recent = Recent()
         self.mending = Mending(self)
         self.takeover = Takeover(node, part)
+        self.in_flight = InFlight(node, part)
         self.queue = []
         self.queue_signal = Signal()
         self.is_owner = False
@@ -142,10 +145,14 @@
         asked_at = self.node.now()
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
         send_hints(self, self.calls("accept", **entry))
-        yield from self._round("accept", **entry)
-        self.index += 1
-        self.recent.add(self.index, batch)
-        self.state, answers = apply_batch(self.state, batch)
+        self.in_flight.begin(batch)
+        try:
+            yield from self._round("accept", **entry)
+            self.index += 1
+            self.recent.add(self.index, batch)
+            self.state, answers = apply_batch(self.state, batch)
+        finally:
+            self.in_flight.end()
         self.confirmed_at = asked_at
         if self.part == CONFIG:
             yield from self._round("commit", committed=self.index)
@@ -236,9 +243,11 @@
 
         Raises NotOwner, Fenced, or NoMajority, also for a confirmation that is no longer recent.
         """
+        asked_at = self.node.now()
+        yield from self.in_flight.wait()
         if not self.is_owner:
             raise NotOwner(part=self.part)
-        read_state, asked_at = self.state, self.node.now()
+        read_state = self.state
         yield from self._confirm()
         if self.node.now() - asked_at > self.node.bounds.reading:
             raise NoMajority(part=self.part, reason="the confirmation is old")
