--- a/proving/histories/bugs.py
+++ b/proving/histories/bugs.py
@@ -15,6 +15,7 @@
 from quillring.quorum import owner, peek
 from quillring.quorum.acceptor import Acceptors, PartRecord
 from quillring.quorum.commands import COMMANDS
+from quillring.quorum.in_flight import InFlight
 from quillring.rollout import editions, marks
 from quillring.rollout.freshness import Freshness
 from quillring.rollout.image import LayoutImage
@@ -134,6 +135,12 @@
     return max(replies, key=lambda reply: reply[0])[3:5] if replies else None
 
 
+def wait_for_nothing(self, lot=None):
+    """Stand-in: a read does not wait for what its owner has in flight."""
+    return
+    yield
+
+
 def always_fresh(self):
     """Stand-in: a node counts as fresh however long it heard of no majority."""
     return self.node.find("layout").layout is not None
@@ -156,6 +163,7 @@
     Bug("snapshot goes back", "LayoutImage.on_news", LayoutImage, "on_news", take_any_news),
     Bug("unknown told as refused", "asking._unknown", asking, "_unknown", told_as_refused),
     Bug("reads past the log", "peek.find_answer", peek, "find_answer", newest_of_any),
+    Bug("entry in flight", "InFlight.wait", InFlight, "wait", wait_for_nothing),
     Bug("always fresh", "Freshness.is_fresh", Freshness, "is_fresh", always_fresh),
 )
 
