--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -1,7 +1,8 @@
 """The acceptors on a store machine: promises, accepted entries, applied state, per part."""
 
-from quillring.kernel.errors import Conflict, Fenced, NotFounded, QuillringError
+from quillring.kernel.errors import Conflict, Fenced, NotFounded
 from quillring.quorum.commands import answer_query, first_state
+from quillring.quorum.identity import WrongIdentity
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
 from quillring.quorum.slot_rows import load_rows, to_rows
@@ -9,13 +10,6 @@
 from quillring.quorum.transfers import Transfers
 
 
-class WrongIdentity(QuillringError):
-    """The store is not the member that the group names."""
-
-    kind = "wrong_identity"
-    status = 409
-
-
 class Acceptors:
     """The store's side of every part; all that it answers is durable first."""
 
--- a/quillring/quorum/hints.py
+++ b/quillring/quorum/hints.py
@@ -7,7 +7,7 @@
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import Conflict, Fenced, QuillringError, Refused
 from quillring.nifty.graph import score
-from quillring.quorum.acceptor import WrongIdentity
+from quillring.quorum.identity import WrongIdentity
 from quillring.quorum.retirement import is_marked
 
 KEPT_HINTS = 10_000
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -8,8 +8,9 @@
 from quillring.quorum.hints import send_hints
 from quillring.quorum.in_flight import InFlight
 from quillring.quorum.mending import Mending
-from quillring.quorum.parts import CONFIG, majority
+from quillring.quorum.parts import CONFIG
 from quillring.quorum.recent import Recent
+from quillring.quorum.rounds import ask_majority
 from quillring.quorum.swap import promise_again
 from quillring.quorum.tail import TAIL_INDEXES, best_entries, fetch_batch
 from quillring.quorum.takeover import ENTRIES, PROMISES, Takeover
@@ -71,21 +72,7 @@
         ]
 
     def _round(self, service, **body):
-        """Script: ask the group; return good answers of a majority, or raise."""
-        replies = yield from self.node.gather(
-            self.calls(service, **body), majority(self.group), self.node.bounds.round, True
-        )
-        fences = [r.detail["ballot"] for r in replies.values() if isinstance(r, Fenced)]
-        if fences:
-            self.higher = max(self.higher, *(int(ballot[0]) for ballot in fences))
-            raise Fenced(part=self.part, ballot=max(fences))
-        good_replies = {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
-        if len(good_replies) < majority(self.group):
-            errors = [r for r in replies.values() if isinstance(r, QuillringError)]
-            raise NoMajority(part=self.part, heard=sorted(good_replies)) from ExceptionGroup(
-                f"stores of {self.part}", errors
-            )
-        return good_replies
+        return ask_majority(self, service, body)
 
     def take_again(self, gives_way):
         """Script: take the part; a ballot that only was too low is tried once more at once.
--- /dev/null
+++ b/quillring/quorum/rounds.py
@@ -0,0 +1,25 @@
+"""One round of an owner: the same call to each store of the group, under the ballot."""
+
+from quillring.kernel.errors import Fenced, NoMajority, QuillringError
+from quillring.quorum.parts import majority
+
+
+def ask_majority(owner, service, body):
+    """Script: ask the group; return {store: good answer} of a majority.
+
+    Raises Fenced when a store knows of a higher ballot, NoMajority when too few answer in time.
+    """
+    replies = yield from owner.node.gather(
+        owner.calls(service, **body), majority(owner.group), owner.node.bounds.round, True
+    )
+    fences = [r.detail["ballot"] for r in replies.values() if isinstance(r, Fenced)]
+    if fences:
+        owner.higher = max(owner.higher, *(int(ballot[0]) for ballot in fences))
+        raise Fenced(part=owner.part, ballot=max(fences))
+    good_replies = {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
+    if len(good_replies) < majority(owner.group):
+        errors = [r for r in replies.values() if isinstance(r, QuillringError)]
+        raise NoMajority(part=owner.part, heard=sorted(good_replies)) from ExceptionGroup(
+            f"stores of {owner.part}", errors
+        )
+    return good_replies
--- /dev/null
+++ b/quillring/verbs/part_routes.py
@@ -0,0 +1,41 @@
+"""HTTP routes that show parts, their owners and stores."""
+
+from quillring.kernel.errors import QuillringError
+from quillring.kernel.wsgi import route
+from quillring.ownership.takeovers import newest_takeovers
+
+
+@route("GET", "/v1/parts")
+def show_parts(node, inquiry):
+    """Return each part with its group, owner and ballot as last heard, and the newest takeover.
+
+    The takeovers are asked of the cores in reach, and are None where none of them knows of one.
+    """
+    ownership, gossip = node.find("ownership"), node.find("gossip")
+    ownership.founding()
+    takeovers = yield from newest_takeovers(node)
+    return {
+        "parts": [
+            {
+                "part": part,
+                "group": [store[0] for store in ownership.group(part)],
+                **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
+                "takeover": takeovers.get(part),
+            }
+            for part in ownership.parts()
+        ]
+    }
+
+
+@route("GET", "/v1/whole")
+def show_whole(node, inquiry):
+    """Tell whether every part has an owner and a full group of stores that hold everything."""
+    ownership, rows = node.find("ownership"), []
+    for part in ownership.parts():
+        try:
+            answer = yield from ownership.ask(part, "part.whole", {}, node.bounds.beat)
+        except QuillringError as error:
+            answer = {"trouble": error.kind}
+        is_whole = len(answer.get("group", ())) == ownership.size() and not answer["late"]
+        rows.append({"part": part, "is_whole": is_whole, **answer})
+    return {"is_whole": all(row["is_whole"] for row in rows), "parts": rows}
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -3,15 +3,15 @@
 from quillring.edge import short, streams
 from quillring.edge.admission import check_admission
 from quillring.kernel.checks import StrictValidator
-from quillring.kernel.errors import Conflict, NotFound, NotFounded, QuillringError, Refused
+from quillring.kernel.errors import Conflict, NotFound, NotFounded, Refused
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
-from quillring.ownership.takeovers import newest_takeovers
 from quillring.plans import front as plans_front
 from quillring.quorum.founding import found_fleet
 from quillring.quorum.parts import CONFIG
+from quillring.verbs import part_routes, status_routes
 
-PLUGINS = (short, streams, front, plans_front)
+PLUGINS = (part_routes, status_routes, short, streams, front, plans_front)
 CHANGE = StrictValidator(
     {
         "type": "object",
@@ -97,42 +97,6 @@
     return node.find("nifty").graph.to_json()
 
 
-@route("GET", "/v1/parts")
-def show_parts(node, inquiry):
-    """Return each part with its group, owner and ballot as last heard, and the newest takeover.
-
-    The takeovers are asked of the cores in reach, and are None where none of them knows of one.
-    """
-    ownership, gossip = node.find("ownership"), node.find("gossip")
-    ownership.founding()
-    takeovers = yield from newest_takeovers(node)
-    return {
-        "parts": [
-            {
-                "part": part,
-                "group": [store[0] for store in ownership.group(part)],
-                **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
-                "takeover": takeovers.get(part),
-            }
-            for part in ownership.parts()
-        ]
-    }
-
-
-@route("GET", "/v1/whole")
-def show_whole(node, inquiry):
-    """Tell whether every part has an owner and a full group of stores that hold everything."""
-    ownership, rows = node.find("ownership"), []
-    for part in ownership.parts():
-        try:
-            answer = yield from ownership.ask(part, "part.whole", {}, node.bounds.beat)
-        except QuillringError as error:
-            answer = {"trouble": error.kind}
-        is_whole = len(answer.get("group", ())) == ownership.size() and not answer["late"]
-        rows.append({"part": part, "is_whole": is_whole, **answer})
-    return {"is_whole": all(row["is_whole"] for row in rows), "parts": rows}
-
-
 @route("POST", "/v1/drain")
 def drain(node, inquiry):
     """End the process as planned: nothing new, what is under way ends, the platform restarts."""
@@ -215,41 +179,3 @@
             },
         )
     )
-
-
-@route("GET", "/v1/promises")
-def show_promises(node, inquiry):
-    """Return how the promises of each class were kept on this node in the last quarter hour."""
-    return {"name": node.me.name, "classes": node.find("meter").rows()}
-
-
-@route("GET", "/v1/status")
-def show_status(node, inquiry):
-    """Return what this node is and how it does."""
-    image, acceptors = node.find("layout"), node.find("acceptors")
-    disk_error = None if acceptors is None else acceptors.slots.error
-    return {
-        "name": node.me.name,
-        "role": node.me.role,
-        "domain": node.me.domain,
-        "layout_version": image.version,
-        "is_fresh": node.find("freshness").is_fresh(),
-        "under_way": node.under_way,
-        "is_draining": node.is_draining,
-        "is_cut": node.find("nifty").graph.is_cut,
-        "disk_error": None if disk_error is None else str(disk_error),
-        "seeds": [f"{host}:{port}" for host, port in node.find("nifty").seeds],
-    }
-
-
-@route("GET", "/v1/log")
-def show_log(node, inquiry):
-    """Return the ring log of this node."""
-    ring = node.find("ring")
-    return {"name": node.me.name, "log": list(ring.ring) if ring else []}
-
-
-@route("GET", "/v1/counts")
-def show_counts(node, inquiry):
-    """Return the node's counters."""
-    return {"name": node.me.name, "counts": dict(sorted(node.counts.items()))}
--- /dev/null
+++ b/quillring/verbs/status_routes.py
@@ -0,0 +1,41 @@
+"""HTTP routes that show how a node is: promises kept, status, log and counters."""
+
+from quillring.kernel.wsgi import route
+
+
+@route("GET", "/v1/promises")
+def show_promises(node, inquiry):
+    """Return how the promises of each class were kept on this node in the last quarter hour."""
+    return {"name": node.me.name, "classes": node.find("meter").rows()}
+
+
+@route("GET", "/v1/status")
+def show_status(node, inquiry):
+    """Return what this node is and how it does."""
+    image, acceptors = node.find("layout"), node.find("acceptors")
+    disk_error = None if acceptors is None else acceptors.slots.error
+    return {
+        "name": node.me.name,
+        "role": node.me.role,
+        "domain": node.me.domain,
+        "layout_version": image.version,
+        "is_fresh": node.find("freshness").is_fresh(),
+        "under_way": node.under_way,
+        "is_draining": node.is_draining,
+        "is_cut": node.find("nifty").graph.is_cut,
+        "disk_error": None if disk_error is None else str(disk_error),
+        "seeds": [f"{host}:{port}" for host, port in node.find("nifty").seeds],
+    }
+
+
+@route("GET", "/v1/log")
+def show_log(node, inquiry):
+    """Return the ring log of this node."""
+    ring = node.find("ring")
+    return {"name": node.me.name, "log": list(ring.ring) if ring else []}
+
+
+@route("GET", "/v1/counts")
+def show_counts(node, inquiry):
+    """Return the node's counters."""
+    return {"name": node.me.name, "counts": dict(sorted(node.counts.items()))}
--- a/tests/test_acceptor_properties.py
+++ b/tests/test_acceptor_properties.py
@@ -23,8 +23,8 @@
 from quillring.fleet import open_store
 from quillring.kernel.errors import Fenced, QuillringError
 from quillring.kernel.node import Node
-from quillring.quorum.acceptor import WrongIdentity
 from quillring.quorum.commands import apply_batch, first_state
+from quillring.quorum.identity import WrongIdentity
 
 PROFILES = {"ci": (60, 25), "long": (3000, 60)}
 PART = "part-0"
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -17,7 +17,7 @@
 )
 from quillring.ownership.asking import Asking
 from quillring.rollout.commands import BadLayout
-from quillring.verbs.routes import show_whole
+from quillring.verbs.part_routes import show_whole
 
 
 class Asker(Asking):
--- a/tests/test_slow_disks.py
+++ b/tests/test_slow_disks.py
@@ -8,7 +8,7 @@
 from quillring.fleet import open_store
 from quillring.kernel.errors import DiskError, Fenced, QuillringError
 from quillring.quorum.parts import CONFIG
-from quillring.verbs.routes import show_status
+from quillring.verbs.status_routes import show_status
 from tests.fleet_stage import SelfFounded
 from tests.raw_stage import RawStage
 
