Points: guards and scenarios follow the code they stand for, none weaker

Cause: guard-outs of six points found nothing any more. Change: the cores lose their power as well in power_after_accept and two_stores_power (more faults than before); the owner's cast is a guard of growing_layout.

--- a/proving/histories/bugs.py
+++ b/proving/histories/bugs.py
@@ -155,7 +155,7 @@
     Bug("local read", "Owner.fenced_state", owner.Owner, "fenced_state", local_state),
     Bug("unfenced orders", "orders.place_order", marks, "place_order", place_unfenced),
     Bug("any retirement", "marks.check_remaining", marks, "check_remaining", no_check),
-    Bug("terms not compared", "Acceptors._check", Acceptors, "_check", check_without_ballot),
+    Bug("terms not compared", "Acceptors.check", Acceptors, "check", check_without_ballot),
     Bug("answer before sync", "SlotStore.commit", SlotStore, "commit", commit_without_sync),
     Bug("lot accepted anew", "raw.accept: digest", COMMANDS, "raw.accept", accept_anew),
     Bug("end not kept", "raw.end", COMMANDS, "raw.end", end_nothing),
--- a/proving/points/failures.py
+++ b/proving/points/failures.py
@@ -124,7 +124,7 @@
 
 
 def two_stores_power(seed):
-    """Two stores of a part, its third one slow, lose their power right after a confirmation."""
+    """Two stores of a part, its third one slow, and all cores lose power after a confirmation."""
     stage = Stage(seed)
     sim = stage.sim
     for _ in range(3):
@@ -137,6 +137,7 @@
         while sim.history.counts.get("accepted_lots", 0) == before:
             stage.env.step()
         stage.node(slow_name).world.held.clear()
+        names += sim.names("core")
         for name in names:
             sim.kill(name, loses_power=True)
         stage.run(sim.chance.uniform(0.2, 3))
--- a/proving/points/lots.py
+++ b/proving/points/lots.py
@@ -6,22 +6,23 @@
 from proving.points.state import CommandsWith
 from proving.sim import backends
 from quillring.lots.runner import LotRunner
-from quillring.quorum import acceptor, commands, owner
+from quillring.quorum import acceptor, commands, owner, rounds
 from quillring.quorum.parts import CONFIG
 from quillring.rollout.freshness import Freshness
 from quillring.store import slots
 
 
 def power_after_accept(seed):
-    """All stores lose their power the moment a lot was accepted."""
+    """All stores and cores lose their power the moment a lot was accepted."""
     stage = Stage(seed)
     stage.start(stage.callers.lot("gate-notices", 8, 0.0))
     while not stage.sim.history.counts.get("accepted_lots"):
         stage.env.step()
-    for name in stage.sim.names("store"):
+    names = [*stage.sim.names("store"), *stage.sim.names("core")]
+    for name in names:
         stage.sim.kill(name, loses_power=True)
     stage.run(2)
-    for name in stage.sim.names("store"):
+    for name in names:
         stage.sim.start(name)
     stage.run(30)
     outcomes = stage.outcomes()
@@ -204,13 +205,13 @@
     (
         "a domain and its disk lost loses no lot",
         domain_lost_after_accept,
-        [(owner, "majority", lambda group: 1)],
+        [(rounds, "majority", lambda group: 1)],
     ),
     (
         "an owner that wakes without its fence accepts nothing",
         two_owners,
         [
-            (acceptor.Acceptors, "_check", unfenced),
+            (acceptor.Acceptors, "check", unfenced),
             (acceptor.Acceptors, "on_confirm", lambda self, body, origin: True),
             (owner.Owner, "may_act", lambda self: self.is_owner),
             (Freshness, "check", no_check),
@@ -238,6 +239,6 @@
     (
         "an emptied store never votes for the old one",
         emptied_store,
-        [(acceptor.Acceptors, "_check", unfenced)],
+        [(acceptor.Acceptors, "check", unfenced)],
     ),
 ]
--- a/proving/points/reading.py
+++ b/proving/points/reading.py
@@ -10,6 +10,7 @@
 from quillring.plans.runner import PlanRunner
 from quillring.quorum.parts import CONFIG
 from quillring.rollout import Freshness
+from quillring.rollout.image import LayoutImage
 
 
 def result_read(seed):
@@ -176,6 +177,7 @@
         "a layout that grows is everywhere within 2 s",
         growing_layout,
         [
+            (LayoutImage, "_cast_all", no_news),
             (Gossip, "push_news", no_news),
             (Gossip, "on_digest", no_news),
             (Freshness, "_fetch_newer", no_news),
