--- a/quillring/ownership/takeovers.py
+++ b/quillring/ownership/takeovers.py
@@ -23,3 +23,19 @@
             if known is None or known["ballot"] < status["ballot"]:
                 newest[part] = status
     return newest
+
+
+def list_parts(node):
+    """Script: return the parts with group, owner and ballot as heard, and the newest takeover."""
+    ownership, gossip = node.find("ownership"), node.find("gossip")
+    ownership.founding()
+    takeovers = yield from newest_takeovers(node)
+    return [
+        {
+            "part": part,
+            "group": [store[0] for store in ownership.group(part)],
+            **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
+            "takeover": takeovers.get(part),
+        }
+        for part in ownership.parts()
+    ]
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -4,7 +4,7 @@
 from quillring.quorum.commands import answer_query, first_state
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
-from quillring.quorum.slot_rows import load_rows, to_rows
+from quillring.quorum.slot_rows import load_rows, load_whole, to_rows
 from quillring.quorum.tail import TAIL_INDEXES
 from quillring.quorum.transfers import Transfers
 
@@ -88,9 +88,7 @@
 
     def load(self, image):
         """Take the state of a slot of the version before, which is one value."""
-        self.identity, self.founding = image["identity"], image["founding"]
-        self.parts = {n: PartRecord.from_list(fields) for n, fields in image["parts"].items()}
-        self.hints = image["hints"]
+        load_whole(self, image)
 
     def replay(self, record):
         """Take one log record; the running store changes its memory by the same function."""
@@ -198,9 +196,8 @@
     def on_install(self, body, origin):
         """Take the owner's whole state of a part in place of missed entries."""
         self.check(body)
-        yield from self.keep(
-            ["install", body["part"], list(body["ballot"]), body["index"], body["state"]]
-        )
+        fields = [list(body["ballot"]), body["index"], body["state"]]
+        yield from self.keep(["install", body["part"], *fields])
         return self.tell(body["part"])
 
     def on_confirm(self, body, origin):
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -10,7 +10,7 @@
 from quillring.quorum.parts import CONFIG, majority
 from quillring.quorum.recent import Recent
 from quillring.quorum.swap import promise_again
-from quillring.quorum.tail import TAIL_INDEXES, best_entries, fetch_batch
+from quillring.quorum.tail import TAIL_INDEXES, finish_tail
 from quillring.quorum.takeover import ENTRIES, PROMISES, Takeover
 
 
@@ -108,11 +108,11 @@
             if all(record[2] is None for record in promises.values()):
                 raise NotFounded(part=self.part)
             yield from adopt_state(self, promises)
-            if self._adopt_group(self.state["group"]):
+            if self.adopt_group(self.state["group"]):
                 self.ballot = (self.ballot[0] + 1, self.ballot[1])
                 continue
             self.takeover.enter(ENTRIES)
-            if (yield from self._finish_tail(promises)):
+            if (yield from finish_tail(self, promises)):
                 break
             self.ballot = (self.ballot[0] + 1, self.ballot[1])
         self.is_owner = True
@@ -120,24 +120,14 @@
         self.takeover.succeed(self.index)
         self._tell([])
 
-    def _adopt_group(self, known_group):
+    def adopt_group(self, known_group):
+        """Ask these stores from now on; tell whether that is a change."""
         if [list(s) for s in known_group] == [list(s) for s in self.group]:
             return False
         self.group = [list(store) for store in known_group]
         return True
 
-    def _finish_tail(self, promises):
-        """Propose again every entry that may have been chosen; False after a group change."""
-        best = best_entries(promises, self.index)
-        while self.index + 1 in best:
-            batch = yield from fetch_batch(self, self.index + 1, best[self.index + 1])
-            yield from self._decide(batch)
-            if self._adopt_group(self.state["group"]):
-                return False
-        yield from self._decide([])
-        return True
-
-    def _decide(self, batch):
+    def decide(self, batch):
         """Script: have a majority accept the next entry; apply it; return the answers."""
         asked_at = self.node.now()
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
@@ -175,14 +165,14 @@
     def _write_queue(self):
         batch, self.queue = split_batch(self.queue)
         try:
-            answers = yield from self._decide([command for command, _ in batch])
+            answers = yield from self.decide([command for command, _ in batch])
         except QuillringError as error:
             for _, answer_signal in batch:
                 answer_signal.set(NoMajority(part=self.part, reason=error.kind))
             raise
         try:
-            if self._adopt_group(self.state["group"]):
-                yield from promise_again(self, self._round("prepare", brief=True))
+            if self.adopt_group(self.state["group"]):
+                yield from promise_again(self, self._round("prepare", brief=TAIL_INDEXES))
         finally:
             self._tell([command for command, _ in batch])
             for (_, answer_signal), answer in zip(batch, answers, strict=True):
--- a/quillring/quorum/slot_rows.py
+++ b/quillring/quorum/slot_rows.py
@@ -39,3 +39,10 @@
             take_row(arriving[name][2][0], fields)
     acceptors.parts, acceptors.hints = parts, hints
     acceptors.transfers.load(arriving)
+
+
+def load_whole(acceptors, image):
+    """Take the state of a slot of the version before, which is one value."""
+    acceptors.identity, acceptors.founding = image["identity"], image["founding"]
+    acceptors.parts = {n: PartRecord.from_list(fields) for n, fields in image["parts"].items()}
+    acceptors.hints = image["hints"]
--- a/quillring/quorum/swap.py
+++ b/quillring/quorum/swap.py
@@ -62,7 +62,11 @@
             return False
         if applied >= index and index:
             return True
-        yield from mend_store(owner, applied, (store[0], "quorum.install", body))
+        try:
+            yield from mend_store(owner, applied, (store[0], "quorum.install", body))
+        except QuillringError as error:
+            owner.node.log("warning", "%s can't join %s: %s", store[0], owner.part, error)
+            return False
     return False
 
 
--- a/quillring/quorum/tail.py
+++ b/quillring/quorum/tail.py
@@ -48,3 +48,15 @@
         if tuple(ballot) == entry.ballot:
             return batch
     raise NoMajority(part=owner.part, reason="no store gave an accepted entry", index=index)
+
+
+def finish_tail(owner, promises):
+    """Script: propose again every entry that may have been chosen; False after a group change."""
+    best = best_entries(promises, owner.index)
+    while owner.index + 1 in best:
+        batch = yield from fetch_batch(owner, owner.index + 1, best[owner.index + 1])
+        yield from owner.decide(batch)
+        if owner.adopt_group(owner.state["group"]):
+            return False
+    yield from owner.decide([])
+    return True
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -6,7 +6,7 @@
 from quillring.kernel.errors import Conflict, NotFound, NotFounded, QuillringError, Refused
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
-from quillring.ownership.takeovers import newest_takeovers
+from quillring.ownership.takeovers import list_parts
 from quillring.plans import front as plans_front
 from quillring.quorum.founding import found_fleet
 from quillring.quorum.parts import CONFIG
@@ -103,20 +103,8 @@
 
     The takeovers are asked of the cores in reach, and are None where none of them knows of one.
     """
-    ownership, gossip = node.find("ownership"), node.find("gossip")
-    ownership.founding()
-    takeovers = yield from newest_takeovers(node)
-    return {
-        "parts": [
-            {
-                "part": part,
-                "group": [store[0] for store in ownership.group(part)],
-                **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
-                "takeover": takeovers.get(part),
-            }
-            for part in ownership.parts()
-        ]
-    }
+    rows = yield from list_parts(node)
+    return {"parts": rows}
 
 
 @route("GET", "/v1/whole")
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -14,18 +14,26 @@
     """A stage whose part of lots holds more than a link carries in a second."""
     stage = RawStage(seed, replicas=0)
     for number in range(LOTS):
-        items = stage.items(f"lot-{number}", ITEMS, body=BODY)
-        answer, error = stage.do(
-            stage.up("edge"),
-            lambda node, items=items, number=number: raw_front.accept_raw_lot(
-                node, FORWARD, f"lot-{number}", items
-            ),
-        )
+        answer, error = hand_in(stage, lot_names(stage)[number], ITEMS)
         assert error is None, error
     stage.sim.net.link_bytes_per_second = LINK
     return stage
 
 
+def lot_names(stage):
+    """Return the names of lots that live in one part."""
+    names = [f"lot-{number}" for number in range(LOTS * 4)]
+    return [name for name in names if stage.part(name) == stage.part("lot-0")][:LOTS]
+
+
+def hand_in(stage, name, count):
+    """Hand in a lot of large bodies; return (answer, error)."""
+    items = stage.items(name, count, body=BODY)
+    return stage.do(
+        stage.up("edge"), lambda node: raw_front.accept_raw_lot(node, FORWARD, name, items)
+    )
+
+
 def lose_all_power(stage):
     for name in list(stage.sim.nodes):
         stage.sim.kill(name, loses_power=True)
@@ -39,7 +47,7 @@
     start_time, left = stage.env.now, set(range(LOTS))
     while left and stage.env.now - start_time < seconds:
         for number in sorted(left):
-            answer, _ = stage.read(f"lot-{number}")
+            answer, _ = stage.read(lot_names(stage)[number])
             if answer is None:
                 break
             assert answer["items"] == ITEMS
@@ -59,12 +67,12 @@
 
 def test_no_message_grows_with_a_part_that_changes_hands_and_fills_an_emptied_store():
     with filled(2) as stage:
-        part = raw_front.part_of_host(stage.up("edge"), "lots.example")
+        part = stage.part("lot-0")
         stage.sim.net.largest_frame = 0
-        former = stage.owner()
+        former = stage.owner("lot-0")
         stage.sim.kill(former.me.name)
         stage.run(6)
-        owner = stage.owner().find("ownership").owners[part]
+        owner = stage.owner("lot-0").find("ownership").owners[part]
         assert owner.is_owner and owner.node is not former
         stage.sim.lose_disk(owner.group[0][0])
         stage.run(1)
@@ -92,16 +100,12 @@
 
 def test_promises_bear_no_entries_and_an_unapplied_one_is_finished_by_the_next_owner():
     with RawStage(3, replicas=0) as stage:
-        part = raw_front.part_of_host(stage.up("edge"), "lots.example")
-        owner = stage.owner().find("ownership").owners[part]
-        edge, items = stage.up("edge"), stage.items("late", 40, body=BODY)
+        owner = stage.owner("late").find("ownership").owners[stage.part("late")]
         for node in stage.sim.up_nodes("store"):
             node.handlers["quorum.commit"] = refuse
-        answer, error = stage.do(
-            edge, lambda node: raw_front.accept_raw_lot(node, FORWARD, "late", items)
-        )
+        answer, error = hand_in(stage, "late", 40)
         assert error is None, error
-        stage.sim.net.largest_frame = 0
+        stage.run(0.1)
         stage.sim.kill(owner.node.me.name)
         for store in [store[0] for store in owner.group]:
             stage.sim.kill(store, loses_power=True)
--- a/tests/test_takeover_view.py
+++ b/tests/test_takeover_view.py
@@ -15,8 +15,7 @@
 
 def test_the_view_names_phase_and_source_of_a_takeover_under_way_and_its_size_after():
     with filled(3) as stage:
-        part = stage.owner().find("ownership").owners
-        part = next(name for name, owner in part.items() if owner.index > 20)
+        part = stage.part("lot-0")
         stage.sim.net.link_bytes_per_second = LINK // 8
         lose_all_power(stage)
         seen = []
@@ -41,7 +40,7 @@
 
 def test_the_log_tells_of_a_takeover_and_of_its_end():
     with RawStage(4, replicas=0) as stage:
-        node, lines = stage.owner(), []
+        node, lines = stage.owner("lot-0"), []
         node.log = lambda level, text, *fields: lines.append(text % fields)
         ownership = node.find("ownership")
         part = next(name for name, owner in ownership.owners.items() if owner.is_owner)
