--- a/quillring/verbs/part_routes.py
+++ b/quillring/verbs/part_routes.py
@@ -2,7 +2,7 @@
 
 from quillring.kernel.errors import QuillringError
 from quillring.kernel.wsgi import route
-from quillring.ownership.takeovers import newest_takeovers
+from quillring.ownership.takeovers import list_parts
 
 
 @route("GET", "/v1/parts")
@@ -11,20 +11,8 @@
 
     The takeovers are asked of the cores in reach, and are None where none of them knows of one.
     """
-    ownership, gossip = node.find("ownership"), node.find("gossip")
-    ownership.founding()
-    takeovers = yield from newest_takeovers(node)
-    return {
-        "parts": [
-            {
-                "part": part,
-                "group": [store[0] for store in ownership.group(part)],
-                **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
-                "takeover": takeovers.get(part),
-            }
-            for part in ownership.parts()
-        ]
-    }
+    rows = yield from list_parts(node)
+    return {"parts": rows}
 
 
 @route("GET", "/v1/whole")
