--- a/quillring/lots/raw_choice.py
+++ b/quillring/lots/raw_choice.py
@@ -20,3 +20,29 @@
         for owner in node.find("ownership").owners.values()
         if owner.state
     )
+
+
+class RawEnds:
+    """Which lots are over whatever their items do: past their time, or their forward is gone."""
+
+    __slots__ = ("node", "forward_seen_at")
+
+    def __init__(self, node):
+        self.node = node
+        self.forward_seen_at = {}
+
+    def lots_over(self, ledger):
+        """Return the names of lots past the time they are kept, or whose forward surely is gone."""
+        now, forwards = self.node.now(), self.node.find("forwards")
+        names = {lot.forward for lot in ledger.lots.values()}
+        is_fresh = self.node.find("freshness").is_fresh()
+        for name in names:
+            if not is_fresh or forwards.named(name) is not None or name not in self.forward_seen_at:
+                self.forward_seen_at[name] = now
+        patience = self.node.bounds.reading
+        return [
+            lot.name
+            for lot in ledger.lots.values()
+            if now - lot.known_at > lot.retain_seconds + patience
+            or now - self.forward_seen_at[lot.forward] > self.node.bounds.news
+        ]
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -4,7 +4,7 @@
 
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import NotOwner, NotSent, QuillringError, TimedOut
-from quillring.lots.raw_choice import choose_worker, raw_lots_ended
+from quillring.lots.raw_choice import RawEnds, choose_worker, raw_lots_ended
 from quillring.lots.raw_demand import RawDemand
 from quillring.lots.raw_ledger import OwnedRun, RawLedger
 from quillring.lots.raw_limits import RawLimits
@@ -25,14 +25,14 @@
 class RawRunner:
     """Keeps the items of the raw lots of owned parts running until each has a result."""
 
-    __slots__ = ("node", "ledgers", "limits", "demand", "forward_seen_at")
+    __slots__ = ("node", "ledgers", "limits", "demand", "ends")
 
     def __init__(self, node):
         self.node = node
         self.ledgers = {}
         self.limits = RawLimits(node)
         self.demand = node.offer("raw_demand", RawDemand(node))
-        self.forward_seen_at = {}
+        self.ends = RawEnds(node)
         node.handle("raw.report", self.on_report)
         node.find("nifty").listeners.append(self._on_graph)
 
@@ -99,7 +99,8 @@
         """Look after what only time changes: runs that are lost, lots past their time."""
         if ledger.lots:
             self.node.spawn(self._renew(ledger))
-            self._expire(ledger)
+            for name in self.ends.lots_over(ledger):
+                self.node.spawn(ledger.owner.submit({"do": "raw.expire", "lot": name}))
         ledger.is_reported = ledger.is_reported or not ledger.lots
         if held_weight(ledger.owner.state) > most_weight_of_part(self.node) / 2:
             for name in ledger.long_over(KEPT_SECONDS)[:DROPS_AT_ONCE]:
@@ -135,20 +136,6 @@
                 self.node.count("raw_runs_lost")
                 ledger.end_run(item)
 
-    def _expire(self, ledger):
-        """List as errored what is past its time, or whose forward is surely gone."""
-        now, forwards = self.node.now(), self.node.find("forwards")
-        names = {lot.forward for lot in ledger.lots.values()}
-        is_fresh = self.node.find("freshness").is_fresh()
-        for name in names:
-            if not is_fresh or forwards.named(name) is not None or name not in self.forward_seen_at:
-                self.forward_seen_at[name] = now
-        for lot in ledger.lots.values():
-            is_over = now - lot.known_at > lot.retain_seconds + self.node.bounds.reading
-            is_gone = now - self.forward_seen_at[lot.forward] > self.node.bounds.news
-            if is_over or is_gone:
-                self.node.spawn(ledger.owner.submit({"do": "raw.expire", "lot": lot.name}))
-
     def _start_items(self, ledger):
         """Start what has room, lot by lot; a service without room is passed over at once."""
         now, forwards, full = self.node.now(), self.node.find("forwards"), set()
