--- a/proving/repair_time.py
+++ b/proving/repair_time.py
@@ -114,9 +114,7 @@
 
 @click.command()
 @click.option("--stores", default=4, show_default=True)
-@click.option(
-    "--parts", default=4, show_default=True, help="The config part too."
-)
+@click.option("--parts", default=4, show_default=True, help="The config part too.")
 @click.option("--size", default=3, show_default=True, help="Stores of a part.")
 @click.option("--mebibytes", default=16, show_default=True, help="State of each part.")
 @click.option("--megabits", default=[15.0], multiple=True, help="Link of each node, per second.")
