--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -1,4 +1,4 @@
-"""A configuration whose answer was lost is sent again, to any core, whoever owns the part by then."""
+"""A configuration whose answer was lost comes again, at any core, whoever owns the part by then."""
 
 import pytest
 
