Checker of histories: a repeated order about a zone is also tried after a contrary one

Cause: an operation that left the state as it was went first without an alternative. That holds only where it changes nothing in any later state either; an order that repeats what is in force counts again after a contrary one.

Change: the model tells which operations are lasting. Sequential histories of zones, stores and lots, shuffled within overlap, are property tests now; before, only those of the configuration were.

Before: test_a_repeat_of_an_order_counts_after_a_contrary_one fails.

--- a/proving/histories/checker.py
+++ b/proving/histories/checker.py
@@ -8,8 +8,9 @@
 
 Three reductions keep the search small, each of which leaves the verdict as it is:
 
-- A completed operation that may go first and leaves the state as it is goes first, without an
-  alternative: in any order found later it can be moved to the front.
+- A completed operation that may go first and leaves the state as it is, now and in all states that
+  may follow (`is_lasting`), goes first, without an alternative: in any order found later it can be
+  moved to the front. A repeated order about a zone is none of these: it counts after a contrary one.
 - An operation with an unknown outcome need not be placed at all; it is tried only where it changes
   the state.
 - Of operations with unknown outcomes and equal orders only the one that began first is tried: it
@@ -77,12 +78,13 @@
         for number in self.candidates(placed):
             operation, is_unknown = self.operations[number], self.ends[number] == math.inf
             next_states = self.model.step(state, operation.order, operation.answer)
-            if not is_unknown and state in next_states:
+            is_idle = state in next_states
+            if is_idle and not is_unknown and self.model.is_lasting(operation):
                 return [(placed | 1 << number, state)]
             found.extend(
                 (placed | 1 << number, next_state)
                 for next_state in next_states
-                if next_state != state
+                if next_state != state or not is_unknown
             )
         return found
 
@@ -92,6 +94,8 @@
 
     A model has `first_state`, which is hashable, and `step(state, order, answer)`, which returns
     the states that may follow when the order takes effect with that answer; none: not possible.
+    `is_lasting(operation)` tells that an operation that leaves a state as it is does so in every
+    state that may follow that one, too.
     """
     search = _Search(model, operations)
     stack, tried = [(0, model.first_state)], {(0, model.first_state)}
--- a/proving/histories/models.py
+++ b/proving/histories/models.py
@@ -17,11 +17,28 @@
     ReadZone,
     RestoreStore,
     RetireStore,
+    StoresSeen,
     Unknown,
+    ZoneSeen,
 )
 from quillring.quorum.parts import is_enough
 
 IMPOSSIBLE = ()
+EFFECTLESS = (NotTaken, Conflicting, ZoneSeen, StoresSeen)
+
+
+def is_without_effect(operation):
+    """Tell whether an operation about a zone or a store changes nothing in any state."""
+    return isinstance(operation.answer, EFFECTLESS)
+
+
+def is_taken_for_good(operation):
+    """Tell that an order that was taken once has no further effect, whatever follows.
+
+    So it is with configurations and lots: repeats are known as such, an end stays, and reads only
+    add to what is known.
+    """
+    return True
 
 
 class ConfigurationState(NamedTuple):
@@ -36,6 +53,7 @@
     """The configuration: a register that is changed by compare and set on its number."""
 
     first_state = ConfigurationState(0, (), ())
+    is_lasting = staticmethod(is_taken_for_good)
 
     def step(self, state, order, answer):
         """Return the states that may follow."""
@@ -69,6 +87,7 @@
     """A zone that is emptied or not: a register; repeats change nothing."""
 
     first_state = False
+    is_lasting = staticmethod(is_without_effect)
 
     def step(self, state, order, answer):
         """Return the states that may follow."""
@@ -83,6 +102,7 @@
     """The set of retired stores; enough others must remain whenever one is added."""
 
     first_state = frozenset()
+    is_lasting = staticmethod(is_without_effect)
 
     def __init__(self, domains, group_size):
         self.domains = dict(domains)
@@ -124,6 +144,7 @@
     """
 
     first_state = LotState()
+    is_lasting = staticmethod(is_taken_for_good)
 
     def step(self, state, order, answer):
         """Return the states that may follow."""
--- a/tests/history_rows.py
+++ b/tests/history_rows.py
@@ -1,8 +1,11 @@
 """Operations of made-up histories, for the tests of the checker."""
 
+from hypothesis import settings
+
 from proving.histories.checker import check_operations
 from proving.histories.operations import Adopt, ConfigurationSeen, Operation
 
+PROFILE = settings(max_examples=60, derandomize=True, deadline=None, database=None)
 DOMAINS = [("store-1", "north"), ("store-2", "east"), ("store-3", "south"), ("store-4", "west")]
 
 
@@ -24,3 +27,13 @@
 def seen(number, value):
     """Return what a read of a configuration of one item tells."""
     return ConfigurationSeen(number, (("a", value),) if number else ())
+
+
+def overlapping(rows, chance, width):
+    """Return operations that take effect in this order, each within its own interval."""
+    operations = [
+        operation(order, answer, turn - chance.uniform(0, width), turn + chance.uniform(0, width))
+        for turn, (order, answer) in enumerate(rows)
+    ]
+    chance.shuffle(operations)
+    return operations
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from proving.histories.checker import check_operations
@@ -16,9 +16,7 @@
     NotTaken,
     Unknown,
 )
-from tests.history_rows import adopt, is_linearizable, operation, seen
-
-PROFILE = settings(max_examples=60, derandomize=True, deadline=None, database=None)
+from tests.history_rows import PROFILE, adopt, is_linearizable, operation, overlapping, seen
 
 
 def sequential_register(chance, count):
@@ -41,16 +39,6 @@
     return rows
 
 
-def overlapping(rows, chance, width):
-    """Return operations that take effect in this order, each within its own interval."""
-    operations = [
-        operation(order, answer, turn - chance.uniform(0, width), turn + chance.uniform(0, width))
-        for turn, (order, answer) in enumerate(rows)
-    ]
-    chance.shuffle(operations)
-    return operations
-
-
 @PROFILE
 @given(st.integers(0, 1 << 30), st.integers(1, 60), st.floats(0, 6))
 def test_sequential_histories_shuffled_within_overlap_are_accepted(seed, count, width):
--- a/tests/test_histories_models.py
+++ b/tests/test_histories_models.py
@@ -1,5 +1,11 @@
 """The sequential specifications of zones, stores and lots."""
 
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from proving.histories.checker import check_operations
 from proving.histories.models import LotModel, StoresModel, ZoneModel
 from proving.histories.operations import (
     AcceptLot,
@@ -11,14 +17,16 @@
     Missing,
     NotTaken,
     ReadResults,
+    ReadStores,
     ReadZone,
     RestoreStore,
     ResultsSeen,
     RetireStore,
+    StoresSeen,
     Unknown,
     ZoneSeen,
 )
-from tests.history_rows import DOMAINS, is_linearizable
+from tests.history_rows import DOMAINS, PROFILE, is_linearizable, operation, overlapping
 
 
 def test_an_acknowledged_order_takes_effect_once():
@@ -76,3 +84,100 @@
     assert is_linearizable(LotModel(), (LOT[0], Unknown(), 0), ran)
     assert not is_linearizable(LotModel(), refused, ran)
     assert not is_linearizable(LotModel(), LOT, (ReadResults(0), Missing(), 2, 3))
+
+
+def sequential_zone(chance, count):
+    """Return (order, answer) of a sequential history of one zone."""
+    is_emptied, rows = False, []
+    for _ in range(count):
+        if chance.random() < 0.5:
+            rows.append((ReadZone(), ZoneSeen(is_emptied)))
+        else:
+            is_emptied = chance.random() < 0.5
+            rows.append((MarkZone(is_emptied), Done()))
+    return rows
+
+
+def sequential_stores(chance, count):
+    """Return (order, answer) of a sequential history of the stores."""
+    retired, rows = set(), []
+    for _ in range(count):
+        store = chance.choice(DOMAINS)[0]
+        kind = chance.choice(["retire", "restore", "read"])
+        if kind == "read":
+            rows.append((ReadStores(), StoresSeen(tuple(sorted(retired)))))
+        elif kind == "restore":
+            retired.discard(store)
+            rows.append((RestoreStore(store), Done()))
+        elif retired <= {store}:
+            retired.add(store)
+            rows.append((RetireStore(store), Done()))
+        else:
+            rows.append((RetireStore(store), Conflicting()))
+    return rows
+
+
+def sequential_lot(chance, count):
+    """Return (order, answer) of a sequential history of one lot."""
+    total, listed, is_ended = chance.randrange(1, 9), [], False
+    rows = [(AcceptLot("d", total), Done())]
+    for _ in range(count):
+        kind = chance.choice(["read", "read", "accept", "end"] if len(rows) > 6 else ["read"])
+        if not is_ended and len(listed) < total and chance.random() < 0.5:
+            listed.append((f"i{len(listed)}", "finished", "t"))
+        start = chance.randrange(total + 1)
+        answer = ResultsSeen(total, tuple(listed[start:]))
+        is_ended = is_ended or kind == "end"
+        rows.append(
+            {
+                "read": (ReadResults(start), answer),
+                "accept": (AcceptLot("d", total), Done()),
+                "end": (EndLot(), Done()),
+            }[kind]
+        )
+    return rows
+
+
+MODELS = {
+    "zone": (ZoneModel(), sequential_zone),
+    "stores": (StoresModel(DOMAINS, 3), sequential_stores),
+    "lot": (LotModel(), sequential_lot),
+}
+
+
+@settings(PROFILE, max_examples=300)
+@given(
+    st.sampled_from(sorted(MODELS)), st.integers(0, 1 << 30), st.integers(1, 40), st.floats(0, 5)
+)
+def test_sequential_histories_of_each_object_are_accepted(name, seed, count, width):
+    """Orders about zones count again after a contrary one: the search once took them too early."""
+    model, make = MODELS[name]
+    chance = random.Random(seed)
+    operations = [
+        operation(o.order, Unknown(), o.begin) if chance.random() < 0.15 else o
+        for o in overlapping(make(chance, count), chance, width)
+    ]
+    assert check_operations(model, operations).is_linearizable
+
+
+def test_a_repeat_of_an_order_counts_after_a_contrary_one():
+    assert is_linearizable(
+        ZoneModel(),
+        (MarkZone(True), Done(), 0.0, 3.0),
+        (MarkZone(False), Done(), 1.0, 5.0),
+        (ReadZone(), ZoneSeen(False), 4.0, 5.0),
+    )
+
+
+@PROFILE
+@given(st.integers(0, 1 << 30), st.integers(4, 30))
+def test_a_mutated_read_of_a_zone_without_overlap_is_rejected(seed, count):
+    chance = random.Random(seed)
+    rows = [*sequential_zone(chance, count), (ReadZone(), ZoneSeen(False))]
+    rows[-1] = (ReadZone(), ZoneSeen(last_order(rows) is False))
+    assert check_operations(ZoneModel(), overlapping(rows, chance, 0)).is_linearizable is False
+
+
+def last_order(rows):
+    """Return what the last order about a zone asked for."""
+    return next((o.is_emptied for o, _ in reversed(rows) if isinstance(o, MarkZone)), False)
