--- a/proving/histories/checker.py
+++ b/proving/histories/checker.py
@@ -10,7 +10,7 @@
 
 - A completed operation that may go first and leaves the state as it is, now and in all states that
   may follow (`is_lasting`), goes first, without an alternative: in any order found later it can be
-  moved to the front. A repeated order about a zone is none of these: it counts after a contrary one.
+  moved to the front. A repeated order about a zone is not: it counts after a contrary one.
 - An operation with an unknown outcome need not be placed at all; it is tried only where it changes
   the state.
 - Of operations with unknown outcomes and equal orders only the one that began first is tried: it
