A store whose disk stays full leaves its parts to a spare before the next loss

Cause: a store whose disk takes nothing goes on beating, so it counted as a live member for ever and answered every round with an error. The next lost store of the same group left the part without a majority until there was room.

--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -16,6 +16,7 @@
 from quillring.plans import PlanRunner
 from quillring.plans.runner import count_busy
 from quillring.quorum import Acceptors
+from quillring.quorum.disk_news import DiskNews
 from quillring.quorum.electing import Elector, Witness
 from quillring.quorum.hints import Hints
 from quillring.quorum.repair import Repair
@@ -113,6 +114,7 @@
     memory.recall()
     node.spawn(memory.run())
     node.spawn(acceptors.slots.run(node.bounds.beat))
+    node.spawn(DiskNews(node, acceptors.slots).run())
     node.offer("leaving", Leaving(node, acceptors))
     node.offer("witness", Witness(node, acceptors.slots.disk))
     node.spawn(hints.run())
--- /dev/null
+++ b/quillring/quorum/disk_news.py
@@ -0,0 +1,38 @@
+"""News of stores whose disks take nothing: owners replace them as they replace lost ones."""
+
+from quillring.kernel.effects import Sleep
+
+
+class DiskNews:
+    """Tells all nodes when this store's disk begins to fail, and when it is well again."""
+
+    __slots__ = ("node", "slots", "is_failing", "sequence")
+
+    def __init__(self, node, slots):
+        self.node = node
+        self.slots = slots
+        self.is_failing = False
+        self.sequence = 0
+
+    def run(self):
+        """Script: look at the disk twice in a heartbeat period, and tell a change."""
+        while True:
+            yield Sleep(self.node.bounds.beat / 2)
+            is_failing = self.slots.error is not None
+            if is_failing != self.is_failing:
+                self.is_failing = is_failing
+                self._tell()
+
+    def _tell(self):
+        self.sequence += 1
+        me = self.node.me
+        self.node.log("warning", "disk of %s: %s", me.name, self.slots.error or "takes data again")
+        version, news = [me.incarnation, self.sequence], [me.incarnation, self.is_failing]
+        self.node.find("gossip").put(f"disk/{me.name}", version, news)
+
+
+def is_disk_failing(node, name):
+    """Tell whether a store's disk takes nothing, by its own word since its last start."""
+    news = node.find("gossip").get(f"disk/{name}")
+    member = node.find("nifty").roster.members.get(name)
+    return news is not None and member is not None and news == [member.incarnation, True]
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -3,6 +3,7 @@
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import QuillringError
 from quillring.nifty.graph import score
+from quillring.quorum.disk_news import is_disk_failing
 from quillring.quorum.parts import majority
 from quillring.quorum.retirement import is_marked, may_join
 from quillring.quorum.swap import catch_up, is_durable_without, new_group, submit_first
@@ -69,7 +70,9 @@
         nifty, now = self.node.find("nifty"), self.node.now()
         store_names = [m.name for m in nifty.roster.members.values() if m.role == "store"]
         self.lost_since = {
-            name: self.lost_since.get(name, now) for name in store_names if not nifty.reaches(name)
+            name: self.lost_since.get(name, now)
+            for name in store_names
+            if not nifty.reaches(name) or is_disk_failing(self.node, name)
         }
 
     def _prepare(self, owner, change):
@@ -105,7 +108,7 @@
         return member is not None and member.identity != store[1]
 
     def is_lost(self, store):
-        """Tell whether the store has been out of reach for long."""
+        """Tell whether the store has been out of reach, or its disk has failed, for long."""
         sync = self.node.bounds.sync
         patience = self.node.bounds.return_ * PATIENCE if sync is None else sync * SYNC_SHARE
         since = self.lost_since.get(store[0])
@@ -156,6 +159,7 @@
             if m.role == "store"
             and m.name not in names
             and nifty.reaches(m.name)
+            and not is_disk_failing(self.node, m.name)
             and used_domains.count(m.domain) < room
         ]
         now = self.node.now()
