A successor once chosen stays chosen while it may join

Cause: the spare was ranked anew after each transfer; a store that came back empty ranked higher than the one that had just been sent the whole state, which was then thrown away: 10 installs for 5 parts.

The new test failed before.

--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -15,7 +15,7 @@
 class Repair:
     """Runs beside the owners of a core and mends the groups of their parts."""
 
-    __slots__ = ("node", "lost_since", "busy_parts", "joining", "refused_until")
+    __slots__ = ("node", "lost_since", "busy_parts", "joining", "refused_until", "chosen")
 
     def __init__(self, node):
         self.node = node
@@ -23,6 +23,7 @@
         self.busy_parts = set()
         self.joining = {}
         self.refused_until = {}
+        self.chosen = {}
 
     def run(self):
         """Script: look at every owned part; a few that lack something are mended side by side.
@@ -60,6 +61,7 @@
                 ):
                     break
                 self.joining.pop(owner.part, None)
+                self.chosen.pop(owner.part, None)
                 yield from owner.mend()
         finally:
             self.joining.pop(owner.part, None)
@@ -83,7 +85,7 @@
 
     def _invite(self, owner, store):
         """Script: bring a store that agrees to join up to date; ask others after a refusal."""
-        self.joining[owner.part] = store[0]
+        self.joining[owner.part] = self.chosen[owner.part] = store[0]
         if not (yield from may_join(self.node, store[0])):
             self.refused_until[store[0]] = self.node.now() + self.node.bounds.news
             return False
@@ -145,6 +147,7 @@
         return [s for s in group if most > 1 and domains.count(s[2]) == most]
 
     def _spare(self, part, group):
+        """Return the store that should join; one that was chosen keeps its place while it may."""
         nifty = self.node.find("nifty")
         staying = [s for s in group if not (self.is_retired(s) or self.is_lost(s))]
         used_domains = [s[2] for s in staying if not self.is_emptied(s)]
@@ -164,6 +167,9 @@
             for c in candidates
             if not self.is_retired(c) and self.refused_until.get(c[0], now) <= now
         ]
+        chosen = self.chosen.get(part)
         return max(
-            candidates, default=None, key=lambda c: (-used_domains.count(c[2]), score(part, c[0]))
+            candidates,
+            default=None,
+            key=lambda c: (-used_domains.count(c[2]), c[0] == chosen, score(part, c[0])),
         )
--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -1,7 +1,11 @@
 """A second loss right after a repair or a replacement leaves a majority."""
 
+from unittest import mock
+
 import pytest
 
+from proving import repair_time
+from quillring.quorum import catchup
 from tests.fleet_stage import SelfFounded
 from tests.test_repair import is_whole, mark, members, owners
 
@@ -73,3 +77,11 @@
     assert stage.wait_for(lambda: stage.owner() and spare in members(stage), 8, 0.002) is not None
     record, owner = stage.stores()[spare].parts[PART], owners(stage)[PART]
     assert record.state is not None and record.applied >= owner.index - 1
+
+
+def test_each_part_is_sent_once_though_a_nearer_store_comes_back_empty_meanwhile():
+    with mock.patch.object(catchup, "cut_piece", repair_time.cut_small_piece):
+        run = repair_time.RepairRun(1, 4, 5, 3, 16)
+        run.sim.net.link_bytes_per_second = 15e6 / 8 / repair_time.SCALE
+        assert run.lose(1.0)["left_short"] == 0
+    assert sum(n.counts.get("installs", 0) for n in run.sim.nodes.values()) == 5
