--- /dev/null
+++ b/tests/test_electing.py
@@ -0,0 +1,85 @@
+"""A seed's vote: it outlives its process, and only the next one takes its place."""
+
+import random
+
+import pytest
+
+from proving.sim.disk import SimDisk
+from quillring.kernel.errors import Conflict, Fenced, Refused
+from quillring.quorum.electing import FILES, NO_BALLOT, Elector, Vote, Witness
+
+
+class LoneNode:
+    """A node whose calls go to its own handlers."""
+
+    def __init__(self):
+        self.handlers = {}
+
+    def handle(self, name, handler):
+        self.handlers[name] = handler
+
+    def call(self, target, service, body):
+        return self.handlers[service](body, target)
+        yield
+
+
+def finish(script):
+    try:
+        while True:
+            next(script)
+    except StopIteration as stop:
+        return stop.value
+
+
+def make(disk=None, is_first_start=True):
+    node = LoneNode()
+    elector = Elector(node)
+    elector.is_first_start = is_first_start
+    if disk is not None:
+        Witness(node, disk)
+        elector.witness = "store-1"
+    return elector
+
+
+def prepare(elector, number):
+    return finish(elector.on_prepare({"ballot": [number, "core-1#1"]}, "core-1"))
+
+
+def accept(elector, number, founding):
+    return finish(
+        elector.on_accept({"ballot": [number, "core-1#1"], "founding": founding}, "core-1")
+    )
+
+
+@pytest.mark.parametrize("is_first_start", [True, False])
+def test_a_vote_with_a_witness_outlives_its_process(is_first_start):
+    disk = SimDisk(random.Random(1))
+    assert prepare(make(disk), 2) == [list(NO_BALLOT), None]
+    assert accept(make(disk, is_first_start), 2, {"fleet": "f"})
+    with pytest.raises(Fenced):
+        prepare(make(disk, is_first_start), 1)
+    assert prepare(make(disk, is_first_start), 3) == [[2, "core-1#1"], {"fleet": "f"}]
+    with pytest.raises(Fenced):
+        accept(make(disk, is_first_start), 2, {"fleet": "g"})
+
+
+@pytest.mark.parametrize("disk", [None, SimDisk(random.Random(1))])
+def test_a_later_life_without_a_kept_vote_does_not_vote(disk):
+    with pytest.raises(Refused):
+        prepare(make(disk, is_first_start=False), 1)
+
+
+def test_a_torn_vote_leaves_the_one_before_it():
+    disk = SimDisk(random.Random(1))
+    prepare(make(disk), 1)
+    prepare(make(disk), 2)
+    disk.durable[FILES[0]] = disk.durable[FILES[0]][:-1]
+    assert Vote.from_list(Witness(LoneNode(), disk).on_recall(None, "")).promised[0] == 1
+
+
+def test_a_vote_that_is_not_the_next_one_is_not_kept():
+    witness = Witness(LoneNode(), SimDisk(random.Random(1)))
+    witness.on_keep([1, [1, "a"], [0, ""], None], "")
+    for number in (1, 3):
+        with pytest.raises(Conflict):
+            witness.on_keep([number, [9, "b"], [0, ""], None], "")
