--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -1,6 +1,8 @@
 """The catalog of scenarios: (what must never happen, scenario, guards that stand against it)."""
 
 from proving.points import (
+    callers,
+    changes,
     cuts,
     departed,
     domains,
@@ -36,8 +38,14 @@
     *keeping.POINTS,
     *reading.POINTS,
     *failures.POINTS,
+    *orders.POINTS,
+    *stalls.POINTS,
+    *membership.POINTS,
+    *departed.POINTS,
+    *callers.POINTS,
     *membership.POINTS,
     *departed.POINTS,
     *orders.POINTS,
     *stalls.POINTS,
+    *changes.POINTS,
 ]
--- a/proving/sim/disk.py
+++ b/proving/sim/disk.py
@@ -32,6 +32,21 @@
         self.durable[name] = data
         self.pending.pop(name, None)
 
+    def begin(self, name, head):
+        """Begin a file that is written in steps."""
+        self.write(name, head)
+
+    def extend(self, name, data):
+        """Append to the file and sync it."""
+        self._check_room(name)
+        self.syncs += 1
+        self.durable[name] += data
+
+    def finish(self, name, head):
+        """Write the head of the file anew and sync it."""
+        self._check_room(name)
+        self.durable[name] = head + self.durable[name][len(head) :]
+
     def append(self, name, data):
         """Append without syncing."""
         self._check_room(name)
@@ -124,6 +139,25 @@
         self._step(name)
         self.new_names.clear()
 
+    def begin(self, name, head):
+        """Begin a file that is written in steps."""
+        self.write(name, head)
+
+    def extend(self, name, data):
+        """Append to the file and sync it."""
+        self.append(name, data)
+        self.sync(name)
+
+    def finish(self, name, head):
+        """Write the head of the file anew and sync it."""
+        try:
+            self._step(name)
+        except DiskError:
+            self._change(name, 0, head[: len(head) // 2])
+            raise
+        self._change(name, 0, head)
+        self.sync(name)
+
     def append(self, name, data):
         """Append to a file; one that fails may have written a part."""
         size = len(self.files.get(name, b""))
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -1,19 +1,15 @@
 """The acceptors on a store machine: promises, accepted entries, applied state, per part."""
 
-from quillring.kernel.errors import Conflict, Fenced, NotFounded, QuillringError
+from quillring.kernel.errors import Conflict, Fenced, NotFounded
 from quillring.quorum.commands import answer_query, first_state
+from quillring.quorum.identity import WrongIdentity
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
+from quillring.quorum.slot_rows import load_rows, load_whole, to_rows
+from quillring.quorum.tail import TAIL_INDEXES
 from quillring.quorum.transfers import Transfers
 
 
-class WrongIdentity(QuillringError):
-    """The store is not the member that the group names."""
-
-    kind = "wrong_identity"
-    status = 409
-
-
 class Acceptors:
     """The store's side of every part; all that it answers is durable first."""
 
@@ -76,22 +72,17 @@
         if self.founding is None:
             self.node.spawn(self.keep(["found", founding]))
 
-    def image(self):
+    def rows(self):
         """Return all state for a slot."""
-        return {
-            "identity": self.identity,
-            "founding": self.founding,
-            "parts": {name: record.to_list() for name, record in self.parts.items()},
-            "hints": self.hints,
-            "arriving": self.transfers.to_map(),
-        }
+        return to_rows(self)
 
-    def load(self, image):
+    def load_rows(self, rows):
         """Take the state of a slot."""
-        self.identity, self.founding = image["identity"], image["founding"]
-        self.parts = {n: PartRecord.from_list(fields) for n, fields in image["parts"].items()}
-        self.hints = image["hints"]
-        self.transfers.load(image.get("arriving", {}))
+        load_rows(self, rows)
+
+    def load(self, image):
+        """Take the state of a slot of the version before, which is one value."""
+        load_whole(self, image)
 
     def replay(self, record):
         """Take one log record; the running store changes its memory by the same function."""
@@ -162,6 +153,8 @@
         fields = part_record.to_list()
         if body.get("brief") and part_record.state is not None:
             fields[2] = True
+        if body.get("brief") == TAIL_INDEXES:
+            fields[3] = [[index, ballot, None] for index, ballot, _ in fields[3]]
         return fields
 
     def on_catch_up(self, body, origin):
@@ -197,9 +190,8 @@
     def on_install(self, body, origin):
         """Take the owner's whole state of a part in place of missed entries."""
         self.check(body)
-        yield from self.keep(
-            ["install", body["part"], list(body["ballot"]), body["index"], body["state"]]
-        )
+        fields = [list(body["ballot"]), body["index"], body["state"]]
+        yield from self.keep(["install", body["part"], *fields])
         return self.tell(body["part"])
 
     def on_confirm(self, body, origin):
--- a/quillring/quorum/catchup.py
+++ b/quillring/quorum/catchup.py
@@ -1,12 +1,15 @@
 """Bringing owners and stores in step at the least cost: no state is sent that is there already.
 
-Entries are sent where they are kept, the whole state only where they are not, and either in pieces
-of bounded size, one at a time, so that no message grows with a part's state.
+Entries are sent where they are kept, the whole state only where they are not or weigh more than it,
+and either in pieces of bounded size, one at a time, so that no message grows with a part's state.
 """
 
+import cbor2
+
 from quillring.kernel.errors import Conflict, NoMajority, QuillringError, UnknownService
 from quillring.quorum.commands import apply_batch
-from quillring.quorum.transfer import PIECE_BYTES, START, Place, StateBuilder, cut_piece
+from quillring.quorum.takeover import STATE
+from quillring.quorum.transfer import PIECE_BYTES, START, Place, StateBuilder, cut_piece, rows_of
 
 MOST_RESUMPTIONS = 8
 
@@ -28,6 +31,7 @@
         owner.index, owner.state = best, whole[0]
         return
     for store in _nearest_first(owner.node, holders):
+        owner.takeover.enter(STATE, [store])
         try:
             if owner.state is not None and (yield from _adopt_entries(owner, store, best)):
                 return
@@ -87,6 +91,7 @@
                 raise Conflict(part=owner.part, applied=reply[0]) from None
             return reply[1]
         owner.node.count("pieces_fetched")
+        owner.takeover.fetched += len(data)
         builder.add(data, following)
         place = None if following is None else Place(*following)
     return builder.whole()
@@ -106,6 +111,8 @@
     """Script: send the entries a store misses; False when they are gone, or don't help."""
     if owner.recent.since(applied) is None:
         yield from _learn_entries(owner, applied, target)
+    if is_state_smaller(owner.state, owner.recent.weight_since(applied)):
+        return False
     while applied < owner.index:
         entries = owner.recent.since(applied, PIECE_BYTES)
         if not entries:
@@ -120,6 +127,17 @@
     return True
 
 
+def is_state_smaller(state, weight):
+    """Tell whether a state takes fewer bytes than entries of a weight; it is read no further."""
+    if weight <= PIECE_BYTES // 4:
+        return False
+    for fields in rows_of(state):
+        weight -= len(cbor2.dumps(fields))
+        if weight < 0:
+            return False
+    return True
+
+
 def _learn_entries(owner, applied, target):
     """Script: ask one other store for the entries that were applied before this term."""
     first = owner.recent.first or owner.index + 1
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -2,15 +2,18 @@
 
 from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
+from quillring.quorum.batching import split_batch
 from quillring.quorum.catchup import adopt_state
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
+from quillring.quorum.in_flight import InFlight
 from quillring.quorum.mending import Mending
-from quillring.quorum.parts import CONFIG, majority
+from quillring.quorum.parts import CONFIG
 from quillring.quorum.recent import Recent
+from quillring.quorum.rounds import ask_majority
 from quillring.quorum.swap import promise_again
-
-BATCH_LIMIT = 64
+from quillring.quorum.tail import TAIL_INDEXES, finish_tail
+from quillring.quorum.takeover import ENTRIES, PROMISES, Takeover
 
 
 class Owner:
@@ -35,6 +38,8 @@
         "higher",
         "recent",
         "mending",
+        "takeover",
+        "in_flight",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -44,8 +49,10 @@
         self.ballot = (0, "") if former is None else former.ballot
         self.index = 0 if former is None else former.index
         self.state = None if former is None else former.state
-        self.recent = Recent()
+        self.recent = Recent() if former is None else former.recent.copy()
         self.mending = Mending(self)
+        self.takeover = Takeover(node, part)
+        self.in_flight = InFlight(node, part)
         self.queue = []
         self.queue_signal = Signal()
         self.is_owner = False
@@ -65,21 +72,7 @@
         ]
 
     def _round(self, service, **body):
-        """Script: ask the group; return good answers of a majority, or raise."""
-        replies = yield from self.node.gather(
-            self.calls(service, **body), majority(self.group), self.node.bounds.round, True
-        )
-        fences = [r.detail["ballot"] for r in replies.values() if isinstance(r, Fenced)]
-        if fences:
-            self.higher = max(self.higher, *(int(ballot[0]) for ballot in fences))
-            raise Fenced(part=self.part, ballot=max(fences))
-        good_replies = {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
-        if len(good_replies) < majority(self.group):
-            errors = [r for r in replies.values() if isinstance(r, QuillringError)]
-            raise NoMajority(part=self.part, heard=sorted(good_replies)) from ExceptionGroup(
-                f"stores of {self.part}", errors
-            )
-        return good_replies
+        return ask_majority(self, service, body)
 
     def take_again(self, gives_way):
         """Script: take the part; a ballot that only was too low is tried once more at once.
@@ -96,52 +89,47 @@
     def take(self):
         """Script: win a ballot at a majority, finish what others began; then own the part."""
         self.is_owner = False
+        self.takeover.begin()
         me = self.node.me
         self.ballot = (max(self.higher, self.ballot[0]) + 1, f"{me.name}#{me.incarnation}")
         while True:
-            promises = yield from self._round("prepare", brief=True)
+            self.takeover.enter(PROMISES, [store[0] for store in self.group], self.ballot)
+            promises = yield from self._round("prepare", brief=TAIL_INDEXES)
             if all(record[2] is None for record in promises.values()):
                 raise NotFounded(part=self.part)
             yield from adopt_state(self, promises)
-            if self._adopt_group(self.state["group"]):
+            if self.adopt_group(self.state["group"]):
                 self.ballot = (self.ballot[0] + 1, self.ballot[1])
                 continue
-            if (yield from self._finish_tail(promises)):
+            self.takeover.enter(ENTRIES)
+            if (yield from finish_tail(self, promises)):
                 break
             self.ballot = (self.ballot[0] + 1, self.ballot[1])
         self.is_owner = True
         self.node.count("takeovers")
+        self.takeover.succeed(self.index)
         self._tell([])
 
-    def _adopt_group(self, known_group):
+    def adopt_group(self, known_group):
+        """Ask these stores from now on; tell whether that is a change."""
         if [list(s) for s in known_group] == [list(s) for s in self.group]:
             return False
         self.group = [list(store) for store in known_group]
         return True
 
-    def _finish_tail(self, promises):
-        """Propose again every entry that may have been chosen; False after a group change."""
-        best_entries = {}
-        for record in promises.values():
-            for index, ballot, batch in record[3]:
-                if index > self.index and tuple(ballot) >= best_entries.get(index, ((0, ""),))[0]:
-                    best_entries[index] = (tuple(ballot), batch)
-        while self.index + 1 in best_entries:
-            yield from self._decide(best_entries[self.index + 1][1])
-            if self._adopt_group(self.state["group"]):
-                return False
-        yield from self._decide([])
-        return True
-
-    def _decide(self, batch):
+    def decide(self, batch):
         """Script: have a majority accept the next entry; apply it; return the answers."""
         asked_at = self.node.now()
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
         send_hints(self, self.calls("accept", **entry))
-        yield from self._round("accept", **entry)
-        self.index += 1
-        self.recent.add(self.index, batch)
-        self.state, answers = apply_batch(self.state, batch)
+        self.in_flight.begin(batch)
+        try:
+            yield from self._round("accept", **entry)
+            self.index += 1
+            self.recent.add(self.index, batch)
+            self.state, answers = apply_batch(self.state, batch)
+        finally:
+            self.in_flight.end()
         self.confirmed_at = asked_at
         if self.part == CONFIG:
             yield from self._round("commit", committed=self.index)
@@ -169,16 +157,16 @@
             self.step_down(error)
 
     def _write_queue(self):
-        batch, self.queue = self.queue[:BATCH_LIMIT], self.queue[BATCH_LIMIT:]
+        batch, self.queue = split_batch(self.queue)
         try:
-            answers = yield from self._decide([command for command, _ in batch])
+            answers = yield from self.decide([command for command, _ in batch])
         except QuillringError as error:
             for _, answer_signal in batch:
                 answer_signal.set(NoMajority(part=self.part, reason=error.kind))
             raise
         try:
-            if self._adopt_group(self.state["group"]):
-                yield from promise_again(self, self._round("prepare", brief=True))
+            if self.adopt_group(self.state["group"]):
+                yield from promise_again(self, self._round("prepare", brief=TAIL_INDEXES))
         finally:
             self._tell([command for command, _ in batch])
             for (_, answer_signal), answer in zip(batch, answers, strict=True):
@@ -200,6 +188,7 @@
     def step_down(self, error):
         """Write nothing more; everything queued ends with its error."""
         self.is_owner = False
+        self.takeover.end(error)
         queued, self.queue = self.queue, []
         for _, answer_signal in queued:
             answer_signal.set(NotOwner(part=self.part, reason=error.kind))
@@ -231,9 +220,11 @@
 
         Raises NotOwner, Fenced, or NoMajority, also for a confirmation that is no longer recent.
         """
+        asked_at = self.node.now()
+        yield from self.in_flight.wait()
         if not self.is_owner:
             raise NotOwner(part=self.part)
-        read_state, asked_at = self.state, self.node.now()
+        read_state = self.state
         yield from self._confirm()
         if self.node.now() - asked_at > self.node.bounds.reading:
             raise NoMajority(part=self.part, reason="the confirmation is old")
--- a/quillring/quorum/swap.py
+++ b/quillring/quorum/swap.py
@@ -65,7 +65,8 @@
         try:
             yield from mend_store(owner, applied, (store[0], "quorum.install", body))
         except QuillringError as error:
-            owner.node.log("warning", "catching up %s for %s: %s", store[0], owner.part, error)
+            owner.node.log("warning", "%s can't join %s: %s", store[0], owner.part, error)
+            return False
     return False
 
 
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -3,14 +3,15 @@
 from quillring.edge import short, streams
 from quillring.edge.admission import check_admission
 from quillring.kernel.checks import StrictValidator
-from quillring.kernel.errors import Conflict, NotFound, NotFounded, QuillringError, Refused
+from quillring.kernel.errors import Conflict, NotFound, NotFounded, Refused
 from quillring.kernel.wsgi import check_body, route
 from quillring.lots import front
 from quillring.plans import front as plans_front
 from quillring.quorum.founding import found_fleet
 from quillring.quorum.parts import CONFIG
+from quillring.verbs import part_routes, status_routes
 
-PLUGINS = (short, streams, front, plans_front)
+PLUGINS = (part_routes, status_routes, short, streams, front, plans_front)
 CHANGE = StrictValidator(
     {
         "type": "object",
@@ -96,36 +97,6 @@
     return node.find("nifty").graph.to_json()
 
 
-@route("GET", "/v1/parts")
-def show_parts(node, inquiry):
-    """Return each part with its group, owner and ballot as last heard."""
-    ownership, gossip = node.find("ownership"), node.find("gossip")
-    return {
-        "parts": [
-            {
-                "part": part,
-                "group": [store[0] for store in ownership.group(part)],
-                **(gossip.get(f"owner/{part}") or {"owner": None, "ballot": None}),
-            }
-            for part in ownership.parts()
-        ]
-    }
-
-
-@route("GET", "/v1/whole")
-def show_whole(node, inquiry):
-    """Tell whether every part has an owner and a full group of stores that hold everything."""
-    ownership, rows = node.find("ownership"), []
-    for part in ownership.parts():
-        try:
-            answer = yield from ownership.ask(part, "part.whole", {}, node.bounds.beat)
-        except QuillringError as error:
-            answer = {"trouble": error.kind}
-        is_whole = len(answer.get("group", ())) == ownership.size() and not answer["late"]
-        rows.append({"part": part, "is_whole": is_whole, **answer})
-    return {"is_whole": all(row["is_whole"] for row in rows), "parts": rows}
-
-
 @route("POST", "/v1/drain")
 def drain(node, inquiry):
     """End the process as planned: nothing new, what is under way ends, the platform restarts."""
@@ -150,9 +121,14 @@
 
 @route("GET", "/v1/layout")
 def show_layout(node, inquiry):
-    """Return the layout this node acts on."""
+    """Return the layout this node knows, and whether a majority lately said that it is current."""
     image = node.find("layout")
-    return {"version": image.version, "index": image.index, "layout": image.layout}
+    return {
+        "version": image.version,
+        "index": image.index,
+        "is_fresh": node.find("freshness").is_fresh(),
+        "layout": image.layout,
+    }
 
 
 @route("PUT", "/v1/layout")
@@ -203,39 +179,3 @@
             },
         )
     )
-
-
-@route("GET", "/v1/promises")
-def show_promises(node, inquiry):
-    """Return how the promises of each class were kept on this node in the last quarter hour."""
-    return {"name": node.me.name, "classes": node.find("meter").rows()}
-
-
-@route("GET", "/v1/status")
-def show_status(node, inquiry):
-    """Return what this node is and how it does."""
-    image = node.find("layout")
-    return {
-        "name": node.me.name,
-        "role": node.me.role,
-        "domain": node.me.domain,
-        "layout_version": image.version,
-        "is_fresh": node.find("freshness").is_fresh(),
-        "under_way": node.under_way,
-        "is_draining": node.is_draining,
-        "is_cut": node.find("nifty").graph.is_cut,
-        "seeds": [f"{host}:{port}" for host, port in node.find("nifty").seeds],
-    }
-
-
-@route("GET", "/v1/log")
-def show_log(node, inquiry):
-    """Return the ring log of this node."""
-    ring = node.find("ring")
-    return {"name": node.me.name, "log": list(ring.ring) if ring else []}
-
-
-@route("GET", "/v1/counts")
-def show_counts(node, inquiry):
-    """Return the node's counters."""
-    return {"name": node.me.name, "counts": dict(sorted(node.counts.items()))}
--- a/tests/raw_stage.py
+++ b/tests/raw_stage.py
@@ -6,7 +6,11 @@
 from proving.sim import fleet as sim_fleet
 from proving.sim.fleet import SimFleet
 from quillring.lots import raw_front
-from quillring.lots.raw_places import place_of_lot
+from quillring.lots.raw_places import bare_host, lot_key
+from quillring.lots.raw_reservations import reserved_tokens
+from quillring.lots.raw_state import raw_lots
+from quillring.nifty.wire import SPOKEN
+from quillring.quorum.parts import part_of
 from tests.raw_replica import SERVICE, RawBackends, RawReplica, RawWorld, text_of
 
 HOST, FORWARD = "Lots.example", "bulk"
@@ -29,7 +33,7 @@
 class RawStage:
     """A small founded fleet with a forward of lots and three replicas, at second 8 of its life."""
 
-    def __init__(self, seed, slots=8, replicas=3, **fields):
+    def __init__(self, seed, slots=8, replicas=3, versions=SPOKEN, **fields):
         with mock.patch.object(sim_fleet, "SimWorld", RawWorld):
             self.sim = SimFleet("ferrowa", seed, SIZES)
         self.env, self.replicas, self.counts = self.sim.env, {}, {}
@@ -37,6 +41,7 @@
         self.sim.backends.raw = RawBackends(self)
         self.edition, self.patch = 0, mock.patch.object(sim_fleet, "SimWorld", RawWorld)
         self.patch.start()
+        self.sim.versions = dict.fromkeys(self.sim.rows, versions)
         self.sim.start_all()
         domains = sorted({node.me.domain for node in self.sim.nodes.values()})
         for number in range(replicas):
@@ -45,6 +50,8 @@
             self.replicas[name] = RawReplica(self, name, zone, slots)
         self.env.process(self.sim.found())
         self.env.run(until=6)
+        names = self.up("core").find("ownership").parts()
+        self.parts = [part for part in names if part != "config"]
         self.configure(**fields)
         self.run(2)
 
@@ -137,17 +144,25 @@
             self.run(0.2)
         raise AssertionError(f"{name} has no result for every item: {answer}, {error}")
 
+    def upgrade(self, name):
+        """Stop a node and start it under the newest version."""
+        self.sim.kill(name)
+        self.sim.versions = {**self.sim.versions, name: SPOKEN}
+        self.run(0.2)
+        self.sim.start(name)
+        self.run(2)
+
     def former_version(self):
         """Let edges hand lots in as the former version did: in their host's part."""
         return mock.patch.object(raw_front, "are_lots_spread", lambda node: False)
 
     def part(self, name="a"):
         """Return the part in which a lot lives."""
-        return place_of_lot(self.up("edge"), HOST, name).own
+        return part_of(lot_key(HOST, name), len(self.parts))
 
     def home(self):
         """Return the part that keeps the reservations of the forward."""
-        return place_of_lot(self.up("edge"), HOST, "").home
+        return part_of(bare_host(HOST), len(self.parts))
 
     def owner(self, name="a"):
         """Return the node that owns a lot's part."""
@@ -166,6 +181,12 @@
         known += [(r.applied, r.state) for r in records if r is not None and r.state is not None]
         return max(known, key=lambda row: row[0])[1]
 
+    def waiting(self):
+        """Return the tokens that wait over all parts, and those that are reserved."""
+        lots = [lot for part in self.parts for lot in raw_lots(self.state_of(part)).values()]
+        reserved = reserved_tokens(self.state_of(self.home()), FORWARD)
+        return sum(lot["tokens"] for lot in lots), reserved
+
     def counted(self, name):
         """Return a counter summed over all nodes."""
         return sum(node.counts.get(name, 0) for node in self.sim.nodes.values())
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,6 +1,8 @@
 """A part with much state changes hands: every message stays small, and its lots are served."""
 
+from quillring.kernel.errors import Refused
 from quillring.lots import raw_front
+from quillring.quorum.batching import BATCH_BYTES, split_batch
 from tests.raw_stage import FORWARD, RawStage
 
 LINK = 8 << 20
@@ -12,18 +14,26 @@
     """A stage whose part of lots holds more than a link carries in a second."""
     stage = RawStage(seed, replicas=0)
     for number in range(LOTS):
-        items = stage.items(f"lot-{number}", ITEMS, body=BODY)
-        answer, error = stage.do(
-            stage.up("edge"),
-            lambda node, items=items, number=number: raw_front.accept_raw_lot(
-                node, FORWARD, f"lot-{number}", items
-            ),
-        )
+        answer, error = hand_in(stage, lot_names(stage)[number], ITEMS)
         assert error is None, error
     stage.sim.net.link_bytes_per_second = LINK
     return stage
 
 
+def lot_names(stage):
+    """Return the names of lots that live in one part."""
+    names = [f"lot-{number}" for number in range(LOTS * 4)]
+    return [name for name in names if stage.part(name) == stage.part("lot-0")][:LOTS]
+
+
+def hand_in(stage, name, count):
+    """Hand in a lot of large bodies; return (answer, error)."""
+    items = stage.items(name, count, body=BODY)
+    return stage.do(
+        stage.up("edge"), lambda node: raw_front.accept_raw_lot(node, FORWARD, name, items)
+    )
+
+
 def lose_all_power(stage):
     for name in list(stage.sim.nodes):
         stage.sim.kill(name, loses_power=True)
@@ -37,7 +47,7 @@
     start_time, left = stage.env.now, set(range(LOTS))
     while left and stage.env.now - start_time < seconds:
         for number in sorted(left):
-            answer, _ = stage.read(f"lot-{number}")
+            answer, _ = stage.read(lot_names(stage)[number])
             if answer is None:
                 break
             assert answer["items"] == ITEMS
@@ -57,12 +67,12 @@
 
 def test_no_message_grows_with_a_part_that_changes_hands_and_fills_an_emptied_store():
     with filled(2) as stage:
-        part = raw_front.part_of_host(stage.up("edge"), "lots.example")
+        part = stage.part("lot-0")
         stage.sim.net.largest_frame = 0
-        former = stage.owner()
+        former = stage.owner("lot-0")
         stage.sim.kill(former.me.name)
         stage.run(6)
-        owner = stage.owner().find("ownership").owners[part]
+        owner = stage.owner("lot-0").find("ownership").owners[part]
         assert owner.is_owner and owner.node is not former
         stage.sim.lose_disk(owner.group[0][0])
         stage.run(1)
@@ -75,3 +85,51 @@
         ]
         assert len(applied) == 3 and min(applied) >= owner.index - 1
         assert stage.sim.net.largest_frame < MOST_FRAME
+
+
+def test_commands_that_wait_go_into_entries_of_bounded_size():
+    queue = [({"do": "raw.accept", "body": bytes(100_000)}, None) for _ in range(9)]
+    sizes = []
+    while queue:
+        batch, queue = split_batch(queue)
+        sizes.append(len(batch))
+    assert sizes == [2, 2, 2, 2, 1]
+    huge = ({"do": "raw.accept", "body": bytes(BATCH_BYTES * 2)}, None)
+    assert [len(part) for part in split_batch([huge, huge])] == [1, 1]
+
+
+def test_promises_bear_no_entries_and_an_unapplied_one_is_finished_by_the_next_owner():
+    with RawStage(3, replicas=0) as stage:
+        owner = stage.owner("late").find("ownership").owners[stage.part("late")]
+        for node in stage.sim.up_nodes("store"):
+            node.handlers["quorum.commit"] = refuse
+        answer, error = hand_in(stage, "late", 40)
+        assert error is None, error
+        stage.run(0.1)
+        stage.sim.kill(owner.node.me.name)
+        for store in [store[0] for store in owner.group]:
+            stage.sim.kill(store, loses_power=True)
+            stage.sim.start(store)
+        promises = []
+        for node in stage.sim.up_nodes("store"):
+            watch_promises(node, promises)
+        stage.run(6)
+        assert any(row[0] > 1 for fields in promises for row in fields[3])
+        assert all(row[2] is None for fields in promises for row in fields[3])
+        answer, error = stage.read("late")
+        assert error is None and answer["items"] == 40
+
+
+def refuse(body, origin):
+    raise Refused(reason="this store hears of no commits")
+
+
+def watch_promises(node, promises):
+    answer = node.handlers["quorum.prepare"]
+
+    def watched(body, origin):
+        fields = yield from answer(body, origin)
+        promises.append(fields)
+        return fields
+
+    node.handlers["quorum.prepare"] = watched
--- a/tests/test_wrong_caller.py
+++ b/tests/test_wrong_caller.py
@@ -1,9 +1,26 @@
 """No answer of a replica reaches another request, whatever lies on the connection."""
 
+from unittest import mock
+
 import pytest
 
+from quillring.kernel import http_client
+from quillring.kernel.effects import SendOn
 from quillring.kernel.errors import BackendError, NotSent
-from tests.scripted_peer import ScriptedPeer, answer, answers, ask, open_request, read_body, reset
+from quillring.kernel.http_client import send_on
+from tests.scripted_peer import (
+    ID_HEADER,
+    ScriptedPeer,
+    answer,
+    answers,
+    ask,
+    open_request,
+    read_body,
+    request,
+    reset,
+)
+
+NAMELESS = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nours"
 
 
 def read_then_reset(peer, sock):
@@ -62,11 +79,16 @@
         if peer.read(sock):
             sock.sendall(answer(b"a", b"late copy of 1"))
 
-    peer = ScriptedPeer(surplus_in_place_of_the_next, answers(answer(b"none", b"ours")))
+    peer = ScriptedPeer(surplus_in_place_of_the_next, answers(NAMELESS))
     assert ask(peer, "a") == b"1"
     assert ask(peer, None) == b"ours"
 
 
+def test_an_answer_that_bears_an_id_belongs_to_no_request_without_one():
+    peer = ScriptedPeer(answers(answer(b"a", b"theirs") + NAMELESS))
+    assert ask(peer, None) == b"ours"
+
+
 def test_a_connection_never_carries_one_id_twice():
     def late_copy(peer, sock):
         peer.read(sock)
@@ -135,6 +157,28 @@
     assert not isinstance(failure.value, NotSent)
 
 
+def test_an_answer_that_comes_before_its_request_is_nobodys():
+    def too_early(peer, sock):
+        sock.sendall(answer(b"other", b"theirs"))
+        peer.read(sock)
+        sock.sendall(answer(b"a", b"ours"))
+
+    peer = ScriptedPeer(too_early)
+    assert ask(peer, "a", False) == b"ours"
+
+
+def test_a_request_of_which_a_part_went_out_is_never_called_not_sent():
+    def reset_amid_the_body(peer, sock):
+        sock.recv(1000)
+        reset(sock)
+
+    peer = ScriptedPeer(reset_amid_the_body)
+    data = request(b"a").replace(b"Length: 0", b"Length: 99999999") + b"x" * 99999999
+    with pytest.raises(BackendError) as failure:
+        send_on(SendOn(peer.address, data, 5, False, (ID_HEADER, "a"))).next_head(5)
+    assert not isinstance(failure.value, NotSent)
+
+
 @pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
 def test_an_answer_that_has_no_body_by_its_status_ends_with_its_head(status):
     head = b"HTTP/1.1 %s\r\nX-Id: %s\r\n\r\n"
@@ -153,3 +197,29 @@
     peer = ScriptedPeer(answers(b"HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nperhaps cut"))
     with pytest.raises(BackendError):
         ask(peer, "a", False)
+
+
+@pytest.mark.parametrize("may_reuse", [True, False])
+def test_a_process_that_stood_still_before_the_writing_sends_nothing_out_of_time(may_reuse):
+    peer = ScriptedPeer(
+        answers(answer(b"a", b"1"), answer(b"b", b"late")), answers(answer(b"b", b"late"))
+    )
+    assert ask(peer, "a") == b"1"
+    real_connect, real_take, clock = http_client.connect, http_client.POOL.take, [50.0]
+
+    def connect(address, seconds):
+        clock[0] += 20
+        return real_connect(address, seconds)
+
+    def take(pool, address, answer_id):
+        clock[0] += 20
+        return real_take(address, answer_id)
+
+    with (
+        mock.patch.object(http_client, "time", mock.Mock(monotonic=lambda: clock[0])),
+        mock.patch.object(http_client, "connect", connect),
+        mock.patch.object(type(http_client.POOL), "take", take),
+        pytest.raises(NotSent),
+    ):
+        ask(peer, "b", may_reuse)
+    assert len(peer.received) == 1
