--- a/quillring/quorum/recent.py
+++ b/quillring/quorum/recent.py
@@ -18,6 +18,12 @@
         self.weight = 0
         self.most_weight = most_weight
 
+    def copy(self):
+        """Return the same entries for another term, which adds its own."""
+        other = Recent(self.most_weight)
+        other.entries, other.weight = self.entries.copy(), self.weight
+        return other
+
     @property
     def first(self):
         """The index of the oldest entry kept, or None."""
@@ -42,6 +48,10 @@
             self.weight += weight
         self._trim()
 
+    def weight_since(self, applied):
+        """Return the bytes of the entries kept after an index."""
+        return sum(weight for index, _, weight in self.entries if index > applied)
+
     def _trim(self):
         while len(self.entries) > KEPT_ENTRIES or self.weight > self.most_weight:
             self.weight -= self.entries.popleft()[2]
