--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -1,7 +1,8 @@
 """The acceptors on a store machine: promises, accepted entries, applied state, per part."""
 
-from quillring.kernel.errors import Conflict, Fenced, NotFounded, QuillringError
+from quillring.kernel.errors import Conflict, Fenced, NotFounded
 from quillring.quorum.commands import answer_query, first_state
+from quillring.quorum.identity import WrongIdentity
 from quillring.quorum.parts import CONFIG
 from quillring.quorum.record import PartRecord
 from quillring.quorum.slot_rows import load_rows, to_rows
@@ -9,13 +10,6 @@
 from quillring.quorum.transfers import Transfers
 
 
-class WrongIdentity(QuillringError):
-    """The store is not the member that the group names."""
-
-    kind = "wrong_identity"
-    status = 409
-
-
 class Acceptors:
     """The store's side of every part; all that it answers is durable first."""
 
@@ -239,9 +233,8 @@
     def stamp(self):
         """Return the config part's ballot and committed index, None if no member can give it."""
         config_record = self.parts.get(CONFIG)
-        if config_record is None or config_record.state is None or self.slots.error is not None:
-            return None
-        if not any(store[1] == self.identity for store in config_record.state["group"]):
+        is_silent = config_record is None or self.slots.error is not None
+        if is_silent or not config_record.has_member(self.identity):
             return None
         return [list(config_record.promised), config_record.committed, self.identity]
 
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -6,9 +6,11 @@
 from quillring.quorum.catchup import adopt_state
 from quillring.quorum.commands import apply_batch
 from quillring.quorum.hints import send_hints
+from quillring.quorum.in_flight import InFlight
 from quillring.quorum.mending import Mending
-from quillring.quorum.parts import CONFIG, majority
+from quillring.quorum.parts import CONFIG
 from quillring.quorum.recent import Recent
+from quillring.quorum.rounds import ask_majority
 from quillring.quorum.swap import promise_again
 from quillring.quorum.tail import TAIL_INDEXES, best_entries, fetch_batch
 from quillring.quorum.takeover import ENTRIES, PROMISES, Takeover
@@ -37,6 +39,7 @@
         "recent",
         "mending",
         "takeover",
+        "in_flight",
     )
 
     def __init__(self, node, part, group, former=None):
@@ -46,9 +49,10 @@
         self.ballot = (0, "") if former is None else former.ballot
         self.index = 0 if former is None else former.index
         self.state = None if former is None else former.state
-        self.recent = Recent()
+        self.recent = Recent() if former is None else former.recent.copy()
         self.mending = Mending(self)
         self.takeover = Takeover(node, part)
+        self.in_flight = InFlight(node, part)
         self.queue = []
         self.queue_signal = Signal()
         self.is_owner = False
@@ -68,21 +72,7 @@
         ]
 
     def _round(self, service, **body):
-        """Script: ask the group; return good answers of a majority, or raise."""
-        replies = yield from self.node.gather(
-            self.calls(service, **body), majority(self.group), self.node.bounds.round, True
-        )
-        fences = [r.detail["ballot"] for r in replies.values() if isinstance(r, Fenced)]
-        if fences:
-            self.higher = max(self.higher, *(int(ballot[0]) for ballot in fences))
-            raise Fenced(part=self.part, ballot=max(fences))
-        good_replies = {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
-        if len(good_replies) < majority(self.group):
-            errors = [r for r in replies.values() if isinstance(r, QuillringError)]
-            raise NoMajority(part=self.part, heard=sorted(good_replies)) from ExceptionGroup(
-                f"stores of {self.part}", errors
-            )
-        return good_replies
+        return ask_majority(self, service, body)
 
     def take_again(self, gives_way):
         """Script: take the part; a ballot that only was too low is tried once more at once.
@@ -142,10 +132,14 @@
         asked_at = self.node.now()
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
         send_hints(self, self.calls("accept", **entry))
-        yield from self._round("accept", **entry)
-        self.index += 1
-        self.recent.add(self.index, batch)
-        self.state, answers = apply_batch(self.state, batch)
+        self.in_flight.begin(batch)
+        try:
+            yield from self._round("accept", **entry)
+            self.index += 1
+            self.recent.add(self.index, batch)
+            self.state, answers = apply_batch(self.state, batch)
+        finally:
+            self.in_flight.end()
         self.confirmed_at = asked_at
         if self.part == CONFIG:
             yield from self._round("commit", committed=self.index)
@@ -236,9 +230,11 @@
 
         Raises NotOwner, Fenced, or NoMajority, also for a confirmation that is no longer recent.
         """
+        asked_at = self.node.now()
+        yield from self.in_flight.wait()
         if not self.is_owner:
             raise NotOwner(part=self.part)
-        read_state, asked_at = self.state, self.node.now()
+        read_state = self.state
         yield from self._confirm()
         if self.node.now() - asked_at > self.node.bounds.reading:
             raise NoMajority(part=self.part, reason="the confirmation is old")
