--- a/proving/model/bugs.py
+++ b/proving/model/bugs.py
@@ -12,6 +12,7 @@
 from proving.model.errors import UnknownName
 from proving.model.patches import all_of, around, without_sync
 from proving.model.store_machine import as_script
+from quillring.quorum import commands, rounds
 from quillring.quorum.commands import COMMANDS
 from quillring.quorum.owner import Owner
 from quillring.quorum.record import PartRecord
@@ -105,11 +106,16 @@
     def change_group(state, command):
         return {**state, "group": command["group"]}, {"group": command["group"]}
 
-    return all_of([mock.patch.dict(COMMANDS.entries, {"group.change": change_group})])
+    return all_of(
+        [
+            mock.patch.dict(COMMANDS.entries, {"group.change": change_group}),
+            mock.patch.object(commands, "is_one_swap", lambda group, next_group: True),
+        ]
+    )
 
 
 def change_group_twice():
-    """An entry of the log may change the group more than once."""
+    """An entry of the log may replace more than one member of the group."""
     real = owner_module.apply_batch
 
     def apply_batch(state, batch):
@@ -157,7 +163,7 @@
 
 def decide_alone():
     """An owner counts one store as a majority."""
-    return all_of([mock.patch.object(owner_module, "majority", lambda group: 1)])
+    return all_of([mock.patch.object(rounds, "majority", lambda group: 1)])
 
 
 def read_without_fence():
@@ -198,7 +204,7 @@
     "reuse-ballot": Bug(reuse_ballot, "terms", ONE_RETURN),
     "learn-any-ballot": Bug(learn_any_ballot, "takeover", {}),
     "change-group-at-will": Bug(change_group_at_will, "leap", {}),
-    "change-group-twice": Bug(change_group_twice, "group", ONE_ENTRY),
+    "change-group-twice": Bug(change_group_twice, "moves", ONE_ENTRY),
     "adopt-oldest": Bug(adopt_oldest, "takeover", {}),
     "ignore-base-version": Bug(ignore_base_version, "takeover", {}),
     "peek-applied-only": Bug(peek_applied_only, "peeks", ONE_PEEK),
--- a/quillring/quorum/record.py
+++ b/quillring/quorum/record.py
@@ -42,6 +42,10 @@
         if verb == "install":
             self.install(*fields)
 
+    def has_member(self, identity):
+        """Tell whether the applied state names the store of this identity as a member."""
+        return self.state is not None and any(s[1] == identity for s in self.state["group"])
+
     def learn(self, ballot, committed):
         """Apply what the ballot's owner says is committed; stop at a gap."""
         while self.applied < committed:
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -3,6 +3,7 @@
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import QuillringError
 from quillring.nifty.graph import score
+from quillring.quorum.disk_news import is_disk_failing
 from quillring.quorum.parts import majority
 from quillring.quorum.retirement import is_marked, may_join
 from quillring.quorum.swap import catch_up, is_durable_without, new_group, submit_first
@@ -15,7 +16,7 @@
 class Repair:
     """Runs beside the owners of a core and mends the groups of their parts."""
 
-    __slots__ = ("node", "lost_since", "busy_parts", "joining", "refused_until")
+    __slots__ = ("node", "lost_since", "busy_parts", "joining", "refused_until", "chosen")
 
     def __init__(self, node):
         self.node = node
@@ -23,6 +24,7 @@
         self.busy_parts = set()
         self.joining = {}
         self.refused_until = {}
+        self.chosen = {}
 
     def run(self):
         """Script: look at every owned part; a few that lack something are mended side by side.
@@ -60,6 +62,7 @@
                 ):
                     break
                 self.joining.pop(owner.part, None)
+                self.chosen.pop(owner.part, None)
                 yield from owner.mend()
         finally:
             self.joining.pop(owner.part, None)
@@ -69,7 +72,9 @@
         nifty, now = self.node.find("nifty"), self.node.now()
         store_names = [m.name for m in nifty.roster.members.values() if m.role == "store"]
         self.lost_since = {
-            name: self.lost_since.get(name, now) for name in store_names if not nifty.reaches(name)
+            name: self.lost_since.get(name, now)
+            for name in store_names
+            if not nifty.reaches(name) or is_disk_failing(self.node, name)
         }
 
     def _prepare(self, owner, change):
@@ -83,7 +88,7 @@
 
     def _invite(self, owner, store):
         """Script: bring a store that agrees to join up to date; ask others after a refusal."""
-        self.joining[owner.part] = store[0]
+        self.joining[owner.part] = self.chosen[owner.part] = store[0]
         if not (yield from may_join(self.node, store[0])):
             self.refused_until[store[0]] = self.node.now() + self.node.bounds.news
             return False
@@ -105,7 +110,7 @@
         return member is not None and member.identity != store[1]
 
     def is_lost(self, store):
-        """Tell whether the store has been out of reach for long."""
+        """Tell whether the store has been out of reach, or its disk has failed, for long."""
         sync = self.node.bounds.sync
         patience = self.node.bounds.return_ * PATIENCE if sync is None else sync * SYNC_SHARE
         since = self.lost_since.get(store[0])
@@ -145,6 +150,7 @@
         return [s for s in group if most > 1 and domains.count(s[2]) == most]
 
     def _spare(self, part, group):
+        """Return the store that should join; one that was chosen keeps its place while it may."""
         nifty = self.node.find("nifty")
         staying = [s for s in group if not (self.is_retired(s) or self.is_lost(s))]
         used_domains = [s[2] for s in staying if not self.is_emptied(s)]
@@ -156,6 +162,7 @@
             if m.role == "store"
             and m.name not in names
             and nifty.reaches(m.name)
+            and not is_disk_failing(self.node, m.name)
             and used_domains.count(m.domain) < room
         ]
         now = self.node.now()
@@ -164,6 +171,9 @@
             for c in candidates
             if not self.is_retired(c) and self.refused_until.get(c[0], now) <= now
         ]
+        chosen = self.chosen.get(part)
         return max(
-            candidates, default=None, key=lambda c: (-used_domains.count(c[2]), score(part, c[0]))
+            candidates,
+            default=None,
+            key=lambda c: (-used_domains.count(c[2]), c[0] == chosen, score(part, c[0])),
         )
--- a/tests/test_acceptor_properties.py
+++ b/tests/test_acceptor_properties.py
@@ -23,7 +23,7 @@
 from quillring.fleet import open_store
 from quillring.kernel.errors import Fenced, QuillringError
 from quillring.kernel.node import Node
-from quillring.quorum.acceptor import WrongIdentity
+from quillring.quorum.identity import WrongIdentity
 from tests.chosen_entries import CHOSEN, ENTRY_COUNT, GROUP, batch_of
 
 PROFILES = {"ci": (60, 25), "long": (3000, 60)}
