One entry may swap a member; more than one member out or in is refused

Cause: a batch was limited to one change of the group, after the rule that majorities of neighbouring groups share a member. The shared member is enough for safety, and not needed: entry i + 1 is decided by the group after entry i, entry i by a majority of the former one, and an owner has the new group promise its ballot first (quorum.swap).

Change: an entry may let one member leave and one join, no more; the check counts over the entry.

--- a/proving/model/invariants.py
+++ b/proving/model/invariants.py
@@ -12,7 +12,7 @@
 ONE_CONFIRMED = "two operators on one version are never both confirmed"
 FRESH_READ = "a fenced read is never older than what was acknowledged before it"
 FRESH_PEEK = "a read from the stores is never older than what was acknowledged before it"
-ONE_MAJORITY = "majorities of one group and the next have a member in common"
+ONE_MAJORITY = "majorities of one group and the next have a common member, or one was swapped"
 OWN_VOTE = "an emptied store never votes for its former self"
 ONE_FOUNDING = "a fleet is founded once"
 ALL = (
@@ -89,8 +89,14 @@
 
 
 def check_groups(group, next_group):
-    """Raise BrokenInvariant when a majority of each could lack a common member."""
+    """Raise BrokenInvariant when a majority of each could lack a common member, but for a swap.
+
+    A swap of one member in one entry is safe for another reason (`quillring.quorum.swap`), which
+    the rules ONE_VALUE, NEVER_LOST and FRESH_READ hold to account as in all other steps.
+    """
     members = {*group, *next_group}
+    if len({*group} - {*next_group}) == len({*next_group} - {*group}) == 1:
+        return
     if majority(group) + majority(next_group) <= len(members):
         raise broken(ONE_MAJORITY, groups=[list(group), list(next_group)])
 
--- a/quillring/quorum/commands.py
+++ b/quillring/quorum/commands.py
@@ -15,14 +15,15 @@
 def apply_batch(state, batch):
     """Return (new state, answers); a refused command changes nothing and answers an error.
 
-    One batch is one entry of the log: the group that accepts the next one differs by one member
-    from the group that accepted this one, so the group changes once in a batch at most.
+    One batch is one entry of the log: the group that accepts the next one lacks at most one member
+    of the group that accepted this one, and has at most one that is new. Why that is enough though
+    majorities of the two may lack a common member: `quorum.swap`.
     """
     answers, first_group = [], state.get("group")
     for command in batch:
         try:
             new_state, answer = COMMANDS.find(command["do"])(state, command)
-            if first_group != state.get("group") != new_state.get("group"):
+            if not is_one_step(first_group, new_state.get("group")):
                 raise QuillringError(reason="one change in an entry", group=state["group"])
             state = new_state
         except QuillringError as error:
@@ -33,6 +34,13 @@
     return state, answers
 
 
+def is_one_step(group, new_group):
+    """Tell whether a group becomes another by one member that leaves and one that joins at most."""
+    old_members = {tuple(store) for store in group or ()}
+    new_members = {tuple(store) for store in new_group or ()}
+    return max(len(old_members - new_members), len(new_members - old_members)) <= 1
+
+
 def answer_query(state, query):
     """Return [None, answer] of a query, or [error's kind, its detail]."""
     try:
