--- a/proving/histories/bugs.py
+++ b/proving/histories/bugs.py
@@ -169,7 +169,7 @@
 
 
 def find_bug(job):
-    """Play seeds with one guard taken out until a history shows it."""
+    """Play seeds with one guard taken out until a history shows it that is clean with the guard."""
     number, first, most = job
     bug, start_time, operations = BUGS[number], time.perf_counter(), 0
     for seed in range(first, first + most):
@@ -179,7 +179,7 @@
         gc.enable()
         operations += result.operations
         findings = [finding for finding in result.findings if finding.target != PROGRAM]
-        if findings:
+        if findings and not run_seed(seed).findings:
             finding = findings[0]
             found = f"{finding.target}: {finding.text[:SHOWN_TEXT]}"
             seconds = time.perf_counter() - start_time
