--- a/proving/many_changes.py
+++ b/proving/many_changes.py
@@ -218,16 +218,24 @@
     }
 
 
+def read_counts(context, parameter, text):
+    """Return the whole numbers over 0 of an option with commas; click.BadParameter for others."""
+    words = [word.strip() for word in text.split(",")]
+    if not all(word.isdecimal() and int(word) > 0 for word in words):
+        raise click.BadParameter(f"{text!r} are no numbers over 0, with commas")
+    return [int(word) for word in words]
+
+
 @click.command()
-@click.option("--changes", default="10,100,1000", help="Numbers of changes, with commas.")
-@click.option("--routes", default=60)
-@click.option("--parts", default=64)
-@click.option("--stores", default=4, help="With 3 there is no spare that keeps hints.")
+@click.option("--changes", default="10,100,1000", callback=read_counts, help="With commas.")
+@click.option("--routes", type=click.IntRange(min=1), default=60)
+@click.option("--parts", type=click.IntRange(min=1), default=64)
+@click.option("--stores", type=click.IntRange(min=3), default=4, help="With 3 none is a spare.")
 @click.option("--seed", default=1)
 def main(changes, routes, parts, stores, seed):
     """Measure each case after each number of changes, and print a row each."""
     for case in CASES:
-        for count in map(int, changes.split(",")):
+        for count in changes:
             print(
                 case.__name__, count, measure(case, count, routes, parts, stores, seed), flush=True
             )
--- a/tests/test_many_changes.py
+++ b/tests/test_many_changes.py
@@ -4,6 +4,7 @@
 
 import cbor2
 import pytest
+from click.testing import CliRunner
 
 from proving import many_changes
 from proving.many_changes import ManyChanges
@@ -142,3 +143,9 @@
     owner = fleet.owner()
     assert owner.node.me.name == former and owner.state["layout"]["edition"] == 8
     assert fleet.change(1, former) == 1
+
+
+@pytest.mark.parametrize("text", ["a", "", "1,,2", "0", "-1", "1.5"])
+def test_counts_that_are_none_are_told_and_nothing_is_measured(text):
+    result = CliRunner().invoke(many_changes.main, ["--changes", text])
+    assert result.exit_code == 2 and "no numbers over 0" in result.output
