--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -43,9 +43,5 @@
     *membership.POINTS,
     *departed.POINTS,
     *callers.POINTS,
-    *membership.POINTS,
-    *departed.POINTS,
-    *orders.POINTS,
-    *stalls.POINTS,
     *changes.POINTS,
 ]
