--- a/proving/points/failures.py
+++ b/proving/points/failures.py
@@ -2,6 +2,7 @@
 
 from proving.points.base import Stage, no_check
 from proving.points.cuts import traffic
+from proving.points.lots import accept_at_once
 from proving.points.serving import rerun_round
 from proving.points.state import adopt, names_but
 from quillring.edge import Replicas, streams
@@ -194,13 +195,6 @@
     return self.node.find("layout").layout is not None
 
 
-def accept_at_once(self, records):
-    """Stand-in for the guard: answered before anything is synced."""
-    self.waiting.append((records, slots.Signal()))
-    return
-    yield
-
-
 DIRECT = (
     Graph,
     "_bellman_ford",
