--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -1,7 +1,5 @@
 """The stream journal: each piece is held on a second node before a sender sees it."""
 
-from more_itertools import chunked
-
 from quillring.edge.claim import claim_stream
 from quillring.edge.stream import Stream, append_body
 from quillring.kernel.effects import Sleep
@@ -117,8 +115,8 @@
         """Script: before a planned stop, give every stream touched lately to another node."""
         edge_time = self.node.now() - self.node.bounds.return_ * HANDED_AGE
         late_streams = [s for s in self.streams.values() if s.touched_at > edge_time]
-        for some_streams in chunked(late_streams, HANDED_AT_ONCE):
-            for stream in some_streams:
+        for start in range(0, len(late_streams), HANDED_AT_ONCE):
+            for stream in late_streams[start : start + HANDED_AT_ONCE]:
                 self.node.spawn(self._hand_one(stream))
             yield Sleep(self.node.bounds.chatter)
         self.node.count("streams_handed", len(late_streams))
--- a/quillring/kernel/checks.py
+++ b/quillring/kernel/checks.py
@@ -3,30 +3,41 @@
 import json
 import math
 
-import jsonschema
-
 from quillring.kernel.errors import BadInquiry
+from quillring.kernel.lazy import lazy_module
+from quillring.kernel.plain_schema import is_integer, is_number, is_surely_sound
+
+jsonschema = lazy_module("jsonschema")
 
 DEPTH_LIMIT = 32
 DIGITS = 9
 
 
-def is_integer(checker, value):
-    """Tell whether a value is a whole number and written as one."""
-    return isinstance(value, int) and not isinstance(value, bool)
+class StrictValidator:
+    """A schema's validator; the library is asked only about what is not plainly sound."""
 
+    __slots__ = ("schema",)
+    library_class = None
 
-def is_number(checker, value):
-    """Tell whether a value is a finite number."""
-    return is_integer(checker, value) or (isinstance(value, float) and math.isfinite(value))
+    def __init__(self, schema):
+        self.schema = schema
 
+    def iter_errors(self, value):
+        """Return the faults of a value."""
+        if is_surely_sound(self.schema, value):
+            return iter(())
+        return self.make_library_class()(self.schema).iter_errors(value)
 
-StrictValidator = jsonschema.validators.extend(
-    jsonschema.Draft202012Validator,
-    type_checker=jsonschema.Draft202012Validator.TYPE_CHECKER.redefine_many(
-        {"integer": is_integer, "number": is_number}
-    ),
-)
+    @classmethod
+    def make_library_class(cls):
+        """Return the library's validator with strict numbers, made once."""
+        if cls.library_class is None:
+            plain_class = jsonschema.Draft202012Validator
+            types = {"integer": is_integer, "number": is_number}
+            cls.library_class = jsonschema.validators.extend(
+                plain_class, type_checker=plain_class.TYPE_CHECKER.redefine_many(types)
+            )
+        return cls.library_class
 
 
 def refuse_constant(name):
--- a/quillring/kernel/gevent_world.py
+++ b/quillring/kernel/gevent_world.py
@@ -12,7 +12,7 @@
 import gevent.server
 import gevent.socket
 
-from quillring.kernel import backend, http_client
+from quillring.kernel import http_client
 from quillring.kernel.effects import (
     Emit,
     Fetch,
@@ -25,6 +25,10 @@
     Wait,
 )
 from quillring.kernel.errors import QuillringError
+from quillring.kernel.lazy import lazy_module
+
+gevent.config.resolver = "block"
+backend = lazy_module("quillring.kernel.backend")
 
 FRAME_HEAD = struct.Struct(">I")
 FRAME_LIMIT = 64 * 1024 * 1024
--- /dev/null
+++ b/quillring/kernel/lazy.py
@@ -0,0 +1,19 @@
+"""Modules loaded at their first use: a start pays only for what the process does."""
+
+import importlib.util
+import sys
+
+
+def lazy_module(name):
+    """Return a module whose code runs when one of its names is first read."""
+    if name in sys.modules:
+        return sys.modules[name]
+    spec = importlib.util.find_spec(name)
+    if spec is None:
+        raise ModuleNotFoundError(name)
+    loader = importlib.util.LazyLoader(spec.loader)
+    spec.loader = loader
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[name] = module
+    loader.exec_module(module)
+    return module
--- /dev/null
+++ b/quillring/kernel/plain_schema.py
@@ -0,0 +1,136 @@
+"""Schemas read without a library: a quick word that a value is surely sound.
+
+Only the plain keywords are read. A value that is not surely sound, or a schema with any other
+keyword, is left to the full validator, which also tells the faults.
+"""
+
+import math
+import re
+
+
+def is_integer(checker, value):
+    """Tell whether a value is a whole number and written as one."""
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def is_number(checker, value):
+    """Tell whether a value is a finite number."""
+    return is_integer(checker, value) or (isinstance(value, float) and math.isfinite(value))
+
+
+TYPES = {
+    "object": lambda value: isinstance(value, dict),
+    "array": lambda value: isinstance(value, list),
+    "string": lambda value: isinstance(value, str),
+    "boolean": lambda value: isinstance(value, bool),
+    "null": lambda value: value is None,
+    "integer": lambda value: is_integer(None, value),
+    "number": lambda value: is_number(None, value),
+}
+
+
+def is_surely_sound(schema, value):
+    """Tell whether a value surely follows a schema; False says nothing."""
+    return all(
+        keyword in KEYWORDS and KEYWORDS[keyword](wanted, value, schema)
+        for keyword, wanted in schema.items()
+    )
+
+
+def follows_type(wanted, value, schema):
+    """Tell whether a value is of one of the types."""
+    names = [wanted] if isinstance(wanted, str) else wanted
+    return any(name in TYPES and TYPES[name](value) for name in names)
+
+
+def follows_enum(wanted, value, schema):
+    """Tell whether a text is one of those listed; other values are compared elsewhere."""
+    return isinstance(value, str) and value in wanted
+
+
+def follows_properties(wanted, value, schema):
+    """Tell whether each named property follows its schema."""
+    return not isinstance(value, dict) or all(
+        is_surely_sound(inner, value[name]) for name, inner in wanted.items() if name in value
+    )
+
+
+def follows_patterns(wanted, value, schema):
+    """Tell whether each property follows the schema of every pattern that its name bears."""
+    return not isinstance(value, dict) or all(
+        isinstance(name, str)
+        and all(
+            is_surely_sound(inner, item)
+            for pattern, inner in wanted.items()
+            if re.search(pattern, name)
+        )
+        for name, item in value.items()
+    )
+
+
+def follows_additional(wanted, value, schema):
+    """Tell whether each property that nothing names may be there."""
+    if not isinstance(value, dict):
+        return True
+    named, patterns = schema.get("properties", {}), schema.get("patternProperties", {})
+    return all(
+        name in named
+        or (
+            isinstance(name, str)
+            and (
+                any(re.search(pattern, name) for pattern in patterns)
+                or (isinstance(wanted, dict) and is_surely_sound(wanted, item))
+            )
+        )
+        for name, item in value.items()
+    )
+
+
+def follows_items(wanted, value, schema):
+    """Tell whether each item of a list, beyond those with a schema by place, follows it."""
+    return not isinstance(value, list) or all(
+        is_surely_sound(wanted, item) for item in value[len(schema.get("prefixItems", ())) :]
+    )
+
+
+def follows_places(wanted, value, schema):
+    """Tell whether the first items of a list follow the schemas of their places."""
+    return not isinstance(value, list) or all(
+        is_surely_sound(inner, item) for inner, item in zip(wanted, value)
+    )
+
+
+def number_rule(holds):
+    """Return the rule for a number's bound."""
+    return lambda wanted, value, schema: not is_number(None, value) or holds(value, wanted)
+
+
+def size_rule(kind, holds):
+    """Return the rule for the size of a text or list."""
+    return lambda wanted, value, schema: not isinstance(value, kind) or holds(len(value), wanted)
+
+
+KEYWORDS = {
+    "description": lambda wanted, value, schema: True,
+    "type": follows_type,
+    "enum": follows_enum,
+    "const": lambda wanted, value, schema: isinstance(value, str) and value == wanted,
+    "pattern": lambda wanted, value, schema: (
+        not isinstance(value, str) or re.search(wanted, value) is not None
+    ),
+    "required": lambda wanted, value, schema: (
+        not isinstance(value, dict) or all(name in value for name in wanted)
+    ),
+    "properties": follows_properties,
+    "patternProperties": follows_patterns,
+    "additionalProperties": follows_additional,
+    "items": follows_items,
+    "prefixItems": follows_places,
+    "minimum": number_rule(lambda value, wanted: value >= wanted),
+    "maximum": number_rule(lambda value, wanted: value <= wanted),
+    "exclusiveMinimum": number_rule(lambda value, wanted: value > wanted),
+    "minLength": size_rule(str, lambda size, wanted: size >= wanted),
+    "maxLength": size_rule(str, lambda size, wanted: size <= wanted),
+    "minItems": size_rule(list, lambda size, wanted: size >= wanted),
+    "maxItems": size_rule(list, lambda size, wanted: size <= wanted),
+}
