Answers without a length: an orderly close ends them, a reset cuts them

Every body without a length was taken for cut, so that such an answer never served anybody, and what may not repeat ended with 502 after it had run. Ruled out: taking any end for complete (a reset stays a cut, as does a close within a head, within a length or under another id). Change: an orderly close of the connection ends a body without a length; the connection is closed. The state machine of connections sends such answers too. Before: test_a_body_without_a_length_is_whole_once_its_connection_was_closed failed.

--- a/quillring/kernel/http_client.py
+++ b/quillring/kernel/http_client.py
@@ -91,7 +91,7 @@
     def read(self):
         """Read once from the connection and parse it; BackendError at its end.
 
-        A body that only the connection's end would end can't be told from one that was cut short.
+        A body without a length is whole once its replica closed the connection; a reset is none.
         Bytes that are no answer take nothing from a whole one that came before them.
         """
         try:
@@ -99,7 +99,8 @@
         except OSError as error:
             raise BackendError(reason=type(error).__name__) from error
         if not data:
-            raise BackendError(reason="broken off" if self.is_framed else "no end to see")
+            self.take_close()
+            return
         self.has_bytes = True
         try:
             self.connection.parser.feed_data(data)
@@ -108,6 +109,12 @@
                 raise BackendError(reason="no answer") from error
             self.has_surplus = True
 
+    def take_close(self):
+        """Take the orderly close of the connection: the end of a body without a length."""
+        if self.is_framed or not self.is_ours:
+            raise BackendError(reason="broken off")
+        self.is_whole, self.is_kept = True, False
+
     def write_until(self, end_time):
         """Write the request; NotSent where a process that stood still comes too late for it."""
         seconds = end_time - time.monotonic()
--- a/tests/test_connection_machine.py
+++ b/tests/test_connection_machine.py
@@ -82,6 +82,14 @@
         if exchange := self.pick(number):
             exchange.sock.put(exchange.answer(is_chunked), cuts)
 
+    @rule(number=NUMBER, cuts=CUTS)
+    def answer_without_a_length(self, number, cuts):
+        if exchange := self.pick(number):
+            head, _, body = exchange.answer().partition(b"\r\n\r\n")
+            lines = [line for line in head.split(b"\r\n") if not line.startswith(b"Content-")]
+            exchange.sock.put(b"\r\n".join(lines) + b"\r\n\r\n" + body, cuts)
+            exchange.sock.arrived.append(END)
+
     @rule(number=NUMBER, former=NUMBER, cuts=CUTS)
     def send_surplus(self, number, former, cuts):
         """A late copy of an answer that was given on this connection before."""
--- /dev/null
+++ b/tests/test_unframed.py
@@ -0,0 +1,54 @@
+"""Answers without a length: the orderly end of their connection ends them, a reset cuts them."""
+
+import pytest
+
+from proving.fake_wire import RESET, FakeWire
+from quillring.kernel.effects import SendOn
+from quillring.kernel.errors import BackendError
+from quillring.kernel.http_client import send_on
+from tests.scripted_peer import ID_HEADER, ScriptedPeer, answer, answers, ask, read_body, request
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nthe body"
+
+
+def test_a_body_without_a_length_is_whole_once_its_connection_was_closed():
+    peer = ScriptedPeer(answers(UNFRAMED), answers(answer(b"b", b"2")))
+    assert [ask(peer, "a"), ask(peer, "b")] == [b"the body", b"2"]
+    assert peer.connections == 2
+
+
+@pytest.mark.parametrize("length", range(len(UNFRAMED) - len(b"the body"), len(UNFRAMED) + 1))
+def test_a_body_without_a_length_is_not_whole_where_its_connection_was_reset(length):
+    wire = FakeWire()
+    wire.start()
+    try:
+        handle = send_on(SendOn(("10.0.0.1", 1), request(b"a"), 5, False, (ID_HEADER, "a")))
+        wire.sockets[0].put(UNFRAMED[:length])
+        wire.sockets[0].arrived.append(RESET)
+        with pytest.raises(BackendError):
+            read_body(handle)
+    finally:
+        wire.stop()
+
+
+@pytest.mark.parametrize("length", range(len(UNFRAMED) - len(b"\r\nthe body")))
+def test_a_head_that_is_cut_by_a_close_is_no_answer(length):
+    peer = ScriptedPeer(answers(UNFRAMED[:length]))
+    with pytest.raises(BackendError):
+        ask(peer, "a", False)
+
+
+def test_a_body_without_a_length_under_another_id_is_no_answer():
+    peer = ScriptedPeer(answers(UNFRAMED.replace(b"X-Id: a", b"X-Id: b")))
+    with pytest.raises(BackendError):
+        ask(peer, "a", False)
+
+
+def test_a_body_with_a_length_is_not_whole_where_a_close_cut_it():
+    for text in (
+        answer(b"a", b"body")[:-1],
+        UNFRAMED.replace(b"X-Id", b"Content-Length: 9\r\nX-Id"),
+    ):
+        peer = ScriptedPeer(answers(text))
+        with pytest.raises(BackendError):
+            ask(peer, "a", False)
