Gone clients: one that closes is seen also behind an upgrade or what is no request

Cause: once a client had sent an upgrade or bytes that are no request, its connection was not read any more, so that nobody saw it close: the request before went on at its replica to the end. Change: what follows is read past until the client closes; then the work for it ends.

--- a/quillring/kernel/raw_connection.py
+++ b/quillring/kernel/raw_connection.py
@@ -57,11 +57,21 @@
     def read_all(self):
         """Read until the client closes; then whatever is under way for it ends."""
         end = self._read_to_end()
-        self.is_gone = end is CLIENT_GONE
         self.requests.put(end)
-        if self.handler is not None and self.is_gone:
+        if end is not CLIENT_GONE:
+            self._wait_for_close()
+        self.is_gone = True
+        if self.handler is not None:
             self.handler.kill(block=False)
 
+    def _wait_for_close(self):
+        """Read past what is no request until the client closes."""
+        try:
+            while self.sock.recv(READ_SIZE):
+                pass
+        except OSError:
+            return
+
     def _read_to_end(self):
         """Return why nothing more is read: CLIENT_GONE, NO_UPGRADE or what the client did wrong."""
         try:
--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,91 @@
+"""What a client leaves behind that goes away: no sending, no connection, no place."""
+
+import gevent
+import pytest
+
+from proving.scripted import BREAK, END, SILENT, STALE
+from quillring.forward.serve import serve as serve_forward
+from quillring.kernel.effects import Emit
+from quillring.kernel.errors import BackendError, QuillringError
+from tests.forward_stage import HEAD, PLAIN_HEAD, both, event, make, request
+from tests.test_raw_clients import Stream
+from tests.test_raw_server import Client, serve  # noqa: F401
+
+SHED = [(0.01, (503, {"x-inquiry": "q1", "x-not-run": "1"}))]
+CUT = [HEAD, (0.01, event(0) + b"id: 1\nda"), (0.01, BREAK)]
+WAYS = {
+    "whole": ("repeatable", [[PLAIN_HEAD, (0.01, b"o"), (0.01, b"k"), (0, END)]]),
+    "silent": ("repeatable", [[(9, SILENT)]]),
+    "between tries": ("repeatable", [[PLAIN_HEAD, (0.01, BREAK)]]),
+    "dead connection": ("repeatable", [[(0, STALE)], [PLAIN_HEAD, (0.01, b"ok"), (0, END)]]),
+    "refused": ("repeatable", [SHED]),
+    "resumed stream": ("stream", [CUT]),
+    "stalled stream": ("stream", [[HEAD, (0.01, event(0)), (9, SILENT)]]),
+    "no replica": ("stream", []),
+}
+
+
+def run_until(world, script, stop_at):
+    """Run a script up to an effect; return True where it came that far."""
+    value, error = None, None
+    for count in range(stop_at + 1):
+        try:
+            effect = script.throw(error) if error else script.send(value)
+        except (StopIteration, QuillringError):
+            return False
+        value, error = None, None
+        if count == stop_at:
+            return True
+        try:
+            value = world.perform(effect)
+        except BackendError as raised_error:
+            error = raised_error
+    return False
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_client_that_leaves_at_any_moment_leaves_no_connection_and_no_place(way):
+    kind, steps = WAYS[way]
+    for stop_at in range(200):
+        answers = both(*steps) if steps else {}
+        world, node = make(answers, kind=kind, rounds=2, replicas=2 if steps else 0)
+        sent = request()
+        forward = node.find("forwards").find("h", sent.target)
+        script = serve_forward(node, forward, sent, node.now())
+        came_so_far = run_until(world, script, stop_at)
+        script.close()
+        assert all(handle.is_closed for handle in world.handles)
+        assert all(view.in_flight == 0 for view in node.find("placement").views.values())
+        assert all(view.reading == 0 for view in node.find("placement").views.values())
+        if not came_so_far:
+            break
+    assert not came_so_far and stop_at > 0
+
+
+@pytest.mark.parametrize(
+    "behind",
+    [b"", b"Connection: Upgrade\r\nUpgrade: x\r\n", b"NONSENSE"],
+    ids=["nothing", "an upgrade", "what is no request"],
+)
+def test_a_client_that_closes_ends_its_work_whatever_it_sent_behind(serve, behind):  # noqa: F811
+    stream = Stream()
+    client = Client(serve(stream.handle))
+    is_header = behind.endswith(b"\r\n")
+    client.send(b"GET /stream HTTP/1.1\r\nHost: h\r\n" + (behind if is_header else b"") + b"\r\n")
+    assert stream.has_begun.wait(5)
+    if not is_header:
+        client.send(behind + b"\r\n\r\n" if behind else b"")
+    for _ in range(20):
+        gevent.idle()
+    client.sock.close()
+    assert stream.has_ended.wait(5)
+
+
+def test_what_came_before_no_request_is_still_answered(serve):  # noqa: F811
+    def handle(node, raw):
+        yield Emit((200, [], b"one"))
+
+    client = Client(serve(handle))
+    client.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\nNONSENSE\r\n\r\n")
+    answer = client.read()
+    assert answer.startswith(b"HTTP/1.1 200") and b"HTTP/1.1 400" in answer
