Histories: rare moments in which five guards would show, chosen by what happens

Faults at random times hardly ever meet the milliseconds that matter, and where they did, two things hid them: orders of other operators with unknown outcomes about the same zone explain nearly everything, and after a freeze the scripts of a process went on in the order in which they had stopped, so that the read came last each time. Ruled out: a checker too weak (each history that was looked at had an order that explains it). Change: three moments a run, of five kinds: power lost at the instant of an answer while disks are slow; an order whose first copy comes after its end; a read as the first thing that an owner finds when it wakes, after a change elsewhere; a lot handed in again after its results were read; a read from the stores and reads at the owner while the answers to its entry are held. Each has a zone of its own. A way of the simulated network can hold frames until an event. Scripts go on in a drawn order after a freeze. No guard is touched. Conclusion: moments belong to the workload; more faults at random times don't replace them.

--- a/proving/histories/calls.py
+++ b/proving/histories/calls.py
@@ -83,15 +83,15 @@
     }
 
 
-def make_script(stage, node, target, order):
-    """Return the script that sends an order at a node."""
+def make_script(stage, node, target, order, seconds=TRY_SECONDS):
+    """Return the script that sends an order at a node, which tries it for so many seconds."""
     ownership, name = node.find("ownership"), target.partition("/")[2]
     match order:
         case Adopt():
             command = command_of(order, f"{node.world.random.getrandbits(96):024x}")
-            return ownership.submit(CONFIG, command, TRY_SECONDS)
+            return ownership.submit(CONFIG, command, seconds)
         case FetchConfiguration():
-            return ownership.read(CONFIG, {"ask": "edition"}, TRY_SECONDS)
+            return ownership.read(CONFIG, {"ask": "edition"}, seconds)
         case MarkZone():
             command = {
                 "do": "domain.mark",
@@ -99,12 +99,12 @@
                 "emptied": order.is_emptied,
                 "nodes": False,
             }
-            return submit_order(node, command, TRY_SECONDS)
+            return submit_order(node, command, seconds)
         case RetireStore():
-            return retire_store(node, order.store, TRY_SECONDS)
+            return retire_store(node, order.store, seconds)
         case RestoreStore():
             command = {"do": "store.mark", "store": order.store, "retired": False}
-            return submit_order(node, command, TRY_SECONDS)
+            return submit_order(node, command, seconds)
         case AcceptLot():
             items = stage.items(name, order.digest, order.count)
             return raw_front.accept_raw_lot(node, FORWARD, name, items)
@@ -143,12 +143,12 @@
     return ResultsSeen(value["items"], rows)
 
 
-def parts_of_fetch(value, error):
+def parts_of_fetch(value, error, zones=ZONES):
     """Return [(object, order, answer)] that one read of the configuration part tells."""
     orders = [
         (CONFIGURATION, FetchConfiguration()),
         (STORES, ReadStores()),
-        *((f"zone/{zone}", ReadZone()) for zone in ZONES),
+        *((f"zone/{zone}", ReadZone()) for zone in zones),
     ]
     if error is not None or value is None:
         answer = answer_of(FetchConfiguration(), value, error)
@@ -157,10 +157,10 @@
     forwards, marks = layout.get("forwards") or {}, layout.get("stores") or {}
     items = tuple(sorted((n, f["hold_ms"]) for n, f in forwards.items() if n != FORWARD))
     retired = tuple(sorted(name for name, mark in marks.items() if mark.get("retired")))
-    zones = layout.get("domains") or {}
+    marked = layout.get("domains") or {}
     answers = [
         ConfigurationSeen(value["edition"], items),
         StoresSeen(retired),
-        *(ZoneSeen(bool(zones.get(zone, {}).get("emptied"))) for zone in ZONES),
+        *(ZoneSeen(bool(marked.get(zone, {}).get("emptied"))) for zone in zones),
     ]
     return [(*row, answer) for row, answer in zip(orders, answers, strict=True)]
--- a/proving/histories/clients.py
+++ b/proving/histories/clients.py
@@ -1,6 +1,7 @@
 """The clients of a recorded run: operators and clients of lots, many calls under way at once."""
 
 from proving.histories.calls import (
+    TRY_SECONDS,
     ZONES,
     answer_of,
     make_script,
@@ -57,19 +58,19 @@
             return self.stage.sim.nodes[self.chance.choice(names)]
         return self.stage.sim.nodes[self.chance.choice(up_names)]
 
-    def send(self, target, order, node=None, patience=PATIENCE):
+    def send(self, target, order, node=None, patience=PATIENCE, seconds=TRY_SECONDS):
         """Process: send an order once and record it; return its answer.
 
-        `patience` are the least and the most seconds that the client waits.
+        `patience` are the least and the most seconds that the client waits, `seconds` those for
+        which the node tries.
         """
         node, begin = node or self.pick_node(), self.env.now
-        process = self.env.process(
-            self.stage.sim.run_script(node, make_script(self.stage, node, target, order))
-        )
+        script = make_script(self.stage, node, target, order, seconds)
+        process = self.env.process(self.stage.sim.run_script(node, script))
         yield process | self.env.timeout(self.chance.uniform(*patience))
         outcome = self.outcome_of(process, node)
         if isinstance(order, FetchConfiguration):
-            answers = parts_of_fetch(*(outcome or (None, None)))
+            answers = parts_of_fetch(*(outcome or (None, None)), self.stage.zones)
             for part_target, part_order, answer in answers:
                 self.stage.record(self.name, node.me.name, part_target, part_order, begin, answer)
             return answers[0][2]
--- a/proving/histories/faults.py
+++ b/proving/histories/faults.py
@@ -51,7 +51,7 @@
         self.sim.history.mark("cut healed")
         self.sim.net.cuts -= added
 
-    def _owner_name(self):
+    def owner_name(self):
         """Return the core that owns the configuration part, as some edge heard it."""
         edges = self.sim.up_nodes("edge") or list(self.sim.nodes.values())
         news = self.sim.chance.choice(edges).find("gossip").get("owner/config") or {}
@@ -59,7 +59,7 @@
 
     def cut_owner(self):
         """The configuration's owner is cut off from everything but some nodes."""
-        owner = self._owner_name()
+        owner = self.owner_name()
         others = [name for name in sorted(self.sim.nodes) if name != owner]
         kept = self.sim.chance.randrange(len(others) // 2)
         both_ways = self.sim.chance.random() < 0.5
@@ -69,21 +69,29 @@
 
     def freeze_owner(self):
         """The configuration's owner freezes and wakes; at times without any news of meanwhile."""
-        name, seconds = self._owner_name(), self.sim.chance.uniform(*FREEZE)
+        name, seconds = self.owner_name(), self.sim.chance.uniform(*FREEZE)
         if self.sim.is_up(self.sim.nodes[name]):
             self.sim.freeze(name, seconds)
         if self.sim.chance.random() < 0.5:
             others = [other for other in sorted(self.sim.nodes) if other != name]
-            before = set(self.sim.net.cuts)
-            self.sim.cut(others, [name], both_ways=False)
-            added = self.sim.net.cuts - before
-            yield self.sim.env.timeout(seconds + DEAF_SECONDS)
-            self.sim.net.cuts -= added
+            yield from self.keep_deaf(name, others, self.sim.env.now + seconds)
         yield self.sim.env.timeout(0)
 
+    def keep_deaf(self, name, others, woken_at):
+        """Process: a frozen node hears nothing of the others until a moment after it wakes."""
+        before = set(self.sim.net.cuts)
+        self.sim.cut(others, [name], both_ways=False)
+        added = self.sim.net.cuts - before
+        yield self.sim.env.timeout(woken_at - self.sim.env.now + DEAF_SECONDS)
+        self.sim.net.cuts -= added
+
+    def bring_back(self, name, seconds):
+        """Process: a process that was killed starts again after so many seconds."""
+        yield from self._back(name, seconds)
+
     def restart_owner(self):
         """The configuration's owner dies and is back at once; copies for its former life come."""
-        name = self._owner_name()
+        name = self.owner_name()
         if self.sim.is_up(self.sim.nodes[name]):
             self.sim.kill(name)
             yield from self._back(name, self.sim.chance.uniform(0.1, 1.0))
--- a/proving/histories/run.py
+++ b/proving/histories/run.py
@@ -8,6 +8,7 @@
 from proving.histories.clients import LotClient, Operator
 from proving.histories.faults import LATE_COPY_SHARE, LATE_SHARE, HistoryFaults
 from proving.histories.models import model_of
+from proving.histories.moments import MOMENTS, Moments
 from proving.histories.operations import (
     CONFIGURATION,
     Adopt,
@@ -23,7 +24,7 @@
 
 PROGRAM = "program"
 OPERATORS, LOT_CLIENTS = 5, 2
-FAULTS = 7
+FAULTS, MOMENTS_A_RUN = 7, 3
 FAULTS_FROM, CALLS_UNTIL, HEAL_AT, BACK_WITHIN = 2.0, 23.0, 24.0, 12.0
 
 
@@ -50,10 +51,11 @@
 class HistoryRun:
     """Plays one seed and records it."""
 
-    def __init__(self, seed, fault_count=FAULTS):
+    def __init__(self, seed, fault_count=FAULTS, moments=MOMENTS):
         self.stage = HistoryStage(seed)
         self.chance = random.Random(f"clients {seed}")
         self.fault_count = fault_count
+        self.moments = moments
         self.counts, self.values, self.lots = {}, 0, 0
         self.findings = []
 
@@ -90,6 +92,7 @@
         sim.net.late_copy_share, sim.net.late_share = LATE_COPY_SHARE, LATE_SHARE
         faults = HistoryFaults(sim)
         env.process(faults.run(FAULTS_FROM, HEAL_AT, self.fault_count))
+        env.process(Moments(self, faults, self.moments).play(MOMENTS_A_RUN))
         workers = [
             *(Operator(self, f"operator {n}") for n in range(OPERATORS)),
             *(LotClient(self, f"client {n}") for n in range(LOT_CLIENTS)),
@@ -168,10 +171,10 @@
     )
 
 
-def run_seed(seed, fault_count=FAULTS):
-    """Play and judge one seed."""
+def run_seed(seed, fault_count=FAULTS, moments=MOMENTS):
+    """Play and judge one seed, with moments of the named kinds."""
     start_time = time.perf_counter()
-    run = HistoryRun(seed, fault_count)
+    run = HistoryRun(seed, fault_count, moments)
     history = run.play()
     findings, undecided, configurations = judge(history)
     return Result(
--- a/proving/histories/stage.py
+++ b/proving/histories/stage.py
@@ -1,5 +1,6 @@
 """The fleet that histories are recorded on: small, founded, with a route of lots."""
 
+from proving.histories.calls import ZONES
 from proving.histories.operations import Done, History, Operation, Snapshot, Unknown
 from proving.sim.fleet import SimFleet
 from proving.sim.raw_replicas import RawBackends, RawReplica, RawWorld
@@ -13,10 +14,20 @@
 ITEM_TOKENS = 10
 
 
+class HistoryWorld(RawWorld):
+    """A process whose scripts go on in any order after a freeze, as loops of events have it."""
+
+    def thaw(self):
+        """Wake a frozen process; its scripts go on in an order that is drawn."""
+        if self.thaw_event is not None:
+            self.random.shuffle(self.thaw_event.callbacks)
+        super().thaw()
+
+
 class HistoryFleet(SimFleet):
     """A simulated fleet whose processes speak to raw replicas."""
 
-    world_class = RawWorld
+    world_class = HistoryWorld
 
 
 class HistoryStage:
@@ -28,6 +39,7 @@
         self.env, self.chance = self.sim.env, self.sim.chance
         self.replicas, self.counts = {}, {}
         self.arrivals, self.whole_runs = [], []
+        self.zones = [*ZONES]
         self.sim.backends.raw = RawBackends(self)
         self.history = History(seed)
         self.sim.start_all()
--- a/proving/sim/net.py
+++ b/proving/sim/net.py
@@ -17,6 +17,7 @@
         self.late_copy_share = 0.0
         self.late_share = 0.0
         self.longest_hold = LONGEST_HOLD
+        self.held_ways = {}
         self.late_packets = 0
         self.min_delay, self.max_delay = 0.0005, 0.003
         self.carried = 0
@@ -35,9 +36,17 @@
         if both_ways:
             self.cuts.add((target, home))
 
+    def hold_way(self, home, target, end_time, release_event):
+        """Hold the frames that are sent on a way until `end_time`; they come after the event.
+
+        So does a connection that stalls while datagrams and later connections pass.
+        """
+        self.held_ways[home, target] = (end_time, release_event)
+
     def heal(self):
-        """Heal every cut and stop losing, doubling and reordering."""
+        """Heal every cut and stop losing, doubling, reordering and holding."""
         self.cuts.clear()
+        self.held_ways.clear()
         self.loss_share = self.double_share = self.reorder_share = 0.0
         self.late_copy_share = self.late_share = 0.0
 
@@ -64,6 +73,8 @@
         if self._is_drawn(self.late_share):
             self._hold(home, target, data, kind)
             return
+        if kind == "frame" and self._is_held(home, target, data):
+            return
         if not self.passes(home, target) or self.chance.random() < self.loss_share:
             return
         copies = 2 if self.chance.random() < self.double_share else 1
@@ -78,6 +89,14 @@
         """Tell whether a rare thing happens; a share of zero takes nothing from the chance."""
         return share > 0 and self.chance.random() < share
 
+    def _is_held(self, home, target, data):
+        """Hold a frame if its way holds frames now; tell whether it was."""
+        end_time, release_event = self.held_ways.get((home, target), (0, None))
+        if self.env.now >= end_time or release_event.processed:
+            return False
+        release_event.callbacks.append(lambda _: self._arrive(home, target, data, "frame"))
+        return True
+
     def _hold(self, home, target, data, kind):
         """Deliver a packet after it was held for up to `longest_hold` seconds."""
         self.late_packets += 1
