Local fleet: a port chosen for a process stays its own until the fleet ends

Cause: the aid asked the system for a free port, let go of it, and the process bound it seconds later, or again after a restart; between, the system may hand it to another fleet on the same loopback hosts. The process that came second ended with "Address already in use" and was not started again. Ruled out: clashes with outgoing connections; these leave from 127.0.0.1, nodes have other hosts. Change: each port is held by a socket that is bound and never listens, which servers that allow the reuse of their address can share and nobody else is given. The ports are let go in `stop_all`.

--- a/proving/localfleet.py
+++ b/proving/localfleet.py
@@ -5,12 +5,12 @@
 import pathlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import time
 
 from proving.callers import ask
+from proving.held_ports import HeldPorts
 
 
 class LocalFleet:
@@ -26,6 +26,7 @@
         self.full_file = self.run_folder / "full.json"
         self.full_file.write_text("[]")
         self.processes = {}
+        self.ports = HeldPorts()
         rows = [json.loads(p.read_text()) for p in sorted(self.example.glob("settings/*.json"))]
         self.settings = {row["name"]: row for row in rows if only is None or row["name"] in only}
         replica_rows = json.loads((self.example / "replicas.json").read_text())
@@ -42,7 +43,7 @@
         for row in [*self.settings.values(), *self.replicas.values()]:
             for field in ("address", "http_address"):
                 if field in row:
-                    moved[row[field]] = free_address(row[field].rsplit(":", 1)[0])
+                    moved[row[field]] = self.ports.take(row[field].rsplit(":", 1)[0])
                     row[field] = moved[row[field]]
         for row in self.settings.values():
             row["seeds"] = [moved[seed] for seed in row["seeds"] if seed in moved] or [
@@ -128,12 +129,13 @@
         fresh_file.replace(self.full_file)
 
     def stop_all(self):
-        """End everything that still runs."""
+        """End everything that still runs, and let go of the ports."""
         for process in self.processes.values():
             process.kill()
         for process in self.processes.values():
             process.wait()
         self.processes = {}
+        self.ports.close()
 
     def wait_for(self, what, is_done, seconds=90):
         """Wait until the condition holds; a generous limit, no assertion on how long."""
@@ -184,10 +186,3 @@
         for name in self.names("edge"):
             if name in self.processes:
                 self.wait_for(f"{name} ready", lambda name=name: is_ready(name))
-
-
-def free_address(host):
-    """Return the host with a port that nobody uses now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
