Local fleet: a process that ended by itself is told at once, a wait in vain tells the answers

Cause: `wait_for` looked at no process; one that had ended, as on a port clash, was waited for 90 s, and the TimeoutError named neither its end nor what the others answered. Change: each look of `wait_for` at a condition that does not hold yet looks at the processes, too; one that was neither stopped nor killed from here raises ProcessEnded with its exit code and the end of its log and output. TimeoutError carries what each node last answered to the aid's own questions of that wait. The limits of the waits are as before. Conclusion: a fleet that can't start says why.

--- a/proving/localfleet.py
+++ b/proving/localfleet.py
@@ -12,6 +12,18 @@
 from proving.callers import ask
 from proving.held_ports import HeldPorts
 
+LAST_WORDS = 2000
+LONGEST_ANSWER = 2000
+
+
+class ProcessEnded(Exception):
+    """A process of the fleet ended though nobody here stopped it."""
+
+    def __init__(self, name, code, last_words):
+        super().__init__(f"{name} ended by itself, exit code {code}; its last words:\n{last_words}")
+        self.name = name
+        self.code = code
+
 
 class LocalFleet:
     """The processes of one deployment, each started, stopped, frozen or killed by name."""
@@ -27,6 +39,7 @@
         self.full_file.write_text("[]")
         self.processes = {}
         self.ports = HeldPorts()
+        self.answers = {}
         rows = [json.loads(p.read_text()) for p in sorted(self.example.glob("settings/*.json"))]
         self.settings = {row["name"]: row for row in rows if only is None or row["name"] in only}
         replica_rows = json.loads((self.example / "replicas.json").read_text())
@@ -137,48 +150,69 @@
         self.processes = {}
         self.ports.close()
 
+    def ask(self, name, method, path, body=None):
+        """Ask a node, and remember its answer for the report of a wait that was in vain."""
+        status, answer = ask(self.http(name), method, path, body)
+        self.answers[f"{name} {method} {path}"] = (status, answer)
+        return status, answer
+
+    def check_running(self):
+        """Raise ProcessEnded if a process ended that was neither stopped nor killed from here."""
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                raise ProcessEnded(name, process.returncode, self._last_words(name))
+
+    def _last_words(self, name):
+        paths = [self.run_folder / f"{name}{ending}" for ending in (".log", ".out")]
+        texts = [path.read_text(errors="replace") for path in paths if path.exists()]
+        return "\n".join(text[-LAST_WORDS:] for text in texts)
+
     def wait_for(self, what, is_done, seconds=90):
         """Wait until the condition holds; a generous limit, no assertion on how long."""
+        self.answers = {}
         end_time = time.monotonic() + seconds
         while not is_done():
+            self.check_running()
             if time.monotonic() > end_time:
-                raise TimeoutError(f"{what}; see {self.run_folder}")
+                raise TimeoutError(f"{what}; see {self.run_folder}{self._last_answers()}")
             time.sleep(0.1)
 
+    def _last_answers(self):
+        lines = [f"{asked}: {status} {answer}" for asked, (status, answer) in self.answers.items()]
+        return "".join(f"\n{line[:LONGEST_ANSWER]}" for line in lines)
+
     def found(self):
         """Found the fleet and apply the example layout; wait until every edge is ready."""
         cores = self.names("core")
         store_count = len(self.names("store"))
 
         def knows_stores():
-            status, answer = ask(self.http(cores[0]), "GET", "/v1/members")
+            status, answer = self.ask(cores[0], "GET", "/v1/members")
             roles = [m["role"] for m in answer.get("members", ())] if status == 200 else []
             return roles.count("store") == store_count
 
         self.wait_for("stores known", knows_stores)
         self.wait_for(
-            "founded", lambda: ask(self.http(cores[0]), "POST", "/v1/found", {"parts": 4})[0] == 200
+            "founded", lambda: self.ask(cores[0], "POST", "/v1/found", {"parts": 4})[0] == 200
         )
         layout = json.loads((self.example / "layout.json").read_text())
         body = {"base_version": 0, "layout": layout, "whole": True, "id": "first"}
-        self.wait_for(
-            "layout", lambda: ask(self.http(cores[0]), "PUT", "/v1/layout", body)[0] == 200
-        )
+        self.wait_for("layout", lambda: self.ask(cores[0], "PUT", "/v1/layout", body)[0] == 200)
         self.wait_ready()
 
     def wait_whole(self):
         """Wait until every part has three stores that hold everything."""
-        edge = self.http(self.names("edge")[0])
-        self.wait_for("whole", lambda: ask(edge, "GET", "/v1/whole")[1].get("is_whole"))
+        edge = self.names("edge")[0]
+        self.wait_for("whole", lambda: self.ask(edge, "GET", "/v1/whole")[1].get("is_whole"))
 
     def wait_ready(self):
         """Wait until every running edge is ready and knows every running replica."""
         running_replicas = {n for n in self.replicas if n in self.processes}
 
         def is_ready(name):
-            if ask(self.http(name), "GET", "/v1/ready")[0] != 200:
+            if self.ask(name, "GET", "/v1/ready")[0] != 200:
                 return False
-            _, answer = ask(self.http(name), "GET", "/v1/replicas")
+            _, answer = self.ask(name, "GET", "/v1/replicas")
             return running_replicas <= {
                 r["name"] for r in answer.get("replicas", ()) if r["may_get_work"]
             }
--- a/tests/test_local_fleet.py
+++ b/tests/test_local_fleet.py
@@ -1,10 +1,11 @@
 import errno
+import signal
 import socket
 
 import pytest
 
 from proving.callers import ask
-from proving.localfleet import LocalFleet
+from proving.localfleet import LocalFleet, ProcessEnded
 from quillring.kernel.settings import split_address
 
 
@@ -30,3 +31,33 @@
         with socket.create_connection(split_address(edge.settings["edge-2"]["address"])) as link:
             assert link.getpeername() == split_address(edge.settings["edge-2"]["address"])
         edge.kill("edge-2")
+
+
+def test_a_process_that_ended_by_itself_is_told_with_its_code_and_last_words(edge):
+    with socket.socket() as other:
+        other.bind(("127.0.41.10", 0))
+        other.listen()
+        row = edge.settings["edge-2"]
+        row["http_address"] = "{}:{}".format(*other.getsockname())
+        edge.start("edge-2")
+        with pytest.raises(ProcessEnded) as told:
+            edge.wait_for("never", lambda: False)
+    assert told.value.name == "edge-2" and told.value.code == 3
+    assert "Address already in use" in str(told.value)
+
+
+def test_a_process_that_ended_is_told_even_if_others_are_waited_for(edge):
+    edge.start("edge-2")
+    edge.signal("edge-2", signal.SIGKILL)
+    with pytest.raises(ProcessEnded, match="edge-2 ended by itself, exit code -9"):
+        edge.wait_ready()
+
+
+def test_a_wait_that_was_in_vain_tells_what_each_node_last_answered(edge):
+    edge.start("edge-2")
+    edge.wait_for("alive", lambda: edge.ask("edge-2", "GET", "/v1/alive")[0] == 200)
+    with pytest.raises(TimeoutError) as told:
+        edge.wait_for("ready", lambda: edge.ask("edge-2", "GET", "/v1/ready")[0] == 200, 0)
+    text = str(told.value)
+    assert "ready" in text and "edge-2 GET /v1/ready: 503" in text and "no fresh word" in text
+    assert "/v1/alive" not in text
