Model: swaps in one entry, the vote of the seeds, and phase one in a new group

Cause: no world held an entry that swaps a member at once, as repair makes it, and none the vote of the seeds at the first start; the checker could not tell whether an owner asks a new group before it proposes there. The reason: an owner that decides a change from its own queue has asked the group that decides it, so no lower ballot can have got beyond that entry; a new owner that finds the change asks the new group in `take`. Change: worlds `swap`, `swaps` and `electing`; the rule that the very group which decides an entry promised its ballot before, watched from outside the owner; five seeded bugs with their traces.

--- a/proving/model/bugs.py
+++ b/proving/model/bugs.py
@@ -11,7 +11,9 @@
 import quillring.quorum.record as record_module
 from proving.model.errors import UnknownName
 from proving.model.patches import all_of, around, without_sync
+from proving.model.phase_bugs import skip_promise_again, stay_in_phase_two
 from proving.model.store_machine import as_script
+from proving.model.vote_bugs import accept_below_vote, tell_no_record, vote_in_memory
 from quillring.quorum import commands, rounds
 from quillring.quorum.commands import COMMANDS
 from quillring.quorum.owner import Owner
@@ -193,6 +195,9 @@
 ONE_PEEK = {"takes": 0, "submits": 1, "late_answers": 0, "delays": 0}
 ONE_ENTRY = {"takes": 0, "peeks": 0, "switches": 0}
 TWO_FOUNDERS = {"foundings": 2, "crashes": 0, "holds": 0, "timers": 0, "late_answers": 0}
+ONE_SWAP = {"switches": 1}
+TWO_VOTES = {"foundings": 2, "crashes": 0, "timers": 0, "late_answers": 0, "switches": 3}
+ONE_RESTART = {**TWO_VOTES, "crashes": 1, "delays": 1, "switches": 1}
 
 BUGS = {
     "accept-below-promise": Bug(accept_below_promise, "takeover", {}),
@@ -211,6 +216,11 @@
     "decide-alone": Bug(decide_alone, "takeover", {}),
     "read-without-fence": Bug(read_without_fence, "reads", ONE_READ),
     "take-second-founding": Bug(take_second_founding, "founding", TWO_FOUNDERS),
+    "skip-promise-again": Bug(skip_promise_again, "swap", ONE_SWAP),
+    "stay-in-phase-two": Bug(stay_in_phase_two, "swap", ONE_SWAP),
+    "vote-in-memory": Bug(vote_in_memory, "electing", ONE_RESTART),
+    "accept-below-vote": Bug(accept_below_vote, "electing", {**TWO_VOTES, "delays": 0}),
+    "tell-no-record": Bug(tell_no_record, "electing", {**TWO_VOTES, "delays": 0}),
 }
 
 
--- a/proving/model/core_machine.py
+++ b/proving/model/core_machine.py
@@ -4,10 +4,12 @@
 
 from proving.model.events import Acknowledged, Established, Founded, ReadBegan, ReadEnded
 from proving.model.machines import Machine, applied_event, digest_state
+from proving.model.watched_owner import WatchedOwner
 from quillring.kernel.errors import NotOwner, QuillringError
+from quillring.quorum.electing import Elector, agree
 from quillring.quorum.founding import found_fleet
-from quillring.quorum.owner import Owner
 from quillring.quorum.peek import peek
+from quillring.quorum.swap import submit_first
 
 CONFIGURATION = {"ask": "layout"}
 
@@ -53,13 +55,14 @@
         """Start again with nothing."""
         self.start()
         self.node.offer("gossip", News())
+        self.node.offer("elector", Elector(self.node))
         self.owner, self.busy, self.told = None, set(), None
 
     def on_take(self, step_input):
         """Begin a new term, as ownership does for a part that ranks this core first."""
         former = self.owner
         group = [list(store) for store in self.model.group] if former is None else former.group
-        self.owner = Owner(self.node, self.model.part, group, former)
+        self.owner = WatchedOwner(self.node, self.model.part, group, former)
         self.busy.add("take")
         self.world.spawn(self.owner.take(), "take", self._end_take)
 
@@ -74,9 +77,15 @@
         self.owner.step_down(NotOwner(part=self.model.part))
 
     def on_submit(self, step_input):
-        """Commit an operator's command in the part owned here; `subject` is (operator, place)."""
+        """Commit an operator's command in the part owned here; `subject` is (operator, place).
+
+        Several commands of one entry are put before all else, as repair does with a swap.
+        """
         operator, place = step_input.subject
         command, owner = self.model.operators[operator][place], self.owner
+        if isinstance(command, tuple):
+            self._submit_swap(operator, command)
+            return
 
         def on_end(outcome):
             if isinstance(outcome, dict):
@@ -87,6 +96,16 @@
 
         self.world.spawn(owner.submit(command), f"submit {operator}", on_end)
 
+    def _submit_swap(self, operator, commands):
+        owner = self.owner
+
+        def on_end(outcome):
+            if not isinstance(outcome, QuillringError):
+                event = Acknowledged(tuple(owner.ballot), owner.index, operator, None, None)
+                self.events.append(event)
+
+        self.world.spawn(submit_first(owner, list(commands)), f"submit {operator}", on_end)
+
     def on_read(self, step_input):
         """Read the state under the owner's fence."""
         reader = self._begin_read("read")
@@ -131,17 +150,23 @@
             if isinstance(outcome, dict):
                 self.events.append(Founded(outcome["fleet"]))
 
-        self.world.spawn(
-            found_fleet(self.node, 1, 3, [list(store) for store in self.model.group]),
-            "found",
-            on_end,
-        )
+        stores = [list(store) for store in self.model.group]
+        choose = self._choose if self.model.seeds else None
+        self.world.spawn(found_fleet(self.node, 1, 3, stores, choose), "found", on_end)
+
+    def _choose(self, node, founding):
+        """Script: have the seeds agree on a record; what they chose is founded for good."""
+        chosen = yield from agree(node, founding)
+        self.events.append(Founded(chosen["fleet"]))
+        return chosen
 
     def observe(self):
         """Tell the state that this core's owner holds, once for each index."""
         owner = self.owner
         if owner is None or owner.state is None:
             return
+        self.events.extend(owner.unasked)
+        owner.unasked.clear()
         key = (tuple(owner.ballot), owner.index)
         if key != self.told:
             self.told = key
@@ -156,4 +181,5 @@
     def form(self):
         """Return the digest of the owner, its scripts and calls under way."""
         known = self.node.find("gossip").known
-        return super().form(self.starts, self.owner, self.busy, known, self.told)
+        attempt = self.node.find("elector").attempt
+        return super().form(self.starts, self.owner, self.busy, known, self.told, attempt)
--- a/proving/model/events.py
+++ b/proving/model/events.py
@@ -18,6 +18,13 @@
     index: int
 
 
+class ProposedUnasked(NamedTuple):
+    """An owner proposed an entry to a group that phase one had not asked under its ballot."""
+
+    ballot: tuple
+    index: int
+
+
 class Acknowledged(NamedTuple):
     """An operator's command was confirmed by the owner of this ballot."""
 
--- a/proving/model/invariants.py
+++ b/proving/model/invariants.py
@@ -15,6 +15,7 @@
 ONE_SWAP = "one entry lets one store join a group and one leave at most"
 OWN_VOTE = "an emptied store never votes for its former self"
 ONE_FOUNDING = "a fleet is founded once"
+PHASE_ONE = "the very group that decides an entry promised its ballot before"
 ALL = (
     ONE_VALUE,
     NEVER_LOST,
@@ -25,6 +26,7 @@
     ONE_SWAP,
     OWN_VOTE,
     ONE_FOUNDING,
+    PHASE_ONE,
 )
 
 
@@ -151,6 +153,11 @@
     raise broken(OWN_VOTE, store=event.store, service=event.service)
 
 
+def note_unasked(memory, event):
+    """Every group has to be asked for what lower ballots may have left there."""
+    raise broken(PHASE_ONE, ballot=event.ballot, index=event.index)
+
+
 def note_founded(memory, event):
     """All founders have to be told of the same fleet."""
     fleets = memory.fleets | {event.fleet}
@@ -167,4 +174,5 @@
     events.ReadEnded: note_read_ended,
     events.WrongVote: note_wrong_vote,
     events.Founded: note_founded,
+    events.ProposedUnasked: note_unasked,
 }
--- a/proving/model/locals.py
+++ b/proving/model/locals.py
@@ -22,6 +22,7 @@
     part: str
     group: tuple
     founding: dict
+    seeds: tuple
     operators: dict
     durable_forms: dict
 
@@ -47,7 +48,7 @@
             "size": world.members,
         }
         names = (*world.core_names, *world.store_names)
-        self.setting = Setting(names, world.part, group, founding, world.operators, {})
+        self.setting = Setting(names, world.part, group, founding, world.seeds, world.operators, {})
         self.numbers = {}
         self.states = []
         self.steps = {}
--- a/proving/model/machines.py
+++ b/proving/model/machines.py
@@ -30,9 +30,10 @@
 class PeerTable:
     """Stands for the peer layer: everybody is a member and in reach; messages are collected."""
 
-    def __init__(self, world, members):
+    def __init__(self, world, members, seeds=()):
         self.world = world
-        self.roster = Members(members)
+        self.seeds = tuple((name, 0) for name in seeds)
+        self.roster = Members(members, {seed: seed[:1] for seed in self.seeds})
         self.level = 1 << 10
 
     def send(self, target, message):
@@ -48,6 +49,7 @@
     """The roster as its users read it."""
 
     members: dict
+    addresses: dict
 
 
 def make_member(name, incarnation, identity=""):
@@ -83,7 +85,7 @@
         self.world = ScriptWorld(f"{self.name}#{self.starts}")
         self.node = Node(make_member(self.name, self.starts, identity), self.world)
         members = {name: make_member(name, 1) for name in self.model.names}
-        self.node.offer("nifty", PeerTable(self.world, members))
+        self.node.offer("nifty", PeerTable(self.world, members, self.model.seeds))
 
     def react(self, step_input):
         """Take one input; return what was sent and what happened."""
--- a/proving/model/store_machine.py
+++ b/proving/model/store_machine.py
@@ -7,6 +7,7 @@
 from proving.sim.disk import SimDisk
 from quillring.fleet import open_store
 from quillring.quorum import Acceptors
+from quillring.quorum.electing import FILES, Elector, Witness
 from quillring.store import SlotStore
 
 SYNC_SECONDS = 1.0
@@ -34,12 +35,14 @@
         self.disks = 1
         self.acceptors = None
         self.applied = {}
+        self.elector = None
         self._open()
 
     def _open(self):
         self.acceptors = open_store(self.disk, self.name, lambda: str(self.disks))
         self.start(self.acceptors.identity)
         self.acceptors.attach(self.node)
+        self._join_seeds()
         for service in OWN_IDENTITY:
             name = f"quorum.{service}"
             if name in self.node.handlers:
@@ -48,6 +51,16 @@
         self.world.run()
         self.applied = {}
 
+    def _join_seeds(self):
+        """Vote on the founding if this store is a seed; its own disk is the witness."""
+        self.elector = Elector(self.node)
+        if self.name not in self.model.seeds:
+            return
+        self.node.offer("witness", Witness(self.node, self.disk))
+        self.elector.witness = self.name
+        self.elector.is_first_start = self.starts == 1
+        self.node.spawn(self.elector.begin())
+
     def _watched(self, service, handler):
         """Return the handler with an event for an answer under another's identity."""
 
@@ -117,7 +130,11 @@
         """Return the digest of memory, durable contents and scripts under way."""
         memory = cbor2.dumps(self.acceptors.rows())
         recent = [record.recent for record in self.acceptors.parts.values()]
-        return super().form(memory, recent, self._durable_form(), self.disk.is_held, self.disks)
+        elector = self.elector
+        kept = [self.disk.durable.get(name) for name in FILES]
+        votes = (list(elector.vote), elector.is_first_start, kept)
+        durable = self._durable_form()
+        return super().form(memory, recent, durable, self.disk.is_held, self.disks, votes)
 
     def _durable_form(self):
         """Return what a start from this disk would find; folded logs of equal meaning are equal."""
--- /dev/null
+++ b/proving/model/vote_bugs.py
@@ -0,0 +1,45 @@
+"""Seeded bugs of the seeds' vote on the founding record."""
+
+from unittest import mock
+
+from proving.model.patches import all_of
+from quillring.quorum.electing import NO_BALLOT, Elector
+
+
+def vote_in_memory():
+    """A seed's vote is gone with its process, and it votes again."""
+
+    def recall(self):
+        return self.vote
+        yield
+
+    def keep(self, former, vote):
+        self.vote = vote._replace(number=former.number + 1)
+        return
+        yield
+
+    names = {"_recall": recall, "_keep": keep}
+    return all_of([mock.patch.object(Elector, name, script) for name, script in names.items()])
+
+
+def accept_below_vote():
+    """A seed accepts a record under a ballot below the one it promised."""
+    real = Elector.on_accept
+
+    def on_accept(self, body, origin):
+        vote = yield from self._recall()
+        promised = max(vote.promised, tuple(body["ballot"]))
+        return (yield from real(self, {**body, "ballot": list(promised)}, origin))
+
+    return all_of([mock.patch.object(Elector, "on_accept", on_accept)])
+
+
+def tell_no_record():
+    """A seed that promises doesn't tell the record that it accepted."""
+    real = Elector.on_prepare
+
+    def on_prepare(self, body, origin):
+        yield from real(self, body, origin)
+        return [list(NO_BALLOT), None]
+
+    return all_of([mock.patch.object(Elector, "on_prepare", on_prepare)])
--- /dev/null
+++ b/proving/model/watched_owner.py
@@ -0,0 +1,35 @@
+"""An owner that notes whether phase one asked a group before an entry is proposed there."""
+
+from proving.model.events import ProposedUnasked
+from quillring.quorum.owner import Owner
+
+
+class WatchedOwner(Owner):
+    """The production owner; `unasked` holds the events of entries that skip phase one."""
+
+    __slots__ = ("asked_ballot", "asked_groups", "unasked")
+
+    def __init__(self, node, part, group, former):
+        super().__init__(node, part, group, former)
+        self.asked_ballot, self.asked_groups = None, frozenset()
+        self.unasked = []
+
+    def _round(self, service, **body):
+        ballot, group = tuple(self.ballot), members_of(self.group)
+        replies = yield from super()._round(service, **body)
+        if service == "prepare":
+            known = self.asked_groups if ballot == self.asked_ballot else frozenset()
+            self.asked_ballot, self.asked_groups = ballot, known | {group}
+        return replies
+
+    def decide(self, batch):
+        """Script: have a majority accept the next entry, once it is noted who was asked before."""
+        ballot, group = tuple(self.ballot), members_of(self.group)
+        if ballot != self.asked_ballot or group not in self.asked_groups:
+            self.unasked.append(ProposedUnasked(ballot, self.index + 1))
+        return (yield from super().decide(batch))
+
+
+def members_of(group):
+    """Return the identities of a group's stores."""
+    return tuple(sorted(store[1] for store in group))
--- a/proving/model/worlds.py
+++ b/proving/model/worlds.py
@@ -50,6 +50,7 @@
     part: str = CONFIG
     is_founded: bool = True
     owners: tuple = ("core-1",)
+    has_seeds: bool = False
 
     @property
     def store_names(self):
@@ -61,6 +62,11 @@
         """The names of all cores."""
         return tuple(f"core-{number + 1}" for number in range(self.cores))
 
+    @property
+    def seeds(self):
+        """The nodes that vote on the founding at the first start: the stores, or none."""
+        return self.store_names if self.has_seeds else ()
+
     @property
     def all_stores(self):
         """All stores as members of a group: (name, first identity, zone)."""
@@ -89,11 +95,19 @@
     return {"do": "group.change", "group": group}
 
 
+def swap(group, joining, leaving):
+    """Return the one entry that puts a store in another's place; both are numbers."""
+    staying = [number for number in group if number != leaving]
+    return (regroup(*group, joining), regroup(*staying, joining))
+
+
 ANN = {"ann": [adopt("ann", 0, "store-8")]}
 TWO_OPERATORS = {**ANN, "bob": [adopt("bob", 0, "store-9")]}
 IN_TURN = {"ann": [adopt("ann", 0, "store-8")], "bob": [adopt("bob", 1, "store-9")]}
 MOVE = {"eve": [regroup(1, 2, 3, 4), regroup(2, 3, 4)], **ANN}
 MOVE_TWICE = {"eve": [*MOVE["eve"], regroup(2, 3, 4, 5), regroup(3, 4, 5)], **ANN}
+SWAP = {"eve": [swap((1, 2, 3), 4, 1)], **ANN}
+SWAP_TWICE = {"eve": [*SWAP["eve"], swap((2, 3, 4), 5, 2)], **ANN}
 
 WORLDS = {
     world.name: world
@@ -153,12 +167,29 @@
             "the group moves by two members; a node that knows the first group reads and takes",
             5, 3, 2, MOVE_TWICE, Bounds(takes=1, submits=5, peeks=1, switches=1, delays=0), 9,
         ),
+        World(
+            "swap",
+            "one entry puts a store in another's place beside two owners and an order",
+            4, 3, 2, SWAP, Bounds(takes=1, submits=2, switches=2, delays=2), 12, part="part-0",
+        ),
+        World(
+            "swaps",
+            "two such entries, so that the first group and the last share one store only",
+            5, 3, 2, SWAP_TWICE, Bounds(takes=1, submits=3, reads=1, switches=1, delays=2), 12,
+            part="part-0",
+        ),
         World(
             "founding",
             "two cores found the fleet at one moment; a store may lose its power",
             3, 3, 2, {}, Bounds(0, 0, foundings=3, crashes=1, holds=1, timers=2, late_answers=1),
             9, is_founded=False,
         ),
+        World(
+            "electing",
+            "two cores have a majority of the seeds agree on a founding; a seed may restart",
+            3, 3, 2, {}, Bounds(0, 0, foundings=3, crashes=1, timers=1, late_answers=1, delays=2),
+            10, is_founded=False, has_seeds=True,
+        ),
     )
 }  # fmt: skip
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -16,12 +16,16 @@
 TRACES = sorted(Path("tests/traces").glob("model-*.json"))
 SMALL = Budget(states=1500)
 QUICK_BUGS = {
+    "accept-below-vote",
     "answer-for-former-self",
     "change-group-at-will",
     "decide-alone",
     "peek-applied-only",
     "read-without-fence",
+    "skip-promise-again",
+    "stay-in-phase-two",
     "take-second-founding",
+    "tell-no-record",
 }
 
 
