--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -42,3 +42,9 @@
     tops = ("quillring", "proving", "tests")
     paths = [path for top in tops for path in pathlib.Path(top).rglob("*.py")]
     assert [str(p) for p in paths if len(p.read_text().splitlines()) > 250] == []
+
+
+def test_each_page_is_listed_once_in_the_index():
+    index = pathlib.Path("README.md").read_text()
+    listed = re.findall(r"^- \[(docs/[\w.-]+)\]", index, re.MULTILINE)
+    assert sorted(listed) == sorted(map(str, pathlib.Path("docs").glob("*.md")))
