Test: an owner that is cut off with one store of its group confirms nothing

Cause: the row "nothing is confirmed" of docs/control.md named test_cut_off.py and the point cut_off_control, but with the majority of a round taken out (quorum/rounds.py, one good answer is enough) the test stayed green: a node that hears nobody refuses before it asks. Tests of the owner itself and the model's bug decide-alone covered it elsewhere. Change: a test in the moment of the cut, the owner on one side with one store of its group.

--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -119,6 +119,24 @@
     assert call(stage, core, "GET", "/Config.Fetch")[1]["ver"] >= operator.newest["ver"]
 
 
+@pytest.mark.parametrize("place", range(3))
+def test_an_owner_cut_off_with_one_store_of_its_group_confirms_nothing(place):
+    """In the moment of the cut: nobody has noticed the silence yet."""
+    stage = SelfFounded(8)
+    operator, owner = Operator(stage), stage.owner()
+    other = next(c for c in stage.sim.names("core") if c != owner)
+    side = [owner, stage.sim.nodes[owner].find("ownership").group("config")[place][0]]
+    stage.sim.cut(side, [name for name in stage.sim.nodes if name not in side])
+    for number in range(3):
+        status, _, seconds = replace(stage, owner, {**WHOLE, "ver": 100 + number}, WHOLE["ver"])
+        assert status == 503 and seconds < WAIT_SECONDS
+    assert stage.wait_for(lambda: operator.change(other, 0) == 200, 10, 0.3) is not None
+    stage.sim.heal()
+    stage.run(4)
+    for name in stage.sim.names("core"):
+        assert call(stage, name, "GET", "/Config.Fetch")[1]["ver"] == operator.newest["ver"]
+
+
 @pytest.mark.parametrize("way", WAYS)
 @pytest.mark.parametrize("restarts", [False, True])
 def test_orders_go_on_while_a_store_is_cut_off_and_it_is_in_step_again_afterwards(way, restarts):
