--- a/proving/sim/raw_replicas.py
+++ b/proving/sim/raw_replicas.py
@@ -6,6 +6,8 @@
 
 SERVICE = "engine"
 EVENT_SECONDS = 0.05
+LATE_HEAD_SECONDS = 1.0
+FRAMING = {"transfer-encoding": "chunked"}
 
 
 def text_of(item_id, count):
@@ -110,12 +112,16 @@
         self.state, self.is_dead = "gone", True
         self.beat()
 
+    def _wait_for_head(self, way):
+        if way == "late head":
+            yield self.stage.env.timeout(LATE_HEAD_SECONDS)
+
     def serve(self, handle, request):
         """Process: answer one request."""
         stage, item_id = self.stage, request["x-inquiry"]
         last = int(request["last-event-id"]) if "last-event-id" in request else None
-        head = {"x-inquiry": item_id, "transfer-encoding": "chunked"}
         count, way = stage.counts.get(item_id, 6), self.way and self.way(self, item_id, last)
+        head = {"x-inquiry": item_id, **({} if way == "unframed" else FRAMING)}
         if self.active >= self.slots or way == "full":
             return handle.put(status=503, headers={**head, "x-not-run": "1"}, is_over=True)
         if request["x-replica-named"] != self.name:
@@ -126,6 +132,7 @@
         self.active += 1
         self.most_active = max(self.most_active, self.active)
         start = 0 if way == "restart" else last or 0
+        yield from self._wait_for_head(way)
         handle.put(status=200, headers={**head, "x-seal": "s"})
         for number in range(start + 1, count + 1):
             yield stage.env.timeout(EVENT_SECONDS)
--- a/quillring/lots/raw_worker.py
+++ b/quillring/lots/raw_worker.py
@@ -181,14 +181,11 @@
             return FAILED if handle.status == 500 else DEAD
         if handle.status != 200 or not is_sealed(dialect, handle):
             return BROKEN
-        reader, first = EventReader(run.last), run.last
+        reader = EventReader(run.last)
         while (data := (yield from self._next_part(handle, lease))) is not None:
             lease.heard()
             self._take(run, reader.feed(data))
-        if not reader.is_clean or run.last is None:
-            return BROKEN
-        is_framed = {"content-length", "transfer-encoding"} & set(handle.headers)
-        return WHOLE if is_framed or run.last == first else BROKEN
+        return WHOLE if reader.is_clean and run.last is not None else BROKEN
 
     def _next_part(self, handle, lease):
         """Script: wait for bytes; a replica that is silent to all is left at half time."""
--- a/tests/test_raw_budget.py
+++ b/tests/test_raw_budget.py
@@ -6,7 +6,7 @@
 
 from quillring.kernel.errors import OutcomeUnknown, Refused
 from quillring.lots import raw_front
-from tests.raw_stage import HOST, RawStage, accepted
+from tests.raw_stage import HOST, RawStage, accepted, check_whole
 
 ROUNDS, MOST_DEAD, ITEMS = 3, 3, 6
 HOLD_SECONDS, MARGIN = 0.5, 0.5
@@ -72,3 +72,12 @@
         accepted(stage, "a", 6)
         stage.run(3)
         assert len(stage.arrivals) == count
+
+
+def test_items_answered_without_a_length_run_once():
+    with RawStage(320) as stage:
+        for replica in stage.replicas.values():
+            replica.way = lambda replica, item_id, last: "unframed"
+        accepted(stage, "a", 12)
+        check_whole(stage, stage.read_all("a"), "a", 12)
+        assert len(stage.arrivals) == 12
