Lots: a replica that gave notice keeps its items; one stopped before its head is left

Cause: (1) a replica may send its Deregister first, never say that it drains, and serve on. The worker closed every item at a replica that was gone, so that all of them were cut and read anew elsewhere. (2) An item whose lot ended before its answer's head was there had no connection to close yet; its run went on to the end of the answer. Ruled out: items at a replica that ended: its connection breaks, or it is silent for the patience. Change: notice of an end closes nothing; a stopped run is closed at its head.

--- a/quillring/lots/raw_worker.py
+++ b/quillring/lots/raw_worker.py
@@ -70,7 +70,6 @@
         node.handle("raw.run", self.on_run)
         node.handle("raw.renew", self.on_renew)
         node.handle("raw.stop", self.on_stop)
-        node.find("replicas").on_change.append(self._leave_gone)
 
     def _check_ballot(self, body):
         ballot = tuple(body["ballot"])
@@ -112,13 +111,6 @@
             if run.lot == body["lot"] and is_named:
                 run.stop()
 
-    def _leave_gone(self):
-        replicas = self.node.find("replicas")
-        for run in list(self.runs.values()):
-            replica = replicas.find(run.replica)
-            if run.handle is not None and (replica is None or replica.state == "gone"):
-                run.handle.close()
-
     def _run(self, run, replica, body):
         self.node.under_way += 1
         try:
@@ -155,7 +147,7 @@
                 stall_seconds / 2,
             )
             lease.heard()
-            return (yield from self._read(run, lease))
+            return BROKEN if run.is_stopped else (yield from self._read(run, lease))
         except NotSent as error:
             self._note(run, replica, error)
             return UNSENT
--- a/tests/test_raw_budget.py
+++ b/tests/test_raw_budget.py
@@ -81,3 +81,32 @@
         accepted(stage, "a", 12)
         check_whole(stage, stage.read_all("a"), "a", 12)
         assert len(stage.arrivals) == 12
+
+
+def test_a_replica_that_gives_notice_and_serves_on_ends_its_items():
+    with RawStage(321, replicas=2) as stage:
+        stage.counts = {f"a-{n}": 30 for n in range(6)}
+        accepted(stage, "a", 6)
+        stage.run(0.4)
+        leaver = stage.replicas["i-0"]
+        begun = {row[1] for row in stage.arrivals if row[2] == leaver.name}
+        leaver.state = "gone"
+        leaver.beat()
+        left_at = stage.env.now
+        check_whole(stage, stage.read_all("a"), "a", 6)
+        later = [row for row in stage.arrivals if row[0] > left_at]
+        assert begun and not [row for row in later if row[1] in begun or row[2] == leaver.name]
+
+
+def test_a_run_that_is_stopped_before_its_answer_begins_is_left_by_then():
+    with RawStage(322, replicas=1) as stage:
+        for replica in stage.replicas.values():
+            replica.way = lambda replica, item_id, last: "late head"
+        stage.counts = {f"a-{n}": 200 for n in range(4)}
+        accepted(stage, "a", 4)
+        stage.run(0.3)
+        assert stage.arrivals
+        _, error = stage.do(stage.up("edge"), lambda node: raw_front.end_raw_lot(node, HOST, "a"))
+        assert error is None
+        stage.run(1.2)
+        assert all(replica.active == 0 for replica in stage.replicas.values())
