Replicas: an end that came before the first beat stands, and late beats bring nothing back

Cause: the end of a replica that no node knew was acknowledged and forgotten, so that its first beat, seconds late, made it a replica that gets requests, after a machine had acknowledged that it is gone. Ruled out: known replicas that give notice without ever draining and beat on, at other nodes and out of order: they stay gone (new test, held before).

--- a/tests/test_late_beats.py
+++ b/tests/test_late_beats.py
@@ -55,3 +55,27 @@
         assert "ready" not in states(stage)
     stage.run(0.5)
     assert states(stage) <= {"leaving", "gone"}
+
+
+def test_a_first_beat_that_comes_after_the_replicas_end_brings_nothing_back():
+    stage = SelfFounded(3)
+    stage.run(6)
+    assert call(stage, "core-2", "POST", f"/Replicas.Deregister/{ID}")[0] == 200
+    stage.run(0.5)
+    for number, calls in enumerate((1, 2, 9)):
+        assert beat(stage, f"core-{number + 1}", calls) == 200
+        stage.run(0.5)
+        replicas = [node.find("replicas") for node in stage.sim.nodes.values()]
+        assert not [r for r in replicas if r.find(ID) and r.may_be_sent(r.find(ID))]
+
+
+def test_a_replica_that_gives_notice_first_is_gone_though_it_beats_on():
+    stage = SelfFounded(4)
+    beat(stage, "core-1", 1)
+    beat(stage, "core-1", 5)
+    stage.run(0.5)
+    assert call(stage, "core-2", "POST", f"/Replicas.Deregister/{ID}")[0] == 200
+    for calls in (4, 6, 7, 8, 30):
+        assert beat(stage, f"core-{calls % 4 + 1}", calls) == 200
+        stage.run(0.4)
+    assert states(stage) == {"gone"}
