Stopping: a request that comes later than 3 s after SIGTERM is refused, not cut

Cause: a machine that was told to stop served requests on kept connections as long as anything was under way, until nine tenths of its grace. Ruled out: readiness (no 200 from the SIGTERM on, while requests are served: in the new test). Change: the taking ends at 3 s at the latest (it was 0.4 of the grace, 3.2 s); from then on requests get 503 with Retry-After, which promises that they have not run.

--- a/quillring/forward/serve.py
+++ b/quillring/forward/serve.py
@@ -37,7 +37,12 @@
 
 
 def check_known(node):
-    """Refuse while no layout is known yet: a node that just started can't tell what there is."""
+    """Refuse while no layout is known yet, and what a node that ends might have to cut.
+
+    A node that just started can't tell what there is.
+    """
+    if node.is_closing:
+        raise Refused(reason="closing", come_back_s=node.bounds.chatter)
     if node.find("forwards").is_empty():
         raise Refused(reason="no layout yet", come_back_s=node.bounds.reading)
 
--- a/quillring/kernel/node.py
+++ b/quillring/kernel/node.py
@@ -44,6 +44,7 @@
         "log",
         "counts",
         "is_draining",
+        "is_closing",
         "under_way",
     )
 
@@ -58,6 +59,7 @@
         self.log = log or (lambda level, text, *fields: None)
         self.counts = {}
         self.is_draining = False
+        self.is_closing = False
         self.under_way = 0
 
     def now(self):
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -26,21 +26,27 @@
 
 DRAIN_PATIENCE = 50
 GRACE_SHARE = 0.9
-TAKING_SHARE = 0.4
+TAKING_SHARE, MOST_TAKING_SECONDS = 0.4, 3.0
 LEVELS = {"debug": logging.DEBUG, "warning": logging.WARNING, "error": logging.ERROR}
 
 
 def drain(node, servers):
     """Take nothing new, finish what is under way, hand the journal over, end.
 
-    Where the platform gives a grace, all of that ends within it.
+    Where the platform gives a grace, all of that ends within it, and clients' requests are still
+    taken at first, until the platform has surely sent them elsewhere; one that comes later might be
+    cut at the end, and is refused.
     """
     node.is_draining = True
     node.find("ownership").announce_drain()
     grace = node.bounds.grace
     patience = node.bounds.return_ * DRAIN_PATIENCE if grace is None else grace * GRACE_SHARE
     deadline = node.now() + patience
-    gevent.sleep(node.bounds.beat if grace is None else grace * TAKING_SHARE)
+    taking_seconds = node.bounds.beat
+    if grace is not None:
+        taking_seconds = min(grace * TAKING_SHARE, MOST_TAKING_SECONDS)
+    gevent.sleep(taking_seconds)
+    node.is_closing = True
     while node.under_way and node.now() < deadline:
         gevent.sleep(node.bounds.chatter)
     journal = node.find("journal")
