Streams: events pass byte for byte, also with returns and more empty lines

Cause: the reader wrote the end of an event that came as two returns anew as two line feeds, knew no mixed ends, and dropped line feeds behind the last event: the body was other than the replica's whole body. Ruled out: a line that tells a new version of the weights, comments, empty lines amid a stream, and a replica that breaks off within an event, at every byte (tests/test_event_bytes.py): these held before. Change: an event keeps its own end; what is left of line ends at the end goes on too. Streams without a return are split as before.

--- a/quillring/forward/events.py
+++ b/quillring/forward/events.py
@@ -1,7 +1,11 @@
 """Events of a stream: split, numbered, and never passed on in part."""
 
+import re
+
 from quillring.kernel.errors import BackendError
 
+END_OF_EVENT = re.compile(rb"(\r?\n\r?\n)")
+
 
 class Event:
     """One event: its id (None when it has none), its data lines and its raw bytes."""
@@ -31,11 +35,7 @@
 
     def feed(self, data):
         """Return the events that the bytes complete; ids that do not rise raise BackendError."""
-        self.rest += data
-        if b"\r" in self.rest:
-            self.rest = self.rest.replace(b"\r\n\r\n", b"\n\n")
-        *blocks, self.rest = self.rest.split(b"\n\n")
-        events = [Event(block + b"\n\n") for block in blocks]
+        events = [Event(raw) for raw in self._split(self.rest + data)]
         for event in events:
             if event.id is None:
                 continue
@@ -44,6 +44,14 @@
             self.last_event = event.id
         return events
 
+    def _split(self, data):
+        """Return the bytes of each whole event and keep what is left over."""
+        if b"\r" not in data:
+            *blocks, self.rest = data.split(b"\n\n")
+            return [block + b"\n\n" for block in blocks]
+        *pieces, self.rest = END_OF_EVENT.split(data)
+        return [block + end for block, end in zip(pieces[::2], pieces[1::2])]
+
     @property
     def is_clean(self):
         """True when no part of an event is left over."""
--- a/quillring/forward/relaying.py
+++ b/quillring/forward/relaying.py
@@ -35,8 +35,8 @@
             progress.last_event = reader.last_event
     if not reader.is_clean:
         raise BackendError(reason="cut event")
-    if not progress.has_head:
-        yield from emit_stream(progress, handle, b"")
+    if reader.rest or not progress.has_head:
+        yield from emit_stream(progress, handle, reader.rest)
 
 
 def emit_stream(progress, handle, data):
--- /dev/null
+++ b/tests/test_event_bytes.py
@@ -0,0 +1,57 @@
+"""Events reach the client byte for byte, whatever lines they hold and wherever they are cut."""
+
+import pytest
+
+from proving.scripted import BREAK, END
+from quillring.forward import EventReader
+from tests.forward_stage import HEAD, STREAM, address, both, make, run, text
+from tests.raw_stage import RawStage, accepted
+
+VERSIONED = b"weight-versions:7\nid: 1\ndata: p1\n\n"
+STREAMS = {
+    "plain": b"id: 0\ndata: p0\n\nid: 1\ndata: p1\n\n",
+    "a new version of the weights": b"id: 0\ndata: p0\n\n" + VERSIONED + b"id: 2\ndata: p2\n\n",
+    "comments": b": hello\n\nid: 0\ndata: p0\ndata:  more \n\n: bye\n\n",
+    "lines that end with a return": b"id: 0\r\ndata: p0\r\n\r\nid: 1\r\ndata: p1\r\n\r\n",
+    "both kinds of ends": b"id: 0\ndata: p0\r\n\nid: 1\r\ndata: p1\n\r\n",
+    "empty lines": b"\n\nid: 0\ndata: p0\n\n\nid: 1\ndata: p1\n\n\n",
+}
+
+
+@pytest.mark.parametrize("kind", STREAMS)
+def test_a_stream_passes_byte_for_byte_wherever_it_was_cut(kind):
+    body = STREAMS[kind]
+    for cut in range(len(body) + 1):
+        steps = [HEAD, *((0.01, part) for part in (body[:cut], body[cut:]) if part), (0, END)]
+        world, node = make(both(steps))
+        run(world, node)
+        assert text(world) == body, cut
+        reader = EventReader()
+        ids = [e.id for e in [*reader.feed(body[:cut]), *reader.feed(body[cut:])] if e.data]
+        assert ids == list(range(len(ids))) and reader.last_event == ids[-1]
+
+
+@pytest.mark.parametrize("cut", range(len(VERSIONED)))
+def test_a_stream_goes_on_after_the_last_whole_event_wherever_a_replica_broke_off(cut):
+    first = [HEAD, (0.01, b"id: 0\ndata: p0\n\n" + VERSIONED[:cut]), (0.01, BREAK)]
+    second = [(0.01, (200, {**STREAM, "weight-versions": "7"})), (0.01, VERSIONED), (0, END)]
+    world, node = make({}, replicas=2)
+    world.answers = {address(0): [first], address(1): [first]}
+    original = world._send
+
+    def send(effect):
+        if world.sent:
+            world.answers[tuple(effect.address)] = [second]
+        return original(effect)
+
+    world._send = send
+    run(world, node)
+    assert text(world) == b"id: 0\ndata: p0\n\n" + VERSIONED
+    assert [b"last-event-id: 0\r\n" in sent[1] for sent in world.sent] == [False, True]
+
+
+def test_an_item_is_told_with_its_own_words_about_the_prompt():
+    with RawStage(330) as stage:
+        accepted(stage, "a", 2)
+        stage.read_all("a")
+        assert all(row[4]["model"] == "m" for row in stage.arrivals)
