--- /dev/null
+++ b/tests/test_newer_calls.py
@@ -0,0 +1,63 @@
+"""Calls at a node that knows nothing yet, and many orders at once whose answers may be lost."""
+
+import json
+
+import pytest
+
+from proving.scripted import ScriptedWorld
+from quillring.fleet import make_node
+from quillring.forward import Dialect
+from quillring.kernel.bounds import Bounds
+from quillring.kernel.raw_http import RawRequest
+from quillring.nifty import Member
+from tests.fleet_stage import SelfFounded
+from tests.system_calls import WHOLE, handle_ctl, replace
+
+from system_edge import handle_client, handle_ready  # isort: skip
+
+UNCLEAR = 503
+CALLS = [
+    ("POST", "/a/x"),
+    ("GET", "/nowhere"),
+    ("POST", "/bulk/1"),
+    ("GET", "/lots/1?start_after=3"),
+    ("DELETE", "/lots/1"),
+    ("GET", "/items/1?id=2"),
+]
+
+
+@pytest.mark.parametrize("method, target", CALLS)
+def test_a_node_that_knows_no_layout_refuses_with_a_promise_and_is_not_ready(method, target):
+    world = ScriptedWorld()
+    node = make_node(
+        Member("e", 1, "edge", "north", "10.0.0.9", 7000, 7001, ""), world, [], Bounds()
+    )
+    node.offer("dialect", Dialect())
+    raw = RawRequest(method, target, [("Host", "h"), ("X-Inquiry", "1")], b"{}", True, node.now())
+    status, headers, _ = world.run(handle_client(node, raw))
+    assert status == 503 and "Retry-After" in dict(headers)
+    assert world.run(handle_ready(node, raw))[0] == 503
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_eight_orders_at_once_are_all_taken_and_acknowledged_again(seed):
+    stage = SelfFounded(10 + seed)
+    assert replace(stage, "core-1", WHOLE, 0)[0] == 200
+    stage.run(1)
+    amendment = json.dumps({"ver": 90, "upsert": {}, "remove": {}}).encode()
+    orders = [(f"/Evacuate.Begin/z{n % 2}", {}, b"") for n in range(4)]
+    orders += [(f"/Evacuate.Finish/y{n}", {}, b"") for n in range(2)]
+    orders += [("/Config.Amend", {"base-version": str(WHOLE["ver"])}, amendment)]
+    orders += [("/Retire.Begin/2", {}, b'{"within_s": 10}')]
+    assert len(orders) == 8
+    rounds = []
+    for _ in range(4):
+        tasks = []
+        for path, headers, body in orders:
+            node = stage.sim.nodes[f"core-{stage.sim.chance.randint(1, 4)}"]
+            script = handle_ctl(node, "POST", path, headers, body)
+            tasks.append(stage.env.process(stage.sim.run_script(node, script)))
+        stage.run(1)
+        rounds.append([task.value[0][0] for task in tasks])
+    assert all(status in (200, UNCLEAR) for statuses in rounds for status in statuses)
+    assert rounds[-1] == [200] * 8
