--- a/quillring/lots/raw_worker.py
+++ b/quillring/lots/raw_worker.py
@@ -70,7 +70,6 @@
         node.handle("raw.run", self.on_run)
         node.handle("raw.renew", self.on_renew)
         node.handle("raw.stop", self.on_stop)
-        node.find("replicas").on_change.append(self._leave_gone)
 
     def _check_ballot(self, body):
         ballot = tuple(body["ballot"])
@@ -112,13 +111,6 @@
             if run.lot == body["lot"] and is_named:
                 run.stop()
 
-    def _leave_gone(self):
-        replicas = self.node.find("replicas")
-        for run in list(self.runs.values()):
-            replica = replicas.find(run.replica)
-            if run.handle is not None and (replica is None or replica.state == "gone"):
-                run.handle.close()
-
     def _run(self, run, replica, body):
         self.node.under_way += 1
         try:
@@ -155,7 +147,7 @@
                 stall_seconds / 2,
             )
             lease.heard()
-            return (yield from self._read(run, lease))
+            return BROKEN if run.is_stopped else (yield from self._read(run, lease))
         except NotSent as error:
             self._note(run, replica, error)
             return UNSENT
@@ -181,14 +173,11 @@
             return FAILED if handle.status == 500 else DEAD
         if handle.status != 200 or not is_sealed(dialect, handle):
             return BROKEN
-        reader, first = EventReader(run.last), run.last
+        reader = EventReader(run.last)
         while (data := (yield from self._next_part(handle, lease))) is not None:
             lease.heard()
             self._take(run, reader.feed(data))
-        if not reader.is_clean or run.last is None:
-            return BROKEN
-        is_framed = {"content-length", "transfer-encoding"} & set(handle.headers)
-        return WHOLE if is_framed or run.last == first else BROKEN
+        return WHOLE if reader.is_clean and run.last is not None else BROKEN
 
     def _next_part(self, handle, lease):
         """Script: wait for bytes; a replica that is silent to all is left at half time."""
