Lots due soonest run first again, whatever part they lie in

Cause: since lots lie in all parts, each part's owner ran its own lots in due order, but the slots were shared by how many items each part had left. The share of a part with few items falls as others grow, so the lots of all parts ended together, at the very end of a burst, and most were late. With all lots in one part there was one due order.

Phases of replicas are spread evenly: by hashes the last items of a lot could find no slot at any replica while other parts were busy.

--- a/quillring/lots/raw_limits.py
+++ b/quillring/lots/raw_limits.py
@@ -4,7 +4,6 @@
 
 from quillring.forward.view import is_quiet
 from quillring.lots.raw_worker import BROKEN, NOT_RUN, UNSENT
-from quillring.nifty.graph import score
 
 CALM_SHARE, NEAR_SHARE, LEAST_SHARE = 0.75, 0.85, 0.08
 GAIN = 0.05
@@ -32,6 +31,11 @@
         factor = min(1.0, cut + GAIN * (now - cut_at))
         return max(LEAST_SHARE, (NEAR_SHARE if is_near else CALM_SHARE) * factor)
 
+    def slots(self, service, now):
+        """Return how many slots of a service all lots together may take."""
+        share, known = self.share(service, False, now), self.node.find("placement")
+        return sum(slots_for(replica, share) for replica in known.replicas(service))
+
     def note(self, run, outcome, now):
         """Take in how a run ended: a full replica lowers the share, errors in a row give rest."""
         known = self.node.find("replicas").table
@@ -58,11 +62,13 @@
         share = self.share(service, is_near, now)
         patience = self.node.bounds.news * 1.5
         known = placement.replicas(service)
+        phase = phases(known)
         heard = [r for r in known if not is_quiet(r, now, patience)] or known
         fit = [
             r
             for r in [r for r in heard if r.name not in avoided_names] or heard
-            if ledger.runs_by_replica.get(r.name, 0) < portion.room(slots_for(r, share), phase(r))
+            if ledger.runs_by_replica.get(r.name, 0)
+            < portion.room(slots_for(r, share), phase[r.name])
             and self.alone_until.get(r.name, 0) <= now
             and self.next_starts.get(r.name, 0) <= now
             and replicas.may_be_sent(r)
@@ -87,6 +93,7 @@
     return math.ceil(max(1, replica.slots * share))
 
 
-def phase(replica):
-    """Return a number from 0 to 1 for a replica, the same at every node."""
-    return int.from_bytes(score("portion", replica.name)[:4], "big") / (1 << 32)
+def phases(replicas):
+    """Return {name: a number from 0 to 1}, spread evenly over a service's replicas."""
+    names = sorted(replica.name for replica in replicas)
+    return {name: place / len(names) for place, name in enumerate(names)}
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -138,7 +138,7 @@
 
     def _start_items(self, ledger):
         """Start what has room, lot by lot; a service without room is passed over at once."""
-        now, forwards, full = self.node.now(), self.node.find("forwards"), set()
+        now, forwards, full, portions = self.node.now(), self.node.find("forwards"), set(), {}
         waiting = [(lot, lot.waiting(now)) for lot in ledger.order(now)]
         if not any(items for _, items in waiting) or not self.node.find("freshness").is_fresh():
             return
@@ -150,7 +150,10 @@
                 if (service, is_near) in full:
                     continue
                 avoided_names = item.avoided_at(now)
-                portion = self.demand.portion(ledger.owner.part, service)
+                if service not in portions:
+                    slots = self.limits.slots(service, now)
+                    portions[service] = self.demand.portion(ledger.owner.part, service, slots)
+                portion = portions[service]
                 replica = self.limits.choose(service, ledger, is_near, avoided_names, portion, now)
                 if replica is not None:
                     self.limits.started(replica, portion, now)
