A killed process is missed at once: its address refuses connections

Cause: the death of a process was noticed by three missed beats alone, 1.5 s after it. Until then its parts had no owner, calls to it waited for their end, and lots handed in were answered 502 after 1.4 s, as their outcome was unknown.

Change: a connection between nodes is watched for its end, which the system tells as soon as the process is gone. Then the address is tried once; where it refuses, as also where a frame finds it refusing, the link counts as broken until the next beat, as after missed beats, and the others hear of it in a beat sent at once (where beats are not slowed for the fleet's size). It is evidence for asking sooner only: who owns a part is still decided by ballots, and a store counts as lost for repair by its silence, as before. Loss of power, freezes and cuts tell nothing of this kind. The simulator closes the connections of killed processes, and refuses new ones.

--- a/proving/sim/fleet.py
+++ b/proving/sim/fleet.py
@@ -94,6 +94,7 @@
             me, world, seeds, self.bounds, self._logger(name), self.versions.get(name, SPOKEN)
         )
         start_node(node, acceptors)
+        world.on_refused = node.find("nifty").on_refused
         world.listen(node.find("nifty").on_datagram, node.find("nifty").on_frame)
         self.nodes[name] = node
         return node
@@ -106,9 +107,11 @@
         return log
 
     def kill(self, name, loses_power=False):
-        """Kill a node; with the power gone, unsynced writes are dropped."""
+        """Kill a node; with the power gone, unsynced writes are dropped, and nobody is told."""
         self.history.mark(f"kill {name}{' by power' if loses_power else ''}")
         self.nodes[name].world.kill()
+        if not loses_power:
+            self.net.close_channels(self.nodes[name].me.address)
         disk = self.disks.get(name)
         if disk is not None:
             torn = self.chance.randbytes(self.chance.randrange(0, 30)) if loses_power else b""
--- a/proving/sim/net.py
+++ b/proving/sim/net.py
@@ -10,6 +10,8 @@
         self.env = env
         self.chance = chance
         self.receivers = {}
+        self.channels = {}
+        self.refusing = set()
         self.cuts = set()
         self.loss_share = 0.0
         self.double_share = 0.0
@@ -28,6 +30,7 @@
     def attach(self, address, world):
         """Let the world receive at an address."""
         self.receivers[address] = world
+        self.refusing.discard(address)
 
     def cut(self, home, target, both_ways=True):
         """Cut the way from one address to another."""
@@ -59,6 +62,8 @@
         address at that time: a relay or a socket may hold a message for so long.
         """
         self.carried += 1
+        if kind == "frame":
+            self.channels.setdefault(target, {})[home] = True
         if self._is_drawn(self.late_copy_share):
             self._hold(home, target, data, kind)
         if self._is_drawn(self.late_share):
@@ -74,6 +79,21 @@
             event = self.env.timeout(self.delay() + seconds)
             event.callbacks.append(lambda _: self._arrive(home, target, data, kind))
 
+    def close_channels(self, target):
+        """Close every connection to an address whose process ended, and take no new one there.
+
+        Whoever had one looks again, and is refused unless the process was started anew meanwhile.
+        """
+        self.refusing.add(target)
+        for home in self.channels.pop(target, {}):
+            event = self.env.timeout(self.max_delay * 3)
+            event.callbacks.append(lambda _, home=home: self._refuse(home, target))
+
+    def _refuse(self, home, target):
+        world, is_open = self.receivers.get(home), self.passes(target, home)
+        if target in self.refusing and world is not None and is_open and self.passes(home, target):
+            world.receive("refused", target)
+
     def _is_drawn(self, share):
         """Tell whether a rare thing happens; a share of zero takes nothing from the chance."""
         return share > 0 and self.chance.random() < share
@@ -100,5 +120,7 @@
 
     def _arrive(self, home, target, data, kind):
         world = self.receivers.get(target)
+        if kind == "frame":
+            self._refuse(home, target)
         if world is not None and self.passes(home, target):
             world.receive(kind, data)
--- a/proving/sim/world.py
+++ b/proving/sim/world.py
@@ -27,6 +27,7 @@
         self.thaw_event = None
         self.held = []
         self.on_datagram = self.on_frame = None
+        self.on_refused = lambda address: None
 
     def now(self):
         """Return this process's own monotonic time."""
@@ -53,8 +54,12 @@
             if len(self.held) < 500:
                 self.held.append((kind, data))
             return
-        handler = self.on_datagram if kind == "datagram" else self.on_frame
-        handler(data)
+        handlers = {
+            "datagram": self.on_datagram,
+            "frame": self.on_frame,
+            "refused": self.on_refused,
+        }
+        handlers[kind](data)
 
     def datagram(self, address, data):
         """Send a datagram."""
--- a/quillring/kernel/gevent_world.py
+++ b/quillring/kernel/gevent_world.py
@@ -1,18 +1,16 @@
 """The production world: gevent drives the scripts, sockets carry datagrams and frames."""
 
-import contextlib
 import os
 import random
-import struct
 import time
 
 import gevent
 import gevent.event
-import gevent.queue
 import gevent.server
 import gevent.socket
 
 from quillring.kernel import backend, http_client
+from quillring.kernel.channel import FRAME_HEAD, Channel
 from quillring.kernel.effects import (
     Emit,
     Fetch,
@@ -26,66 +24,13 @@
 )
 from quillring.kernel.errors import QuillringError
 
-FRAME_HEAD = struct.Struct(">I")
 FRAME_LIMIT = 64 * 1024 * 1024
-QUEUE_LIMIT = 1024
-HELD_FACTOR = 10
-DISCARD_UNSENT = struct.pack("ii", 1, 0)
-
-
-class Channel:
-    """The one-way connection to an address; frames queued on it may be lost.
-
-    A frame that has waited HELD_FACTOR times `timeout` is dropped, and closing discards what the
-    system has not sent yet: so much is the longest that a copy is held here through a cut.
-    """
-
-    __slots__ = ("address", "timeout", "queue", "conn")
-
-    def __init__(self, address, timeout):
-        self.address = address
-        self.timeout = timeout
-        self.queue = gevent.queue.Queue()
-        self.conn = None
-
-    def put(self, data):
-        """Queue a frame, unless too many wait already."""
-        if self.queue.qsize() < QUEUE_LIMIT:
-            self.queue.put((time.monotonic(), data))
-
-    def run(self):
-        """Write frames for ever, connecting anew after a failure."""
-        while True:
-            queued_at, data = self.queue.get()
-            if time.monotonic() - queued_at > self.timeout * HELD_FACTOR:
-                continue
-            for _ in range(2):
-                try:
-                    self._connect().sendall(FRAME_HEAD.pack(len(data)) + data)
-                    break
-                except OSError:
-                    self.close()
-
-    def _connect(self):
-        if self.conn is None:
-            conn = gevent.socket.create_connection(self.address, self.timeout)
-            conn.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
-            self.conn = conn
-        return self.conn
-
-    def close(self):
-        """Close the connection, if there is one."""
-        conn, self.conn = self.conn, None
-        if conn is not None:
-            with contextlib.suppress(OSError):
-                conn.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, DISCARD_UNSENT)
-            conn.close()
 
 
 class GeventWorld:
     """Time, chance, network and scripts of one process."""
 
-    __slots__ = ("random", "udp_socket", "channels", "report", "frame_timeout")
+    __slots__ = ("random", "udp_socket", "channels", "report", "frame_timeout", "on_refused")
 
     def __init__(self, report, frame_timeout):
         self.random = random.Random(os.urandom(16))
@@ -93,6 +38,7 @@
         self.channels = {}
         self.report = report
         self.frame_timeout = frame_timeout
+        self.on_refused = lambda address: None
 
     def now(self):
         """Return monotonic seconds."""
@@ -159,10 +105,13 @@
         """Queue a frame on the channel to the address; it may be lost."""
         channel = self.channels.get(address)
         if channel is None:
-            channel = self.channels[address] = Channel(address, self.frame_timeout)
+            channel = self.channels[address] = Channel(address, self.frame_timeout, self._refused)
             gevent.spawn(channel.run)
         channel.put(data)
 
+    def _refused(self, address):
+        self._guard(self.on_refused, address)
+
     def reset(self, address):
         """Drop the connection to a lost member, so that a healed link begins afresh at once."""
         channel = self.channels.get(address)
--- a/quillring/nifty/heard.py
+++ b/quillring/nifty/heard.py
@@ -10,6 +10,7 @@
 class Heard:
     """What a node last heard from a peer.
 
+    `is_refused`: its process listens no more, and nothing came from it since that was seen.
     Its row stands as told: bits over the names of the roster they were made for. A bitmap made for
     an unknown roster waits unread until that roster is known.
     """
@@ -29,10 +30,11 @@
         "reads_terse",
         "places",
         "own_bits",
+        "is_refused",
     )
 
     def __init__(self, beat):
-        self.at = 0
+        self.at, self.is_refused = 0, False
         self.incarnation, self.sequence, self.version = beat.incarnation, 0, beat.version
         self.echo_at = self.stamp = self.digest = self.unread = None
         self.roster = self.bits = self.places = self.own_bits = None
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -159,6 +159,7 @@
         """Take what a heartbeat tells; a link that came up is routed at once or within a part."""
         now = self.node.now()
         heard.at, heard.sequence, heard.stamp = now, beat.sequence, beat.stamp
+        heard.is_refused = False
         heard.version, heard.reads_terse = max(heard.version, beat.version), beat.reads_terse
         is_echoed = beat.echo is not None and beat.echo[0] == self.node.me.incarnation
         heard.acked = beat.echo[1] if is_echoed else 0
@@ -191,7 +192,10 @@
                 [
                     name
                     for name, heard in self.heard.items()
-                    if heard.roster is not None and heard.at > heard_edge and name in roster.places
+                    if heard.roster is not None
+                    and heard.at > heard_edge
+                    and not heard.is_refused
+                    and name in roster.places
                 ]
             ),
         )
--- a/quillring/nifty/peers.py
+++ b/quillring/nifty/peers.py
@@ -86,6 +86,32 @@
         """Tell whether too few beats were missed to break a link."""
         return heard.at > self.node.now() - self.pace.broken
 
+    def on_refused(self, address):
+        """Take that no process listens at an address: who lived there is lost at once.
+
+        It counts as lost as after missed beats, and until its next one. In a fleet whose beats are
+        not slowed for its size, the others hear of it at once too.
+        """
+        if not self.refuse(address):
+            return
+        self.node.count("refused_links")
+        self.refresh()
+        if self.pace.period <= self.node.bounds.beat:
+            self.send_beats()
+
+    def refuse(self, address):
+        """Take that the members at an address listen no more; tell whether that is news."""
+        heard = [self.heard[n] for n in self.roster.addresses.get(address, ()) if n in self.heard]
+        news = [known for known in heard if not known.is_refused and self.is_heard(known)]
+        for known in news:
+            known.is_refused = True
+        return bool(news)
+
+    def is_just_refused(self, name):
+        """Tell whether a member is lost only because it listens no more, not yet by its silence."""
+        heard = self.heard.get(name)
+        return heard is not None and heard.is_refused and self.is_heard(heard)
+
     def is_silent(self, name, seconds):
         """Tell whether nothing was heard of a member for so long."""
         heard = self.heard.get(name)
@@ -99,6 +125,9 @@
             [
                 name
                 for name, heard in self.heard.items()
-                if heard.at > heard_edge and heard.echo_at is not None and heard.echo_at > echo_edge
+                if heard.at > heard_edge
+                and heard.echo_at is not None
+                and heard.echo_at > echo_edge
+                and not heard.is_refused
             ]
         )
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -74,7 +74,8 @@
         self.lost_since = {
             name: self.lost_since.get(name, now)
             for name in store_names
-            if not nifty.reaches(name) or is_disk_failing(self.node, name)
+            if (not nifty.reaches(name) and not nifty.is_just_refused(name))
+            or is_disk_failing(self.node, name)
         }
 
     def _prepare(self, owner, change):
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -79,6 +79,7 @@
     node.offer("ring", ring_handler)
     start_node(node, acceptors)
     nifty = node.find("nifty")
+    world.on_refused = nifty.on_refused
     world.listen(*settings.address, nifty.on_datagram, nifty.on_frame)
     server = start_server(settings.http_address, make_app(node), node_logger)
     servers = [*open_more(node, world.report), server]
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -5,12 +5,14 @@
 
 import gevent
 import gevent.event
+import gevent.queue
 import gevent.socket
 import pytest
 from gevent.server import StreamServer
 
-from quillring.kernel import gevent_world
-from quillring.kernel.gevent_world import HELD_FACTOR, Channel, GeventWorld
+from quillring.kernel import channel as channel_module
+from quillring.kernel.channel import HELD_FACTOR, Channel
+from quillring.kernel.gevent_world import GeventWorld
 
 BIG = b"x" * (1 << 20)
 
@@ -39,7 +41,7 @@
     server = StreamServer(("127.0.0.1", 0), lambda conn, _: received.set(conn.recv(65536)))
     server.start()
     clock = Clock()
-    with mock.patch.object(gevent_world, "time", clock):
+    with mock.patch.object(channel_module, "time", clock):
         channel = Channel(("127.0.0.1", server.server_port), 1.0)
         channel.put(b"old")
         clock.seconds += HELD_FACTOR + 0.1
@@ -97,3 +99,66 @@
         conn.sendall(struct.pack(">I", 5) + b"whole" + (struct.pack(">I", 6) + b"second")[:cut])
     assert done.wait(5)
     assert frames == [b"whole"]
+
+
+def listening_peer():
+    """Return (server, its connections): a peer that takes connections and holds them open."""
+    conns, is_over = gevent.queue.Queue(), gevent.event.Event()
+
+    def hold(conn, _):
+        conns.put(conn)
+        is_over.wait()
+
+    server = StreamServer(("127.0.0.1", 0), hold)
+    server.start()
+    return server, conns, is_over
+
+
+def linked_world():
+    """Return (world, refused addresses, the peer, its connections) with a channel to the peer."""
+    world, refused = GeventWorld(lambda error: None, 1.0), gevent.queue.Queue()
+    world.on_refused = refused.put
+    server, conns, is_over = listening_peer()
+    world.frame(server.address, b"frame")
+    return world, refused, server, conns, is_over
+
+
+def test_a_peer_whose_process_ended_is_told_without_anything_being_sent():
+    _, refused, server, conns, is_over = linked_world()
+    conn = conns.get(timeout=5)
+    server.close()
+    conn.close()
+    assert refused.get(timeout=5) == server.address
+    is_over.set()
+
+
+def test_a_peer_that_still_listens_is_not_told_though_it_closed_the_connection():
+    world, refused, server, conns, is_over = linked_world()
+    conns.get(timeout=5).close()
+    conns.get(timeout=5)
+    world.frame(server.address, b"again")
+    conns.get(timeout=5)
+    assert refused.empty()
+    is_over.set()
+    server.close()
+
+
+def test_a_frame_to_where_nobody_listens_tells_so():
+    world, refused = GeventWorld(lambda error: None, 1.0), gevent.queue.Queue()
+    world.on_refused = refused.put
+    with gevent.socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = sock.getsockname()
+    world.frame(address, b"frame")
+    assert refused.get(timeout=5) == address
+
+
+def test_a_channel_that_was_reset_here_tells_nothing():
+    world, refused, server, conns, is_over = linked_world()
+    conns.get(timeout=5)
+    world.reset(server.address)
+    world.frame(server.address, b"again")
+    conns.get(timeout=5)
+    assert refused.empty()
+    is_over.set()
+    server.close()
--- /dev/null
+++ b/tests/test_killed_process.py
@@ -0,0 +1,112 @@
+"""A killed process is missed at once: its address refuses connections, before beats are missed."""
+
+import pytest
+
+from quillring.kernel.errors import QuillringError
+from quillring.lots import raw_front
+from quillring.quorum.repair import Repair
+from tests.raw_stage import FORWARD, RawStage, accepted, check_whole
+
+AIM = 0.4
+
+
+def hand_in_each_moment(stage, count, seconds):
+    """Hand a lot in at every tenth of a second; return [name, its aim was kept, its error]."""
+    rows = []
+    for number in range(count):
+        name, began = f"k{number}", stage.env.now
+        row = [name, None, None]
+        process = stage.begin(
+            stage.up("edge"),
+            lambda node, name=name: raw_front.accept_raw_lot(
+                node, FORWARD, name, stage.items(name, 3)
+            ),
+        )
+
+        def note(event, row=row, began=began):
+            row[1], row[2] = stage.env.now - began <= AIM, event.value[1]
+
+        process.callbacks.append(note)
+        rows.append(row)
+        stage.run(0.1)
+    stage.run(seconds)
+    return rows
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_lots_are_taken_in_their_aim_though_the_process_of_an_owner_was_killed(seed):
+    with RawStage(500 + seed, most_tokens=100_000, slots=32) as stage:
+        stage.sim.kill(stage.owner_of(stage.parts[seed % 2]).me.name)
+        rows = hand_in_each_moment(stage, 20, 3)
+        assert [row for row in rows if row[2] is not None] == []
+        assert sum(not row[1] for row in rows) <= 2
+        for name, _, _ in rows:
+            check_whole(stage, stage.read_all(name), name, 3)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_an_owner_that_lost_its_power_is_missed_by_its_beats(seed):
+    with RawStage(510 + seed, most_tokens=100_000) as stage:
+        victim = stage.owner_of(stage.parts[seed % 2]).me.name
+        stage.sim.kill(victim, loses_power=True)
+        stage.run(1)
+        assert stage.up("edge").find("nifty").reaches(victim)
+        stage.run(2)
+        assert stage.owner_of(stage.parts[seed % 2]).me.name != victim
+        assert stage.counted("refused_links") == 0
+        accepted(stage, "a", 4)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_evidence_that_is_wrong_harms_nothing(seed):
+    with RawStage(520 + seed, most_tokens=300) as stage:
+        name = next(f"n{n}" for n in range(50) if stage.part(f"n{n}") != stage.home())
+        accepted(stage, name, 20)
+        live = stage.owner(name)
+        for node in stage.sim.nodes.values():
+            node.find("nifty").on_refused(live.me.address)
+        most, errors = 0, []
+        for number in range(12):
+            errors.append(stage.hand_in(f"x{number}", 7)[1])
+            most = max(most, stage.waiting()[0])
+        assert most <= 300
+        assert all(error is None or isinstance(error, QuillringError) for error in errors)
+        stage.run(2)
+        assert all(node.find("nifty").reaches(live.me.name) for node in stage.sim.nodes.values())
+        check_whole(stage, stage.read_all(name), name, 20)
+        for number, error in enumerate(errors):
+            if error is None:
+                check_whole(stage, stage.read_all(f"x{number}"), f"x{number}", 7)
+
+
+def test_a_process_that_starts_again_is_in_touch_at_its_first_beats():
+    with RawStage(530) as stage:
+        victim = stage.owner_of(stage.parts[0]).me.name
+        stage.sim.kill(victim)
+        stage.run(0.3)
+        assert not any(core.find("nifty").reaches(victim) for core in stage.sim.up_nodes("core"))
+        stage.sim.start(victim)
+        stage.run(1.2)
+        assert stage.up("edge").find("nifty").reaches(victim)
+
+
+def test_a_killed_store_counts_as_lost_for_repair_no_sooner_than_its_beats_are_missed():
+    with RawStage(531) as stage:
+        core, victim = stage.up("core"), stage.up("store").me.name
+        repair = Repair(core)
+        stage.sim.kill(victim)
+        stage.run(0.5)
+        repair._note_lost()
+        assert not core.find("nifty").reaches(victim) and victim not in repair.lost_since
+        stage.run(2)
+        repair._note_lost()
+        assert victim in repair.lost_since
+
+
+def test_nobody_is_refused_through_a_cut():
+    with RawStage(532) as stage:
+        victim, edge = stage.owner_of(stage.parts[0]).me.name, stage.up("edge")
+        stage.sim.cut([victim], [edge.me.name])
+        stage.sim.kill(victim)
+        stage.run(0.1)
+        assert edge.counts.get("refused_links", 0) == 0
