--- /dev/null
+++ b/proving/scale/one_node.py
@@ -0,0 +1,125 @@
+"""One real node of each role among scripted peers over loopback: its processor time, per thread.
+
+The peers are one light script, so that a busy machine slows the figures less than many hollow nodes
+do: they send sound heartbeats, spread over the period, and read the node's own.
+"""
+
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import click
+
+from proving.scale.runs import process_bytes
+from quillring.nifty.heard import Beat, Heard
+from quillring.nifty.member import Member, Roster
+from quillring.nifty.telling import Telling
+from quillring.nifty.wire import SPOKEN
+
+PROGRAM = "from quillring.verbs.program import main; main()"
+PORT, HOST, NODE_HOST, NODE_PORT = 7413, "127.0.46.{}", "127.0.45.1", 7415
+NEWS, WARM_SECONDS = 2.5, 6
+
+
+class Peers:
+    """The scripted members, all behind one socket."""
+
+    def __init__(self, count, role):
+        self.members = [
+            Member(f"peer-{n:03d}", 5_000 + n, "edge", "north", HOST.format(n + 1), PORT, 8400, "")
+            for n in range(count)
+        ]
+        self.roster = Roster([*self.members, Member(f"{role}-one", 1, role, "north", "", 0, 0, "")])
+        self.bitmap = self.roster.to_bitmap(self.roster.names)
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(("0.0.0.0", PORT))
+        self.socket.setblocking(False)
+        self.heard, self.sequence, self.taken = None, 0, 0
+
+    def read(self):
+        """Read what the node sent; one heartbeat of a round speaks for all its copies."""
+        try:
+            while True:
+                beat = Beat(self.socket.recv(65535), SPOKEN)
+                self.taken += 1
+                self.heard = self.heard or Heard(beat)
+                self.heard.sequence = max(self.heard.sequence, beat.sequence)
+                self.heard.at, self.heard.reads_terse = time.monotonic(), beat.reads_terse
+                self.heard.acked = beat.echo[1] if beat.echo else 0
+        except BlockingIOError:
+            return
+
+    def run(self, seconds):
+        """Beat for some seconds, each member at its own moment of the period."""
+        end_time, period = time.monotonic() + seconds, NEWS / 4
+        while time.monotonic() < end_time:
+            round_start, self.sequence = time.monotonic(), self.sequence + 1
+            for number, member in enumerate(self.members):
+                wait = round_start + period * number / len(self.members) - time.monotonic()
+                time.sleep(max(0, wait))
+                self.read()
+                telling = Telling(
+                    member, self.sequence, 1, self.roster.digest, self.bitmap, None, SPOKEN, 0
+                )
+                self.socket.sendto(telling.to(self.heard), (NODE_HOST, NODE_PORT))
+
+
+def spent_seconds(pid):
+    """Return the processor seconds of a process, to the microsecond."""
+    threads = pathlib.Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(thread.read_text().split()[0]) for thread in threads) / 1e9
+
+
+def measure(role, count, seconds, folder):
+    """Return what a node of a role spends among so many peers."""
+    settings = {
+        "name": f"{role}-one",
+        "role": role,
+        "domain": "north",
+        "address": f"{NODE_HOST}:{NODE_PORT}",
+        "http_address": f"{NODE_HOST}:{NODE_PORT + 1}",
+        "seeds": [f"{HOST.format(1)}:{PORT}"],
+        "bounds": {"news": NEWS, "return_": 15},
+        **({"folder": f"{folder}/data"} if role == "store" else {}),
+    }
+    path = pathlib.Path(folder) / f"{role}.json"
+    path.write_text(json.dumps(settings))
+    peers = Peers(count, role)
+    process = subprocess.Popen([sys.executable, "-c", PROGRAM, role, "--settings", str(path)])
+    try:
+        peers.run(WARM_SECONDS)
+        start_cost, before, taken = spent_seconds(process.pid), time.monotonic(), peers.taken
+        peers.run(seconds)
+        span = time.monotonic() - before
+        return {
+            "core_share": round((spent_seconds(process.pid) - start_cost) / span, 5),
+            "first_s": round(start_cost, 3),
+            "mb": round(process_bytes(process.pid) / 1e6, 1),
+            "beats_taken": round((peers.taken - taken) / span, 1),
+            "acked": peers.heard is not None and peers.heard.acked > 0,
+        }
+    finally:
+        process.terminate()
+        process.wait()
+        peers.socket.close()
+
+
+@click.command()
+@click.option("--peers", default="1,93", show_default=True, help="Numbers of scripted peers.")
+@click.option("--roles", default="edge,core,store", show_default=True)
+@click.option("--seconds", default=10.0, show_default=True, help="Seconds of each measurement.")
+def main(peers, roles, seconds):
+    """Measure an idle node of each role among peers that all hear each other."""
+    for role in roles.split(","):
+        for count in map(int, peers.split(",")):
+            with tempfile.TemporaryDirectory() as folder:
+                row = measure(role, count, seconds, folder)
+            click.echo(json.dumps({"role": role, "peers": count, **row}))
+
+
+if __name__ == "__main__":
+    main()
--- a/quillring/kernel/gevent_world.py
+++ b/quillring/kernel/gevent_world.py
@@ -13,6 +13,7 @@
 import gevent.socket
 
 from quillring.kernel import http_client
+from quillring.kernel.datagrams import Datagrams
 from quillring.kernel.effects import (
     Emit,
     Fetch,
@@ -89,11 +90,11 @@
 class GeventWorld:
     """Time, chance, network and scripts of one process."""
 
-    __slots__ = ("random", "udp_socket", "channels", "report", "frame_timeout")
+    __slots__ = ("random", "datagrams", "channels", "report", "frame_timeout")
 
     def __init__(self, report, frame_timeout):
         self.random = random.Random(os.urandom(16))
-        self.udp_socket = None
+        self.datagrams = None
         self.channels = {}
         self.report = report
         self.frame_timeout = frame_timeout
@@ -112,23 +113,14 @@
 
     def listen(self, host, port, on_datagram, on_frame):
         """Take datagrams and frames at the address."""
-        self.udp_socket = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
-        self.udp_socket.bind((host, port))
-        gevent.spawn(self._read_datagrams, on_datagram)
+        self.datagrams = Datagrams(host, port)
+        gevent.spawn(self.datagrams.run, lambda data: self._guard(on_datagram, data))
         server = gevent.server.StreamServer(
             (host, port), lambda conn, _: self._read_frames(conn, on_frame)
         )
         server.start()
         return server
 
-    def _read_datagrams(self, on_datagram):
-        while True:
-            try:
-                data, _ = self.udp_socket.recvfrom(65535)
-            except OSError:
-                continue
-            self._guard(on_datagram, data)
-
     def _read_frames(self, conn, on_frame):
         with conn, conn.makefile("rb") as reader:
             while True:
@@ -154,10 +146,7 @@
 
     def datagram(self, address, data):
         """Send a datagram; it may be lost."""
-        try:
-            self.udp_socket.sendto(data, tuple(address))
-        except OSError:
-            return
+        self.datagrams.send(tuple(address), data)
 
     def frame(self, address, data):
         """Queue a frame on the channel to the address; it may be lost."""
