Generators are told by their type: a start no longer loads inspect with ast and dis

Cause: node and wsgi loaded inspect for isgenerator alone. Change: isinstance with types.GeneratorType, which is what isgenerator does.

--- a/quillring/kernel/node.py
+++ b/quillring/kernel/node.py
@@ -6,7 +6,7 @@
 """
 
 import hashlib
-import inspect
+from types import GeneratorType
 from typing import NamedTuple
 
 from quillring.kernel.bounds import Bounds
@@ -193,7 +193,7 @@
             if handler is None:
                 raise UnknownService(service=service)
             answer = handler(body, origin)
-            if inspect.isgenerator(answer):
+            if isinstance(answer, GeneratorType):
                 answer = yield from answer
         except QuillringError as error:
             answer = error
--- a/quillring/kernel/wsgi.py
+++ b/quillring/kernel/wsgi.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 + JSON towards callers, back ends and operators, by gevent's WSGI server."""
 
-import inspect
 import json
 import re
+from types import GeneratorType
 from urllib.parse import parse_qs
 
 from quillring.kernel.checks import parse_json
@@ -141,7 +141,7 @@
                 environ.get("HTTP_X_SENDER", ""),
             )
             outcome = function(node, inquiry)
-            if not inspect.isgenerator(outcome):
+            if not isinstance(outcome, GeneratorType):
                 return send_whole(start_response, outcome)
             return send_lines(node, start_response, outcome)
         except QuillringError as error:
