--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -2,6 +2,9 @@
 import pathlib
 import re
 import shlex
+import subprocess
+import sys
+import sysconfig
 import tomllib
 
 import pytest
@@ -63,3 +66,15 @@
     page = (DEPLOY.parent.parent / "docs/platform.md").read_text()
     packages = tomllib.loads(DEPLOY.read_text())["packages"]
     assert [name for name in packages if f"| `{name}` |" not in page] == []
+
+
+@pytest.mark.parametrize("role", sorted(roles()))
+def test_each_role_starts_with_its_own_packages_and_nothing_of_the_machines(role):
+    program, *arguments = shlex.split(roles()[role]["run"])
+    assert program == "python3"
+    variables = {"PYTHONPATH": sysconfig.get_path("purelib"), "QUILLRING_SETTINGS": "/no/such.yaml"}
+    shown = subprocess.run(
+        [sys.executable, *arguments], cwd=DEPLOY.parent.parent, env=variables, capture_output=True
+    )
+    assert shown.returncode == 2
+    assert shown.stderr.decode().startswith(f"{role}: settings file /no/such.yaml: ")
