A core that loses a term by its own lateness rests; the next in rank takes over

Cause: a core that is too slow, or wakes from a stop, goes on beating and ranks first, so it took its parts again at once. Its flapping links also made each other core take itself for the only bridge of a cut, and the healthy ones took the part from each other.

Change: a probe of the own loop (kernel/loop_lag.py). Resting cores rank behind all but leaving ones, their links tell of no cut, their parts are taken at once. Where all rest, the first acts. A core that was stopped for longer than its links hold waits as after a start. In a cut a rank counts as settled after three beats, not two.

Ruled out: a rest for every lost term. Slow disks of stores are no fault of the core, and a former owner holds the state that the next one would have to fetch.

--- a/proving/points/lots.py
+++ b/proving/points/lots.py
@@ -6,6 +6,8 @@
 from proving.points.state import CommandsWith
 from proving.sim import backends
 from quillring.lots.runner import LotRunner
+from quillring.ownership.resting import Resting
+from quillring.ownership.standing import Standing
 from quillring.quorum import acceptor, commands, owner, rounds
 from quillring.quorum.parts import CONFIG
 from quillring.rollout.freshness import Freshness
@@ -214,6 +216,8 @@
             (acceptor.Acceptors, "check", unfenced),
             (acceptor.Acceptors, "on_confirm", lambda self, body, origin: True),
             (owner.Owner, "may_act", lambda self: self.is_owner),
+            (Resting, "note_lost_term", no_check),
+            (Standing, "begin_anew", no_check),
             (Freshness, "check", no_check),
         ],
     ),
--- /dev/null
+++ b/quillring/kernel/loop_lag.py
@@ -0,0 +1,37 @@
+"""How late a process wakes: the sign that it is overloaded, or was stopped and goes on."""
+
+import math
+
+from quillring.kernel.effects import Sleep
+
+PROBE_SHARE = 0.1
+LATE_SHARE = 0.25
+KEPT_BEATS = 2
+
+
+class LoopLag:
+    """Sleeps for short whiles and compares when it wakes with when it should have."""
+
+    __slots__ = ("node", "due_at", "late_at")
+
+    def __init__(self, node):
+        self.node = node
+        self.due_at = math.inf
+        self.late_at = -math.inf
+
+    def run(self):
+        """Script: note each time that this process woke late."""
+        while True:
+            seconds = self.node.bounds.beat * PROBE_SHARE
+            self.due_at = self.node.now() + seconds
+            yield Sleep(seconds)
+            if self._is_overdue():
+                self.late_at = self.node.now()
+
+    def was_late(self):
+        """Tell whether this process woke late within the last beats, or is late right now."""
+        kept_seconds = self.node.bounds.beat * KEPT_BEATS
+        return self._is_overdue() or self.node.now() - self.late_at < kept_seconds
+
+    def _is_overdue(self):
+        return self.node.now() - self.due_at > self.node.bounds.round * LATE_SHARE
--- a/quillring/nifty/graph.py
+++ b/quillring/nifty/graph.py
@@ -168,6 +168,18 @@
             ),
         )
 
+    def bridges_without(self, left_out):
+        """Return the live nodes that reach all others but some directly, if not all of them do."""
+        return self._once(("bridges", left_out), lambda: self._find_bridges(left_out))
+
+    def _find_bridges(self, left_out):
+        left_out_bits = to_bits([self.places[name] for name in left_out if name in self.places])
+        asked_bits = self.live_bits & ~left_out_bits
+        bridge_bits = to_bits(
+            [p for p in places_of(asked_bits) if not asked_bits & ~(self.rows[p] | 1 << p)]
+        )
+        return frozenset() if bridge_bits == asked_bits else frozenset(self._names(bridge_bits))
+
     def sides(self):
         """Return the groups of live nodes on each side of the cut, bridges left out."""
         return self._once("sides", self._find_sides)
--- a/quillring/ownership/ownership.py
+++ b/quillring/ownership/ownership.py
@@ -1,10 +1,11 @@
 """Who owns which part: cores take the parts they rank first for; anyone can ask an owner."""
 
 from quillring.kernel.effects import Signal, Wait
-from quillring.kernel.errors import Fenced, NotFounded, NotOwner, QuillringError
+from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
 from quillring.ownership.asking import Asking
 from quillring.ownership.handover import Handover
 from quillring.ownership.rank import ranked_cores
+from quillring.ownership.resting import Resting
 from quillring.ownership.standing import Standing
 from quillring.ownership.takeovers import status_of
 from quillring.quorum.commands import QUERIES
@@ -25,6 +26,7 @@
         "started_at",
         "wake_signal",
         "standing",
+        "resting",
         "handover",
         "taking",
     )
@@ -37,6 +39,7 @@
         self.started_at = node.now()
         self.wake_signal = Signal()
         self.standing = Standing(node)
+        self.resting = Resting(node)
         self.handover = None
         self.taking = set()
         if node.me.role == "core":
@@ -50,6 +53,7 @@
             node.find("nifty").listeners.append(self._wake)
             node.find("gossip").listen("founding", self._wake)
             node.find("gossip").listen("group/", self._wake)
+            node.find("gossip").listen("resting/", self._wake)
 
     def _wake(self, *news):
         self.wake_signal.set()
@@ -83,7 +87,9 @@
         """Return the reachable cores in the order of their claim to the part."""
         cores = self.cores()
         leaving_names = {name for name in cores if self.is_leaving(name)}
-        return ranked_cores(part, cores, self.node.find("nifty").graph, leaving_names)
+        resting_names = {name for name in cores if self.resting.is_resting(name)}
+        graph = self.node.find("nifty").graph
+        return ranked_cores(part, cores, graph, leaving_names, resting_names)
 
     def is_leaving(self, name):
         """Tell whether a member drains or stands in an emptied domain: nothing new goes there."""
@@ -93,6 +99,10 @@
         drains = self.node.find("gossip").get(f"draining/{name}") == member.incarnation
         return drains or self.node.find("layout").is_left(member.domain)
 
+    def gives_way(self, name):
+        """Tell whether others take the parts of a core at once: it leaves, or rests."""
+        return self.is_leaving(name) or self.resting.is_resting(name)
+
     def announce_drain(self):
         """Tell all nodes that this one drains, until it starts again."""
         me = self.node.me
@@ -100,10 +110,15 @@
 
     def run(self):
         """Script, on a core: take the parts it ranks first for, hand over the others."""
+        self.node.spawn(self.resting.lag.run())
         while True:
             seconds = self.node.bounds.beat * (0.8 + 0.4 * self.node.world.random.random())
+            due_at = self.node.now() + seconds
             if (yield Wait(self.wake_signal, seconds)):
                 self.wake_signal = Signal()
+            if self.node.now() - due_at > self.node.bounds.broken:
+                self.standing.begin_anew()
+            self.resting.look()
             if self.node.find("gossip").get("founding") is None:
                 continue
             for part in self.parts():
@@ -143,7 +158,7 @@
         return (
             name is not None
             and name != self.node.me.name
-            and (self.node.find("nifty").reaches(name) and not self.is_leaving(name))
+            and (self.node.find("nifty").reaches(name) and not self.gives_way(name))
         )
 
     def _hand_over(self, part, owner):
@@ -159,12 +174,20 @@
             yield from owner.take_again(lambda ballot: self._gives_way(ballot, is_settled))
         except QuillringError as error:
             owner.takeover.end(error)
+            if isinstance(error, NoMajority):
+                self.resting.note_lost_term()
             yield from wait_for_owner(self.node, self._pause_after(error))
             return
         finally:
             self.taking.discard(part)
             self._wake()
-        self.node.spawn(owner.run())
+        self.node.spawn(self._keep(owner))
+
+    def _keep(self, owner):
+        """Script: own a part until the term ends; a core that lost it by its own fault rests."""
+        error = yield from owner.run()
+        if isinstance(error, (Fenced, NoMajority)):
+            self.resting.note_lost_term()
 
     def _gives_way(self, ballot, is_settled):
         """Tell whether the core whose ballot is higher is to be left to win the part."""
--- a/quillring/ownership/rank.py
+++ b/quillring/ownership/rank.py
@@ -3,12 +3,21 @@
 from quillring.nifty.graph import score
 
 
-def ranked_cores(key, cores, graph, leaving_names=()):
-    """Return the reachable core names, the one that should own the key first; leaving ones last."""
+def ranked_cores(key, cores, graph, leaving_names=(), resting_names=()):
+    """Return the reachable core names, the one that should own the key first.
+
+    Those that rest come behind those that do not, and those that leave come last. Links with a
+    resting core come and go at other times for each observer, so no cut is told by them.
+    """
     reached_cores = [name for name in cores if name in graph.reachable()]
-    bridge_names = set(graph.bridge_nodes()) if graph.is_cut else set()
+    bridge_names = graph.bridges_without(frozenset(resting_names))
     return sorted(
         reached_cores,
         reverse=True,
-        key=lambda name: (name not in leaving_names, name in bridge_names, score(key, name)),
+        key=lambda name: (
+            name not in leaving_names,
+            name not in resting_names,
+            name in bridge_names,
+            score(key, name),
+        ),
     )
--- a/quillring/ownership/standing.py
+++ b/quillring/ownership/standing.py
@@ -4,6 +4,7 @@
 
 STARTING_BEATS = 8
 SETTLED_BEATS = 2
+CUT_BEATS = 3
 
 
 class Standing:
@@ -32,6 +33,11 @@
         if reached != self.reached:
             self.reached, self.reached_at = reached, self.node.now()
 
+    def begin_anew(self):
+        """Trust nothing known: this process was stopped so long that others took it for dead."""
+        self.known = {}
+        self.started_at = self.reached_at = self.node.now()
+
     def note(self, part, name):
         """Take who ranks first now; return for how many seconds it has."""
         now = self.node.now()
@@ -40,8 +46,13 @@
         return now - self.known[part][1]
 
     def is_settled(self, seconds):
-        """Tell whether a rank held for so long will last."""
-        return seconds >= self.node.bounds.beat * SETTLED_BEATS
+        """Tell whether a rank held for so long will last.
+
+        While a node comes back, each core hears it sooner than it hears of the others doing so,
+        and takes itself for the only bridge of a cut for up to three beats.
+        """
+        beats = CUT_BEATS if self.node.find("nifty").graph.is_cut else SETTLED_BEATS
+        return seconds >= self.node.bounds.beat * beats
 
     def is_starting(self):
         """Tell whether this node started lately and still hears of others for the first time."""
@@ -61,5 +72,5 @@
             and member is not None
             and str(member.incarnation) == incarnation
             and name in self.reached
-            and not self.node.find("ownership").is_leaving(name)
+            and not self.node.find("ownership").gives_way(name)
         )
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -142,7 +142,7 @@
             self.node.cast(target, service, body)
 
     def run(self):
-        """Script: write what is queued while the ballot holds; a lost fence ends it."""
+        """Script: write what is queued while the ballot holds; return the error that ended it."""
         self.node.spawn(self.mending.run())
         try:
             while self.is_owner:
@@ -155,6 +155,8 @@
                     yield from self._confirm()
         except QuillringError as error:
             self.step_down(error)
+            return error
+        return None
 
     def _write_queue(self):
         batch, self.queue = split_batch(self.queue)
