--- a/proving/histories/moments.py
+++ b/proving/histories/moments.py
@@ -50,7 +50,7 @@
             yield self.env.timeout(max(0, at - self.env.now))
             moment = self.chance.choice(self.kinds)
             self.run.count(f"moment {moment.__name__}")
-            self.sim.history.mark(f"moment {moment.__name__}")
+            self.sim.history.note(f"moment {moment.__name__}")
             self.env.process(moment())
 
     def operator(self, name):
--- a/quillring/kernel/checks.py
+++ b/quillring/kernel/checks.py
@@ -3,7 +3,7 @@
 import json
 import math
 
-from quillring.kernel.errors import BadInquiry
+from quillring.kernel.errors import BadRequest
 from quillring.kernel.lazy import lazy_module
 from quillring.kernel.plain_schema import is_integer, is_number, is_surely_sound
 
@@ -85,5 +85,5 @@
 def read_count(text, field):
     """Return the count that a text of few digits names."""
     if not (text.isascii() and text.isdigit() and len(text) <= DIGITS):
-        raise BadInquiry(field=field, faults=[{"field": field, "fault": "not a count"}])
+        raise BadRequest(field=field, faults=[{"field": field, "fault": "not a count"}])
     return int(text)
--- a/quillring/kernel/loop_lag.py
+++ b/quillring/kernel/loop_lag.py
@@ -34,4 +34,4 @@
         return self._is_overdue() or self.node.now() - self.late_at < kept_seconds
 
     def _is_overdue(self):
-        return self.node.now() - self.due_at > self.node.bounds.round * LATE_SHARE
+        return self.node.now() - self.due_at > self.node.bounds.round_trip * LATE_SHARE
--- a/quillring/ownership/ownership.py
+++ b/quillring/ownership/ownership.py
@@ -97,7 +97,7 @@
         if member is None:
             return False
         drains = self.node.find("gossip").get(f"draining/{name}") == member.incarnation
-        return drains or self.node.find("layout").is_left(member.domain)
+        return drains or self.node.find("layout").is_left(member.zone)
 
     def gives_way(self, name):
         """Tell whether others take the parts of a core at once: it leaves, or rests."""
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -51,7 +51,7 @@
     way, deadline_ms, resumable
 ):
     kind, steps = WAYS[way]
-    world, node = make(both(*steps * 6), kind=kind, rounds=3, replicas=2, resumable=resumable)
+    world, node = make(both(*steps * 6), kind=kind, attempts=3, replicas=2, resumable=resumable)
     arrived_at, sendings = node.now(), []
     original = world._send
 
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -30,7 +30,7 @@
 
 
 @pytest.fixture
-def sender():
+def client_name():
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp_socket:
         yield udp_socket
 
@@ -48,41 +48,41 @@
     return waited
 
 
-def send_all(sender, listener, texts):
+def send_all(client_name, listener, texts):
     for text in texts:
-        sender.sendto(text, listener.address)
+        client_name.sendto(text, listener.address)
     assert listener.has_all.wait(PATIENCE)
 
 
-def test_all_that_wait_are_taken_in_one_wake_and_in_their_order(sender, wakes):
+def test_all_that_wait_are_taken_in_one_wake_and_in_their_order(client_name, wakes):
     texts = [b"%d" % number for number in range(100)]
     listener = Listener(len(texts))
-    send_all(sender, listener, texts)
+    send_all(client_name, listener, texts)
     assert listener.taken == texts and listener.faults == []
     assert len(wakes) <= 2
 
 
-def test_what_comes_later_is_taken_too(sender, wakes):
+def test_what_comes_later_is_taken_too(client_name, wakes):
     listener = Listener(1)
-    send_all(sender, listener, [b"first"])
+    send_all(client_name, listener, [b"first"])
     listener.has_all.clear()
     listener.wanted_count = 2
-    send_all(sender, listener, [b"second"])
+    send_all(client_name, listener, [b"second"])
     assert listener.taken == [b"first", b"second"]
 
 
-def test_a_batch_ends_so_that_others_get_their_turn(sender, wakes, monkeypatch):
+def test_a_batch_ends_so_that_others_get_their_turn(client_name, wakes, monkeypatch):
     monkeypatch.setattr(datagrams, "BATCH", 8)
     texts = [b"%d" % number for number in range(20)]
     listener = Listener(len(texts))
-    send_all(sender, listener, texts)
+    send_all(client_name, listener, texts)
     assert listener.taken == texts
     assert len(wakes) >= 3
 
 
-def test_a_handler_that_fails_on_one_gets_the_others(sender):
+def test_a_handler_that_fails_on_one_gets_the_others(client_name):
     listener = Listener(3, faulty=(b"bad",))
-    send_all(sender, listener, [b"one", b"bad", b"two"])
+    send_all(client_name, listener, [b"one", b"bad", b"two"])
     assert listener.taken == [b"one", b"bad", b"two"]
     assert [str(fault) for fault in listener.faults] == ["b'bad'"]
 
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -48,7 +48,7 @@
     kind, steps = WAYS[way]
     for stop_at in range(200):
         answers = both(*steps) if steps else {}
-        world, node = make(answers, kind=kind, rounds=2, replicas=2 if steps else 0)
+        world, node = make(answers, kind=kind, attempts=2, replicas=2 if steps else 0)
         sent = request()
         forward = node.find("forwards").find("h", sent.target)
         script = serve_forward(node, forward, sent, node.now())
--- a/tests/test_newer_calls.py
+++ b/tests/test_newer_calls.py
@@ -50,7 +50,7 @@
     orders += [("/Config.Amend", {"base-version": str(WHOLE["ver"])}, amendment)]
     orders += [("/Retire.Begin/2", {}, b'{"within_s": 10}')]
     assert len(orders) == 8
-    rounds = []
+    attempts = []
     for _ in range(4):
         tasks = []
         for path, headers, body in orders:
@@ -58,6 +58,6 @@
             script = handle_ctl(node, "POST", path, headers, body)
             tasks.append(stage.env.process(stage.sim.run_script(node, script)))
         stage.run(1)
-        rounds.append([task.value[0][0] for task in tasks])
-    assert all(status in (200, UNCLEAR) for statuses in rounds for status in statuses)
-    assert rounds[-1] == [200] * 8
+        attempts.append([task.value[0][0] for task in tasks])
+    assert all(status in (200, UNCLEAR) for statuses in attempts for status in statuses)
+    assert attempts[-1] == [200] * 8
--- a/tests/test_raw_budget.py
+++ b/tests/test_raw_budget.py
@@ -8,7 +8,7 @@
 from quillring.lots import raw_front
 from tests.raw_stage import HOST, RawStage, accepted, check_whole
 
-ROUNDS, MOST_DEAD, ITEMS = 3, 3, 6
+ATTEMPTS, MOST_DEAD, ITEMS = 3, 3, 6
 HOLD_SECONDS, MARGIN = 0.5, 0.5
 
 
@@ -32,7 +32,7 @@
         count = len(stage.arrivals)
         stage.run(10)
         assert len(stage.arrivals) == count
-        most = ROUNDS * 3 if way == 500 else MOST_DEAD
+        most = ATTEMPTS * 3 if way == 500 else MOST_DEAD
         assert max(Counter(row[1] for row in stage.arrivals).values()) <= most
 
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -29,7 +29,7 @@
     """Notes what the machine answers while `drain` lets time pass."""
 
     def __init__(self, grace):
-        self.world, self.node = make(both(*[WHOLE] * 99), kind="repeatable", rounds=1)
+        self.world, self.node = make(both(*[WHOLE] * 99), kind="repeatable", attempts=1)
         self.node.offer("dialect", Dialect())
         self.node.bounds = Bounds(grace=grace)
         self.node.under_way = 1
