--- a/examples/embed/quorum_counter.py
+++ b/examples/embed/quorum_counter.py
@@ -30,12 +30,12 @@
     return sum(state.get("counter", {}).values())
 
 
-def start(number, role, domain, folder=None):
+def start(number, role, zone, folder=None):
     """Start one node in this process."""
     name, address = f"{role}-{number}", (f"127.0.44.{number}", 7601)
     acceptors = open_store(FolderDisk(folder), name, lambda: f"{number:04x}") if folder else None
     identity = acceptors.identity if acceptors else ""
-    me = Member(name, number, role, domain, *address, 1, identity)
+    me = Member(name, number, role, zone, *address, 1, identity)
     world = GeventWorld(print, 1.0)
     node = make_node(me, world, [SEED], Bounds())
     start_node(node, acceptors)
@@ -48,8 +48,8 @@
     with tempfile.TemporaryDirectory() as folder, gevent.Timeout(60):
         core = start(1, "core", "north")
         other = start(5, "core", "east")
-        for number, domain in ((2, "north"), (3, "east"), (4, "south")):
-            start(number, "store", domain, f"{folder}/store-{number}")
+        for number, zone in ((2, "north"), (3, "east"), (4, "south")):
+            start(number, "store", zone, f"{folder}/store-{number}")
         while len(core.find("nifty").graph.live) < 5:
             gevent.sleep(0.05)
         print("founded:", core.world.drive(found_fleet(core, 1))["was_founded"] is False)
--- a/proving/callers.py
+++ b/proving/callers.py
@@ -45,19 +45,19 @@
         }
 
 
-def send(address, method, path, body=None, sender="caller", seconds=PATIENCE):
+def send(address, method, path, body=None, client_name="caller", seconds=PATIENCE):
     """Send one inquiry; return the client and the response."""
     host, port = split_address(address)
     client = HTTPClient(host, port, connection_timeout=2, network_timeout=seconds)
     data = b"" if body is None else json.dumps(body).encode()
-    return client, client.request(method, path, body=data, headers={"X-Sender": sender})
+    return client, client.request(method, path, body=data, headers={"X-Sender": client_name})
 
 
-def ask(address, method, path, body=None, sender="caller", seconds=PATIENCE):
+def ask(address, method, path, body=None, client_name="caller", seconds=PATIENCE):
     """Send one inquiry; return (status, JSON answer), status 0 when no answer came."""
     client = None
     try:
-        client, response = send(address, method, path, body, sender, seconds)
+        client, response = send(address, method, path, body, client_name, seconds)
         return response.status_code, json.loads(response.read() or b"null")
     except (OSError, HTTPParseError, ValueError) as error:
         return 0, {"trouble": type(error).__name__}
@@ -111,25 +111,25 @@
             return
 
 
-def stream_call(edges, chance, record, clock, entry, kind, max_pieces=20, drop_share=0.2):
+def stream_call(edges, chance, record, clock, route, kind, max_pieces=20, drop_share=0.2):
     """One streamed inquiry; a cut stream is resumed at any edge with the resume token."""
-    sender = f"sender-{chance.random():.9f}"
-    answer = Answer(f"{entry} {sender}", max_pieces)
+    client_name = f"sender-{chance.random():.9f}"
+    answer = Answer(f"{route} {client_name}", max_pieces)
     drop_after = chance.randrange(1, 6) if chance.random() < drop_share else None
-    body = {"entry": entry, "prompt": answer.prompt, "max_pieces": max_pieces}
-    method, path, start_time, rounds = "POST", "/v1/inquiries", clock(), 0
-    while answer.outcome is None and rounds < 8:
-        rounds += 1
+    body = {"entry": route, "prompt": answer.prompt, "max_pieces": max_pieces}
+    method, path, start_time, attempts = "POST", "/v1/inquiries", clock(), 0
+    while answer.outcome is None and attempts < 8:
+        attempts += 1
         client = None
         try:
-            client, response = send(record.edge(edges, chance), method, path, body, sender)
+            client, response = send(record.edge(edges, chance), method, path, body, client_name)
             if response.status_code == 200:
                 read_answer(answer, response, record, clock, start_time, drop_after)
                 drop_after = None
             else:
                 answer.outcome = refusal(response)
         except (OSError, HTTPParseError, ValueError):
-            if answer.token is None and rounds > 3:
+            if answer.token is None and attempts > 3:
                 answer.outcome = "no_answer"
         finally:
             if client is not None:
@@ -141,7 +141,7 @@
                 record.resumes += 1
                 method, body = "GET", None
                 path = f"/v1/streams/{answer.token}?after={len(answer.pieces)}"
-            gevent.sleep(0.2 * rounds)
+            gevent.sleep(0.2 * attempts)
     record.note(kind, answer.outcome or "given_up")
 
 
@@ -153,20 +153,20 @@
         return "strange"
 
 
-def tile_call(edges, chance, record, entry):
+def tile_call(edges, chance, record, route):
     """Fetch one tile and check it."""
     place = f"{chance.randrange(12, 16)}/{chance.randrange(64)}/7"
-    path = f"/v1/tiles/{entry}/{place}"
+    path = f"/v1/tiles/{route}/{place}"
     status, answer = ask(record.edge(edges, chance), "GET", path)
     if status == 200 and answer["tile"] != tile_word(f"/v1/tiles/{place}"):
         record.violate(f"wrong tile {path}")
     record.note("tile", "complete" if status == 200 else answer.get("trouble"))
 
 
-def seat_call(edges, chance, record, entry):
+def seat_call(edges, chance, record, route):
     """Confirm one seat, repeating the call under its key when no answer came."""
     key, seat = f"{chance.random():.12f}", f"row-{chance.randrange(900)}"
-    body = {"entry": entry, "key": key, "seat": seat}
+    body = {"entry": route, "key": key, "seat": seat}
     for _ in range(4):
         status, answer = ask(record.edge(edges, chance), "POST", "/v1/seats", body)
         if status == 200:
@@ -177,13 +177,13 @@
     record.note("seat", "complete" if status == 200 else answer.get("trouble"))
 
 
-def lot_call(edges, chance, record, entry, size=6):
+def lot_call(edges, chance, record, route, size=6):
     """Submit a lot, follow it to the end, check each result's position and value."""
-    key, sender = f"{chance.getrandbits(64):016x}", f"desk-{chance.randrange(50)}"
+    key, client_name = f"{chance.getrandbits(64):016x}", f"desk-{chance.randrange(50)}"
     items = [f"{key} item {n}" for n in range(size)]
-    body, lot = {"entry": entry, "key": key, "items": items}, None
+    body, lot = {"entry": route, "key": key, "items": items}, None
     for _ in range(8):
-        status, answer = ask(record.edge(edges, chance), "POST", "/v1/lots", body, sender)
+        status, answer = ask(record.edge(edges, chance), "POST", "/v1/lots", body, client_name)
         if status == 200:
             lot = answer["lot"]
             break
@@ -191,15 +191,15 @@
     if lot is None:
         record.note("lot", answer.get("trouble"))
         return
-    follow_lot(edges, chance, record, lot, items, sender)
+    follow_lot(edges, chance, record, lot, items, client_name)
 
 
-def follow_lot(edges, chance, record, lot, items, sender):
+def follow_lot(edges, chance, record, lot, items, client_name):
     """Read an accepted lot until all its results are there."""
     seen = {}
     for _ in range(200):
         edge = record.edge(edges, chance)
-        status, answer = ask(edge, "GET", f"/v1/lots/{lot}/results", None, sender)
+        status, answer = ask(edge, "GET", f"/v1/lots/{lot}/results", None, client_name)
         if status == 404:
             record.violate(f"accepted lot {lot} is lost")
             break
--- a/proving/deployments.py
+++ b/proving/deployments.py
@@ -3,7 +3,7 @@
 import json
 import pathlib
 
-DOMAINS = ("north", "east", "south", "west")
+ZONES = ("north", "east", "south", "west")
 MODEL_CLASS = {"resumable": True, "repeatable": True}
 
 
@@ -19,7 +19,7 @@
     }
 
 
-def entry(service, class_name, prefix=None):
+def route(service, class_name, prefix=None):
     """Return an entry."""
     return {"service": service, "class": class_name, **({"prefix": prefix} if prefix else {})}
 
@@ -41,11 +41,11 @@
                 "map": {"kind": "map", "warm_up_ms": 4000, "stall_ms": 1000},
             },
             "entries": {
-                "wayfinding": entry("words", "traveller", "You guide travellers in Ferrowa. "),
-                "wayfinding-lounge": entry("words", "traveller", "You guide lounge guests. "),
-                "tagging": entry("words", "overnight", "You tag listings of shops. "),
-                "gate-notices": entry("words", "boarding", "You rephrase gate changes. "),
-                "tiles": entry("map", "tile"),
+                "wayfinding": route("words", "traveller", "You guide travellers in Ferrowa. "),
+                "wayfinding-lounge": route("words", "traveller", "You guide lounge guests. "),
+                "tagging": route("words", "overnight", "You tag listings of shops. "),
+                "gate-notices": route("words", "boarding", "You rephrase gate changes. "),
+                "tiles": route("map", "tile"),
             },
         },
     },
@@ -65,11 +65,11 @@
                 "checkout": {"kind": "checkout", "warm_up_ms": 4000, "stall_ms": 1000},
             },
             "entries": {
-                "price-hints": entry("words", "hint", "You hint at prices in Kilele. "),
-                "seller-hints": entry("words", "hint", "You advise sellers in Kilele. "),
-                "seller-reviews": entry("words", "review", "You review sellers. "),
-                "fraud-reports": entry("words", "fraud", "You judge fraud reports. "),
-                "seats": entry("checkout", "seat"),
+                "price-hints": route("words", "hint", "You hint at prices in Kilele. "),
+                "seller-hints": route("words", "hint", "You advise sellers in Kilele. "),
+                "seller-reviews": route("words", "review", "You review sellers. "),
+                "fraud-reports": route("words", "fraud", "You judge fraud reports. "),
+                "seats": route("checkout", "seat"),
             },
         },
     },
@@ -86,7 +86,7 @@
             fields = {
                 "name": f"{role}-{i + 1}",
                 "role": role,
-                "domain": DOMAINS[i % 4],
+                "domain": ZONES[i % 4],
                 "address": f"{host}:7400",
                 "http_address": f"{host}:8400",
                 "seeds": seeds,
@@ -108,15 +108,15 @@
             yield {
                 "name": f"{service}-{i + 1}",
                 "service": service,
-                "domain": DOMAINS[i % 4],
+                "domain": ZONES[i % 4],
                 "address": f"127.0.{deployment['net']}.{number}:9400",
                 "slots": slots,
             }
 
 
-def layout_of(deployment):
+def configuration_of(deployment):
     """Return the example layout."""
-    return {**deployment["layout"], "domains": {name: {"emptied": False} for name in DOMAINS}}
+    return {**deployment["layout"], "domains": {name: {"emptied": False} for name in ZONES}}
 
 
 def write_examples(folder):
@@ -129,7 +129,9 @@
             path.write_text(json.dumps(fields, indent=2) + "\n")
         rows = list(replicas_of(deployment))
         (target / "replicas.json").write_text(json.dumps(rows, indent=2) + "\n")
-        (target / "layout.json").write_text(json.dumps(layout_of(deployment), indent=2) + "\n")
+        (target / "layout.json").write_text(
+            json.dumps(configuration_of(deployment), indent=2) + "\n"
+        )
 
 
 if __name__ == "__main__":
--- a/proving/fuzz.py
+++ b/proving/fuzz.py
@@ -134,11 +134,11 @@
     return method, path, body, len(body)
 
 
-def exchange(address, case, sender="fuzz"):
+def exchange(address, case, client_name="fuzz"):
     """Send one inquiry over a socket of its own; return (status, JSON answer or None)."""
     method, path, body, length = case
     head = (
-        f"{method} {path} HTTP/1.1\r\nHost: x\r\nX-Sender: {sender}\r\nConnection: close\r\n"
+        f"{method} {path} HTTP/1.1\r\nHost: x\r\nX-Sender: {client_name}\r\nConnection: close\r\n"
         f"Content-Length: {length}\r\n\r\n"
     )
     with socket.create_connection(split_address(address), 20) as conn:
--- a/proving/histories/bugs.py
+++ b/proving/histories/bugs.py
@@ -16,10 +16,10 @@
 from quillring.quorum.acceptor import Acceptors, PartRecord
 from quillring.quorum.commands import COMMANDS
 from quillring.quorum.in_flight import InFlight
-from quillring.rollout import editions, marks
+from quillring.rollout import configuration_versions, operator_orders
 from quillring.rollout.freshness import Freshness
-from quillring.rollout.image import LayoutImage
 from quillring.rollout.orders import place_order
+from quillring.rollout.snapshot import ConfigurationSnapshot
 from quillring.store.slots import SlotStore
 
 MOST_SEEDS_A_BUG = 40
@@ -56,15 +56,15 @@
 def adopt_on_any_base(state, command):
     """Stand-in: a configuration made on another version is adopted all the same."""
     try:
-        return editions.adopt_edition(state, command)
+        return configuration_versions.adopt_version(state, command)
     except Conflict as error:
         base = error.detail.get("winning_edition")
-        return editions.adopt_edition(state, {**command, "base_edition": base})
+        return configuration_versions.adopt_version(state, {**command, "base_edition": base})
 
 
 def adopt_without_memory(state, command):
     """Stand-in: what was adopted before is not known again."""
-    return editions.adopt_edition({**state, "editions": {}}, command)
+    return configuration_versions.adopt_version({**state, "editions": {}}, command)
 
 
 def local_state(self):
@@ -122,7 +122,7 @@
 def take_any_news(self, body, origin):
     """Stand-in: a node takes whatever configuration it is told last."""
     _, news = body
-    self.index, self.version, self.layout = news[:3]
+    self.index, self.version, self.configuration = news[:3]
 
 
 def told_as_refused(part):
@@ -143,7 +143,7 @@
 
 def always_fresh(self):
     """Stand-in: a node counts as fresh however long it heard of no majority."""
-    return self.node.find("layout").layout is not None
+    return self.node.find("layout").configuration is not None
 
 
 BUGS = (
@@ -151,16 +151,34 @@
     Bug(
         "repeats unknown", "edition.adopt: digests", COMMANDS, "edition.adopt", adopt_without_memory
     ),
-    Bug("number not compared", "editions.number_faults", editions, "number_faults", no_faults),
+    Bug(
+        "number not compared",
+        "configuration_versions.number_faults",
+        configuration_versions,
+        "number_faults",
+        no_faults,
+    ),
     Bug("local read", "Owner.fenced_state", owner.Owner, "fenced_state", local_state),
-    Bug("unfenced orders", "orders.place_order", marks, "place_order", place_unfenced),
-    Bug("any retirement", "marks.check_remaining", marks, "check_remaining", no_check),
+    Bug("unfenced orders", "orders.place_order", operator_orders, "place_order", place_unfenced),
+    Bug(
+        "any retirement",
+        "operator_orders.check_remaining",
+        operator_orders,
+        "check_remaining",
+        no_check,
+    ),
     Bug("terms not compared", "Acceptors.check", Acceptors, "check", check_without_ballot),
     Bug("answer before sync", "SlotStore.commit", SlotStore, "commit", commit_without_sync),
     Bug("lot accepted anew", "raw.accept: digest", COMMANDS, "raw.accept", accept_anew),
     Bug("end not kept", "raw.end", COMMANDS, "raw.end", end_nothing),
     Bug("results move", "raw_commands.list_items", raw_commands, "list_items", list_in_front),
-    Bug("snapshot goes back", "LayoutImage.on_news", LayoutImage, "on_news", take_any_news),
+    Bug(
+        "snapshot goes back",
+        "ConfigurationSnapshot.on_news",
+        ConfigurationSnapshot,
+        "on_news",
+        take_any_news,
+    ),
     Bug("unknown told as refused", "asking._unknown", asking, "_unknown", told_as_refused),
     Bug("reads past the log", "peek.find_answer", peek, "find_answer", newest_of_any),
     Bug("entry in flight", "InFlight.wait", InFlight, "wait", wait_for_nothing),
--- a/proving/histories/calls.py
+++ b/proving/histories/calls.py
@@ -31,8 +31,8 @@
 from quillring.lots import raw_front
 from quillring.lots.raw_commands import HeldTooMuch, QuotaExceeded
 from quillring.quorum.parts import CONFIG
-from quillring.rollout.commands import BadLayout
-from quillring.rollout.marks import retire_store
+from quillring.rollout.commands import BadConfiguration
+from quillring.rollout.operator_orders import retire_store
 from quillring.rollout.orders import StaleOrder, submit_order
 
 TRY_SECONDS = 0.8
@@ -124,7 +124,7 @@
             return results_seen(value) if isinstance(order, ReadResults) else Done()
         case Conflict():
             return Conflicting(error.detail.get("winning_edition"))
-        case BadLayout():
+        case BadConfiguration():
             return Invalid()
         case NotFound():
             is_handed_in = isinstance(order, AcceptLot)
@@ -153,11 +153,11 @@
     if error is not None or value is None:
         answer = answer_of(FetchConfiguration(), value, error)
         return [(*row, answer) for row in orders]
-    layout = value["layout"]
-    forwards, marks = layout.get("forwards") or {}, layout.get("stores") or {}
+    configuration = value["layout"]
+    forwards, store_orders = configuration.get("forwards") or {}, configuration.get("stores") or {}
     items = tuple(sorted((n, f["hold_ms"]) for n, f in forwards.items() if n != FORWARD))
-    retired = tuple(sorted(name for name, mark in marks.items() if mark.get("retired")))
-    zones = layout.get("domains") or {}
+    retired = tuple(sorted(name for name, order in store_orders.items() if order.get("retired")))
+    zones = configuration.get("domains") or {}
     answers = [
         ConfigurationSeen(value["edition"], items),
         StoresSeen(retired),
--- a/proving/histories/clients.py
+++ b/proving/histories/clients.py
@@ -113,8 +113,8 @@
         deeds = [
             (self.change, 40),
             (self.fetch, 30),
-            (self.mark_zone, 16),
-            (self.mark_store, 6),
+            (self.order_zone, 16),
+            (self.order_store, 6),
             (self.repeat_old, 4),
             (self.race, 4),
             (self.ask_sleeper, 12),
@@ -188,12 +188,12 @@
             self.env.process(helper.send(target, order, node, LONG_PATIENCE))
         yield from self.pause(0, 0.2)
 
-    def mark_zone(self):
+    def order_zone(self):
         """Process: empty a zone or restore it."""
         zone = self.chance.choice(ZONES)
         yield from self.send_surely(f"zone/{zone}", MarkZone(self.chance.random() < 0.5))
 
-    def mark_store(self):
+    def order_store(self):
         """Process: retire a store, and take that back after a while."""
         store = self.chance.choice(self.stage.sim.names("store"))
         yield from self.send_surely(STORES, RetireStore(store))
--- a/proving/histories/faults.py
+++ b/proving/histories/faults.py
@@ -37,7 +37,7 @@
             self.held_messages,
             self.held_messages,
             self.full_disk,
-            self.lose_domain,
+            self.lose_zone,
             self.lose_disk,
         ]
 
@@ -48,7 +48,7 @@
         added = self.sim.net.cuts - before
         is_long = self.sim.chance.random() < 0.5
         yield self.sim.env.timeout(LONG_CUT[1] if is_long else self.sim.chance.uniform(*LONG_CUT))
-        self.sim.history.mark("cut healed")
+        self.sim.history.note("cut healed")
         self.sim.net.cuts -= added
 
     def _owner_name(self):
@@ -99,7 +99,7 @@
     def held_messages(self):
         """Messages and copies of them are held for up to 25 seconds, and come then."""
         net = self.sim.net
-        self.sim.history.mark("messages are held")
+        self.sim.history.note("messages are held")
         net.late_copy_share, net.late_share = LATE_COPY_SHARE * 3, LATE_SHARE * 5
         yield self.sim.env.timeout(self.sim.chance.uniform(*HELD_SECONDS))
         net.late_copy_share, net.late_share = LATE_COPY_SHARE, LATE_SHARE
--- a/proving/histories/models.py
+++ b/proving/histories/models.py
@@ -104,8 +104,8 @@
     first_state = frozenset()
     is_lasting = staticmethod(is_without_effect)
 
-    def __init__(self, domains, group_size):
-        self.domains = dict(domains)
+    def __init__(self, zones, group_size):
+        self.zones = dict(zones)
         self.group_size = group_size
 
     def step(self, state, order, answer):
@@ -119,7 +119,7 @@
         if order.store in state:
             return (state,)
         retired = state | {order.store}
-        remaining = [domain for name, domain in self.domains.items() if name not in retired]
+        remaining = [zone for name, zone in self.zones.items() if name not in retired]
         if is_enough(remaining, self.group_size):
             return (retired,)
         return (state,) if isinstance(answer, Unknown) else IMPOSSIBLE
--- a/proving/histories/run.py
+++ b/proving/histories/run.py
@@ -79,7 +79,7 @@
         except ScriptFailure as error:
             self.findings.append(Finding(PROGRAM, f"{error} at {self.stage.env.now:.3f}"))
         self._note_runs()
-        history.steps = [*sim.history.marks]
+        history.steps = [*sim.history.notes]
         self.counts["packets held"] = sim.net.late_packets
         self.findings.extend(Finding("simulator", text) for text in sim.history.violations)
         return history
--- a/proving/histories/stage.py
+++ b/proving/histories/stage.py
@@ -24,16 +24,16 @@
 
     def __init__(self, seed):
         self.sim = HistoryFleet("ferrowa", seed, SIZES)
-        self.sim.layout = EMPTY
+        self.sim.configuration = EMPTY
         self.env, self.chance = self.sim.env, self.sim.chance
         self.replicas, self.counts = {}, {}
         self.arrivals, self.whole_runs = [], []
         self.sim.backends.raw = RawBackends(self)
         self.history = History(seed)
         self.sim.start_all()
-        domains = sorted({node.me.domain for node in self.sim.nodes.values()})
+        zones = sorted({node.me.zone for node in self.sim.nodes.values()})
         for number in range(REPLICAS):
-            zone = domains[number % len(domains)]
+            zone = zones[number % len(zones)]
             self.replicas[f"i-{number}"] = RawReplica(self, f"i-{number}", zone, SLOTS)
         rows = self.sim.rows
         self.history.stores = tuple((n, rows[n]["domain"]) for n in self.sim.names("store"))
@@ -72,7 +72,7 @@
                     self.history.snapshots.append(self._snapshot(name, node))
 
     def _snapshot(self, name, node):
-        image = node.find("layout")
-        number = (image.layout or {}).get("edition", 0)
+        snapshot = node.find("layout")
+        number = (snapshot.configuration or {}).get("edition", 0)
         is_fresh = node.find("freshness").is_fresh()
-        return Snapshot(name, node.me.incarnation, self.env.now, image.index, number, is_fresh)
+        return Snapshot(name, node.me.incarnation, self.env.now, snapshot.index, number, is_fresh)
--- a/proving/localfleet.py
+++ b/proving/localfleet.py
@@ -157,8 +157,8 @@
         self.wait_for(
             "founded", lambda: ask(self.http(cores[0]), "POST", "/v1/found", {"parts": 4})[0] == 200
         )
-        layout = json.loads((self.example / "layout.json").read_text())
-        body = {"base_version": 0, "layout": layout, "whole": True, "id": "first"}
+        configuration = json.loads((self.example / "layout.json").read_text())
+        body = {"base_version": 0, "layout": configuration, "whole": True, "id": "first"}
         self.wait_for(
             "layout", lambda: ask(self.http(cores[0]), "PUT", "/v1/layout", body)[0] == 200
         )
--- a/proving/model/bugs.py
+++ b/proving/model/bugs.py
@@ -144,10 +144,10 @@
     """A configuration is adopted whatever version it was made on."""
     real = COMMANDS.find("layout.adopt")
 
-    def adopt_layout(state, command):
+    def adopt_configuration(state, command):
         return real(state, {**command, "base_version": state["version"]})
 
-    return all_of([mock.patch.dict(COMMANDS.entries, {"layout.adopt": adopt_layout})])
+    return all_of([mock.patch.dict(COMMANDS.entries, {"layout.adopt": adopt_configuration})])
 
 
 def peek_applied_only():
--- a/proving/points/base.py
+++ b/proving/points/base.py
@@ -7,7 +7,7 @@
 from proving.sim.fleet import SimFleet
 from proving.sim.monitor import Monitor
 from proving.sim.run import ONCE_CLASS
-from quillring.kernel.wsgi import Inquiry
+from quillring.kernel.wsgi import Request
 
 SMALL = {
     "sizes": {"edge": 4, "core": 3, "store": 4},
@@ -20,11 +20,11 @@
 
     def __init__(self, seed, deployment="ferrowa", sizes=SMALL, ready_at=8, versions=None):
         self.sim = SimFleet(deployment, seed, sizes)
-        layout = self.sim.layout
-        self.sim.layout = {
-            **layout,
-            "classes": {**layout["classes"], "once": ONCE_CLASS},
-            "entries": {**layout["entries"], "once": {"service": "words", "class": "once"}},
+        configuration = self.sim.configuration
+        self.sim.configuration = {
+            **configuration,
+            "classes": {**configuration["classes"], "once": ONCE_CLASS},
+            "entries": {**configuration["entries"], "once": {"service": "words", "class": "once"}},
         }
         if versions is not None:
             self.sim.versions = dict.fromkeys(self.sim.rows, versions)
@@ -61,9 +61,9 @@
         """Let the platform use every live edge again."""
         del self.callers.edge
 
-    def inquiry(self, method, words, query, body, sender):
+    def request(self, method, words, query, body, client_name):
         """Return an inquiry as the HTTP side hands it on."""
-        return Inquiry(method, words, query, body, sender)
+        return Request(method, words, query, body, client_name)
 
     def outcomes(self):
         """Return {kind/outcome: count} of the callers."""
--- a/proving/points/callers.py
+++ b/proving/points/callers.py
@@ -18,7 +18,7 @@
 ADDRESS = ("10.0.0.1", 9000)
 ID_HEADER = "request-id"
 EXCHANGES, REQUESTS = 600, 400
-ROUNDS, REPLICAS = 2, 4
+ATTEMPTS, REPLICAS = 2, 4
 START_TIME, DEADLINE_SECONDS, HELD_PAST_END = 1000.0, 4, 0.25
 
 
@@ -140,7 +140,7 @@
             violations.append(f"request {number} ({kind}) went out on a kept connection")
         if is_single and runs and outcome == "refused":
             violations.append(f"request {number} ({kind}) may have run and was refused")
-        if len({address for address, _ in runs}) > ROUNDS:
+        if len({address for address, _ in runs}) > ATTEMPTS:
             violations.append(f"request {number} ({kind}) ran on too many replicas")
         if world.now() > START_TIME + DEADLINE_SECONDS + HELD_PAST_END:
             violations.append(f"request {number} ({kind}) was held past its time")
@@ -154,7 +154,7 @@
     node = make_node(
         Member("edge-1", 1, "edge", "north", "10.0.0.9", 7000, 7001, ""), world, [], Bounds()
     )
-    node.find("gossip").put("layout", [1], [1, 1, _layout(kind, is_resumable), []])
+    node.find("gossip").put("layout", [1], [1, 1, _configuration(kind, is_resumable), []])
     for number in range(REPLICAS):
         node.find("replicas").on_beat(_beat(number))
     pairs = [("Host", "h"), ("X-Inquiry", "q"), ("X-Deadline-Ms", str(DEADLINE_SECONDS * 1000))]
@@ -172,13 +172,13 @@
     return "complete" if answer is None else str(answer[0])
 
 
-def _layout(kind, is_resumable):
+def _configuration(kind, is_resumable):
     forward = {
         "host": "h",
         "prefix": "/a/",
         "kind": kind,
         "split": [["s", 1]],
-        "rounds": ROUNDS,
+        "rounds": ATTEMPTS,
         "hold_ms": 5000,
         "goal_ms": 250,
         "resumable": is_resumable,
--- a/proving/points/catalog.py
+++ b/proving/points/catalog.py
@@ -5,7 +5,6 @@
     changes,
     cuts,
     departed,
-    domains,
     failures,
     fleet,
     keeping,
@@ -21,6 +20,7 @@
     state,
     streams,
     waits,
+    zones,
 )
 
 POINTS = [
@@ -32,7 +32,7 @@
     *rooms.POINTS,
     *fleet.POINTS,
     *resume.POINTS,
-    *domains.POINTS,
+    *zones.POINTS,
     *waits.POINTS,
     *starts.POINTS,
     *keeping.POINTS,
--- a/proving/points/departed.py
+++ b/proving/points/departed.py
@@ -53,14 +53,14 @@
 
 def is_fresh_by_heard_group(self):
     """Stand-in for the guard: the group counts that was heard of, whatever the layout's is."""
-    image, edge_time = self.node.find("layout"), self.node.now() - self.node.bounds.fresh
+    snapshot, edge_time = self.node.find("layout"), self.node.now() - self.node.bounds.fresh
     try:
         group = self.node.find("ownership").group(CONFIG)
     except NotFounded:
         return False
     words = [word for _, word in self._store_words(group)]
     good = [index for at, index in words if at is not None and at > edge_time]
-    return sum(index <= image.index for index in good) >= majority(group)
+    return sum(index <= snapshot.index for index in good) >= majority(group)
 
 
 def stamp_of_any(self):
--- a/proving/points/failures.py
+++ b/proving/points/failures.py
@@ -3,7 +3,7 @@
 from proving.points.base import Stage, no_check
 from proving.points.cuts import traffic
 from proving.points.lots import accept_at_once
-from proving.points.serving import rerun_round
+from proving.points.serving import rerun_attempt
 from proving.points.state import adopt, names_but
 from quillring.edge import Replicas, streams
 from quillring.nifty.graph import Graph
@@ -29,7 +29,7 @@
         name = chance.choice(sim.names(role))
         owner_name = stage.node("edge-1").find("gossip").get("owner/part-1")["owner"]
         name = owner_name if role == "core" else name
-        domain = chance.choice([d for d in ("north", "east") if d != sim.rows[name]["domain"]])
+        zone = chance.choice([d for d in ("north", "east") if d != sim.rows[name]["domain"]])
         frozen_seconds = chance.uniform(5.5, 7.5)
         sim.freeze(name, frozen_seconds)
         if role == "edge":
@@ -42,9 +42,9 @@
             stage.start(_lots_at_once(stage, frozen_seconds + 0.01))
         stage.run(0.3)
         others = [n for n in sim.names("core") if n not in (name, owner_name)]
-        answer, _ = adopt(stage, others[0], {"domains": {domain: {"emptied": True}}})
+        answer, _ = adopt(stage, others[0], {"domains": {zone: {"emptied": True}}})
         if answer:
-            sim.history.emptied[domain] = stage.env.now
+            sim.history.emptied[zone] = stage.env.now
         stage.run(12)
         stage.callers.stop_at = stage.env.now
         stage.run(15)
@@ -192,7 +192,7 @@
 
 def always_fresh(self):
     """Stand-in for the guard: whatever layout is known counts as fresh."""
-    return self.node.find("layout").layout is not None
+    return self.node.find("layout").configuration is not None
 
 
 DIRECT = (
@@ -212,7 +212,7 @@
     (
         "a woken replica mixes nothing and runs nothing twice",
         woken_replica,
-        [(streams, "one_round", rerun_round)],
+        [(streams, "one_attempt", rerun_attempt)],
     ),
     (
         "a store isolated, emptied and retired leaves all whole",
--- a/proving/points/keeping.py
+++ b/proving/points/keeping.py
@@ -9,11 +9,11 @@
 from quillring.lots.keeping import Keeping
 
 
-def submit(stage, key, sender, items):
+def submit(stage, key, client_name, items):
     """Hand in a lot; return (answer, error)."""
     body = {"entry": "gate-notices", "key": key, "items": items}
     return stage.finish(
-        stage.start(stage.callers.ask(submit_lot, "POST", body=body, sender=sender))
+        stage.start(stage.callers.ask(submit_lot, "POST", body=body, client_name=client_name))
     )
 
 
@@ -39,12 +39,12 @@
             stage.sim.history.violate(f"{refused} refused, up to {heaviest} held of {bound}")
         for lot in list(accepted)[:6]:
             answer, error = stage.finish(
-                stage.start(stage.callers.ask(release_lot, "POST", {"lot": lot}, sender="eve"))
+                stage.start(stage.callers.ask(release_lot, "POST", {"lot": lot}, client_name="eve"))
             )
             if answer or error.kind != "not_found":
                 stage.sim.history.violate(f"another sender released a lot: {answer} {error}")
             stage.finish(
-                stage.start(stage.callers.ask(release_lot, "POST", {"lot": lot}, sender="ann"))
+                stage.start(stage.callers.ask(release_lot, "POST", {"lot": lot}, client_name="ann"))
             )
             del accepted[lot]
         answer, error = submit(stage, "later", "ann", ["one more"])
@@ -73,7 +73,7 @@
 def _check_all_there(stage, accepted):
     for lot, items in accepted.items():
         answer, error = stage.finish(
-            stage.start(stage.callers.ask(show_results, words={"lot": lot}, sender="ann"))
+            stage.start(stage.callers.ask(show_results, words={"lot": lot}, client_name="ann"))
         )
         if not answer or len(answer["results"]) != len(items):
             stage.sim.history.violate(f"results of {lot} vanished: {answer} {error}")
@@ -82,11 +82,11 @@
 def same_keys(seed):
     """Several senders use one key at once, each for a lot of its own."""
     stage = Stage(seed)
-    senders = ["ann", "bob", "", "\u00fc", "ann "]
+    client_names = ["ann", "bob", "", "\u00fc", "ann "]
     lots = {}
-    for sender in senders:
-        answer, error = submit(stage, "monday", sender, [f"item of {sender}"])
-        lots[sender] = answer["lot"] if answer else error.kind
+    for client_name in client_names:
+        answer, error = submit(stage, "monday", client_name, [f"item of {client_name}"])
+        lots[client_name] = answer["lot"] if answer else error.kind
     again, _ = submit(stage, "monday", "ann", ["item of ann"])
     other, error = submit(stage, "monday", "ann", ["another item"])
     if lots.pop("") != "bad_inquiry" or len(set(lots.values())) != 4:
@@ -146,7 +146,7 @@
         stage.start(stage.callers.stream("wayfinding", "short", 200, drop_after=1 << 30))
     stage.run(sim.chance.uniform(0.5, 1))
     for node in sim.up_nodes("edge") + sim.up_nodes("core"):
-        if node.me.domain != sim.rows["edge-1"]["domain"]:
+        if node.me.zone != sim.rows["edge-1"]["domain"]:
             sim.freeze(node.me.name, 3)
     stage.run(sim.chance.uniform(2.5, 2.9))
     sim.kill("edge-1")
@@ -166,7 +166,7 @@
 
 POINTS = [
     ("a result nobody read does not vanish", unread_results, [(Keeping, "check", no_check)]),
-    ("senders' keys do not meet", same_keys, [(front, "sender_space", lambda sender: "all")]),
+    ("senders' keys do not meet", same_keys, [(front, "client_space", lambda client_name: "all")]),
     (
         "a stream under way is not dropped for want of room",
         full_journal,
--- a/proving/points/lots.py
+++ b/proving/points/lots.py
@@ -31,15 +31,13 @@
     return stage.sim.history.violations, outcomes
 
 
-def domain_lost_after_accept(seed):
+def zone_lost_after_accept(seed):
     """Two stores are slow; a lot is accepted; the third one's domain and disk are lost for good."""
     stage = Stage(seed)
     group = stage.node("core-1").find("ownership").group("part-1")
     lost_store, *slow_stores = [store[0] for store in group]
-    domain = stage.node(lost_store).me.domain
-    stage.callers.edge = lambda: next(
-        n for n in stage.sim.up_nodes("edge") if n.me.domain != domain
-    )
+    zone = stage.node(lost_store).me.zone
+    stage.callers.edge = lambda: next(n for n in stage.sim.up_nodes("edge") if n.me.zone != zone)
     for name in slow_stores:
         stage.sim.freeze(name, 1.2)
     for _ in range(4):
@@ -47,7 +45,7 @@
     while not stage.sim.history.counts.get("accepted_lots"):
         stage.env.step()
     for node in list(stage.sim.nodes.values()):
-        if node.me.domain == domain:
+        if node.me.zone == zone:
             stage.sim.kill(node.me.name, loses_power=True)
     stage.sim.disks[lost_store].lose_all()
     for node in stage.sim.nodes.values():
@@ -144,7 +142,7 @@
     return stage.sim.history.violations, {**stage.outcomes(), "items_ended": ended}
 
 
-def tell_nobody(self, lot_name, entry_name):
+def tell_nobody(self, lot_name, route_name):
     """Stand-in for the guard: no replica is told to stop."""
     return
     yield
@@ -204,7 +202,7 @@
     ),
     (
         "a domain and its disk lost loses no lot",
-        domain_lost_after_accept,
+        zone_lost_after_accept,
         [(rounds, "majority", lambda group: 1)],
     ),
     (
--- a/proving/points/membership.py
+++ b/proving/points/membership.py
@@ -7,7 +7,7 @@
 from quillring.quorum.repair import Repair
 from quillring.quorum.retirement import PartAnswer
 from quillring.quorum.swap import GroupChange
-from quillring.rollout.marks import is_retired
+from quillring.rollout.operator_orders import is_retired
 
 SYNC_SECONDS = 5.0
 PART = "part-1"
--- a/proving/points/orders.py
+++ b/proving/points/orders.py
@@ -7,8 +7,8 @@
 from quillring.kernel.errors import Conflict, NotOwner
 from quillring.ownership import Ownership
 from quillring.quorum.owner import Owner
-from quillring.rollout import marks, orders
-from quillring.rollout.marks import retire_store
+from quillring.rollout import operator_orders, orders
+from quillring.rollout.operator_orders import retire_store
 from quillring.rollout.orders import submit_order
 
 HELD_SECONDS = 20
@@ -184,7 +184,7 @@
     (
         "two stores are not retired at once with too few left",
         two_retirements,
-        [(marks, "check_remaining", no_check)],
+        [(operator_orders, "check_remaining", no_check)],
     ),
     (
         "a core cut off for 20 s hands out and confirms nothing",
--- a/proving/points/reading.py
+++ b/proving/points/reading.py
@@ -10,7 +10,7 @@
 from quillring.plans.runner import PlanRunner
 from quillring.quorum.parts import CONFIG
 from quillring.rollout import Freshness
-from quillring.rollout.image import LayoutImage
+from quillring.rollout.snapshot import ConfigurationSnapshot
 
 
 def result_read(seed):
@@ -20,12 +20,12 @@
     for _ in range(8):
         stage.start(stage.callers.lot("gate-notices", 8, 0.0))
 
-    def reader(lot, sender):
+    def reader(lot, client_name):
         while True:
             node, start_time = chance.choice(sim.up_nodes("edge")), sim.env.now
             written = _written(stage, lot)
-            inquiry = stage.inquiry("GET", {"lot": lot}, {}, None, sender)
-            answer, error = yield from sim.run_script(node, show_results(node, inquiry))
+            request = stage.request("GET", {"lot": lot}, {}, None, client_name)
+            answer, error = yield from sim.run_script(node, show_results(node, request))
             seconds = sim.env.now - start_time
             reads.append(seconds)
             if not answer or seconds > sim.bounds.reading:
@@ -76,9 +76,9 @@
                 return answer
         return None
 
-    domain = stage.sim.chance.choice(("north", "east", "south"))
+    zone = stage.sim.chance.choice(("north", "east", "south"))
     plan = stage.finish(
-        stage.start(asked(propose, "POST", {}, {"kind": "empty_domain", "target": domain}))
+        stage.start(asked(propose, "POST", {}, {"kind": "empty_domain", "target": zone}))
     )
     name = plan["plan"]
     owner_name = stage.node("edge-1").find("gossip").get(f"owner/{CONFIG}")["owner"]
@@ -98,11 +98,11 @@
     return stage.sim.history.violations, {
         **stage.outcomes(),
         "phase": seen and seen["phase"],
-        "domain": domain,
+        "domain": zone,
     }
 
 
-def growing_layout(seed):
+def growing_configuration(seed):
     """Hundreds of entries come, in many changes and as one, under traffic; all nodes have them."""
     stage = Stage(seed)
     stage.start(stage.callers.generate(6, stage.callers.stream, "wayfinding", "short", 10))
@@ -175,9 +175,9 @@
     ),
     (
         "a layout that grows is everywhere within 2 s",
-        growing_layout,
+        growing_configuration,
         [
-            (LayoutImage, "_cast_all", no_news),
+            (ConfigurationSnapshot, "_cast_all", no_news),
             (Gossip, "push_news", no_news),
             (Gossip, "on_digest", no_news),
             (Freshness, "_fetch_newer", no_news),
--- a/proving/points/resume.py
+++ b/proving/points/resume.py
@@ -10,27 +10,27 @@
 from quillring.edge.streams import resume_stream, serve_model
 from quillring.edge.tokens import LIFE_SECONDS, make_token
 from quillring.kernel.errors import NotFound, QuillringError
-from quillring.kernel.wsgi import Inquiry
+from quillring.kernel.wsgi import Request
 from quillring.lots import commands
 from quillring.lots.front import cancel_lot, show_lot, show_results
 
 
-def open_stream(stage, edge, entry, sender, max_pieces=100):
+def open_stream(stage, edge, route, client_name, max_pieces=100):
     """Open a model inquiry at an edge; return the connection and its head line."""
-    prompt = f"{entry} {sender}"
-    body = {"entry": entry, "prompt": prompt, "max_pieces": max_pieces}
+    prompt = f"{route} {client_name}"
+    body = {"entry": route, "prompt": prompt, "max_pieces": max_pieces}
     node = stage.node(edge)
     connection = Connection(
-        stage.sim, node, serve_model(node, Inquiry("POST", {}, {}, body, sender))
+        stage.sim, node, serve_model(node, Request("POST", {}, {}, body, client_name))
     )
     return connection, stage.finish(stage.start(connection.next(10)))
 
 
-def resume(stage, edge, token, sender, after=0):
+def resume(stage, edge, token, client_name, after=0):
     """Ask an edge to resume; return (connection, first line)."""
     node = stage.node(edge)
-    inquiry = Inquiry("GET", {"token": token}, {"after": [str(after)]}, None, sender)
-    connection = Connection(stage.sim, node, resume_stream(node, inquiry))
+    request = Request("GET", {"token": token}, {"after": [str(after)]}, None, client_name)
+    connection = Connection(stage.sim, node, resume_stream(node, request))
     return connection, stage.finish(stage.start(connection.next(10)))
 
 
@@ -99,8 +99,8 @@
         "cut off": (head["resume"][: chance.randrange(1, 20)], "ann"),
         "not ascii": ("\u00fc" * 8, "ann"),
     }
-    for label, (token, sender) in tokens.items():
-        connection, line = resume(stage, "edge-2", token, sender)
+    for label, (token, client_name) in tokens.items():
+        connection, line = resume(stage, "edge-2", token, client_name)
         error = connection.outcome[1] if connection.outcome else None
         if line is not None or error is None or error.to_json() != {"trouble": "bad_token"}:
             stage.sim.history.violate(f"{label}: {line} {error}")
@@ -122,7 +122,7 @@
     for make, method in ((show_lot, "GET"), (show_results, "GET"), (cancel_lot, "DELETE")):
         for name in (lot, f"{lot}x"):
             answer, error = stage.finish(
-                stage.start(callers.ask(make, method, {"lot": name}, sender="eve"))
+                stage.start(callers.ask(make, method, {"lot": name}, client_name="eve"))
             )
             answers.append(error.to_json() if error else answer)
     if any(answer != {"trouble": "not_found", "field": "lot"} for answer in answers):
@@ -130,14 +130,14 @@
     return stage.sim.history.violations, {"asked": len(answers)}
 
 
-def read_any_token(secret, token, sender, now):
+def read_any_token(secret, token, client_name, now):
     """Stand-in for the guard: neither signature nor time are looked at."""
     try:
         body = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))[16:]
-        name, served_round, _ = cbor2.loads(body)
+        name, served_term, _ = cbor2.loads(body)
     except (ValueError, TypeError, cbor2.CBORError) as error:
         raise QuillringError() from error
-    return name, tuple(served_round)
+    return name, tuple(served_term)
 
 
 def find_any_lot(state, query):
--- a/proving/points/serving.py
+++ b/proving/points/serving.py
@@ -79,10 +79,10 @@
     stage.only_edge("edge-1")
     env, refusal_times, waiting = stage.env, [], []
 
-    def caller(entry, kind):
+    def caller(route, kind):
         start_time = env.now
         before = stage.callers.record.outcomes.get((kind, "refused"), 0)
-        yield from stage.callers.stream(entry, kind, 12)
+        yield from stage.callers.stream(route, kind, 12)
         if stage.callers.record.outcomes.get((kind, "refused"), 0) > before:
             refusal_times.append(env.now - start_time)
 
@@ -127,16 +127,16 @@
 REAL_ACQUIRE = dispatch.Dispatch.acquire
 
 
-def rerun_round(node, stream, sending, end_time, avoided_names):
+def rerun_attempt(node, stream, sending, end_time, avoided_names):
     """Stand-in for the guard: work that may not repeat is tried elsewhere all the same."""
-    layout = node.find("layout")
-    real_entry = layout.entry
-    entry, service, promise = real_entry(stream.inquiry["entry"])
-    patched = (entry, service, {**promise, "resumable": True, "repeatable": True})
-    holder = type("Image", (), {"entry": staticmethod(lambda name: patched)})
-    node.services["layout"], kept = _Facade(layout, holder), layout
+    configuration = node.find("layout")
+    real_route = configuration.route
+    route, service, promise = real_route(stream.request["entry"])
+    patched = (route, service, {**promise, "resumable": True, "repeatable": True})
+    holder = type("Image", (), {"route": staticmethod(lambda name: patched)})
+    node.services["layout"], kept = _Facade(configuration, holder), configuration
     try:
-        yield from REAL_ROUND(node, stream, sending, end_time, avoided_names)
+        yield from REAL_ATTEMPT(node, stream, sending, end_time, avoided_names)
     finally:
         node.services["layout"] = kept
 
@@ -149,13 +149,13 @@
         self.holder = holder
 
     def __getattr__(self, name):
-        return getattr(self.holder if name == "entry" else self.real, name)
+        return getattr(self.holder if name == "route" else self.real, name)
 
 
-REAL_ROUND = streams.one_round
+REAL_ATTEMPT = streams.one_attempt
 FRESH = (Freshness, "check", no_check)
 POINTS = [
-    ("what may not repeat never runs twice", lost_reply, [(streams, "one_round", rerun_round)]),
+    ("what may not repeat never runs twice", lost_reply, [(streams, "one_attempt", rerun_attempt)]),
     (
         "nothing runs after a refusal",
         frozen_before_sending,
--- a/proving/points/stalls.py
+++ b/proving/points/stalls.py
@@ -103,7 +103,7 @@
 
 def check_confirmed(stage, calls):
     """Every change that was confirmed holds in the end."""
-    entries = stage.node("edge-1").find("layout").layout["entries"]
+    entries = stage.node("edge-1").find("layout").configuration["entries"]
     for name, _ in calls.confirmed:
         if name not in entries:
             stage.sim.history.violate(f"{name} was confirmed and does not hold")
@@ -145,8 +145,8 @@
 
 def read_own(self, part, query, seconds=None):
     """Stand-in for the guard: whatever this node knows is handed out, nobody is asked."""
-    image = self.node.find("layout")
-    return {"version": image.version, "layout": image.layout}
+    snapshot = self.node.find("layout")
+    return {"version": snapshot.version, "layout": snapshot.configuration}
     yield
 
 
--- a/proving/points/state.py
+++ b/proving/points/state.py
@@ -32,22 +32,22 @@
     return [name for name in stage.sim.nodes if name not in left]
 
 
-def emptied_domain(seed):
+def emptied_zone(seed):
     """A domain is emptied while an edge is cut off from all news but not from replicas."""
     stage = Stage(seed)
     stage.only_edge("edge-1")
     stage.start(stage.callers.generate(20, stage.callers.stream, "wayfinding", "short", 8))
     stage.run(0.5)
     stage.sim.cut(["edge-1"], names_but(stage, "edge-1"))
-    for domain in ("north", "east"):
-        answer, _ = adopt(stage, "core-1", {"domains": {domain: {"emptied": True}}})
+    for zone in ("north", "east"):
+        answer, _ = adopt(stage, "core-1", {"domains": {zone: {"emptied": True}}})
         assert answer, "the emptying was not accepted"
-        stage.sim.history.emptied[domain] = stage.env.now
+        stage.sim.history.emptied[zone] = stage.env.now
     stage.run(9)
     return stage.sim.history.violations, stage.outcomes()
 
 
-def layout_everywhere(seed):
+def configuration_everywhere(seed):
     """Layouts change while edges are cut off, frozen, and restarted on the wrong side."""
     stage = Stage(seed)
     change = {"entries": {"extra-1": {"service": "words", "class": "traveller"}}}
@@ -77,13 +77,13 @@
     tasks = []
     for number, name in enumerate(("core-1", "core-2", "core-3")):
         node = stage.node(name)
-        entry = {"service": "words" if number < 2 else "none", "class": "traveller"}
+        route = {"service": "words" if number < 2 else "none", "class": "traveller"}
         command = {
             "do": "layout.adopt",
             "id": f"race {number}",
             "whole": False,
             "base_version": 1,
-            "change": {"entries": {f"race-{number}": entry}},
+            "change": {"entries": {f"race-{number}": route}},
         }
         script = node.find("ownership").submit(CONFIG, command)
         tasks.append(stage.start(stage.sim.run_script(node, script)))
@@ -91,9 +91,9 @@
     stage.run(3)
     won = [answer["version"] for answer, _ in outcomes if answer]
     lost = [error for _, error in outcomes if error]
-    layout = stage.node("edge-1").find("layout").layout
-    if len(won) != 1 or "race-2" in layout["entries"]:
-        stage.sim.history.violate(f"versions {won} won, entries {sorted(layout['entries'])}")
+    configuration = stage.node("edge-1").find("layout").configuration
+    if len(won) != 1 or "race-2" in configuration["entries"]:
+        stage.sim.history.violate(f"versions {won} won, entries {sorted(configuration['entries'])}")
     named = [t.detail.get("winning_version") for t in lost if t.kind == "conflict"]
     return stage.sim.history.violations, {
         "won": won,
@@ -142,8 +142,8 @@
 
 def adopt_anything(state, command):
     """Stand-in for the guard: no base version is asked for, nothing is checked."""
-    layout = schema.merge(state["layout"] or schema.EMPTY, command["change"])
-    return {**state, "layout": layout, "version": state["version"] + 1}, {
+    configuration = schema.merge(state["layout"] or schema.EMPTY, command["change"])
+    return {**state, "layout": configuration, "version": state["version"] + 1}, {
         "version": state["version"] + 1
     }
 
@@ -154,7 +154,7 @@
 
 def always_fresh(self):
     """Stand-in for the guard: whatever layout is known counts as fresh."""
-    return self.node.find("layout").layout is not None
+    return self.node.find("layout").configuration is not None
 
 
 FRESH = [(Freshness, "is_fresh", always_fresh)]
@@ -174,8 +174,8 @@
 
 REAL_COMMANDS = commands.COMMANDS
 POINTS = [
-    ("an emptied domain gets nothing after 5 s", emptied_domain, FRESH),
-    ("a layout takes effect within 2 s and none falls back", layout_everywhere, FRESH),
+    ("an emptied domain gets nothing after 5 s", emptied_zone, FRESH),
+    ("a layout takes effect within 2 s and none falls back", configuration_everywhere, FRESH),
     (
         "a losing or invalid layout never takes effect",
         racing_operators,
--- a/proving/points/streams.py
+++ b/proving/points/streams.py
@@ -166,24 +166,24 @@
     return len(stream.pieces)
 
 
-def claim_longest(self, name, sender, served_round, check):
+def claim_longest(self, name, client_name, served_term, check):
     """Stand-in for the guard: the longest copy counts, of whatever round."""
-    question = {"stream": name, "sender": sender}
+    question = {"stream": name, "sender": client_name}
     reached = [n for n in self.keepers() if self.node.find("nifty").reaches(n)]
-    claim_round = [next(CLAIM_ROUNDS), ""]
-    calls = [(n, "journal.claim", {**question, "round": claim_round}) for n in reached]
+    claim_term = [next(CLAIM_TERMS), ""]
+    calls = [(n, "journal.claim", {**question, "round": claim_term}) for n in reached]
     claims = yield from self.node.gather(calls, len(calls))
     good = [reply for reply in claims.values() if not isinstance(reply, QuillringError)]
     if not good:
         raise Refused(reason="the stream's holders are out of reach")
-    inquiry, pieces, ended, _ = max(good, key=lambda reply: len(reply[1]))
-    stream = journal.Stream(name, inquiry, sender, self.node.now(), claim_round)
+    request, pieces, ended, _ = max(good, key=lambda reply: len(reply[1]))
+    stream = journal.Stream(name, request, client_name, self.node.now(), claim_term)
     stream.pieces, stream.ended = list(pieces), ended
     self.streams[name] = stream
     return stream
 
 
-CLAIM_ROUNDS = count(9)
+CLAIM_TERMS = count(9)
 POINTS = [
     (
         "no answer mixed or complete when it is not",
@@ -205,7 +205,7 @@
         half_open,
         [
             (journal.Journal, "on_append", append_unfenced),
-            (journal.Journal, "_check_round", no_check),
+            (journal.Journal, "_check_term", no_check),
         ],
     ),
     ("no answer is mixed from two runs", stale_holder, [(journal.Journal, "claim", claim_longest)]),
--- a/proving/points/waits.py
+++ b/proving/points/waits.py
@@ -5,12 +5,12 @@
 from quillring.edge.dispatch import Dispatch
 from quillring.edge.streams import serve_model
 from quillring.kernel.node import Node
-from quillring.kernel.wsgi import Inquiry
+from quillring.kernel.wsgi import Request
 from quillring.lots.front import submit_lot
 from quillring.ownership import Ownership
 
 
-def timed_refusals(stage, make, bodies, sender="ann"):
+def timed_refusals(stage, make, bodies, client_name="ann"):
     """Send inquiries at once at edge-1; return lists of seconds to refusal, to success."""
     refusals, served, env = [], [], stage.env
     node = stage.node("edge-1")
@@ -22,8 +22,8 @@
             first_at.append(env.now)
             return True
 
-        inquiry = Inquiry("POST", {}, {}, body, f"{sender}-{number}")
-        _, error = yield from stage.sim.run_script(node, make(node, inquiry), sink)
+        request = Request("POST", {}, {}, body, f"{client_name}-{number}")
+        _, error = yield from stage.sim.run_script(node, make(node, request), sink)
         (refusals if error else served).append((first_at or [env.now])[0] - start_time)
 
     for number, body in enumerate(bodies):
@@ -31,9 +31,9 @@
     return refusals, served
 
 
-def model_bodies(count, entry="wayfinding"):
+def model_bodies(count, route="wayfinding"):
     """Return the bodies of many short inquiries."""
-    return [{"entry": entry, "prompt": f"p{n}", "max_pieces": 8} for n in range(count)]
+    return [{"entry": route, "prompt": f"p{n}", "max_pieces": 8} for n in range(count)]
 
 
 def hopeless_queue(seed):
--- a/proving/points/domains.py
+++ b/proving/points/zones.py
@@ -18,19 +18,19 @@
     """A domain with an edge, a core and streams' holders is emptied under traffic."""
     stage = Stage(seed)
     callers, chance = stage.callers, stage.sim.chance
-    domain = chance.choice(("north", "east", "south"))
+    zone = chance.choice(("north", "east", "south"))
     stage.start(callers.generate(6, callers.stream, "wayfinding", "short", 30))
     stage.start(callers.generate(1, callers.stream, "tagging", "long", 200))
     stage.start(callers.generate(1.5, callers.lot, "gate-notices", 6, 0.0))
     stage.run(3)
-    answer, _ = adopt(stage, "core-1", {"domains": {domain: {"emptied": True}}})
+    answer, _ = adopt(stage, "core-1", {"domains": {zone: {"emptied": True}}})
     if not answer:
         stage.sim.history.violate("the emptying was not accepted")
     accepted_at = stage.env.now
-    inside = [n for n in stage.sim.nodes.values() if n.me.domain == domain]
+    inside = [n for n in stage.sim.nodes.values() if n.me.zone == zone]
     stage.run(5)
     taken = []
-    with mock.patch.object(backends, "PIECE_SECONDS", 0.1), _note_takings(domain, taken):
+    with mock.patch.object(backends, "PIECE_SECONDS", 0.1), _note_takings(zone, taken):
         for _ in range(50):
             stage.run(0.1)
             _check_emptied(stage, inside, accepted_at)
@@ -46,17 +46,17 @@
 
 
 @contextmanager
-def _note_takings(domain, taken):
+def _note_takings(zone, taken):
     """Note every new holding of a stream and every start of an item inside from now on."""
     real_hold, real_run = Journal.hold, LotRunner._run_item
 
     def hold(self, body):
-        if self.node.me.domain == domain and body["stream"] not in self.streams:
+        if self.node.me.zone == zone and body["stream"] not in self.streams:
             taken.append(f"{self.node.me.name} became a holder")
         return real_hold(self, body)
 
     def run_item(self, *words):
-        if self.node.me.domain == domain:
+        if self.node.me.zone == zone:
             taken.append(f"{self.node.me.name} started an item")
         return real_run(self, *words)
 
@@ -80,20 +80,20 @@
             stage.sim.history.violate(f"{node.me.name} owns {owned}, emptied at {accepted_at}")
 
 
-def lost_domain(seed):
+def lost_zone(seed):
     """A domain is lost with edge, core, store and replicas, amid streams and lots; no warning."""
     stage = Stage(seed)
     callers, chance = stage.callers, stage.sim.chance
-    domain = chance.choice(("north", "east", "south"))
+    zone = chance.choice(("north", "east", "south"))
     for _ in range(12):
         stage.start(callers.stream("wayfinding", "short", 150))
         stage.start(callers.lot("gate-notices", 5, 0.0))
     stage.run(chance.uniform(0.4, 1.5))
     for node in list(stage.sim.nodes.values()):
-        if node.me.domain == domain:
+        if node.me.zone == zone:
             stage.sim.kill(node.me.name, loses_power=True)
     for replica in stage.sim.replicas.values():
-        if replica.row["domain"] == domain:
+        if replica.row["domain"] == zone:
             replica.kill()
     stage.run(60)
     outcomes, accepted = stage.outcomes(), stage.sim.history.counts.get("accepted_lots", 0)
@@ -108,7 +108,7 @@
     }
 
 
-def one_domain(self, name, avoided=()):
+def one_zone(self, name, avoided=()):
     """Stand-in for the guard: the second holder may stand in the same domain."""
     members = self.node.find("nifty").roster.members.values()
     return sorted(
@@ -117,7 +117,7 @@
             for m in members
             if m.role in ("edge", "core") and m.name not in avoided and m.name != self.node.me.name
         ),
-        key=lambda n: self.node.find("nifty").roster.members[n].domain != self.node.me.domain,
+        key=lambda n: self.node.find("nifty").roster.members[n].zone != self.node.me.zone,
     )
 
 
@@ -139,7 +139,7 @@
     ),
     (
         "a domain lost with every role loses nothing",
-        lost_domain,
-        [(Journal, "holders", one_domain)],
+        lost_zone,
+        [(Journal, "holders", one_zone)],
     ),
 ]
--- a/proving/reference.py
+++ b/proving/reference.py
@@ -2,7 +2,7 @@
 
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.settings import SCHEMA as SETTINGS
-from quillring.rollout.schema import SCHEMA as LAYOUT
+from quillring.rollout.schema import SCHEMA as CONFIGURATION
 
 BOUND_TEXTS = {
     "news": "news of layouts and departures; heartbeats and timeouts are ratios of it",
@@ -63,7 +63,7 @@
         default = getattr(Bounds(), name)
         lines.append(f"| `{name}` | {'none' if default is None else f'{default} s'} | {text} |")
     lines += ["", "## Layout", ""]
-    for section, schema in LAYOUT["properties"].items():
+    for section, schema in CONFIGURATION["properties"].items():
         rows = rows_of(schema)
         if not rows:
             lines += [f"`{section}`: {type_of(schema)}", ""]
--- a/proving/scale/fleet.py
+++ b/proving/scale/fleet.py
@@ -7,7 +7,7 @@
 
 import simpy
 
-from proving.scale.members import ZONES, carry_seconds, hollow_layout, hollow_members
+from proving.scale.members import ZONES, carry_seconds, hollow_configuration, hollow_members
 from proving.sim.net import SimNet
 from proving.sim.world import SimWorld
 from quillring.fleet import make_node
@@ -47,9 +47,7 @@
         self.replicas = replicas
         self.starts = 0
         self.groups = {
-            "config": [[m.name, m.identity, m.domain] for m in self.members if m.role == "store"][
-                :3
-            ]
+            "config": [[m.name, m.identity, m.zone] for m in self.members if m.role == "store"][:3]
         }
 
     def start(self, member):
@@ -125,10 +123,10 @@
         return {
             "version": self.index,
             "group": self.groups["config"],
-            "layout": hollow_layout(self.entries, self.index),
+            "layout": hollow_configuration(self.entries, self.index),
         }
 
-    def change_layout(self):
+    def change_configuration(self):
         """Commit a further layout at the stores; a core makes it news."""
         self.index += 1
         self.live()[0].find("layout").take(self.index, self.config_state())
@@ -156,7 +154,7 @@
             for node in self.live()
         )
 
-    def stale_layouts(self):
+    def stale_configurations(self):
         """Return how many live nodes hold another layout than the newest."""
         return sum(node.find("layout").version != self.index for node in self.live())
 
--- a/proving/scale/members.py
+++ b/proving/scale/members.py
@@ -29,7 +29,7 @@
         )
 
 
-def hollow_layout(entries, number):
+def hollow_configuration(entries, number):
     """Return a layout with so many entries; each number gives another one."""
     return {
         "classes": {
--- a/proving/scale/runs.py
+++ b/proving/scale/runs.py
@@ -37,8 +37,8 @@
 
 def layout_changed(fleet, seconds):
     """Operators commit a layout; it has to be everywhere."""
-    fleet.change_layout()
-    return {**fleet.spend(seconds), "stale": fleet.stale_layouts()}
+    fleet.change_configuration()
+    return {**fleet.spend(seconds), "stale": fleet.stale_configurations()}
 
 
 def core_lost(fleet, seconds):
@@ -70,7 +70,7 @@
     rows = {"start": fleet.spend(span)}
     settled_at = None
     for _ in range(SETTLE_LIMIT):
-        if settled_at is None and not fleet.missing_links() and not fleet.stale_layouts():
+        if settled_at is None and not fleet.missing_links() and not fleet.stale_configurations():
             settled_at = fleet.env.now
             break
         fleet.env.run(until=fleet.env.now + span / 2)
--- a/proving/sim/backends.py
+++ b/proving/sim/backends.py
@@ -131,8 +131,8 @@
         words = dict(parse_qsl(query))
         name = words["inquiry"]
         if path == "/v1/stop":
-            for inquiry_name, handle in replica.handles:
-                if inquiry_name.startswith(effect.body["inquiries_of"]):
+            for request_name, handle in replica.handles:
+                if request_name.startswith(effect.body["inquiries_of"]):
                     handle.close()
             return 200, {"stopped": True}
         work = effect.body["key"] if effect.body else path
--- a/proving/sim/callers.py
+++ b/proving/sim/callers.py
@@ -6,7 +6,7 @@
 from quillring.edge.streams import resume_stream, serve_model
 from quillring.kernel.effects import Signal
 from quillring.kernel.errors import QuillringError, Refused
-from quillring.kernel.wsgi import Inquiry
+from quillring.kernel.wsgi import Request
 from quillring.lots.front import cancel_lot, show_results, submit_lot
 
 PATIENCE = 6.0
@@ -74,14 +74,14 @@
         ]
         return self.sim.chance.choice(edges) if edges else None
 
-    def ask(self, make, method="GET", words=None, query=None, body=None, sender="s"):
+    def ask(self, make, method="GET", words=None, query=None, body=None, client_name="s"):
         """Process: one exchange that ends in one answer; return (answer, error)."""
         node = self.edge()
         if node is None:
             return None, QuillringError(reason="no edge")
-        inquiry = Inquiry(method, words or {}, query or {}, body, sender)
+        request = Request(method, words or {}, query or {}, body, client_name)
         try:
-            script = make(node, inquiry)
+            script = make(node, request)
         except QuillringError as error:
             return None, error
         connection = Connection(self.sim, node, script)
@@ -94,39 +94,39 @@
         self.number += 1
         return f"{kind}-{self.number}"
 
-    def stream(self, entry, kind, max_pieces=20, is_single=False, drop_after=None):
+    def stream(self, route, kind, max_pieces=20, is_single=False, drop_after=None):
         """Process: one streamed inquiry, resumed when it is cut."""
-        chance, sender = self.sim.chance, self._name(kind)
-        answer = Answer(f"{entry} {sender}", max_pieces)
+        chance, client_name = self.sim.chance, self._name(kind)
+        answer = Answer(f"{route} {client_name}", max_pieces)
         if is_single:
             self.history.single.add(answer.prompt)
         if drop_after is None and chance.random() < 0.2 and not is_single:
             drop_after = chance.randrange(1, 8)
-        start_time, rounds = self.sim.env.now, 0
-        while answer.outcome is None and rounds < 12:
-            rounds += 1
+        start_time, attempts = self.sim.env.now, 0
+        while answer.outcome is None and attempts < 12:
+            attempts += 1
             node = self.edge()
             if node is None:
                 yield self.sim.env.timeout(0.5)
                 continue
-            connection = self._open(node, answer, sender, entry)
+            connection = self._open(node, answer, client_name, route)
             yield from self._read(connection, answer, drop_after, start_time)
             drop_after = None
             self._judge(connection, answer, is_single)
             if answer.outcome is None:
                 self.history.count("resumes")
-                yield self.sim.env.timeout(0.3 * rounds)
+                yield self.sim.env.timeout(0.3 * attempts)
         self.record.note(kind, answer.outcome or "given_up")
 
-    def _open(self, node, answer, sender, entry):
+    def _open(self, node, answer, client_name, route):
         if answer.token is None:
-            body = {"entry": entry, "prompt": answer.prompt, "max_pieces": answer.max_pieces}
+            body = {"entry": route, "prompt": answer.prompt, "max_pieces": answer.max_pieces}
             return Connection(
-                self.sim, node, serve_model(node, Inquiry("POST", {}, {}, body, sender))
+                self.sim, node, serve_model(node, Request("POST", {}, {}, body, client_name))
             )
         query = {"after": [str(len(answer.pieces))]}
-        inquiry = Inquiry("GET", {"token": answer.token}, query, None, sender)
-        return Connection(self.sim, node, resume_stream(node, inquiry))
+        request = Request("GET", {"token": answer.token}, query, None, client_name)
+        return Connection(self.sim, node, resume_stream(node, request))
 
     def _read(self, connection, answer, drop_after, start_time):
         while True:
@@ -155,19 +155,19 @@
         if answer.outcome is None and answer.token is None:
             answer.outcome = "no_answer"
 
-    def tile(self, entry):
+    def tile(self, route):
         """Process: one tile."""
-        words = {"entry": entry, "zoom": "12", "column": str(self.number), "row": "7"}
+        words = {"entry": route, "zoom": "12", "column": str(self.number), "row": "7"}
         self.number += 1
         answer, error = yield from self.ask(serve_tile, words=words)
         if answer and answer["tile"] != tile_word(f"/v1/tiles/12/{words['column']}/7"):
             self.history.violate("wrong tile")
         self.record.note("tile", error.kind if error else "complete")
 
-    def seat(self, entry):
+    def seat(self, route):
         """Process: one seat confirmation, repeated under its key."""
         key = self._name("seat")
-        body = {"entry": entry, "key": key, "seat": "4a"}
+        body = {"entry": route, "key": key, "seat": "4a"}
         for _ in range(4):
             answer, error = yield from self.ask(serve_seat, "POST", body=body)
             if answer:
@@ -177,13 +177,13 @@
             yield self.sim.env.timeout(0.3)
         self.record.note("seat", error.kind if error else "complete")
 
-    def lot(self, entry, size=5, cancel_share=0.2):
+    def lot(self, route, size=5, cancel_share=0.2):
         """Process: submit a lot under a key, then read it until it ends, or cancel it."""
         key = self._name("lot")
         items = [f"{key} item {n}" for n in range(size)]
-        body = {"entry": entry, "key": key, "items": items}
+        body = {"entry": route, "key": key, "items": items}
         for _ in range(8):
-            answer, error = yield from self.ask(submit_lot, "POST", body=body, sender=key)
+            answer, error = yield from self.ask(submit_lot, "POST", body=body, client_name=key)
             if answer:
                 break
             yield self.sim.env.timeout(0.5)
@@ -200,8 +200,8 @@
             yield from self.read_lot(answer["lot"])
         self.record.note("lot", self.lots[answer["lot"]]["phase"])
 
-    def _cancel(self, lot, sender, items):
-        answer, _ = yield from self.ask(cancel_lot, "DELETE", {"lot": lot}, sender=sender)
+    def _cancel(self, lot, client_name, items):
+        answer, _ = yield from self.ask(cancel_lot, "DELETE", {"lot": lot}, client_name=client_name)
         if answer and answer["phase"] == "cancelled":
             for item in items:
                 self.history.ended_at[item] = self.sim.env.now
@@ -210,7 +210,7 @@
         """Process: read all results of a lot once and check them."""
         known = self.lots[lot]
         answer, error = yield from self.ask(
-            show_results, words={"lot": lot}, sender=known["sender"]
+            show_results, words={"lot": lot}, client_name=known["sender"]
         )
         if error is not None:
             if error.kind == "not_found":
--- a/proving/sim/chaos.py
+++ b/proving/sim/chaos.py
@@ -27,12 +27,12 @@
             self.leave_replica,
             self.full_disk,
             self.race_operators,
-            self.empty_domain,
+            self.empty_zone,
             self.flap,
             self.split_whole,
-            self.bad_layout,
+            self.bad_configuration,
             self.isolate_core,
-            self.lose_domain,
+            self.lose_zone,
             self.lose_disk,
         ]
 
@@ -98,20 +98,18 @@
         name = self._pick("store")
         if name is not None and not self.disks_lost:
             self.disks_lost += 1
-            self.sim.history.mark(f"disk of {name} lost")
+            self.sim.history.note(f"disk of {name} lost")
             self.sim.lose_disk(name)
             yield from self._back(name, self.sim.chance.uniform(0.2, 4))
         yield self.sim.env.timeout(0)
 
-    def lose_domain(self):
+    def lose_zone(self):
         """All nodes of a domain die at once and come back."""
-        domain = self.sim.chance.choice(["north", "east", "south", "west"])
+        zone = self.sim.chance.choice(["north", "east", "south", "west"])
         names = [
-            n.me.name
-            for n in self.sim.nodes.values()
-            if n.me.domain == domain and not n.world.is_dead
+            n.me.name for n in self.sim.nodes.values() if n.me.zone == zone and not n.world.is_dead
         ]
-        self.sim.history.mark(f"domain {domain} lost")
+        self.sim.history.note(f"domain {zone} lost")
         for name in names:
             self.sim.kill(name, loses_power=True)
         for name in names:
@@ -130,7 +128,7 @@
         sim.cut(names, others, both_ways)
         added = sim.net.cuts - before
         yield sim.env.timeout(sim.chance.uniform(1, 9))
-        sim.history.mark("cut healed")
+        sim.history.note("cut healed")
         sim.net.cuts -= added
 
     def cut_pair(self):
@@ -187,7 +185,7 @@
     def kill_replica(self):
         """A replica crashes; a cold one takes its place."""
         name = self._replica()
-        self.sim.history.mark(f"kill replica {name}")
+        self.sim.history.note(f"kill replica {name}")
         self.sim.replicas[name].kill()
         yield self.sim.env.timeout(self.sim.chance.uniform(0.5, 6))
         self.sim.start_replica(name)
@@ -196,7 +194,7 @@
         """A replica goes dark and comes back."""
         name = self._replica()
         replica = self.sim.replicas[name]
-        self.sim.history.mark(f"dark replica {name}")
+        self.sim.history.note(f"dark replica {name}")
         replica.is_dark = True
         yield self.sim.env.timeout(self.sim.chance.uniform(1, 6))
         replica.is_dark = False
@@ -204,7 +202,7 @@
     def leave_replica(self):
         """A replica says that it leaves; a new one comes later."""
         name = self._replica()
-        self.sim.history.mark(f"leave replica {name}")
+        self.sim.history.note(f"leave replica {name}")
         self.sim.replicas[name].leave()
         yield self.sim.env.timeout(self.sim.chance.uniform(4, 8))
         self.sim.replicas[name].kill()
@@ -213,7 +211,7 @@
     def full_disk(self):
         """A disk fills up and is cleared."""
         disk = self.sim.chance.choice(list(self.sim.disks.values()))
-        self.sim.history.mark("disk full")
+        self.sim.history.note("disk full")
         disk.is_full = True
         yield self.sim.env.timeout(self.sim.chance.uniform(1, 6))
         disk.is_full = False
--- a/proving/sim/fleet.py
+++ b/proving/sim/fleet.py
@@ -4,7 +4,7 @@
 
 import simpy
 
-from proving.deployments import DEPLOYMENTS, layout_of, replicas_of, settings_of
+from proving.deployments import DEPLOYMENTS, configuration_of, replicas_of, settings_of
 from proving.sim.backends import Backends, SimReplica
 from proving.sim.disk import SimDisk
 from proving.sim.history import History
@@ -37,7 +37,7 @@
         source = DEPLOYMENTS[deployment]
         if sizes:
             source = {**source, **sizes}
-        self.layout = layout_of(source)
+        self.configuration = configuration_of(source)
         self.rows = {row["name"]: row for row in settings_of(source)}
         self.replica_rows = {row["name"]: row for row in replicas_of(source)}
         self.bounds = Bounds()
@@ -107,7 +107,7 @@
 
     def kill(self, name, loses_power=False):
         """Kill a node; with the power gone, unsynced writes are dropped."""
-        self.history.mark(f"kill {name}{' by power' if loses_power else ''}")
+        self.history.note(f"kill {name}{' by power' if loses_power else ''}")
         self.nodes[name].world.kill()
         disk = self.disks.get(name)
         if disk is not None:
@@ -121,14 +121,14 @@
 
     def freeze(self, name, seconds):
         """Freeze a node for some seconds."""
-        self.history.mark(f"freeze {name} for {seconds:.1f}")
+        self.history.note(f"freeze {name} for {seconds:.1f}")
         world = self.nodes[name].world
         world.freeze()
         self.env.timeout(seconds).callbacks.append(lambda _: world.thaw())
 
     def cut(self, names, other_names, both_ways=True):
         """Cut every pair between two groups of nodes."""
-        self.history.mark(f"cut {sorted(names)} from {sorted(other_names)}")
+        self.history.note(f"cut {sorted(names)} from {sorted(other_names)}")
         for name in names:
             for other_name in other_names:
                 self.net.cut(
@@ -137,7 +137,7 @@
 
     def heal(self):
         """Heal the network."""
-        self.history.mark("heal")
+        self.history.note("heal")
         self.net.heal()
 
     def start_replica(self, name):
@@ -181,7 +181,7 @@
             "do": "layout.adopt",
             "id": "first",
             "base_version": 0,
-            "change": self.layout,
+            "change": self.configuration,
             "whole": True,
         }
         while True:
@@ -191,4 +191,4 @@
             if error is None:
                 break
             yield self.env.timeout(0.3)
-        self.history.mark(f"founded, layout {answer}")
+        self.history.note(f"founded, layout {answer}")
--- a/proving/sim/history.py
+++ b/proving/sim/history.py
@@ -13,7 +13,7 @@
         self.ended_at = {}
         self.emptied = {}
         self.counts = {}
-        self.marks = []
+        self.notes = []
 
     def violate(self, text):
         """Keep a violation with its time."""
@@ -23,15 +23,15 @@
         """Count something for the report."""
         self.counts[name] = self.counts.get(name, 0) + amount
 
-    def mark(self, text):
+    def note(self, text):
         """Note a step of the scenario."""
-        self.marks.append(f"{self.env.now:.2f} {text}")
+        self.notes.append(f"{self.env.now:.2f} {text}")
 
-    def ran(self, work, replica, inquiry_name):
+    def ran(self, work, replica, request_name):
         """A replica began some work."""
         now = self.env.now
         earlier_runs = self.runs.setdefault(work, [])
-        earlier_runs.append((now, replica.row["name"], inquiry_name))
+        earlier_runs.append((now, replica.row["name"], request_name))
         if work in self.single and len(earlier_runs) > 1:
             self.violate(f"{work} ran twice: {earlier_runs}")
         if work in self.refused_at:
--- a/proving/sim/monitor.py
+++ b/proving/sim/monitor.py
@@ -12,8 +12,8 @@
         self.sim = sim
         self.accepted = []
         self.served_versions = {}
-        self.layouts = {}
-        self.images = {}
+        self.configurations = {}
+        self.snapshots = {}
         sim.env.process(self.run())
 
     def accept(self, version):
@@ -26,37 +26,37 @@
             yield self.sim.env.timeout(0.1)
             for name, node in self.sim.nodes.items():
                 if self.sim.is_up(node):
-                    self._check_layout(name, node)
+                    self._check_configuration(name, node)
                     if node.me.role == "store":
                         self._check_parts(name, node.find("acceptors"))
                     self._check_room(name, node)
 
-    def _check_layout(self, name, node):
-        image, now = node.find("layout"), self.sim.env.now
-        if image.layout is None:
+    def _check_configuration(self, name, node):
+        snapshot, now = node.find("layout"), self.sim.env.now
+        if snapshot.configuration is None:
             return
-        digest = hashlib.sha256(cbor2.dumps(image.layout)).hexdigest()
-        if self.layouts.setdefault(image.version, digest) != digest:
-            self.sim.history.violate(f"{name}: two layouts under version {image.version}")
+        digest = hashlib.sha256(cbor2.dumps(snapshot.configuration)).hexdigest()
+        if self.configurations.setdefault(snapshot.version, digest) != digest:
+            self.sim.history.violate(f"{name}: two layouts under version {snapshot.version}")
         if node.me.role != "edge" or not node.find("freshness").is_fresh():
             return
         due_version = max((v for at, v in self.accepted if now > at + 2.0), default=0)
-        if image.version < due_version:
-            self.sim.history.violate(f"{name} serves layout {image.version}, due {due_version}")
-        if image.version < self.served_versions.get(name, 0):
-            self.sim.history.violate(f"{name} fell back to layout {image.version}")
-        self.served_versions[name] = image.version
+        if snapshot.version < due_version:
+            self.sim.history.violate(f"{name} serves layout {snapshot.version}, due {due_version}")
+        if snapshot.version < self.served_versions.get(name, 0):
+            self.sim.history.violate(f"{name} fell back to layout {snapshot.version}")
+        self.served_versions[name] = snapshot.version
 
     def _check_parts(self, name, acceptors):
         for part, record in acceptors.parts.items():
             if record.state is None:
                 continue
             key = (part, record.applied)
-            if self.images.get((name, key)) is record.state:
+            if self.snapshots.get((name, key)) is record.state:
                 continue
-            self.images[(name, key)] = record.state
+            self.snapshots[(name, key)] = record.state
             digest = hashlib.sha256(cbor2.dumps(record.state, canonical=True)).hexdigest()
-            if self.images.setdefault(key, digest) != digest:
+            if self.snapshots.setdefault(key, digest) != digest:
                 self.sim.history.violate(f"{name}: {part} differs at {record.applied}")
 
     def _check_room(self, name, node):
--- a/proving/sim/operators.py
+++ b/proving/sim/operators.py
@@ -33,7 +33,7 @@
                 "entries": {
                     f"extra-{i}": {
                         "service": "words",
-                        "class": next(iter(self.sim.layout["classes"])),
+                        "class": next(iter(self.sim.configuration["classes"])),
                     }
                 },
             }
@@ -48,25 +48,25 @@
         if any(isinstance(t, Conflict) for _, t in outcomes.values()):
             self.sim.history.count("operator conflicts")
 
-    def bad_layout(self):
+    def bad_configuration(self):
         """An operator hands in a layout with a dangling entry."""
         change = {"entries": {"dangling": {"service": "none", "class": "none"}}}
         answer, _ = yield from self.adopt(change, "bad")
         if answer:
             self.sim.history.violate("an invalid layout was adopted")
 
-    def empty_domain(self):
+    def empty_zone(self):
         """A domain is emptied and refilled; also when it is not known whether it was emptied."""
-        domain = self.sim.chance.choice(["north", "east", "south", "west"])
-        answer, error = yield from self.adopt({"domains": {domain: {"emptied": True}}}, "empty")
-        self.sim.history.mark(f"empty {domain}: {'accepted' if answer else error}")
+        zone = self.sim.chance.choice(["north", "east", "south", "west"])
+        answer, error = yield from self.adopt({"domains": {zone: {"emptied": True}}}, "empty")
+        self.sim.history.note(f"empty {zone}: {'accepted' if answer else error}")
         if answer:
-            self.sim.history.emptied.setdefault(domain, self.sim.env.now)
+            self.sim.history.emptied.setdefault(zone, self.sim.env.now)
         yield self.sim.env.timeout(self.sim.chance.uniform(6, 10))
-        self.sim.history.emptied.pop(domain, None)
+        self.sim.history.emptied.pop(zone, None)
         for _ in range(20):
-            answer, _ = yield from self.adopt({"domains": {domain: {"emptied": False}}}, "fill")
+            answer, _ = yield from self.adopt({"domains": {zone: {"emptied": False}}}, "fill")
             if answer:
-                self.sim.history.emptied.pop(domain, None)
+                self.sim.history.emptied.pop(zone, None)
                 return
             yield self.sim.env.timeout(0.5)
--- a/proving/sim/run.py
+++ b/proving/sim/run.py
@@ -20,10 +20,10 @@
 def start_fleet(deployment, seed, sizes=None):
     """Return a fleet that is being founded, with one class that may not repeat."""
     sim = SimFleet(deployment, seed, sizes)
-    sim.layout = {
-        **sim.layout,
-        "classes": {**sim.layout["classes"], "once": ONCE_CLASS},
-        "entries": {**sim.layout["entries"], "once": {"service": "words", "class": "once"}},
+    sim.configuration = {
+        **sim.configuration,
+        "classes": {**sim.configuration["classes"], "once": ONCE_CLASS},
+        "entries": {**sim.configuration["entries"], "once": {"service": "words", "class": "once"}},
     }
     sim.start_all()
     sim.env.process(sim.found())
@@ -53,10 +53,10 @@
     """Process: after the heal every kind of inquiry must work again by the deadline."""
     yield sim.env.timeout(max(0, deadline - sim.env.now))
     before = dict(callers.record.outcomes)
-    entry = "wayfinding" if "wayfinding" in sim.layout["entries"] else "price-hints"
-    lots = "gate-notices" if "gate-notices" in sim.layout["entries"] else "fraud-reports"
+    route = "wayfinding" if "wayfinding" in sim.configuration["entries"] else "price-hints"
+    lots = "gate-notices" if "gate-notices" in sim.configuration["entries"] else "fraud-reports"
     for _ in range(6):
-        yield sim.env.process(callers.stream(entry, "probe"))
+        yield sim.env.process(callers.stream(route, "probe"))
         sim.env.process(callers.lot(lots, 2, 0.0))
     outcomes = {
         o: n - before.get((k, o), 0)
@@ -106,5 +106,5 @@
             dropped = callers.record.outcomes.get((kind, outcome), 0)
             sim.history.count("dropped", dropped)
             if dropped:
-                sim.history.mark(f"dropped {dropped} {kind} ({outcome})")
+                sim.history.note(f"dropped {dropped} {kind} ({outcome})")
     return sim, callers
--- a/proving/standin_logic.py
+++ b/proving/standin_logic.py
@@ -58,7 +58,7 @@
             return self.slots
         return max(1, int(self.slots * age / self.warm_seconds))
 
-    def begin(self, inquiry_name, prefix, now):
+    def begin(self, request_name, prefix, now):
         """Take an inquiry; return the seconds of its prefill, or None when it is too much."""
         if self.left_at is not None and now - self.left_at > 2.0:
             self.late_starts += 1
@@ -68,7 +68,7 @@
             self.overloads += 1
             return None
         self.busy += 1
-        self.ran.append((now, inquiry_name))
+        self.ran.append((now, request_name))
         is_hit = prefix in self.cache
         self.hits, self.misses = self.hits + is_hit, self.misses + (not is_hit)
         self.cache[prefix] = True
@@ -86,12 +86,12 @@
         self.state = "leaving"
         self.left_at = now
 
-    def beat(self, service, domain, address, sequence):
+    def beat(self, service, zone, address, sequence):
         """Return the body of a beat."""
         return {
             "name": self.name,
             "service": service,
-            "domain": domain,
+            "domain": zone,
             "address": address,
             "slots": self.slots,
             "busy": self.busy,
--- a/proving/storm.py
+++ b/proving/storm.py
@@ -92,15 +92,15 @@
         gevent.sleep(10)
         self.away.discard(name)
 
-    def lose_domain(self):
+    def lose_zone(self):
         """Lose every process of a domain at once, once; they come back."""
         if self.away:
             return
-        domain = self.chance.choice(("north", "east", "south", "west"))
+        zone = self.chance.choice(("north", "east", "south", "west"))
         rows = [*self.fleet.settings.values(), *self.fleet.replicas.values()]
-        names = sorted(row["name"] for row in rows if row["domain"] == domain)
+        names = sorted(row["name"] for row in rows if row["domain"] == zone)
         self.away.update(names)
-        self.note(f"lose domain {domain}")
+        self.note(f"lose domain {zone}")
         for name in names:
             self.fleet.kill(name)
         gevent.sleep(self.chance.uniform(1, 5))
@@ -130,7 +130,7 @@
             self.cut,
             self.replica,
             self.empty,
-            self.lose_domain,
+            self.lose_zone,
             self.full,
         ]
         end_time, running = time.monotonic() + seconds, []
--- a/proving/sweep.py
+++ b/proving/sweep.py
@@ -19,19 +19,19 @@
     start_time = time.perf_counter()
     try:
         sim, callers = run_seed(deployment, seed, faults, SMALL if small else None)
-        violations, marks = sim.history.violations, sim.history.marks
+        violations, notes = sim.history.violations, sim.history.notes
         outcomes = {f"{k}/{o}": n for (k, o), n in callers.record.outcomes.items()}
         counts = sim.history.counts
     except Exception as error:
         place = traceback.format_exc().splitlines()[-12:]
-        violations, marks, outcomes, counts = [f"failure: {error!r}", *place], [], {}, {}
+        violations, notes, outcomes, counts = [f"failure: {error!r}", *place], [], {}, {}
     gc.enable()
     gc.collect()
     return {
         "deployment": deployment,
         "seed": seed,
         "violations": violations,
-        "marks": marks,
+        "marks": notes,
         "outcomes": outcomes,
         "counts": counts,
         "seconds": time.perf_counter() - start_time,
--- a/quillring/classes/granter.py
+++ b/quillring/classes/granter.py
@@ -63,7 +63,7 @@
         return {"limits": self._limits(service, origin, now), "cold": cold, "lease": self.lease}
 
     def _limits(self, service, taker, now):
-        layout = self.node.find("layout").layout or {"classes": {}}
+        configuration = self.node.find("layout").configuration or {"classes": {}}
         replicas = self.node.find("replicas").working(service)
         room = sum(self.bearable(replica) for replica in replicas)
         takers = {
@@ -72,10 +72,10 @@
             if s == service and now - asked.at < self.node.bounds.news / 2
         }
         class_names = sorted(
-            {c for demands in takers.values() for c in demands} & set(layout["classes"])
+            {c for demands in takers.values() for c in demands} & set(configuration["classes"])
         )
         demands = {c: sum(d.get(c, 0) for d in takers.values()) for c in class_names}
-        granted = divide(room, layout["classes"], demands)
+        granted = divide(room, configuration["classes"], demands)
         idle_part = max(0, room - sum(granted.values())) // max(1, len(takers))
         return {
             c: split(granted[c], {n: d.get(c, 0) for n, d in takers.items()})[taker] + idle_part
@@ -86,7 +86,7 @@
         """Return how much a replica bears now, by the ramp while it is cold."""
         if replica.state != "cold":
             return replica.slots
-        services = (self.node.find("layout").layout or {}).get("services", {})
+        services = (self.node.find("layout").configuration or {}).get("services", {})
         warm_up = services.get(replica.service, {}).get("warm_up_ms", WARM_UP_MS) / 1000
         return ramp(replica.slots, self.node.now() - replica.born_at, warm_up)
 
--- a/quillring/classes/taker.py
+++ b/quillring/classes/taker.py
@@ -26,10 +26,12 @@
         while True:
             yield Sleep(self.node.bounds.beat / ASKS_A_BEAT)
             ticks += 1
-            layout = self.node.find("layout").layout
-            if layout is None or self.node.is_draining:
+            configuration = self.node.find("layout").configuration
+            if configuration is None or self.node.is_draining:
                 continue
-            for service in sorted(n for n, s in layout["services"].items() if s["kind"] != "raw"):
+            for service in sorted(
+                n for n, s in configuration["services"].items() if s["kind"] != "raw"
+            ):
                 is_idle = not self.node.find("dispatch").demands(service)
                 if not is_idle or ticks % ASKS_A_BEAT == 0:
                     self.node.spawn(self._ask(service))
--- a/quillring/edge/claim.py
+++ b/quillring/edge/claim.py
@@ -4,7 +4,7 @@
 from quillring.kernel.errors import NotFound, QuillringError, Refused
 
 
-def claim_stream(journal, name, sender, served_round, check):
+def claim_stream(journal, name, client_name, served_term, check):
     """Script: find a stream wherever it is held, fence its former round, run it here.
 
     It is given back once a second node holds all of it: what a former runner could not hand
@@ -17,7 +17,7 @@
     """
     nifty = journal.node.find("nifty")
     names = [name for name in journal.keepers() if nifty.reaches(name)]
-    question = {"stream": name, "sender": sender}
+    question = {"stream": name, "sender": client_name}
     found = yield from journal.node.gather(
         [(n, "journal.find", question) for n in names], len(names)
     )
@@ -28,21 +28,21 @@
             raise Refused(reason="the stream's holders are out of reach")
         raise NotFound(field="stream")
     check(next(iter(holders.values())))
-    claim_round = (max(reply[0][0] for reply in holders.values()) + 1, journal.node.me.name)
+    claim_term = (max(reply[0][0] for reply in holders.values()) + 1, journal.node.me.name)
     claims = yield from journal.node.gather(
-        [(n, "journal.claim", {**question, "round": list(claim_round)}) for n in holders],
+        [(n, "journal.claim", {**question, "round": list(claim_term)}) for n in holders],
         len(holders),
     )
     good_claims = {
         holder: reply
         for holder, reply in claims.items()
-        if not isinstance(reply, QuillringError) and tuple(reply[3]) >= served_round
+        if not isinstance(reply, QuillringError) and tuple(reply[3]) >= served_term
     }
     if not good_claims:
         raise Refused(reason="the stream's newest holders are out of reach")
     best = max(good_claims.values(), key=lambda reply: (tuple(reply[3]), len(reply[1])))
-    inquiry, pieces, ended, _ = best
-    stream = Stream(name, inquiry, sender, journal.node.now(), claim_round)
+    request, pieces, ended, _ = best
+    stream = Stream(name, request, client_name, journal.node.now(), claim_term)
     stream.put(0, pieces)
     stream.ended = ended
     journal.enter(stream)
--- a/quillring/edge/journal.py
+++ b/quillring/edge/journal.py
@@ -68,10 +68,10 @@
         stream.put(start, pieces)
         self.weight += stream.weight - former_weight
 
-    def open(self, name, inquiry, sender):
+    def open(self, name, request, client_name):
         """Begin the journal of a stream here."""
         self._make_room()
-        stream = Stream(name, inquiry, sender, self.node.now(), (1, self.node.me.name))
+        stream = Stream(name, request, client_name, self.node.now(), (1, self.node.me.name))
         self.enter(stream)
         return stream
 
@@ -92,7 +92,7 @@
             m
             for m in nifty.roster.members.values()
             if m.role in ("edge", "core")
-            and m.domain != me.domain
+            and m.zone != me.zone
             and nifty.reaches(m.name)
             and m.name not in avoided
         ]
@@ -138,7 +138,7 @@
 
     def keep(self, stream, new_pieces, ended=False):
         """Script: add pieces here and at a second holder; return once both have them."""
-        self._check_round(stream)
+        self._check_term(stream)
         old_count = len(stream.pieces)
         self._put(stream, old_count, new_pieces)
         stream.ended = ended or stream.ended
@@ -164,7 +164,7 @@
                 avoided_names.add(stream.holder)
                 stream.holder = None
 
-    def _check_round(self, stream):
+    def _check_term(self, stream):
         if self.streams.get(stream.name) is not stream:
             raise Fenced(stream=stream.name)
 
@@ -175,17 +175,17 @@
     def hold(self, body):
         """Hold pieces; a lower round is fenced off, a gap refused."""
         known = self.streams.get(body["stream"])
-        stream_round = tuple(body["round"])
-        if known is not None and known.round > stream_round:
+        stream_term = tuple(body["round"])
+        if known is not None and known.term > stream_term:
             raise Fenced(stream=body["stream"])
         stream = known
         if known is None:
             self._make_room()
             stream = Stream(
-                body["stream"], body["inquiry"], body["sender"], self.node.now(), stream_round
+                body["stream"], body["inquiry"], body["sender"], self.node.now(), stream_term
             )
-        elif known.round < stream_round:
-            stream = known.claimed(self.node.now(), stream_round)
+        elif known.term < stream_term:
+            stream = known.claimed(self.node.now(), stream_term)
             stream.ended = False
         start = body["from"]
         if start > len(stream.pieces):
@@ -200,21 +200,21 @@
     def on_find(self, body, origin):
         """Tell the round, length and entry of a stream held here for this sender."""
         stream = self.streams.get(body["stream"])
-        if stream is None or stream.sender != body["sender"]:
+        if stream is None or stream.client_name != body["sender"]:
             raise NotFound(field="stream")
-        return [list(stream.round), len(stream.pieces), stream.inquiry["entry"]]
+        return [list(stream.term), len(stream.pieces), stream.request["entry"]]
 
     def on_claim(self, body, origin):
         """Hand a stream over to a higher round; the former round can add no more."""
         stream = self.streams.get(body["stream"])
-        if stream is None or stream.sender != body["sender"]:
+        if stream is None or stream.client_name != body["sender"]:
             raise NotFound(field="stream")
-        claim_round = tuple(body["round"])
-        if stream.round >= claim_round:
+        claim_term = tuple(body["round"])
+        if stream.term >= claim_term:
             raise Fenced(stream=stream.name)
-        self.enter(stream.claimed(self.node.now(), claim_round))
-        return [stream.inquiry, list(stream.pieces), stream.ended, list(stream.round)]
+        self.enter(stream.claimed(self.node.now(), claim_term))
+        return [stream.request, list(stream.pieces), stream.ended, list(stream.term)]
 
-    def claim(self, name, sender, served_round, check):
+    def claim(self, name, client_name, served_term, check):
         """Script: find a stream wherever it is held, and run it here from now on."""
-        return claim_stream(self, name, sender, served_round, check)
+        return claim_stream(self, name, client_name, served_term, check)
--- a/quillring/edge/memory.py
+++ b/quillring/edge/memory.py
@@ -17,13 +17,13 @@
 class ReplicaMemory:
     """The table of replicas in two files written in turn, each with a checksum."""
 
-    __slots__ = ("node", "disk", "turn", "kept_edition")
+    __slots__ = ("node", "disk", "turn", "kept_version")
 
     def __init__(self, node, disk):
         self.node = node
         self.disk = disk
         self.turn = 0
-        self.kept_edition = node.find("replicas").edition
+        self.kept_version = node.find("replicas").table_version
 
     def recall(self):
         """Take the beats of the newest readable file as old news."""
@@ -37,7 +37,7 @@
                 gossip.put(f"replica/{beat['name']}", [beat["incarnation"], beat["sequence"]], beat)
             except (QuillringError, KeyError, TypeError):
                 self.node.count("replicas_not_recalled")
-        self.kept_edition = self.node.find("replicas").edition
+        self.kept_version = self.node.find("replicas").table_version
 
     def _read(self, name):
         data = self.disk.read(name)
@@ -49,12 +49,12 @@
         """Script: write the table when it has changed, at most twice a news bound."""
         while True:
             yield Sleep(self.node.bounds.news / 2)
-            if self.kept_edition != self.node.find("replicas").edition:
+            if self.kept_version != self.node.find("replicas").table_version:
                 self._keep()
 
     def _keep(self):
         replicas = self.node.find("replicas")
-        self.turn, self.kept_edition = self.turn + 1, replicas.edition
+        self.turn, self.kept_version = self.turn + 1, replicas.table_version
         beats = list(self.node.find("gossip").under("replica/").values())
         body = cbor2.dumps([self.turn, beats])
         try:
--- a/quillring/edge/replicas.py
+++ b/quillring/edge/replicas.py
@@ -51,7 +51,7 @@
     __slots__ = (
         "name",
         "service",
-        "domain",
+        "zone",
         "address",
         "slots",
         "state",
@@ -68,7 +68,7 @@
     def __init__(self, beat, now, former=None):
         self.name = beat["name"]
         self.service = beat["service"]
-        self.domain = beat["domain"]
+        self.zone = beat["domain"]
         host, port = beat["address"].rsplit(":", 1)
         self.address = (host, int(port))
         self.slots = beat["slots"]
@@ -94,7 +94,7 @@
     def brings_nothing(self, beat, now):
         """Tell whether a beat is a mere sign of life: all else in it is known."""
         return (
-            [self.incarnation, self.service, self.domain, self.state, self.slots]
+            [self.incarnation, self.service, self.zone, self.state, self.slots]
             == [beat[name] for name in ("incarnation", "service", "domain", "state", "slots")]
             and "{}:{}".format(*self.address) == beat["address"]
             and now + beat.get("cold_ms", 0) / 1000 <= max(now, self.cold_until) + COLD_SLACK
@@ -113,7 +113,7 @@
         return {
             "name": self.name,
             "service": self.service,
-            "domain": self.domain,
+            "domain": self.zone,
             "address": f"{self.address[0]}:{self.address[1]}",
             "state": self.state,
             "slots": self.slots,
@@ -126,12 +126,12 @@
 class Replicas:
     """The table of replicas, fed by beats that any node took and gossip passed on."""
 
-    __slots__ = ("node", "table", "on_change", "edition", "misplaced_names", "liveness")
+    __slots__ = ("node", "table", "on_change", "table_version", "misplaced_names", "liveness")
 
     def __init__(self, node):
         self.node = node
         self.table = {}
-        self.edition = 0
+        self.table_version = 0
         self.misplaced_names = frozenset()
         self.on_change = []
         self.liveness = Liveness(node)
@@ -176,7 +176,7 @@
             replica.address,
             replica.slots,
         ):
-            self.edition += 1
+            self.table_version += 1
         for listener in self.on_change:
             listener()
 
@@ -194,7 +194,7 @@
         return (
             replica.state not in AWAY
             and self.is_heard(replica.name)
-            and not self.node.find("layout").is_emptied(replica.domain)
+            and not self.node.find("layout").is_emptied(replica.zone)
         )
 
     def may_be_sent(self, replica):
@@ -204,13 +204,13 @@
             known is not None
             and known.state not in AWAY
             and replica.name not in self.misplaced_names
-            and not self.node.find("layout").is_emptied(replica.domain)
+            and not self.node.find("layout").is_emptied(replica.zone)
         )
 
     def misplaced(self, replica):
         """Note that another one answered at a replica's address: this one is gone for good."""
         self.misplaced_names = self.misplaced_names | {replica.name}
-        self.edition += 1
+        self.table_version += 1
 
     def may_get_work(self, replica):
         """Tell whether a replica may get something new by all that this node knows."""
--- a/quillring/edge/short.py
+++ b/quillring/edge/short.py
@@ -30,9 +30,9 @@
 
 
 @route("GET", "/v1/tiles/{entry}/{zoom}/{column}/{row}")
-def serve_tile(node, inquiry):
+def serve_tile(node, request):
     """Serve one map tile."""
-    words = inquiry.words
+    words = request.words
     zoom, column, row = (read_count(words[name], name) for name in ("zoom", "column", "row"))
     path = f"/v1/tiles/{zoom}/{column}/{row}"
     answer = yield from ask_replica(node, words["entry"], "map", "GET", path, None, path)
@@ -40,22 +40,22 @@
 
 
 @route("POST", "/v1/seats")
-def serve_seat(node, inquiry):
+def serve_seat(node, request):
     """Confirm one seat; the checkout app may repeat the call under the same key."""
-    check_body(SEAT, inquiry.body)
-    body = {"key": inquiry.body["key"], "seat": inquiry.body["seat"], "sender": inquiry.sender}
+    check_body(SEAT, request.body)
+    body = {"key": request.body["key"], "seat": request.body["seat"], "sender": request.client_name}
     answer = yield from ask_replica(
-        node, inquiry.body["entry"], "checkout", "POST", "/v1/seats", body, body["key"]
+        node, request.body["entry"], "checkout", "POST", "/v1/seats", body, body["key"]
     )
     return {"key": body["key"], "seat": body["seat"], "confirmed": answer["confirmed"]}
 
 
-def ask_replica(node, entry_name, kind, method, path, body, affinity):
+def ask_replica(node, route_name, kind, method, path, body, affinity):
     """Script: ask one replica; another only when that is allowed or the first got nothing."""
     check_admission(node)
-    entry, service, promise = node.find("layout").entry(entry_name)
+    route, service, promise = node.find("layout").route(route_name)
     if service["kind"] != kind:
-        raise NotFound(field="entry", entry=entry_name)
+        raise NotFound(field="entry", entry=route_name)
     end_time = node.now() + promise["time_left_ms"] / 1000
     first_end, answered_at = node.now() + promise["first_piece_ms"] / 1000, None
     name = f"{node.me.name}-{node.world.random.getrandbits(64):016x}"
@@ -64,7 +64,7 @@
         while True:
             try:
                 lease = yield from node.find("dispatch").acquire(
-                    entry["service"], entry["class"], promise, affinity, end_time, avoided_names
+                    route["service"], route["class"], promise, affinity, end_time, avoided_names
                 )
             except Refused as refusal:
                 raise last_error or refusal from refusal
@@ -99,4 +99,4 @@
             finally:
                 lease.release()
     finally:
-        node.find("meter").note(entry["class"], answered_at, first_end)
+        node.find("meter").note(route["class"], answered_at, first_end)
--- a/quillring/edge/stream.py
+++ b/quillring/edge/stream.py
@@ -8,27 +8,27 @@
 
     __slots__ = (
         "name",
-        "inquiry",
-        "sender",
+        "request",
+        "client_name",
         "pieces",
         "ended",
-        "round",
+        "term",
         "touched_at",
         "holder",
         "weight",
         "is_running",
     )
 
-    def __init__(self, name, inquiry, sender, now, round_=(1, "")):
+    def __init__(self, name, request, client_name, now, term=(1, "")):
         self.name = name
-        self.inquiry = inquiry
-        self.sender = sender
+        self.request = request
+        self.client_name = client_name
         self.pieces = []
         self.ended = False
-        self.round = tuple(round_)
+        self.term = tuple(term)
         self.touched_at = now
         self.holder = None
-        self.weight = OVERHEAD + len(inquiry.get("prompt", ""))
+        self.weight = OVERHEAD + len(request.get("prompt", ""))
         self.is_running = False
 
     def put(self, start, pieces):
@@ -37,9 +37,9 @@
         self.pieces[start:] = pieces
         self.weight += sum(map(len, pieces))
 
-    def claimed(self, now, claim_round):
+    def claimed(self, now, claim_term):
         """Return the stream under a higher round; this one can add no more to it."""
-        stream = Stream(self.name, self.inquiry, self.sender, now, claim_round)
+        stream = Stream(self.name, self.request, self.client_name, now, claim_term)
         stream.put(0, self.pieces)
         stream.ended = self.ended
         return stream
@@ -49,10 +49,10 @@
     """Return the message that makes another node hold the stream from a piece on."""
     return {
         "stream": stream.name,
-        "inquiry": stream.inquiry,
-        "sender": stream.sender,
+        "inquiry": stream.request,
+        "sender": stream.client_name,
         "from": start,
         "pieces": stream.pieces[start:],
         "ended": stream.ended,
-        "round": list(stream.round),
+        "round": list(stream.term),
     }
--- a/quillring/edge/streams.py
+++ b/quillring/edge/streams.py
@@ -8,7 +8,7 @@
 from quillring.kernel.effects import Emit, Next, Open
 from quillring.kernel.errors import (
     BackendError,
-    BadInquiry,
+    BadRequest,
     Busy,
     Conflict,
     NotSent,
@@ -17,9 +17,9 @@
     Refused,
     TimedOut,
 )
-from quillring.kernel.wsgi import check_body, need_sender, route
+from quillring.kernel.wsgi import check_body, need_client_name, route
 
-MODEL_INQUIRY = StrictValidator(
+MODEL_REQUEST = StrictValidator(
     {
         "type": "object",
         "additionalProperties": False,
@@ -36,40 +36,40 @@
 
 
 @route("POST", "/v1/inquiries")
-def serve_model(node, inquiry):
+def serve_model(node, request):
     """Serve one streamed model inquiry."""
-    need_sender(inquiry)
-    check_body(MODEL_INQUIRY, inquiry.body)
+    need_client_name(request)
+    check_body(MODEL_REQUEST, request.body)
     check_admission(node)
-    _, service, promise = node.find("layout").entry(inquiry.body["entry"])
+    _, service, promise = node.find("layout").route(request.body["entry"])
     if service["kind"] != "model":
-        raise BadInquiry(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
-    time_left = min(inquiry.body.get("time_left_ms", 1 << 40), promise["time_left_ms"]) / 1000
+        raise BadRequest(field="entry", faults=[{"field": "entry", "fault": "not a model"}])
+    time_left = min(request.body.get("time_left_ms", 1 << 40), promise["time_left_ms"]) / 1000
     stream_name = f"{node.me.name}-{node.world.random.getrandbits(96):024x}"
-    stream = node.find("journal").open(stream_name, inquiry.body, inquiry.sender)
+    stream = node.find("journal").open(stream_name, request.body, request.client_name)
     yield from run_stream(node, stream, 0, node.now() + time_left)
 
 
 @route("GET", "/v1/streams/{token}", query_words=("after",))
-def resume_stream(node, inquiry):
+def resume_stream(node, request):
     """Serve what follows the last piece the sender has."""
     check_open(node)
     secret = node.find("ownership").founding()["secret"]
-    stream_name, token_round = read_token(
-        secret, inquiry.words["token"], inquiry.sender, node.world.wall()
+    stream_name, token_term = read_token(
+        secret, request.words["token"], request.client_name, node.world.wall()
     )
-    sent_count = read_count(inquiry.query.get("after", ["0"])[0], "after")
+    sent_count = read_count(request.query.get("after", ["0"])[0], "after")
     stream = yield from node.find("journal").claim(
         stream_name,
-        inquiry.sender,
-        token_round,
+        request.client_name,
+        token_term,
         lambda found: len(found) > 2 and check_resumable(node, found[2]),
     )
-    check_resumable(node, stream.inquiry["entry"])
+    check_resumable(node, stream.request["entry"])
     if len(stream.pieces) < sent_count:
         raise Conflict(field="after", held=len(stream.pieces))
     node.count("resumes")
-    _, _, promise = node.find("layout").entry(stream.inquiry["entry"])
+    _, _, promise = node.find("layout").route(stream.request["entry"])
     if not stream.ended:
         node.find("freshness").check()
         if not may_run_on(promise, stream.pieces):
@@ -77,11 +77,11 @@
     yield from run_stream(node, stream, sent_count, node.now() + promise["time_left_ms"] / 1000)
 
 
-def check_resumable(node, entry_name):
+def check_resumable(node, route_name):
     """Refuse to resume where the class forbids it, before anything about the stream changes."""
-    entry, _, promise = node.find("layout").entry(entry_name)
+    route, _, promise = node.find("layout").route(route_name)
     if not may_resume(promise):
-        raise NotResumable(class_name=entry["class"])
+        raise NotResumable(class_name=route["class"])
 
 
 class NotResumable(QuillringError):
@@ -111,7 +111,7 @@
     secret = node.find("ownership").founding()["secret"]
     token = make_token(secret, stream, node.world.wall())
     head_line = {"stream": stream.name, "resume": token, "after": sent_count}
-    entry, _, promise = node.find("layout").entry(stream.inquiry["entry"])
+    route, _, promise = node.find("layout").route(stream.request["entry"])
     first_end = node.now() + promise["first_piece_ms"] / 1000
     sending = Sending(sent_count, head_line, first_end, node.now)
     avoided_names = set()
@@ -119,7 +119,7 @@
     try:
         yield from emit_held(stream, sending)
         while not stream.ended:
-            yield from one_round(node, stream, sending, end_time, avoided_names)
+            yield from one_attempt(node, stream, sending, end_time, avoided_names)
     except QuillringError as error:
         if not sending.has_head:
             raise
@@ -128,8 +128,8 @@
         return
     finally:
         stream.is_running = False
-        if stream.round[0] == 1:
-            node.find("meter").note(entry["class"], sending.first_at, first_end)
+        if stream.term[0] == 1:
+            node.find("meter").note(route["class"], sending.first_at, first_end)
         if not stream.pieces and not sending.has_head:
             node.find("journal").forget(stream)
     yield Emit({"end": True, "pieces": len(stream.pieces)})
@@ -145,14 +145,14 @@
         yield Emit({"n": sending.count, "piece": stream.pieces[sending.count - 1]})
 
 
-def one_round(node, stream, sending, end_time, avoided_names):
+def one_attempt(node, stream, sending, end_time, avoided_names):
     """Script: run or continue the stream on one replica until it ends or breaks."""
-    entry, service, promise = node.find("layout").entry(stream.inquiry["entry"])
-    prefix = entry.get("prefix", "")
+    route, service, promise = node.find("layout").route(stream.request["entry"])
+    prefix = route.get("prefix", "")
     wait_end = end_time if stream.pieces else min(end_time, sending.first_end)
     lease = yield from node.find("dispatch").acquire(
-        entry["service"],
-        entry["class"],
+        route["service"],
+        route["class"],
         promise,
         prefix_key(prefix),
         wait_end,
@@ -171,9 +171,9 @@
             {
                 "inquiry": stream.name,
                 "prefix": prefix,
-                "prompt": stream.inquiry["prompt"],
+                "prompt": stream.request["prompt"],
                 "from": len(stream.pieces),
-                "max_pieces": stream.inquiry.get("max_pieces", 64),
+                "max_pieces": stream.request.get("max_pieces", 64),
             },
             min(end_time - node.now(), service.get("stall_ms", STALL_MS) / 1000),
         )
@@ -209,9 +209,9 @@
         raise NotSent(replica=replica.name, reason="left")
 
 
-def check_line(line, inquiry_name, count):
+def check_line(line, request_name, count):
     """Refuse a replica's line unless it is the very next one of this inquiry."""
-    if not isinstance(line, dict) or line.get("inquiry") != inquiry_name:
+    if not isinstance(line, dict) or line.get("inquiry") != request_name:
         raise BackendError(reason="broken off" if line is None else "strange line")
     if line.get("end"):
         if line.get("pieces") != count:
--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -21,7 +21,7 @@
 from quillring.quorum.hints import Hints
 from quillring.quorum.repair import Repair
 from quillring.quorum.retirement import Leaving
-from quillring.rollout import Freshness, LayoutImage
+from quillring.rollout import ConfigurationSnapshot, Freshness
 from quillring.rollout import commands as rollout_commands
 from quillring.store import SlotStore
 from quillring.verbs import routes as verb_routes
@@ -37,7 +37,7 @@
     gossip = node.offer("gossip", Gossip(node))
     node.offer("ownership", Ownership(node))
     node.offer("elector", Elector(node))
-    node.offer("layout", LayoutImage(node))
+    node.offer("layout", ConfigurationSnapshot(node))
     node.offer("freshness", Freshness(node))
     node.offer("replicas", Replicas(node))
     node.offer("meter", Meter(node))
--- a/quillring/forward/attempt.py
+++ b/quillring/forward/attempt.py
@@ -64,7 +64,7 @@
     if seconds_left <= 0:
         raise NotSent(replica=replica.name, reason="no time left")
     data = request.to_bytes(dialect, replica.name, seconds_left, urgency, last_event)
-    answer_id = (dialect.inquiry, request.id)
+    answer_id = (dialect.request_id, request.id)
     handle = yield SendOn(replica.address, data, seconds_left, may_reuse, answer_id)
     has_head = False
     try:
--- a/quillring/forward/dialect.py
+++ b/quillring/forward/dialect.py
@@ -1,7 +1,7 @@
 """The header names under which an inquiry's id, its replica, its seal and so on travel."""
 
 FIELDS = {
-    "inquiry": "x-inquiry",
+    "request_id": "x-inquiry",
     "replica": "x-replica-named",
     "seal": "x-seal",
     "not_run": "x-not-run",
--- a/quillring/forward/placement.py
+++ b/quillring/forward/placement.py
@@ -7,7 +7,7 @@
 
 LONG_PART = 1024
 READING_AHEAD = 24_000
-OTHER_DOMAIN = 0.4
+OTHER_ZONE = 0.4
 
 
 class Lease:
@@ -49,7 +49,15 @@
 class Placement:
     """The replicas as this node's own sendings show them, and the choice among them."""
 
-    __slots__ = ("node", "views", "ramp", "changed", "usable", "usable_table", "usable_layout")
+    __slots__ = (
+        "node",
+        "views",
+        "ramp",
+        "changed",
+        "usable",
+        "usable_table",
+        "usable_configuration",
+    )
 
     def __init__(self, node):
         self.node = node
@@ -57,7 +65,7 @@
         self.ramp = Ramp(node)
         self.changed = Signal()
         self.usable = {}
-        self.usable_table = self.usable_layout = None
+        self.usable_table = self.usable_configuration = None
         node.find("replicas").on_change.append(self.wake)
 
     def wake(self):
@@ -77,14 +85,17 @@
 
     def replicas(self, service):
         """Return the replicas of a service that may be sent something."""
-        replicas, layout = self.node.find("replicas"), self.node.find("layout").layout
-        if self.usable_table != replicas.edition or self.usable_layout is not layout:
+        replicas, configuration = self.node.find("replicas"), self.node.find("layout").configuration
+        if (
+            self.usable_table != replicas.table_version
+            or self.usable_configuration is not configuration
+        ):
             by_service = {}
             for replica in replicas.table.values():
                 if replicas.may_be_sent(replica):
                     by_service.setdefault(replica.service, []).append(replica.name)
             self.usable = by_service
-            self.usable_table, self.usable_layout = replicas.edition, layout
+            self.usable_table, self.usable_configuration = replicas.table_version, configuration
         return [replicas.table[name] for name in self.usable.get(service, ())]
 
     def choose(self, service, request, avoided_names=(), may_send_cold=True):
@@ -115,10 +126,10 @@
 
     def _weight(self, replica):
         view = self.view(replica)
-        is_elsewhere = replica.domain != self.node.me.domain
+        is_elsewhere = replica.zone != self.node.me.zone
         return (
             (view.in_flight + view.reading / 4000) / replica.slots * 8
-            + OTHER_DOMAIN * is_elsewhere
+            + OTHER_ZONE * is_elsewhere
             + 0.3 * self.node.world.random.random()
         )
 
--- a/quillring/forward/ramp.py
+++ b/quillring/forward/ramp.py
@@ -35,8 +35,8 @@
 
     def part(self, replica):
         """Return how many requests a second this node may send to a cold replica."""
-        nifty, layout = self.node.find("nifty"), self.node.find("layout").layout
-        basis = (nifty.graph, nifty.roster, layout)
+        nifty, configuration = self.node.find("nifty"), self.node.find("layout").configuration
+        basis = (nifty.graph, nifty.roster, configuration)
         if self.basis is None or any(old is not new for old, new in zip(self.basis, basis)):
             self.basis, self.parts = basis, {}
         key = (replica.name, replica.slots)
@@ -44,8 +44,8 @@
             self.parts[key] = self._find_part(replica, *basis)
         return self.parts[key]
 
-    def _find_part(self, replica, graph, roster, layout):
-        services = (layout or {}).get("services", {})
+    def _find_part(self, replica, graph, roster, configuration):
+        services = (configuration or {}).get("services", {})
         rate = services.get(replica.service, {}).get("warm_rate") or replica.slots
         names = [
             m.name
--- a/quillring/forward/request.py
+++ b/quillring/forward/request.py
@@ -48,7 +48,7 @@
         self.host = headers.get("host", "")
         self.pairs = [(n, v) for n, v in pairs if n.lower() not in named and n.lower() not in own]
         self.body = body
-        self.id = headers.get(dialect.inquiry)
+        self.id = headers.get(dialect.request_id)
         self.chain = read_chain(headers.get(dialect.chain, ""))
         self.tokens_in, self.tokens_out = read_tokens(headers.get(dialect.tokens, ""))
         self.last_event = read_number(headers.get(dialect.resume))
--- a/quillring/forward/table.py
+++ b/quillring/forward/table.py
@@ -58,20 +58,21 @@
 class ForwardTable:
     """Forwards by host and longest prefix; made anew, and swapped whole, when the layout moves."""
 
-    __slots__ = ("node", "layout", "by_host", "by_name")
+    __slots__ = ("node", "configuration", "by_host", "by_name")
 
     def __init__(self, node):
         self.node = node
-        self.layout = None
+        self.configuration = None
         self.by_host = {}
         self.by_name = {}
 
     def _renew(self):
-        layout = self.node.find("layout").layout
-        if layout is self.layout:
+        configuration = self.node.find("layout").configuration
+        if configuration is self.configuration:
             return
         forwards = [
-            Forward(name, fields) for name, fields in (layout or {}).get("forwards", {}).items()
+            Forward(name, fields)
+            for name, fields in (configuration or {}).get("forwards", {}).items()
         ]
         by_host = {}
         for forward in sorted(forwards, key=lambda f: -len(f.prefix)):
@@ -81,7 +82,7 @@
             for host, hosted in by_host.items()
         }
         self.by_name = {forward.name: forward for forward in forwards}
-        self.layout = layout
+        self.configuration = configuration
 
     def is_empty(self):
         """Tell whether no layout with forwards is known yet."""
--- a/quillring/kernel/bounds.py
+++ b/quillring/kernel/bounds.py
@@ -51,7 +51,7 @@
         return self.beat / 10
 
     @property
-    def round(self):
+    def round_trip(self):
         """How long one message to a few nodes may take before it is tried again."""
         return self.beat
 
--- a/quillring/kernel/checks.py
+++ b/quillring/kernel/checks.py
@@ -5,7 +5,7 @@
 
 import jsonschema
 
-from quillring.kernel.errors import BadInquiry
+from quillring.kernel.errors import BadRequest
 
 DEPTH_LIMIT = 32
 DIGITS = 9
@@ -74,5 +74,5 @@
 def read_count(text, field):
     """Return the count that a text of few digits names."""
     if not (text.isascii() and text.isdigit() and len(text) <= DIGITS):
-        raise BadInquiry(field=field, faults=[{"field": field, "fault": "not a count"}])
+        raise BadRequest(field=field, faults=[{"field": field, "fault": "not a count"}])
     return int(text)
--- a/quillring/kernel/errors.py
+++ b/quillring/kernel/errors.py
@@ -66,7 +66,7 @@
     kind = "bad_setting"
 
 
-class BadInquiry(QuillringError):
+class BadRequest(QuillringError):
     """The inquiry is malformed; the field says where."""
 
     kind = "bad_inquiry"
--- a/quillring/kernel/node.py
+++ b/quillring/kernel/node.py
@@ -94,7 +94,7 @@
         """Script: call a service of another node and return its answer, or raise its error."""
         call_id, reply_signal = self._begin(target, service, body)
         try:
-            yield Wait(reply_signal, self.bounds.round if seconds is None else seconds)
+            yield Wait(reply_signal, self.bounds.round_trip if seconds is None else seconds)
         finally:
             self.pending.pop(call_id, None)
         if not reply_signal.is_set:
@@ -109,7 +109,7 @@
         Returns as soon as `need` of them went well, or all have ended, or the time is over. Calls
         that may run twice can be repeated: those without an answer are sent again at half time.
         """
-        seconds = self.bounds.round if seconds is None else seconds
+        seconds = self.bounds.round_trip if seconds is None else seconds
         gathered_replies, done_signal, begun_calls = {}, Signal(), {}
 
         def settle(target, signal):
--- a/quillring/kernel/settings.py
+++ b/quillring/kernel/settings.py
@@ -79,7 +79,7 @@
     __slots__ = (
         "name",
         "role",
-        "domain",
+        "zone",
         "address",
         "http_address",
         "seeds",
@@ -95,7 +95,7 @@
     def __init__(self, fields):
         self.name = fields["name"]
         self.role = fields["role"]
-        self.domain = fields["domain"]
+        self.zone = fields["domain"]
         self.address = split_address(fields["address"])
         self.http_address = split_address(fields["http_address"])
         self.seeds = tuple(split_address(seed) for seed in fields["seeds"])
--- a/quillring/kernel/wsgi.py
+++ b/quillring/kernel/wsgi.py
@@ -6,7 +6,7 @@
 from urllib.parse import parse_qs
 
 from quillring.kernel.checks import parse_json
-from quillring.kernel.errors import BadInquiry, NotFound, QuillringError, TooLarge, WrongMethod
+from quillring.kernel.errors import BadRequest, NotFound, QuillringError, TooLarge, WrongMethod
 from quillring.kernel.registry import Registry
 
 ROUTES = Registry("route")
@@ -30,17 +30,17 @@
 }
 
 
-class Inquiry:
+class Request:
     """One inquiry of a sender: path words, query, body and who sent it."""
 
-    __slots__ = ("method", "words", "query", "body", "sender")
+    __slots__ = ("method", "words", "query", "body", "client_name")
 
-    def __init__(self, method, words, query, body, sender):
+    def __init__(self, method, words, query, body, client_name):
         self.method = method
         self.words = words
         self.query = query
         self.body = body
-        self.sender = sender
+        self.client_name = client_name
 
 
 def route(method, pattern, limit=BODY_LIMIT, query_words=()):
@@ -62,15 +62,15 @@
         for error in validator.iter_errors(body)
     )
     if faults:
-        raise BadInquiry(
+        raise BadRequest(
             field=faults[0][0], faults=[{"field": f, "fault": text[:200]} for f, text in faults]
         )
 
 
-def need_sender(inquiry):
+def need_client_name(request):
     """Refuse an inquiry whose answer belongs to a sender that it does not name."""
-    if not inquiry.sender or len(inquiry.sender) > 200:
-        raise BadInquiry(
+    if not request.client_name or len(request.client_name) > 200:
+        raise BadRequest(
             field="X-Sender",
             faults=[{"field": "X-Sender", "fault": "a header of 1 to 200 characters is needed"}],
         )
@@ -94,23 +94,23 @@
     try:
         length = int(environ.get("CONTENT_LENGTH") or 0)
     except ValueError as error:
-        raise BadInquiry(field="Content-Length") from error
+        raise BadRequest(field="Content-Length") from error
     if length < 0:
-        raise BadInquiry(field="Content-Length")
+        raise BadRequest(field="Content-Length")
     if length > limit:
         raise TooLarge(limit=limit, field="body")
     try:
         data = environ["wsgi.input"].read(min(length, limit + 1) if length else limit + 1)
     except OSError as error:
-        raise BadInquiry(field="body", faults=[{"field": "body", "fault": "cut off"}]) from error
+        raise BadRequest(field="body", faults=[{"field": "body", "fault": "cut off"}]) from error
     if len(data) < length:
-        raise BadInquiry(field="body", faults=[{"field": "body", "fault": "cut off"}])
+        raise BadRequest(field="body", faults=[{"field": "body", "fault": "cut off"}])
     if len(data) > limit:
         raise TooLarge(limit=limit, field="body")
     try:
         return parse_json(data) if data else None
     except ValueError as error:
-        raise BadInquiry(field="body", faults=[{"field": "body", "fault": "not JSON"}]) from error
+        raise BadRequest(field="body", faults=[{"field": "body", "fault": "not JSON"}]) from error
 
 
 def read_query(environ, query_words):
@@ -119,7 +119,7 @@
     unknown_words = sorted(set(query) - set(query_words))
     if unknown_words:
         faults = [{"field": word[:100], "fault": "unknown query word"} for word in unknown_words]
-        raise BadInquiry(field=unknown_words[0][:100], faults=faults[:10])
+        raise BadRequest(field=unknown_words[0][:100], faults=faults[:10])
     return query
 
 
@@ -133,14 +133,14 @@
         try:
             method = environ["REQUEST_METHOD"]
             function, words, limit, query_words = find_route(method, environ["PATH_INFO"])
-            inquiry = Inquiry(
+            request = Request(
                 method,
                 words,
                 read_query(environ, query_words),
                 read_body(environ, limit),
                 environ.get("HTTP_X_SENDER", ""),
             )
-            outcome = function(node, inquiry)
+            outcome = function(node, request)
             if not inspect.isgenerator(outcome):
                 return send_whole(start_response, outcome)
             return send_lines(node, start_response, outcome)
--- a/quillring/lots/raw_choice.py
+++ b/quillring/lots/raw_choice.py
@@ -7,7 +7,7 @@
     """Return the core that sends to a replica: one of its domain unless others have far less."""
     loads = ledger.runs_by_worker
     fewest = min((loads.get(name, 0) for name, _ in cores), default=0)
-    near = [n for n, domain in cores if domain == replica.domain]
+    near = [n for n, zone in cores if zone == replica.zone]
     if near and loads.get(near[0], 0) < fewest * 2 + 8:
         return near[0]
     return min((n for n, _ in cores), key=lambda n: loads.get(n, 0), default=None)
--- a/quillring/lots/raw_front.py
+++ b/quillring/lots/raw_front.py
@@ -36,7 +36,7 @@
     ownership, bounds = node.find("ownership"), node.bounds
     end_time, is_unsure = node.now() + seconds, False
     while True:
-        window_end = min(end_time, node.now() + bounds.round)
+        window_end = min(end_time, node.now() + bounds.round_trip)
         try:
             return (yield from ownership.submit(part, command, window_end - node.now()))
         except (OutcomeUnknown, TimedOut):
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -74,7 +74,7 @@
         is_ended = raw_lots_ended(self.node, lot_name)
         body = {"lot": lot_name, "numbers": None if is_ended else numbers}
         calls = [(name, "raw.stop", body) for name in self._cores()]
-        yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
+        yield from self.node.gather(calls, len(calls), self.node.bounds.round_trip, True)
 
     def _cores(self):
         ownership, nifty = self.node.find("ownership"), self.node.find("nifty")
@@ -88,7 +88,7 @@
             for ledger in list(self.ledgers.values()):
                 if not ledger.owner.may_act():
                     continue
-                seconds = bounds.reading if ledger.is_reported else bounds.round
+                seconds = bounds.reading if ledger.is_reported else bounds.round_trip
                 if self.node.now() - ledger.renewed_at >= seconds:
                     ledger.renewed_at = self.node.now()
                     self._look_after(ledger)
@@ -111,7 +111,7 @@
         owner, asked_at = ledger.owner, self.node.now()
         body = {"part": owner.part, "ballot": list(owner.ballot)}
         calls = [(name, "raw.renew", body) for name in self._cores()]
-        replies = yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
+        replies = yield from self.node.gather(calls, len(calls), self.node.bounds.round_trip, True)
         heard = {t: rows for t, rows in replies.items() if not isinstance(rows, QuillringError)}
         reported = {
             (row[0], row[1]): (worker, row) for worker, rows in heard.items() for row in rows
@@ -171,7 +171,7 @@
         ownership = self.node.find("ownership")
         members = self.node.find("nifty").roster.members
         names = [n for n in ownership.rank(ledger.owner.part) if not ownership.is_leaving(n)]
-        return [(n, members[n].domain) for n in names if not ledger.rests(n)]
+        return [(n, members[n].zone) for n in names if not ledger.rests(n)]
 
     def _start(self, ledger, item, run, forward, is_near):
         """Script: hand a run to its worker; what was surely not begun waits again."""
--- a/quillring/lots/raw_worker.py
+++ b/quillring/lots/raw_worker.py
@@ -134,10 +134,10 @@
         """Script: send the item once; return how it went. The run holds what came of its text."""
         node, dialect = self.node, self.node.find("dialect")
         item_id, target, pairs, content = body["item"]
-        own_names = {"host", dialect.inquiry}
+        own_names = {"host", dialect.request_id}
         headers = [
             ("Host", body["host"]),
-            (dialect.inquiry, item_id),
+            (dialect.request_id, item_id),
             *((name, value) for name, value in pairs if name.lower() not in own_names),
         ]
         request = Request(dialect, "POST", target, headers, content)
--- a/quillring/lots/runner.py
+++ b/quillring/lots/runner.py
@@ -90,9 +90,9 @@
             if command["do"] == "lot.cancel" and lot is not None and lot["phase"] != OPEN:
                 self.node.spawn(self._tell_replicas(command["lot"], lot["entry"]))
 
-    def _tell_replicas(self, lot_name, entry_name):
-        entry, _, _ = self.node.find("layout").entry(entry_name)
-        replicas = self.node.find("replicas").hopeful(entry["service"], math.inf)
+    def _tell_replicas(self, lot_name, route_name):
+        route, _, _ = self.node.find("layout").route(route_name)
+        replicas = self.node.find("replicas").hopeful(route["service"], math.inf)
         for replica in replicas:
             self.node.spawn(self._tell_replica(replica, f"{lot_name}-"))
         return
@@ -142,12 +142,12 @@
 
     def _item_result(self, owner, key, lot):
         node, (_, lot_name, number) = self.node, key
-        entry, service, promise = node.find("layout").entry(lot["entry"])
+        route, service, promise = node.find("layout").route(lot["entry"])
         end_time = node.now() + promise["time_left_ms"] / 1000
-        prefix = entry.get("prefix", "")
+        prefix = route.get("prefix", "")
         lease = yield from node.find("dispatch").acquire(
-            entry["service"],
-            entry["class"],
+            route["service"],
+            route["class"],
             promise,
             prefix_key(prefix),
             node.now() + node.bounds.news,
@@ -170,7 +170,7 @@
             if not self._is_wanted(owner, key):
                 return None
             stall_seconds = service.get("stall_ms", STALL_MS) / 1000
-            inquiry_name = f"{lot_name}-{number}"
+            request_name = f"{lot_name}-{number}"
             self.unsent.discard(key)
             lease.may_run_on = True
             path = lease.replica.path("/v1/generate")
@@ -178,7 +178,7 @@
                 lease.replica.address,
                 path,
                 {
-                    "inquiry": inquiry_name,
+                    "inquiry": request_name,
                     "prefix": prefix,
                     "prompt": lot["items"][number],
                     "from": 0,
@@ -189,7 +189,7 @@
             if handle.status == 503:
                 lease.may_run_on = False
                 raise Busy(replica=lease.replica.name)
-            result = yield from self._read_result(handle, inquiry_name, stall_seconds, key)
+            result = yield from self._read_result(handle, request_name, stall_seconds, key)
             lease.may_run_on = result is None
             return result
         except (Busy, NotSent) as error:
@@ -206,11 +206,11 @@
             if handle is not None:
                 handle.close()
 
-    def _read_result(self, handle, inquiry_name, stall_seconds, key):
+    def _read_result(self, handle, request_name, stall_seconds, key):
         pieces, weight = [], 0
         while not self.running[key].stop_signal.is_set:
             line = yield Next(handle, stall_seconds)
-            check_line(line, inquiry_name, len(pieces))
+            check_line(line, request_name, len(pieces))
             if line.get("end"):
                 return {"text": "".join(pieces)}
             pieces.append(line["piece"])
--- a/quillring/nifty/member.py
+++ b/quillring/nifty/member.py
@@ -1,4 +1,4 @@
-"""peers and the roster, an immutable image swapped whole."""
+"""peers and the roster, an immutable snapshot swapped whole."""
 
 import hashlib
 
@@ -6,7 +6,9 @@
 
 from quillring.nifty.bits import places_of, to_bits
 
-FIELDS = ("name", "incarnation", "role", "domain", "host", "port", "http_port", "identity")
+FIELDS = ("name", "incarnation", "role", "zone", "host", "port", "http_port", "identity")
+# In the public list of members a zone keeps its former name.
+JSON_NAMES = {"zone": "domain"}
 
 
 class Member:
@@ -33,7 +35,7 @@
 
     def to_json(self):
         """Return the fields by name."""
-        return {slot: getattr(self, slot) for slot in FIELDS}
+        return {JSON_NAMES.get(slot, slot): getattr(self, slot) for slot in FIELDS}
 
     @classmethod
     def from_list(cls, fields):
--- a/quillring/ownership/asking.py
+++ b/quillring/ownership/asking.py
@@ -62,7 +62,7 @@
         bounds = self.node.bounds
         end_time = self.node.now() + (bounds.news * 2 if seconds is None else seconds)
         self.founding()
-        last_error, rounds, may_have_run = NotOwner(part=part), 0, False
+        last_error, attempts, may_have_run = NotOwner(part=part), 0, False
         while self.node.now() < end_time:
             hopelessness = self.why_hopeless(part)
             if hopelessness is not None:
@@ -72,7 +72,7 @@
             if candidates:
                 try:
                     answer = yield from self.node.call(
-                        candidates[rounds % len(candidates)],
+                        candidates[attempts % len(candidates)],
                         service,
                         {"part": part, **body},
                         min(bounds.news, end_time - self.node.now()),
@@ -87,7 +87,7 @@
                     if may_have_run and not error.is_final:
                         raise _unknown(part) from error
                     raise
-            rounds += 1
+            attempts += 1
             yield from self._pause(end_time)
         if may_have_run:
             raise _unknown(part)
--- a/quillring/ownership/ownership.py
+++ b/quillring/ownership/ownership.py
@@ -91,7 +91,7 @@
         if member is None:
             return False
         drains = self.node.find("gossip").get(f"draining/{name}") == member.incarnation
-        return drains or self.node.find("layout").is_left(member.domain)
+        return drains or self.node.find("layout").is_left(member.zone)
 
     def announce_drain(self):
         """Tell all nodes that this one drains, until it starts again."""
--- a/quillring/ownership/takeovers.py
+++ b/quillring/ownership/takeovers.py
@@ -15,7 +15,7 @@
     nifty = node.find("nifty")
     names = [name for name in node.find("ownership").cores() if nifty.reaches(name)]
     calls = [(name, "part.takeovers", None) for name in names]
-    replies = yield from node.gather(calls, len(calls), node.bounds.round)
+    replies = yield from node.gather(calls, len(calls), node.bounds.round_trip)
     newest = {}
     for reply in replies.values():
         for part, status in () if isinstance(reply, QuillringError) else reply.items():
--- a/quillring/plans/front.py
+++ b/quillring/plans/front.py
@@ -38,53 +38,53 @@
         current["version"],
         current["layout"],
         {part: [store[0] for store in ownership.group(part)] for part in ownership.parts()},
-        {m.name: m.domain for m in nifty.roster.members.values() if m.role == "store"},
+        {m.name: m.zone for m in nifty.roster.members.values() if m.role == "store"},
         [
             beat
             for beat in node.find("gossip").under("replica/").values()
             if replicas.is_heard(beat["name"])
         ],
-        {m.name: (m.role, m.domain) for m in nifty.roster.members.values()},
+        {m.name: (m.role, m.zone) for m in nifty.roster.members.values()},
     )
 
 
 @route("POST", "/v1/plans")
-def propose(node, inquiry):
+def propose(node, request):
     """Answer an intent with a plan; nothing changes before it is confirmed."""
-    check_body(INTENT, inquiry.body)
+    check_body(INTENT, request.body)
     ownership = node.find("ownership")
     current = yield from ownership.read(CONFIG, {"ask": "layout"})
     if current["layout"] is None:
         raise NotFound(field="layout")
-    plan = make_plan(make_view(node, current), inquiry.body)
+    plan = make_plan(make_view(node, current), request.body)
     name = f"{node.world.random.getrandbits(48):012x}"
     return (yield from ownership.submit(CONFIG, {"do": "plan.propose", "id": name, "plan": plan}))
 
 
 @route("GET", "/v1/plans")
-def show_all(node, inquiry):
+def show_all(node, request):
     """Return all kept plans."""
     return (yield from node.find("ownership").read(CONFIG, {"ask": "plans"}))
 
 
 @route("GET", "/v1/plans/{plan}")
-def show_one(node, inquiry):
+def show_one(node, request):
     """Return one plan with its progress."""
-    query = {"ask": "plan", "plan": inquiry.words["plan"]}
+    query = {"ask": "plan", "plan": request.words["plan"]}
     return (yield from node.find("ownership").read(CONFIG, query))
 
 
 @route("POST", "/v1/plans/{plan}/confirm")
-def confirm(node, inquiry):
+def confirm(node, request):
     """Confirm a plan, accepting the consequences that are named."""
-    body = inquiry.body or {}
+    body = request.body or {}
     check_body(CONFIRM, body)
     return (
         yield from node.find("ownership").submit(
             CONFIG,
             {
                 "do": "plan.confirm",
-                "plan": inquiry.words["plan"],
+                "plan": request.words["plan"],
                 "accept": body.get("accept", []),
                 "id": body.get("id") or f"{node.world.random.getrandbits(96):024x}",
             },
@@ -93,7 +93,7 @@
 
 
 @route("POST", "/v1/plans/{plan}/stop")
-def stop(node, inquiry):
+def stop(node, request):
     """Stop a plan between two steps."""
-    command = {"do": "plan.stop", "plan": inquiry.words["plan"]}
+    command = {"do": "plan.stop", "plan": request.words["plan"]}
     return (yield from node.find("ownership").submit(CONFIG, command))
--- a/quillring/plans/runner.py
+++ b/quillring/plans/runner.py
@@ -10,14 +10,14 @@
 
 
 @CONDITIONS.entry("domain_idle")
-def is_domain_idle(node, domain):
+def is_zone_idle(node, zone):
     """Script: tell whether no replica and no node of the domain has anything under way.
 
     A node out of reach counts once it was silent for as long as service may be away.
     """
     beats = node.find("gossip").under("replica/").values()
     if any(
-        beat["domain"] == domain
+        beat["domain"] == zone
         and beat.get("busy")
         and beat["state"] != "gone"
         and node.find("replicas").is_heard(beat["name"])
@@ -28,7 +28,7 @@
     names = [
         m.name
         for m in nifty.roster.members.values()
-        if m.domain == domain
+        if m.zone == zone
         and m.role != "store"
         and (nifty.reaches(m.name) or not nifty.is_silent(m.name, node.bounds.return_))
     ]
@@ -39,8 +39,8 @@
 def count_busy(node):
     """Return how much is under way at a node: inquiries run or waiting, parts owned."""
     dispatch, owners = node.find("dispatch"), node.find("ownership").owners.values()
-    inquiries = len(dispatch.leases) + len(dispatch.waiting) if dispatch is not None else 0
-    return inquiries + sum(owner.is_owner for owner in owners)
+    requests = len(dispatch.leases) + len(dispatch.waiting) if dispatch is not None else 0
+    return requests + sum(owner.is_owner for owner in owners)
 
 
 @CONDITIONS.entry("store_unused")
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -80,9 +80,9 @@
         """Take the state of a slot."""
         load_rows(self, rows)
 
-    def load(self, image):
+    def load(self, snapshot):
         """Take the state of a slot of the version before, which is one value."""
-        load_whole(self, image)
+        load_whole(self, snapshot)
 
     def replay(self, record):
         """Take one log record; the running store changes its memory by the same function."""
--- a/quillring/quorum/catchup.py
+++ b/quillring/quorum/catchup.py
@@ -45,8 +45,8 @@
 
 
 def _nearest_first(node, stores):
-    members, own_domain = node.find("nifty").roster.members, node.me.domain
-    is_elsewhere = {s: s not in members or members[s].domain != own_domain for s in stores}
+    members, own_zone = node.find("nifty").roster.members, node.me.zone
+    is_elsewhere = {s: s not in members or members[s].zone != own_zone for s in stores}
     return sorted(stores, key=lambda store: (is_elsewhere[store], store))
 
 
--- a/quillring/quorum/founding.py
+++ b/quillring/quorum/founding.py
@@ -19,8 +19,8 @@
         return {"fleet": known_founding["fleet"], "was_founded": True}
     founders = roster_stores(node) if stores is None else stores
     if stores is None and not is_enough([store[2] for store in founders], size):
-        domains = sorted({store[2] for store in founders})
-        raise Refused(reason="stores in three domains are needed", domains=domains)
+        zones = sorted({store[2] for store in founders})
+        raise Refused(reason="stores in three domains are needed", domains=zones)
     held_founding = yield from _held_founding(node, founders)
     founding = held_founding or make_founding(node, part_count, size, founders)
     if choose is not None:
@@ -43,7 +43,7 @@
 def roster_stores(node):
     """Return [name, identity, domain] of the stores of the roster, by name."""
     members = node.find("nifty").roster.members.values()
-    return [[m.name, m.identity, m.domain] for m in members if m.role == "store"]
+    return [[m.name, m.identity, m.zone] for m in members if m.role == "store"]
 
 
 def make_founding(node, part_count, size, stores):
@@ -60,7 +60,7 @@
 
 def _held_founding(node, stores):
     calls = [(store[0], "quorum.founding", None) for store in stores]
-    replies = yield from node.gather(calls, len(calls), node.bounds.round)
+    replies = yield from node.gather(calls, len(calls), node.bounds.round_trip)
     held = [reply for reply in replies.values() if isinstance(reply, dict)]
     return held[0] if held else None
 
--- a/quillring/quorum/hints.py
+++ b/quillring/quorum/hints.py
@@ -8,7 +8,7 @@
 from quillring.kernel.errors import Conflict, Fenced, QuillringError, Refused
 from quillring.nifty.graph import score
 from quillring.quorum.identity import WrongIdentity
-from quillring.quorum.retirement import is_marked
+from quillring.quorum.retirement import is_retirement_ordered
 
 KEPT_HINTS = 10_000
 KEPT_BYTES = 16 << 20
@@ -98,7 +98,7 @@
         if m.role == "store"
         and m.name not in group_names
         and nifty.reaches(m.name)
-        and not is_marked(owner.node, m.name)
+        and not is_retirement_ordered(owner.node, m.name)
     ]
     if not spares:
         return
--- a/quillring/quorum/in_flight.py
+++ b/quillring/quorum/in_flight.py
@@ -39,6 +39,6 @@
         if self.decided is None or is_of_others:
             return
         decided = self.decided
-        yield Wait(decided, self.node.bounds.round * 2)
+        yield Wait(decided, self.node.bounds.round_trip * 2)
         if not decided.is_set:
             raise NoMajority(part=self.part, reason="an entry is in flight")
--- a/quillring/quorum/parts.py
+++ b/quillring/quorum/parts.py
@@ -30,17 +30,17 @@
     `stores` are [name, identity, domain].
     """
     ranked_stores = sorted(stores, key=lambda store: score(part, store[0]), reverse=True)
-    domains = [store[2] for store in ranked_stores]
-    turns = [domains[:place].count(domain) for place, domain in enumerate(domains)]
+    zones = [store[2] for store in ranked_stores]
+    turns = [zones[:place].count(zone) for place, zone in enumerate(zones)]
     chosen_stores = [store for _, store in sorted(zip(turns, ranked_stores), key=lambda t: t[0])]
     return chosen_stores[:size] if len(chosen_stores) >= size else None
 
 
-def is_enough(domains, size):
+def is_enough(zones, size):
     """Tell whether stores in these domains form groups that the loss of no one domain stops."""
-    counts = [domains.count(domain) for domain in set(domains)]
+    counts = [zones.count(zone) for zone in set(zones)]
     largest = next(
         (most for most in range(1, size + 1) if sum(min(most, count) for count in counts) >= size),
         size,
     )
-    return len(domains) >= size and size - largest >= size // 2 + 1
+    return len(zones) >= size and size - largest >= size // 2 + 1
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -5,7 +5,7 @@
 from quillring.nifty.graph import score
 from quillring.quorum.disk_news import is_disk_failing
 from quillring.quorum.parts import majority
-from quillring.quorum.retirement import is_marked, may_join
+from quillring.quorum.retirement import is_retirement_ordered, may_join
 from quillring.quorum.swap import catch_up, is_durable_without, new_group, submit_first
 
 PATIENCE = 5
@@ -118,7 +118,7 @@
 
     def is_retired(self, store):
         """Tell whether operators want the store machine out of every part."""
-        return is_marked(self.node, store[0])
+        return is_retirement_ordered(self.node, store[0])
 
     def _next_change(self, owner):
         """Return the next change that the part's group needs, or None."""
@@ -140,30 +140,30 @@
 
     def is_forced(self, store):
         """Tell whether operators accepted a part under three members for this retiring."""
-        stores = (self.node.find("layout").layout or {}).get("stores", {})
+        stores = (self.node.find("layout").configuration or {}).get("stores", {})
         return bool(stores.get(store[0], {}).get("forced"))
 
     def _doubled(self, group):
         """Return the members in the domain that holds most of a group, if it holds several."""
-        domains = [store[2] for store in group]
-        most = max(map(domains.count, domains))
-        return [s for s in group if most > 1 and domains.count(s[2]) == most]
+        zones = [store[2] for store in group]
+        most = max(map(zones.count, zones))
+        return [s for s in group if most > 1 and zones.count(s[2]) == most]
 
     def _spare(self, part, group):
         """Return the store that should join; one that was chosen keeps its place while it may."""
         nifty = self.node.find("nifty")
         staying = [s for s in group if not (self.is_retired(s) or self.is_lost(s))]
-        used_domains = [s[2] for s in staying if not self.is_emptied(s)]
+        used_zones = [s[2] for s in staying if not self.is_emptied(s)]
         room = majority([None] * self.node.find("ownership").size()) - 1
         names = {s[0] for s in group if not self.is_emptied(s)}
         candidates = [
-            [m.name, m.identity, m.domain]
+            [m.name, m.identity, m.zone]
             for m in nifty.roster.members.values()
             if m.role == "store"
             and m.name not in names
             and nifty.reaches(m.name)
             and not is_disk_failing(self.node, m.name)
-            and used_domains.count(m.domain) < room
+            and used_zones.count(m.zone) < room
         ]
         now = self.node.now()
         candidates = [
@@ -175,5 +175,5 @@
         return max(
             candidates,
             default=None,
-            key=lambda c: (-used_domains.count(c[2]), c[0] == chosen, score(part, c[0])),
+            key=lambda c: (-used_zones.count(c[2]), c[0] == chosen, score(part, c[0])),
         )
--- a/quillring/quorum/retirement.py
+++ b/quillring/quorum/retirement.py
@@ -54,12 +54,12 @@
         return {"retired": self._is_retired(), "hints": hints}
 
     def _is_retired(self):
-        return is_marked(self.node, self.node.me.name)
+        return is_retirement_ordered(self.node, self.node.me.name)
 
 
-def is_marked(node, store):
+def is_retirement_ordered(node, store):
     """Tell whether the newest layout of a node names the store as retired."""
-    stores = (node.find("layout").layout or {}).get("stores") or {}
+    stores = (node.find("layout").configuration or {}).get("stores") or {}
     return bool(stores.get(store, {}).get("retired"))
 
 
--- a/quillring/quorum/rounds.py
+++ b/quillring/quorum/rounds.py
@@ -10,7 +10,7 @@
     Raises Fenced when a store knows of a higher ballot, NoMajority when too few answer in time.
     """
     replies = yield from owner.node.gather(
-        owner.calls(service, **body), majority(owner.group), owner.node.bounds.round, True
+        owner.calls(service, **body), majority(owner.group), owner.node.bounds.round_trip, True
     )
     fences = [r.detail["ballot"] for r in replies.values() if isinstance(r, Fenced)]
     if fences:
--- a/quillring/quorum/slot_rows.py
+++ b/quillring/quorum/slot_rows.py
@@ -41,8 +41,8 @@
     acceptors.transfers.load(arriving)
 
 
-def load_whole(acceptors, image):
+def load_whole(acceptors, snapshot):
     """Take the state of a slot of the version before, which is one value."""
-    acceptors.identity, acceptors.founding = image["identity"], image["founding"]
-    acceptors.parts = {n: PartRecord.from_list(fields) for n, fields in image["parts"].items()}
-    acceptors.hints = image["hints"]
+    acceptors.identity, acceptors.founding = snapshot["identity"], snapshot["founding"]
+    acceptors.parts = {n: PartRecord.from_list(fields) for n, fields in snapshot["parts"].items()}
+    acceptors.hints = snapshot["hints"]
--- a/quillring/rollout/commands.py
+++ b/quillring/rollout/commands.py
@@ -10,7 +10,7 @@
 KEPT_CHANGES = 64
 
 
-class BadLayout(QuillringError):
+class BadConfiguration(QuillringError):
     """The layout was refused, with every reason; no node changes.
 
     Final: on the version it builds on it is always refused, and on any other it is a conflict.
@@ -22,7 +22,7 @@
 
 
 @COMMANDS.entry("layout.adopt")
-def adopt_layout(state, command):
+def adopt_configuration(state, command):
     """Adopt a whole or partial layout that was made against the current version."""
     changes, digests = state.get("changes", {}), state.get("change_digests", {})
     digest = digest_of_change(command)
@@ -36,17 +36,19 @@
             base_version=command["base_version"],
             winning_change=state.get("last_change"),
         )
-    current_layout = state["layout"] or EMPTY
-    layout = command["change"] if command["whole"] else merge(current_layout, command["change"])
-    faults = find_faults(layout)
+    current_configuration = state["layout"] or EMPTY
+    configuration = (
+        command["change"] if command["whole"] else merge(current_configuration, command["change"])
+    )
+    faults = find_faults(configuration)
     if faults:
-        raise BadLayout(faults=faults)
+        raise BadConfiguration(faults=faults)
     version = state["version"] + 1
     kept_changes = dict([*changes.items(), (command["id"], version)][-KEPT_CHANGES:])
     kept_digests = {name: digests[name] for name in kept_changes if name in digests}
     new_state = {
         **state,
-        "layout": layout,
+        "layout": configuration,
         "version": version,
         "changes": kept_changes,
         "change_digests": {**kept_digests, command["id"]: digest},
@@ -62,6 +64,6 @@
 
 
 @QUERIES.entry("layout")
-def show_layout(state, query):
+def show_configuration(state, query):
     """Return the layout and its version."""
     return {"version": state["version"], "layout": state["layout"]}
--- a/quillring/rollout/editions.py
+++ b/quillring/rollout/configuration_versions.py
@@ -7,46 +7,46 @@
 
 from quillring.kernel.errors import Conflict
 from quillring.quorum.commands import COMMANDS, QUERIES
-from quillring.rollout.commands import BadLayout
+from quillring.rollout.commands import BadConfiguration
 from quillring.rollout.schema import EMPTY, EXTRAS, FORWARD, LIMITS, RAW_SERVICE, item_faults
 
-KEPT_EDITIONS = 256
+KEPT_VERSIONS = 256
 SECTIONS = (("forwards", FORWARD), ("services", RAW_SERVICE))
 
 
 @COMMANDS.entry("edition.adopt")
-def adopt_edition(state, command):
+def adopt_version(state, command):
     """Adopt an edition made on top of the current one; one taken before is told as taken."""
-    digest, editions = digest_of(command), state.get("editions", {})
+    digest, configuration_versions = digest_of(command), state.get("editions", {})
     number = command["edition"]
-    if editions.get(str(number)) == digest:
+    if configuration_versions.get(str(number)) == digest:
         return state, {"edition": number, "repeated": True}
-    layout = state["layout"] or EMPTY
-    current_number = layout.get("edition", 0)
+    configuration = state["layout"] or EMPTY
+    current_number = configuration.get("edition", 0)
     if command["base_edition"] != current_number:
         raise Conflict(winning_edition=current_number, base_edition=command["base_edition"])
-    faults = [*number_faults(number, current_number), *command_faults(command, layout)]
+    faults = [*number_faults(number, current_number), *command_faults(command, configuration)]
     if faults:
-        raise BadLayout(faults=faults)
-    new_layout = lay_over(layout, command)
-    faults = cross_faults(new_layout)
+        raise BadConfiguration(faults=faults)
+    new_configuration = lay_over(configuration, command)
+    faults = cross_faults(new_configuration)
     if faults:
-        raise BadLayout(faults=faults)
-    kept_editions = dict([*editions.items(), (str(number), digest)][-KEPT_EDITIONS:])
+        raise BadConfiguration(faults=faults)
+    kept_versions = dict([*configuration_versions.items(), (str(number), digest)][-KEPT_VERSIONS:])
     new_state = {
         **state,
-        "layout": new_layout,
+        "layout": new_configuration,
         "version": state["version"] + 1,
-        "editions": kept_editions,
+        "editions": kept_versions,
     }
     return new_state, {"edition": number}
 
 
 @QUERIES.entry("edition")
-def show_edition(state, query):
+def show_configuration_version(state, query):
     """Return the number of the current edition (0: none yet) and its layout."""
-    layout = state["layout"] or EMPTY
-    return {"edition": layout.get("edition", 0), "layout": layout}
+    configuration = state["layout"] or EMPTY
+    return {"edition": configuration.get("edition", 0), "layout": configuration}
 
 
 def digest_of(command):
@@ -64,14 +64,14 @@
     return []
 
 
-def command_faults(command, layout):
+def command_faults(command, configuration):
     """Return what speaks against the items that a command brings, each by itself.
 
     An item that is in force, byte for byte, was found valid before and is not checked again.
     """
     faults = []
     for section, validator in SECTIONS:
-        former = layout.get(section) or {}
+        former = configuration.get(section) or {}
         new_items = {
             name: item
             for name, item in command[section].items()
@@ -84,19 +84,19 @@
     return faults
 
 
-def lay_over(layout, command):
+def lay_over(configuration, command):
     """Return the layout with an edition in the place of the former one, or amending it."""
     removed = command["removed"] or {}
     sections = {}
     for section, _ in SECTIONS:
-        former = {} if command["whole"] else layout.get(section, {})
+        former = {} if command["whole"] else configuration.get(section, {})
         gone_names = set(removed.get(section, ()))
         kept = {name: item for name, item in former.items() if name not in gone_names}
         sections[section] = {**kept, **command[section]}
-    former = {} if command["whole"] else layout
+    former = {} if command["whole"] else configuration
     limits = former.get("limits") if command["limits"] is None else command["limits"]
     return {
-        **layout,
+        **configuration,
         **sections,
         "edition": command["edition"],
         "limits": limits,
@@ -104,12 +104,12 @@
     }
 
 
-def cross_faults(layout):
+def cross_faults(configuration):
     """Return what speaks against an edition across its items."""
     faults, places = [], {}
-    for name, forward in layout["forwards"].items():
+    for name, forward in configuration["forwards"].items():
         field = f"forwards.{name}"
-        unknown_names = sorted({s for s, _ in forward["split"]} - set(layout["services"]))
+        unknown_names = sorted({s for s, _ in forward["split"]} - set(configuration["services"]))
         if unknown_names:
             faults.append({"field": f"{field}.split", "fault": f"unknown {unknown_names[0]}"})
         if sum(weight for _, weight in forward["split"]) <= 0:
@@ -119,8 +119,8 @@
             fault = f"same host and prefix as {places[place]}"
             faults.append({"field": f"{field}.prefix", "fault": fault})
         places[place] = name
-    for name, entry in layout["entries"].items():
-        if entry["service"] not in layout["services"]:
+    for name, route in configuration["entries"].items():
+        if route["service"] not in configuration["services"]:
             field = f"entries.{name}.service"
-            faults.append({"field": field, "fault": f"unknown {entry['service']}"})
+            faults.append({"field": field, "fault": f"unknown {route['service']}"})
     return faults
--- a/quillring/rollout/freshness.py
+++ b/quillring/rollout/freshness.py
@@ -50,13 +50,13 @@
 
     def is_fresh(self):
         """Tell whether a majority lately confirmed that no newer layout is committed."""
-        image = self.node.find("layout")
-        if image.layout is None or not image.group:
+        snapshot = self.node.find("layout")
+        if snapshot.configuration is None or not snapshot.group:
             return False
-        store_words = list(self._store_words(image.group))
+        store_words = list(self._store_words(snapshot.group))
         edge_time = self.node.now() - self.node.bounds.fresh
         good_count = sum(
-            at is not None and at > edge_time and index <= image.index
+            at is not None and at > edge_time and index <= snapshot.index
             for _, (at, index) in store_words
         )
         return good_count >= majority(store_words)
@@ -104,22 +104,22 @@
         self.words = {**self.words, **good_words}
 
     def _fetch_newer(self):
-        image = self.node.find("layout")
+        snapshot = self.node.find("layout")
         newer_words = sorted(
             (
                 (index, name)
                 for name, (at, index) in self._store_words(self._known_stores())
-                if index > image.index or (image.layout is None and index)
+                if index > snapshot.index or (snapshot.configuration is None and index)
             ),
             reverse=True,
         )
         for wanted_index, name in newer_words:
-            if image.index >= wanted_index and image.layout is not None:
+            if snapshot.index >= wanted_index and snapshot.configuration is not None:
                 return
             try:
                 index, state = yield from self.node.call(
                     name, "quorum.image", {"part": CONFIG}, self.node.bounds.beat / 2
                 )
-                image.take(index, state)
+                snapshot.take(index, state)
             except QuillringError:
                 continue
--- a/quillring/rollout/marks.py
+++ b/quillring/rollout/operator_orders.py
@@ -9,15 +9,15 @@
 
 
 @COMMANDS.entry("domain.mark")
-def mark_domain(state, command):
+def order_zone(state, command):
     """Empty a domain or take that back; `nodes` tells whether its nodes leave, or replicas only."""
-    mark = {"emptied": bool(command["emptied"]), "nodes": bool(command.get("nodes", True))}
+    order = {"emptied": bool(command["emptied"]), "nodes": bool(command.get("nodes", True))}
     seen_version = command.get("seen_version")
-    return place_order(state, "domains", command["domain"], mark, seen_version), mark
+    return place_order(state, "domains", command["domain"], order, seen_version), order
 
 
 @COMMANDS.entry("store.mark")
-def mark_store(state, command):
+def order_store(state, command):
     """Retire a store or take that back; a retirement names the stores its node counts on.
 
     Whether enough of these remain is decided here, in the command's turn: of two retirements at
@@ -25,10 +25,10 @@
     """
     store, is_retired_now = command["store"], bool(command["retired"])
     former = ((state["layout"] or EMPTY).get("stores") or {}).get(store, {})
-    mark = {**former, "retired": is_retired_now}
-    if is_retired_now and former != mark and command.get("counted") is not None:
+    order = {**former, "retired": is_retired_now}
+    if is_retired_now and former != order and command.get("counted") is not None:
         check_remaining(state, store, command["counted"], command["size"])
-    return place_order(state, "stores", store, mark, command.get("seen_version")), mark
+    return place_order(state, "stores", store, order, command.get("seen_version")), order
 
 
 def check_remaining(state, store, counted, size):
@@ -37,15 +37,15 @@
     `counted` is {store: domain}, `size` how many stores hold each part.
     """
     retired_names = {store, *leaving_stores(state)}
-    remaining = [domain for name, domain in counted.items() if name not in retired_names]
+    remaining = [zone for name, zone in counted.items() if name not in retired_names]
     if not is_enough(remaining, size):
         raise Conflict(field="store", reason="too few stores would remain", store=store)
 
 
 def leaving_stores(state):
     """Return the stores that are retired, or that a plan under way is about to retire."""
-    marks = (state["layout"] or EMPTY).get("stores") or {}
-    retired_names = {name for name, mark in marks.items() if mark.get("retired")}
+    orders = (state["layout"] or EMPTY).get("stores") or {}
+    retired_names = {name for name, order in orders.items() if order.get("retired")}
     planned_names = {
         plan["intent"]["target"]
         for plan in state.get("plans", {}).values()
@@ -61,8 +61,8 @@
     """
     end_time, ownership = node.now() + seconds, node.find("ownership")
     current = yield from ownership.read(CONFIG, {"ask": "edition"}, seconds)
-    marks = current["layout"].get("stores") or {}
-    if marks.get(store, {}).get("retired"):
+    orders = current["layout"].get("stores") or {}
+    if orders.get(store, {}).get("retired"):
         return
     stores = known_stores(node)
     if store not in stores:
@@ -71,7 +71,7 @@
         "do": "store.mark",
         "store": store,
         "retired": True,
-        "counted": {name: domain for name, domain in stores.items() if not is_gone(node, name)},
+        "counted": {name: zone for name, zone in stores.items() if not is_gone(node, name)},
         "size": ownership.size(),
     }
     yield from submit_order(node, command, end_time - node.now())
@@ -96,9 +96,9 @@
     members = node.find("nifty").roster.members.values()
     ownership = node.find("ownership")
     group_stores = {
-        name: domain for part in ownership.parts() for name, _, domain in ownership.group(part)
+        name: zone for part in ownership.parts() for name, _, zone in ownership.group(part)
     }
-    return {**group_stores, **{m.name: m.domain for m in members if m.role == "store"}}
+    return {**group_stores, **{m.name: m.zone for m in members if m.role == "store"}}
 
 
 def is_retired(node, store, seconds):
@@ -109,9 +109,9 @@
     """
     end_time, ownership = node.now() + seconds, node.find("ownership")
     current = yield from ownership.read(CONFIG, {"ask": "edition"}, seconds)
-    mark = (current["layout"].get("stores") or {}).get(store)
-    if mark is None and store not in known_stores(node):
+    order = (current["layout"].get("stores") or {}).get(store)
+    if order is None and store not in known_stores(node):
         raise NotFound(field="store", store=store)
-    if mark is None or not mark.get("retired"):
+    if order is None or not order.get("retired"):
         return False
     return (yield from is_free(node, store, end_time - node.now()))
--- a/quillring/rollout/orders.py
+++ b/quillring/rollout/orders.py
@@ -35,8 +35,8 @@
     nowhere. An order that is in force already counts the version up as well, so that a late copy
     of an older, contrary one fails.
     """
-    layout = state["layout"] or EMPTY
-    orders = layout.get(section) or {}
+    configuration = state["layout"] or EMPTY
+    orders = configuration.get(section) or {}
     is_in_force = orders.get(name) == order
     last_version = last_order(state, section, name)
     is_late = seen_version is not None and seen_version < last_version
@@ -45,8 +45,8 @@
     if is_late:
         raise StaleOrder(field=section, name=name, version=last_version, seen_version=seen_version)
     version = state["version"] + 1
-    new_layout = {**layout, section: {**orders, name: order}}
-    new_state = {**state, "layout": new_layout, "version": version}
+    new_configuration = {**configuration, section: {**orders, name: order}}
+    new_state = {**state, "layout": new_configuration, "version": version}
     if seen_version is None:
         return new_state
     return {**new_state, **note_order(state, section, name, version)}
@@ -74,9 +74,13 @@
     Raises StaleOrder when a newer one was taken that this node had not heard of yet: the order is
     not tried again here, as the node may just have woken with an old order in its hands.
     """
-    end_time, ownership, image = node.now() + seconds, node.find("ownership"), node.find("layout")
-    seen_version = image.version
-    if image.index == 0:
+    end_time, ownership, snapshot = (
+        node.now() + seconds,
+        node.find("ownership"),
+        node.find("layout"),
+    )
+    seen_version = snapshot.version
+    if snapshot.index == 0:
         current = yield from ownership.read(CONFIG, {"ask": "version"}, seconds)
         seen_version = current["version"]
     fenced = {**command, "seen_version": seen_version}
--- a/quillring/rollout/schema.py
+++ b/quillring/rollout/schema.py
@@ -44,7 +44,7 @@
     },
     ["kind"],
 )
-ENTRY = section(
+ROUTE = section(
     {
         "service": {"type": "string"},
         "class": {"type": "string"},
@@ -122,7 +122,7 @@
     StrictValidator, (FORWARD_ITEM, RAW_SERVICE_ITEM, LIMITS_ITEM, OBJECT)
 )
 STORE = section({"retired": {"type": "boolean"}, "forced": {"type": "boolean"}}, [])
-DOMAIN = section({"emptied": {"type": "boolean"}, "nodes": {"type": "boolean"}}, [])
+ZONE = section({"emptied": {"type": "boolean"}, "nodes": {"type": "boolean"}}, [])
 SERVICES = {
     "type": "object",
     "additionalProperties": {
@@ -138,8 +138,8 @@
     "properties": {
         "classes": CLASS,
         "services": SERVICES,
-        "entries": ENTRY,
-        "domains": DOMAIN,
+        "entries": ROUTE,
+        "domains": ZONE,
         "stores": STORE,
         "edition": COUNT,
         "extras": OBJECT,
@@ -151,32 +151,32 @@
 EMPTY = {"classes": {}, "services": {}, "entries": {}, "domains": {}}
 
 
-def find_faults(layout):
+def find_faults(configuration):
     """Return every reason that speaks against a whole layout."""
     faults = [
         {"field": ".".join(str(s) for s in e.absolute_path) or "layout", "fault": e.message[:200]}
-        for e in VALIDATOR.iter_errors(layout)
+        for e in VALIDATOR.iter_errors(configuration)
     ]
     if faults:
         return sorted(faults, key=lambda fault: fault["field"])
     faults.extend(
         {"field": f"services.{name}", "fault": f"{name!r} does not match {NAME!r}"}
-        for name, service in sorted(layout["services"].items())
+        for name, service in sorted(configuration["services"].items())
         if service["kind"] != "raw" and not re.search(NAME, name)
     )
-    for name, entry in sorted(layout["entries"].items()):
+    for name, route in sorted(configuration["entries"].items()):
         for field, section_name in (("service", "services"), ("class", "classes")):
-            if entry[field] not in layout[section_name]:
+            if route[field] not in configuration[section_name]:
                 faults.append(
                     {
                         "field": f"entries.{name}.{field}",
-                        "fault": f"unknown {entry[field]}",
+                        "fault": f"unknown {route[field]}",
                     }
                 )
-    shares = sum(c["share"] for c in layout["classes"].values())
+    shares = sum(c["share"] for c in configuration["classes"].values())
     if shares > 1.0001:
         faults.append({"field": "classes", "fault": f"shares add up to {shares:.3f}, over 1"})
-    for name, promise in sorted(layout["classes"].items()):
+    for name, promise in sorted(configuration["classes"].items()):
         if promise["first_piece_ms"] > promise["time_left_ms"]:
             faults.append(
                 {
@@ -184,8 +184,8 @@
                     "fault": "longer than time_left_ms",
                 }
             )
-    if layout["domains"] and all(
-        d.get("emptied") and d.get("nodes", True) for d in layout["domains"].values()
+    if configuration["domains"] and all(
+        d.get("emptied") and d.get("nodes", True) for d in configuration["domains"].values()
     ):
         faults.append({"field": "domains", "fault": "every domain would be emptied"})
     return faults
@@ -203,16 +203,18 @@
     ]
 
 
-def merge(layout, change):
+def merge(configuration, change):
     """Return the layout with a partial one laid over it; null takes a name away."""
-    if not isinstance(change, dict) or not isinstance(layout, dict):
+    if not isinstance(change, dict) or not isinstance(configuration, dict):
         return change
     merged = {
-        name: merge(layout.get(name), value) if name in layout else without_nulls(value)
+        name: merge(configuration.get(name), value)
+        if name in configuration
+        else without_nulls(value)
         for name, value in change.items()
         if value is not None
     }
-    return {**{n: v for n, v in layout.items() if n not in change}, **merged}
+    return {**{n: v for n, v in configuration.items() if n not in change}, **merged}
 
 
 def without_nulls(value):
--- a/quillring/rollout/image.py
+++ b/quillring/rollout/snapshot.py
@@ -4,16 +4,16 @@
 from quillring.quorum.parts import CONFIG
 
 
-class LayoutImage:
+class ConfigurationSnapshot:
     """The newest layout that this node heard of."""
 
-    __slots__ = ("node", "index", "version", "layout", "group", "taken_at")
+    __slots__ = ("node", "index", "version", "configuration", "group", "taken_at")
 
     def __init__(self, node):
         self.node = node
         self.index = 0
         self.version = 0
-        self.layout = None
+        self.configuration = None
         self.group = None
         self.taken_at = None
         gossip = node.find("gossip")
@@ -52,33 +52,33 @@
             gossip.fresh["layout"] = 1
 
     def _swap(self, news):
-        index, version, layout, group = news
+        index, version, configuration, group = news
         if index > self.index:
             if version != self.version:
                 self.taken_at = self.node.now()
-            self.index, self.version, self.layout = index, version, layout
+            self.index, self.version, self.configuration = index, version, configuration
             self.group = group
 
-    def entry(self, name):
+    def route(self, name):
         """Return (entry, service, class) by the entry's name, or raise NotFound."""
-        entries = (self.layout or {}).get("entries", {})
+        entries = (self.configuration or {}).get("entries", {})
         if name not in entries:
             raise NotFound(field="entry", entry=name)
-        entry = entries[name]
+        route = entries[name]
         return (
-            entry,
-            self.layout["services"][entry["service"]],
-            self.layout["classes"][entry["class"]],
+            route,
+            self.configuration["services"][route["service"]],
+            self.configuration["classes"][route["class"]],
         )
 
-    def is_emptied(self, domain):
+    def is_emptied(self, zone):
         """Tell whether operators want the domain's replicas to get nothing more."""
-        return bool(self._mark(domain).get("emptied"))
+        return bool(self._order(zone).get("emptied"))
 
-    def is_left(self, domain):
+    def is_left(self, zone):
         """Tell whether operators want the domain's nodes, too, to take nothing more."""
-        mark = self._mark(domain)
-        return bool(mark.get("emptied") and mark.get("nodes", True))
+        order = self._order(zone)
+        return bool(order.get("emptied") and order.get("nodes", True))
 
-    def _mark(self, domain):
-        return (self.layout or {}).get("domains", {}).get(domain, {})
+    def _order(self, zone):
+        return (self.configuration or {}).get("domains", {}).get(zone, {})
--- a/quillring/store/slot_file.py
+++ b/quillring/store/slot_file.py
@@ -23,7 +23,7 @@
 
     generation: int
     size: int
-    image: object = None
+    snapshot: object = None
     rows: list | None = None
     skipped: int = 0
 
@@ -41,7 +41,7 @@
         if hashlib.sha256(body).digest() != digest:
             return None
         if magic == WHOLE_MAGIC:
-            return Slot(generation, length, image=cbor2.loads(body))
+            return Slot(generation, length, snapshot=cbor2.loads(body))
         if magic != ROWS_MAGIC:
             return None
         (skipped, *rows), end = read_records(body)
--- a/quillring/store/slots.py
+++ b/quillring/store/slots.py
@@ -74,7 +74,7 @@
         self._check_newer_logs(logs)
         self.disk.settle(slot_name(self.generation))
         if slot.rows is None:
-            self.holder.load(slot.image)
+            self.holder.load(slot.snapshot)
         else:
             self.holder.load_rows(slot.rows)
         self._replay_logs(logs, slot.skipped)
--- a/quillring/verbs/checks.py
+++ b/quillring/verbs/checks.py
@@ -7,12 +7,12 @@
 from quillring.kernel.checks import parse_json
 from quillring.kernel.errors import BadSetting
 from quillring.kernel.settings import read_settings
-from quillring.rollout.editions import cross_faults
+from quillring.rollout.configuration_versions import cross_faults
 from quillring.rollout.schema import EMPTY, find_faults
 
 FAULTY = 2
 COUNTED = ("classes", "services", "entries", "domains", "forwards")
-MARKS_OF_EDITION = ("edition", "forwards")
+OPERATOR_SECTIONS = ("edition", "forwards")
 
 
 @click.command("check-settings")
@@ -28,7 +28,7 @@
     """Check a settings file; every fault is told, and the exit code is 2 if there is one."""
     if path is None and layout_path is None:
         raise click.UsageError("name a settings file, a layout file with --layout, or both")
-    checks = ((path, settings_report), (layout_path, layout_report))
+    checks = ((path, settings_report), (layout_path, configuration_report))
     reports = [(name, *check(name)) for name, check in checks if name is not None]
     for name, summary, faults in reports:
         for fault in faults:
@@ -45,24 +45,24 @@
     try:
         settings = read_settings(path, {})
         host, port = settings.address
-        summary = f"{settings.role} {settings.name} in {settings.domain} at {host}:{port}"
+        summary = f"{settings.role} {settings.name} in {settings.zone} at {host}:{port}"
     except* BadSetting as group:
         faults = [error.detail["fault"] for error in group.exceptions]
     return summary, faults
 
 
-def layout_report(path):
+def configuration_report(path):
     """Return (summary, faults) of a layout file; an edition may leave the other sections out."""
     try:
-        with open(path, encoding="utf-8") as layout_file:
-            layout = parse_json(layout_file.read())
+        with open(path, encoding="utf-8") as configuration_file:
+            configuration = parse_json(configuration_file.read())
     except (OSError, ValueError) as error:
         return "", [f"layout: {error}"]
-    if isinstance(layout, dict) and any(name in layout for name in MARKS_OF_EDITION):
-        layout = {**EMPTY, "forwards": {}, **layout}
-    faults = find_faults(layout)
-    if not faults and "forwards" in layout:
-        faults = cross_faults(layout)
+    if isinstance(configuration, dict) and any(name in configuration for name in OPERATOR_SECTIONS):
+        configuration = {**EMPTY, "forwards": {}, **configuration}
+    faults = find_faults(configuration)
+    if not faults and "forwards" in configuration:
+        faults = cross_faults(configuration)
     if faults:
         return "", [f"{fault['field']}: {fault['fault']}" for fault in faults]
-    return ", ".join(f"{len(layout.get(name, {}))} {name}" for name in COUNTED), []
+    return ", ".join(f"{len(configuration.get(name, {}))} {name}" for name in COUNTED), []
--- a/quillring/verbs/cli.py
+++ b/quillring/verbs/cli.py
@@ -117,7 +117,7 @@
 
 @layout.command("show")
 @node_options
-def show_layout(node, as_json):
+def show_configuration(node, as_json):
     """Show the layout a node acts on."""
     run_verb(node, "GET", "/v1/layout", None, as_json)
 
@@ -127,11 +127,11 @@
 @click.argument("path", type=click.Path(exists=True))
 @click.option("--base-version", type=int, required=True, help="Version it was made against.")
 @click.option("--whole", is_flag=True, help="Replace the layout instead of merging into it.")
-def apply_layout(node, as_json, path, base_version, whole):
+def apply_configuration(node, as_json, path, base_version, whole):
     """Apply a layout file."""
     try:
-        with open(path, encoding="utf-8") as layout_file:
-            change = json.load(layout_file)
+        with open(path, encoding="utf-8") as configuration_file:
+            change = json.load(configuration_file)
     except ValueError as error:
         raise click.UsageError(f"{path}: {error}") from error
     body = {
--- a/quillring/verbs/client.py
+++ b/quillring/verbs/client.py
@@ -2,7 +2,7 @@
 
 from quillring.kernel import backend
 from quillring.kernel.effects import Fetch
-from quillring.kernel.errors import BadInquiry, rebuild
+from quillring.kernel.errors import BadRequest, rebuild
 from quillring.kernel.settings import is_real_address, split_address
 
 PATIENCE_SECONDS = 15
@@ -11,7 +11,7 @@
 def ask(node, method, path, body=None):
     """Return a node's JSON answer, or raise the error it reports."""
     if not is_real_address(node):
-        raise BadInquiry(field="--node", reason="not an IP:PORT")
+        raise BadRequest(field="--node", reason="not an IP:PORT")
     status, answer = backend.fetch(
         Fetch(split_address(node), method, path, body, PATIENCE_SECONDS, False)
     )
--- a/quillring/verbs/part_routes.py
+++ b/quillring/verbs/part_routes.py
@@ -6,7 +6,7 @@
 
 
 @route("GET", "/v1/parts")
-def show_parts(node, inquiry):
+def show_parts(node, request):
     """Return each part with its group, owner and ballot as last heard, and the newest takeover.
 
     The takeovers are asked of the cores in reach, and are None where none of them knows of one.
@@ -16,7 +16,7 @@
 
 
 @route("GET", "/v1/whole")
-def show_whole(node, inquiry):
+def show_whole(node, request):
     """Tell whether every part has an owner and a full group of stores that hold everything."""
     ownership, rows = node.find("ownership"), []
     for part in ownership.parts():
--- a/quillring/verbs/routes.py
+++ b/quillring/verbs/routes.py
@@ -36,19 +36,19 @@
 
 
 @route("POST", "/v1/replicas/beats")
-def take_beat(node, inquiry):
+def take_beat(node, request):
     """Take a replica's beat at any node."""
-    return node.find("replicas").on_beat(inquiry.body)
+    return node.find("replicas").on_beat(request.body)
 
 
 @route("GET", "/v1/alive")
-def show_alive(node, inquiry):
+def show_alive(node, request):
     """Tell that the process lives."""
     return {"name": node.me.name, "incarnation": node.me.incarnation}
 
 
 @route("GET", "/v1/ready")
-def show_ready(node, inquiry):
+def show_ready(node, request):
     """Tell whether the platform may hand new connections to this node."""
     if node.me.role == "edge":
         check_admission(node)
@@ -60,14 +60,14 @@
 
 
 @route("POST", "/v1/found")
-def found(node, inquiry):
+def found(node, request):
     """Found the fleet on the stores now known."""
-    check_body(FOUND, inquiry.body)
-    return (yield from found_fleet(node, inquiry.body["parts"]))
+    check_body(FOUND, request.body)
+    return (yield from found_fleet(node, request.body["parts"]))
 
 
 @route("GET", "/v1/members")
-def show_members(node, inquiry):
+def show_members(node, request):
     """Return the peers as this node sees them."""
     nifty = node.find("nifty")
     return {
@@ -79,9 +79,9 @@
 
 
 @route("DELETE", "/v1/members/{name}")
-def forget_member(node, inquiry):
+def forget_member(node, request):
     """Forget a member that is gone for good; a living one is not forgotten."""
-    nifty, name = node.find("nifty"), inquiry.words["name"]
+    nifty, name = node.find("nifty"), request.words["name"]
     member = nifty.roster.members.get(name)
     if member is None:
         raise NotFound(field="name", name=name)
@@ -92,13 +92,13 @@
 
 
 @route("GET", "/v1/graph")
-def show_graph(node, inquiry):
+def show_graph(node, request):
     """Return graph, routes, sides and bridges."""
     return node.find("nifty").graph.to_json()
 
 
 @route("POST", "/v1/drain")
-def drain(node, inquiry):
+def drain(node, request):
     """End the process as planned: nothing new, what is under way ends, the platform restarts."""
     stop = node.find("stop")
     if stop is None:
@@ -108,7 +108,7 @@
 
 
 @route("GET", "/v1/replicas")
-def show_replicas(node, inquiry):
+def show_replicas(node, request):
     """Return the replicas as this node sees them."""
     replicas = node.find("replicas")
     return {
@@ -120,53 +120,53 @@
 
 
 @route("GET", "/v1/layout")
-def show_layout(node, inquiry):
+def show_configuration(node, request):
     """Return the layout this node knows, and whether a majority lately said that it is current."""
-    image = node.find("layout")
+    snapshot = node.find("layout")
     return {
-        "version": image.version,
-        "index": image.index,
+        "version": snapshot.version,
+        "index": snapshot.index,
         "is_fresh": node.find("freshness").is_fresh(),
-        "layout": image.layout,
+        "layout": snapshot.configuration,
     }
 
 
 @route("PUT", "/v1/layout")
-def change_layout(node, inquiry):
+def change_configuration(node, request):
     """Adopt a whole or partial layout made against a version."""
-    check_body(CHANGE, inquiry.body)
+    check_body(CHANGE, request.body)
     own_id = f"{node.world.random.getrandbits(96):024x}"
     return (
         yield from node.find("ownership").submit(
             CONFIG,
             {
                 "do": "layout.adopt",
-                "id": inquiry.body.get("id", own_id),
-                "base_version": inquiry.body["base_version"],
-                "change": inquiry.body["layout"],
-                "whole": inquiry.body.get("whole", False),
+                "id": request.body.get("id", own_id),
+                "base_version": request.body["base_version"],
+                "change": request.body["layout"],
+                "whole": request.body.get("whole", False),
             },
         )
     )
 
 
 @route("POST", "/v1/domains/{domain}/emptying")
-def empty_domain(node, inquiry):
+def empty_zone(node, request):
     """Empty a domain: no replica in it gets anything new."""
-    return (yield from _mark_domain(node, inquiry, True))
+    return (yield from _order_zone(node, request, True))
 
 
 @route("DELETE", "/v1/domains/{domain}/emptying")
-def refill_domain(node, inquiry):
+def refill_zone(node, request):
     """Let a domain get work again."""
-    return (yield from _mark_domain(node, inquiry, False))
+    return (yield from _order_zone(node, request, False))
 
 
-def _mark_domain(node, inquiry, is_emptied):
+def _order_zone(node, request, is_emptied):
     query = {"ask": "layout"}
     current = yield from node.find("ownership").read(CONFIG, query)
-    if inquiry.words["domain"] not in (current["layout"] or {}).get("domains", {}):
-        raise NotFound(field="domain", domain=inquiry.words["domain"])
+    if request.words["domain"] not in (current["layout"] or {}).get("domains", {}):
+        raise NotFound(field="domain", domain=request.words["domain"])
     return (
         yield from node.find("ownership").submit(
             CONFIG,
@@ -175,7 +175,7 @@
                 "id": f"{node.world.random.getrandbits(96):024x}",
                 "base_version": current["version"],
                 "whole": False,
-                "change": {"domains": {inquiry.words["domain"]: {"emptied": is_emptied}}},
+                "change": {"domains": {request.words["domain"]: {"emptied": is_emptied}}},
             },
         )
     )
--- a/quillring/verbs/status_routes.py
+++ b/quillring/verbs/status_routes.py
@@ -4,21 +4,21 @@
 
 
 @route("GET", "/v1/promises")
-def show_promises(node, inquiry):
+def show_promises(node, request):
     """Return how the promises of each class were kept on this node in the last quarter hour."""
     return {"name": node.me.name, "classes": node.find("meter").rows()}
 
 
 @route("GET", "/v1/status")
-def show_status(node, inquiry):
+def show_status(node, request):
     """Return what this node is and how it does."""
-    image, acceptors = node.find("layout"), node.find("acceptors")
+    snapshot, acceptors = node.find("layout"), node.find("acceptors")
     disk_error = None if acceptors is None else acceptors.slots.error
     return {
         "name": node.me.name,
         "role": node.me.role,
-        "domain": node.me.domain,
-        "layout_version": image.version,
+        "domain": node.me.zone,
+        "layout_version": snapshot.version,
         "is_fresh": node.find("freshness").is_fresh(),
         "under_way": node.under_way,
         "is_draining": node.is_draining,
@@ -29,13 +29,13 @@
 
 
 @route("GET", "/v1/log")
-def show_log(node, inquiry):
+def show_log(node, request):
     """Return the ring log of this node."""
     ring = node.find("ring")
     return {"name": node.me.name, "log": list(ring.ring) if ring else []}
 
 
 @route("GET", "/v1/counts")
-def show_counts(node, inquiry):
+def show_counts(node, request):
     """Return the node's counters."""
     return {"name": node.me.name, "counts": dict(sorted(node.counts.items()))}
--- a/tests/forward_stage.py
+++ b/tests/forward_stage.py
@@ -20,11 +20,11 @@
     return ("10.0.0.1", 9000 + number)
 
 
-def make(answers, kind="stream", resumable=True, rounds=2, replicas=2, **fields):
+def make(answers, kind="stream", resumable=True, attempts=2, replicas=2, **fields):
     world = ScriptedWorld({address(n): lists for n, lists in answers.items()})
     me = Member("edge-1", 1, "edge", "north", "10.0.0.9", 7000, 7001, "")
     node = make_node(me, world, [], Bounds())
-    layout = {
+    configuration = {
         "domains": {},
         "services": {"s": {"kind": "raw", "warm_rate": 8}},
         "forwards": {
@@ -33,7 +33,7 @@
                 "prefix": "/a/",
                 "kind": kind,
                 "split": [["s", 1]],
-                "rounds": rounds,
+                "rounds": attempts,
                 "hold_ms": 5000,
                 "goal_ms": 250,
                 "urgency": 0,
@@ -43,7 +43,7 @@
             }
         },
     }
-    node.find("gossip").put("layout", [1], [1, 1, layout, []])
+    node.find("gossip").put("layout", [1], [1, 1, configuration, []])
     for number in range(replicas):
         beat(node, number)
     return world, node
--- a/tests/history_rows.py
+++ b/tests/history_rows.py
@@ -6,7 +6,7 @@
 from proving.histories.operations import Adopt, ConfigurationSeen, Operation
 
 PROFILE = settings(max_examples=60, derandomize=True, deadline=None, database=None)
-DOMAINS = [("store-1", "north"), ("store-2", "east"), ("store-3", "south"), ("store-4", "west")]
+ZONES = [("store-1", "north"), ("store-2", "east"), ("store-3", "south"), ("store-4", "west")]
 
 
 def operation(order, answer, begin, end=None):
--- a/tests/raw_stage.py
+++ b/tests/raw_stage.py
@@ -39,14 +39,17 @@
         self.env, self.replicas, self.counts = self.sim.env, {}, {}
         self.arrivals, self.whole_runs = [], []
         self.sim.backends.raw = RawBackends(self)
-        self.edition, self.patch = 0, mock.patch.object(sim_fleet, "SimWorld", RawWorld)
+        self.configuration_version, self.patch = (
+            0,
+            mock.patch.object(sim_fleet, "SimWorld", RawWorld),
+        )
         self.patch.start()
         self.sim.versions = dict.fromkeys(self.sim.rows, versions)
         self.sim.start_all()
-        domains = sorted({node.me.domain for node in self.sim.nodes.values()})
+        zones = sorted({node.me.zone for node in self.sim.nodes.values()})
         for number in range(replicas):
             name = f"i-{number}"
-            zone = domains[number % len(domains)]
+            zone = zones[number % len(zones)]
             self.replicas[name] = RawReplica(self, name, zone, slots)
         self.env.process(self.sim.found())
         self.env.run(until=6)
@@ -78,9 +81,9 @@
         service = {"kind": "raw", "warm_rate": 10, "warm_up_ms": 0, "engine": {"slots": 8}}
         command = {
             "do": "edition.adopt",
-            "id": f"e{self.edition + 1}",
-            "edition": self.edition + 1,
-            "base_edition": self.edition,
+            "id": f"e{self.configuration_version + 1}",
+            "edition": self.configuration_version + 1,
+            "base_edition": self.configuration_version,
             "whole": False,
             "services": {SERVICE: service},
             "forwards": {} if is_gone else {FORWARD: forward},
@@ -88,7 +91,7 @@
             "removed": {"forwards": [FORWARD]} if is_gone else None,
             "extras": None,
         }
-        self.edition += 1
+        self.configuration_version += 1
         value, error = self.do(
             self.up("core"), lambda node: node.find("ownership").submit("config", command, 8)
         )
--- a/tests/slot_stage.py
+++ b/tests/slot_stage.py
@@ -31,8 +31,8 @@
     def load_rows(self, rows):
         self.records = list(rows)
 
-    def load(self, image):
-        self.records = list(image)
+    def load(self, snapshot):
+        self.records = list(snapshot)
 
     def replay(self, record):
         self.records.append(record)
--- a/tests/system_calls.py
+++ b/tests/system_calls.py
@@ -5,7 +5,7 @@
 from tests import platform_path  # noqa: F401  (puts the platform's folder on the path)
 
 from system_ctl import handle_ctl  # isort: skip
-from system_layout import to_command, to_configuration  # isort: skip
+from system_configuration import to_command, to_configuration  # isort: skip
 
 __all__ = [
     "BEAT",
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -16,7 +16,7 @@
     Unreachable,
 )
 from quillring.ownership.asking import Asking
-from quillring.rollout.commands import BadLayout
+from quillring.rollout.commands import BadConfiguration
 from quillring.verbs.part_routes import show_whole
 
 
@@ -77,8 +77,8 @@
 
 
 def test_what_can_never_be_taken_is_refused_as_such_even_after_a_call_that_may_have_run():
-    with pytest.raises(BadLayout):
-        Asker([TimedOut(), BadLayout(faults=[])]).asked("part.submit")
+    with pytest.raises(BadConfiguration):
+        Asker([TimedOut(), BadConfiguration(faults=[])]).asked("part.submit")
 
 
 def test_a_success_after_a_call_that_may_have_run_is_a_success():
--- a/tests/test_autofound.py
+++ b/tests/test_autofound.py
@@ -93,11 +93,11 @@
     assert len(stage.sim.nodes["core-1"].find("ownership").group("config")) == 1
 
 
-def test_a_group_of_five_over_four_domains_has_a_majority_without_any_one_domain():
+def test_a_group_of_five_over_four_zones_has_a_majority_without_any_one_zone():
     stores = [[f"s{n}", "", f"d{n % 4}"] for n in range(8)]
     for part in PARTS:
-        domains = [store[2] for store in choose_group(part, stores, 5)]
-        assert max(map(domains.count, domains)) == 2 and len(domains) == 5
+        zones = [store[2] for store in choose_group(part, stores, 5)]
+        assert max(map(zones.count, zones)) == 2 and len(zones) == 5
     assert is_enough([store[2] for store in stores], 5)
     assert not is_enough(["a", "a", "b"], 3) and is_enough(["a", "b", "c"], 3)
     assert choose_group("p", stores[:2], 3) is None
@@ -107,8 +107,8 @@
 @pytest.mark.parametrize("wiped", [None, "store-1", "store-2", "store-3"])
 def test_owners_are_back_within_three_seconds_after_all_machines_lost_power(seed, wiped):
     stage = SelfFounded(seed, ready_at=6)
-    mark = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
-    assert stage.submit("core-2", mark)[1] is None
+    order = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
+    assert stage.submit("core-2", order)[1] is None
     fleets = stage.fleets()
     for name in stage.sim.rows:
         stage.sim.kill(name, loses_power=True)
@@ -127,8 +127,8 @@
 
 def test_a_fleet_whose_stores_lost_their_disks_one_after_another_outlives_a_stop_of_all():
     stage = SelfFounded(7, SIZES, ready_at=6)
-    mark = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
-    assert stage.submit("core-2", mark)[1] is None
+    order = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
+    assert stage.submit("core-2", order)[1] is None
     for name in ("store-1", "store-2", "store-3", "store-4"):
         stage.sim.lose_disk(name)
         stage.run(2)
