--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -18,7 +18,7 @@
     """Answers the first inquiry of each connection, breaks off at the second."""
 
     def __init__(self):
-        self.inquiries = []
+        self.requests = []
         self.server = StreamServer(("127.0.0.1", 0), self.serve)
         self.server.start()
         self.address = ("127.0.0.1", self.server.server_port)
@@ -28,7 +28,7 @@
             for is_first in (True, False):
                 while (line := reader.readline()) not in (b"\r\n", b""):
                     if b"HTTP/1.1" in line:
-                        self.inquiries.append((is_first, line))
+                        self.requests.append((is_first, line))
                 if line and is_first:
                     conn.sendall(ANSWER)
 
@@ -40,14 +40,14 @@
 def test_what_may_repeat_survives_a_kept_connection_that_breaks_off():
     server = Server()
     assert [fetch(server, True) for _ in range(3)] == [(200, True)] * 3
-    assert [is_first for is_first, _ in server.inquiries] == [True, False, True, False, True]
+    assert [is_first for is_first, _ in server.requests] == [True, False, True, False, True]
 
 
 def test_what_may_not_repeat_never_goes_over_a_kept_connection():
     server = Server()
     assert fetch(server, True) == (200, True)
     assert [fetch(server, False) for _ in range(2)] == [(200, True)] * 2
-    assert all(is_first for is_first, _ in server.inquiries)
+    assert all(is_first for is_first, _ in server.requests)
 
 
 def test_no_answer_in_time_is_not_tried_again():
@@ -104,7 +104,7 @@
     with pytest.raises(BackendError) as failure:
         fetch(server, True)
     assert not isinstance(failure.value, NotSent)
-    assert len(server.inquiries) == 2
+    assert len(server.requests) == 2
 
 
 class Surplus:
--- a/tests/test_catchup.py
+++ b/tests/test_catchup.py
@@ -1,7 +1,7 @@
 import pytest
 
 from tests.fleet_stage import SelfFounded
-from tests.test_repair import is_whole, mark, members, owners
+from tests.test_repair import is_whole, members, owners, zone_order
 
 
 def total(stage, name):
@@ -14,7 +14,7 @@
     store = members(stage)[0]
     stage.sim.kill(store)
     for number in range(5):
-        answer, error = stage.submit("core-1", mark(f"zone-{number}"))
+        answer, error = stage.submit("core-1", zone_order(f"zone-{number}"))
         assert error is None, answer
     installs = total(stage, "installs")
     stage.start(store)
@@ -25,7 +25,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_promise_bears_no_state_and_a_new_owner_has_it_whole(seed):
     stage = SelfFounded(seed)
-    stage.submit("core-1", mark("halls"))
+    stage.submit("core-1", zone_order("halls"))
     seen = []
     for acceptors in stage.stores().values():
         answer = acceptors.node.handlers["quorum.prepare"]
--- a/tests/test_check_settings.py
+++ b/tests/test_check_settings.py
@@ -13,7 +13,7 @@
     "http_address": "127.0.0.1:8400",
     "seeds": ["127.0.0.1:7401"],
 }
-EDITION = {
+CONFIGURATION = {
     "edition": 3,
     "services": {"maps": {"kind": "raw", "probe_path": "/alive"}},
     "forwards": {
@@ -31,9 +31,9 @@
 def check(tmp_path):
     """Return a function that writes files, runs the verb on them and gives its outcome."""
 
-    def run(settings=None, layout=None):
+    def run(settings=None, configuration=None):
         arguments = ["check-settings"]
-        for name, content in (("settings", settings), ("layout", layout)):
+        for name, content in (("settings", settings), ("layout", configuration)):
             if content is None:
                 continue
             path = tmp_path / f"{name}.json"
@@ -45,17 +45,17 @@
 
 
 def test_sound_files_are_summed_up(check):
-    outcome = check(SETTINGS, EDITION)
+    outcome = check(SETTINGS, CONFIGURATION)
     assert outcome.exit_code == 0 and outcome.stderr == ""
-    settings_line, layout_line = outcome.stdout.splitlines()
+    settings_line, configuration_line = outcome.stdout.splitlines()
     assert settings_line.endswith("edge edge-1 in north at 127.0.0.1:7400: no fault")
-    assert "1 services" in layout_line and "1 forwards" in layout_line
+    assert "1 services" in configuration_line and "1 forwards" in configuration_line
 
 
 def test_every_fault_of_both_files_is_told_with_its_field(check):
     settings = {**SETTINGS, "domain": "NORTH", "parts": 0, "extra": 1, "bounds": {"news": -1}}
-    forward = {**EDITION["forwards"]["tiles"], "kind": "other", "rounds": 0}
-    outcome = check(settings, {**EDITION, "forwards": {"tiles": forward}})
+    forward = {**CONFIGURATION["forwards"]["tiles"], "kind": "other", "rounds": 0}
+    outcome = check(settings, {**CONFIGURATION, "forwards": {"tiles": forward}})
     assert outcome.exit_code == 2 and outcome.stdout == ""
     faults = [line.partition(".json: ")[2] for line in outcome.stderr.splitlines()]
     assert [fault.partition(": ")[0] for fault in faults] == [
@@ -70,7 +70,7 @@
 
 
 def test_a_sound_file_is_summed_up_beside_a_faulty_one(check):
-    outcome = check({**SETTINGS, "role": "store"}, EDITION)
+    outcome = check({**SETTINGS, "role": "store"}, CONFIGURATION)
     assert outcome.exit_code == 2
     assert "no fault" in outcome.stdout and "folder: a store needs" in outcome.stderr
 
@@ -79,24 +79,27 @@
     "change, field",
     [
         ({"services": {}}, "forwards.tiles.split"),
-        ({"forwards": dict.fromkeys("ab", EDITION["forwards"]["tiles"])}, "forwards.b.prefix"),
+        (
+            {"forwards": dict.fromkeys("ab", CONFIGURATION["forwards"]["tiles"])},
+            "forwards.b.prefix",
+        ),
         ({"edition": "3"}, "edition"),
     ],
 )
-def test_an_edition_is_checked_across_its_items(check, change, field):
-    outcome = check(layout={**EDITION, **change})
+def test_a_configuration_version_is_checked_across_its_items(check, change, field):
+    outcome = check(configuration={**CONFIGURATION, **change})
     assert outcome.exit_code == 2 and f": {field}: " in outcome.stderr
 
 
-def test_a_layout_without_forwards_needs_all_its_sections(check):
-    outcome = check(layout={"services": {}})
+def test_a_configuration_without_forwards_needs_all_its_sections(check):
+    outcome = check(configuration={"services": {}})
     assert outcome.exit_code == 2 and "'classes' is a required property" in outcome.stderr
 
 
 @pytest.mark.parametrize("content", ["", "[]", "{", '{"name": NaN}', "null", "3"])
 def test_what_is_no_object_of_sound_json_is_a_fault(check, content):
     assert check(settings=content).exit_code == 2
-    outcome = check(layout=content)
+    outcome = check(configuration=content)
     assert outcome.exit_code == 2 and ": layout: " in outcome.stderr
 
 
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -96,7 +96,7 @@
 @pytest.mark.parametrize("reader", [-MINUTE, 0, MINUTE])
 def test_a_streams_token_is_taken_for_nine_minutes_and_ends_before_thirteen(issuer, reader):
     class Stream:
-        name, round, sender = "s", (1, "edge-1"), "ann"
+        name, term, client_name = "s", (1, "edge-1"), "ann"
 
     token = make_token(b"secret", Stream, 1000 + issuer)
     for age in (0, 60, LIFE_SECONDS - 2 * MINUTE - 1):
--- a/tests/test_editions.py
+++ b/tests/test_configuration_versions.py
@@ -4,7 +4,7 @@
 
 from quillring.kernel.errors import Conflict, QuillringError
 from quillring.quorum.commands import COMMANDS, QUERIES, apply_batch, first_state
-from quillring.rollout.editions import KEPT_EDITIONS, BadLayout
+from quillring.rollout.configuration_versions import KEPT_VERSIONS, BadConfiguration
 from quillring.rollout.schema import EMPTY, find_faults
 from tests.fleet_stage import SelfFounded
 
@@ -40,12 +40,12 @@
     }
 
 
-def order(edition, base=0, whole=True, **fields):
+def order(configuration_version, base=0, whole=True, **fields):
     return {
         "do": "edition.adopt",
-        "id": f"{edition}-{base}",
+        "id": f"{configuration_version}-{base}",
         "base_edition": base,
-        "edition": edition,
+        "edition": configuration_version,
         "whole": whole,
         "forwards": {"f": forward()},
         "services": {"words": service()},
@@ -55,9 +55,9 @@
     }
 
 
-def amend(edition, base, **fields):
+def amend(configuration_version, base, **fields):
     nothing = {"forwards": {}, "services": {}, "limits": None}
-    return order(edition, base, False, **{**nothing, **fields})
+    return order(configuration_version, base, False, **{**nothing, **fields})
 
 
 def apply(state, *orders):
@@ -76,14 +76,14 @@
 START = first_state([])
 
 
-def test_of_two_editions_on_the_same_base_the_first_wins_and_the_other_is_told_so():
+def test_of_two_configuration_versions_on_the_same_base_the_first_wins_and_the_other_is_told_so():
     state = apply(START, order(5))
     error = refusal(state, order(6, 0))
     assert isinstance(error, Conflict) and error.detail["winning_edition"] == 5
     assert refusal(state, order(6, 7)).detail["winning_edition"] == 5
 
 
-def test_an_edition_sent_again_is_told_as_taken_also_after_a_later_one():
+def test_a_configuration_version_sent_again_is_told_as_taken_also_after_a_later_one():
     state = apply(START, order(5), order(9, 5))
     again, answers = apply_batch(state, [{**order(5), "id": "another"}])
     assert again is state and answers == [{"edition": 5, "repeated": True}]
@@ -92,13 +92,13 @@
 
 def test_the_same_number_with_another_content_is_not_taken_as_a_repeat():
     state = apply(START, order(5))
-    assert isinstance(refusal(state, order(5, 5, forwards={})), BadLayout)
+    assert isinstance(refusal(state, order(5, 5, forwards={})), BadConfiguration)
 
 
-def test_the_history_of_editions_is_bounded_and_keeps_the_newest():
-    state = apply(START, *(order(n, n - 1) for n in range(1, KEPT_EDITIONS + 20)))
-    last = KEPT_EDITIONS + 19
-    assert len(state["editions"]) == KEPT_EDITIONS
+def test_the_history_of_configuration_versions_is_bounded_and_keeps_the_newest():
+    state = apply(START, *(order(n, n - 1) for n in range(1, KEPT_VERSIONS + 20)))
+    last = KEPT_VERSIONS + 19
+    assert len(state["editions"]) == KEPT_VERSIONS
     assert apply_batch(state, [order(last, last - 1)])[1][0]["repeated"]
 
 
@@ -125,7 +125,7 @@
 
 
 @pytest.mark.parametrize("fields", INVALID.values(), ids=INVALID)
-def test_an_invalid_edition_is_refused_and_changes_nothing(fields):
+def test_an_invalid_configuration_version_is_refused_and_changes_nothing(fields):
     assert isinstance(refusal(START, {**order(5), **fields}), QuillringError)
 
 
@@ -141,29 +141,34 @@
         forwards={"g": forward("/new/", origin={"name": "g", "k": [1.0]})},
         removed={"forwards": ["f", "never"]},
     )
-    layout = apply(START, first, change)["layout"]
-    assert list(layout["forwards"]) == ["g", "h"]
-    assert layout["forwards"]["g"]["origin"] == {"name": "g", "k": [1.0]}
-    assert layout["forwards"]["h"] == forward("/h/")
-    assert layout["limits"] == first["limits"] and layout["services"] == first["services"]
-    assert QUERIES.find("edition")({"layout": layout}, {})["edition"] == 7
+    configuration = apply(START, first, change)["layout"]
+    assert list(configuration["forwards"]) == ["g", "h"]
+    assert configuration["forwards"]["g"]["origin"] == {"name": "g", "k": [1.0]}
+    assert configuration["forwards"]["h"] == forward("/h/")
+    assert (
+        configuration["limits"] == first["limits"]
+        and configuration["services"] == first["services"]
+    )
+    assert QUERIES.find("edition")({"layout": configuration}, {})["edition"] == 7
 
 
 def test_an_amendment_may_not_take_away_a_service_that_is_in_use():
     state = apply(START, order(5))
-    assert isinstance(refusal(state, amend(6, 5, removed={"services": ["words"]})), BadLayout)
+    assert isinstance(
+        refusal(state, amend(6, 5, removed={"services": ["words"]})), BadConfiguration
+    )
 
 
-def test_a_whole_edition_leaves_nothing_of_the_former_one_but_what_is_no_part_of_it():
-    mark = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
-    state = apply(START, mark, order(5, extras={"note": 1}), order(8, 5, forwards={}))
-    layout = state["layout"]
-    assert layout["forwards"] == {} and layout["extras"] == {}
-    assert layout["domains"] == {"north": {"emptied": True, "nodes": False}}
-    assert find_faults(layout) == []
+def test_a_whole_configuration_version_leaves_nothing_of_the_former_one_but_what_is_no_part_of_it():
+    zone_order = {"do": "domain.mark", "domain": "north", "emptied": True, "nodes": False}
+    state = apply(START, zone_order, order(5, extras={"note": 1}), order(8, 5, forwards={}))
+    configuration = state["layout"]
+    assert configuration["forwards"] == {} and configuration["extras"] == {}
+    assert configuration["domains"] == {"north": {"emptied": True, "nodes": False}}
+    assert find_faults(configuration) == []
 
 
-def test_a_layout_with_an_edition_passes_the_checks_of_layouts_and_can_be_changed_by_part():
+def test_a_configuration_version_passes_the_checks_of_configurations_and_can_be_changed_by_part():
     state = apply(START, order(5))
     assert find_faults(state["layout"]) == []
     change = {"domains": {"north": {"emptied": False}, "east": {}}}
@@ -178,12 +183,14 @@
     assert {**EMPTY, "edition": 5}.items() <= {**state["layout"], **EMPTY}.items()
 
 
-def test_every_command_of_an_edition_is_known_by_name():
+def test_every_command_of_a_configuration_version_is_known_by_name():
     assert {"edition.adopt", "domain.mark", "store.mark"} <= set(COMMANDS.names())
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_an_edition_is_everywhere_soon_although_its_owner_dies_right_after_the_answer(seed):
+def test_a_configuration_version_is_everywhere_soon_although_its_owner_dies_right_after_the_answer(
+    seed,
+):
     stage = SelfFounded(seed)
     owner = stage.owner()
     asker = next(name for name in stage.sim.names("core") if name != owner)
@@ -192,8 +199,10 @@
     assert error is None and answer == {"edition": 5}
 
     def is_everywhere():
-        layouts = [n.find("layout").layout for n in stage.sim.nodes.values() if stage.sim.is_up(n)]
-        return all((layout or {}).get("edition") == 5 for layout in layouts)
+        configurations = [
+            n.find("layout").configuration for n in stage.sim.nodes.values() if stage.sim.is_up(n)
+        ]
+        return all((configuration or {}).get("edition") == 5 for configuration in configurations)
 
     assert stage.wait_for(is_everywhere, 1.5) is not None
     assert stage.wait_for(lambda: stage.owner() not in (None, owner), 2.5) is not None
@@ -201,7 +210,7 @@
     assert stage.read(asker, {"ask": "edition"})[0]["edition"] == 5
 
 
-def test_a_node_that_got_no_news_fetches_the_edition_from_the_stores_without_their_owner():
+def test_a_node_that_got_no_news_fetches_the_version_from_the_stores_without_their_owner():
     stage = SelfFounded(4)
     owner = stage.owner()
     stage.sim.nodes["edge-1"].handlers["gossip.news"] = lambda items, origin: None
@@ -212,5 +221,7 @@
     edge.find("freshness").words = {dead_store: (stamp, edge.now())}
     stage.sim.kill(owner)
     stage.sim.kill(dead_store)
-    image = edge.find("layout")
-    assert stage.wait_for(lambda: (image.layout or {}).get("edition") == 5, 1.9) is not None
+    snapshot = edge.find("layout")
+    assert (
+        stage.wait_for(lambda: (snapshot.configuration or {}).get("edition") == 5, 1.9) is not None
+    )
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -141,7 +141,7 @@
     number = operator.newest["ver"]
 
     def is_in_step():
-        layout = stage.sim.nodes[store].find("layout").layout
-        return (layout or {}).get("edition") == number
+        configuration = stage.sim.nodes[store].find("layout").configuration
+        return (configuration or {}).get("edition") == number
 
     assert stage.wait_for(is_in_step, 4) is not None
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -29,10 +29,10 @@
     "counts, losses", [((1, 1, 1, 1), 1), ((4, 4, 3, 3), 2), ((3, 3, 3, 3, 2), 2), ((2, 2, 2), 2)]
 )
 def test_the_stores_in_use_bear_the_losses_also_with_one_retired(counts, losses):
-    domains = machines(counts)
-    assert len(domains) <= MOST_STORES
-    for place in range(len(domains)):
-        assert is_enough(domains[:place] + domains[place + 1 :], losses * 2 + 1)
+    zones = machines(counts)
+    assert len(zones) <= MOST_STORES
+    for place in range(len(zones)):
+        assert is_enough(zones[:place] + zones[place + 1 :], losses * 2 + 1)
 
 
 def test_cores_run_beside_the_stores_so_that_they_cost_no_machine():
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -2,12 +2,12 @@
 import pathlib
 import re
 
-from proving.deployments import DEPLOYMENTS, layout_of, replicas_of, settings_of
+from proving.deployments import DEPLOYMENTS, configuration_of, replicas_of, settings_of
 from proving.points.catalog import POINTS
 from proving.reference import reference
 from quillring.kernel.settings import find_faults
 from quillring.kernel.wsgi import ROUTES
-from quillring.rollout.schema import find_faults as layout_faults
+from quillring.rollout.schema import find_faults as configuration_faults
 from quillring.verbs.program import main
 
 
@@ -29,9 +29,9 @@
 def test_the_example_files_are_sound_and_up_to_date():
     for name, deployment in DEPLOYMENTS.items():
         folder = pathlib.Path("examples") / name
-        assert json.loads((folder / "layout.json").read_text()) == layout_of(deployment)
+        assert json.loads((folder / "layout.json").read_text()) == configuration_of(deployment)
         assert json.loads((folder / "replicas.json").read_text()) == list(replicas_of(deployment))
-        assert layout_faults(layout_of(deployment)) == []
+        assert configuration_faults(configuration_of(deployment)) == []
         for fields in settings_of(deployment):
             path = folder / "settings" / f"{fields['name']}.json"
             assert json.loads(path.read_text()) == fields
--- a/tests/test_first_start.py
+++ b/tests/test_first_start.py
@@ -4,7 +4,7 @@
 
 from tests.fleet_stage import SelfFounded
 from tests.test_autofound import all_owned
-from tests.test_repair import mark, marked
+from tests.test_repair import ordered_zones, zone_order
 
 SIZES = {"sizes": {"edge": 2, "core": 4, "store": 4}}
 LARGE = {"sizes": {"edge": 2, "core": 4, "store": 8}}
@@ -32,12 +32,12 @@
     stage.run(25)
     assert len(stage.fleets()) == 1
     others = [name for name in stage.sim.names("core") if name not in side]
-    assert stage.submit(others[0], mark("kept"), seconds=3)[1] is None
+    assert stage.submit(others[0], zone_order("kept"), seconds=3)[1] is None
     stage.sim.heal()
     stage.run(6)
     assert len(stage.fleets()) == 1 and all(a.founding for a in stage.stores().values())
     assert all_owned(stage)
-    assert "kept" in marked(stage)
+    assert "kept" in ordered_zones(stage)
 
 
 @pytest.mark.parametrize("seed", [1, 2])
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -64,7 +64,7 @@
 
 
 def test_a_refused_connection_reached_nothing_and_is_tried_elsewhere():
-    world, node = make({1: [[PLAIN_HEAD, (0.01, b"ok"), (0, END)]]}, kind="once", rounds=1)
+    world, node = make({1: [[PLAIN_HEAD, (0.01, b"ok"), (0, END)]]}, kind="once", attempts=1)
     status, _, body = run(world, node)
     assert (status, body) == (200, b"ok")
 
@@ -81,7 +81,7 @@
 
 
 def test_events_of_two_runs_are_never_joined():
-    world, node = make(both([HEAD, (0.01, event(5)), (0, END)]), rounds=1)
+    world, node = make(both([HEAD, (0.01, event(5)), (0, END)]), attempts=1)
     with pytest.raises(OutcomeUnknown):
         run(world, node, request(**{"Last-Event-Id": "2"}))
     assert text(world) == b""
@@ -89,7 +89,7 @@
 
 def test_an_answer_without_its_seal_is_no_success():
     unsealed = (0.01, (200, {"content-type": "text/event-stream"}))
-    world, node = make(both([unsealed, (0.01, event(0)), (0, END)]), rounds=1)
+    world, node = make(both([unsealed, (0.01, event(0)), (0, END)]), attempts=1)
     with pytest.raises(OutcomeUnknown):
         run(world, node)
     assert not world.emitted
@@ -108,17 +108,17 @@
 
 def test_a_wrong_replica_at_the_address_is_not_asked_again():
     misplaced = [(0.01, (421, {"x-inquiry": "q1"}))]
-    world, node = make(both(misplaced), rounds=3)
+    world, node = make(both(misplaced), attempts=3)
     with pytest.raises(Refused):
         run(world, node)
     assert {sent[0] for sent in world.sent} == {address(0), address(1)}
     assert not node.find("placement").replicas("s")
 
 
-def test_a_word_of_not_run_lets_even_a_single_request_go_elsewhere_within_its_rounds():
+def test_a_word_of_not_run_lets_even_a_single_request_go_elsewhere_within_its_attempts():
     shed = [(0.01, (503, {"x-inquiry": "q1", "x-not-run": "1"}))]
     whole = [PLAIN_HEAD, (0.01, b"ok"), (0, END)]
-    world, node = make(both(shed, whole), kind="once", rounds=2)
+    world, node = make(both(shed, whole), kind="once", attempts=2)
     world.answers = {address(0): [shed], address(1): [shed]}
     with pytest.raises(Refused):
         run(world, node)
--- a/tests/test_forward_once.py
+++ b/tests/test_forward_once.py
@@ -32,20 +32,20 @@
 @pytest.mark.parametrize("kind", ["once", "stream"])
 @pytest.mark.parametrize("fault", [[(0, BREAK)], [(9, SILENT)], [HEAD, (0.01, BREAK)]])
 def test_what_may_not_repeat_goes_out_once_on_a_new_connection(kind, fault):
-    world, node = make(both(fault, WHOLE), kind=kind, resumable=False, rounds=3, replicas=2)
+    world, node = make(both(fault, WHOLE), kind=kind, resumable=False, attempts=3, replicas=2)
     with pytest.raises(OutcomeUnknown):
         run(world, node)
     assert [may_reuse for _, _, may_reuse in world.sent] == [False]
 
 
 def test_what_may_repeat_is_sent_again_on_a_new_connection_where_the_kept_one_had_died():
-    world, node = make({0: [[(0, STALE)], WHOLE]}, kind="repeatable", rounds=1, replicas=1)
+    world, node = make({0: [[(0, STALE)], WHOLE]}, kind="repeatable", attempts=1, replicas=1)
     assert run(world, node)[::2] == (200, b"ok")
     assert [may_reuse for _, _, may_reuse in world.sent] == [True, False]
 
 
 def test_a_replica_that_leaves_meanwhile_is_not_sent_again_what_its_connection_lost():
-    world, node = make({0: [[(0.5, STALE)], WHOLE]}, kind="repeatable", rounds=1, replicas=1)
+    world, node = make({0: [[(0.5, STALE)], WHOLE]}, kind="repeatable", attempts=1, replicas=1)
     wait_for_head = world.perform
 
     def perform(effect):
@@ -61,7 +61,7 @@
 
 def test_a_replica_reached_over_a_dead_connection_counts_among_the_tries():
     answers = {n: [[(0, STALE)]] for n in range(6)}
-    world, node = make(answers, kind="repeatable", rounds=2, replicas=6)
+    world, node = make(answers, kind="repeatable", attempts=2, replicas=6)
     with pytest.raises(OutcomeUnknown):
         run(world, node)
     assert len(replicas_reached(world)) == 2
@@ -70,26 +70,26 @@
 @pytest.mark.parametrize("status", [503, 421])
 def test_a_refusal_after_a_dead_connection_says_nothing_of_the_first_sending(status):
     refusal = [(0.01, (status, {"x-inquiry": "q1", "x-not-run": "1"}))]
-    world, node = make({0: [[(0, STALE)], refusal]}, kind="repeatable", rounds=1, replicas=1)
+    world, node = make({0: [[(0, STALE)], refusal]}, kind="repeatable", attempts=1, replicas=1)
     with pytest.raises(OutcomeUnknown):
         run(world, node)
     assert len(world.sent) == 2 and world.handles[1].is_closed
     assert bool(node.find("placement").replicas("s")) == (status == 503)
 
 
-@pytest.mark.parametrize("rounds", [1, 2, 3])
+@pytest.mark.parametrize("attempts", [1, 2, 3])
 @pytest.mark.parametrize("kind", ["repeatable", "stream"])
-def test_no_more_replicas_run_a_request_than_its_route_allows(kind, rounds):
+def test_no_more_replicas_run_a_request_than_its_route_allows(kind, attempts):
     shed = [(0.01, (503, {"x-inquiry": "q1", "x-not-run": "1"}))]
     ran = [[HEAD, (0.01, event(0)), (0, BREAK)]] if kind == "stream" else [[(0, BREAK)]]
     ways = {0: ran, 1: [shed] * 9, 2: ran, 3: [], 4: ran, 5: ran}
     for seed in range(20):
-        world, node = make(ways, kind=kind, rounds=rounds, replicas=6)
+        world, node = make(ways, kind=kind, attempts=attempts, replicas=6)
         world.random.seed(seed)
         with pytest.raises((OutcomeUnknown, Refused)):
             run(world, node)
         runs = [sent for sent in world.sent if sent[0] not in (address(1), address(3))]
-        assert len(runs) <= rounds
+        assert len(runs) <= attempts
 
 
 @pytest.mark.parametrize("status", [429, 503, 408])
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -4,7 +4,7 @@
 import pytest
 
 from proving import fuzz
-from proving.deployments import DEPLOYMENTS, layout_of, settings_of
+from proving.deployments import DEPLOYMENTS, configuration_of, settings_of
 from proving.points.base import Stage
 from quillring.kernel.checks import parse_json
 from quillring.kernel.errors import BadWire, QuillringError
@@ -13,20 +13,20 @@
 from quillring.quorum.commands import apply_batch, first_state
 from quillring.rollout import schema
 
-LAYOUT = layout_of(DEPLOYMENTS["ferrowa"])
+CONFIGURATION = configuration_of(DEPLOYMENTS["ferrowa"])
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_strange_layouts_are_refused_with_reasons_or_sound(seed):
+def test_strange_configurations_are_refused_with_reasons_or_sound(seed):
     chance, refused = random.Random(f"layout {seed}"), 0
     for _ in range(400):
-        part = chance.choice(sorted(LAYOUT))
-        name = chance.choice(sorted(LAYOUT[part]))
-        change = {part: {name: fuzz.mutate(chance, LAYOUT[part][name])}}
+        part = chance.choice(sorted(CONFIGURATION))
+        name = chance.choice(sorted(CONFIGURATION[part]))
+        change = {part: {name: fuzz.mutate(chance, CONFIGURATION[part][name])}}
         if chance.random() < 0.2:
-            change = fuzz.mutate(chance, LAYOUT)
+            change = fuzz.mutate(chance, CONFIGURATION)
         state, answers = apply_batch(
-            {**first_state([]), "layout": LAYOUT, "version": 1},
+            {**first_state([]), "layout": CONFIGURATION, "version": 1},
             [
                 {
                     "do": "layout.adopt",
@@ -40,7 +40,7 @@
         if isinstance(answers[0], QuillringError):
             refused += 1
             assert answers[0].kind == "bad_layout" and answers[0].detail["faults"]
-            assert state["version"] == 1 and state["layout"] is LAYOUT
+            assert state["version"] == 1 and state["layout"] is CONFIGURATION
         else:
             assert schema.find_faults(state["layout"]) == []
     assert refused > 150
--- a/tests/test_histories_models.py
+++ b/tests/test_histories_models.py
@@ -26,7 +26,7 @@
     Unknown,
     ZoneSeen,
 )
-from tests.history_rows import DOMAINS, PROFILE, is_linearizable, operation, overlapping
+from tests.history_rows import PROFILE, ZONES, is_linearizable, operation, overlapping
 
 
 def test_an_acknowledged_order_takes_effect_once():
@@ -37,7 +37,7 @@
 
 
 def test_two_retirements_that_leave_too_few_stores_are_not_both_taken():
-    model = StoresModel(DOMAINS, 3)
+    model = StoresModel(ZONES, 3)
     first, second = RetireStore("store-1"), RetireStore("store-2")
     assert is_linearizable(model, (first, Done(), 0, 5), (second, Conflicting(), 0, 5))
     assert not is_linearizable(model, (first, Done(), 0, 5), (second, Done(), 0, 5))
@@ -102,7 +102,7 @@
     """Return (order, answer) of a sequential history of the stores."""
     retired, rows = set(), []
     for _ in range(count):
-        store = chance.choice(DOMAINS)[0]
+        store = chance.choice(ZONES)[0]
         kind = chance.choice(["retire", "restore", "read"])
         if kind == "read":
             rows.append((ReadStores(), StoresSeen(tuple(sorted(retired)))))
@@ -140,7 +140,7 @@
 
 MODELS = {
     "zone": (ZoneModel(), sequential_zone),
-    "stores": (StoresModel(DOMAINS, 3), sequential_stores),
+    "stores": (StoresModel(ZONES, 3), sequential_stores),
     "lot": (LotModel(), sequential_lot),
 }
 
--- a/tests/test_histories_runs.py
+++ b/tests/test_histories_runs.py
@@ -18,7 +18,7 @@
 )
 from proving.histories.run import judge, run_seed
 from proving.histories.snapshots import check_snapshots
-from tests.history_rows import DOMAINS, adopt, seen
+from tests.history_rows import ZONES, adopt, seen
 
 
 def snapshot(at, index, number, incarnation=1, is_fresh=True):
@@ -40,7 +40,7 @@
         Operation("c", "n", CONFIGURATION, adopt(1, 0, 1), 0.0, 1.0, Done()),
         Operation("c", "n", CONFIGURATION, FetchConfiguration(), 2.0, 3.0, seen(0, 0)),
     ]
-    history = History(5, rows, [snapshot(1, 1, 1)], tuple(DOMAINS))
+    history = History(5, rows, [snapshot(1, 1, 1)], tuple(ZONES))
     path = tmp_path / "history.json"
     save_history(history, path)
     assert load_history(path) == history
--- a/tests/test_lots.py
+++ b/tests/test_lots.py
@@ -6,16 +6,16 @@
 from quillring.quorum.commands import apply_batch, first_state
 
 
-def accept(name, items, sender="ann"):
-    return {"do": "lot.accept", "lot": name, "sender": sender, "entry": "e", "items": items}
+def accept(name, items, client_name="ann"):
+    return {"do": "lot.accept", "lot": name, "sender": client_name, "entry": "e", "items": items}
 
 
 def result(name, number, text):
     return {"do": "lot.result", "lot": name, "n": number, "result": {"text": text}}
 
 
-def read(state, name, sender="ann"):
-    query = {"lot": name, "sender": sender, "from": 0, "count": 10}
+def read(state, name, client_name="ann"):
+    query = {"lot": name, "sender": client_name, "from": 0, "count": 10}
     return commands.lot_results(state, query)
 
 
@@ -38,7 +38,7 @@
     assert answers[5]["repeated"]
 
 
-def test_the_same_name_with_other_items_is_a_conflict_and_other_senders_see_nothing():
+def test_the_same_name_with_other_items_is_a_conflict_and_other_clients_see_nothing():
     state, answers = apply_batch(first_state([]), [accept("x", ["a"]), accept("x", ["b"])])
     assert isinstance(answers[1], Conflict)
     with pytest.raises(NotFound):
--- a/tests/test_many_changes.py
+++ b/tests/test_many_changes.py
@@ -11,15 +11,15 @@
 from quillring.kernel.errors import Conflict
 from quillring.quorum.commands import apply_batch, first_state
 from quillring.quorum.parts import CONFIG
-from quillring.rollout import editions
-from quillring.rollout.commands import KEPT_CHANGES, BadLayout
-from quillring.rollout.editions import KEPT_EDITIONS
+from quillring.rollout import configuration_versions
+from quillring.rollout.commands import KEPT_CHANGES, BadConfiguration
+from quillring.rollout.configuration_versions import KEPT_VERSIONS
 from quillring.rollout.orders import KEPT_ORDERS
 
 FORWARD = {"host": "a.example", "prefix": "/a/", "kind": "repeatable", "split": [["s", 1]]}
 
 
-def edition(number, base, forwards):
+def adoption(number, base, forwards):
     return {
         "do": "edition.adopt",
         "base_edition": base,
@@ -39,7 +39,7 @@
     zone, store = f"zone-{number % (KEPT_ORDERS * 2):04d}", f"store-{number % 40:02d}"
     seen = {"seen_version": state["version"]}
     return [
-        edition(number, number - 1, {"f": forward}),
+        adoption(number, number - 1, {"f": forward}),
         {"do": "domain.mark", "domain": zone, "emptied": True, "nodes": False, **seen},
         {"do": "store.mark", "store": store, "retired": bool(number % 2), **seen},
     ]
@@ -56,7 +56,7 @@
             state, (answer,) = apply_batch(state, [adopt])
             assert answer["version"] == state["version"]
         sizes[number] = len(cbor2.dumps(state))
-    assert len(state["editions"]) == KEPT_EDITIONS
+    assert len(state["editions"]) == KEPT_VERSIONS
     assert len(state["changes"]) == len(state["change_digests"]) == KEPT_CHANGES
     assert len(state["orders"]) == KEPT_ORDERS
     assert sizes[640] <= sizes[560] * 1.02
@@ -64,39 +64,39 @@
 
 def test_a_resend_long_after_is_refused_and_never_taken_twice():
     state, commands = first_state([]), []
-    for number in range(1, KEPT_EDITIONS + 10):
-        commands.append(edition(number, number - 1, {"f": {**FORWARD, "hold_ms": number}}))
+    for number in range(1, KEPT_VERSIONS + 10):
+        commands.append(adoption(number, number - 1, {"f": {**FORWARD, "hold_ms": number}}))
         state, _ = apply_batch(state, [commands[-1]])
     new_state, answers = apply_batch(state, [commands[0], commands[100], commands[-1]])
     assert new_state is state
     assert isinstance(answers[0], Conflict)
     assert answers[1:] == [
         {"edition": 101, "repeated": True},
-        {"edition": KEPT_EDITIONS + 9, "repeated": True},
+        {"edition": KEPT_VERSIONS + 9, "repeated": True},
     ]
 
 
 def test_an_item_that_is_in_force_is_not_checked_again(monkeypatch):
-    checked, real = [], editions.item_faults
+    checked, real = [], configuration_versions.item_faults
 
     def note(section, validator, items):
         checked.extend(items)
         return real(section, validator, items)
 
     forwards = {f"f-{n}": {**FORWARD, "prefix": f"/{n}/"} for n in range(60)}
-    state, _ = apply_batch(first_state([]), [edition(1, 0, forwards)])
-    monkeypatch.setattr(editions, "item_faults", note)
+    state, _ = apply_batch(first_state([]), [adoption(1, 0, forwards)])
+    monkeypatch.setattr(configuration_versions, "item_faults", note)
     changed = {**forwards, "f-7": {**FORWARD, "prefix": "/7/", "rounds": 2}}
-    state, answers = apply_batch(state, [edition(2, 1, json.loads(json.dumps(changed)))])
+    state, answers = apply_batch(state, [adoption(2, 1, json.loads(json.dumps(changed)))])
     assert answers == [{"edition": 2}] and [n for n in checked if n != ""] == ["f-7"]
 
 
 @pytest.mark.parametrize("value", [True, 1.0])
 def test_what_only_equals_an_item_in_force_is_checked(value):
     forwards = {"f": {**FORWARD, "rounds": 1}}
-    state, _ = apply_batch(first_state([]), [edition(1, 0, forwards)])
-    _, answers = apply_batch(state, [edition(2, 1, {"f": {**FORWARD, "rounds": value}})])
-    assert isinstance(answers[0], BadLayout)
+    state, _ = apply_batch(first_state([]), [adoption(1, 0, forwards)])
+    _, answers = apply_batch(state, [adoption(2, 1, {"f": {**FORWARD, "rounds": value}})])
+    assert isinstance(answers[0], BadConfiguration)
 
 
 @pytest.mark.parametrize("case", many_changes.CASES, ids=lambda case: case.__name__)
--- a/tests/test_marks.py
+++ b/tests/test_operator_orders.py
@@ -3,12 +3,12 @@
 from quillring.edge.admission import check_open
 from quillring.kernel.errors import Conflict, NotFound, Refused
 from quillring.quorum.commands import apply_batch, first_state
-from quillring.rollout.marks import is_retired, known_stores, retire_store
+from quillring.rollout.operator_orders import is_retired, known_stores, retire_store
 from tests.fleet_stage import SelfFounded
 
 
-def mark_domain(domain, is_emptied, **fields):
-    return {"do": "domain.mark", "domain": domain, "emptied": is_emptied, **fields}
+def zone_order(zone, is_emptied, **fields):
+    return {"do": "domain.mark", "domain": zone, "emptied": is_emptied, **fields}
 
 
 def retire(stage, store, core="core-1"):
@@ -19,13 +19,13 @@
     return stage.ask(core, is_retired(stage.sim.nodes[core], store, 0.8))
 
 
-def test_marks_come_before_any_layout_and_the_last_one_counts():
+def test_orders_come_before_any_configuration_and_the_last_one_counts():
     state = first_state([])
     state, _ = apply_batch(
         state,
         [
-            mark_domain("north", True),
-            mark_domain("north", False),
+            zone_order("north", True),
+            zone_order("north", False),
             {"do": "store.mark", "store": "store-1", "retired": True},
             {"do": "store.mark", "store": "store-1", "retired": False},
             {"do": "store.mark", "store": "store-2", "retired": True},
@@ -38,20 +38,20 @@
     }
 
 
-def test_a_mark_that_stands_already_changes_nothing():
-    state, _ = apply_batch(first_state([]), [mark_domain("north", True)])
-    again, answers = apply_batch(state, [mark_domain("north", True)])
+def test_an_order_that_stands_already_changes_nothing():
+    state, _ = apply_batch(first_state([]), [zone_order("north", True)])
+    again, answers = apply_batch(state, [zone_order("north", True)])
     assert again is state and answers[0]["emptied"]
 
 
 @pytest.mark.parametrize("are_nodes_left", [True, False])
-def test_an_emptied_domain_keeps_its_nodes_serving_when_the_mark_says_so(are_nodes_left):
+def test_an_emptied_zone_keeps_its_nodes_serving_when_the_order_says_so(are_nodes_left):
     stage = SelfFounded(2)
-    answer, error = stage.submit("core-2", mark_domain("north", True, nodes=are_nodes_left))
+    answer, error = stage.submit("core-2", zone_order("north", True, nodes=are_nodes_left))
     assert error is None
     stage.run(1)
-    node = next(n for n in stage.sim.up_nodes("edge") if n.me.domain == "north")
-    core = next(n for n in stage.sim.up_nodes("core") if n.me.domain == "north")
+    node = next(n for n in stage.sim.up_nodes("edge") if n.me.zone == "north")
+    core = next(n for n in stage.sim.up_nodes("core") if n.me.zone == "north")
     assert node.find("layout").is_emptied("north")
     assert node.find("ownership").is_leaving(core.me.name) == are_nodes_left
     if are_nodes_left:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -68,9 +68,15 @@
     assert all(answer["emptied"] for answer in answers)
 
 
-def test_a_layout_adopted_meanwhile_fences_what_was_ordered_before_it():
-    layout = {"classes": {}, "services": {}, "entries": {}, "domains": {}}
-    change = {"do": "layout.adopt", "id": "x", "base_version": 0, "whole": True, "change": layout}
+def test_a_configuration_adopted_meanwhile_fences_what_was_ordered_before_it():
+    configuration = {"classes": {}, "services": {}, "entries": {}, "domains": {}}
+    change = {
+        "do": "layout.adopt",
+        "id": "x",
+        "base_version": 0,
+        "whole": True,
+        "change": configuration,
+    }
     _, answers = play(change, zone_order("north", True, 0), zone_order("north", True, 1))
     assert isinstance(answers[1], StaleOrder) and answers[2]["emptied"]
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -37,13 +37,13 @@
 
 def test_the_longest_prefix_of_the_host_counts():
     world, node = make({})
-    layout = node.find("layout").layout
+    configuration = node.find("layout").configuration
     forwards = {
-        "a": {**layout["forwards"]["f"], "prefix": "/"},
-        "b": {**layout["forwards"]["f"], "prefix": "/a/b/"},
-        "c": {**layout["forwards"]["f"], "prefix": "/a/"},
+        "a": {**configuration["forwards"]["f"], "prefix": "/"},
+        "b": {**configuration["forwards"]["f"], "prefix": "/a/b/"},
+        "c": {**configuration["forwards"]["f"], "prefix": "/a/"},
     }
-    node.find("gossip").put("layout", [2], [2, 2, {**layout, "forwards": forwards}, []])
+    node.find("gossip").put("layout", [2], [2, 2, {**configuration, "forwards": forwards}, []])
     table = node.find("forwards")
     found = {path: table.find("H", path) for path in ("/a/b/c?d=/x/", "/a/b", "/q", "/a/")}
     assert {path: f.name for path, f in found.items()} == {
@@ -55,7 +55,7 @@
     assert table.find("other", "/a/") is None
 
 
-def test_a_node_without_a_layout_refuses_and_never_says_that_nothing_is_there():
+def test_a_node_without_a_configuration_refuses_and_never_says_that_nothing_is_there():
     world = ScriptedWorld()
     me = Member("edge-1", 1, "edge", "north", "10.0.0.9", 7, 8, "")
     node = make_node(me, world, [], Bounds())
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -1,6 +1,6 @@
 import pytest
 
-from proving.deployments import DEPLOYMENTS, layout_of
+from proving.deployments import DEPLOYMENTS, configuration_of
 from proving.points.base import Stage
 from quillring.kernel.errors import Conflict, NotFound
 from quillring.plans.commands import Contradiction, Impossible, StalePlan
@@ -8,7 +8,7 @@
 from quillring.quorum.commands import apply_batch, first_state
 from quillring.quorum.parts import CONFIG
 
-LAYOUT = layout_of(DEPLOYMENTS["ferrowa"])
+CONFIGURATION = configuration_of(DEPLOYMENTS["ferrowa"])
 STORES = {f"store-{i + 1}": d for i, d in enumerate(("north", "east", "south", "west"))}
 GROUPS = {"config": ["store-1", "store-2", "store-3"], "part-0": ["store-2", "store-3", "store-4"]}
 REPLICAS = [
@@ -23,7 +23,7 @@
 def view(**changes):
     fields = {
         "version": 1,
-        "layout": LAYOUT,
+        "layout": CONFIGURATION,
         "groups": GROUPS,
         "stores": STORES,
         "replicas": REPLICAS,
@@ -43,7 +43,7 @@
                 "id": "first",
                 "base_version": 0,
                 "whole": True,
-                "change": LAYOUT,
+                "change": CONFIGURATION,
             }
         ],
     )[0]
@@ -165,7 +165,7 @@
     assert answers[1]["phase"] == "running"
 
 
-def test_emptying_a_domain_whose_weight_would_not_fit_says_so():
+def test_emptying_a_zone_whose_weight_would_not_fit_says_so():
     busy = [{**r, "busy": 4} for r in REPLICAS]
     plan = make_plan(view(replicas=busy), EMPTY_NORTH)
     assert plan["obstacles"][0]["consequence"] == "less_room"
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -11,11 +11,11 @@
 def ramps(rate):
     """Return {name: ramp} of nodes that all see the same graph, roster and layout."""
     members = {n: SimpleNamespace(name=n, role=n.partition("-")[0]) for n in EDGES}
-    layout = SimpleNamespace(layout={"services": {"words": {"warm_rate": rate}}})
+    configuration = SimpleNamespace(configuration={"services": {"words": {"warm_rate": rate}}})
     nifty = SimpleNamespace(
         graph=SimpleNamespace(routes=dict.fromkeys(EDGES)), roster=SimpleNamespace(members=members)
     )
-    services = {"layout": layout, "nifty": nifty}
+    services = {"layout": configuration, "nifty": nifty}
     nodes = [SimpleNamespace(me=SimpleNamespace(name=n), find=services.get) for n in EDGES]
     return {node.me.name: Ramp(node) for node in nodes}, services
 
@@ -28,14 +28,14 @@
     assert now <= 16 * 1.5 + 5
 
 
-def test_a_part_is_found_once_for_a_graph_a_roster_and_a_layout():
+def test_a_part_is_found_once_for_a_graph_a_roster_and_a_configuration():
     made, services = ramps(16)
     ramp = made["edge-1"]
     with mock.patch.object(module, "score", wraps=module.score) as scored:
         for time in range(50):
             ramp.take(REPLICA, time / 100)
         assert scored.call_count == len(EDGES)
-        services["layout"].layout = {"services": {"words": {"warm_rate": 85 * 4}}}
+        services["layout"].configuration = {"services": {"words": {"warm_rate": 85 * 4}}}
         assert ramp.part(REPLICA) == 4 and scored.call_count == 2 * len(EDGES)
         services["nifty"].graph = SimpleNamespace(routes=dict.fromkeys(EDGES[:10]))
         assert ramp.part(REPLICA) == 34
--- a/tests/test_raw_failures.py
+++ b/tests/test_raw_failures.py
@@ -99,7 +99,7 @@
         assert all(arrival[0] < end_time + 3 for arrival in stage.arrivals)
 
 
-def test_a_worker_begins_nothing_for_a_former_owner_or_beside_the_layout():
+def test_a_worker_begins_nothing_for_a_former_owner_or_beside_the_configuration():
     with RawStage(62) as stage:
         for replica in stage.replicas.values():
             replica.is_silent = True
@@ -170,7 +170,7 @@
         assert {row[1] for row in rows} == {"errored"} and stage.env.now - start_time < 4
 
 
-def test_no_item_goes_to_a_service_that_the_layout_no_longer_names():
+def test_no_item_goes_to_a_service_that_the_configuration_no_longer_names():
     with RawStage(58, slots=2) as stage:
         accepted(stage, "a", 30)
         stage.run(0.4)
--- a/tests/test_raw_lots.py
+++ b/tests/test_raw_lots.py
@@ -52,7 +52,7 @@
     assert read(state, "x", 7)["results"] == []
 
 
-def test_a_change_leaves_the_former_image_and_the_texts_as_they_are():
+def test_a_change_leaves_the_former_snapshot_and_the_texts_as_they_are():
     former, _ = apply(accept("x"), result("x", 1, b"one"))
     state, _ = apply(result("x", 2, b"two"), state=former)
     assert read(former, "x")["next"] == 1 and read(state, "x")["next"] == 2
@@ -113,7 +113,7 @@
     assert answers[1] == {"items": 3}
 
 
-def test_an_item_is_errored_after_as_many_failed_runs_as_there_are_rounds():
+def test_an_item_is_errored_after_as_many_failed_runs_as_there_are_attempts():
     state, answers = apply(
         accept("x"),
         failed("x", 0, "r1"),
--- a/tests/test_raw_runner.py
+++ b/tests/test_raw_runner.py
@@ -100,7 +100,7 @@
         assert len(strange_ones) == 8
 
 
-def test_an_item_is_errored_after_its_rounds_of_500_and_at_once_after_422():
+def test_an_item_is_errored_after_its_attempts_of_500_and_at_once_after_422():
     with RawStage(52) as stage:
         ways = {"a-0": 422, "a-1": 500}
         for replica in stage.replicas.values():
@@ -113,7 +113,7 @@
         assert (runs["a-0"], runs["a-1"]) == (1, 3)
 
 
-def test_full_replicas_cost_no_round_and_the_items_go_elsewhere():
+def test_full_replicas_cost_no_attempt_and_the_items_go_elsewhere():
     with RawStage(53) as stage:
         stage.replicas["i-0"].way = stage.replicas["i-1"].way = lambda *words: "full"
         accepted(stage, "a", 12)
--- a/tests/test_removed_members.py
+++ b/tests/test_removed_members.py
@@ -8,7 +8,7 @@
 from quillring.quorum.parts import CONFIG, majority
 from quillring.quorum.peek import peek
 from tests.fleet_stage import SelfFounded
-from tests.test_repair import mark, members
+from tests.test_repair import members, zone_order
 
 SIX = {"sizes": {"edge": 2, "core": 4, "store": 6}}
 ASKED = {"ask": "edition"}
@@ -54,8 +54,8 @@
         cut_off(stage, ["edge-1", *left])
         stage.run(4)
         owner = stage.owner()
-        assert stage.submit(owner, mark("new"), seconds=3)[1] is None
-        assert "new" not in edge.find("layout").layout["domains"]
+        assert stage.submit(owner, zone_order("new"), seconds=3)[1] is None
+        assert "new" not in edge.find("layout").configuration["domains"]
         assert not edge.find("freshness").is_fresh()
 
 
@@ -82,7 +82,7 @@
     for _ in range(40):
         stage.run(0.1)
         owner = ownership.owners[CONFIG]
-        assert stage.ask(former_owner, owner.submit(mark("lost")), 0.5)[0] is None
+        assert stage.ask(former_owner, owner.submit(zone_order("lost")), 0.5)[0] is None
         assert stage.ask(former_owner, owner.fenced_state(), 0.5)[0] is None
     assert not stage.sim.nodes["edge-1"].find("freshness").is_fresh()
 
@@ -94,7 +94,7 @@
     cut_off(stage, ["edge-1", *left])
     stage.run(2)
     owner = stage.owner()
-    assert stage.submit(owner, mark("new"), seconds=3)[1] is None
+    assert stage.submit(owner, zone_order("new"), seconds=3)[1] is None
     edge = stage.sim.nodes["edge-1"]
     known, error = stage.ask("edge-1", peek(edge, CONFIG, former, ASKED))
     assert known is None and error is None
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -31,7 +31,7 @@
     )
 
 
-def mark(name):
+def zone_order(name):
     return {"do": "domain.mark", "domain": name, "emptied": True, "nodes": False}
 
 
@@ -39,7 +39,7 @@
     return [store[0] for store in owners(stage)[part].group]
 
 
-def marked(stage):
+def ordered_zones(stage):
     answer, error = stage.read("core-1", {"ask": "edition"}, seconds=3)
     assert error is None
     return set(answer["layout"]["domains"])
@@ -77,17 +77,17 @@
     stage, acked = SelfFounded(seed), set()
     wiped, killed, _ = members(stage)
     for number in range(10):
-        assert stage.submit("core-1", mark(f"d{number}"))[1] is None
+        assert stage.submit("core-1", zone_order(f"d{number}"))[1] is None
         acked.add(f"d{number}")
     stage.sim.lose_disk(wiped)
     stage.run(2)
     stage.start(wiped)
     stage.run(1)
     stage.sim.kill(killed, loses_power=True)
-    answer, _ = stage.submit("core-2", mark("after"))
+    answer, _ = stage.submit("core-2", zone_order("after"))
     acked |= {"after"} if answer else set()
-    assert stage.wait_for(lambda: stage.submit("core-1", mark("last"))[0], 4) is not None
-    assert acked < marked(stage)
+    assert stage.wait_for(lambda: stage.submit("core-1", zone_order("last"))[0], 4) is not None
+    assert acked < ordered_zones(stage)
     assert stage.wait_for(lambda: is_whole(stage), 6) is not None
 
 
@@ -95,7 +95,7 @@
     stage = SelfFounded(5)
     late = members(stage)[2]
     stage.sim.kill(late)
-    assert stage.submit("core-1", mark("missed"))[1] is None
+    assert stage.submit("core-1", zone_order("missed"))[1] is None
     node = stage.sim.nodes["core-1"]
     is_over = []
 
@@ -103,7 +103,7 @@
         number = 0
         while not is_over:
             number += 1
-            yield from node.find("ownership").submit("config", mark(f"w{number % 50}"))
+            yield from node.find("ownership").submit("config", zone_order(f"w{number % 50}"))
             yield Sleep(0.01)
 
     for _ in range(3):
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -18,15 +18,15 @@
     }
 
 
-class NoLayout:
-    def is_emptied(self, domain):
+class NoConfiguration:
+    def is_emptied(self, zone):
         return False
 
 
 def replicas():
     made, _, world = node("a")
     made.offer("gossip", Gossip(made))
-    made.offer("layout", NoLayout())
+    made.offer("layout", NoConfiguration())
     return made.offer("replicas", Replicas(made)), world
 
 
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -7,9 +7,9 @@
 from quillring.kernel.effects import Sleep
 from quillring.quorum.hints import Hints
 from quillring.quorum.repair import Repair
-from quillring.rollout.marks import is_retired
+from quillring.rollout.operator_orders import is_retired
 from tests.fleet_stage import SelfFounded
-from tests.test_repair import PARTS, is_whole, mark, members, owners
+from tests.test_repair import PARTS, is_whole, members, owners, zone_order
 
 FIVE = {"sizes": {"edge": 1, "core": 4, "store": 5}}
 
@@ -27,7 +27,7 @@
     number = 0
     while not is_over:
         number += 1
-        yield from node.find("ownership").submit(part, mark(f"{part}-{number % 9}"), 5)
+        yield from node.find("ownership").submit(part, zone_order(f"{part}-{number % 9}"), 5)
         yield Sleep(pause)
 
 
@@ -82,7 +82,7 @@
     stage, is_over = SelfFounded(seed, FIVE), []
     store = members(stage)[seed % 3]
     for number in range(6):
-        assert stage.submit("core-1", mark(f"d{number}"))[1] is None
+        assert stage.submit("core-1", zone_order(f"d{number}"))[1] is None
     node = stage.sim.nodes["core-1"]
     node.spawn(keep_writing(node, "config", is_over, 0.003))
     retire(stage, store)
@@ -99,7 +99,7 @@
     stage.start(wiped)
     assert stage.wait_for(lambda: len(owners(stage)) == len(PARTS), 6) is not None
     assert stage.wait_for(lambda: is_whole(stage), 8) is not None
-    assert {f"d{number}" for number in range(6)} < marked_at(stage)
+    assert {f"d{number}" for number in range(6)} < ordered_zones_at(stage)
 
 
 def members_by_gossip(stage):
@@ -107,7 +107,7 @@
     return [store[0] for store in node.find("ownership").group("config")]
 
 
-def marked_at(stage):
+def ordered_zones_at(stage):
     name = next(n.me.name for n in stage.sim.up_nodes("core"))
     answer, error = stage.read(name, {"ask": "edition"}, seconds=3)
     assert error is None
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -38,7 +38,7 @@
             assert large[figure] <= small[figure] * growth
 
 
-def test_a_layout_reaches_every_node_of_the_scale_run(runs):
+def test_a_configuration_reaches_every_node_of_the_scale_run(runs):
     assert [rows["layout_changed"]["stale"] for rows in runs.values()] == [0, 0]
 
 
--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -7,7 +7,7 @@
 from proving import repair_time
 from quillring.quorum import catchup
 from tests.fleet_stage import SelfFounded
-from tests.test_repair import is_whole, mark, members, owners
+from tests.test_repair import is_whole, members, owners, zone_order
 
 PART = "config"
 
@@ -32,12 +32,12 @@
     stage = SelfFounded(seed)
     former = members(stage)
     spare = next(name for name in stage.sim.names("store") if name not in former)
-    assert stage.submit("core-1", mark("before"))[1] is None
+    assert stage.submit("core-1", zone_order("before"))[1] is None
     stage.sim.kill(former[0])
     joined = stage.wait_for(lambda: stage.owner() and spare in members(stage), 8, 0.002)
     assert joined is not None
     stage.sim.lose_disk(former[1])
-    assert stage.wait_for(lambda: stage.submit("core-2", mark("after"))[0], 4) is not None
+    assert stage.wait_for(lambda: stage.submit("core-2", zone_order("after"))[0], 4) is not None
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -25,6 +25,6 @@
 
 def test_a_seed_replays_to_the_same_history():
     runs = [run_seed("ferrowa", 7, 6, SMALL) for _ in range(2)]
-    marks = [sim.history.marks for sim, _ in runs]
+    notes = [sim.history.notes for sim, _ in runs]
     outcomes = [callers.record.outcomes for _, callers in runs]
-    assert marks[0] == marks[1] and outcomes[0] == outcomes[1]
+    assert notes[0] == notes[1] and outcomes[0] == outcomes[1]
--- a/tests/test_slot_turns.py
+++ b/tests/test_slot_turns.py
@@ -163,15 +163,15 @@
 
 def test_a_slot_of_the_version_before_still_loads():
     state = {**first_state(GROUP), "raw": {"lot": {"items": {0: ["i"]}}}}
-    image = {
+    snapshot = {
         "identity": "store-1.x",
         "founding": {"fleet": "f", "groups": {"part-0": GROUP}},
         "parts": {"part-0": [[3, "c"], 7, state, [[8, [3, "c"], []]], 7]},
         "hints": {"store-2": [{"index": 1}]},
     }
-    body = cbor2.dumps(image)
+    body = cbor2.dumps(snapshot)
     head = HEADER.pack(b"QSL1", 4, len(body), hashlib.sha256(body).digest())
     acceptors = open_store(disk_of({"slot.0": head + body}), "store-1", lambda: "y")
     record = acceptors.parts["part-0"]
     assert (acceptors.identity, record.applied, record.state) == ("store-1.x", 7, state)
-    assert record.entries == {8: ((3, "c"), [])} and acceptors.hints == image["hints"]
+    assert record.entries == {8: ((3, "c"), [])} and acceptors.hints == snapshot["hints"]
--- a/tests/test_slow_disks.py
+++ b/tests/test_slow_disks.py
@@ -50,14 +50,14 @@
     sim.env.timeout(seconds).callbacks.append(lambda _: setattr(sim.disks[name], "is_full", False))
 
 
-TROUBLES = [stall_disk, block_process, slow_disk, fill_disk]
+FAULTS = [stall_disk, block_process, slow_disk, fill_disk]
 
 
 def config_stores(fleet):
     return [store[0] for store in fleet.sim.nodes["core-1"].find("ownership").group(CONFIG)]
 
 
-@pytest.mark.parametrize("bring_about", TROUBLES)
+@pytest.mark.parametrize("bring_about", FAULTS)
 @pytest.mark.parametrize("place", range(3))
 def test_the_disk_of_one_store_holds_up_no_order(bring_about, place):
     fleet = SelfFounded(101 + place)
@@ -73,7 +73,7 @@
     assert slowest < ORDER_BOUND
 
 
-@pytest.mark.parametrize("bring_about", TROUBLES)
+@pytest.mark.parametrize("bring_about", FAULTS)
 @pytest.mark.parametrize("place", range(3))
 def test_the_disk_of_one_store_holds_up_no_lot(bring_about, place):
     with RawStage(111 + place) as stage:
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -6,17 +6,17 @@
 
 from quillring.quorum.owner import Owner
 from quillring.quorum.parts import CONFIG
-from quillring.verbs.routes import show_layout
+from quillring.verbs.routes import show_configuration
 from tests.fleet_stage import SelfFounded
 
 FREEZES = (2, 20, 60)
 SLOW_STEPS = (0.002, 0.008, 0.03)
-REAL_ROUND = Owner._round
+REAL_ATTEMPT = Owner._round
 
 
-def mark(domain, emptied=True):
+def zone_order(zone, emptied=True):
     """Return an operator's order about a domain."""
-    return {"do": "domain.mark", "domain": domain, "emptied": emptied, "nodes": False}
+    return {"do": "domain.mark", "domain": zone, "emptied": emptied, "nodes": False}
 
 
 def frozen_during(fleet, service, seconds):
@@ -29,7 +29,7 @@
         if self is owner and asked_service == service and not frozen_at:
             frozen_at.append(fleet.env.now)
             fleet.env.process(freeze_soon())
-        return REAL_ROUND(self, asked_service, **body)
+        return REAL_ATTEMPT(self, asked_service, **body)
 
     def freeze_soon():
         yield fleet.env.timeout(0.0001)
@@ -59,7 +59,7 @@
 @pytest.mark.parametrize("seconds", FREEZES)
 def test_a_read_that_slept_through_a_takeover_hands_out_nothing_old(seconds):
     fleet = SelfFounded(12)
-    assert fleet.submit("core-1", mark("north", False))[1] is None
+    assert fleet.submit("core-1", zone_order("north", False))[1] is None
     name = fleet.owner()
     node = fleet.sim.nodes[name]
     owner = node.find("ownership").owners[CONFIG]
@@ -69,7 +69,7 @@
         if self is owner and service == "confirm" and reads and len(reads) == 1:
             reads.append(fleet.env.now)
             fleet.env.process(freeze_soon())
-        return REAL_ROUND(self, service, **body)
+        return REAL_ATTEMPT(self, service, **body)
 
     def freeze_soon():
         yield fleet.env.timeout(0.0001)
@@ -84,7 +84,7 @@
         task = fleet.env.process(read())
         fleet.run(seconds - 0.3)
         other = next(n for n in fleet.sim.names("core") if n != name)
-        assert fleet.submit(other, mark("north"))[1] is None
+        assert fleet.submit(other, zone_order("north"))[1] is None
         fleet.run(3)
     assert task.triggered
     answer, error = task.value
@@ -99,7 +99,7 @@
     zones = ["north", "east", "south"]
     tasks = [
         fleet.env.process(
-            fleet.sim.run_script(node, node.find("ownership").submit(CONFIG, mark(zone), 0.8))
+            fleet.sim.run_script(node, node.find("ownership").submit(CONFIG, zone_order(zone), 0.8))
         )
         for zone in zones
     ]
@@ -109,25 +109,25 @@
     other = next(n for n in fleet.sim.names("core") if n != name)
     current, error = fleet.read(other, {"ask": "edition"})
     assert error is None
-    domains = current["layout"].get("domains", {}) if current["layout"] else {}
+    ordered_zones = current["layout"].get("domains", {}) if current["layout"] else {}
     for zone, task in zip(zones, tasks, strict=True):
         assert task.triggered
         answer, error = task.value
-        holds = domains.get(zone, {}).get("emptied", False)
+        holds = ordered_zones.get(zone, {}).get("emptied", False)
         assert holds or answer is None, f"{zone} was confirmed and does not hold"
         assert not holds or error is None or error.kind == "outcome_unknown", error
 
 
-def test_a_node_that_is_cut_off_shows_its_layout_as_not_fresh():
+def test_a_node_that_is_cut_off_shows_its_configuration_as_not_fresh():
     fleet = SelfFounded(14)
-    assert fleet.submit("core-1", mark("north"))[1] is None
+    assert fleet.submit("core-1", zone_order("north"))[1] is None
     fleet.run(1)
     for name in ("core-2", "edge-1"):
         node = fleet.sim.nodes[name]
-        assert show_layout(node, None)["is_fresh"]
+        assert show_configuration(node, None)["is_fresh"]
         fleet.sim.cut([name], [other for other in fleet.sim.nodes if other != name])
         fleet.run(fleet.sim.bounds.news)
-        shown = show_layout(node, None)
+        shown = show_configuration(node, None)
         assert shown["layout"]["domains"]["north"]["emptied"] and not shown["is_fresh"]
 
 
@@ -152,7 +152,7 @@
     tasks, newer_since, overlap = [], {}, 0
     for step in range(800):
         if step % 40 == 0:
-            order = mark(f"zone-{step}")
+            order = zone_order(f"zone-{step}")
             asked = node if step % 80 else fleet.sim.nodes[other]
             script = asked.find("ownership").submit(CONFIG, order, 0.8)
             tasks.append((order["domain"], fleet.env.process(fleet.sim.run_script(asked, script))))
@@ -167,9 +167,9 @@
     fleet.run(4)
     current, error = fleet.read(other, {"ask": "edition"})
     assert error is None
-    domains = current["layout"]["domains"]
+    ordered_zones = current["layout"]["domains"]
     for zone, task in tasks:
         answer, error = task.value if task.triggered else (None, None)
-        assert answer is None or domains.get(zone, {}).get("emptied"), f"{zone} does not hold"
+        assert answer is None or ordered_zones.get(zone, {}).get("emptied"), f"{zone} does not hold"
         assert error is None or error.status >= 500, error
     assert sum(task.value[1] is None for _, task in tasks[::2] if task.triggered) >= 5
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -4,7 +4,7 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_edges_know_the_layout_within_a_period_after_all_lost_power(seed):
+def test_edges_know_the_configuration_within_a_period_after_all_lost_power(seed):
     stage = SelfFounded(seed)
     change = {"do": "domain.mark", "domain": "halls", "emptied": True, "nodes": False}
     stage.submit("core-1", change)
--- a/tests/test_system_layout.py
+++ b/tests/test_system_configuration.py
@@ -94,8 +94,8 @@
         "idle_ms": 15000,
         "origin": LIMITS,
     }
-    layout = {name: command[name] for name in ("forwards", "services", "limits")}
-    assert to_configuration(7, layout) == WHOLE
+    configuration = {name: command[name] for name in ("forwards", "services", "limits")}
+    assert to_configuration(7, configuration) == WHOLE
 
 
 INVALID = {
--- a/tests/test_system_ctl.py
+++ b/tests/test_system_ctl.py
@@ -39,9 +39,9 @@
     for path, is_emptied in (("Begin", True), ("Begin", True), ("Finish", False)):
         assert call(stage, "core-1", "POST", f"/Evacuate.{path}/north")[:2] == (200, {})
         stage.run(0.5)
-        images = [node.find("layout") for node in stage.sim.nodes.values()]
-        assert {image.is_emptied("north") for image in images} == {is_emptied}
-        assert not any(image.is_left("north") for image in images)
+        snapshots = [node.find("layout") for node in stage.sim.nodes.values()]
+        assert {snapshot.is_emptied("north") for snapshot in snapshots} == {is_emptied}
+        assert not any(snapshot.is_left("north") for snapshot in snapshots)
 
 
 def test_a_store_machine_is_emptied():
@@ -125,8 +125,8 @@
     stage = SelfFounded(seed)
     assert replace(stage, "core-1", WHOLE, 0)[0] == 200
     owner = stage.owner()
-    domain = stage.sim.nodes[owner].me.domain
-    small = [n for n, node in stage.sim.nodes.items() if node.me.domain == domain]
+    zone = stage.sim.nodes[owner].me.zone
+    small = [n for n, node in stage.sim.nodes.items() if node.me.zone == zone]
     stage.sim.cut(small, [n for n in stage.sim.nodes if n not in small])
     other = next(n for n in stage.sim.names("core") if n not in small)
     newer = {**WHOLE, "ver": 9}
@@ -154,9 +154,9 @@
     stage = SelfFounded(seed)
     assert replace(stage, "core-1", WHOLE, 0)[0] == 200
     owner = stage.owner()
-    domain = stage.sim.nodes[owner].me.domain
+    zone = stage.sim.nodes[owner].me.zone
     for name, node in stage.sim.nodes.items():
-        if node.me.domain == domain and node.me.role != "edge":
+        if node.me.zone == zone and node.me.role != "edge":
             stage.sim.kill(name, loses_power=True)
     left = [n for n in stage.sim.names("core") if stage.sim.is_up(stage.sim.nodes[n])]
     start_time, tried = stage.env.now, 0
--- a/tests/test_system_lots.py
+++ b/tests/test_system_lots.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from quillring.kernel.errors import BadInquiry, NotFound, WrongMethod
+from quillring.kernel.errors import BadRequest, NotFound, WrongMethod
 from tests.raw_stage import FORWARD, HOST, RawStage, text_of
 
 PATH = pathlib.Path(__file__).parent.parent / "platform" / "system_lots.py"
@@ -70,9 +70,9 @@
         assert isinstance(call(stage, "GET", "/lots/none")[1], NotFound)
         assert isinstance(call(stage, "DELETE", "/lots/none")[1], NotFound)
         for target in ("/lots/L1?start_after=-1", "/lots/L1?start_after=x", "/lots", "/lots/a/b"):
-            assert isinstance(call(stage, "GET", target)[1], BadInquiry)
+            assert isinstance(call(stage, "GET", target)[1], BadRequest)
         assert isinstance(call(stage, "PUT", "/lots/L1")[1], WrongMethod)
-        assert isinstance(call(stage, "POST", "/bulk/x", lot_body(row()))[1], BadInquiry)
+        assert isinstance(call(stage, "POST", "/bulk/x", lot_body(row()))[1], BadRequest)
 
 
 @pytest.mark.parametrize(
@@ -104,8 +104,8 @@
         b"[" * 100_000,
     ],
 )
-def test_a_malformed_lot_is_a_bad_inquiry(body):
-    with pytest.raises(BadInquiry) as caught:
+def test_a_malformed_lot_is_a_bad_request(body):
+    with pytest.raises(BadRequest) as caught:
         system_lots.read_items(body)
     assert caught.value.status == 400
 
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -9,7 +9,7 @@
 from quillring.kernel.errors import TimedOut
 from quillring.quorum.transfer import START, BadPiece, StateBuilder, cut_piece
 from tests.fleet_stage import SelfFounded
-from tests.test_repair import is_whole, mark, members, owners
+from tests.test_repair import is_whole, members, owners, zone_order
 
 VALUES = st.one_of(st.integers(), st.binary(max_size=300), st.text(max_size=20), st.none())
 KEYS = st.one_of(st.text(max_size=8), st.integers())
@@ -57,7 +57,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_stores_of_the_version_before_are_asked_for_and_sent_the_whole(seed):
     stage = SelfFounded(seed)
-    stage.submit("core-1", mark("halls"))
+    stage.submit("core-1", zone_order("halls"))
     for node in stage.sim.up_nodes("store"):
         forget_pieces(node)
     former = stage.owner("config")
@@ -82,7 +82,7 @@
     for name in ("quorum.catch_up", "quorum.install_piece", "quorum.install"):
         stage.sim.nodes[store].handlers[name] = unanswered
     stage.sim.nodes[store].handlers["quorum.accept"] = lambda body, origin: 0
-    stage.submit("core-1", mark("halls"))
+    stage.submit("core-1", zone_order("halls"))
     stage.run(8)
     pauses = [later - earlier for earlier, later in pairwise(times)]
     assert owner.is_owner and 3 <= len(times) <= 7
--- a/tests/test_wsgi.py
+++ b/tests/test_wsgi.py
@@ -29,12 +29,12 @@
 
 
 @route("GET", "/test/refusal")
-def refuse(node, inquiry):
+def refuse(node, request):
     raise Refused(reason="test", come_back_s=20)
 
 
 @route("GET", "/test/lines")
-def stream(node, inquiry):
+def stream(node, request):
     yield Emit({"n": 1})
     yield Emit({"n": 2})
 
