--- a/proving/scale/one_node.py
+++ b/proving/scale/one_node.py
@@ -22,7 +22,7 @@
 
 PROGRAM = "from quillring.verbs.program import main; main()"
 PORT, HOST, NODE_HOST, NODE_PORT = 7413, "127.0.46.{}", "127.0.45.1", 7415
-NEWS, WARM_SECONDS = 2.5, 6
+NEWS, WARM_SECONDS, FULL_ROUNDS = 2.5, 6, 6
 
 
 class Peers:
@@ -58,12 +58,13 @@
         end_time, period = time.monotonic() + seconds, NEWS / 4
         while time.monotonic() < end_time:
             round_start, self.sequence = time.monotonic(), self.sequence + 1
+            told = max(1, min(self.sequence, FULL_ROUNDS))
             for number, member in enumerate(self.members):
                 wait = round_start + period * number / len(self.members) - time.monotonic()
                 time.sleep(max(0, wait))
                 self.read()
                 telling = Telling(
-                    member, self.sequence, 1, self.roster.digest, self.bitmap, None, SPOKEN, 0
+                    member, self.sequence, told, self.roster.digest, self.bitmap, None, SPOKEN, 0
                 )
                 self.socket.sendto(telling.to(self.heard), (NODE_HOST, NODE_PORT))
 
--- a/quillring/kernel/datagrams.py
+++ b/quillring/kernel/datagrams.py
@@ -2,12 +2,10 @@
 
 import socket
 
-import gevent
 import gevent.socket
 
 LIMIT = 65535
 BATCH = 256
-REST_SECONDS = 0.03
 
 
 class Datagrams:
@@ -24,13 +22,13 @@
         self.socket.setblocking(False)
         self.socket.bind((host, port))
 
-    def run(self, take):
-        """Hand each datagram to a function, for ever."""
+    def run(self, take, rest):
+        """Hand each datagram to a function, for ever; rest after each batch."""
         while True:
             gevent.socket.wait_read(self.socket.fileno())
             for data in self._waiting():
                 take(data)
-            gevent.sleep(REST_SECONDS)
+            rest()
 
     def _waiting(self):
         """Yield the datagrams that have come in, a batch at most."""
--- /dev/null
+++ b/quillring/kernel/steps.py
@@ -0,0 +1,32 @@
+"""The steps at which the sleeping scripts of a process wake, so that many share one wake.
+
+Each wake of the process costs as much as the work of several scripts. The periods of the bounds are
+whole numbers of steps, so that they stay what they are; each process has steps of its own, so that
+nodes do not act in unison.
+"""
+
+import math
+
+EARLY_SHARE = 0.25
+
+
+class Steps:
+    """Equal steps of time, counted from a start."""
+
+    __slots__ = ("start", "seconds")
+
+    def __init__(self, start, seconds):
+        self.start = start
+        self.seconds = seconds
+
+    def seconds_to(self, now, seconds):
+        """Return how long to sleep instead: to the first step that is not too early.
+
+        A sleep of less than a step stays as it is. Any other ends at most a quarter of a step
+        before its time, and less than a step after it.
+        """
+        if seconds < self.seconds:
+            return seconds
+        end = now + seconds - self.start
+        number = math.ceil(end / self.seconds - EARLY_SHARE)
+        return max(0, self.start + number * self.seconds - now)
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -12,6 +12,7 @@
 from quillring.kernel.gevent_world import GeventWorld
 from quillring.kernel.http_server import start_server
 from quillring.kernel.ringlog import ring_log
+from quillring.kernel.steps import Steps
 from quillring.kernel.wsgi import make_app
 from quillring.nifty import Member
 from quillring.quorum.autofound import found_by_itself
@@ -27,6 +28,7 @@
 DRAIN_PATIENCE = 50
 GRACE_SHARE = 0.9
 TAKING_SHARE = 0.4
+STEPS_A_CHATTER = 2
 LEVELS = {"debug": logging.DEBUG, "warning": logging.WARNING, "error": logging.ERROR}
 
 
@@ -75,6 +77,7 @@
         acceptors.identity if acceptors else "",
     )
     world = make_world(lambda error: node_logger.error("failure", exc_info=error), 1.0)
+    world.steps = Steps(world.now(), settings.bounds.chatter / STEPS_A_CHATTER)
     node = make_node(me, world, settings.seeds, settings.bounds, log)
     node.offer("ring", ring_handler)
     start_node(node, acceptors)
