Tests: an operator's plan to refill a zone is waited for to its end

Cause: the test confirmed the refilling of a zone and ended; the next test on the same fleet could find edge-2 in a zone that was still emptied (failed 3 of 3 as a pair with the test of changed settings). Change: the refill plan is waited for until done, and the fleet until ready. After: the pair passes in that order; the waits are the aid's own.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -202,4 +202,6 @@
     assert verb("plan", "confirm", plan["plan"])[1]["trouble"] == "conflict"
     code, refill = verb("plan", "refill-domain", "east")
     assert verb("plan", "confirm", refill["plan"])[0] == 0
+    fleet.wait_for("refilled", lambda: verb("plan", "show", refill["plan"])[1]["phase"] == "done")
+    fleet.wait_ready()
     assert verb("fleet")[0] == 0
