--- a/proving/histories/calls.py
+++ b/proving/histories/calls.py
@@ -31,8 +31,8 @@
 from quillring.lots import raw_front
 from quillring.lots.raw_commands import HeldTooMuch, QuotaExceeded
 from quillring.quorum.parts import CONFIG
-from quillring.rollout.commands import BadLayout
-from quillring.rollout.marks import retire_store
+from quillring.rollout.commands import BadConfiguration
+from quillring.rollout.operator_orders import retire_store
 from quillring.rollout.orders import StaleOrder, submit_order
 
 TRY_SECONDS = 0.8
@@ -83,15 +83,15 @@
     }
 
 
-def make_script(stage, node, target, order):
-    """Return the script that sends an order at a node."""
+def make_script(stage, node, target, order, seconds=TRY_SECONDS):
+    """Return the script that sends an order at a node, which tries it for so many seconds."""
     ownership, name = node.find("ownership"), target.partition("/")[2]
     match order:
         case Adopt():
             command = command_of(order, f"{node.world.random.getrandbits(96):024x}")
-            return ownership.submit(CONFIG, command, TRY_SECONDS)
+            return ownership.submit(CONFIG, command, seconds)
         case FetchConfiguration():
-            return ownership.read(CONFIG, {"ask": "edition"}, TRY_SECONDS)
+            return ownership.read(CONFIG, {"ask": "edition"}, seconds)
         case MarkZone():
             command = {
                 "do": "domain.mark",
@@ -99,12 +99,12 @@
                 "emptied": order.is_emptied,
                 "nodes": False,
             }
-            return submit_order(node, command, TRY_SECONDS)
+            return submit_order(node, command, seconds)
         case RetireStore():
-            return retire_store(node, order.store, TRY_SECONDS)
+            return retire_store(node, order.store, seconds)
         case RestoreStore():
             command = {"do": "store.mark", "store": order.store, "retired": False}
-            return submit_order(node, command, TRY_SECONDS)
+            return submit_order(node, command, seconds)
         case AcceptLot():
             items = stage.items(name, order.digest, order.count)
             return raw_front.accept_raw_lot(node, FORWARD, name, items)
@@ -124,7 +124,7 @@
             return results_seen(value) if isinstance(order, ReadResults) else Done()
         case Conflict():
             return Conflicting(error.detail.get("winning_edition"))
-        case BadLayout():
+        case BadConfiguration():
             return Invalid()
         case NotFound():
             is_handed_in = isinstance(order, AcceptLot)
@@ -143,24 +143,24 @@
     return ResultsSeen(value["items"], rows)
 
 
-def parts_of_fetch(value, error):
+def parts_of_fetch(value, error, zones=ZONES):
     """Return [(object, order, answer)] that one read of the configuration part tells."""
     orders = [
         (CONFIGURATION, FetchConfiguration()),
         (STORES, ReadStores()),
-        *((f"zone/{zone}", ReadZone()) for zone in ZONES),
+        *((f"zone/{zone}", ReadZone()) for zone in zones),
     ]
     if error is not None or value is None:
         answer = answer_of(FetchConfiguration(), value, error)
         return [(*row, answer) for row in orders]
-    layout = value["layout"]
-    forwards, marks = layout.get("forwards") or {}, layout.get("stores") or {}
+    configuration = value["layout"]
+    forwards, store_orders = configuration.get("forwards") or {}, configuration.get("stores") or {}
     items = tuple(sorted((n, f["hold_ms"]) for n, f in forwards.items() if n != FORWARD))
-    retired = tuple(sorted(name for name, mark in marks.items() if mark.get("retired")))
-    zones = layout.get("domains") or {}
+    retired = tuple(sorted(name for name, order in store_orders.items() if order.get("retired")))
+    ordered_zones = configuration.get("domains") or {}
     answers = [
         ConfigurationSeen(value["edition"], items),
         StoresSeen(retired),
-        *(ZoneSeen(bool(zones.get(zone, {}).get("emptied"))) for zone in ZONES),
+        *(ZoneSeen(bool(ordered_zones.get(zone, {}).get("emptied"))) for zone in zones),
     ]
     return [(*row, answer) for row, answer in zip(orders, answers, strict=True)]
--- a/proving/histories/clients.py
+++ b/proving/histories/clients.py
@@ -1,6 +1,7 @@
 """The clients of a recorded run: operators and clients of lots, many calls under way at once."""
 
 from proving.histories.calls import (
+    TRY_SECONDS,
     ZONES,
     answer_of,
     make_script,
@@ -57,19 +58,19 @@
             return self.stage.sim.nodes[self.chance.choice(names)]
         return self.stage.sim.nodes[self.chance.choice(up_names)]
 
-    def send(self, target, order, node=None, patience=PATIENCE):
+    def send(self, target, order, node=None, patience=PATIENCE, seconds=TRY_SECONDS):
         """Process: send an order once and record it; return its answer.
 
-        `patience` are the least and the most seconds that the client waits.
+        `patience` are the least and the most seconds that the client waits, `seconds` those for
+        which the node tries.
         """
         node, begin = node or self.pick_node(), self.env.now
-        process = self.env.process(
-            self.stage.sim.run_script(node, make_script(self.stage, node, target, order))
-        )
+        script = make_script(self.stage, node, target, order, seconds)
+        process = self.env.process(self.stage.sim.run_script(node, script))
         yield process | self.env.timeout(self.chance.uniform(*patience))
         outcome = self.outcome_of(process, node)
         if isinstance(order, FetchConfiguration):
-            answers = parts_of_fetch(*(outcome or (None, None)))
+            answers = parts_of_fetch(*(outcome or (None, None)), self.stage.zones)
             for part_target, part_order, answer in answers:
                 self.stage.record(self.name, node.me.name, part_target, part_order, begin, answer)
             return answers[0][2]
@@ -113,8 +114,8 @@
         deeds = [
             (self.change, 40),
             (self.fetch, 30),
-            (self.mark_zone, 16),
-            (self.mark_store, 6),
+            (self.order_zone, 16),
+            (self.order_store, 6),
             (self.repeat_old, 4),
             (self.race, 4),
             (self.ask_sleeper, 12),
@@ -188,12 +189,12 @@
             self.env.process(helper.send(target, order, node, LONG_PATIENCE))
         yield from self.pause(0, 0.2)
 
-    def mark_zone(self):
+    def order_zone(self):
         """Process: empty a zone or restore it."""
         zone = self.chance.choice(ZONES)
         yield from self.send_surely(f"zone/{zone}", MarkZone(self.chance.random() < 0.5))
 
-    def mark_store(self):
+    def order_store(self):
         """Process: retire a store, and take that back after a while."""
         store = self.chance.choice(self.stage.sim.names("store"))
         yield from self.send_surely(STORES, RetireStore(store))
--- a/proving/histories/faults.py
+++ b/proving/histories/faults.py
@@ -37,7 +37,7 @@
             self.held_messages,
             self.held_messages,
             self.full_disk,
-            self.lose_domain,
+            self.lose_zone,
             self.lose_disk,
         ]
 
@@ -48,10 +48,10 @@
         added = self.sim.net.cuts - before
         is_long = self.sim.chance.random() < 0.5
         yield self.sim.env.timeout(LONG_CUT[1] if is_long else self.sim.chance.uniform(*LONG_CUT))
-        self.sim.history.mark("cut healed")
+        self.sim.history.note("cut healed")
         self.sim.net.cuts -= added
 
-    def _owner_name(self):
+    def owner_name(self):
         """Return the core that owns the configuration part, as some edge heard it."""
         edges = self.sim.up_nodes("edge") or list(self.sim.nodes.values())
         news = self.sim.chance.choice(edges).find("gossip").get("owner/config") or {}
@@ -59,7 +59,7 @@
 
     def cut_owner(self):
         """The configuration's owner is cut off from everything but some nodes."""
-        owner = self._owner_name()
+        owner = self.owner_name()
         others = [name for name in sorted(self.sim.nodes) if name != owner]
         kept = self.sim.chance.randrange(len(others) // 2)
         both_ways = self.sim.chance.random() < 0.5
@@ -69,21 +69,29 @@
 
     def freeze_owner(self):
         """The configuration's owner freezes and wakes; at times without any news of meanwhile."""
-        name, seconds = self._owner_name(), self.sim.chance.uniform(*FREEZE)
+        name, seconds = self.owner_name(), self.sim.chance.uniform(*FREEZE)
         if self.sim.is_up(self.sim.nodes[name]):
             self.sim.freeze(name, seconds)
         if self.sim.chance.random() < 0.5:
             others = [other for other in sorted(self.sim.nodes) if other != name]
-            before = set(self.sim.net.cuts)
-            self.sim.cut(others, [name], both_ways=False)
-            added = self.sim.net.cuts - before
-            yield self.sim.env.timeout(seconds + DEAF_SECONDS)
-            self.sim.net.cuts -= added
+            yield from self.keep_deaf(name, others, self.sim.env.now + seconds)
         yield self.sim.env.timeout(0)
 
+    def keep_deaf(self, name, others, woken_at):
+        """Process: a frozen node hears nothing of the others until a moment after it wakes."""
+        before = set(self.sim.net.cuts)
+        self.sim.cut(others, [name], both_ways=False)
+        added = self.sim.net.cuts - before
+        yield self.sim.env.timeout(woken_at - self.sim.env.now + DEAF_SECONDS)
+        self.sim.net.cuts -= added
+
+    def bring_back(self, name, seconds):
+        """Process: a process that was killed starts again after so many seconds."""
+        yield from self._back(name, seconds)
+
     def restart_owner(self):
         """The configuration's owner dies and is back at once; copies for its former life come."""
-        name = self._owner_name()
+        name = self.owner_name()
         if self.sim.is_up(self.sim.nodes[name]):
             self.sim.kill(name)
             yield from self._back(name, self.sim.chance.uniform(0.1, 1.0))
@@ -99,7 +107,7 @@
     def held_messages(self):
         """Messages and copies of them are held for up to 25 seconds, and come then."""
         net = self.sim.net
-        self.sim.history.mark("messages are held")
+        self.sim.history.note("messages are held")
         net.late_copy_share, net.late_share = LATE_COPY_SHARE * 3, LATE_SHARE * 5
         yield self.sim.env.timeout(self.sim.chance.uniform(*HELD_SECONDS))
         net.late_copy_share, net.late_share = LATE_COPY_SHARE, LATE_SHARE
--- a/proving/histories/stage.py
+++ b/proving/histories/stage.py
@@ -1,5 +1,6 @@
 """The fleet that histories are recorded on: small, founded, with a route of lots."""
 
+from proving.histories.calls import ZONES
 from proving.histories.operations import Done, History, Operation, Snapshot, Unknown
 from proving.sim.fleet import SimFleet
 from proving.sim.raw_replicas import RawBackends, RawReplica, RawWorld
@@ -13,10 +14,20 @@
 ITEM_TOKENS = 10
 
 
+class HistoryWorld(RawWorld):
+    """A process whose scripts go on in any order after a freeze, as loops of events have it."""
+
+    def thaw(self):
+        """Wake a frozen process; its scripts go on in an order that is drawn."""
+        if self.thaw_event is not None:
+            self.random.shuffle(self.thaw_event.callbacks)
+        super().thaw()
+
+
 class HistoryFleet(SimFleet):
     """A simulated fleet whose processes speak to raw replicas."""
 
-    world_class = RawWorld
+    world_class = HistoryWorld
 
 
 class HistoryStage:
@@ -24,16 +35,17 @@
 
     def __init__(self, seed):
         self.sim = HistoryFleet("ferrowa", seed, SIZES)
-        self.sim.layout = EMPTY
+        self.sim.configuration = EMPTY
         self.env, self.chance = self.sim.env, self.sim.chance
         self.replicas, self.counts = {}, {}
         self.arrivals, self.whole_runs = [], []
+        self.zones = [*ZONES]
         self.sim.backends.raw = RawBackends(self)
         self.history = History(seed)
         self.sim.start_all()
-        domains = sorted({node.me.domain for node in self.sim.nodes.values()})
+        zones = sorted({node.me.zone for node in self.sim.nodes.values()})
         for number in range(REPLICAS):
-            zone = domains[number % len(domains)]
+            zone = zones[number % len(zones)]
             self.replicas[f"i-{number}"] = RawReplica(self, f"i-{number}", zone, SLOTS)
         rows = self.sim.rows
         self.history.stores = tuple((n, rows[n]["domain"]) for n in self.sim.names("store"))
@@ -72,7 +84,7 @@
                     self.history.snapshots.append(self._snapshot(name, node))
 
     def _snapshot(self, name, node):
-        image = node.find("layout")
-        number = (image.layout or {}).get("edition", 0)
+        snapshot = node.find("layout")
+        number = (snapshot.configuration or {}).get("edition", 0)
         is_fresh = node.find("freshness").is_fresh()
-        return Snapshot(name, node.me.incarnation, self.env.now, image.index, number, is_fresh)
+        return Snapshot(name, node.me.incarnation, self.env.now, snapshot.index, number, is_fresh)
--- a/proving/sim/net.py
+++ b/proving/sim/net.py
@@ -10,6 +10,8 @@
         self.env = env
         self.chance = chance
         self.receivers = {}
+        self.channels = {}
+        self.refusing = set()
         self.cuts = set()
         self.loss_share = 0.0
         self.double_share = 0.0
@@ -17,6 +19,7 @@
         self.late_copy_share = 0.0
         self.late_share = 0.0
         self.longest_hold = LONGEST_HOLD
+        self.held_ways = {}
         self.late_packets = 0
         self.min_delay, self.max_delay = 0.0005, 0.003
         self.carried = 0
@@ -28,6 +31,7 @@
     def attach(self, address, world):
         """Let the world receive at an address."""
         self.receivers[address] = world
+        self.refusing.discard(address)
 
     def cut(self, home, target, both_ways=True):
         """Cut the way from one address to another."""
@@ -35,9 +39,17 @@
         if both_ways:
             self.cuts.add((target, home))
 
+    def hold_way(self, home, target, end_time, release_event):
+        """Hold the frames that are sent on a way until `end_time`; they come after the event.
+
+        So does a connection that stalls while datagrams and later connections pass.
+        """
+        self.held_ways[home, target] = (end_time, release_event)
+
     def heal(self):
-        """Heal every cut and stop losing, doubling and reordering."""
+        """Heal every cut and stop losing, doubling, reordering and holding."""
         self.cuts.clear()
+        self.held_ways.clear()
         self.loss_share = self.double_share = self.reorder_share = 0.0
         self.late_copy_share = self.late_share = 0.0
 
@@ -59,11 +71,15 @@
         address at that time: a relay or a socket may hold a message for so long.
         """
         self.carried += 1
+        if kind == "frame":
+            self.channels.setdefault(target, {})[home] = True
         if self._is_drawn(self.late_copy_share):
             self._hold(home, target, data, kind)
         if self._is_drawn(self.late_share):
             self._hold(home, target, data, kind)
             return
+        if kind == "frame" and self._is_held(home, target, data):
+            return
         if not self.passes(home, target) or self.chance.random() < self.loss_share:
             return
         copies = 2 if self.chance.random() < self.double_share else 1
@@ -74,10 +90,33 @@
             event = self.env.timeout(self.delay() + seconds)
             event.callbacks.append(lambda _: self._arrive(home, target, data, kind))
 
+    def close_channels(self, target):
+        """Close every connection to an address whose process ended, and take no new one there.
+
+        Whoever had one looks again, and is refused unless the process was started anew meanwhile.
+        """
+        self.refusing.add(target)
+        for home in self.channels.pop(target, {}):
+            event = self.env.timeout(self.max_delay * 3)
+            event.callbacks.append(lambda _, home=home: self._refuse(home, target))
+
+    def _refuse(self, home, target):
+        world, is_open = self.receivers.get(home), self.passes(target, home)
+        if target in self.refusing and world is not None and is_open and self.passes(home, target):
+            world.receive("refused", target)
+
     def _is_drawn(self, share):
         """Tell whether a rare thing happens; a share of zero takes nothing from the chance."""
         return share > 0 and self.chance.random() < share
 
+    def _is_held(self, home, target, data):
+        """Hold a frame if its way holds frames now; tell whether it was."""
+        end_time, release_event = self.held_ways.get((home, target), (0, None))
+        if self.env.now >= end_time or release_event.processed:
+            return False
+        release_event.callbacks.append(lambda _: self._arrive(home, target, data, "frame"))
+        return True
+
     def _hold(self, home, target, data, kind):
         """Deliver a packet after it was held for up to `longest_hold` seconds."""
         self.late_packets += 1
@@ -100,5 +139,7 @@
 
     def _arrive(self, home, target, data, kind):
         world = self.receivers.get(target)
+        if kind == "frame":
+            self._refuse(home, target)
         if world is not None and self.passes(home, target):
             world.receive(kind, data)
--- a/quillring/lots/raw_runner.py
+++ b/quillring/lots/raw_runner.py
@@ -74,7 +74,7 @@
         is_ended = raw_lots_ended(self.node, lot_name)
         body = {"lot": lot_name, "numbers": None if is_ended else numbers}
         calls = [(name, "raw.stop", body) for name in self._cores()]
-        yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
+        yield from self.node.gather(calls, len(calls), self.node.bounds.round_trip, True)
 
     def _cores(self):
         ownership, nifty = self.node.find("ownership"), self.node.find("nifty")
@@ -88,7 +88,7 @@
             for ledger in list(self.ledgers.values()):
                 if not ledger.owner.may_act():
                     continue
-                seconds = bounds.reading if ledger.is_reported else bounds.round
+                seconds = bounds.reading if ledger.is_reported else bounds.round_trip
                 if self.node.now() - ledger.renewed_at >= seconds:
                     ledger.renewed_at = self.node.now()
                     self._look_after(ledger)
@@ -111,7 +111,7 @@
         owner, asked_at = ledger.owner, self.node.now()
         body = {"part": owner.part, "ballot": list(owner.ballot)}
         calls = [(name, "raw.renew", body) for name in self._cores()]
-        replies = yield from self.node.gather(calls, len(calls), self.node.bounds.round, True)
+        replies = yield from self.node.gather(calls, len(calls), self.node.bounds.round_trip, True)
         heard = {t: rows for t, rows in replies.items() if not isinstance(rows, QuillringError)}
         reported = {
             (row[0], row[1]): (worker, row) for worker, rows in heard.items() for row in rows
@@ -138,7 +138,7 @@
 
     def _start_items(self, ledger):
         """Start what has room, lot by lot; a service without room is passed over at once."""
-        now, forwards, full = self.node.now(), self.node.find("forwards"), set()
+        now, forwards, full, portions = self.node.now(), self.node.find("forwards"), set(), {}
         waiting = [(lot, lot.waiting(now)) for lot in ledger.order(now)]
         if not any(items for _, items in waiting) or not self.node.find("freshness").is_fresh():
             return
@@ -150,7 +150,10 @@
                 if (service, is_near) in full:
                     continue
                 avoided_names = item.avoided_at(now)
-                portion = self.demand.portion(ledger.owner.part, service)
+                if service not in portions:
+                    slots = self.limits.slots(service, now)
+                    portions[service] = self.demand.portion(ledger.owner.part, service, slots)
+                portion = portions[service]
                 replica = self.limits.choose(service, ledger, is_near, avoided_names, portion, now)
                 if replica is not None:
                     self.limits.started(replica, portion, now)
@@ -171,7 +174,7 @@
         ownership = self.node.find("ownership")
         members = self.node.find("nifty").roster.members
         names = [n for n in ownership.rank(ledger.owner.part) if not ownership.is_leaving(n)]
-        return [(n, members[n].domain) for n in names if not ledger.rests(n)]
+        return [(n, members[n].zone) for n in names if not ledger.rests(n)]
 
     def _start(self, ledger, item, run, forward, is_near):
         """Script: hand a run to its worker; what was surely not begun waits again."""
