--- a/tests/test_electing.py
+++ b/tests/test_electing.py
@@ -142,4 +142,5 @@
     assert first.agree("f", "abc", "a") is None
     assert second.agree("g", "bc", "bc") is None, "its ballot is too low"
     assert second.agree("g", "bc", "bc") == "g"
+    assert first.agree("f", "abc", "abc") is None, "its ballot is too low"
     assert first.agree("f", "abc", "abc") == "g"
