Test: a retirement is not finished while another member of a part is away

Cause: docs/control.md says that each owner finds every member up to date before a store is called finished; with that taken out (PartAnswer.is_whole_without) test_retirement.py stayed green. Change: after a retirement has finished another member is killed; it is finished again only when that one is back.

--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -61,6 +61,19 @@
     assert not acceptors.hints
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_retirement_is_not_finished_while_another_member_of_a_part_is_away(seed):
+    stage = SelfFounded(seed, FIVE)
+    store = next(n for n in stage.sim.names("store") if n not in members(stage, "part-0"))
+    retire(stage, store)
+    assert stage.wait_for(lambda: is_finished(stage, store), 6) is not None
+    other = members(stage, "part-0")[0]
+    stage.sim.kill(other)
+    assert not is_finished(stage, store)
+    stage.start(other)
+    assert stage.wait_for(lambda: is_finished(stage, store), 6) is not None
+
+
 @pytest.mark.parametrize("seed", range(1, 7))
 def test_a_store_told_to_be_free_joins_no_part_though_an_owner_has_old_news(seed):
     stage = SelfFounded(seed, FIVE)
