Test: an installation goes on where the store says that it stopped

Cause: docs/control.md says that pieces go on where they stopped; with that taken out of catchup.py (from the beginning after a conflict) test_many_changes.py, test_transfer.py and test_takeover.py stayed green. Change: a store that loses a piece is sent that piece again and what follows, and nothing twice before it. Before and after: with the guard out 3 of 4 cases fail (the fourth loses the first piece, where both are the same); with it they pass.

--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -1,16 +1,23 @@
 """Pieces of a state, how they are put together, and nodes of the version before that know none."""
 
 from itertools import pairwise
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quillring.kernel.errors import TimedOut
-from quillring.quorum.transfer import START, BadPiece, StateBuilder, cut_piece
+from quillring.kernel.errors import Conflict, TimedOut
+from quillring.quorum.catchup import mend_store
+from quillring.quorum.recent import Recent
+from quillring.quorum.transfer import PIECE_BYTES, START, BadPiece, Place, StateBuilder, cut_piece
 from tests.fleet_stage import SelfFounded
 from tests.test_repair import is_whole, mark, members, owners
 
+NEWS = SimpleNamespace(news=2.0, reading=1.0)
+ROSTER = SimpleNamespace(members={})
+PEERS = {"nifty": SimpleNamespace(reaches=lambda name: False, roster=ROSTER)}
+ME = SimpleNamespace(domain="north")
 VALUES = st.one_of(st.integers(), st.binary(max_size=300), st.text(max_size=20), st.none())
 KEYS = st.one_of(st.text(max_size=8), st.integers())
 STATES = st.dictionaries(
@@ -40,6 +47,49 @@
         builder.whole()
 
 
+class ForgetfulStore:
+    """A store's side of an installation; it loses the newest piece once, after so many."""
+
+    def __init__(self, loses_after):
+        self.loses_after = loses_after
+        self.former, self.builder, self.places = [], StateBuilder(), []
+
+    def call(self, target, service, body, seconds):
+        place = Place(*body["place"])
+        self.places.append(place)
+        if place not in (self.builder.place, START):
+            raise Conflict(place=list(self.builder.place))
+        self.former.append(self.builder.to_list())
+        self.builder.add(body["data"], body["following"])
+        if len(self.former) == self.loses_after:
+            self.builder = StateBuilder.from_list(self.former[-1])
+        return 0
+        yield
+
+
+@pytest.mark.parametrize("loses_after", [1, 2, 5, 7])
+def test_an_installation_goes_on_where_the_store_says_that_it_stopped(loses_after):
+    state = {"raw": {n: b"%d" % n * (PIECE_BYTES // 2) for n in range(10, 20)}}
+    whole, store = ForgetfulStore(None), ForgetfulStore(loses_after)
+    for each in (whole, store):
+        node = SimpleNamespace(me=ME, call=each.call, find=PEERS.get, bounds=NEWS)
+        node.count = lambda *words: None
+        fields = {"node": node, "recent": Recent(), "group": [], "index": 9, "state": state}
+        owner = SimpleNamespace(part="part-0", is_owner=True, **fields)
+        finish(mend_store(owner, 0, ("store-1", "quorum.install", {})))
+        assert each.builder.whole() == state
+    lost = whole.places[loses_after - 1]
+    assert len(whole.places) > 7 and store.places.count(lost) == 2
+    assert len(store.places) == len(whole.places) + 2
+    assert store.places.count(START) == (2 if lost == START else 1)
+
+
+def finish(script):
+    """Run a script to its end."""
+    for _ in script:
+        pass
+
+
 def forget_pieces(node):
     """Make a node answer as one of the version before."""
     for name in (
