--- a/proving/scale/one_node.py
+++ b/proving/scale/one_node.py
@@ -1,4 +1,4 @@
-"""One real node of each role among scripted peers over loopback: its processor time, per thread.
+"""One real node of each role among scripted peers over loopback: its processor time and memory.
 
 The peers are one light script, so that a busy machine slows the figures less than many hollow nodes
 do: they send sound heartbeats, spread over the period, and read the node's own.
@@ -15,14 +15,16 @@
 import click
 
 from proving.scale.runs import process_bytes
+from quillring.kernel.bounds import Bounds
 from quillring.nifty.heard import Beat, Heard
 from quillring.nifty.member import Member, Roster
+from quillring.nifty.pace import Pace
 from quillring.nifty.telling import Telling
 from quillring.nifty.wire import SPOKEN
 
 PROGRAM = "from quillring.verbs.program import main; main()"
 PORT, HOST, NODE_HOST, NODE_PORT = 7413, "127.0.46.{}", "127.0.45.1", 7415
-NEWS, WARM_SECONDS, FULL_ROUNDS = 2.5, 6, 6
+NEWS, RETURN, WARM_SECONDS, FULL_ROUNDS = 2.5, 15, 6, 6
 
 
 class Peers:
@@ -39,6 +41,7 @@
         self.socket.bind(("0.0.0.0", PORT))
         self.socket.setblocking(False)
         self.heard, self.sequence, self.taken = None, 0, 0
+        self.period = Pace(Bounds(news=NEWS, return_=RETURN), count + 1).period
 
     def read(self):
         """Read what the node sent; one heartbeat of a round speaks for all its copies."""
@@ -55,12 +58,12 @@
 
     def run(self, seconds):
         """Beat for some seconds, each member at its own moment of the period."""
-        end_time, period = time.monotonic() + seconds, NEWS / 4
+        end_time, period = time.monotonic() + seconds, self.period
         while time.monotonic() < end_time:
             round_start, self.sequence = time.monotonic(), self.sequence + 1
             told = max(1, min(self.sequence, FULL_ROUNDS))
             for number, member in enumerate(self.members):
-                wait = round_start + period * number / len(self.members) - time.monotonic()
+                wait = round_start + period * (number + 1) / len(self.members) - time.monotonic()
                 time.sleep(max(0, wait))
                 self.read()
                 telling = Telling(
@@ -84,7 +87,7 @@
         "address": f"{NODE_HOST}:{NODE_PORT}",
         "http_address": f"{NODE_HOST}:{NODE_PORT + 1}",
         "seeds": [f"{HOST.format(1)}:{PORT}"],
-        "bounds": {"news": NEWS, "return_": 15},
+        "bounds": {"news": NEWS, "return_": RETURN},
         **({"folder": f"{folder}/data"} if role == "store" else {}),
     }
     path = pathlib.Path(folder) / f"{role}.json"
