Tests: a full disk answers nothing it could not keep; unread bytes close a kept connection

Full disk: an answer in place of the disk's error (SlotStore), and a failed store that still confirms (Acceptors.check); test_slow_disks.py saw only that a full store is whole again later. Kept connections: one with unread bytes taken again (Pool.take); ids alone kept answers apart in the property test. Change: a test each, on one acceptor and on one pair of sockets. Before and after: with each guard out the new cases fail (1, 1 and 3 of 3); with it they pass.

--- a/tests/test_slow_disks.py
+++ b/tests/test_slow_disks.py
@@ -199,6 +199,24 @@
     assert (record.promised, record.applied, record.entries) == ((1, "a"), 0, {})
 
 
+def test_a_full_disk_answers_nothing_that_it_could_not_keep():
+    former, newer = [1, "a"], [2, "b"]
+    store = three_stores(former)[0]
+    store.disk.is_full = True
+    waiting = [
+        store.ask("prepare", newer),
+        store.ask("accept", newer, index=1, batch=[], committed=0),
+    ]
+    store.writer.send(True)
+    for script in waiting:
+        with pytest.raises(DiskError):
+            script.send(True)
+    assert isinstance(store.ask("confirm", newer), DiskError)
+    assert isinstance(store.ask("commit", newer, committed=0), DiskError)
+    record = store.after_power_loss().acceptors.parts[CONFIG]
+    assert (record.promised, record.entries) == ((1, "a"), {})
+
+
 def test_a_store_whose_disk_stays_full_is_replaced_before_the_next_loss():
     fleet = SelfFounded(131)
     full, lost, _ = config_stores(fleet)
--- a/tests/test_wrong_caller.py
+++ b/tests/test_wrong_caller.py
@@ -2,9 +2,11 @@
 
 from unittest import mock
 
+import gevent.socket
 import pytest
 
 from quillring.kernel import http_client
+from quillring.kernel.connections import Connection, Pool
 from quillring.kernel.effects import SendOn
 from quillring.kernel.errors import BackendError, NotSent
 from quillring.kernel.http_client import send_on
@@ -101,6 +103,19 @@
     assert ask(peer, "a") == b"second"
 
 
+@pytest.mark.parametrize("unread", [answer(b"b", b"surplus"), b"x", None])
+def test_a_kept_connection_with_anything_unread_on_it_is_closed(unread):
+    ours, theirs = gevent.socket.socketpair()
+    pool, address = Pool(), ("10.0.0.1", 9000)
+    pool.put(Connection(address, ours), 60)
+    if unread is None:
+        theirs.close()
+    else:
+        theirs.sendall(unread)
+    assert pool.take(address, (ID_HEADER, "b")) is None
+    assert ours.fileno() == -1
+
+
 def test_two_requests_with_one_id_under_way_at_once_have_a_connection_each():
     peer = ScriptedPeer(answers(answer(b"a", b"first")), answers(answer(b"a", b"second")))
     first, second = open_request(peer, "a"), open_request(peer, "a")
