docs/control.md: what breaks each row was tried; a test keeps its names true

Cause: some rows named a test that stays green without the row's guard, or none that shows it; the row on swaps gave the new group's promise the weight that the new owner's phase one has. Change: the page names what fails; a test compares its names of tests, points and model bugs with what there is (seen failing for a wrong name of each kind).

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -3,6 +3,7 @@
 import re
 
 from proving.deployments import DEPLOYMENTS, layout_of, replicas_of, settings_of
+from proving.model.bugs import BUGS
 from proving.points.catalog import POINTS
 from proving.reference import reference
 from quillring.kernel.settings import find_faults
@@ -48,3 +49,16 @@
     index = pathlib.Path("README.md").read_text()
     listed = re.findall(r"^- \[(docs/[\w.-]+)\]", index, re.MULTILINE)
     assert sorted(listed) == sorted(map(str, pathlib.Path("docs").glob("*.md")))
+
+
+def test_what_the_control_page_names_as_proof_exists():
+    page = pathlib.Path("docs/control.md").read_text()
+    files = set(re.findall(r"`(test_\w+\.py)`", page))
+    assert len(files) > 25
+    assert [name for name in sorted(files) if not (pathlib.Path("tests") / name).exists()] == []
+    bugs = set(re.findall(r"`([a-z]+(?:-[a-z]+)+)`", page))
+    assert bugs <= set(BUGS) and len(bugs) > 6
+    rows = [row.rsplit("|", 2)[1] for row in page.splitlines() if row.startswith("| ")]
+    named = {name for cell in rows for name in re.findall(r"`([a-z]+(?:_[a-z]+)+)`", cell)}
+    points = {scenario.__name__ for _, scenario, _ in POINTS}
+    assert len(named & points) > 10 and {n for n in named - points if n != "stale_order"} == set()
