Lots of the own interface: a late copy of an acceptance takes no forgotten lot anew

Cause: lot.accept knew a repeat only while its lot was there. A copy that a relay or a frozen node held until the lot was dropped or released made a new lot, which ran again.

Change: lots/fence.py, as with operators' orders. A part counts the lots it forgot and remembers when the last 256 went, with a floor for those before. An acceptance names the count that its node had read from the part (under the owner's fence) when the request came in; where its name was forgotten since, it is refused (stale_lot, 503) and not tried again by the node. No clock takes part. The price: one read from the part's owner before each acceptance.

--- a/proving/points/lots.py
+++ b/proving/points/lots.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from proving.points.base import Stage, no_check
+from proving.points.orders import unfenced_state
 from proving.points.state import CommandsWith
 from proving.sim import backends
 from quillring.lots.runner import LotRunner
@@ -216,6 +217,7 @@
             (acceptor.Acceptors, "check", unfenced),
             (acceptor.Acceptors, "on_confirm", lambda self, body, origin: True),
             (owner.Owner, "may_act", lambda self: self.is_owner),
+            (owner.Owner, "fenced_state", unfenced_state),
             (Resting, "note_lost_term", no_check),
             (Standing, "begin_anew", no_check),
             (Freshness, "check", no_check),
--- a/quillring/lots/commands.py
+++ b/quillring/lots/commands.py
@@ -5,6 +5,7 @@
 import cbor2
 
 from quillring.kernel.errors import Conflict, NotFound, QuillringError
+from quillring.lots.fence import check_fresh, note_drop
 from quillring.quorum.commands import COMMANDS, QUERIES
 
 OPEN, ENDED, CANCELLED = "open", "ended", "cancelled"
@@ -21,12 +22,13 @@
 
 @COMMANDS.entry("lot.accept")
 def accept_lot(state, command):
-    """Accept a lot; the same lot again is the same acceptance."""
+    """Accept a lot; the same lot again is the same acceptance, a late copy is refused."""
     known = state["lots"].get(command["lot"])
     if known is not None:
         if known["digest"] != digest_of(command):
             raise Conflict(field="lot", lot=command["lot"])
         return state, {"lot": command["lot"], "items": known["count"], "repeated": True}
+    check_fresh(state, command)
     weight = sum(len(item) for item in command["items"])
     open_weight = sum(lot["weight"] for lot in state["lots"].values() if lot["phase"] == OPEN)
     if open_weight + weight > OPEN_WEIGHT:
@@ -105,7 +107,7 @@
     if lot is None or lot["phase"] == OPEN:
         return state, {"dropped": False}
     lots = {name: kept for name, kept in state["lots"].items() if name != command["lot"]}
-    return {**state, "lots": lots}, {"dropped": True}
+    return note_drop({**state, "lots": lots}, command["lot"]), {"dropped": True}
 
 
 @COMMANDS.entry("lot.release")
--- a/quillring/lots/front.py
+++ b/quillring/lots/front.py
@@ -6,6 +6,7 @@
 from quillring.kernel.checks import StrictValidator, read_count
 from quillring.kernel.errors import BadInquiry, Refused
 from quillring.kernel.wsgi import check_body, need_sender, route
+from quillring.lots.fence import submit_accept
 from quillring.quorum.parts import part_of
 
 LOT_LIMIT = 8 << 20
@@ -41,7 +42,8 @@
     part = part_of(entry["service"], len(node.find("ownership").parts()) - 1)
     own_key = f"{node.world.random.getrandbits(96):024x}"
     lot_name = f"{part}.{sender_space(inquiry.sender)}.{inquiry.body.get('key') or own_key}"
-    answer = yield from node.find("ownership").submit(
+    answer = yield from submit_accept(
+        node,
         part,
         {
             "do": "lot.accept",
