Quorum: a promise is a typed record, not a list read by position

Cause: a new owner read `record[2]`, `record[3]` and `row[0]` of its stores' answers; which place holds what was to be looked up in another module. Change: `Promise` and `TailRow` (quorum/promise.py); answers are converted where the owner gets them and where a store gives them, and in slots.

--- a/proving/model/bugs.py
+++ b/proving/model/bugs.py
@@ -134,7 +134,7 @@
     real = owner_module.adopt_state
 
     def adopt_state(owner, promises):
-        oldest = min(promises, key=lambda store: promises[store][1])
+        oldest = min(promises, key=lambda store: promises[store].applied)
         return real(owner, {oldest: promises[oldest]})
 
     return all_of([mock.patch.object(owner_module, "adopt_state", adopt_state)])
--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -150,12 +150,10 @@
         part_record = self.parts[body["part"]]
         if part_record.promised != ballot:
             raise Fenced(part=body["part"], ballot=list(part_record.promised))
-        fields = part_record.to_list()
-        if body.get("brief") and part_record.state is not None:
-            fields[2] = True
-        if body.get("brief") == TAIL_INDEXES:
-            fields[3] = [[index, ballot, None] for index, ballot, _ in fields[3]]
-        return fields
+        promise = part_record.to_promise()
+        if body.get("brief"):
+            promise = promise.brief(has_batches=body["brief"] != TAIL_INDEXES)
+        return promise.to_list()
 
     def on_catch_up(self, body, origin):
         """Accept all the entries that this store missed, and apply them."""
--- a/quillring/quorum/catchup.py
+++ b/quillring/quorum/catchup.py
@@ -21,12 +21,12 @@
     it only lacks the entries since. Else one of the newest stores sends the state, one of the own
     domain if there is any.
     """
-    known = {store: record for store, record in promises.items() if record[2] is not None}
-    best = max(record[1] for record in known.values())
+    known = {store: p for store, p in promises.items() if p.state is not None}
+    best = max(promise.applied for promise in known.values())
     if owner.state is not None and owner.index >= best:
         return
-    holders = [store for store, record in known.items() if record[1] == best]
-    whole = [known[store][2] for store in holders if known[store][2] is not True]
+    holders = [store for store, promise in known.items() if promise.applied == best]
+    whole = [known[store].state for store in holders if known[store].state is not True]
     if whole:
         owner.index, owner.state = best, whole[0]
         return
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -9,6 +9,7 @@
 from quillring.quorum.in_flight import InFlight
 from quillring.quorum.mending import Mending
 from quillring.quorum.parts import CONFIG
+from quillring.quorum.promise import Promise
 from quillring.quorum.recent import Recent
 from quillring.quorum.rounds import ask_majority
 from quillring.quorum.swap import promise_again
@@ -74,6 +75,11 @@
     def _round(self, service, **body):
         return ask_majority(self, service, body)
 
+    def _prepare(self):
+        """Script: ask the group to promise the ballot; return {store: Promise} of a majority."""
+        replies = yield from self._round("prepare", brief=TAIL_INDEXES)
+        return {store: Promise.from_list(fields) for store, fields in replies.items()}
+
     def take_again(self, gives_way):
         """Script: take the part; a ballot that only was too low is tried once more at once.
 
@@ -94,8 +100,8 @@
         self.ballot = (max(self.higher, self.ballot[0]) + 1, f"{me.name}#{me.incarnation}")
         while True:
             self.takeover.enter(PROMISES, [store[0] for store in self.group], self.ballot)
-            promises = yield from self._round("prepare", brief=TAIL_INDEXES)
-            if all(record[2] is None for record in promises.values()):
+            promises = yield from self._prepare()
+            if all(promise.state is None for promise in promises.values()):
                 raise NotFounded(part=self.part)
             yield from adopt_state(self, promises)
             if self.adopt_group(self.state["group"]):
@@ -166,7 +172,7 @@
             raise
         try:
             if self.adopt_group(self.state["group"]):
-                yield from promise_again(self, self._round("prepare", brief=TAIL_INDEXES))
+                yield from promise_again(self, self._prepare())
         finally:
             self._tell([command for command, _ in batch])
             for (_, answer_signal), answer in zip(batch, answers, strict=True):
--- a/quillring/quorum/record.py
+++ b/quillring/quorum/record.py
@@ -3,6 +3,7 @@
 from itertools import count
 
 from quillring.quorum.commands import answer_query, apply_batch
+from quillring.quorum.promise import Promise, TailRow
 from quillring.quorum.recent import Recent
 
 RECENT_WEIGHT = 2 << 20
@@ -22,15 +23,20 @@
         self.recent = Recent(RECENT_WEIGHT)
 
     def to_list(self):
-        """Return the record for a slot or a prepare answer."""
-        tail = [[i, list(b), batch] for i, (b, batch) in sorted(self.entries.items())]
-        return [list(self.promised), self.applied, self.state, tail, self.committed]
+        """Return the record for a slot."""
+        return self.to_promise().to_list()
+
+    def to_promise(self):
+        """Return what this store tells with a promise."""
+        tail = tuple(TailRow(index, *entry) for index, entry in sorted(self.entries.items()))
+        return Promise(self.promised, self.applied, self.state, tail, self.committed)
 
     @classmethod
     def from_list(cls, fields):
         """Read a record from a slot."""
-        promised, applied, state, tail, committed = fields
-        return cls(promised, applied, state, {i: (tuple(b), v) for i, b, v in tail}, committed)
+        promised, applied, state, tail, committed = Promise.from_list(fields)
+        entries = {row.index: (row.ballot, row.batch) for row in tail}
+        return cls(promised, applied, state, entries, committed)
 
     def replay(self, verb, ballot, fields):
         """Take the log record of a part; every one promises its ballot."""
--- a/quillring/quorum/swap.py
+++ b/quillring/quorum/swap.py
@@ -107,6 +107,7 @@
     ballot left beyond the owner's ends the term: only a new one can finish it.
     """
     promises = yield from prepare
-    beyond = [row for record in promises.values() for row in record[3] if row[0] > owner.index]
+    tails = [promise.tail for promise in promises.values()]
+    beyond = [row.ballot for tail in tails for row in tail if row.index > owner.index]
     if beyond:
-        raise Fenced(part=owner.part, ballot=list(max(tuple(row[1]) for row in beyond)))
+        raise Fenced(part=owner.part, ballot=list(max(beyond)))
--- a/quillring/quorum/tail.py
+++ b/quillring/quorum/tail.py
@@ -21,9 +21,9 @@
 def best_entries(promises, after):
     """Return {index: the entry of the highest ballot} of the accepted ones after an index."""
     best = {}
-    for store, record in promises.items():
-        for index, ballot, batch in record[3]:
-            entry, known = TailEntry(tuple(ballot), batch, [store]), best.get(index)
+    for store, promise in promises.items():
+        for index, ballot, batch in promise.tail:
+            entry, known = TailEntry(ballot, batch, [store]), best.get(index)
             if index <= after or (known is not None and known.ballot > entry.ballot):
                 continue
             if known is not None and known.ballot == entry.ballot:
