Quorum: accepted and applied entries are typed records

Cause: `entry[0]`, `fields[1]` and `entries[-1][0]` named neither ballot, batch nor index. Change: AcceptedEntry (ballot, batch) in a part's record, AppliedEntry (index, batch, weight) among the recent ones; log records are taken apart by name. What goes over the wire and onto disk is made in the same places as before, and the test of a former version's bytes stays as it is. One test of reading from stores made an entry as a bare pair; it makes the typed one now and checks what it checked.

--- a/proving/model/bugs.py
+++ b/proving/model/bugs.py
@@ -94,7 +94,7 @@
     real = PartRecord.learn
 
     def learn(self, ballot, committed):
-        self.entries = {index: (ballot, batch) for index, (_, batch) in self.entries.items()}
+        self.entries = {i: entry._replace(ballot=ballot) for i, entry in self.entries.items()}
         real(self, ballot, committed)
 
     return all_of([mock.patch.object(PartRecord, "learn", learn)])
--- a/quillring/quorum/recent.py
+++ b/quillring/quorum/recent.py
@@ -1,6 +1,7 @@
 """The entries applied lately, kept so that who missed a few of them needs no whole state."""
 
 from collections import deque
+from typing import NamedTuple
 
 import cbor2
 
@@ -8,6 +9,14 @@
 KEPT_WEIGHT = 12 << 20
 
 
+class AppliedEntry(NamedTuple):
+    """An applied entry of the log and its bytes on the wire."""
+
+    index: int
+    batch: list
+    weight: int
+
+
 class Recent:
     """Consecutive applied entries, in bounded number and weight (bytes)."""
 
@@ -27,14 +36,14 @@
     @property
     def first(self):
         """The index of the oldest entry kept, or None."""
-        return self.entries[0][0] if self.entries else None
+        return self.entries[0].index if self.entries else None
 
     def add(self, index, batch):
         """Remember an applied entry; the oldest ones go when there are too many."""
-        if self.entries and self.entries[-1][0] != index - 1:
+        if self.entries and self.entries[-1].index != index - 1:
             self.clear()
         weight = len(cbor2.dumps(batch))
-        self.entries.append((index, batch, weight))
+        self.entries.append(AppliedEntry(index, batch, weight))
         self.weight += weight
         self._trim()
 
@@ -44,17 +53,17 @@
             return
         for index, batch in reversed(entries):
             weight = len(cbor2.dumps(batch))
-            self.entries.appendleft((index, batch, weight))
+            self.entries.appendleft(AppliedEntry(index, batch, weight))
             self.weight += weight
         self._trim()
 
     def weight_since(self, applied):
         """Return the bytes of the entries kept after an index."""
-        return sum(weight for index, _, weight in self.entries if index > applied)
+        return sum(entry.weight for entry in self.entries if entry.index > applied)
 
     def _trim(self):
         while len(self.entries) > KEPT_ENTRIES or self.weight > self.most_weight:
-            self.weight -= self.entries.popleft()[2]
+            self.weight -= self.entries.popleft().weight
 
     def clear(self):
         """Forget all entries."""
@@ -66,7 +75,7 @@
 
         With a limit, in bytes, no more than it allows, but one at least.
         """
-        if not self.entries or self.entries[0][0] > applied + 1:
+        if not self.entries or self.entries[0].index > applied + 1:
             return None
         chosen, weight = [], 0
         for index, batch, entry_weight in self.entries:
--- a/quillring/quorum/record.py
+++ b/quillring/quorum/record.py
@@ -1,6 +1,7 @@
 """What one acceptor holds of a part."""
 
 from itertools import count
+from typing import NamedTuple
 
 from quillring.quorum.commands import answer_query, apply_batch
 from quillring.quorum.promise import Promise, TailRow
@@ -9,6 +10,13 @@
 RECENT_WEIGHT = 2 << 20
 
 
+class AcceptedEntry(NamedTuple):
+    """A log entry that was accepted under a ballot and is not applied yet."""
+
+    ballot: tuple
+    batch: list
+
+
 class PartRecord:
     """What one acceptor holds of a part."""
 
@@ -35,19 +43,23 @@
     def from_list(cls, fields):
         """Read a record from a slot."""
         promised, applied, state, tail, committed = Promise.from_list(fields)
-        entries = {row.index: (row.ballot, row.batch) for row in tail}
+        entries = {row.index: AcceptedEntry(row.ballot, row.batch) for row in tail}
         return cls(promised, applied, state, entries, committed)
 
     def replay(self, verb, ballot, fields):
         """Take the log record of a part; every one promises its ballot."""
         self.promised = max(self.promised, ballot)
-        if verb == "accept" and fields[0] > self.applied:
-            self.entries[fields[0]] = (ballot, fields[1])
+        if verb == "accept":
+            self._accept(ballot, *fields)
         if verb == "commit":
-            self.learn(ballot, fields[0])
+            self.learn(ballot, *fields)
         if verb == "install":
             self.install(*fields)
 
+    def _accept(self, ballot, index, batch):
+        if index > self.applied:
+            self.entries[index] = AcceptedEntry(ballot, batch)
+
     def has_member(self, identity):
         """Tell whether the applied state names the store of this identity as a member."""
         return self.state is not None and any(s[1] == identity for s in self.state["group"])
@@ -56,11 +68,11 @@
         """Apply what the ballot's owner says is committed; stop at a gap."""
         while self.applied < committed:
             entry = self.entries.get(self.applied + 1)
-            if entry is None or entry[0] != ballot or self.state is None:
+            if entry is None or entry.ballot != ballot or self.state is None:
                 break
-            self.state, _ = apply_batch(self.state, entry[1])
+            self.state, _ = apply_batch(self.state, entry.batch)
             self.applied += 1
-            self.recent.add(self.applied, entry[1])
+            self.recent.add(self.applied, entry.batch)
             del self.entries[self.applied]
         self.committed = max(self.committed, self.applied)
 
@@ -77,9 +89,9 @@
         """Return [[index, lot or None], ...] of the commands accepted and not applied here."""
         return [
             [index, command.get("lot")]
-            for index, (_, batch) in self.entries.items()
+            for index, entry in self.entries.items()
             if index > self.applied
-            for command in batch
+            for command in entry.batch
         ]
 
     def answers_beyond(self, query):
--- a/quillring/quorum/transfers.py
+++ b/quillring/quorum/transfers.py
@@ -91,8 +91,8 @@
         record = self.acceptors.parts.get(body["part"])
         if record is None or body["index"] not in record.entries:
             raise NotFounded(part=body["part"], store=self.acceptors.node.me.name)
-        ballot, batch = record.entries[body["index"]]
-        return [list(ballot), batch]
+        entry = record.entries[body["index"]]
+        return [list(entry.ballot), entry.batch]
 
     def _record(self, part):
         record = self.acceptors.parts.get(part)
--- a/tests/test_peek.py
+++ b/tests/test_peek.py
@@ -9,7 +9,7 @@
 from quillring.quorum.commands import first_state
 from quillring.quorum.owner import Owner
 from quillring.quorum.peek import find_answer, give
-from quillring.quorum.record import PartRecord
+from quillring.quorum.record import AcceptedEntry, PartRecord
 
 GROUP = [["store-1", "a", "north"], ["store-2", "b", "east"], ["store-3", "c", "south"]]
 OTHER = [["store-4", "d", "west"], *GROUP[1:]]
@@ -105,7 +105,9 @@
             yield Wait(synced, 1)
 
     acceptors.identity, acceptors.slots = "a", SlowSlots()
-    acceptors.parts["part-1"] = PartRecord(ONE, 4, first_state(GROUP), {5: (ONE, accept("l"))})
+    acceptors.parts["part-1"] = PartRecord(
+        ONE, 4, first_state(GROUP), {5: AcceptedEntry(ONE, accept("l"))}
+    )
     body = {"part": "part-1", "identity": "a", "query": ASKED, "beyond": True}
     script = acceptors.on_peek(body, "edge-1")
     assert isinstance(next(script), Wait)
