--- a/quillring/kernel/http_client.py
+++ b/quillring/kernel/http_client.py
@@ -11,7 +11,7 @@
 import gevent
 import httptools
 
-from quillring.kernel.connections import POOL, connect
+from quillring.kernel.connections import POOL, connect, wait_for_either
 from quillring.kernel.errors import BackendError, NotSent, StaleConnection
 
 READ_SIZE = 65536
@@ -39,6 +39,7 @@
         "is_framed",
         "is_closed",
         "has_surplus",
+        "is_written",
     )
 
     def __init__(self, connection, effect):
@@ -49,6 +50,7 @@
         self.has_bytes = False
         self.is_whole = self.has_surplus = False
         self.is_closed = False
+        self.is_written = False
         self.begin()
 
     def begin(self):
@@ -91,7 +93,7 @@
     def read(self):
         """Read once from the connection and parse it; BackendError at its end.
 
-        A body that only the connection's end would end can't be told from one that was cut short.
+        A body without a length is whole once its replica closed the connection; a reset is none.
         Bytes that are no answer take nothing from a whole one that came before them.
         """
         try:
@@ -99,7 +101,8 @@
         except OSError as error:
             raise BackendError(reason=type(error).__name__) from error
         if not data:
-            raise BackendError(reason="broken off" if self.is_framed else "no end to see")
+            self.take_close()
+            return
         self.has_bytes = True
         try:
             self.connection.parser.feed_data(data)
@@ -108,6 +111,12 @@
                 raise BackendError(reason="no answer") from error
             self.has_surplus = True
 
+    def take_close(self):
+        """Take the orderly close of the connection: the end of a body without a length."""
+        if self.is_framed or not self.is_ours:
+            raise BackendError(reason="broken off")
+        self.is_whole, self.is_kept = True, False
+
     def write_until(self, end_time):
         """Write the request; NotSent where a process that stood still comes too late for it."""
         seconds = end_time - time.monotonic()
@@ -118,10 +127,23 @@
         self.connection.carried_ids.add(self.answer_id)
         try:
             with gevent.Timeout(seconds, BackendError(reason="stall")):
-                self.connection.sock.sendall(self.effect.data)
+                self._write()
         except OSError as error:
             raise BackendError(reason=type(error).__name__) from error
 
+    def _write(self):
+        """Write the request; a replica that answers before it has read all of it gets no more."""
+        sock = self.connection.sock
+        rest = memoryview(self.effect.data)
+        rest = rest[sock.send(rest) :]
+        while rest and not self.has_head:
+            may_read, may_write = wait_for_either(sock)
+            if may_read:
+                self.read()
+            elif may_write:
+                rest = rest[sock.send(rest) :]
+        self.is_written = not rest
+
     def next_head(self, seconds):
         """Return once the head is there; StaleConnection where a kept connection had died."""
         try:
@@ -158,11 +180,12 @@
         return KEEP_SECONDS * KEEP_SHARE
 
     def close(self):
-        """End with the answer: a whole one leaves its connection to others."""
+        """End with the answer; only where both ways were whole is the connection kept."""
         if self.is_closed:
             return
         self.is_closed = True
-        keep_seconds = self.keep_seconds() if self.is_whole and self.is_kept else 0
+        is_sound = self.is_whole and self.is_kept and self.is_written
+        keep_seconds = self.keep_seconds() if is_sound else 0
         if keep_seconds > 0 and not self.parts and not self.has_surplus:
             POOL.put(self.connection, keep_seconds)
         else:
@@ -188,6 +211,9 @@
             raise
         except BackendError:
             kept.close()
+        except BaseException:
+            kept.close()
+            raise
     answer = Answer(connect(effect.address, end_time - time.monotonic()), effect)
     try:
         answer.write_until(end_time)
--- a/quillring/kernel/node.py
+++ b/quillring/kernel/node.py
@@ -6,7 +6,7 @@
 """
 
 import hashlib
-import inspect
+from types import GeneratorType
 from typing import NamedTuple
 
 from quillring.kernel.bounds import Bounds
@@ -44,6 +44,7 @@
         "log",
         "counts",
         "is_draining",
+        "is_closing",
         "under_way",
     )
 
@@ -58,6 +59,7 @@
         self.log = log or (lambda level, text, *fields: None)
         self.counts = {}
         self.is_draining = False
+        self.is_closing = False
         self.under_way = 0
 
     def now(self):
@@ -193,7 +195,7 @@
             if handler is None:
                 raise UnknownService(service=service)
             answer = handler(body, origin)
-            if inspect.isgenerator(answer):
+            if isinstance(answer, GeneratorType):
                 answer = yield from answer
         except QuillringError as error:
             answer = error
