Fleet: the assembly no longer imports the operators' verbs

Cause: fleet.py, which every node is made by, imported verbs/routes only so that its HTTP routes were entered; the simulator loaded the command line's package with it. Change: the process that serves HTTP loads the routes (verbs/process.py). The commands and queries of the logs entered by fleet.py alone are the same as before.

--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -24,10 +24,9 @@
 from quillring.rollout import ConfigurationSnapshot, Freshness
 from quillring.rollout import commands as rollout_commands
 from quillring.store import SlotStore
-from quillring.verbs import routes as verb_routes
 
 ROLES = Registry("role")
-PLUGINS = (rollout_commands, verb_routes)
+PLUGINS = (rollout_commands,)
 
 
 def make_node(me, world, seeds, bounds, log=None, versions=SPOKEN):
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -16,6 +16,9 @@
 from quillring.nifty import Member
 from quillring.quorum.autofound import found_by_itself
 from quillring.store import FolderDisk
+from quillring.verbs import routes
+
+PLUGINS = (routes,)
 
 
 class NameTaken(QuillringError):
