--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -23,7 +23,7 @@
 def view(**changes):
     fields = {
         "version": 1,
-        "layout": CONFIGURATION,
+        "configuration": CONFIGURATION,
         "groups": GROUPS,
         "stores": STORES,
         "replicas": REPLICAS,
