--- /dev/null
+++ b/quillring/kernel/types.py
@@ -0,0 +1,10 @@
+"""Names of types that many packages use."""
+
+from collections.abc import Generator
+from typing import Any
+
+Address = tuple[str, int]
+"""Host and port."""
+
+Script = Generator[Any, Any, Any]
+"""A script: it yields effects, is sent their outcomes, and returns its result."""
--- a/quillring/nifty/bits.py
+++ b/quillring/nifty/bits.py
@@ -1,10 +1,16 @@
 """Sets of members as whole numbers: one bit a name, in the order of some sorted names."""
 
+from __future__ import annotations
+
 from functools import reduce
 from operator import itemgetter, or_
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
 
 
-def to_bits(places):
+def to_bits(places: Iterable[int]) -> int:
     """Return the number with these bits set."""
     text = bytearray(max(places, default=-1) // 8 + 1)
     for place in places:
@@ -12,18 +18,18 @@
     return int.from_bytes(text, "little")
 
 
-def places_of(bits):
+def places_of(bits: int) -> list[int]:
     """Return the places of the set bits, in order."""
     text = bin(bits)[:1:-1]
     return [place for place, digit in enumerate(text) if digit == "1"]
 
 
-def merged(rows):
+def merged(rows: Iterable[int]) -> int:
     """Return the bits set in any of the rows."""
     return reduce(or_, rows, 0)
 
 
-def transposed(rows, width):
+def transposed(rows: list[int], width: int) -> list[int]:
     """Return the columns of a square matrix of `width` rows."""
     if not width:
         return []
@@ -36,7 +42,7 @@
 
     __slots__ = ("width", "pick")
 
-    def __init__(self, names, new_places):
+    def __init__(self, names: Sequence[str], new_places: dict[str, int]) -> None:
         """Make the reading of bits over `names` as bits over {name: place}."""
         self.width = len(names)
         known = {name: place for place, name in enumerate(names)}
@@ -44,7 +50,7 @@
         picked = [self.width - 1 - p if p < self.width else self.width for p in reversed(picked)]
         self.pick = itemgetter(*picked, self.width, self.width)
 
-    def read(self, bits):
+    def read(self, bits: int) -> int:
         """Return the bits in the new order."""
         digits = self.pick(format(bits, f"0{self.width}b") + "0")
         return int("".join(digits), 2) >> 2
@@ -55,11 +61,11 @@
 
     __slots__ = ("places", "made")
 
-    def __init__(self, places):
+    def __init__(self, places: dict[str, int]) -> None:
         self.places = places
         self.made = {}
 
-    def read(self, bits, names, places):
+    def read(self, bits: int, names: Sequence[str], places: dict[str, int]) -> int:
         """Return bits over `names`, whose {name: place} is `places`, in this order."""
         if places is self.places:
             return bits
--- a/quillring/nifty/graph.py
+++ b/quillring/nifty/graph.py
@@ -1,13 +1,20 @@
 """The connectivity graph and its routes (paper, section 5.2)."""
 
+from __future__ import annotations
+
 import hashlib
+from typing import TYPE_CHECKING
 
 from quillring.nifty.bits import merged, places_of, to_bits, transposed
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Hashable, Iterable, Sequence
+    from typing import Any
+
 KEPT_ANSWERS = 4096
 
 
-def score(*words):
+def score(*words: str) -> bytes:
     """Return the rendezvous score of the words."""
     return hashlib.blake2b("\0".join(words).encode(), digest_size=8).digest()
 
@@ -20,7 +27,7 @@
 
     __slots__ = ("home", "names", "places", "rows", "live_bits", "routes", "known")
 
-    def __init__(self, home, rows):
+    def __init__(self, home: str, rows: dict[str, Iterable[str]]) -> None:
         """Make the graph from {name: names it reaches}."""
         names = tuple(sorted({home, *rows, *(n for reached in rows.values() for n in reached)}))
         places = {name: place for place, name in enumerate(names)}
@@ -32,13 +39,15 @@
         )
 
     @classmethod
-    def of_bits(cls, home, names, places, rows):
+    def of_bits(
+        cls, home: str, names: Sequence[str], places: dict[str, int], rows: dict[str, int]
+    ) -> Graph:
         """Make the graph from {name: bits of the names it reaches}, in the order of `places`."""
         graph = cls.__new__(cls)
         graph._make(home, names, places, rows)
         return graph
 
-    def _make(self, home, names, places, rows):
+    def _make(self, home: str, names: Sequence[str], places: dict[str, int], rows: dict[str, int]):
         """Find the links and routes.
 
         The home's own links are what it sees itself; other pairs must both tell of their link,
@@ -60,7 +69,7 @@
         self.live_bits = home_bit | to_bits([p for p, bits in enumerate(self.rows) if bits])
         self.routes = self._bellman_ford()
 
-    def same_links(self, other):
+    def same_links(self, other: Graph) -> bool:
         """Tell whether another graph has the very same links between the same names."""
         return self.names == other.names and self.rows == other.rows
 
@@ -88,7 +97,7 @@
             ring = next_ring
         return routes
 
-    def _reached_from(self, ring):
+    def _reached_from(self, ring: int):
         """Return what the names of a ring reach, as soon as that is everyone."""
         reached_bits = 0
         for place in places_of(ring):
@@ -97,10 +106,10 @@
                 break
         return reached_bits
 
-    def _names(self, bits):
+    def _names(self, bits: int):
         return tuple([self.names[place] for place in places_of(bits)])
 
-    def _once(self, key, make):
+    def _once(self, key: Hashable, make: Callable[[], Any]):
         if key in self.known:
             return self.known[key]
         value = make()
@@ -109,7 +118,7 @@
         return value
 
     @property
-    def links(self):
+    def links(self) -> dict[str, frozenset[str]]:
         """Return {name: names it has a link with}."""
         return self._once(
             "links",
@@ -119,17 +128,17 @@
         )
 
     @property
-    def live(self):
+    def live(self) -> frozenset[str]:
         """Return the names with any link, home included."""
         return self._once("live", lambda: frozenset(self._names(self.live_bits)))
 
-    def neighbours(self):
+    def neighbours(self) -> frozenset[str]:
         """Return the names that the home has a link with."""
         return self._once(
             "neighbours", lambda: frozenset(self._names(self.rows[self.places[self.home]]))
         )
 
-    def next_hop(self, target, origin):
+    def next_hop(self, target: str, origin: str) -> str | None:
         """Return the neighbour to pass a message to, spread over equal routes, or None."""
         known_route = self.routes.get(target)
         if known_route is None:
@@ -141,23 +150,23 @@
             (target, origin), lambda: max(hops, key=lambda hop: score(origin, target, hop))
         )
 
-    def hops(self, target):
+    def hops(self, target: str) -> int | None:
         """Return the hop count to the target, or None."""
         if target == self.home:
             return 0
         known_route = self.routes.get(target)
         return known_route[0] if known_route else None
 
-    def reachable(self):
+    def reachable(self) -> frozenset[str]:
         """Return the names that a message can get to, home included."""
         return self._once("reachable", lambda: frozenset(self.routes) | {self.home})
 
     @property
-    def is_cut(self):
+    def is_cut(self) -> bool:
         """True while some pair of live nodes has no direct link."""
         return len(self.bridge_nodes()) < self.live_bits.bit_count()
 
-    def bridge_nodes(self):
+    def bridge_nodes(self) -> tuple[str, ...]:
         """Return the live nodes that reach every live node directly."""
         return self._once(
             "bridges",
@@ -168,11 +177,11 @@
             ),
         )
 
-    def bridges_without(self, left_out):
+    def bridges_without(self, left_out: frozenset[str]) -> frozenset[str]:
         """Return the live nodes that reach all others but some directly, if not all of them do."""
         return self._once(("bridges", left_out), lambda: self._find_bridges(left_out))
 
-    def _find_bridges(self, left_out):
+    def _find_bridges(self, left_out: frozenset[str]):
         left_out_bits = to_bits([self.places[name] for name in left_out if name in self.places])
         asked_bits = self.live_bits & ~left_out_bits
         bridge_bits = to_bits(
@@ -180,7 +189,7 @@
         )
         return frozenset() if bridge_bits == asked_bits else frozenset(self._names(bridge_bits))
 
-    def sides(self):
+    def sides(self) -> tuple[tuple[str, ...], ...]:
         """Return the groups of live nodes on each side of the cut, bridges left out."""
         return self._once("sides", self._find_sides)
 
@@ -198,7 +207,7 @@
             found_sides.append(self._names(side))
         return tuple(sorted(found_sides))
 
-    def to_json(self):
+    def to_json(self) -> dict:
         """Return the graph as operators see it."""
         return {
             "is_cut": self.is_cut,
--- a/quillring/nifty/heard.py
+++ b/quillring/nifty/heard.py
@@ -1,9 +1,19 @@
 """What a node last heard from a peer, and the reading of heartbeats."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.kernel.errors import BadWire
 from quillring.nifty.member import FIELDS, Member
 from quillring.nifty.wire import unpack
 
+if TYPE_CHECKING:
+    from typing import Any
+
+    from quillring.nifty.bits import Orders
+    from quillring.nifty.member import Roster
+
 FULL, TERSE = 6, 5
 
 
@@ -33,7 +43,7 @@
         "is_refused",
     )
 
-    def __init__(self, beat):
+    def __init__(self, beat: Beat) -> None:
         self.at, self.is_refused = 0, False
         self.incarnation, self.sequence, self.version = beat.incarnation, 0, beat.version
         self.echo_at = self.stamp = self.digest = self.unread = None
@@ -41,11 +51,11 @@
         self.acked, self.reads_terse = 0, False
 
     @property
-    def row(self):
+    def row(self) -> frozenset[str] | None:
         """The names it last told it reaches, or None."""
         return None if self.roster is None else self.roster.names_of(self.bits)
 
-    def take_row(self, digest, bitmap, roster):
+    def take_row(self, digest: bytes, bitmap: bytes, roster: Roster | None) -> bool:
         """Take a bitmap made for a roster, if that is known; tell whether the row changed."""
         self.digest = digest
         self.unread = bitmap if roster is None else None
@@ -57,7 +67,7 @@
         self.roster, self.bits, self.places = roster, bits, None
         return True
 
-    def bits_over(self, orders):
+    def bits_over(self, orders: Orders) -> int:
         """Return the row as bits in another order."""
         if self.places is not orders.places:
             self.own_bits = orders.read(self.bits, self.roster.names, self.roster.places)
@@ -81,7 +91,9 @@
         "reads_terse",
     )
 
-    def __init__(self, data, versions, known_members=None):
+    def __init__(
+        self, data: bytes, versions: tuple[int, ...], known_members: dict[str, Member] | None = None
+    ) -> None:
         """Read a datagram; whatever is no heartbeat raises BadWire."""
         try:
             self.version, fields = unpack(data, versions)
@@ -109,7 +121,7 @@
             raise BadWire(reason="beat")
 
 
-def read_member(record, known_members):
+def read_member(record: list, known_members: dict[str, Member]) -> Member:
     """Return the member of a record: the known one when nothing of it changed."""
     known = known_members.get(record[0]) if len(record) == len(FIELDS) else None
     if known is not None and known.to_list() == record:
@@ -117,7 +129,7 @@
     return Member.from_list(record)
 
 
-def is_stamp(stamp):
+def is_stamp(stamp: Any) -> bool:
     """Tell whether a stamp is none, or ballot, index and identity of a store."""
     return stamp is None or (
         isinstance(stamp, list)
@@ -127,7 +139,7 @@
     )
 
 
-def read_envelope(data, versions):
+def read_envelope(data: bytes, versions: tuple[int, ...]) -> list:
     """Return the envelope of a frame; whatever is none raises BadWire."""
     try:
         _, envelope = unpack(data, versions)
--- a/quillring/nifty/member.py
+++ b/quillring/nifty/member.py
@@ -1,11 +1,20 @@
 """peers and the roster, an immutable snapshot swapped whole."""
 
+from __future__ import annotations
+
 import hashlib
+from typing import TYPE_CHECKING
 
 import cbor2
 
 from quillring.nifty.bits import places_of, to_bits
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from typing import Any
+
+    from quillring.kernel.types import Address
+
 FIELDS = ("name", "incarnation", "role", "zone", "host", "port", "http_port", "identity")
 # In the public list of members a zone keeps its former name.
 JSON_NAMES = {"zone": "domain"}
@@ -16,29 +25,29 @@
 
     __slots__ = FIELDS
 
-    def __init__(self, *fields):
+    def __init__(self, *fields: Any) -> None:
         for slot, field in zip(FIELDS, fields, strict=True):
             setattr(self, slot, field)
 
     @property
-    def address(self):
+    def address(self) -> Address:
         """The (host, port) of its heartbeats and messages."""
         return self.host, self.port
 
-    def to_list(self):
+    def to_list(self) -> list:
         """Return the fields in wire order."""
         return [getattr(self, slot) for slot in FIELDS]
 
-    def restarted(self, incarnation):
+    def restarted(self, incarnation: int) -> Member:
         """Return the member under another start."""
         return Member(self.name, incarnation, *self.to_list()[2:])
 
-    def to_json(self):
+    def to_json(self) -> dict:
         """Return the fields by name."""
         return {JSON_NAMES.get(slot, slot): getattr(self, slot) for slot in FIELDS}
 
     @classmethod
-    def from_list(cls, fields):
+    def from_list(cls, fields: list) -> Member:
         """Read a member record, refusing one with wrong types."""
         if len(fields) != len(FIELDS):
             raise ValueError("member fields")
@@ -56,19 +65,19 @@
 
     __slots__ = ("members", "names", "places", "digest", "addresses")
 
-    def __init__(self, members):
+    def __init__(self, members: Iterable[Member]) -> None:
         self._fill({m.name: m for m in sorted(members, key=lambda m: m.name)})
         self.names = tuple(self.members)
         self.places = {name: place for place, name in enumerate(self.names)}
         self.digest = hashlib.sha256(cbor2.dumps(self.names)).digest()[:8]
 
-    def _fill(self, members):
+    def _fill(self, members: dict[str, Member]):
         self.members = members
         self.addresses = {}
         for member in members.values():
             self.addresses.setdefault(member.address, []).append(member.name)
 
-    def with_members(self, members):
+    def with_members(self, members: Iterable[Member]) -> Roster:
         """Return the roster with these members added or renewed."""
         new_members = {**self.members, **{m.name: m for m in members}}
         if len(new_members) > len(self.members):
@@ -78,19 +87,19 @@
         renewed.names, renewed.places, renewed.digest = self.names, self.places, self.digest
         return renewed
 
-    def without(self, name):
+    def without(self, name: str) -> Roster:
         """Return the roster without the member."""
         return Roster([m for m in self.members.values() if m.name != name])
 
-    def to_bitmap(self, reached_names):
+    def to_bitmap(self, reached_names: Iterable[str]) -> bytes:
         """Return the compact bitmap of the names."""
         bits = to_bits([self.places[name] for name in reached_names if name in self.places])
         return bits.to_bytes((len(self.names) + 7) // 8, "little")
 
-    def from_bitmap(self, bitmap):
+    def from_bitmap(self, bitmap: bytes) -> int:
         """Return the bits of a bitmap that was made for this very roster."""
         return int.from_bytes(bitmap, "little") & (1 << len(self.names)) - 1
 
-    def names_of(self, bits):
+    def names_of(self, bits: int) -> frozenset[str]:
         """Return the names of bits made for this roster's names."""
         return frozenset([self.names[place] for place in places_of(bits)])
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -1,5 +1,9 @@
 """NIFTY in a process: heartbeats to all, bitmaps, graph, routes, relays, deduplication."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import BadWire
 from quillring.nifty.bits import Orders
@@ -11,6 +15,12 @@
 from quillring.nifty.telling import Telling
 from quillring.nifty.wire import SPOKEN
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Address, Script
+
 PARTS = 4
 STARTING = 4
 MENDED_A_PART = 3
@@ -38,7 +48,9 @@
         "answered_names",
     )
 
-    def __init__(self, node, seeds, versions=SPOKEN):
+    def __init__(
+        self, node: Node, seeds: Iterable[Address], versions: tuple[int, ...] = SPOKEN
+    ) -> None:
         super().__init__(node)
         self.seeds = tuple(seeds)
         self.graph = Graph(node.me.name, {})
@@ -58,7 +70,7 @@
         self.answered_names = frozenset()
         node.handle("member.former", lambda body, origin: renew_start(self, body))
 
-    def run(self):
+    def run(self) -> Script:
         """Script: send a heartbeat to all in every period, the lost ones included."""
         while True:
             self.send_beats()
@@ -67,12 +79,12 @@
                 self.refresh()
                 yield Sleep(self.pace.period / PARTS)
 
-    def _press(self, part):
+    def _press(self, part: int):
         former_names, self.answered_names = self.answered_names, self.reached_names()
         if part and self.node.now() - self.started_at < self.pace.period * STARTING:
             self.send_beats(former_names & self.answered_names)
 
-    def send_beats(self, left_out_names=frozenset()):
+    def send_beats(self, left_out_names: frozenset[str] = frozenset()) -> None:
         """Send one heartbeat to every member not left out and to each seed not yet known."""
         telling, own_address, heard_of = self._next_telling(), self.node.me.address, self.heard.get
         addresses = self.roster.addresses
@@ -113,13 +125,13 @@
             now - self.pace.broken,
         )
 
-    def _send_beat(self, address, telling, heard):
+    def _send_beat(self, address: Address, telling: Telling, heard: Heard | None):
         data = telling.to(heard)
         self.node.count("beats_sent")
         self.node.count("beat_bytes", len(data))
         self.node.world.datagram(address, data)
 
-    def on_datagram(self, data):
+    def on_datagram(self, data: bytes) -> None:
         """Take a heartbeat; garbage is counted and dropped."""
         try:
             beat = Beat(data, self.versions, self.known_roster.members)
@@ -139,7 +151,7 @@
         if not is_known and (former is not None or self.pace.period > self.node.bounds.beat):
             self._send_beat(beat.member.address, self._next_telling(), heard)
 
-    def _is_news(self, beat, heard):
+    def _is_news(self, beat: Beat, heard: Heard | None):
         """Tell whether an unexpected heartbeat is of a newer start; a stranger is told."""
         if beat.member is None:
             self.node.count("unread_beats")
@@ -155,7 +167,7 @@
             tell_stranger(self, beat.member, beat.version, "member.former", former)
         return False
 
-    def _hear(self, heard, beat):
+    def _hear(self, heard: Heard, beat: Beat):
         """Take what a heartbeat tells; a link that came up is routed at once or within a part."""
         now = self.node.now()
         heard.at, heard.sequence, heard.stamp = now, beat.sequence, beat.stamp
@@ -181,7 +193,7 @@
             if self.refreshed_at is None or now - self.refreshed_at >= self.pace.period / PARTS:
                 self.refresh()
 
-    def refresh(self):
+    def refresh(self) -> None:
         """Make the graph anew if what was heard has changed; a changed one is told to listeners."""
         heard_edge, roster, me = self.node.now() - self.pace.broken, self.roster, self.node.me.name
         self.mended_count = 0
@@ -208,7 +220,7 @@
         self.node.count("graph_makings")
         self._swap_graph(Graph.of_bits(me, roster.names, roster.places, rows))
 
-    def _swap_graph(self, new_graph):
+    def _swap_graph(self, new_graph: Graph):
         former_graph = self.graph
         if new_graph.same_links(former_graph):
             return
@@ -221,20 +233,10 @@
         for listener in self.listeners:
             listener(new_graph)
 
-    def level(self):
-        """Return the newest version that every member in reach is known to speak."""
-        names = [name for name in self.roster.names if name in self.graph.routes]
-        spoken = [self.heard[n].version if n in self.heard else self.versions[0] for n in names]
-        return min((self.versions[-1], *spoken))
-
-    def bridge_nodes(self):
+    def bridge_nodes(self) -> tuple[str, ...]:
         """Return the current bridge list (paper, listing 5.1)."""
         return self.graph.bridge_nodes()
 
-    def sides(self):
+    def sides(self) -> tuple[tuple[str, ...], ...]:
         """Return the sides of the current cut."""
         return self.graph.sides()
-
-    def reaches(self, name):
-        """Tell whether a message can get to the node, directly or relayed."""
-        return name == self.node.me.name or name in self.graph.routes
--- a/quillring/nifty/pace.py
+++ b/quillring/nifty/pace.py
@@ -6,6 +6,13 @@
 heartbeats, or with two where three would take longer.
 """
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from quillring.kernel.bounds import Bounds
+
 MEMBERS_A_SECOND = 256
 MISSED, FEWEST_MISSED = 3, 2
 
@@ -15,13 +22,13 @@
 
     __slots__ = ("period", "missed")
 
-    def __init__(self, bounds, member_count):
+    def __init__(self, bounds: Bounds, member_count: int) -> None:
         longest_silence = max(bounds.return_ * 0.75, bounds.beat * MISSED)
         wanted_period = max(bounds.beat, member_count / MEMBERS_A_SECOND)
         self.period = min(wanted_period, max(bounds.beat, longest_silence / FEWEST_MISSED))
         self.missed = MISSED if self.period * MISSED <= longest_silence else FEWEST_MISSED
 
     @property
-    def broken(self):
+    def broken(self) -> float:
         """Silence after which a link counts as broken."""
         return self.period * self.missed
--- a/quillring/nifty/peers.py
+++ b/quillring/nifty/peers.py
@@ -1,8 +1,18 @@
 """Who the peers are: the roster, and what was last heard of each member."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.nifty.member import Roster
 from quillring.nifty.pace import Pace
 
+if TYPE_CHECKING:
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Address
+    from quillring.nifty.heard import Heard
+    from quillring.nifty.member import Member
+
 KEPT_ROSTERS = 8
 
 
@@ -20,7 +30,7 @@
         "on_member",
     )
 
-    def __init__(self, node):
+    def __init__(self, node: Node) -> None:
         self.node = node
         self.known_roster = Roster([node.me])
         self.newcomers = {}
@@ -31,7 +41,7 @@
         self.on_member = lambda member: None
 
     @property
-    def roster(self):
+    def roster(self) -> Roster:
         """The present roster; members learned since it was last read come in by one swap."""
         if self.newcomers:
             self.swap_roster(self._next_roster())
@@ -41,15 +51,15 @@
         new_members, self.newcomers = self.newcomers, {}
         return self.known_roster.with_members(new_members.values())
 
-    def find_member(self, name):
+    def find_member(self, name: str) -> Member | None:
         """Return the member of this name, or None."""
         return self.newcomers.get(name) or self.known_roster.members.get(name)
 
-    def member_count(self):
+    def member_count(self) -> int:
         """Return how many members are known, at most."""
         return len(self.known_roster.names) + len(self.newcomers)
 
-    def learn(self, member):
+    def learn(self, member: Member) -> None:
         """Take a member record; a newer incarnation renews the address."""
         known = self.find_member(member.name)
         if known is not None and known.incarnation >= member.incarnation:
@@ -59,13 +69,13 @@
         self.newcomers[member.name] = member
         self.on_member(member)
 
-    def forget(self, name):
+    def forget(self, name: str) -> None:
         """Drop a retired member for good."""
         if name in self.roster.members and name != self.node.me.name:
             self.swap_roster(self.roster.without(name))
             self.heard.pop(name, None)
 
-    def swap_roster(self, new_roster):
+    def swap_roster(self, new_roster: Roster) -> None:
         """Put another roster in the place of the present one."""
         kept_rosters = [*self.old_rosters.values(), new_roster][-KEPT_ROSTERS:]
         self.is_stale = self.is_stale or new_roster.digest != self.known_roster.digest
@@ -76,17 +86,17 @@
             if heard.unread is not None and new_roster.digest == heard.digest:
                 heard.take_row(heard.digest, heard.unread, new_roster)
 
-    def take_row(self, heard, digest, bitmap):
+    def take_row(self, heard: Heard, digest: bytes, bitmap: bytes) -> bool:
         """Take the bitmap that a member sent; tell whether its row changed."""
         if self.newcomers and digest not in self.old_rosters:
             self.swap_roster(self._next_roster())
         return heard.take_row(digest, bitmap, self.old_rosters.get(digest))
 
-    def is_heard(self, heard):
+    def is_heard(self, heard: Heard) -> bool:
         """Tell whether too few beats were missed to break a link."""
         return heard.at > self.node.now() - self.pace.broken
 
-    def on_refused(self, address):
+    def on_refused(self, address: Address) -> None:
         """Take that no process listens at an address: who lived there is lost at once.
 
         It counts as lost as after missed beats, and until its next one. In a fleet whose beats are
@@ -99,7 +109,7 @@
         if self.pace.period <= self.node.bounds.beat:
             self.send_beats()
 
-    def refuse(self, address):
+    def refuse(self, address: Address) -> bool:
         """Take that the members at an address listen no more; tell whether that is news."""
         heard = [self.heard[n] for n in self.roster.addresses.get(address, ()) if n in self.heard]
         news = [known for known in heard if not known.is_refused and self.is_heard(known)]
@@ -107,17 +117,17 @@
             known.is_refused = True
         return bool(news)
 
-    def is_just_refused(self, name):
+    def is_just_refused(self, name: str) -> bool:
         """Tell whether a member is lost only because it listens no more, not yet by its silence."""
         heard = self.heard.get(name)
         return heard is not None and heard.is_refused and self.is_heard(heard)
 
-    def is_silent(self, name, seconds):
+    def is_silent(self, name: str, seconds: float) -> bool:
         """Tell whether nothing was heard of a member for so long."""
         heard = self.heard.get(name)
         return heard is None or heard.at < self.node.now() - seconds
 
-    def reached_names(self):
+    def reached_names(self) -> frozenset[str]:
         """Return the names heard lately that lately heard this node too, by their echo."""
         heard_edge = self.node.now() - self.pace.broken
         echo_edge = heard_edge - self.pace.period
--- a/quillring/nifty/relay.py
+++ b/quillring/nifty/relay.py
@@ -13,13 +13,23 @@
 
     __slots__ = ()
 
-    def send(self, target, message):
+    def reaches(self, name: str) -> bool:
+        """Tell whether a message can get to the node, directly or relayed."""
+        return name == self.node.me.name or name in self.graph.routes
+
+    def level(self) -> int:
+        """Return the newest version that every member in reach is known to speak."""
+        names = [name for name in self.roster.names if name in self.graph.routes]
+        spoken = [self.heard[n].version if n in self.heard else self.versions[0] for n in names]
+        return min((self.versions[-1], *spoken))
+
+    def send(self, target: str, message: dict) -> bool:
         """Send a message by the best route; False when no route is known."""
         self.sequence += 1
         me = self.node.me
         return self._forward([me.name, me.incarnation, self.sequence, target, HOP_LIMIT, message])
 
-    def _forward(self, envelope):
+    def _forward(self, envelope: list):
         origin, _, _, target, hops_left, _ = envelope
         hop = self.graph.next_hop(target, origin)
         hop_member = self.roster.members.get(hop)
@@ -31,7 +41,7 @@
         self.node.world.frame(hop_member.address, pack(envelope, version))
         return True
 
-    def on_frame(self, data):
+    def on_frame(self, data: bytes) -> None:
         """Take a frame: deliver it once here, or relay it."""
         try:
             envelope = read_envelope(data, self.versions)
@@ -49,7 +59,7 @@
         else:
             self.node.count("duplicates")
 
-    def _is_new(self, origin, incarnation, sequence):
+    def _is_new(self, origin: str, incarnation: int, sequence: int):
         """Tell whether a message is the first copy, and of no former life of its sender.
 
         The window knows the lives this node got messages from, the roster also those that it only
--- a/quillring/nifty/seen.py
+++ b/quillring/nifty/seen.py
@@ -8,12 +8,12 @@
 
     __slots__ = ("incarnation", "top", "recent")
 
-    def __init__(self, incarnation):
+    def __init__(self, incarnation: int) -> None:
         self.incarnation = incarnation
         self.top = 0
         self.recent = set()
 
-    def first_time(self, sequence):
+    def first_time(self, sequence: int) -> bool:
         """Tell whether the sequence is new, and remember it."""
         if sequence <= self.top - WINDOW or sequence in self.recent:
             return False
--- a/quillring/nifty/starts.py
+++ b/quillring/nifty/starts.py
@@ -1,9 +1,20 @@
 """Under which start a member lives: clashes of names, and clocks that were set back."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.nifty.wire import pack
 
+if TYPE_CHECKING:
+    from typing import Any
+
+    from quillring.nifty.heard import Heard
+    from quillring.nifty.member import Member
+    from quillring.nifty.nifty import Nifty
+
 
-def is_clash(nifty, member, heard):
+def is_clash(nifty: Nifty, member: Member, heard: Heard | None) -> bool:
     """Tell whether a newcomer bears the name of a member that lives at another address."""
     known = nifty.find_member(member.name)
     return (
@@ -15,7 +26,7 @@
     )
 
 
-def tell_stranger(nifty, member, version, service, body):
+def tell_stranger(nifty: Nifty, member: Member, version: int, service: str, body: Any) -> None:
     """Send a message straight to the address of one who is no member under this start."""
     nifty.sequence += 1
     me = nifty.node.me
@@ -23,7 +34,7 @@
     nifty.node.world.frame(member.address, pack([*envelope, {"s": service, "b": body}], version))
 
 
-def renew_start(nifty, incarnation):
+def renew_start(nifty: Nifty, incarnation: int) -> None:
     """Start under a higher number: the clock that gave this one was set back."""
     me = nifty.node.me
     if incarnation < me.incarnation:
--- a/quillring/nifty/telling.py
+++ b/quillring/nifty/telling.py
@@ -1,10 +1,18 @@
 """One round of heartbeats: what they share is packed once."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 import cbor2
 
 from quillring.nifty.heard import FULL, TERSE
 from quillring.nifty.wire import HEADS
 
+if TYPE_CHECKING:
+    from quillring.nifty.heard import Heard
+    from quillring.nifty.member import Member
+
 ARRAY = 0x80
 NO_ECHO = cbor2.dumps(None)
 
@@ -18,7 +26,17 @@
 
     __slots__ = ("told_sequence", "full_part", "terse_part", "versions", "heard_edge")
 
-    def __init__(self, me, sequence, told_sequence, digest, bitmap, stamp, versions, heard_edge):
+    def __init__(
+        self,
+        me: Member,
+        sequence: int,
+        told_sequence: int,
+        digest: bytes,
+        bitmap: bytes,
+        stamp: list | None,
+        versions: tuple[int, ...],
+        heard_edge: float,
+    ) -> None:
         parts = [cbor2.dumps(value) for value in (me.to_list(), sequence, digest, bitmap, stamp)]
         self.full_part = bytes([ARRAY | FULL]) + b"".join(parts)
         self.terse_part = (
@@ -32,7 +50,7 @@
         self.versions = versions
         self.heard_edge = heard_edge
 
-    def to(self, heard):
+    def to(self, heard: Heard | None) -> bytes:
         """Return the datagram for a member, None for one never heard."""
         if heard is None or heard.at <= self.heard_edge:
             return HEADS[self.versions[0]] + self.full_part + NO_ECHO
--- a/quillring/nifty/wire.py
+++ b/quillring/nifty/wire.py
@@ -8,22 +8,29 @@
 Version 3 added lots outside their host's part, `raw.reserve`, `raw.release`, `raw.fence`.
 """
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 import cbor2
 
 from quillring.kernel.errors import BadWire
 
+if TYPE_CHECKING:
+    from typing import Any
+
 MAGIC = b"QR"
 SPOKEN = (2, 3)
 FRAME_LIMIT = 64 * 1024 * 1024
 HEADS = [MAGIC + bytes([version]) for version in range(256)]
 
 
-def pack(value, version=SPOKEN[-1]):
+def pack(value: Any, version: int = SPOKEN[-1]) -> bytes:
     """Return the bytes of a value under a version."""
     return HEADS[version] + cbor2.dumps(value)
 
 
-def unpack(data, versions=SPOKEN):
+def unpack(data: bytes, versions: tuple[int, ...] = SPOKEN) -> tuple[int, Any]:
     """Return (version, value); garbage and versions not spoken raise BadWire."""
     if data[:2] != MAGIC:
         raise BadWire(reason="magic")
