--- a/quillring/quorum/acceptor.py
+++ b/quillring/quorum/acceptor.py
@@ -1,5 +1,9 @@
 """The acceptors on a store machine: promises, accepted entries, applied state, per part."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.kernel.errors import Conflict, Fenced, NotFounded
 from quillring.quorum.commands import answer_query, first_state
 from quillring.quorum.identity import WrongIdentity
@@ -9,6 +13,18 @@
 from quillring.quorum.tail import TAIL_INDEXES
 from quillring.quorum.transfers import Transfers
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from typing import Any
+
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.quorum.parts import Ballot
+
+FOUNDING_CALLS = ("found", "founding")
+OWNERS_CALLS = ("prepare", "accept", "commit", "install", "confirm", "catch_up")
+READERS_CALLS = ("image", "peek")
+
 
 class Acceptors:
     """The store's side of every part; all that it answers is durable first."""
@@ -24,7 +40,7 @@
         "transfers",
     )
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.node = None
         self.identity = None
         self.parts = {}
@@ -34,21 +50,10 @@
         self.listeners = []
         self.transfers = Transfers(self)
 
-    def attach(self, node):
+    def attach(self, node: Node) -> None:
         """Join the node, whose member record carries the identity found on disk."""
         self.node = node
-        for name in (
-            "found",
-            "founding",
-            "prepare",
-            "accept",
-            "commit",
-            "install",
-            "image",
-            "peek",
-            "confirm",
-            "catch_up",
-        ):
+        for name in (*FOUNDING_CALLS, *OWNERS_CALLS, *READERS_CALLS):
             node.handle(f"quorum.{name}", getattr(self, f"on_{name}"))
         self.transfers.attach(node)
         gossip = node.find("gossip")
@@ -58,7 +63,7 @@
                 self._publish(part, record)
             gossip.listen("founding", self._on_founding_news)
 
-    def _publish(self, part, record):
+    def _publish(self, part: str, record: PartRecord):
         """Tell all nodes what is committed here, so that it needs no owner to be known."""
         if record.state is None:
             return
@@ -68,23 +73,23 @@
         elif gossip.get(f"group/{part}") != record.state["group"]:
             gossip.put(f"group/{part}", [record.applied], record.state["group"])
 
-    def _on_founding_news(self, key, founding):
+    def _on_founding_news(self, key: str, founding: dict):
         if self.founding is None:
             self.node.spawn(self.keep(["found", founding]))
 
-    def rows(self):
+    def rows(self) -> list[list]:
         """Return all state for a slot."""
         return to_rows(self)
 
-    def load_rows(self, rows):
+    def load_rows(self, rows: Iterable[list]) -> None:
         """Take the state of a slot."""
         load_rows(self, rows)
 
-    def load(self, snapshot):
+    def load(self, snapshot: dict) -> None:
         """Take the state of a slot of the version before, which is one value."""
         load_whole(self, snapshot)
 
-    def replay(self, record):
+    def replay(self, record: list) -> None:
         """Take one log record; the running store changes its memory by the same function."""
         verb, part, *rest = record
         if verb == "found":
@@ -112,12 +117,12 @@
                 part_record.install(rest[1], state)
         self.transfers.forget(part, part_record)
 
-    def keep(self, record):
+    def keep(self, record: list) -> Script:
         """Script: change the memory, and return once the record is durable."""
         self.replay(record)
         yield from self.slots.commit([record])
 
-    def check(self, body):
+    def check(self, body: dict) -> tuple[PartRecord, Ballot]:
         """Return (record of the part, ballot) of a call that this store may follow, or raise."""
         if body["identity"] != self.identity:
             raise WrongIdentity(store=self.node.me.name, identity=self.identity)
@@ -129,7 +134,7 @@
             raise Fenced(part=body["part"], ballot=list(part_record.promised))
         return part_record, ballot
 
-    def on_found(self, body, origin):
+    def on_found(self, body: dict, origin: str) -> Script:
         """Take the founding record; another founding is answered with a conflict."""
         if self.founding is None:
             if body["identity"] != self.identity:
@@ -139,11 +144,11 @@
             raise Conflict(founding=self.founding)
         return self.founding["fleet"]
 
-    def on_founding(self, body, origin):
+    def on_founding(self, body: Any, origin: str) -> dict | None:
         """Tell which founding this store holds, or None."""
         return self.founding
 
-    def on_prepare(self, body, origin):
+    def on_prepare(self, body: dict, origin: str) -> Script:
         """Promise a ballot and tell what was accepted."""
         _, ballot = self.check(body)
         yield from self.keep(["promise", body["part"], list(ballot)])
@@ -155,7 +160,7 @@
             promise = promise.brief(has_batches=body["brief"] != TAIL_INDEXES)
         return promise.to_list()
 
-    def on_catch_up(self, body, origin):
+    def on_catch_up(self, body: dict, origin: str) -> Script:
         """Accept all the entries that this store missed, and apply them."""
         self.check(body)
         part, ballot = body["part"], list(body["ballot"])
@@ -166,7 +171,7 @@
         yield from self.slots.commit(records)
         return self.tell(part)
 
-    def on_accept(self, body, origin):
+    def on_accept(self, body: dict, origin: str) -> Script:
         """Accept an entry of the ballot, and apply what its owner says is committed."""
         _, ballot = self.check(body)
         record = ["accept", body["part"], list(ballot), body["index"], body["batch"]]
@@ -176,7 +181,7 @@
         yield from self.slots.commit([record, commit_record])
         return self.tell(body["part"])
 
-    def on_commit(self, body, origin):
+    def on_commit(self, body: dict, origin: str) -> Script:
         """Mark entries of the ballot as committed, durably."""
         part_record, ballot = self.check(body)
         is_known = part_record.promised == ballot and part_record.applied >= body["committed"]
@@ -185,28 +190,28 @@
         yield from self.keep(["commit", body["part"], list(body["ballot"]), body["committed"]])
         return self.tell(body["part"])
 
-    def on_install(self, body, origin):
+    def on_install(self, body: dict, origin: str) -> Script:
         """Take the owner's whole state of a part in place of missed entries."""
         self.check(body)
         fields = [list(body["ballot"]), body["index"], body["state"]]
         yield from self.keep(["install", body["part"], *fields])
         return self.tell(body["part"])
 
-    def on_confirm(self, body, origin):
+    def on_confirm(self, body: dict, origin: str) -> bool:
         """Tell an owner that no higher ballot was promised here; writes nothing."""
         part_record, ballot = self.check(body)
         if part_record.promised != ballot:
             raise Fenced(part=body["part"], ballot=list(part_record.promised))
         return True
 
-    def on_image(self, body, origin):
+    def on_image(self, body: dict, origin: str) -> list:
         """Give the applied state of a part to any reader."""
         part_record = self.parts.get(body["part"])
         if part_record is None or part_record.state is None:
             raise NotFounded(part=body["part"], store=self.node.me.name)
         return [part_record.applied, part_record.state]
 
-    def on_peek(self, body, origin):
+    def on_peek(self, body: dict, origin: str) -> Script:
         """Script: answer a query from the applied state, with what may be chosen beyond it."""
         part_record = self.parts.get(body["part"])
         if part_record is None or part_record.state is None:
@@ -225,7 +230,7 @@
                 yield from self.slots.commit([])
         return known
 
-    def stamp(self):
+    def stamp(self) -> list | None:
         """Return the config part's ballot and committed index, None if no member can give it."""
         config_record = self.parts.get(CONFIG)
         is_silent = config_record is None or self.slots.error is not None
@@ -233,7 +238,7 @@
             return None
         return [list(config_record.promised), config_record.committed, self.identity]
 
-    def tell(self, part):
+    def tell(self, part: str) -> int:
         """Tell the listeners what is committed in a part; return the index applied."""
         for listener in self.listeners:
             listener(part, self.parts[part])
--- a/quillring/quorum/autofound.py
+++ b/quillring/quorum/autofound.py
@@ -1,16 +1,27 @@
 """The first start of a fleet: one core founds it by itself; the others come in only if it fails."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import QuillringError
 from quillring.quorum.electing import agree
 from quillring.quorum.founding import found_fleet, roster_stores
 from quillring.quorum.parts import GROUP_SIZE, is_enough
 
+if TYPE_CHECKING:
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.quorum.parts import Store
+
 STEADY_BEATS = 2
 TURN_BEATS = 8
 
 
-def found_by_itself(node, is_first_start, part_count, size=GROUP_SIZE):
+def found_by_itself(
+    node: Node, is_first_start: bool, part_count: int, size: int = GROUP_SIZE
+) -> Script:
     """Script, on a core: found the fleet at its very first start, as soon as its stores are there.
 
     `size` is how many stores hold each part. The first seed does it; each later one only after
@@ -40,7 +51,7 @@
                 node.log("warning", "founding: %s", error)
 
 
-def place_of(node):
+def place_of(node: Node) -> int:
     """Return the place of this node among its seeds by address; whoever is none comes last.
 
     By address, as the seeds may be told to each node in another order.
@@ -49,7 +60,7 @@
     return seeds.index(node.me.address) if node.me.address in seeds else len(seeds)
 
 
-def reached_stores(node):
+def reached_stores(node: Node) -> list[Store]:
     """Return [name, identity, domain] of the stores that are heard, by name."""
     nifty = node.find("nifty")
     return [store for store in roster_stores(node) if nifty.reaches(store[0])]
--- a/quillring/quorum/batching.py
+++ b/quillring/quorum/batching.py
@@ -1,12 +1,19 @@
 """Which of the commands that wait go into one entry."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 import cbor2
 
+if TYPE_CHECKING:
+    from quillring.kernel.effects import Signal
+
 BATCH_LIMIT = 64
 BATCH_BYTES = 256 << 10
 
 
-def split_batch(queue):
+def split_batch(queue: list[tuple[dict, Signal]]) -> tuple[list, list]:
     """Return (the commands of the next entry, the rest) of [(command, signal), ...].
 
     An entry holds at most `BATCH_LIMIT` commands and `BATCH_BYTES` encoded, but one at least.
--- a/quillring/quorum/catchup.py
+++ b/quillring/quorum/catchup.py
@@ -4,6 +4,10 @@
 and either in pieces of bounded size, one at a time, so that no message grows with a part's state.
 """
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 import cbor2
 
 from quillring.kernel.errors import Conflict, NoMajority, QuillringError, UnknownService
@@ -11,10 +15,17 @@
 from quillring.quorum.takeover import STATE
 from quillring.quorum.transfer import PIECE_BYTES, START, Place, StateBuilder, cut_piece, rows_of
 
+if TYPE_CHECKING:
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.quorum.owner import Owner
+    from quillring.quorum.parts import Call
+    from quillring.quorum.promise import Promise
+
 MOST_RESUMPTIONS = 8
 
 
-def adopt_state(owner, promises):
+def adopt_state(owner: Owner, promises: dict[str, Promise]) -> Script:
     """Script: give a new owner the newest applied state among the promises of a majority.
 
     What it held in a former term counts: what was applied at an index is the same everywhere, so
@@ -44,13 +55,13 @@
     raise NoMajority(part=owner.part, reason="no store gave the state")
 
 
-def _nearest_first(node, stores):
+def _nearest_first(node: Node, stores: list[str]):
     members, own_zone = node.find("nifty").roster.members, node.me.zone
     is_elsewhere = {s: s not in members or members[s].zone != own_zone for s in stores}
     return sorted(stores, key=lambda store: (is_elsewhere[store], store))
 
 
-def _adopt_entries(owner, store, best):
+def _adopt_entries(owner: Owner, store: str, best: int) -> Script:
     """Script: apply the entries up to an index that a store still has; False if some are gone."""
     entries = yield from _fetch_entries(owner, store, owner.index, best)
     for index, batch in entries or ():
@@ -60,7 +71,7 @@
     return owner.index >= best
 
 
-def _fetch_entries(owner, store, after, last):
+def _fetch_entries(owner: Owner, store: str, after: int, last: int) -> Script:
     """Script: return [[index, batch], ...] after one index up to another, or None if gone."""
     entries = []
     while after < last:
@@ -78,7 +89,7 @@
     return entries
 
 
-def _fetch_state(owner, store, index):
+def _fetch_state(owner: Owner, store: str, index: int) -> Script:
     """Script: return the state that a store applied at an index, fetched piece by piece."""
     builder, place, seconds = StateBuilder(), START, owner.node.bounds.news / 2
     while place is not None:
@@ -97,7 +108,7 @@
     return builder.whole()
 
 
-def mend_store(owner, applied, call):
+def mend_store(owner: Owner, applied: int, call: Call) -> Script:
     """Script: send one late store what it misses; raises when it can't be brought on now."""
     target, _, body = call
     if (yield from _send_entries(owner, applied, target, body)):
@@ -107,7 +118,7 @@
     yield from _install(owner, target, body)
 
 
-def _send_entries(owner, applied, target, body):
+def _send_entries(owner: Owner, applied: int, target: str, body: dict) -> Script:
     """Script: send the entries a store misses; False when they are gone, or don't help."""
     if owner.recent.since(applied) is None:
         yield from _learn_entries(owner, applied, target)
@@ -127,7 +138,7 @@
     return True
 
 
-def is_state_smaller(state, weight):
+def is_state_smaller(state: dict, weight: int) -> bool:
     """Tell whether a state takes fewer bytes than entries of a weight; it is read no further."""
     if weight <= PIECE_BYTES // 4:
         return False
@@ -138,7 +149,7 @@
     return True
 
 
-def _learn_entries(owner, applied, target):
+def _learn_entries(owner: Owner, applied: int, target: str) -> Script:
     """Script: ask one other store for the entries that were applied before this term."""
     first = owner.recent.first or owner.index + 1
     nifty = owner.node.find("nifty")
@@ -153,7 +164,7 @@
             return
 
 
-def _install(owner, target, body):
+def _install(owner: Owner, target: str, body: dict) -> Script:
     """Script: send the state to a store piece by piece; it tells where to go on after a loss."""
     index, state, place, resumptions = owner.index, owner.state, START, 0
     seconds = owner.node.bounds.news
--- a/quillring/quorum/commands.py
+++ b/quillring/quorum/commands.py
@@ -1,18 +1,25 @@
 """The commands of the logs: pure functions found by their entry in a registry."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.kernel.errors import QuillringError
 from quillring.kernel.registry import Registry
 
+if TYPE_CHECKING:
+    from quillring.quorum.parts import Group
+
 COMMANDS = Registry("command")
 QUERIES = Registry("query")
 
 
-def first_state(group):
+def first_state(group: Group) -> dict:
     """Return the state of a part that was just founded."""
     return {"group": group, "lots": {}, "layout": None, "version": 0}
 
 
-def apply_batch(state, batch):
+def apply_batch(state: dict, batch: list[dict]) -> tuple[dict, list]:
     """Return (new state, answers); a refused command changes nothing and answers an error.
 
     One batch is one entry of the log: in it one store may join the group and one may leave, so
@@ -33,7 +40,7 @@
     return state, answers
 
 
-def is_one_swap(group, next_group):
+def is_one_swap(group: Group | None, next_group: Group | None) -> bool:
     """Tell whether at most one store joins and at most one leaves from one group to the next."""
     if group == next_group:
         return True
@@ -41,7 +48,7 @@
     return len(new_members - old_members) <= 1 and len(old_members - new_members) <= 1
 
 
-def answer_query(state, query):
+def answer_query(state: dict, query: dict) -> list:
     """Return [None, answer] of a query, or [error's kind, its detail]."""
     try:
         return [None, QUERIES.find(query["ask"])(state, query)]
@@ -56,7 +63,7 @@
 
 
 @COMMANDS.entry("group.change")
-def change_group(state, command):
+def change_group(state: dict, command: dict) -> tuple[dict, dict]:
     """Change the part's stores by one member at a time."""
     old_names = {tuple(store) for store in state["group"]}
     new_names = {tuple(store) for store in command["group"]}
--- a/quillring/quorum/disk_news.py
+++ b/quillring/quorum/disk_news.py
@@ -1,20 +1,29 @@
 """News of stores whose disks take nothing: owners replace them as they replace lost ones."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.kernel.effects import Sleep
 
+if TYPE_CHECKING:
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.store import SlotStore
+
 
 class DiskNews:
     """Tells all nodes when this store's disk begins to fail, and when it is well again."""
 
     __slots__ = ("node", "slots", "is_failing", "sequence")
 
-    def __init__(self, node, slots):
+    def __init__(self, node: Node, slots: SlotStore) -> None:
         self.node = node
         self.slots = slots
         self.is_failing = False
         self.sequence = 0
 
-    def run(self):
+    def run(self) -> Script:
         """Script: look at the disk twice in a heartbeat period, and tell a change."""
         while True:
             yield Sleep(self.node.bounds.beat / 2)
@@ -31,7 +40,7 @@
         self.node.find("gossip").put(f"disk/{me.name}", version, news)
 
 
-def is_disk_failing(node, name):
+def is_disk_failing(node: Node, name: str) -> bool:
     """Tell whether a store's disk takes nothing, by its own word since its last start."""
     news = node.find("gossip").get(f"disk/{name}")
     member = node.find("nifty").roster.members.get(name)
--- a/quillring/quorum/electing.py
+++ b/quillring/quorum/electing.py
@@ -10,14 +10,23 @@
 start, since another life may have forgotten what it promised.
 """
 
+from __future__ import annotations
+
 import zlib
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import cbor2
 
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import Conflict, Fenced, NoMajority, QuillringError, Refused
 
+if TYPE_CHECKING:
+    from typing import Any
+
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.store import FolderDisk
+
 FILES = ("founding.0", "founding.1")
 NO_BALLOT = (0, "")
 
@@ -31,7 +40,7 @@
     founding: dict | None = None
 
     @classmethod
-    def from_list(cls, fields):
+    def from_list(cls, fields: list) -> Vote:
         """Read a vote from a message or a file."""
         number, promised, accepted, founding = fields
         return cls(number, tuple(promised), tuple(accepted), founding)
@@ -42,7 +51,7 @@
 
     __slots__ = ("node", "witness", "is_first_start", "vote", "attempt")
 
-    def __init__(self, node):
+    def __init__(self, node: Node) -> None:
         self.node = node
         self.witness = None
         self.is_first_start = False
@@ -51,7 +60,7 @@
         node.handle("founding.prepare", self.on_prepare)
         node.handle("founding.accept", self.on_accept)
 
-    def on_prepare(self, body, origin):
+    def on_prepare(self, body: dict, origin: str) -> Script:
         """Script: promise a ballot; return the ballot and the record accepted before, if any."""
         vote, ballot = (yield from self._recall()), tuple(body["ballot"])
         if ballot < vote.promised:
@@ -59,7 +68,7 @@
         yield from self._keep(vote, vote._replace(promised=ballot))
         return [list(vote.accepted), vote.founding]
 
-    def on_accept(self, body, origin):
+    def on_accept(self, body: dict, origin: str) -> Script:
         """Script: accept a record unless a higher ballot was promised."""
         vote, ballot = (yield from self._recall()), tuple(body["ballot"])
         if ballot < vote.promised:
@@ -69,7 +78,7 @@
         )
         return True
 
-    def begin(self):
+    def begin(self) -> Script:
         """Script: at the first start, have the witness know of it, so that later lives may vote."""
         if not self.is_first_start or self.witness is None:
             return
@@ -83,7 +92,7 @@
                 self.node.log("debug", "founding: witness: %s", error)
             yield Sleep(self.node.bounds.beat / 4)
 
-    def _recall(self):
+    def _recall(self) -> Script:
         """Script: return this seed's vote; Refused when a former life's may be lost."""
         vote = self.vote
         if self.witness is not None:
@@ -93,7 +102,7 @@
             raise Refused(reason="a former vote may be lost")
         return vote
 
-    def _keep(self, former, vote):
+    def _keep(self, former: Vote, vote: Vote) -> Script:
         """Script: keep a vote in place of the former one; Conflict when another came between."""
         vote = vote._replace(number=former.number + 1)
         if self.witness is not None:
@@ -108,17 +117,17 @@
 
     __slots__ = ("node", "disk")
 
-    def __init__(self, node, disk):
+    def __init__(self, node: Node, disk: FolderDisk) -> None:
         self.node = node
         self.disk = disk
         node.handle("founding.recall", self.on_recall)
         node.handle("founding.keep", self.on_keep)
 
-    def on_recall(self, body, origin):
+    def on_recall(self, body: Any, origin: str) -> list | None:
         """Return the newest vote that is kept, or None."""
         return max(filter(None, map(self._read, FILES)), default=None, key=lambda vote: vote[0])
 
-    def on_keep(self, body, origin):
+    def on_keep(self, body: list, origin: str) -> bool:
         """Keep a vote durably if it is the next one; a torn file leaves the former vote."""
         kept = self.on_recall(None, origin)
         if body[0] != (kept[0] if kept else 0) + 1:
@@ -127,14 +136,14 @@
         self.disk.write(FILES[body[0] % 2], zlib.crc32(data).to_bytes(4, "big") + data)
         return True
 
-    def _read(self, name):
+    def _read(self, name: str):
         data = self.disk.read(name)
         if not data or len(data) < 4 or zlib.crc32(data[4:]) != int.from_bytes(data[:4], "big"):
             return None
         return cbor2.loads(data[4:])
 
 
-def agree(node, founding):
+def agree(node: Node, founding: dict) -> Script:
     """Script: have a majority of the seeds choose a founding record; return the one chosen.
 
     Raises Fenced or NoMajority; then nothing, this record or another one may come to be chosen.
@@ -150,7 +159,7 @@
     return founding
 
 
-def _ask_seeds(node, service, body):
+def _ask_seeds(node: Node, service: str, body: dict) -> Script:
     """Script: ask all seeds; return the answers of a majority of them."""
     addresses, roster = set(node.find("nifty").seeds), node.find("nifty").roster
     names = {name for at in addresses for name in roster.addresses.get(tuple(at), ())[-1:]}
--- a/quillring/quorum/founding.py
+++ b/quillring/quorum/founding.py
@@ -1,10 +1,27 @@
 """Founding: one idempotent step that names the stores of every part, once in a fleet's life."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.kernel.errors import Conflict, NoMajority, QuillringError, Refused
 from quillring.quorum.parts import GROUP_SIZE, choose_group, is_enough, part_names
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.quorum.parts import Store
+
 
-def found_fleet(node, part_count, size=GROUP_SIZE, stores=None, choose=None):
+def found_fleet(
+    node: Node,
+    part_count: int,
+    size: int = GROUP_SIZE,
+    stores: list[Store] | None = None,
+    choose: Callable[[Node, dict], Script] | None = None,
+) -> Script:
     """Script: found the fleet on the stores of the roster, or finish a founding begun before.
 
     A store that holds a founding already is found by asking all first. Then the first store by
@@ -40,13 +57,13 @@
     return {"fleet": founding["fleet"], "was_founded": held_founding is not None}
 
 
-def roster_stores(node):
+def roster_stores(node: Node) -> list[Store]:
     """Return [name, identity, domain] of the stores of the roster, by name."""
     members = node.find("nifty").roster.members.values()
     return [[m.name, m.identity, m.zone] for m in members if m.role == "store"]
 
 
-def make_founding(node, part_count, size, stores):
+def make_founding(node: Node, part_count: int, size: int, stores: list[Store]) -> dict:
     """Return a new founding record: the groups of all parts, and the fleet's secret."""
     groups = {part: choose_group(part, stores, size) for part in part_names(part_count)}
     secret_bytes = node.world.secret(32)
@@ -58,14 +75,14 @@
     }
 
 
-def _held_founding(node, stores):
+def _held_founding(node: Node, stores: list[Store]) -> Script:
     calls = [(store[0], "quorum.founding", None) for store in stores]
     replies = yield from node.gather(calls, len(calls), node.bounds.round_trip)
     held = [reply for reply in replies.values() if isinstance(reply, dict)]
     return held[0] if held else None
 
 
-def _found_at(node, store, founding):
+def _found_at(node: Node, store: Store, founding: dict) -> Script:
     try:
         body = {"identity": store[1], "founding": founding}
         yield from node.call(store[0], "quorum.found", body, node.bounds.news)
--- a/quillring/quorum/hints.py
+++ b/quillring/quorum/hints.py
@@ -1,6 +1,9 @@
 """Hints: a spare store keeps what a missing acceptor should have had, and hands it over."""
 
+from __future__ import annotations
+
 import math
+from typing import TYPE_CHECKING
 
 import cbor2
 
@@ -10,6 +13,13 @@
 from quillring.quorum.identity import WrongIdentity
 from quillring.quorum.retirement import is_retirement_ordered
 
+if TYPE_CHECKING:
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.quorum.acceptor import Acceptors
+    from quillring.quorum.owner import Owner
+    from quillring.quorum.parts import Call
+
 KEPT_HINTS = 10_000
 KEPT_BYTES = 16 << 20
 OWNERS_FIRST = 2
@@ -21,13 +31,13 @@
 
     __slots__ = ("node", "acceptors", "kept_bytes")
 
-    def __init__(self, node, acceptors):
+    def __init__(self, node: Node, acceptors: Acceptors) -> None:
         self.node = node
         self.acceptors = acceptors
         self.kept_bytes = None
         node.handle("quorum.hint", self.on_hint)
 
-    def on_hint(self, body, origin):
+    def on_hint(self, body: dict, origin: str) -> Script:
         """Keep a record for a missing acceptor, durably."""
         kept = sum(len(records) for records in self.acceptors.hints.values())
         if kept >= KEPT_HINTS or self._count_bytes() >= KEPT_BYTES:
@@ -42,7 +52,7 @@
             self.kept_bytes = sum(len(cbor2.dumps(record)) for kept in hints for record in kept)
         return self.kept_bytes
 
-    def run(self):
+    def run(self) -> Script:
         """Script: hand hints over to each acceptor that is back, then drop them.
 
         Its parts' owners come first: most often they bring it in step, and no hint is needed.
@@ -58,7 +68,7 @@
                 if now - since >= self.node.bounds.beat * OWNERS_FIRST:
                     yield from self._hand_over(name)
 
-    def _hand_over(self, name):
+    def _hand_over(self, name: str) -> Script:
         """Script: hand over what the acceptor still needs; a new member under its name needs none.
 
         An answer tells what it has applied by now, from its owner or other stores: all up to that
@@ -85,7 +95,7 @@
             self.node.log("warning", "hints: %s", error)
 
 
-def send_hints(owner, calls):
+def send_hints(owner: Owner, calls: list[Call]) -> None:
     """Send the accept calls of unreachable acceptors to the part's spare store."""
     nifty = owner.node.find("nifty")
     missing = [call for call in calls if not nifty.reaches(call[0])]
--- a/quillring/quorum/mending.py
+++ b/quillring/quorum/mending.py
@@ -1,11 +1,17 @@
 """Bringing late members of a part's group in step, one at a time, with a growing pause."""
 
-from typing import NamedTuple
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
 
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import QuillringError
 from quillring.quorum.catchup import mend_store
 
+if TYPE_CHECKING:
+    from quillring.kernel.types import Script
+    from quillring.quorum.owner import Owner
+
 
 class Rest(NamedTuple):
     """A member is left alone until a time, for so many seconds, after it could not be mended."""
@@ -19,19 +25,19 @@
 
     __slots__ = ("owner", "target", "is_busy", "rests")
 
-    def __init__(self, owner):
+    def __init__(self, owner: Owner) -> None:
         self.owner = owner
         self.target = None
         self.is_busy = False
         self.rests = {}
 
-    def run(self):
+    def run(self) -> Script:
         """Script: mend while the term lasts."""
         while self.owner.is_owner:
             yield Sleep(self.owner.node.bounds.beat / 2)
             yield from self.mend()
 
-    def mend(self):
+    def mend(self) -> Script:
         """Script: give the members in reach what they miss; nothing while that is under way."""
         if self.is_busy:
             return
@@ -41,7 +47,7 @@
         finally:
             self.is_busy, self.target = False, None
 
-    def _mend_late(self):
+    def _mend_late(self) -> Script:
         owner, index = self.owner, self.owner.index
         applied = yield from owner.applied_by_store()
         for call in owner.calls("install"):
@@ -56,11 +62,11 @@
             except QuillringError as error:
                 self._rest(name, error)
 
-    def _rests(self, name):
+    def _rests(self, name: str):
         rest = self.rests.get(name)
         return rest is not None and self.owner.node.now() < rest.until
 
-    def _rest(self, name, error):
+    def _rest(self, name: str, error: QuillringError):
         node, former = self.owner.node, self.rests.get(name)
         seconds = node.bounds.beat / 2 if former is None else former.seconds * 2
         seconds = min(seconds, node.bounds.news * 2)
--- a/quillring/quorum/owner.py
+++ b/quillring/quorum/owner.py
@@ -1,5 +1,9 @@
 """A core node's ownership of one part: won by ballot, fenced by ballot, one entry at a time."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
 from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.errors import Fenced, NoMajority, NotFounded, NotOwner, QuillringError
 from quillring.quorum.batching import split_batch
@@ -15,13 +19,20 @@
 from quillring.quorum.swap import promise_again
 from quillring.quorum.tail import TAIL_INDEXES, finish_tail
 from quillring.quorum.takeover import ENTRIES, PROMISES, Takeover
+from quillring.quorum.waits import answer_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.quorum.parts import Call, Group
 
 
 class Owner:
     """One term of a part's ownership: its ballot is won once and, when lost, never again.
 
-    `group` is [[store, identity, domain], ...]. A core that takes the part again makes a new term,
-    so that what still runs of the former one can't write under the new ballot.
+    A core that takes the part again makes a new term, under which the former one can't write.
     """
 
     __slots__ = (
@@ -43,7 +54,7 @@
         "in_flight",
     )
 
-    def __init__(self, node, part, group, former=None):
+    def __init__(self, node: Node, part: str, group: Group, former: Owner | None = None) -> None:
         self.node = node
         self.part = part
         self.group = group
@@ -61,7 +72,7 @@
         self.confirmed_at = None
         self.higher = 0 if former is None else former.higher
 
-    def calls(self, service, **body):
+    def calls(self, service: str, **body: Any) -> list[Call]:
         """Return the calls of a service to each store of the group, under the ballot."""
         return [
             (
@@ -72,15 +83,15 @@
             for store in self.group
         ]
 
-    def _round(self, service, **body):
+    def _round(self, service: str, **body: Any):
         return ask_majority(self, service, body)
 
-    def _prepare(self):
+    def _prepare(self) -> Script:
         """Script: ask the group to promise the ballot; return {store: Promise} of a majority."""
         replies = yield from self._round("prepare", brief=TAIL_INDEXES)
         return {store: Promise.from_list(fields) for store, fields in replies.items()}
 
-    def take_again(self, gives_way):
+    def take_again(self, gives_way: Callable[[list], bool]) -> Script:
         """Script: take the part; a ballot that only was too low is tried once more at once.
 
         Not so where `gives_way(ballot)` says that the one who won the higher ballot may go on.
@@ -92,7 +103,7 @@
                 raise
             yield from self.take()
 
-    def take(self):
+    def take(self) -> Script:
         """Script: win a ballot at a majority, finish what others began; then own the part."""
         self.is_owner = False
         self.takeover.begin()
@@ -104,26 +115,24 @@
             if all(promise.state is None for promise in promises.values()):
                 raise NotFounded(part=self.part)
             yield from adopt_state(self, promises)
-            if self.adopt_group(self.state["group"]):
-                self.ballot = (self.ballot[0] + 1, self.ballot[1])
-                continue
-            self.takeover.enter(ENTRIES)
-            if (yield from finish_tail(self, promises)):
-                break
+            if not self.adopt_group(self.state["group"]):
+                self.takeover.enter(ENTRIES)
+                if (yield from finish_tail(self, promises)):
+                    break
             self.ballot = (self.ballot[0] + 1, self.ballot[1])
         self.is_owner = True
         self.node.count("takeovers")
         self.takeover.succeed(self.index)
         self._tell([])
 
-    def adopt_group(self, known_group):
+    def adopt_group(self, known_group: Group) -> bool:
         """Ask these stores from now on; tell whether that is a change."""
         if [list(s) for s in known_group] == [list(s) for s in self.group]:
             return False
         self.group = [list(store) for store in known_group]
         return True
 
-    def decide(self, batch):
+    def decide(self, batch: list[dict]) -> Script:
         """Script: have a majority accept the next entry; apply it; return the answers."""
         asked_at = self.node.now()
         entry = {"index": self.index + 1, "batch": batch, "committed": self.index}
@@ -147,7 +156,7 @@
         for target, service, body in self.calls("commit", committed=self.index):
             self.node.cast(target, service, body)
 
-    def run(self):
+    def run(self) -> Script:
         """Script: write what is queued while the ballot holds; return the error that ended it."""
         self.node.spawn(self.mending.run())
         try:
@@ -164,7 +173,7 @@
             return error
         return None
 
-    def _write_queue(self):
+    def _write_queue(self) -> Script:
         batch, self.queue = split_batch(self.queue)
         try:
             answers = yield from self.decide([command for command, _ in batch])
@@ -180,20 +189,18 @@
             for (_, answer_signal), answer in zip(batch, answers, strict=True):
                 answer_signal.set(answer)
 
-    def mend(self):
+    def mend(self) -> Script:
         """Script: give the members of the group in reach what they miss."""
         yield from self.mending.mend()
 
-    def applied_by_store(self):
+    def applied_by_store(self) -> Script:
         """Script: tell members in reach what is committed; return {store: index it applied}."""
-        nifty = self.node.find("nifty")
-        calls = [
-            call for call in self.calls("commit", committed=self.index) if nifty.reaches(call[0])
-        ]
+        reaches = self.node.find("nifty").reaches
+        calls = [c for c in self.calls("commit", committed=self.index) if reaches(c[0])]
         replies = yield from self.node.gather(calls, len(calls))
         return {t: r for t, r in replies.items() if not isinstance(r, QuillringError)}
 
-    def step_down(self, error):
+    def step_down(self, error: QuillringError) -> None:
         """Write nothing more; everything queued ends with its error."""
         self.is_owner = False
         self.takeover.end(error)
@@ -203,7 +210,7 @@
         self.queue_signal.set()
         self._tell([])
 
-    def submit(self, command):
+    def submit(self, command: dict) -> Script:
         """Script: commit one command and return its answer."""
         if not self.is_owner:
             raise NotOwner(part=self.part)
@@ -211,19 +218,15 @@
         self.queue.append((command, answer_signal))
         self.queue_signal.set()
         yield Wait(answer_signal, self.node.bounds.news)
-        if not answer_signal.is_set:
-            raise NoMajority(part=self.part)
-        if isinstance(answer_signal.value, QuillringError):
-            raise answer_signal.value
-        return answer_signal.value
+        return answer_of(answer_signal, self.part)
 
-    def _confirm(self):
+    def _confirm(self) -> Script:
         """Script: have a majority confirm the ballot; it holds as of the moment of asking."""
         asked_at = self.node.now()
         yield from self._round("confirm")
         self.confirmed_at = max(asked_at, self.confirmed_at)
 
-    def fenced_state(self):
+    def fenced_state(self) -> Script:
         """Script: return the state after a majority confirmed that the ballot still holds.
 
         Raises NotOwner, Fenced, or NoMajority, also for a confirmation that is no longer recent.
@@ -238,10 +241,10 @@
             raise NoMajority(part=self.part, reason="the confirmation is old")
         return read_state
 
-    def may_act(self):
+    def may_act(self) -> bool:
         """Tell whether the ballot was confirmed lately enough to start work on its behalf."""
         return self.is_owner and self.node.now() - self.confirmed_at < self.node.bounds.beat * 2
 
-    def _tell(self, batch):
+    def _tell(self, batch: list[dict]):
         for listener in self.listeners:
             listener(self, batch)
--- a/quillring/quorum/peek.py
+++ b/quillring/quorum/peek.py
@@ -1,13 +1,23 @@
 """Reading a part while it has no owner: from a majority of its stores."""
 
+from __future__ import annotations
+
 from collections import Counter
 from itertools import takewhile
+from typing import TYPE_CHECKING
 
 from quillring.kernel.errors import QuillringError, rebuild
 from quillring.quorum.parts import majority
 
+if TYPE_CHECKING:
+    from typing import Any
+
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.quorum.parts import Group
+
 
-def peek(node, part, group, query, seconds=None):
+def peek(node: Node, part: str, group: Group, query: dict, seconds: float | None = None) -> Script:
     """Script: return a function that gives the answer or raises it, or None when it is not sure.
 
     It takes `seconds` at most, by default half the bound on reading.
@@ -26,7 +36,7 @@
     return None
 
 
-def find_answer(replies, group, query):
+def find_answer(replies: list[list], group: Group, query: dict) -> list | None:
     """Return [error's kind or None, answer] that a majority's words make sure, or None.
 
     Whatever was chosen lies at one of the majority: applied there, or accepted beyond. An entry
@@ -59,7 +69,7 @@
     return answer
 
 
-def give(kind, answer):
+def give(kind: str | None, answer: Any) -> Any:
     """Return the answer, or raise the error of this kind."""
     if kind is not None:
         raise rebuild(kind, answer)
--- a/quillring/quorum/promise.py
+++ b/quillring/quorum/promise.py
@@ -1,5 +1,7 @@
 """What a store tells a new owner with its promise, as the owner reads it."""
 
+from __future__ import annotations
+
 from typing import Any, NamedTuple
 
 
@@ -25,7 +27,7 @@
     committed: int
 
     @classmethod
-    def from_list(cls, fields: list) -> "Promise":
+    def from_list(cls, fields: list) -> Promise:
         """Read the answer as it came over the wire."""
         promised, applied, state, rows, committed = fields
         tail = tuple(TailRow(index, tuple(ballot), batch) for index, ballot, batch in rows)
@@ -36,7 +38,7 @@
         rows = [[row.index, list(row.ballot), row.batch] for row in self.tail]
         return [list(self.promised), self.applied, self.state, rows, self.committed]
 
-    def brief(self, has_batches: bool) -> "Promise":
+    def brief(self, has_batches: bool) -> Promise:
         """Return the answer without the state, and without the batches unless they are wanted."""
         state = None if self.state is None else True
         if has_batches:
--- a/quillring/quorum/recent.py
+++ b/quillring/quorum/recent.py
@@ -1,5 +1,7 @@
 """The entries applied lately, kept so that who missed a few of them needs no whole state."""
 
+from __future__ import annotations
+
 from collections import deque
 from typing import NamedTuple
 
@@ -22,23 +24,23 @@
 
     __slots__ = ("entries", "weight", "most_weight")
 
-    def __init__(self, most_weight=KEPT_WEIGHT):
+    def __init__(self, most_weight: int = KEPT_WEIGHT) -> None:
         self.entries = deque()
         self.weight = 0
         self.most_weight = most_weight
 
-    def copy(self):
+    def copy(self) -> Recent:
         """Return the same entries for another term, which adds its own."""
         other = Recent(self.most_weight)
         other.entries, other.weight = self.entries.copy(), self.weight
         return other
 
     @property
-    def first(self):
+    def first(self) -> int | None:
         """The index of the oldest entry kept, or None."""
         return self.entries[0].index if self.entries else None
 
-    def add(self, index, batch):
+    def add(self, index: int, batch: list[dict]) -> None:
         """Remember an applied entry; the oldest ones go when there are too many."""
         if self.entries and self.entries[-1].index != index - 1:
             self.clear()
@@ -47,7 +49,7 @@
         self.weight += weight
         self._trim()
 
-    def put_before(self, entries):
+    def put_before(self, entries: list) -> None:
         """Take [[index, batch], ...] that end where the entries kept begin; else change nothing."""
         if self.entries and entries and entries[-1][0] != self.first - 1:
             return
@@ -57,7 +59,7 @@
             self.weight += weight
         self._trim()
 
-    def weight_since(self, applied):
+    def weight_since(self, applied: int) -> int:
         """Return the bytes of the entries kept after an index."""
         return sum(entry.weight for entry in self.entries if entry.index > applied)
 
@@ -65,12 +67,12 @@
         while len(self.entries) > KEPT_ENTRIES or self.weight > self.most_weight:
             self.weight -= self.entries.popleft().weight
 
-    def clear(self):
+    def clear(self) -> None:
         """Forget all entries."""
         self.entries.clear()
         self.weight = 0
 
-    def since(self, applied, limit=None):
+    def since(self, applied: int, limit: int | None = None) -> list | None:
         """Return [[index, batch], ...] after an index, or None when some are gone.
 
         With a limit, in bytes, no more than it allows, but one at least.
--- a/quillring/quorum/record.py
+++ b/quillring/quorum/record.py
@@ -1,12 +1,17 @@
 """What one acceptor holds of a part."""
 
+from __future__ import annotations
+
 from itertools import count
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from quillring.quorum.commands import answer_query, apply_batch
 from quillring.quorum.promise import Promise, TailRow
 from quillring.quorum.recent import Recent
 
+if TYPE_CHECKING:
+    from quillring.quorum.parts import Ballot
+
 RECENT_WEIGHT = 2 << 20
 
 
@@ -22,7 +27,14 @@
 
     __slots__ = ("promised", "applied", "state", "entries", "committed", "recent")
 
-    def __init__(self, promised=(0, ""), applied=0, state=None, entries=None, committed=0):
+    def __init__(
+        self,
+        promised: Ballot = (0, ""),
+        applied: int = 0,
+        state: dict | None = None,
+        entries: dict[int, AcceptedEntry] | None = None,
+        committed: int = 0,
+    ) -> None:
         self.promised = tuple(promised)
         self.applied = applied
         self.state = state
@@ -30,23 +42,23 @@
         self.committed = committed
         self.recent = Recent(RECENT_WEIGHT)
 
-    def to_list(self):
+    def to_list(self) -> list:
         """Return the record for a slot."""
         return self.to_promise().to_list()
 
-    def to_promise(self):
+    def to_promise(self) -> Promise:
         """Return what this store tells with a promise."""
         tail = tuple(TailRow(index, *entry) for index, entry in sorted(self.entries.items()))
         return Promise(self.promised, self.applied, self.state, tail, self.committed)
 
     @classmethod
-    def from_list(cls, fields):
+    def from_list(cls, fields: list) -> PartRecord:
         """Read a record from a slot."""
         promised, applied, state, tail, committed = Promise.from_list(fields)
         entries = {row.index: AcceptedEntry(row.ballot, row.batch) for row in tail}
         return cls(promised, applied, state, entries, committed)
 
-    def replay(self, verb, ballot, fields):
+    def replay(self, verb: str, ballot: Ballot, fields: list) -> None:
         """Take the log record of a part; every one promises its ballot."""
         self.promised = max(self.promised, ballot)
         if verb == "accept":
@@ -56,15 +68,15 @@
         if verb == "install":
             self.install(*fields)
 
-    def _accept(self, ballot, index, batch):
+    def _accept(self, ballot: Ballot, index: int, batch: list[dict]):
         if index > self.applied:
             self.entries[index] = AcceptedEntry(ballot, batch)
 
-    def has_member(self, identity):
+    def has_member(self, identity: str) -> bool:
         """Tell whether the applied state names the store of this identity as a member."""
         return self.state is not None and any(s[1] == identity for s in self.state["group"])
 
-    def learn(self, ballot, committed):
+    def learn(self, ballot: Ballot, committed: int) -> None:
         """Apply what the ballot's owner says is committed; stop at a gap."""
         while self.applied < committed:
             entry = self.entries.get(self.applied + 1)
@@ -76,7 +88,7 @@
             del self.entries[self.applied]
         self.committed = max(self.committed, self.applied)
 
-    def install(self, index, state):
+    def install(self, index: int, state: dict) -> None:
         """Take a whole state in place of missed entries, unless what is here is as new."""
         if index <= self.applied:
             return
@@ -85,7 +97,7 @@
         self.entries = {i: entry for i, entry in self.entries.items() if i > index}
         self.recent.clear()
 
-    def lots_beyond(self):
+    def lots_beyond(self) -> list[list]:
         """Return [[index, lot or None], ...] of the commands accepted and not applied here."""
         return [
             [index, command.get("lot")]
@@ -94,7 +106,7 @@
             for command in entry.batch
         ]
 
-    def answers_beyond(self, query):
+    def answers_beyond(self, query: dict) -> list[list]:
         """Return [[index, ballot, kind, answer], ...] after each accepted entry in turn.
 
         It ends before a gap, and before a change of the group, which decides what comes after.
--- a/quillring/quorum/repair.py
+++ b/quillring/quorum/repair.py
@@ -1,5 +1,9 @@
 """Repair: a part's group gets back to full strength by itself, one change at a time."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import QuillringError
 from quillring.nifty.graph import score
@@ -8,6 +12,13 @@
 from quillring.quorum.retirement import is_retirement_ordered, may_join
 from quillring.quorum.swap import catch_up, is_durable_without, new_group, submit_first
 
+if TYPE_CHECKING:
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.quorum.owner import Owner
+    from quillring.quorum.parts import Group, Store
+    from quillring.quorum.swap import GroupChange
+
 PATIENCE = 5
 SYNC_SHARE = 0.5
 PARTS_AT_ONCE = 3
@@ -18,7 +29,7 @@
 
     __slots__ = ("node", "lost_since", "busy_parts", "joining", "refused_until", "chosen")
 
-    def __init__(self, node):
+    def __init__(self, node: Node) -> None:
         self.node = node
         self.lost_since = {}
         self.busy_parts = set()
@@ -26,7 +37,7 @@
         self.refused_until = {}
         self.chosen = {}
 
-    def run(self):
+    def run(self) -> Script:
         """Script: look at every owned part; a few that lack something are mended side by side.
 
         Those with the fewest live members come first: they are the nearest to losing a majority.
@@ -45,12 +56,12 @@
                 self.busy_parts.add(owner.part)
                 self.node.spawn(self._mend(owner))
 
-    def _spare_losses(self, owner):
+    def _spare_losses(self, owner: Owner):
         """Return how many more losses the part bears, and its name to break a tie."""
         live = [s for s in owner.group if not (self.is_lost(s) or self.is_emptied(s))]
         return len(live) - majority(owner.group), owner.part
 
-    def _mend(self, owner):
+    def _mend(self, owner: Owner) -> Script:
         """Script: change the group by one member after another until it is as it should be."""
         try:
             while owner.may_act():
@@ -78,7 +89,7 @@
             or is_disk_failing(self.node, name)
         }
 
-    def _prepare(self, owner, change):
+    def _prepare(self, owner: Owner, change: GroupChange) -> Script:
         """Script: bring the joining store up to date; tell whether the change loses nothing."""
         if change.joining is not None and not (yield from self._invite(owner, change.joining)):
             return False
@@ -87,7 +98,7 @@
         applied = yield from owner.applied_by_store()
         return is_durable_without(owner, change, applied, index)
 
-    def _invite(self, owner, store):
+    def _invite(self, owner: Owner, store: Store) -> Script:
         """Script: bring a store that agrees to join up to date; ask others after a refusal."""
         self.joining[owner.part] = self.chosen[owner.part] = store[0]
         if not (yield from may_join(self.node, store[0])):
@@ -95,7 +106,7 @@
             return False
         return (yield from catch_up(owner, store))
 
-    def _change(self, owner, change):
+    def _change(self, owner: Owner, change: GroupChange) -> Script:
         self.node.log("warning", "group of %s becomes %s", owner.part, change.group)
         self.node.count("group_changes")
         try:
@@ -105,23 +116,23 @@
             return False
         return True
 
-    def is_emptied(self, store):
+    def is_emptied(self, store: Store) -> bool:
         """Tell whether the store came back as a new member with an empty disk."""
         member = self.node.find("nifty").roster.members.get(store[0])
         return member is not None and member.identity != store[1]
 
-    def is_lost(self, store):
+    def is_lost(self, store: Store) -> bool:
         """Tell whether the store has been out of reach, or its disk has failed, for long."""
         sync = self.node.bounds.sync
         patience = self.node.bounds.return_ * PATIENCE if sync is None else sync * SYNC_SHARE
         since = self.lost_since.get(store[0])
         return since is not None and self.node.now() - since > patience
 
-    def is_retired(self, store):
+    def is_retired(self, store: Store) -> bool:
         """Tell whether operators want the store machine out of every part."""
         return is_retirement_ordered(self.node, store[0])
 
-    def _next_change(self, owner):
+    def _next_change(self, owner: Owner):
         """Return the next change that the part's group needs, or None."""
         group, size = [list(store) for store in owner.group], self.node.find("ownership").size()
         spare = self._spare(owner.part, group)
@@ -139,18 +150,18 @@
                 return new_group(group, leaving=store, is_gone=store in gone)
         return None
 
-    def is_forced(self, store):
+    def is_forced(self, store: Store) -> bool:
         """Tell whether operators accepted a part under three members for this retiring."""
         stores = (self.node.find("layout").configuration or {}).get("stores", {})
         return bool(stores.get(store[0], {}).get("forced"))
 
-    def _doubled(self, group):
+    def _doubled(self, group: Group):
         """Return the members in the domain that holds most of a group, if it holds several."""
         zones = [store[2] for store in group]
         most = max(map(zones.count, zones))
         return [s for s in group if most > 1 and zones.count(s[2]) == most]
 
-    def _spare(self, part, group):
+    def _spare(self, part: str, group: Group):
         """Return the store that should join; one that was chosen keeps its place while it may."""
         nifty = self.node.find("nifty")
         staying = [s for s in group if not (self.is_retired(s) or self.is_lost(s))]
--- a/quillring/quorum/retirement.py
+++ b/quillring/quorum/retirement.py
@@ -11,11 +11,21 @@
 So no later owner can bring the store back, and each part bears as many losses as it was made for.
 """
 
-from typing import NamedTuple
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
 
 from quillring.kernel.effects import Signal, Wait
 from quillring.kernel.errors import Conflict, QuillringError, UnknownService
 
+if TYPE_CHECKING:
+    from typing import Any
+
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+    from quillring.quorum.acceptor import Acceptors
+    from quillring.quorum.owner import Owner
+
 
 class PartAnswer(NamedTuple):
     """What a part's owner tells of its group: store names, and those not up to date or joining."""
@@ -24,7 +34,7 @@
     late: tuple
     joining: tuple
 
-    def is_whole_without(self, store, size):
+    def is_whole_without(self, store: str, size: int) -> bool:
         """Tell whether the part is at full strength and neither has nor awaits the store."""
         is_apart = store not in self.group and store not in self.joining
         return is_apart and not self.late and len(self.group) >= size
@@ -35,19 +45,19 @@
 
     __slots__ = ("node", "acceptors")
 
-    def __init__(self, node, acceptors):
+    def __init__(self, node: Node, acceptors: Acceptors) -> None:
         self.node = node
         self.acceptors = acceptors
         node.handle("quorum.join", self.on_join)
         node.handle("quorum.leaving", self.on_leaving)
 
-    def on_join(self, body, origin):
+    def on_join(self, body: Any, origin: str) -> bool:
         """Agree to become a member of a part; Conflict when this store may be retired."""
         if not self.node.find("layout").index or self._is_retired():
             raise Conflict(store=self.node.me.name, reason="retired or without news of it")
         return True
 
-    def on_leaving(self, body, origin):
+    def on_leaving(self, body: Any, origin: str) -> dict:
         """Tell whether this store knows of its retirement and which hints it still has to give."""
         reaches = self.node.find("nifty").reaches
         hints = sorted(name for name in self.acceptors.hints if reaches(name))
@@ -57,13 +67,13 @@
         return is_retirement_ordered(self.node, self.node.me.name)
 
 
-def is_retirement_ordered(node, store):
+def is_retirement_ordered(node: Node, store: str) -> bool:
     """Tell whether the newest layout of a node names the store as retired."""
     stores = (node.find("layout").configuration or {}).get("stores") or {}
     return bool(stores.get(store, {}).get("retired"))
 
 
-def may_join(node, store):
+def may_join(node: Node, store: str) -> Script:
     """Script: ask a store whether it may become a member; one of a former version is not asked."""
     try:
         yield from node.call(store, "quorum.join", None)
@@ -74,7 +84,7 @@
     return True
 
 
-def tell_whole(owner):
+def tell_whole(owner: Owner) -> Script:
     """Script, at the owner: answer `part.whole`; what was committed when it was asked counts."""
     index = owner.index
     applied = yield from owner.applied_by_store()
@@ -87,7 +97,7 @@
     }
 
 
-def is_free(node, store, seconds):
+def is_free(node: Node, store: str, seconds: float) -> Script:
     """Script: tell whether a store that is marked as retired is needed no more.
 
     Raises an owner's error when a part can't be asked in time.
@@ -99,7 +109,7 @@
     return all(answer.is_whole_without(store, size) for answer in answers)
 
 
-def _is_ready(node, store):
+def _is_ready(node: Node, store: str) -> Script:
     """Script: tell whether the store knows that it leaves; one out of reach can't join anything."""
     if not node.find("nifty").reaches(store):
         return True
@@ -112,12 +122,12 @@
     return answer["retired"] and not answer["hints"]
 
 
-def ask_all_parts(node, seconds):
+def ask_all_parts(node: Node, seconds: float) -> Script:
     """Script: ask the owners of all parts at once; return their PartAnswers or raise an error."""
     ownership, outcomes, done_signal = node.find("ownership"), {}, Signal()
     parts = ownership.parts()
 
-    def ask_part(part):
+    def ask_part(part: str) -> Script:
         try:
             outcomes[part] = yield from ownership.ask(part, "part.whole", {}, seconds)
         except QuillringError as error:
--- a/quillring/quorum/rounds.py
+++ b/quillring/quorum/rounds.py
@@ -1,10 +1,18 @@
 """One round of an owner: the same call to each store of the group, under the ballot."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.kernel.errors import Fenced, NoMajority, QuillringError
 from quillring.quorum.parts import majority
 
+if TYPE_CHECKING:
+    from quillring.kernel.types import Script
+    from quillring.quorum.owner import Owner
+
 
-def ask_majority(owner, service, body):
+def ask_majority(owner: Owner, service: str, body: dict) -> Script:
     """Script: ask the group; return {store: good answer} of a majority.
 
     Raises Fenced when a store knows of a higher ballot, NoMajority when too few answer in time.
--- a/quillring/quorum/slot_rows.py
+++ b/quillring/quorum/slot_rows.py
@@ -1,10 +1,19 @@
 """The state of a store's acceptors as rows of a slot, each of bounded size, and back."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from quillring.quorum.record import PartRecord
 from quillring.quorum.transfer import rows_of, take_row
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quillring.quorum.acceptor import Acceptors
+
 
-def to_rows(acceptors):
+def to_rows(acceptors: Acceptors) -> list[list]:
     """Return all state as immutable rows; what changes later does not change them."""
     rows = [["store", acceptors.identity, acceptors.founding]]
     for name, records in acceptors.hints.items():
@@ -20,7 +29,7 @@
     return rows
 
 
-def load_rows(acceptors, rows):
+def load_rows(acceptors: Acceptors, rows: Iterable[list]) -> None:
     """Take the state of a slot."""
     parts, hints, arriving = {}, {}, {}
     for kind, name, *fields in rows:
@@ -41,7 +50,7 @@
     acceptors.transfers.load(arriving)
 
 
-def load_whole(acceptors, snapshot):
+def load_whole(acceptors: Acceptors, snapshot: dict) -> None:
     """Take the state of a slot of the version before, which is one value."""
     acceptors.identity, acceptors.founding = snapshot["identity"], snapshot["founding"]
     acceptors.parts = {n: PartRecord.from_list(fields) for n, fields in snapshot["parts"].items()}
--- a/quillring/quorum/swap.py
+++ b/quillring/quorum/swap.py
@@ -9,12 +9,20 @@
 one). A majority of the former group therefore always tells of the change.
 """
 
-from typing import NamedTuple
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
 
 from quillring.kernel.effects import Signal, Wait
-from quillring.kernel.errors import Fenced, NoMajority, QuillringError
+from quillring.kernel.errors import Fenced, QuillringError
 from quillring.quorum.catchup import mend_store
 from quillring.quorum.parts import majority
+from quillring.quorum.waits import answer_of
+
+if TYPE_CHECKING:
+    from quillring.kernel.types import Script
+    from quillring.quorum.owner import Owner
+    from quillring.quorum.parts import Group, Store
 
 CATCH_UP_TRIES = 3
 
@@ -31,7 +39,7 @@
     leaving: list | None = None
     is_gone: bool = False
 
-    def commands(self, former_group):
+    def commands(self, former_group: Group) -> list[dict]:
         """Return the commands of the one entry, each changing one member."""
         steps = []
         if self.joining is not None and self.leaving is not None:
@@ -40,14 +48,16 @@
         return [{"do": "group.change", "group": group} for group in steps]
 
 
-def new_group(group, joining=None, leaving=None, is_gone=False):
+def new_group(
+    group: Group, joining: Store | None = None, leaving: Store | None = None, is_gone: bool = False
+) -> GroupChange:
     """Return the change of a group by which one store joins, one leaves, or both at once."""
     staying = [store for store in group if store != leaving]
     joined = [joining] if joining is not None else []
     return GroupChange([*staying, *joined], joining, leaving, is_gone)
 
 
-def catch_up(owner, store):
+def catch_up(owner: Owner, store: Store) -> Script:
     """Script: bring a store that does not vote yet to the owner's state; tell whether it is there.
 
     The store keeps the state durably under the owner's ballot, so it also promises that ballot.
@@ -70,7 +80,9 @@
     return False
 
 
-def is_durable_without(owner, change, applied, index):
+def is_durable_without(
+    owner: Owner, change: GroupChange, applied: dict[str, int], index: int
+) -> bool:
     """Tell whether the new group holds all that was committed up to an index.
 
     `applied` is {store: index it applied}. Entries after the index that are chosen while the
@@ -87,20 +99,17 @@
     return all(name in current for name in others if nifty.reaches(name))
 
 
-def submit_first(owner, commands):
+def submit_first(owner: Owner, commands: list[dict]) -> Script:
     """Script: commit some commands in one entry, before all that waits in the owner's queue."""
     signals = [Signal() for _ in commands]
     owner.queue[:0] = list(zip(commands, signals, strict=True))
     owner.queue_signal.set()
     yield Wait(signals[-1], owner.node.bounds.news)
     for signal in signals:
-        if not signal.is_set:
-            raise NoMajority(part=owner.part)
-        if isinstance(signal.value, QuillringError):
-            raise signal.value
+        answer_of(signal, owner.part)
 
 
-def promise_again(owner, prepare):
+def promise_again(owner: Owner, prepare: Script) -> Script:
     """Script: have a majority of the group just adopted promise the ballot that won the former.
 
     `prepare` is the script that asks the group and returns its promises. An entry that another
--- a/quillring/quorum/tail.py
+++ b/quillring/quorum/tail.py
@@ -3,10 +3,17 @@
 Promises name them by index and ballot only; the few that matter are fetched one by one.
 """
 
-from typing import NamedTuple
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
 
 from quillring.kernel.errors import NoMajority, QuillringError
 
+if TYPE_CHECKING:
+    from quillring.kernel.types import Script
+    from quillring.quorum.owner import Owner
+    from quillring.quorum.promise import Promise
+
 TAIL_INDEXES = "index"
 
 
@@ -18,7 +25,7 @@
     holders: list
 
 
-def best_entries(promises, after):
+def best_entries(promises: dict[str, Promise], after: int) -> dict[int, TailEntry]:
     """Return {index: the entry of the highest ballot} of the accepted ones after an index."""
     best = {}
     for store, promise in promises.items():
@@ -32,7 +39,7 @@
     return best
 
 
-def fetch_batch(owner, index, entry):
+def fetch_batch(owner: Owner, index: int, entry: TailEntry) -> Script:
     """Script: return the batch of an accepted entry; NoMajority when no holder gives it now."""
     if entry.batch is not None:
         return entry.batch
@@ -50,7 +57,7 @@
     raise NoMajority(part=owner.part, reason="no store gave an accepted entry", index=index)
 
 
-def finish_tail(owner, promises):
+def finish_tail(owner: Owner, promises: dict[str, Promise]) -> Script:
     """Script: propose again every entry that may have been chosen; False after a group change."""
     best = best_entries(promises, owner.index)
     while owner.index + 1 in best:
--- a/quillring/quorum/transfer.py
+++ b/quillring/quorum/transfer.py
@@ -5,14 +5,19 @@
 encoding is that of one value of a section, such as one lot.
 """
 
+from __future__ import annotations
+
 import struct
 from itertools import islice
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import cbor2
 
 from quillring.kernel.errors import QuillringError
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
 PIECE_BYTES = 256 << 10
 LENGTH = struct.Struct(">I")
 
@@ -41,7 +46,7 @@
     following: Place | None
 
 
-def rows_of(state):
+def rows_of(state: dict) -> Iterator[tuple]:
     """Yield (section, value) of a plain section; (section, {}), (section, key, value) of a map."""
     for section, value in state.items():
         if not isinstance(value, dict):
@@ -52,7 +57,7 @@
             yield section, key, kept
 
 
-def take_row(sections, fields):
+def take_row(sections: dict, fields: Sequence) -> None:
     """Put a row of `rows_of` into the state that is being made."""
     if len(fields) == 2:
         sections[fields[0]] = fields[1]
@@ -60,7 +65,7 @@
         sections[fields[0]][fields[1]] = fields[2]
 
 
-def cut_piece(state, place, limit=PIECE_BYTES):
+def cut_piece(state: dict, place: Place, limit: int = PIECE_BYTES) -> Piece:
     """Return the piece of an immutable state from a place on, `limit` bytes long at most."""
     data, (row, offset) = b"", place
     for fields in islice(rows_of(state), row, None):
@@ -81,12 +86,14 @@
 
     __slots__ = ("sections", "rest", "place")
 
-    def __init__(self, sections=None, rest=b"", place=START):
+    def __init__(
+        self, sections: dict | None = None, rest: bytes = b"", place: Place = START
+    ) -> None:
         self.sections = sections or {}
         self.rest = bytearray(rest)
         self.place = place
 
-    def add(self, data, following):
+    def add(self, data: bytes, following: Sequence | None) -> None:
         """Take the piece at the present place, which ends before `following`."""
         self.rest += data
         start, place = 0, self.place
@@ -102,13 +109,13 @@
         if following is not None and Place(*following) != self.place:
             raise BadPiece(place=list(self.place), following=list(following))
 
-    def whole(self):
+    def whole(self) -> dict:
         """Return the state; BadPiece when its last row is not there in full."""
         if self.rest:
             raise BadPiece(place=list(self.place))
         return self.sections
 
-    def to_list(self):
+    def to_list(self) -> list:
         """Return a copy of what has come so far, for a slot."""
         sections = {
             name: dict(value) if isinstance(value, dict) else value
@@ -117,7 +124,7 @@
         return [sections, bytes(self.rest), list(self.place)]
 
     @classmethod
-    def from_list(cls, fields):
+    def from_list(cls, fields: list) -> StateBuilder:
         """Read from a slot what had come so far."""
         sections, rest, place = fields
         return cls(sections, rest, Place(*place))
--- a/quillring/quorum/waits.py
+++ b/quillring/quorum/waits.py
@@ -1,8 +1,26 @@
-"""Pauses between attempts, spread by chance so that nodes do not act in step."""
+"""Pauses between attempts, spread by chance, and the answers that commands wait for."""
 
-from quillring.kernel.effects import Sleep
+from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
 
-def wait_for_owner(node, seconds):
+from quillring.kernel.effects import Signal, Sleep
+from quillring.kernel.errors import NoMajority, QuillringError
+
+if TYPE_CHECKING:
+    from quillring.kernel.node import Node
+    from quillring.kernel.types import Script
+
+
+def wait_for_owner(node: Node, seconds: float) -> Script:
     """Script: a pause between two rounds of finding a part's owner."""
     yield Sleep(seconds * (0.5 + node.world.random.random()))
+
+
+def answer_of(signal: Signal, part: str) -> Any:
+    """Return the answer a command got; raise its error, or NoMajority when none came in time."""
+    if not signal.is_set:
+        raise NoMajority(part=part)
+    if isinstance(signal.value, QuillringError):
+        raise signal.value
+    return signal.value
