Proving: folders for simulated runs and for plain processes

Cause: 23 modules lay at the top of proving/, runs of the simulator beside programs for real processes, and a newcomer could not tell which need which.

--- a/proving/points/callers.py
+++ b/proving/points/callers.py
@@ -2,8 +2,8 @@
 
 import random
 
-from proving.fake_wire import END, RESET, FakeWire
-from proving.scripted import BREAK, SILENT, STALE, ScriptedAnswer, ScriptedWorld
+from proving.sim.scripted import BREAK, SILENT, STALE, ScriptedAnswer, ScriptedWorld
+from proving.tools.fake_wire import END, RESET, FakeWire
 from quillring.fleet import make_node
 from quillring.forward import Request
 from quillring.forward.serve import serve
--- a/proving/points/changes.py
+++ b/proving/points/changes.py
@@ -2,7 +2,7 @@
 
 import cbor2
 
-from proving.many_changes import ManyChanges, frozen_store, new_owner, restarted_store
+from proving.sim.many_changes import ManyChanges, frozen_store, new_owner, restarted_store
 from quillring.quorum.owner import Owner
 from quillring.quorum.parts import CONFIG
 
--- a/proving/points/streams.py
+++ b/proving/points/streams.py
@@ -3,9 +3,9 @@
 from itertools import count, pairwise
 from unittest import mock
 
-from proving.callers import Answer
 from proving.points.base import Stage, no_check
 from proving.sim import callers
+from proving.tools.callers import Answer
 from quillring.edge import journal, streams
 from quillring.kernel.errors import QuillringError, Refused
 
--- a/proving/scale/loopback.py
+++ b/proving/scale/loopback.py
@@ -9,11 +9,11 @@
 import click
 import gevent
 
-from proving.callers import ask
-from proving.localfleet import LocalFleet
-from proving.overhead import cpu_seconds
 from proving.scale.fleet import FIRST_START
 from proving.scale.runs import process_bytes
+from proving.tools.callers import ask
+from proving.tools.localfleet import LocalFleet
+from proving.tools.overhead import cpu_seconds
 from quillring.fleet import make_node
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.gevent_world import GeventWorld
--- a/proving/sim/fleet.py
+++ b/proving/sim/fleet.py
@@ -4,12 +4,12 @@
 
 import simpy
 
-from proving.deployments import DEPLOYMENTS, configuration_of, replicas_of, settings_of
 from proving.sim.backends import Backends, SimReplica
 from proving.sim.disk import SimDisk
 from proving.sim.history import History
 from proving.sim.net import SimNet
 from proving.sim.world import SimWorld
+from proving.tools.deployments import DEPLOYMENTS, configuration_of, replicas_of, settings_of
 from quillring.fleet import make_node, open_store, start_node
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.settings import split_address
--- a/proving/many_changes.py
+++ b/proving/sim/many_changes.py
@@ -1,6 +1,6 @@
 """Hundreds of changes: what a restart, a lost disk, a new owner and a frozen node cost after them.
 
-    python -m proving.many_changes --changes 1000 --routes 60 --parts 64
+    python -m proving.sim.many_changes --changes 1000 --routes 60 --parts 64
 
 Whole configurations are adopted one after another in a simulated fleet, one store frozen through
 all of it. Then each kind of member comes back; its time is simulated, its bytes are those sent to
--- a/proving/quorum_fuzz.py
+++ b/proving/sim/quorum_fuzz.py
@@ -189,7 +189,7 @@
             if violations:
                 failed += 1
                 click.echo(f"seed {seed}: {violations[:4]}")
-                click.echo(f"  replay: python -m proving.quorum_fuzz --first {seed} --count 1")
+                click.echo(f"  replay: python -m proving.sim.quorum_fuzz --first {seed} --count 1")
     click.echo(json.dumps({"runs": count, "failed": failed, **totals}))
     sys.exit(1 if failed else 0)
 
--- a/proving/sweep.py
+++ b/proving/sim/sweep.py
@@ -42,7 +42,7 @@
     """Return the command that replays a seed."""
     size_flag = " --small" if small else ""
     return (
-        f"python -m proving.sweep --deployment {result['deployment']} --first "
+        f"python -m proving.sim.sweep --deployment {result['deployment']} --first "
         f"{result['seed']} --count 1 --faults {faults}{size_flag} --verbose"
     )
 
--- a/proving/traces.py
+++ b/proving/sim/traces.py
@@ -8,7 +8,7 @@
 
 from proving.points.base import Stage
 from proving.points.state import names_but
-from proving.quorum_fuzz import Fuzz
+from proving.sim.quorum_fuzz import Fuzz
 from quillring.kernel.errors import QuillringError
 from quillring.kernel.node import Node
 from quillring.nifty import Member, Nifty
--- a/proving/closing.py
+++ b/proving/tools/closing.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from proving import callers
+from proving.tools import callers
 
 RETURN_SECONDS = 12
 
--- a/proving/day.py
+++ b/proving/tools/day.py
@@ -7,8 +7,8 @@
 import click
 import gevent
 
-from proving import callers
-from proving.localfleet import LocalFleet
+from proving.tools import callers
+from proving.tools.localfleet import LocalFleet
 
 MIXES = {
     "ferrowa": [
--- a/proving/example_day.py
+++ b/proving/tools/example_day.py
@@ -7,10 +7,10 @@
 import click
 import gevent
 
-from proving import callers
-from proving.closing import closing_fault
-from proving.day import MIXES, run_traffic
-from proving.localfleet import LocalFleet
+from proving.tools import callers
+from proving.tools.closing import closing_fault
+from proving.tools.day import MIXES, run_traffic
+from proving.tools.localfleet import LocalFleet
 
 
 class Day:
--- a/proving/localfleet.py
+++ b/proving/tools/localfleet.py
@@ -9,8 +9,8 @@
 import sys
 import time
 
-from proving.callers import ask
-from proving.held_ports import HeldPorts
+from proving.tools.callers import ask
+from proving.tools.held_ports import HeldPorts
 
 LAST_WORDS = 2000
 LONGEST_ANSWER = 2000
@@ -78,12 +78,12 @@
             row = self.settings[name]
             path = self.run_folder / f"{name}.json"
             path.write_text(json.dumps(row))
-            words = ["-m", "proving.faulty", row["role"], "--settings", str(path)]
+            words = ["-m", "proving.tools.faulty", row["role"], "--settings", str(path)]
         else:
             row = self.replicas[name]
             nodes = [self.http(n) for n in self.settings if not n.startswith("store")]
             turn = sorted(self.replicas).index(name) % len(nodes)
-            words = ["-m", "proving.standin"]
+            words = ["-m", "proving.tools.standin"]
             for field in ("name", "service", "domain", "address", "slots"):
                 words += [f"--{field}", str(row[field])]
             for node in nodes[turn:] + nodes[:turn]:
--- a/proving/overhead.py
+++ b/proving/tools/overhead.py
@@ -10,8 +10,8 @@
 import click
 from geventhttpclient import HTTPClient
 
-from proving import callers
-from proving.localfleet import LocalFleet
+from proving.tools import callers
+from proving.tools.localfleet import LocalFleet
 from quillring.kernel.settings import split_address
 
 
--- a/proving/reference.py
+++ b/proving/tools/reference.py
@@ -48,7 +48,7 @@
     lines = [
         "# Settings and layout",
         "",
-        "Made by `python -m proving.reference` from the schemas.",
+        "Made by `python -m proving.tools.reference` from the schemas.",
         "",
         "## Settings of a process",
         "",
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,6 @@
 import pytest
 
-from proving.localfleet import LocalFleet
+from proving.tools.localfleet import LocalFleet
 
 NAMES = [
     "core-1",
--- a/tests/forward_stage.py
+++ b/tests/forward_stage.py
@@ -1,6 +1,6 @@
 """What the tests of forwarding share: a node in a scripted world, its replicas and answers."""
 
-from proving.scripted import ScriptedWorld
+from proving.sim.scripted import ScriptedWorld
 from quillring.fleet import make_node
 from quillring.forward import Dialect, Request
 from quillring.forward.serve import serve
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from proving.scripted import BREAK, END, SILENT, STALE
+from proving.sim.scripted import BREAK, END, SILENT, STALE
 from quillring.forward import Dialect, Request
 from quillring.forward.serve import serve
 from quillring.kernel.errors import QuillringError
--- a/tests/test_catchup_bytes.py
+++ b/tests/test_catchup_bytes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from proving.many_changes import ManyChanges, frozen_store, restarted_store
+from proving.sim.many_changes import ManyChanges, frozen_store, restarted_store
 from quillring.quorum.catchup import is_state_smaller
 from quillring.quorum.transfer import PIECE_BYTES
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -2,9 +2,9 @@
 import pathlib
 import re
 
-from proving.deployments import DEPLOYMENTS, configuration_of, replicas_of, settings_of
 from proving.points.catalog import POINTS
-from proving.reference import reference
+from proving.tools.deployments import DEPLOYMENTS, configuration_of, replicas_of, settings_of
+from proving.tools.reference import reference
 from quillring.kernel.settings import find_faults
 from quillring.kernel.wsgi import ROUTES
 from quillring.rollout.schema import find_faults as configuration_faults
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -3,9 +3,9 @@
 
 import pytest
 
-from proving import fuzz
-from proving.deployments import DEPLOYMENTS, configuration_of, settings_of
 from proving.points.base import Stage
+from proving.tools import fuzz
+from proving.tools.deployments import DEPLOYMENTS, configuration_of, settings_of
 from quillring.kernel.checks import parse_json
 from quillring.kernel.errors import BadWire, QuillringError
 from quillring.kernel.settings import find_faults
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -3,7 +3,7 @@
 import gevent
 import pytest
 
-from proving.scripted import BREAK, END, SILENT, STALE
+from proving.sim.scripted import BREAK, END, SILENT, STALE
 from quillring.forward.serve import serve as serve_forward
 from quillring.kernel.effects import Emit
 from quillring.kernel.errors import BackendError, QuillringError
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from proving.many_changes import ManyChanges
+from proving.sim.many_changes import ManyChanges
 from quillring.kernel.errors import Refused
 from quillring.quorum import hints
 from quillring.quorum.parts import CONFIG
--- a/tests/test_local_fleet.py
+++ b/tests/test_local_fleet.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from proving.callers import ask
-from proving.localfleet import LocalFleet, ProcessEnded
+from proving.tools.callers import ask
+from proving.tools.localfleet import LocalFleet, ProcessEnded
 from quillring.kernel.settings import split_address
 
 
--- a/tests/test_many_changes.py
+++ b/tests/test_many_changes.py
@@ -6,8 +6,8 @@
 import pytest
 from click.testing import CliRunner
 
-from proving import many_changes
-from proving.many_changes import ManyChanges
+from proving.sim import many_changes
+from proving.sim.many_changes import ManyChanges
 from quillring.kernel.errors import Conflict
 from quillring.quorum.commands import apply_batch, first_state
 from quillring.quorum.parts import CONFIG
--- a/tests/test_newer_calls.py
+++ b/tests/test_newer_calls.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from proving.scripted import ScriptedWorld
+from proving.sim.scripted import ScriptedWorld
 from quillring.fleet import make_node
 from quillring.forward import Dialect
 from quillring.kernel.bounds import Bounds
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -7,7 +7,7 @@
 import pytest
 from click.testing import CliRunner
 
-from proving.callers import Record, ask, stream_call
+from proving.tools.callers import Record, ask, stream_call
 from quillring.verbs.program import main
 
 pytestmark = pytest.mark.xdist_group("one fleet")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from proving.scripted import ScriptedWorld
 from proving.sim.disk import SimDisk
+from proving.sim.scripted import ScriptedWorld
 from quillring.edge.memory import ReplicaMemory
 from quillring.fleet import make_node
 from quillring.forward.serve import check_known
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -1,7 +1,7 @@
 import pytest
 
-from proving.deployments import DEPLOYMENTS, configuration_of
 from proving.points.base import Stage
+from proving.tools.deployments import DEPLOYMENTS, configuration_of
 from quillring.kernel.errors import Conflict, NotFound
 from quillring.plans.commands import Contradiction, Impossible, StalePlan
 from quillring.plans.make import View, make_plan
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from proving import fuzz
-from proving.callers import Record, ask, follow_lot, lot_call, stream_call
-from proving.localfleet import LocalFleet
+from proving.tools import fuzz
+from proving.tools.callers import Record, ask, follow_lot, lot_call, stream_call
+from proving.tools.localfleet import LocalFleet
 
 pytestmark = pytest.mark.xdist_group("one fleet")
 
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -1,7 +1,7 @@
 import pytest
 
 from proving.points.base import Stage
-from proving.quorum_fuzz import Fuzz
+from proving.sim.quorum_fuzz import Fuzz
 from quillring.kernel.errors import NotOwner
 
 ONCE_FAILED = [12, 19]
--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from proving import repair_time
+from proving.sim import repair_time
 from quillring.quorum import catchup
 from tests.fleet_stage import SelfFounded
 from tests.test_repair import is_whole, members, owners, zone_order
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -1,6 +1,6 @@
 import pytest
 
-from proving import traces
+from proving.sim import traces
 
 ONCE_FAILED = ["store-fuzz-12", "store-fuzz-19"]
 
