--- a/proving/model/bugs.py
+++ b/proving/model/bugs.py
@@ -96,7 +96,7 @@
     real = PartRecord.learn
 
     def learn(self, ballot, committed):
-        self.entries = {index: (ballot, batch) for index, (_, batch) in self.entries.items()}
+        self.entries = {i: entry._replace(ballot=ballot) for i, entry in self.entries.items()}
         real(self, ballot, committed)
 
     return all_of([mock.patch.object(PartRecord, "learn", learn)])
@@ -136,7 +136,7 @@
     real = owner_module.adopt_state
 
     def adopt_state(owner, promises):
-        oldest = min(promises, key=lambda store: promises[store][1])
+        oldest = min(promises, key=lambda store: promises[store].applied)
         return real(owner, {oldest: promises[oldest]})
 
     return all_of([mock.patch.object(owner_module, "adopt_state", adopt_state)])
