Points: the owner of the read results loses power, as before nobody is told of its end

Cause: since a killed process is missed at once (its closed connections are looked after), the simulated kill tells the others, and a new owner stood before a read was late even without the guard. Change: the scenario's owner loses power, which is the silence that it had before; the guard and the bound of 1 s are as they were.

--- a/proving/points/reading.py
+++ b/proving/points/reading.py
@@ -41,7 +41,7 @@
     for _ in range(2):
         stage.run(chance.uniform(1, 2))
         name = stage.node("edge-1").find("gossip").get("owner/part-1")["owner"]
-        sim.kill(name)
+        sim.kill(name, loses_power=True)
         stage.run(4)
         sim.start(name)
         stage.run(2)
