Histories: the moment that shows a local read is played with another seed

Cause: a core that woke after a long stop ranks anew and a killed process is missed at once, so the events of seed 1 come in another order, and the owner that wakes is asked too late to tell anything old. Ruled out: the guard being superfluous: with it taken out, 6 of the seeds 1 to 8 show an old read. Change: seed 2 for this bug, both with the guard and without it.

--- a/tests/test_histories_moments.py
+++ b/tests/test_histories_moments.py
@@ -16,6 +16,7 @@
     "entry in flight": "read_in_flight",
 }
 SEED, NO_FAULTS = 1, 0
+OTHER_SEEDS = {"local read": 2}
 
 
 def test_each_moment_is_made_for_a_seeded_bug():
@@ -25,11 +26,11 @@
 
 @pytest.mark.parametrize("name", sorted(SHOWN_BY))
 def test_a_moment_shows_its_bug_and_is_clean_with_the_guard(name):
-    moments = (SHOWN_BY[name],)
+    moments, seed = (SHOWN_BY[name],), OTHER_SEEDS.get(name, SEED)
     bug = next(bug for bug in BUGS if bug.name == name)
     with bug.patch():
-        assert run_seed(SEED, NO_FAULTS, moments).findings
-    clean = run_seed(SEED, NO_FAULTS, moments)
+        assert run_seed(seed, NO_FAULTS, moments).findings
+    clean = run_seed(seed, NO_FAULTS, moments)
     assert (clean.findings, clean.undecided) == ((), ())
 
 
