--- a/examples/embed/quorum_counter.py
+++ b/examples/embed/quorum_counter.py
@@ -61,6 +61,8 @@
         print(
             "counter:", core.world.drive(core.find("ownership").read("part-0", {"ask": "counter"}))
         )
+        while core.find("gossip").get("owner/part-0") is None:
+            gevent.sleep(0.05)
         print("owner:", core.find("gossip").get("owner/part-0")["owner"])
 
 
