--- a/proving/histories/__main__.py
+++ b/proving/histories/__main__.py
@@ -25,11 +25,11 @@
 
 def run_one(job):
     """Run one seed in a worker; a failure of the program itself is a finding."""
-    seed, fault_count, folder = job
+    seed, fault_count, loud_cuts, folder = job
     gc.disable()
     start_time = time.perf_counter()
     try:
-        result = run_seed(seed, fault_count)
+        result = run_seed(seed, fault_count, loud_cuts=loud_cuts)
     except Exception:
         place = traceback.format_exc()[-SHOWN_TEXT:]
         seconds = time.perf_counter() - start_time
@@ -47,7 +47,7 @@
         click.echo(f"  {finding.target}: {finding.text[:SHOWN_TEXT]}")
 
 
-def tell_result(result, fault_count, folder):
+def tell_result(result, fault_count, loud_cuts, folder):
     """Print a run that failed or whose search was given up."""
     if result.undecided:
         click.echo(f"seed {result.seed}: undecided: {', '.join(result.undecided)}")
@@ -57,16 +57,17 @@
     tell_findings(result.findings)
     click.echo(
         f"  replay: python -m proving.histories --replay {result.seed} --faults {fault_count}"
+        f" --loud-cuts {loud_cuts}"
     )
     click.echo(f"  history: {pathlib.Path(folder) / f'history-{result.seed}.json'}")
 
 
-def run_many(first, seeds, jobs, fault_count, folder):
+def run_many(first, seeds, jobs, fault_count, loud_cuts, folder):
     """Run many seeds; return whether any failed."""
     pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
     start_time, failed, undecided, totals = time.perf_counter(), [], 0, {}
     operations = configurations = done = 0
-    work = [(seed, fault_count, folder) for seed in range(first, first + seeds)]
+    work = [(seed, fault_count, loud_cuts, folder) for seed in range(first, first + seeds)]
     with contextlib.ExitStack() as stack:
         results = map(run_one, work)
         if jobs > 1:
@@ -80,7 +81,7 @@
             failed.extend([result.seed] if result.findings else [])
             for name, number in result.counts.items():
                 totals[name] = totals.get(name, 0) + number
-            tell_result(result, fault_count, folder)
+            tell_result(result, fault_count, loud_cuts, folder)
             if done % 100 == 0:
                 seconds = time.perf_counter() - start_time
                 click.echo(f"{done} runs, {operations} operations, {seconds:.0f} s")
@@ -95,10 +96,10 @@
     return bool(failed)
 
 
-def replay(what, fault_count):
+def replay(what, fault_count, loud_cuts):
     """Judge a saved history again, or play a seed again; return whether it failed."""
     if what.isdigit():
-        result = run_seed(int(what), fault_count)
+        result = run_seed(int(what), fault_count, loud_cuts=loud_cuts)
         history, findings, undecided = result.history, result.findings, result.undecided
     else:
         history = load_history(what)
@@ -131,19 +132,26 @@
     show_default=True,
     help="Faults a run.",
 )
+@click.option(
+    "--loud-cuts",
+    type=click.IntRange(0, MOST_FAULTS),
+    default=0,
+    show_default=True,
+    help="Resetting or refusing cuts a run.",
+)
 @click.option("--replay", "replay_what", help="A seed to play again or a saved history to judge.")
 @click.option("--bugs", "shows_bugs", is_flag=True, help="Take guards out: is each one missed?")
 @click.option("--output", default="run/histories", show_default=True, help="Folder of failures.")
-def main(seeds, first, jobs, fault_count, replay_what, shows_bugs, output):
+def main(seeds, first, jobs, fault_count, loud_cuts, replay_what, shows_bugs, output):
     """Record runs under faults and check them for linearizability; exit 1 on a violation."""
     check_arguments(replay_what, shows_bugs, seeds is not None)
     try:
         if replay_what is not None:
-            is_failed = replay(replay_what, fault_count)
+            is_failed = replay(replay_what, fault_count, loud_cuts)
         elif shows_bugs:
             is_failed = find_all_bugs(first, jobs, click.echo)
         else:
-            is_failed = run_many(first, seeds or 20, jobs, fault_count, output)
+            is_failed = run_many(first, seeds or 20, jobs, fault_count, loud_cuts, output)
     except BadHistory as error:
         raise click.ClickException(str(error)) from error
     except OSError as error:
--- a/proving/histories/run.py
+++ b/proving/histories/run.py
@@ -20,11 +20,13 @@
 )
 from proving.histories.snapshots import check_snapshots
 from proving.histories.stage import HistoryStage
+from proving.sim.loud_cuts import LoudCuts
 from proving.sim.world import ScriptFailure
 
 PROGRAM = "program"
 OPERATORS, LOT_CLIENTS = 5, 2
 FAULTS, MOMENTS_A_RUN = 7, 3
+LOUD_CUT_SECONDS = (2.0, 20.0)
 FAULTS_FROM, CALLS_UNTIL, HEAL_AT, BACK_WITHIN = 2.0, 23.0, 24.0, 12.0
 
 
@@ -51,10 +53,11 @@
 class HistoryRun:
     """Plays one seed and records it."""
 
-    def __init__(self, seed, fault_count=FAULTS, moments=MOMENTS):
+    def __init__(self, seed, fault_count=FAULTS, moments=MOMENTS, loud_cuts=0):
         self.stage = HistoryStage(seed)
         self.chance = random.Random(f"clients {seed}")
         self.fault_count = fault_count
+        self.loud_cuts = loud_cuts
         self.moments = moments
         self.counts, self.values, self.lots = {}, 0, 0
         self.findings = []
@@ -83,6 +86,8 @@
         self._note_runs()
         history.steps = [*sim.history.notes]
         self.counts["packets held"] = sim.net.late_packets
+        self.counts["frames refused by cuts"] = sim.net.refused_frames
+        self.counts["frames reset by cuts"] = sim.net.reset_frames
         self.findings.extend(Finding("simulator", text) for text in sim.history.violations)
         return history
 
@@ -92,6 +97,8 @@
         sim.net.late_copy_share, sim.net.late_share = LATE_COPY_SHARE, LATE_SHARE
         faults = HistoryFaults(sim)
         env.process(faults.run(FAULTS_FROM, HEAL_AT, self.fault_count))
+        loud_cuts = LoudCuts(sim, LOUD_CUT_SECONDS)
+        env.process(loud_cuts.run(FAULTS_FROM, HEAL_AT, self.loud_cuts))
         env.process(Moments(self, faults, self.moments).play(MOMENTS_A_RUN))
         workers = [
             *(Operator(self, f"operator {n}") for n in range(OPERATORS)),
@@ -171,10 +178,10 @@
     )
 
 
-def run_seed(seed, fault_count=FAULTS, moments=MOMENTS):
-    """Play and judge one seed, with moments of the named kinds."""
+def run_seed(seed, fault_count=FAULTS, moments=MOMENTS, loud_cuts=0):
+    """Play and judge one seed, with moments of the named kinds and so many loud cuts."""
     start_time = time.perf_counter()
-    run = HistoryRun(seed, fault_count, moments)
+    run = HistoryRun(seed, fault_count, moments, loud_cuts)
     history = run.play()
     findings, undecided, configurations = judge(history)
     return Result(
--- a/proving/sim/fleet.py
+++ b/proving/sim/fleet.py
@@ -7,7 +7,7 @@
 from proving.sim.backends import Backends, SimReplica
 from proving.sim.disk import SimDisk
 from proving.sim.history import History
-from proving.sim.net import SimNet
+from proving.sim.net import CutKind, SimNet
 from proving.sim.world import SimWorld
 from proving.tools.deployments import DEPLOYMENTS, configuration_of, replicas_of, settings_of
 from quillring.fleet import make_node, open_store, start_node
@@ -129,14 +129,14 @@
         world.freeze()
         self.env.timeout(seconds).callbacks.append(lambda _: world.thaw())
 
-    def cut(self, names, other_names, both_ways=True):
+    def cut(self, names, other_names, both_ways=True, kind=CutKind.SILENT):
         """Cut every pair between two groups of nodes."""
-        self.history.note(f"cut {sorted(names)} from {sorted(other_names)}")
+        word = "cut" if kind is CutKind.SILENT else f"{kind} cut"
+        self.history.note(f"{word} {sorted(names)} from {sorted(other_names)}")
         for name in names:
+            address = self.nodes[name].me.address
             for other_name in other_names:
-                self.net.cut(
-                    self.nodes[name].me.address, self.nodes[other_name].me.address, both_ways
-                )
+                self.net.cut(address, self.nodes[other_name].me.address, both_ways, kind)
 
     def heal(self):
         """Heal the network."""
--- /dev/null
+++ b/proving/sim/loud_cuts.py
@@ -0,0 +1,102 @@
+"""Cuts that reset or refuse connections, drawn by a chance of their own."""
+
+import random
+
+from proving.sim.net import CutKind
+
+LOUD_KINDS = (CutKind.REFUSING, CutKind.RESETTING)
+CUT_SECONDS = (1.0, 9.0)
+FLAPS = 12
+FLAP_SECONDS = (0.02, 0.8)
+
+
+class LoudCuts:
+    """Brings loud cuts about at random times; other faults are drawn as without them."""
+
+    def __init__(self, sim, cut_seconds=CUT_SECONDS):
+        self.sim = sim
+        self.chance = random.Random(f"loud cuts {sim.seed}")
+        self.cut_seconds = cut_seconds
+        self.end_time = 0.0
+        self.shapes = [
+            self.cut_pair,
+            self.cut_partial,
+            self.cut_one_way,
+            self.cut_owner,
+            self.cut_core,
+            self.cut_store,
+            self.split_whole,
+            self.flap,
+        ]
+
+    def run(self, start_time, end_time, count):
+        """Process: bring about `count` loud cuts; none outlasts the end."""
+        self.end_time = end_time
+        times = sorted(self.chance.uniform(start_time, end_time) for _ in range(count))
+        for at in times:
+            yield self.sim.env.timeout(max(0, at - self.sim.env.now))
+            shape, kind = self.chance.choice(self.shapes), self.chance.choice(LOUD_KINDS)
+            self.sim.history.count(f"fault {kind} {shape.__name__}")
+            self.sim.env.process(shape(kind))
+
+    def _cut_for(self, names, others, kind, both_ways=True, seconds=None):
+        net, env = self.sim.net, self.sim.env
+        seconds = seconds or self.chance.uniform(*self.cut_seconds)
+        seconds = min(seconds, self.end_time - env.now)
+        if seconds <= 0:
+            return
+        before = set(net.cuts)
+        self.sim.cut(names, others, both_ways, kind)
+        added = net.cuts - before
+        yield env.timeout(seconds)
+        self.sim.history.note(f"{kind} cut healed")
+        net.cuts -= added
+
+    def _off(self, name, kind):
+        others = [other for other in sorted(self.sim.nodes) if other != name]
+        yield from self._cut_for([name], others, kind)
+
+    def cut_pair(self, kind):
+        """One pair is cut."""
+        first, second = self.chance.sample(sorted(self.sim.nodes), 2)
+        yield from self._cut_for([first], [second], kind)
+
+    def cut_partial(self, kind):
+        """Two groups are cut, a third reaches both."""
+        names = self.chance.sample(sorted(self.sim.nodes), len(self.sim.nodes))
+        third = len(names) // 3
+        yield from self._cut_for(names[:third], names[third : 2 * third], kind)
+
+    def cut_one_way(self, kind):
+        """Connections of one direction are cut, and its datagrams."""
+        first, second = self.chance.sample(sorted(self.sim.nodes), 2)
+        yield from self._cut_for([first], [second], kind, both_ways=False)
+
+    def cut_owner(self, kind):
+        """The configuration's owner, as some edge heard of it, is cut off."""
+        edges = self.sim.up_nodes("edge") or list(self.sim.nodes.values())
+        news = self.chance.choice(edges).find("gossip").get("owner/config") or {}
+        yield from self._off(news.get("owner", self.sim.names("core")[0]), kind)
+
+    def cut_core(self, kind):
+        """A core is cut off."""
+        yield from self._off(self.chance.choice(self.sim.names("core")), kind)
+
+    def cut_store(self, kind):
+        """A store is cut off."""
+        yield from self._off(self.chance.choice(self.sim.names("store")), kind)
+
+    def split_whole(self, kind):
+        """Two sides with no bridge."""
+        names = self.chance.sample(sorted(self.sim.nodes), len(self.sim.nodes))
+        half = self.chance.randrange(1, len(names))
+        yield from self._cut_for(names[:half], names[half:], kind)
+
+    def flap(self, kind):
+        """A node's links to all others go and come, faster than beats are missed."""
+        name = self.chance.choice(sorted(self.sim.nodes))
+        others = [other for other in sorted(self.sim.nodes) if other != name]
+        for _ in range(FLAPS):
+            seconds = self.chance.uniform(*FLAP_SECONDS)
+            yield from self._cut_for([name], others, kind, seconds=seconds)
+            yield self.sim.env.timeout(self.chance.uniform(*FLAP_SECONDS))
--- a/proving/sim/net.py
+++ b/proving/sim/net.py
@@ -1,8 +1,22 @@
 """The simulated network: delay, loss, doubling, reorder, cuts, late copies, slow links."""
 
+import enum
+
 LONGEST_HOLD = 25.0
 
 
+class CutKind(enum.StrEnum):
+    """What a cut does to connections; datagrams vanish in each.
+
+    A silent one swallows what is sent. A resetting one resets the open connections and each later
+    one once it carries a frame. A refusing one resets the open ones and refuses each later one.
+    """
+
+    SILENT = "silent"
+    RESETTING = "resetting"
+    REFUSING = "refusing"
+
+
 class SimNet:
     """Carries datagrams and frames between addresses."""
 
@@ -13,6 +27,9 @@
         self.channels = {}
         self.refusing = set()
         self.cuts = set()
+        self.loud_cuts = {}
+        self.lives = {}
+        self.reset_frames = self.refused_frames = 0
         self.loss_share = 0.0
         self.double_share = 0.0
         self.reorder_share = 0.0
@@ -33,11 +50,45 @@
         self.receivers[address] = world
         self.refusing.discard(address)
 
-    def cut(self, home, target, both_ways=True):
-        """Cut the way from one address to another."""
-        self.cuts.add((home, target))
-        if both_ways:
-            self.cuts.add((target, home))
+    def cut(self, home, target, both_ways=True, kind=CutKind.SILENT):
+        """Cut the way from one address to another; one that is cut already stays as it is."""
+        ways = [(home, target), (target, home)] if both_ways else [(home, target)]
+        for way in ways:
+            if way not in self.cuts:
+                self._cut_way(way, kind)
+
+    def _cut_way(self, way, kind):
+        self.cuts.add(way)
+        self.loud_cuts.pop(way, None)
+        if kind is not CutKind.SILENT:
+            self.loud_cuts[way] = kind
+            self._reset_way(way)
+
+    def _reset_way(self, way):
+        """Reset the connection on a way: what is under way on it is lost, its owner looks again."""
+        home, target = way
+        self.lives[way] = self.lives.get(way, 0) + 1
+        if self.channels.get(target, {}).pop(home, False):
+            self._answer_frame(home, target)
+
+    def _answer_frame(self, home, target):
+        """Have a loud cut answer a frame or a new connection on its way."""
+        kind = self.loud_cuts.get((home, target))
+        self.reset_frames += kind is CutKind.RESETTING
+        if kind is CutKind.REFUSING:
+            self.refused_frames += 1
+            event = self.env.timeout(self.max_delay * 3)
+            event.callbacks.append(lambda _: self._refuse_by_cut(home, target))
+
+    def _refuse_by_cut(self, home, target):
+        """Tell a sender that its connection was refused, if the cut is there still."""
+        way, world = (home, target), self.receivers.get(home)
+        is_refusing = way in self.cuts and self.loud_cuts.get(way) is CutKind.REFUSING
+        if is_refusing and world is not None:
+            world.receive("refused", target)
+
+    def _is_cut_loudly(self, home, target):
+        return (home, target) in self.cuts and (home, target) in self.loud_cuts
 
     def hold_way(self, home, target, end_time, release_event):
         """Hold the frames that are sent on a way until `end_time`; they come after the event.
@@ -49,6 +100,7 @@
     def heal(self):
         """Heal every cut and stop losing, doubling, reordering and holding."""
         self.cuts.clear()
+        self.loud_cuts.clear()
         self.held_ways.clear()
         self.loss_share = self.double_share = self.reorder_share = 0.0
         self.late_copy_share = self.late_share = 0.0
@@ -71,24 +123,27 @@
         address at that time: a relay or a socket may hold a message for so long.
         """
         self.carried += 1
-        if kind == "frame":
+        is_frame, life = kind == "frame", self.lives.get((home, target), 0)
+        if is_frame and self._is_cut_loudly(home, target):
+            self._answer_frame(home, target)
+        elif is_frame:
             self.channels.setdefault(target, {})[home] = True
         if self._is_drawn(self.late_copy_share):
             self._hold(home, target, data, kind)
         if self._is_drawn(self.late_share):
             self._hold(home, target, data, kind)
             return
-        if kind == "frame" and self._is_held(home, target, data):
+        if is_frame and self._is_held(home, target, data):
             return
         if not self.passes(home, target) or self.chance.random() < self.loss_share:
             return
         copies = 2 if self.chance.random() < self.double_share else 1
         for _ in range(copies):
-            seconds = self._sending_seconds(home, data) if kind == "frame" else 0
+            seconds = self._sending_seconds(home, data) if is_frame else 0
             if seconds is None:
                 return
             event = self.env.timeout(self.delay() + seconds)
-            event.callbacks.append(lambda _: self._arrive(home, target, data, kind))
+            event.callbacks.append(lambda _: self._arrive(home, target, data, kind, life))
 
     def close_channels(self, target):
         """Close every connection to an address whose process ended, and take no new one there.
@@ -114,7 +169,8 @@
         end_time, release_event = self.held_ways.get((home, target), (0, None))
         if self.env.now >= end_time or release_event.processed:
             return False
-        release_event.callbacks.append(lambda _: self._arrive(home, target, data, "frame"))
+        life = self.lives.get((home, target), 0)
+        release_event.callbacks.append(lambda _: self._arrive(home, target, data, "frame", life))
         return True
 
     def _hold(self, home, target, data, kind):
@@ -137,8 +193,11 @@
         self.free_at[home] = start_time + min(own_seconds, self.frame_seconds)
         return None if own_seconds > self.frame_seconds else self.free_at[home] - self.env.now
 
-    def _arrive(self, home, target, data, kind):
+    def _arrive(self, home, target, data, kind, life=None):
         world = self.receivers.get(target)
+        if kind == "frame" and life not in (None, self.lives.get((home, target), 0)):
+            self.reset_frames += 1
+            return
         if kind == "frame":
             self._refuse(home, target)
         if world is not None and self.passes(home, target):
--- a/proving/sim/run.py
+++ b/proving/sim/run.py
@@ -3,6 +3,7 @@
 from proving.sim.callers import SimCallers
 from proving.sim.chaos import Chaos
 from proving.sim.fleet import SimFleet
+from proving.sim.loud_cuts import LoudCuts
 from proving.sim.monitor import Monitor
 
 HEAL_AT, BACK_WITHIN, LAST_LOOK = 40.0, 12.0, 45.0
@@ -82,14 +83,15 @@
         sim.history.violate(f"hints are left over: {[n for n, h in hinted.items() if h]}")
 
 
-def run_seed(deployment, seed, fault_count=10, sizes=None):
-    """Run one seed; return the history and the callers' record."""
+def run_seed(deployment, seed, fault_count=10, sizes=None, loud_cuts=0):
+    """Run one seed, with so many loud cuts besides; return the history and the callers' record."""
     sim = start_fleet(deployment, seed, sizes)
     monitor = Monitor(sim)
     sim.env.run(until=6)
     callers = start_traffic(sim, deployment)
     chaos = Chaos(sim, monitor)
     sim.env.process(chaos.run(8, HEAL_AT, fault_count))
+    sim.env.process(LoudCuts(sim).run(8, HEAL_AT, loud_cuts))
     callers.stop_at = HEAL_AT
     sim.env.run(until=HEAL_AT + 0.001)
     sim.env.process(probe_service(sim, callers, HEAL_AT + BACK_WITHIN))
@@ -98,6 +100,8 @@
         if known["phase"] == "open":
             sim.history.violate(f"lot {lot} has no end: {len(known['seen'])} results")
     check_groups(sim)
+    sim.history.count("frames refused by cuts", sim.net.refused_frames)
+    sim.history.count("frames reset by cuts", sim.net.reset_frames)
     for replica in sim.replicas.values():
         if replica.logic.overloads:
             sim.history.violate(f"{replica.row['name']} got more than it can bear while cold")
--- a/proving/sim/sweep.py
+++ b/proving/sim/sweep.py
@@ -15,10 +15,11 @@
 def run_one(job):
     """Run one seed in a worker."""
     gc.disable()
-    deployment, seed, faults, small = job
+    deployment, seed, faults, small, loud_cuts = job
     start_time = time.perf_counter()
     try:
-        sim, callers = run_seed(deployment, seed, faults, SMALL if small else None)
+        sizes = SMALL if small else None
+        sim, callers = run_seed(deployment, seed, faults, sizes, loud_cuts)
         violations, notes = sim.history.violations, sim.history.notes
         outcomes = {f"{k}/{o}": n for (k, o), n in callers.record.outcomes.items()}
         counts = sim.history.counts
@@ -38,12 +39,13 @@
     }
 
 
-def replay_command(result, faults, small):
+def replay_command(result, faults, small, loud_cuts):
     """Return the command that replays a seed."""
-    size_flag = " --small" if small else ""
+    flags = f" --loud-cuts {loud_cuts}" if loud_cuts else ""
+    flags += " --small" if small else ""
     return (
         f"python -m proving.sim.sweep --deployment {result['deployment']} --first "
-        f"{result['seed']} --count 1 --faults {faults}{size_flag} --verbose"
+        f"{result['seed']} --count 1 --faults {faults}{flags} --verbose"
     )
 
 
@@ -52,12 +54,14 @@
 @click.option("--first", default=1, show_default=True, help="First seed.")
 @click.option("--count", default=20, show_default=True, help="Seeds a deployment.")
 @click.option("--faults", default=10, show_default=True, help="Faults a run.")
+@click.option("--loud-cuts", default=0, show_default=True, help="Resetting or refusing cuts a run.")
 @click.option("--small", is_flag=True, help="Fewer edges and cores.")
 @click.option("--workers", default=8, show_default=True)
 @click.option("--verbose", is_flag=True, help="Print the steps of every run.")
-def main(deployments, first, count, faults, small, workers, verbose):
+def main(deployments, first, count, faults, loud_cuts, small, workers, verbose):
     """Run many seeds; exit 1 when any has a violation."""
-    jobs = [(d, seed, faults, small) for seed in range(first, first + count) for d in deployments]
+    seeds = range(first, first + count)
+    jobs = [(d, seed, faults, small, loud_cuts) for seed in seeds for d in deployments]
     outcomes, counts, failed = {}, {}, 0
     with multiprocessing.Pool(min(workers, len(jobs))) as pool:
         for result in pool.imap_unordered(run_one, jobs):
@@ -74,7 +78,7 @@
                 click.echo(f"{result['deployment']} seed {result['seed']} failed:")
                 for text in result["violations"][:16]:
                     click.echo(f"  {text[:300]}")
-                click.echo(f"  replay: {replay_command(result, faults, small)}")
+                click.echo(f"  replay: {replay_command(result, faults, small, loud_cuts)}")
             if verbose:
                 click.echo("\n".join(result["marks"]))
     click.echo(
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -2,22 +2,26 @@
 
 import pytest
 
+from proving.sim.net import CutKind
 from tests.fleet_stage import SelfFounded
 from tests.system_calls import BEAT, WHOLE, call, replace
 
 CUT_SECONDS = 20
 WAIT_SECONDS = 1
 KNOWN_AFTER = 2.5
-WAYS = ("silent", "hears_nothing", "reaches_nobody")
+WAYS = ("silent", "hears_nothing", "reaches_nobody", "refusing", "resetting")
+LOUD_WAYS = {"refusing": CutKind.REFUSING, "resetting": CutKind.RESETTING}
 
 
 def cut_off(stage, name, way):
-    """Cut a node off from all others, in one direction or both."""
+    """Cut a node off from all others, in one direction or both, silently or loudly."""
     others = [other for other in stage.sim.nodes if other != name]
     if way == "hears_nothing":
         stage.sim.cut(others, [name], both_ways=False)
+    elif way == "reaches_nobody":
+        stage.sim.cut([name], others, both_ways=False)
     else:
-        stage.sim.cut([name], others, both_ways=way == "silent")
+        stage.sim.cut([name], others, kind=LOUD_WAYS.get(way, CutKind.SILENT))
 
 
 class Operator:
--- /dev/null
+++ b/tests/test_loud_cut_runs.py
@@ -0,0 +1,47 @@
+"""Loud cuts in the sweep's and the histories' runs: drawn apart, over by the end, clean."""
+
+import pytest
+
+from proving.histories.run import run_seed as record_seed
+from proving.sim.fleet import SimFleet
+from proving.sim.loud_cuts import LoudCuts
+from proving.sim.run import SMALL, run_seed
+from tests.fleet_stage import SIZES
+
+END_TIME = 6.0
+
+
+@pytest.mark.parametrize("deployment, seed", [("ferrowa", 21), ("kilele", 22)])
+def test_a_fixed_seed_with_loud_cuts_has_no_violation(deployment, seed):
+    sim, _ = run_seed(deployment, seed, 10, SMALL, loud_cuts=8)
+    assert sim.history.violations == []
+    assert sim.net.refused_frames > 0 and sim.net.reset_frames > 0
+
+
+@pytest.mark.parametrize("seed", [21, 22])
+def test_a_recorded_run_with_loud_cuts_is_linearizable(seed):
+    result = record_seed(seed, loud_cuts=6)
+    assert (result.findings, result.undecided) == ((), ())
+    assert result.counts["frames refused by cuts"] > 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_loud_cuts_are_over_by_the_end_and_take_nothing_from_the_other_chances(seed):
+    sim = SimFleet("ferrowa", seed, SIZES)
+    for name in sim.rows:
+        sim.start(name)
+    former_states = sim.chance.getstate(), sim.net.chance.getstate()
+    for node in sim.nodes.values():
+        node.world.kill()
+    sim.env.process(LoudCuts(sim).run(0, END_TIME, 20))
+    sim.env.run(until=END_TIME - 0.1)
+    assert sim.net.cuts and {*sim.net.cuts} <= {*sim.net.loud_cuts}
+    sim.env.run(until=END_TIME + 0.1)
+    assert not sim.net.cuts
+    assert (sim.chance.getstate(), sim.net.chance.getstate()) == former_states
+
+
+def test_loud_cuts_of_one_seed_are_the_same_each_time():
+    steps = [record_seed(23, 2, loud_cuts=5).history.steps for _ in range(2)]
+    assert steps[0] == steps[1]
+    assert any("refusing cut" in step for step in steps[0])
--- a/tests/test_sim_net.py
+++ b/tests/test_sim_net.py
@@ -1,10 +1,14 @@
-"""The simulated network holds messages and copies of them, and draws nothing for shares of zero."""
+"""The simulated network holds messages and copies of them, and draws nothing for shares of zero.
+
+Its loud cuts reset or refuse connections, and leave the other kinds as they were.
+"""
 
 import random
 
+import pytest
 import simpy
 
-from proving.sim.net import SimNet
+from proving.sim.net import CutKind, SimNet
 
 HOME, TARGET = ("10.0.0.1", 1), ("10.0.0.2", 1)
 
@@ -67,3 +71,93 @@
     former = random.Random(1)
     former.random(), former.random(), former.uniform(0, 1), former.random()
     assert net.chance.getstate() == former.getstate()
+
+
+class Line:
+    """Two addresses of a network, with what each of them receives."""
+
+    def __init__(self):
+        self.env = simpy.Environment()
+        self.net = SimNet(self.env, random.Random(2))
+        self.home, self.target = Receiver(self.env), Receiver(self.env)
+        self.net.attach(HOME, self.home)
+        self.net.attach(TARGET, self.target)
+
+    def send(self, kind="frame"):
+        """Send a packet and let it come, or its refusal."""
+        self.net.carry(HOME, TARGET, b"x", kind)
+        self.env.run(until=self.env.now + 0.1)
+
+    def kinds(self):
+        """Return the kinds of packets that came to each side."""
+        return [[kind for _, kind, _ in side.arrivals] for side in (self.home, self.target)]
+
+
+def test_a_refusing_cut_refuses_each_frame_and_swallows_datagrams():
+    line = Line()
+    line.net.cut(HOME, TARGET, kind=CutKind.REFUSING)
+    line.send()
+    line.send("datagram")
+    line.send()
+    assert line.kinds() == [["refused", "refused"], []]
+    assert {data for _, _, data in line.home.arrivals} == {TARGET}
+    line.net.heal()
+    line.send()
+    assert line.kinds() == [["refused", "refused"], ["frame"]]
+
+
+def test_a_refusing_cut_tells_at_once_whoever_had_a_connection_there():
+    line = Line()
+    line.send()
+    line.net.cut(HOME, TARGET, kind=CutKind.REFUSING)
+    line.env.run(until=1)
+    assert line.kinds() == [["refused"], ["frame"]]
+    assert line.net.refused_frames == 1
+
+
+def test_a_refusing_cut_that_is_over_before_one_looks_again_refuses_nobody():
+    line = Line()
+    line.send()
+    line.net.cut(HOME, TARGET, kind=CutKind.REFUSING)
+    line.net.heal()
+    line.env.run(until=1)
+    assert line.kinds() == [[], ["frame"]]
+
+
+@pytest.mark.parametrize("kind", [CutKind.REFUSING, CutKind.RESETTING])
+def test_what_is_under_way_on_a_connection_that_is_reset_never_comes(kind):
+    line = Line()
+    line.net.carry(HOME, TARGET, b"lost", "frame")
+    line.net.carry(HOME, TARGET, b"beat", "datagram")
+    line.net.cut(HOME, TARGET, kind=kind)
+    line.net.heal()
+    line.env.run(until=1)
+    assert [data for _, _, data in line.target.arrivals] == [b"beat"]
+    assert line.net.reset_frames >= 1
+
+
+def test_a_resetting_cut_loses_each_frame_and_refuses_nobody():
+    line = Line()
+    line.send()
+    line.net.cut(HOME, TARGET, kind=CutKind.RESETTING)
+    line.send()
+    line.send()
+    assert line.kinds() == [[], ["frame"]]
+    assert line.net.reset_frames == 3
+
+
+def test_one_way_of_a_refusing_cut_leaves_the_other_open():
+    line = Line()
+    line.net.cut(HOME, TARGET, both_ways=False, kind=CutKind.REFUSING)
+    line.net.carry(TARGET, HOME, b"back", "frame")
+    line.send()
+    assert line.kinds() == [["frame", "refused"], []]
+
+
+def test_a_silent_cut_after_a_refusing_one_refuses_nobody():
+    line = Line()
+    line.net.cut(HOME, TARGET, kind=CutKind.REFUSING)
+    line.net.cuts.clear()
+    line.net.cut(HOME, TARGET)
+    line.send()
+    assert line.kinds() == [[], []]
