--- a/quillring/quorum/leader/retirement_check.py
+++ b/quillring/quorum/leader/retirement_check.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 from quillring.kernel.effects import Signal, Wait
-from quillring.kernel.errors import QuillringError, UnknownService
+from quillring.kernel.errors import QuillringError, TimedOut, UnknownService
 from quillring.kernel.records import NamedTuple
 
 if TYPE_CHECKING:
@@ -107,7 +107,10 @@
 def ask_all_parts(node: Node, seconds: float) -> Coroutine:
     """Ask the leaders of all parts concurrently; return the GroupStatus of each.
 
-    Raises the error of a part whose leader could not be asked.
+    Raises
+    ------
+    QuillringError
+        The error of a part whose leader could not be asked; TimedOut where one did not answer.
     """
     ownership, done_signal = node.find("ownership"), Signal()
     parts = ownership.parts()
@@ -124,6 +127,9 @@
     for part in parts:
         node.spawn(ask_part(part))
     yield Wait(done_signal, seconds * 2)
+    unheard = [part for part in parts if part not in outcomes]
+    if unheard:
+        raise TimedOut(service="part.whole", parts=unheard)
     for outcome in outcomes.values():
         if isinstance(outcome, QuillringError):
             raise outcome
