Peer layer: bytes counted by kind and zone; long frames between zones compressed

Change: wire version 4, a frame of 512 bytes or more to another zone is a zlib stream, bounded when it is read. Ruled out: fewer acceptors (five are needed for two losses).

--- a/quillring/kernel/node.py
+++ b/quillring/kernel/node.py
@@ -23,6 +23,7 @@
 )
 from quillring.kernel.messages import CallReply, CallRequest, is_reply
 from quillring.kernel.records import NamedTuple
+from quillring.kernel.traffic import TrafficCounters
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -68,6 +69,7 @@
         "last_call_id",
         "log",
         "counts",
+        "traffic",
         "is_draining",
         "is_closing",
         "under_way",
@@ -89,6 +91,7 @@
         self.last_call_id = first_call_id(me)
         self.log: LogWriter = log or (lambda level, text, *fields: None)
         self.counts: dict[str, int] = {}
+        self.traffic = TrafficCounters()
         self.is_draining = False
         self.is_closing = False
         self.under_way = 0
--- a/quillring/nifty/nifty.py
+++ b/quillring/nifty/nifty.py
@@ -10,6 +10,7 @@
 
 from quillring.kernel.effects import Sleep
 from quillring.kernel.errors import BadWire
+from quillring.kernel.traffic import HEARTBEAT
 from quillring.nifty.bits import BitPermutations
 from quillring.nifty.graph import Graph
 from quillring.nifty.heartbeat_round import HeartbeatRound
@@ -112,6 +113,8 @@
         addresses, find_state = self.roster.addresses, self.peer_states.get
         send_datagram = self.node.runtime.datagram
         sent_count = sent_bytes = 0
+        members = self.roster.members
+        sizes_by_zone: dict[str, list[int]] = {}
         for address, names in addresses.items():
             if address != own_address and not left_out_names.issuperset(names):
                 state = find_state(names[0]) if len(names) == 1 else self._latest_state(names)
@@ -119,7 +122,10 @@
                 send_datagram(address, data)
                 sent_count += 1
                 sent_bytes += len(data)
+                sizes_by_zone.setdefault(members[names[0]].zone, []).append(len(data))
         self._count_sent(sent_count, sent_bytes)
+        for zone, sizes in sizes_by_zone.items():
+            self.node.traffic.record(HEARTBEAT, zone, sum(sizes), len(sizes))
         for address in dict.fromkeys(self.seeds):
             if address != own_address and address not in addresses:
                 self._send_heartbeat(address, heartbeat_round, None)
--- a/quillring/nifty/relay.py
+++ b/quillring/nifty/relay.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quillring.kernel.errors import BadWire
+from quillring.kernel.traffic import RELAYED, REPLY
 from quillring.nifty.duplicate_filter import DuplicateFilter
 from quillring.nifty.graph import Graph
 from quillring.nifty.peers import Peers
@@ -80,9 +81,19 @@
             return False
         state = self.peer_states.get(hop)
         version = self.versions[0] if state is None else state.version
-        self.node.runtime.frame(hop_member.address, envelope.to_wire(version))
+        is_other_zone = hop_member.zone != self.node.me.zone
+        data = envelope.to_wire(version, may_compress=is_other_zone)
+        self.node.traffic.record(self._traffic_kind(envelope), hop_member.zone, len(data))
+        self.node.runtime.frame(hop_member.address, data)
         return True
 
+    def _traffic_kind(self, envelope: Envelope) -> str:
+        """Return the kind that an envelope counts as: its service, a reply, or a relayed one."""
+        if envelope.origin != self.node.me.name:
+            return RELAYED
+        service = envelope.message.get("s")
+        return service if isinstance(service, str) else REPLY
+
     def on_frame(self, data: bytes) -> None:
         """Deliver a frame for this node, or relay it; count and drop bad frames and duplicates."""
         try:
--- a/quillring/nifty/wire.py
+++ b/quillring/nifty/wire.py
@@ -1,11 +1,14 @@
 """The node-to-node wire format: magic, version, then one CBOR value (RFC 8949).
 
-A node speaks two versions, so that a fleet can be upgraded one node at a time: to a member it uses
-the newest one that both speak, and the older one until it has received a heartbeat. Every echo
-names the newest version its node speaks, which readers of version 1 ignore.
+A node speaks several versions, so that a fleet can be upgraded one node at a time: to a member it
+uses the newest one that both speak, and the oldest one until it has received a heartbeat. Every
+echo names the newest version its node speaks, which readers of version 1 ignore.
 Echoes also name the form of terse heartbeats that their node reads; former readers ignore that.
 Version 2 added `lot.release`, `member.former` and the entry in answers to `journal.find`.
 Version 3 added lots outside their host's part, `raw.reserve`, `raw.release`, `raw.fence`.
+Version 4 added compressed frames: the value is a CBOR byte string, a zlib stream (RFC 1950) of the
+encoded list. It also added `load.report` and `load.zone`. Everything that is not compressed is sent
+in version 3 at most: a member that was just started anew by an older program reads it at once.
 
 A frame holds [origin, incarnation, sequence, target, hops left, message].
 A full heartbeat holds [member record, sequence, roster digest, bitmap, stamp, echo], a terse one
@@ -15,6 +18,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import TYPE_CHECKING
 
 import cbor2
@@ -32,7 +36,13 @@
     """Freshness stamp of a store: [ballot, index, identity of the store]."""
 
 MAGIC = b"QR"
-SPOKEN = (2, 3)
+SPOKEN = (2, 3, 4)
+COMPRESSION_VERSION = 4
+PLAIN_VERSION = 3
+"""The newest version of heartbeats, and of frames that are not compressed."""
+COMPRESSION_LEVEL = 1
+MIN_COMPRESSED_BYTES = 512
+"""Shorter frames gain too little to be compressed."""
 FRAME_LIMIT_BYTES = 64 * 1024 * 1024
 HEADS = [MAGIC + bytes([version]) for version in range(256)]
 FULL_FIELDS, TERSE_FIELDS = 6, 5
@@ -59,9 +69,35 @@
     if len(data) < 3 or data[2] not in versions:
         raise BadWire(reason="version")
     try:
-        return data[2], cbor2.loads(data[3:])
+        value = cbor2.loads(data[3:])
+        if isinstance(value, bytes) and data[2] >= COMPRESSION_VERSION:
+            value = cbor2.loads(decompress(value))
     except (ValueError, cbor2.CBORError, RecursionError, MemoryError) as error:
         raise BadWire(reason="cbor") from error
+    return data[2], value
+
+
+def compress(data: bytes) -> bytes:
+    """Return an encoded value as a compressed one."""
+    return cbor2.dumps(zlib.compress(data, COMPRESSION_LEVEL))
+
+
+def decompress(data: bytes) -> bytes:
+    """Return the encoded value in a zlib stream.
+
+    Raises
+    ------
+    BadWire
+        The stream is garbage or cut, or its value is longer than a frame may be.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        value = decompressor.decompress(data, FRAME_LIMIT_BYTES)
+    except zlib.error as error:
+        raise BadWire(reason="zlib") from error
+    if not decompressor.eof:
+        raise BadWire(reason="zlib")
+    return value
 
 
 class Envelope(NamedTuple):
@@ -99,9 +135,14 @@
             raise BadWire(reason="frame")
         return cls(origin, incarnation, sequence, target, hops_left, message)
 
-    def to_wire(self, version: int) -> bytes:
-        """Return the frame under a version."""
-        return HEADS[version] + cbor2.dumps([*self])
+    def to_wire(self, version: int, may_compress: bool = False) -> bytes:
+        """Return the frame under a version, compressed where that is allowed and worth it."""
+        data = cbor2.dumps([*self])
+        if may_compress and version >= COMPRESSION_VERSION and len(data) >= MIN_COMPRESSED_BYTES:
+            compressed = compress(data)
+            if len(compressed) < len(data):
+                return HEADS[version] + compressed
+        return HEADS[min(version, PLAIN_VERSION)] + data
 
     def after_hop(self) -> Envelope:
         """Return the envelope with one hop less left."""
@@ -232,7 +273,7 @@
 ) -> bytes:
     """Return the datagram of a heartbeat that echoes one of a member."""
     echo = cbor2.dumps([incarnation, sequence, newest_version, TERSE_FIELDS])
-    return HEADS[version] + content + echo
+    return HEADS[min(version, PLAIN_VERSION)] + content + echo
 
 
 def encode_first_heartbeat(version: int, content: bytes) -> bytes:
