Placement: load shared over the zone, expected time to first token, cached prefixes

Cause: 55 edges and 8 cores placed on 36 replicas, each by its own requests only. Short prompts waited behind long ones of other edges (p99 of fault hints 309 ms against an aim of 270), silent but busy replicas were taken for dead after 0.36 s, and items of lots filled slots that clients waited for. Change: nodes report to their zone's representative, which sends the sum to the zone every 50 ms while it changes, and to other zones every 250 ms; long prompts are reported to the zone at once. Replicas are compared by the expected time to first token (queue of prompts, learnt cost of prompts, prefixes believed cached, slots), by the streams a prompt interrupts, by size, zone and occupancy; all constants are in forward/policy.py. Silence counts as a fault only without a known reason. Items yield slots to clients. A decision log (off by default) and two verbs show why a request went where it did. Only a trial request's own end lets the next one begin (found by reading).

--- a/quillring/fleet.py
+++ b/quillring/fleet.py
@@ -4,7 +4,7 @@
 from quillring.edge import Dispatcher, Journal, ReplicaTable
 from quillring.edge.replica_snapshot import ReplicaSnapshot
 from quillring.edge.resume_token import LIFETIME_SECONDS
-from quillring.forward import ForwardRouteTable, HeaderNames, LoadBalancer
+from quillring.forward import DecisionLog, ForwardRouteTable, HeaderNames, LoadBalancer
 from quillring.gossip import Gossip
 from quillring.kernel.errors import DiskError
 from quillring.kernel.node import Node
@@ -44,6 +44,7 @@
     node.offer("dialect", HeaderNames())
     node.offer("forwards", ForwardRouteTable(node))
     node.offer("placement", LoadBalancer(node))
+    node.offer("decisions", DecisionLog(node))
 
     def put_member(member):
         gossip.publish(f"member/{member.name}", [member.incarnation], member.to_list())
@@ -99,6 +100,7 @@
     dispatch = node.offer("dispatch", Dispatcher(node))
     journal = node.offer("journal", Journal(node))
     node.spawn(dispatch.run())
+    node.spawn(node.find("placement").exchange.run())
     node.spawn(taker.run())
     node.spawn(journal.run(LIFETIME_SECONDS))
 
--- a/quillring/forward/__init__.py
+++ b/quillring/forward/__init__.py
@@ -1,9 +1,17 @@
 """Requests forwarded unchanged to replicas: load balancing, retry, resumed streams."""
 
+from quillring.forward.decision_log import DecisionLog
 from quillring.forward.events import EventReader
 from quillring.forward.header_names import HeaderNames
 from quillring.forward.load_balancer import LoadBalancer
 from quillring.forward.request import Request
 from quillring.forward.route_table import ForwardRouteTable
 
-__all__ = ["EventReader", "ForwardRouteTable", "HeaderNames", "LoadBalancer", "Request"]
+__all__ = [
+    "DecisionLog",
+    "EventReader",
+    "ForwardRouteTable",
+    "HeaderNames",
+    "LoadBalancer",
+    "Request",
+]
--- a/quillring/forward/attempt.py
+++ b/quillring/forward/attempt.py
@@ -7,6 +7,7 @@
 from quillring.forward.retry import STALL
 from quillring.kernel.effects import ReadHead, SendRequest
 from quillring.kernel.errors import BackendError, NotSent, StaleConnection
+from quillring.kernel.traffic import REPLICA_REQUEST
 
 if TYPE_CHECKING:
     from quillring.forward.header_names import HeaderNames
@@ -108,6 +109,7 @@
         raise NotSent(replica=replica.name, reason="no time left")
     data = request.to_bytes(header_names, replica.name, seconds_left, urgency, last_event_id)
     answer_id = (header_names.request_id, request.id)
+    node.traffic.record(REPLICA_REQUEST, replica.zone, len(data))
     handle = yield SendRequest(replica.address, data, seconds_left, may_reuse, answer_id)
     has_head = False
     try:
--- a/quillring/forward/load_balancer.py
+++ b/quillring/forward/load_balancer.py
@@ -1,31 +1,72 @@
-"""Load balancing: prompt-cache affinity, least load, outlier ejection, slow start."""
+"""Load balancing: expected time to first token, outlier ejection, slow start.
+
+The replica with the least cost gets a request. Its cost follows from the expected time to first
+token there (the prompts it still has to process, the tokens of this prompt that it does not have in
+its cache, a full batch), from its zone and from its load; see `quillring.forward.policy`.
+"""
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
+from quillring.forward.load_exchange import LoadExchange
+from quillring.forward.load_messages import PromptStart, PromptTiming
+from quillring.forward.policy import DEFAULT_POLICY
+from quillring.forward.prefix_directory import PrefixDirectory
 from quillring.forward.replica_health import ReplicaHealth, has_missed_heartbeats
 from quillring.forward.slow_start import SlowStart
+from quillring.forward.work_queue import ServiceSpeed
 from quillring.kernel.effects import Signal
+from quillring.kernel.records import NamedTuple
+from quillring.kernel.traffic import REPLICA_RESPONSE
 from quillring.nifty.graph import score
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
-    from quillring.forward.request import Request
+    from quillring.forward.policy import PlacementPolicy
+    from quillring.forward.request import PromptPart, Request
     from quillring.forward.types import Replica
     from quillring.kernel.node import Node
 
-AFFINITY_MIN_TOKENS = 1024
-"""A shared prompt part of at least so many tokens keeps to its replica."""
-AFFINITY_REPLICA_COUNT = 2
-MAX_PENDING_PROMPT_TOKENS = 24_000
-"""Affinity gives way at a replica with so many prompt tokens not processed yet."""
-TOKENS_PER_REQUEST = 4000
-"""So many prompt tokens not processed yet weigh as much as one request in flight."""
-LOAD_SCALE = 8
-OTHER_ZONE_PENALTY = 0.4
-RANDOM_SPREAD = 0.3
+
+SILENCE_SECONDS = 0.2
+"""A replica that has sent nothing for so long is reported as silent."""
+FULL_SHARE = 0.85
+"""A replica counts as full from this share of its slots on, as what is known of it is not new."""
+
+
+class LatencyGoals(NamedTuple):
+    """The latency goals of a route, in seconds: to the first token, and between two events."""
+
+    first_token: float = 1.0
+    gap: float = 0.3
+
+
+DEFAULT_GOALS = LatencyGoals()
+
+
+class Estimate(NamedTuple):
+    """What a node expects of a request at a replica.
+
+    Parameters
+    ----------
+    wait_seconds
+        Until the replica starts with the prompt.
+    uncached_tokens, work_seconds
+        Tokens of the prompt that the replica has to process, and how long that takes it.
+    first_token_seconds
+        From the sending of the request to its first token.
+    in_flight
+        Requests in flight at the replica, of this node and its peers.
+    """
+
+    wait_seconds: float
+    uncached_tokens: int
+    work_seconds: float
+    first_token_seconds: float
+    in_flight: int
 
 
 class InFlightRequest:
@@ -35,31 +76,65 @@
         "load_balancer",
         "health",
         "replica",
-        "token_count",
-        "is_prompt_pending",
+        "estimate",
+        "started_at",
+        "work_seconds",
+        "added_seconds",
+        "first_token_at",
+        "is_batch",
+        "is_trial",
         "is_over",
     )
 
     def __init__(
-        self, load_balancer: LoadBalancer, health: ReplicaHealth, replica: Replica, token_count: int
+        self,
+        load_balancer: LoadBalancer,
+        health: ReplicaHealth,
+        replica: Replica,
+        estimate: Estimate,
+        is_batch: bool,
     ) -> None:
         self.load_balancer = load_balancer
         self.health = health
         self.replica = replica
-        self.token_count = token_count
-        self.is_prompt_pending = True
+        self.estimate = estimate
+        self.started_at = load_balancer.node.now()
+        self.first_token_at: float | None = None
+        self.is_batch = is_batch
+        health.batch_in_flight += is_batch
+        self.is_trial = health.consecutive_failures > 0
         self.is_over = False
+        if self.is_trial:
+            health.has_trial_request = True
         health.in_flight += 1
-        health.pending_prompt_tokens += token_count
+        self.work_seconds = estimate.work_seconds
+        health.work.add(self.work_seconds, self.started_at)
+        self.added_seconds = health.work.added_seconds
+        health.expected_first_tokens[id(self)] = self.started_at + estimate.first_token_seconds
 
-    def note_response_bytes(self) -> None:
+    def note_response_bytes(self, byte_count: int) -> None:
         """Record response bytes: the replica is healthy, and the prompt is processed."""
-        self.health.last_byte_at = self.load_balancer.node.now()
+        node = self.load_balancer.node
+        node.traffic.record(REPLICA_RESPONSE, self.replica.zone, byte_count)
+        self.health.last_byte_at = node.now()
         self.health.consecutive_failures = 0
         self.health.has_trial_request = False
-        if self.is_prompt_pending:
-            self.is_prompt_pending = False
-            self.health.pending_prompt_tokens -= self.token_count
+        if self.first_token_at is None:
+            self._note_first_token(node.now())
+
+    def _note_first_token(self, now: float) -> None:
+        """Learn from the time to first token, and correct the replica's queue by it."""
+        self.first_token_at = now
+        self.health.expected_first_tokens.pop(id(self), None)
+        self.health.work.complete(self.added_seconds, now)
+        token_count, balancer = self.estimate.uncached_tokens, self.load_balancer
+        if token_count < balancer.policy.min_prefix_tokens or self.estimate.wait_seconds > 0:
+            return
+        timing = PromptTiming(self.replica.name, token_count, now - self.started_at)
+        if balancer.policy.shares_load:
+            balancer.exchange.note_timing(timing)
+        else:
+            balancer.record_timing(timing)
 
     def finish(self) -> None:
         """Remove the request from the load of the replica; idempotent."""
@@ -67,12 +142,39 @@
             return
         self.is_over = True
         self.health.in_flight -= 1
-        self.health.has_trial_request = False
-        if self.is_prompt_pending:
-            self.health.pending_prompt_tokens -= self.token_count
+        self.health.batch_in_flight -= self.is_batch
+        if self.is_trial:
+            self.health.has_trial_request = False
+        self.health.expected_first_tokens.pop(id(self), None)
+        now = self.load_balancer.node.now()
+        if self.first_token_at is None:
+            self.health.work.cancel(self.work_seconds, now)
+        else:
+            self.load_balancer.speed(self.replica).record_request(now - self.started_at)
         self.load_balancer.wake()
 
 
+def late_probability(expected: float) -> float:
+    """Return how likely something is late that is expected after `expected` times its goal.
+
+    A smooth step that is a half at 1. What is late anyway gains little from a better place.
+    """
+    power = expected**4
+    return power / (1 + power)
+
+
+def positions_by_zone(replicas: Sequence[Replica]) -> dict[str, float]:
+    """Return each replica's position in the order of its zone, from 0 to 1; alike on all nodes."""
+    names_by_zone: dict[str, list[str]] = {}
+    for replica in replicas:
+        names_by_zone.setdefault(replica.zone, []).append(replica.name)
+    return {
+        name: index / max(1, len(names) - 1)
+        for names in names_by_zone.values()
+        for index, name in enumerate(sorted(names, key=score))
+    }
+
+
 class LoadBalancer:
     """Chooses replicas for requests; owns their health as observed by this node's requests."""
 
@@ -82,16 +184,34 @@
         "slow_start",
         "changed",
         "names_by_service",
+        "positions",
         "seen_table_version",
         "seen_configuration",
+        "policy",
+        "prefixes",
+        "speed_by_service",
+        "exchange",
     )
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, policy: PlacementPolicy = DEFAULT_POLICY) -> None:
         self.node = node
+        self.policy = policy
+        self.prefixes = PrefixDirectory()
+        self.speed_by_service: dict[str, ServiceSpeed] = {}
+        self.exchange = LoadExchange(
+            node,
+            self._own_in_flight,
+            self._own_batch_in_flight,
+            self._silent_replicas,
+            self._on_peer_activity,
+            self._on_peer_prompt,
+            self.record_timing,
+        )
         self.health_by_replica: dict[str, ReplicaHealth] = {}
         self.slow_start = SlowStart(node)
         self.changed = Signal()
         self.names_by_service: dict[str, list[str]] = {}
+        self.positions: dict[str, float] = {}
         self.seen_table_version: int | None = None
         self.seen_configuration: Any = None
         node.find("replicas").on_change.append(self.wake)
@@ -113,8 +233,84 @@
                 if name in known or health.in_flight
             }
             health = self.health_by_replica[replica.name] = ReplicaHealth()
+            self.prefixes.forget_all_but(known)
         return health
 
+    def speed(self, replica: Replica) -> ServiceSpeed:
+        """Return the learnt speed of the replica's service."""
+        speed = self.speed_by_service.get(replica.service)
+        if speed is None:
+            speed = self.speed_by_service[replica.service] = ServiceSpeed()
+        return speed
+
+    def record_timing(self, timing: PromptTiming) -> None:
+        """Learn from the time to first token of a long prompt, of this node or a peer."""
+        replica = self.node.find("replicas").table.get(timing.replica)
+        if replica is None or not timing.uncached_tokens:
+            return
+        cost, work = self.speed(replica).prompt_cost, self.health(replica).work
+        work.record_slowness(timing.seconds / cost.seconds(timing.uncached_tokens))
+        cost.record(timing.uncached_tokens, timing.seconds / work.slowness)
+
+    def _own_in_flight(self) -> dict[str, int]:
+        """Return this node's requests in flight by replica."""
+        return {
+            name: health.in_flight
+            for name, health in self.health_by_replica.items()
+            if health.in_flight
+        }
+
+    def _own_batch_in_flight(self) -> dict[str, int]:
+        """Return this node's items of lots in flight by replica."""
+        return {
+            name: health.batch_in_flight
+            for name, health in self.health_by_replica.items()
+            if health.batch_in_flight
+        }
+
+    def _silent_replicas(self) -> list[str]:
+        """Return the replicas that have requests of this node and sent it nothing for a while."""
+        oldest_time = self.node.now() - SILENCE_SECONDS
+        return [
+            name
+            for name, health in self.health_by_replica.items()
+            if health.in_flight and health.last_byte_at < oldest_time
+        ]
+
+    def _on_peer_activity(self, replica_name: str) -> None:
+        """Record that a replica answers requests of a peer."""
+        health = self.health_by_replica.get(replica_name)
+        if health is not None:
+            health.last_byte_at = max(health.last_byte_at, self.node.now() - SILENCE_SECONDS)
+
+    def in_flight(self, replica: Replica) -> int:
+        """Return the requests in flight at a replica, of this node and its peers."""
+        return self.health(replica).in_flight + self.exchange.peer_in_flight(replica.name)
+
+    def client_in_flight(self, replica: Replica) -> int:
+        """Return the requests of clients in flight at a replica: all but the items of lots."""
+        own_items = self.health(replica).batch_in_flight
+        items = own_items + self.exchange.peer_batch_in_flight(replica.name)
+        return max(0, self.in_flight(replica) - items)
+
+    def _on_peer_prompt(self, start: PromptStart, is_in_zone: bool) -> None:
+        """Follow a long prompt that another node sent: its work, and what is cached after it."""
+        replica = self.node.find("replicas").table.get(start.replica)
+        if replica is None:
+            return
+        self.prefixes.record(start.replica, start.parts, self._cache_tokens(replica.service))
+        if is_in_zone:
+            work = self.health(replica).work
+            cost = self.speed(replica).prompt_cost
+            work.add(cost.seconds(start.uncached_tokens) * work.slowness, self.node.now())
+
+    def _cache_tokens(self, service: str) -> float | None:
+        """Return the share of a replica's KV cache that long prefixes may fill, None if unknown."""
+        services = (self.node.find("layout").configuration or {}).get("services", {})
+        engine = services.get(service, {}).get("engine") or {}
+        kv_tokens = engine.get("kv_tokens")
+        return kv_tokens * self.policy.cache_share if kv_tokens else None
+
     def replicas(self, service: str) -> list[Replica]:
         """Return the replicas of a service that may be sent a request."""
         replicas, configuration = self.node.find("replicas"), self.node.find("layout").configuration
@@ -127,6 +323,9 @@
                 if replicas.may_receive_requests(replica):
                     names_by_service.setdefault(replica.service, []).append(replica.name)
             self.names_by_service = names_by_service
+            self.positions = {}
+            for names in names_by_service.values():
+                self.positions.update(positions_by_zone([replicas.table[n] for n in names]))
             self.seen_table_version = replicas.table_version
             self.seen_configuration = configuration
         return [replicas.table[name] for name in self.names_by_service.get(service, ())]
@@ -137,6 +336,7 @@
         request: Request,
         avoided_names: Collection[str] = (),
         may_send_cold: bool = True,
+        goals: LatencyGoals = DEFAULT_GOALS,
     ) -> Replica | None:
         """Return the replica for a request, or None if none may get it now."""
         now = self.node.now()
@@ -148,39 +348,89 @@
         alive = [r for r in healthy if not has_missed_heartbeats(r, now, timeout)] or healthy
         eligible = [r for r in alive if may_send_cold or not r.is_cold(now)]
         while eligible:
-            replica = self._prefer(eligible, request)
+            replica = self._least_cost(eligible, request, goals)
             if not replica.is_cold(now) or self.slow_start.try_acquire(replica, now):
                 return replica
             eligible = [r for r in eligible if r is not replica]
         return None
 
-    def _prefer(self, candidates: Sequence[Replica], request: Request) -> Replica:
-        """Return a replica likely to have the prompt prefix cached, else the least loaded one."""
-        long_parts = [
-            name for name, count in request.prompt_parts[:-1] if count >= AFFINITY_MIN_TOKENS
-        ]
-        if long_parts:
-            ranked = sorted(candidates, key=lambda r: score(long_parts[0], r.name), reverse=True)
-            for replica in ranked[:AFFINITY_REPLICA_COUNT]:
-                if self.health(replica).pending_prompt_tokens < MAX_PENDING_PROMPT_TOKENS:
-                    return replica
-        return min(candidates, key=self._load)
-
-    def _load(self, replica: Replica) -> float:
-        """Return the load per slot, plus a penalty for another zone and a random jitter."""
-        health = self.health(replica)
-        is_other_zone = replica.zone != self.node.me.zone
-        load = health.in_flight + health.pending_prompt_tokens / TOKENS_PER_REQUEST
-        spread: float = RANDOM_SPREAD * self.node.runtime.random.random()
-        penalty = OTHER_ZONE_PENALTY if is_other_zone else 0.0
-        return load / replica.slots * LOAD_SCALE + penalty + spread
-
-    def start_request(self, replica: Replica, request: Request) -> InFlightRequest:
-        """Add a request to the load of a replica; after a failure it is the trial request."""
+    def _least_cost(
+        self, candidates: Sequence[Replica], request: Request, goals: LatencyGoals
+    ) -> Replica:
+        """Return the candidate with the least cost."""
+        parts, now = self._long_parts(request), self.node.now()
+        own_zone, random = self.node.me.zone, self.node.runtime.random.random
+        policy, best, least_cost = self.policy, candidates[0], math.inf
+        kilobytes = len(request.body) / 1000
+        other_zone_cost = policy.other_zone_cost + policy.other_zone_cost_per_kilobyte * kilobytes
+        for replica in candidates:
+            estimate = self._estimate(replica, request, parts, now)
+            cost = policy.random_cost * random()
+            cost += policy.occupancy_cost * estimate.in_flight / replica.slots
+            if policy.predicts_wait:
+                expected = estimate.first_token_seconds / goals.first_token
+                cost += expected**2 + policy.wait_cost * expected
+                pause = late_probability(estimate.first_token_seconds / goals.gap)
+                cost += policy.interruption_cost * estimate.in_flight * pause
+                if request.prompt_tokens:
+                    cost += policy.separation_cost * self._misplacement(replica, estimate, goals)
+            if replica.zone != own_zone:
+                cost += other_zone_cost
+            if cost < least_cost:
+                best, least_cost = replica, cost
+        return best
+
+    def _misplacement(self, replica: Replica, estimate: Estimate, goals: LatencyGoals) -> float:
+        """Return how far a replica is, from 0 to 1, from where prompts of this size belong."""
+        size = late_probability(estimate.work_seconds / goals.gap)
+        position = self.positions.get(replica.name, 0.0)
+        return position + size - 2 * position * size
+
+    def _long_parts(self, request: Request) -> tuple[PromptPart, ...]:
+        """Return the long shared parts of a prompt; the last part is the request's own."""
+        if not self.policy.tracks_prefixes:
+            return ()
+        least = self.policy.min_prefix_tokens
+        return tuple(part for part in request.prompt_parts[:-1] if part.token_count >= least)
+
+    def _estimate(
+        self, replica: Replica, request: Request, parts: Sequence[PromptPart], now: float
+    ) -> Estimate:
+        """Return what is expected of a request at a replica."""
+        health, speed = self.health(replica), self.speed(replica)
+        cached_tokens = self.prefixes.cached_tokens(replica.name, parts) if parts else 0
+        uncached_tokens = max(0, request.prompt_tokens - cached_tokens)
+        in_flight = self.in_flight(replica)
+        wait_seconds = health.work.wait_seconds(now) + health.overdue_seconds(now)
+        excess = in_flight + 1 - replica.slots * FULL_SHARE
+        if excess > 0:
+            wait_seconds += excess / replica.slots * speed.request_seconds
+        work_seconds = speed.prompt_cost.seconds(uncached_tokens) * health.work.slowness
+        return Estimate(
+            wait_seconds, uncached_tokens, work_seconds, wait_seconds + work_seconds, in_flight
+        )
+
+    def start_request(
+        self, replica: Replica, request: Request, is_batch: bool = False
+    ) -> InFlightRequest:
+        """Add a request to the load of a replica; after a failure it is the trial request.
+
+        Parameters
+        ----------
+        is_batch
+            It is an item of a lot.
+        """
         health = self.health(replica)
-        if health.consecutive_failures:
-            health.has_trial_request = True
-        return InFlightRequest(self, health, replica, request.prompt_tokens)
+        parts = self._long_parts(request)
+        estimate = self._estimate(replica, request, parts, self.node.now())
+        in_flight_request = InFlightRequest(self, health, replica, estimate, is_batch)
+        if parts:
+            self.prefixes.record(replica.name, parts, self._cache_tokens(replica.service))
+        is_long = estimate.uncached_tokens >= self.policy.min_prefix_tokens
+        if self.policy.shares_load and (parts or is_long):
+            start = PromptStart(replica.name, estimate.uncached_tokens, parts)
+            self.exchange.note_start(start)
+        return in_flight_request
 
     def record_failure(self, replica: Replica, is_certain: bool) -> None:
         """Record a failed request; a failure with `is_certain` ejects the replica at once."""
@@ -188,5 +438,11 @@
         self.wake()
 
     def is_unresponsive(self, replica: Replica, seconds: float) -> bool:
-        """Return whether no request of this node got a byte from the replica for `seconds`."""
-        return self.node.now() - self.health(replica).last_byte_at >= seconds
+        """Return whether the replica was silent for `seconds` without a known reason.
+
+        It was not if it sent something to this node or a peer, or has prompts to process: streams
+        pause meanwhile.
+        """
+        health, now = self.health(replica), self.node.now()
+        busy_until = min(now, health.work.busy_until)
+        return now - max(health.last_byte_at, busy_until) >= seconds
--- a/quillring/forward/queueing.py
+++ b/quillring/forward/queueing.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from quillring.forward.load_balancer import LatencyGoals
 from quillring.kernel.effects import Wait
 from quillring.kernel.errors import Refused
 
@@ -29,12 +30,17 @@
 
 
 def choose_replica(
-    load_balancer: LoadBalancer, service: str, request: Request, progress: RequestProgress
+    load_balancer: LoadBalancer,
+    route: ForwardRoute,
+    service: str,
+    request: Request,
+    progress: RequestProgress,
 ) -> Replica | None:
     """Return an untried replica; once a stream has begun, a tried one if there is no other."""
-    replica = load_balancer.choose(service, request, progress.avoided_names)
+    goals = LatencyGoals(route.latency_goal_seconds, route.gap_goal_seconds)
+    replica = load_balancer.choose(service, request, progress.avoided_names, goals=goals)
     if replica is None and progress.avoided_names and progress.has_head:
-        return load_balancer.choose(service, request)
+        return load_balancer.choose(service, request, goals=goals)
     return replica
 
 
@@ -64,7 +70,7 @@
         )
     while True:
         if node.now() < progress.end_time:
-            replica = choose_replica(load_balancer, service, request, progress)
+            replica = choose_replica(load_balancer, route, service, request, progress)
             if replica is not None:
                 return replica
         if node.now() >= queue_until:
--- a/quillring/forward/replica_health.py
+++ b/quillring/forward/replica_health.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from quillring.forward.work_queue import WorkQueue
+
 if TYPE_CHECKING:
     from quillring.forward.types import Replica
     from quillring.kernel.bounds import Bounds
@@ -18,7 +20,7 @@
 
 
 class ReplicaHealth:
-    """Requests in flight, prompt tokens not processed yet, and failures in a row.
+    """Requests in flight, the estimated queue of prompts, and failures in a row.
 
     Two failures in a row, or a certain one, eject the replica, with exponential backoff up to twice
     `bounds.propagation`. After that one trial request at a time shows whether it has recovered (a
@@ -27,7 +29,9 @@
 
     __slots__ = (
         "in_flight",
-        "pending_prompt_tokens",
+        "batch_in_flight",
+        "work",
+        "expected_first_tokens",
         "consecutive_failures",
         "ejected_until",
         "has_trial_request",
@@ -36,7 +40,9 @@
 
     def __init__(self) -> None:
         self.in_flight = 0
-        self.pending_prompt_tokens = 0
+        self.batch_in_flight = 0
+        self.work = WorkQueue()
+        self.expected_first_tokens: dict[int, float] = {}
         self.consecutive_failures = 0
         self.ejected_until = 0.0
         self.has_trial_request = False
@@ -46,6 +52,15 @@
         """Return whether the replica is neither ejected nor busy with its trial request."""
         return now >= self.ejected_until and not self.has_trial_request
 
+    def overdue_seconds(self, now: float) -> float:
+        """Return how long the first token of a request of this node is overdue.
+
+        A replica that is late is expected to be late by as much again.
+        """
+        if not self.expected_first_tokens:
+            return 0.0
+        return max(0.0, now - min(self.expected_first_tokens.values()))
+
     def record_failure(self, now: float, is_certain: bool, bounds: Bounds) -> None:
         """Record a failure; the second in a row, or a certain one, ejects the replica."""
         self.consecutive_failures += CERTAIN_FAILURE_WEIGHT if is_certain else 1
--- a/quillring/forward/request_handler.py
+++ b/quillring/forward/request_handler.py
@@ -5,6 +5,13 @@
 from typing import TYPE_CHECKING, Any
 
 from quillring.forward.attempt import is_not_run, is_sealed, note_if_misdirected, open_response
+from quillring.forward.decision_log import (
+    CACHED_PREFIX,
+    NOT_PLACED,
+    OTHER_ZONE,
+    OWN_ZONE,
+    DecisionRecord,
+)
 from quillring.forward.queueing import retry_after_seconds, wait_for_replica
 from quillring.forward.response import Response, read_response, stream_events
 from quillring.forward.retry import (
@@ -68,6 +75,19 @@
 ) -> Coroutine:
     """Forward a request; emit the head and bytes of a stream, or return a complete Response."""
     progress = RequestProgress(end_time_of(route, request, arrived_at), request.last_event_id)
+    decisions = node.find("decisions")
+    if not decisions.is_sampled():
+        return (yield from forward_until_final(node, route, request, progress, arrived_at))
+    try:
+        return (yield from forward_until_final(node, route, request, progress, arrived_at))
+    finally:
+        decisions.add(decision_record(node, route, request, progress, arrived_at))
+
+
+def forward_until_final(
+    node: Node, route: ForwardRoute, request: Request, progress: RequestProgress, arrived_at: float
+) -> Coroutine:
+    """Make attempts until one is final or none may follow."""
     service = route.pick_service(request.id or request.target)
     while True:
         try:
@@ -83,6 +103,42 @@
             return outcome.response
 
 
+def decision_record(
+    node: Node, route: ForwardRoute, request: Request, progress: RequestProgress, arrived_at: float
+) -> DecisionRecord:
+    """Return the record of a request that is over."""
+    last, now = progress.in_flight_request, node.now()
+    if last is None:
+        goal = route.latency_goal_seconds
+        waited = now - arrived_at
+        tokens = request.prompt_tokens
+        return DecisionRecord(
+            route.name, NOT_PLACED, None, None, tokens, 0, 0, 0, 0, waited, None, waited, goal, 0
+        )
+    estimate, replica = last.estimate, last.replica
+    if estimate.uncached_tokens < request.prompt_tokens:
+        reason = CACHED_PREFIX
+    else:
+        reason = OWN_ZONE if replica.zone == node.me.zone else OTHER_ZONE
+    first_token_at = last.first_token_at
+    return DecisionRecord(
+        route=route.name,
+        reason=reason,
+        replica=replica.name,
+        replica_zone=replica.zone,
+        prompt_tokens=request.prompt_tokens,
+        uncached_tokens=estimate.uncached_tokens,
+        known_in_flight=estimate.in_flight,
+        expected_wait_seconds=estimate.wait_seconds,
+        expected_first_token_seconds=estimate.first_token_seconds,
+        queued_seconds=last.started_at - arrived_at,
+        first_token_seconds=None if first_token_at is None else first_token_at - arrived_at,
+        total_seconds=now - arrived_at,
+        goal_seconds=route.latency_goal_seconds,
+        attempts=progress.attempts,
+    )
+
+
 def try_replica(
     node: Node, route: ForwardRoute, request: Request, progress: RequestProgress, replica: Replica
 ) -> Coroutine:
@@ -95,6 +151,7 @@
     """
     progress.attempts += 1
     in_flight_request = node.find("placement").start_request(replica, request)
+    progress.in_flight_request = in_flight_request
     handle = None
     try:
         handle = yield from open_response(
@@ -107,7 +164,7 @@
             route.is_retryable,
             first_byte_timeout(node, route, progress),
         )
-        in_flight_request.note_response_bytes()
+        in_flight_request.note_response_bytes(0)
         return (yield from pass_response_on(node, route, progress, handle, in_flight_request))
     except NotSent as error:
         record_failed_attempt(node, progress, replica, error, True)
--- a/quillring/forward/retry.py
+++ b/quillring/forward/retry.py
@@ -8,6 +8,7 @@
 from quillring.kernel.records import NamedTuple
 
 if TYPE_CHECKING:
+    from quillring.forward.load_balancer import InFlightRequest
     from quillring.forward.response import Response
     from quillring.forward.route_table import ForwardRoute
     from quillring.forward.types import Replica
@@ -24,7 +25,8 @@
     """The progress of one request: attempts made, replicas to avoid, what the client has.
 
     `attempts` counts the attempts that may have reached a replica, including those with a "not run"
-    response; attempts that ended in NotSent are not counted.
+    response; attempts that ended in NotSent are not counted. `in_flight_request` is that of the
+    last attempt.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         "has_head",
         "end_time",
         "last_response",
+        "in_flight_request",
     )
 
     def __init__(self, end_time: float, last_event_id: int | None) -> None:
@@ -43,6 +46,7 @@
         self.has_head = False
         self.end_time = end_time
         self.last_response: Response | None = None
+        self.in_flight_request: InFlightRequest | None = None
 
 
 class AttemptOutcome(NamedTuple):
--- a/quillring/kernel/settings.py
+++ b/quillring/kernel/settings.py
@@ -63,6 +63,12 @@
             "maximum": 8,
             "description": "Stores that may be lost at once; a part has twice as many and one.",
         },
+        "decision_log_ratio": {
+            "type": "number",
+            "minimum": 0,
+            "maximum": 1,
+            "description": "Share of forwarded requests whose placement is recorded; 0: none.",
+        },
         "bounds": {
             "type": "object",
             "additionalProperties": False,
@@ -99,6 +105,7 @@
         "bootstrap",
         "losses",
         "witness",
+        "decision_log_ratio",
     )
 
     def __init__(self, fields: dict[str, Any]) -> None:
@@ -115,6 +122,7 @@
         self.bootstrap: bool = fields.get("bootstrap", False)
         self.losses: int = fields.get("losses", 1)
         self.witness: str | None = fields.get("witness")
+        self.decision_log_ratio: float = fields.get("decision_log_ratio", 0.0)
 
 
 def split_address(text: str) -> Address:
--- a/quillring/lots/http_requests/concurrency_limits.py
+++ b/quillring/lots/http_requests/concurrency_limits.py
@@ -18,6 +18,8 @@
 
 CALM_SHARE, NEAR_SHARE, LEAST_SHARE = 0.75, 0.85, 0.08
 """The share of a service's slots for lots: usually, for items due soon, and at the least."""
+OCCUPANCY_MARGIN = 0.1
+"""Items and clients together take so much more of the slots than lots may have by themselves."""
 CUT_FACTOR = 0.9
 """A full replica cuts the share to this."""
 RECOVERY_PER_SECOND = 0.05
@@ -117,7 +119,7 @@
             replica
             for replica in wanted
             if running.get(replica.name, 0)
-            < slot_share.room(slots_for(replica, share), offsets[replica.name])
+            < slot_share.room(self._free_slots(replica, share), offsets[replica.name])
             and self._may_start(replica, load_balancer, now)
         ]
         candidates = [r for r in fit if not r.is_cold(now)]
@@ -125,6 +127,15 @@
             candidates = [r for r in fit[:1] if load_balancer.slow_start.try_acquire(r, now)]
         return least_loaded(candidates, running)
 
+    def _free_slots(self, replica: Replica, share: float) -> int:
+        """Return how many slots of a replica all lots together may take beside its clients.
+
+        They yield: clients wait for an answer, and replicas admit in the order of arrival.
+        """
+        clients: int = self.node.find("placement").client_in_flight(replica)
+        left = math.ceil(replica.slots * (share + OCCUPANCY_MARGIN)) - clients
+        return max(1, min(slots_for(replica, share), left))
+
     def _may_start(self, replica: Replica, load_balancer: Any, now: float) -> bool:
         """Return whether backoff, pacing, health and state let a replica get an item now."""
         return bool(
--- a/quillring/verbs/cli.py
+++ b/quillring/verbs/cli.py
@@ -104,6 +104,8 @@
 show_command("replicas", "/v1/replicas", "Show the replicas.")
 show_command("promises", "/v1/promises", "Show how a node kept each class's promise lately.")
 show_command("counts", "/v1/counts", "Show a node's counters.")
+show_command("decisions", "/v1/decisions", "Show where a node sent requests, and why.")
+show_command("traffic", "/v1/traffic", "Show a node's bytes by kind of message and zone.")
 
 
 @main.command()
--- a/quillring/verbs/process.py
+++ b/quillring/verbs/process.py
@@ -28,6 +28,7 @@
 
     from quillring.kernel.node import Node
     from quillring.kernel.settings import Settings
+    from quillring.kernel.types import LogWriter
 
 PLUGINS = (routes,)
 
@@ -45,7 +46,12 @@
 MAX_ADMISSION_SECONDS = 3.0
 """Share of the grace period, and most seconds, for which clients' requests are still taken."""
 STEPS_PER_GOSSIP_INTERVAL = 2
-LOG_LEVELS = {"debug": logging.DEBUG, "warning": logging.WARNING, "error": logging.ERROR}
+LOG_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
 
 
 class NameClash(NamedTuple):
@@ -110,9 +116,6 @@
     """
     node_logger, ring_handler = ring_log(settings.name, settings.log_file)
 
-    def log(level: str, text: str, *fields: object) -> None:
-        node_logger.log(LOG_LEVELS[level], text, *fields)
-
     acceptors = None
     if settings.role == "store":
         assert settings.folder is not None, "the settings of a store name its data folder"
@@ -123,8 +126,9 @@
     runtime = make_runtime(lambda error: node_logger.error("failure", exc_info=error), 1.0)
     step_seconds = settings.bounds.gossip_interval / STEPS_PER_GOSSIP_INTERVAL
     runtime.timers = TimerCoalescer(runtime.now(), step_seconds)
-    node = make_node(me, runtime, settings.seeds, settings.bounds, log)
+    node = make_node(me, runtime, settings.seeds, settings.bounds, log_writer(node_logger))
     node.offer("ring", ring_handler)
+    node.find("decisions").ratio = settings.decision_log_ratio
     start_node(node, acceptors)
     nifty = node.find("nifty")
     runtime.on_refused = nifty.on_refused
@@ -139,6 +143,15 @@
     drain(node, servers)
 
 
+def log_writer(node_logger: logging.Logger) -> LogWriter:
+    """Return the function by which a node writes to its log; its levels are names."""
+
+    def log(level: str, text: str, *fields: object) -> None:
+        node_logger.log(LOG_LEVELS[level], text, *fields)
+
+    return log
+
+
 def own_member(settings: Settings, identity: str) -> Member:
     """Return this process as a member; its incarnation is the start time in microseconds."""
     host, port = settings.address
--- a/quillring/verbs/status_routes.py
+++ b/quillring/verbs/status_routes.py
@@ -47,3 +47,23 @@
 def show_counts(node: Node, request: Request) -> dict[str, Any]:
     """Return the node's counters."""
     return {"name": node.me.name, "counts": dict(sorted(node.counts.items()))}
+
+
+@route("GET", "/v1/decisions")
+def show_decisions(node: Node, request: Request) -> dict[str, Any]:
+    """Return the last recorded decisions of the load balancer, and sums over them."""
+    decisions = node.find("decisions")
+    records = [{**record._asdict(), "cause": record.cause()} for record in decisions.records]
+    return {
+        "name": node.me.name,
+        "ratio": decisions.ratio,
+        "sums": decisions.sums(),
+        "decisions": records,
+    }
+
+
+@route("GET", "/v1/traffic")
+def show_traffic(node: Node, request: Request) -> dict[str, Any]:
+    """Return the node's message and byte counters by kind of message and zone of the peer."""
+    rows = [row._asdict() for row in node.traffic.rows()]
+    return {"name": node.me.name, "zone": node.me.zone, "traffic": rows}
--- a/tests/test_load_balancer.py
+++ b/tests/test_load_balancer.py
@@ -1,4 +1,5 @@
 import random
+from collections import Counter
 
 import pytest
 
@@ -6,6 +7,9 @@
 from proving.sim.scripted_runtime import ScriptedRuntime
 from quillring.edge.replica_snapshot import ReplicaSnapshot
 from quillring.fleet import make_node
+from quillring.forward.load_balancer import LatencyGoals
+from quillring.forward.load_messages import LoadReport, PromptStart
+from quillring.forward.request import PromptPart
 from quillring.forward.request_handler import check_ready
 from quillring.kernel.bounds import Bounds
 from quillring.kernel.errors import Refused
@@ -24,15 +28,144 @@
     assert 8 * 4 * 0.9 <= count <= 8 * 4 + 2
 
 
-def test_long_shared_parts_keep_to_their_replica_until_it_reads_too_much():
+LONG = {"X-Prompt-Chain": "ab:13000,cd:900", "X-Token-Count": "13900,80"}
+GOALS = LatencyGoals(0.25, 0.3)
+
+
+def choices(placement, sent, count=20):
+    return {placement.choose("s", sent, goals=GOALS).name for _ in range(count)}
+
+
+def test_long_shared_parts_keep_to_their_replica_until_it_has_too_much_to_process():
     runtime, node = make({}, replicas=6)
+    placement, long = node.find("placement"), request(**LONG)
+    first = placement.choose("s", long, goals=GOALS)
+    placement.start_request(first, long).note_response_bytes(1)
+    assert choices(placement, long) == {first.name}
+    other = request(**{"X-Prompt-Chain": "ef:30000,cd:900", "X-Token-Count": "30900,80"})
+    placement.start_request(first, other)
+    assert first.name not in choices(placement, long)
+    runtime.time += 5
+    assert first.name not in choices(placement, long), "its first token is overdue"
+
+
+def test_a_prompt_that_a_peer_sent_counts_like_an_own_one():
+    runtime, node = make({}, replicas=3)
+    placement = node.find("placement")
+    start = PromptStart("r1", 40_000, (PromptPart("ab", 13_000),))
+    report = LoadReport("edge-2", 1, 1, {"r1": 1}, {}, [], [start], [])
+    placement.exchange.on_load_report(report.to_wire(), "edge-2")
+    short = request(**{"X-Token-Count": "500,80"})
+    assert "r1" not in choices(placement, short)
+    assert "r1" not in choices(placement, request(**LONG))
+    runtime.time += 2
+    assert choices(placement, request(**LONG)) == {"r1"}, "processed by now, and cached there"
+
+
+def test_requests_in_flight_of_peers_count():
+    _, node = make({}, replicas=3)
+    placement = node.find("placement")
+    report = LoadReport("north", 1, 1, {"r0": 8, "r2": 9}, {}, [], [], [])
+    placement.exchange.on_zone_load_report(report.to_wire(), "core-1")
+    assert choices(placement, request()) == {"r1"}
+
+
+def test_another_zone_is_chosen_for_what_saves_time_and_not_for_little():
+    _, node = make({}, replicas=0)
+    beat(node, 0)
+    beat(node, 1, domain="south")
     placement = node.find("placement")
-    long = request(**{"X-Prompt-Chain": "ab:13000,cd:900", "X-Token-Count": "13900,80"})
-    chosen = [placement.choose("s", long) for _ in range(20)]
-    assert len({replica.name for replica in chosen}) == 1
-    for _ in range(3):
-        placement.start_request(chosen[0], long)
-    assert placement.choose("s", long).name != chosen[0].name
+    assert choices(placement, request()) == {"r0"}
+    table = node.find("replicas").table
+    large = request(**{"X-Prompt-Chain": "gh:30000,cd:900", "X-Token-Count": "30900,80"})
+    small = request(**{"X-Prompt-Chain": "kl:2100,cd:90", "X-Token-Count": "2190,80"})
+    for sent in (large, small):
+        placement.start_request(table["r1"], sent).note_response_bytes(1)
+    assert choices(placement, large) == {"r1"}
+    assert choices(placement, small) == {"r0"}
+
+
+def test_a_slow_replica_is_learnt_from_its_times_to_first_token():
+    runtime, node = make({}, replicas=2)
+    placement, table = node.find("placement"), node.find("replicas").table
+    for number in range(8):
+        for name, seconds in (("r0", 0.6), ("r1", 0.1)):
+            sent = request(
+                **{"X-Prompt-Chain": f"{number}{name}:9000,cd:900", "X-Token-Count": "9900,80"}
+            )
+            in_flight = placement.start_request(table[name], sent)
+            runtime.time += seconds
+            in_flight.note_response_bytes(1)
+            in_flight.finish()
+        placement.exchange._report_zone_load()
+    assert choices(placement, request(**LONG)) == {"r1"}
+
+
+def test_a_replica_is_unresponsive_only_if_its_silence_has_no_known_reason():
+    runtime, node = make({}, replicas=1)
+    placement, replica = node.find("placement"), node.find("replicas").table["r0"]
+    placement.health(replica).last_byte_at = runtime.time
+    runtime.time += 0.5
+    assert placement.is_unresponsive(replica, 0.36)
+    report = LoadReport("north", 1, 1, {"r0": 1}, {}, ["r0"], [], [])
+    placement.exchange.on_zone_load_report(report.to_wire(), "core-1")
+    assert placement.is_unresponsive(replica, 0.36), "it is silent there too"
+    report = LoadReport("north", 1, 2, {"r0": 1}, {}, [], [], [])
+    placement.exchange.on_zone_load_report(report.to_wire(), "core-1")
+    assert not placement.is_unresponsive(replica, 0.36), "it answers a peer"
+    runtime.time += 0.5
+    assert placement.is_unresponsive(replica, 0.36)
+    placement.health(replica).work.add(0.4, runtime.time - 0.5)
+    assert not placement.is_unresponsive(replica, 0.36), "it processes a prompt"
+    runtime.time += 0.5
+    assert placement.is_unresponsive(replica, 0.36)
+
+
+def test_only_the_end_of_the_trial_request_lets_another_trial_begin():
+    runtime, node = make({}, replicas=1)
+    placement, replica = node.find("placement"), node.find("replicas").table["r0"]
+    former = placement.start_request(replica, request())
+    placement.record_failure(replica, is_certain=True)
+    runtime.time += 60
+    trial = placement.start_request(placement.choose("s", request()), request())
+    former.finish()
+    assert placement.choose("s", request()) is None
+    trial.finish()
+    assert placement.choose("s", request()) is replica
+
+
+def test_a_request_that_ends_before_its_first_token_leaves_no_work():
+    runtime, node = make({}, replicas=1)
+    placement, replica = node.find("placement"), node.find("replicas").table["r0"]
+    in_flight = placement.start_request(replica, request(**LONG))
+    health = placement.health(replica)
+    assert health.work.wait_seconds(runtime.time) > 0 and health.expected_first_tokens
+    in_flight.finish()
+    assert health.work.wait_seconds(runtime.time) == 0 and not health.expected_first_tokens
+
+
+def test_what_is_believed_of_replicas_that_are_gone_is_forgotten():
+    _, node = make({}, replicas=2)
+    placement, table = node.find("placement"), node.find("replicas").table
+    for name in ("r0", "r1"):
+        placement.start_request(table[name], request(**LONG)).finish()
+    del table["r0"]
+    beat(node, 7)
+    placement.choose("s", request())
+    assert set(placement.prefixes.caches) == {"r1"}
+    assert set(placement.health_by_replica) == {"r1", "r7"}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_without_any_report_requests_spread_over_all_replicas(seed):
+    runtime, node = make({}, replicas=8)
+    runtime.random.seed(seed)
+    placement, counts = node.find("placement"), Counter()
+    for _ in range(64):
+        replica = placement.choose("s", request(), goals=GOALS)
+        placement.start_request(replica, request())
+        counts[replica.name] += 1
+    assert max(counts.values()) - min(counts.values()) <= 4
 
 
 def test_the_longest_prefix_of_the_host_counts():
--- /dev/null
+++ b/tests/test_placement_estimates.py
@@ -0,0 +1,105 @@
+"""What the load balancer learns and believes: prompt costs, replica queues, cached prefixes."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from quillring.forward.prefix_directory import MAX_PARTS_PER_REPLICA, PrefixDirectory
+from quillring.forward.request import PromptPart
+from quillring.forward.work_queue import (
+    MAX_SECONDS_PER_PROMPT,
+    MAX_SLOWNESS,
+    MIN_SLOWNESS,
+    PromptCost,
+    ServiceSpeed,
+    WorkQueue,
+)
+
+TOKENS = st.integers(1, 200_000)
+SECONDS = st.floats(1e-6, 1e6)
+
+
+def test_work_drains_while_time_passes_and_a_first_token_corrects_it():
+    work = WorkQueue()
+    work.add(0.2, now=10.0)
+    added_at_first = work.added_seconds
+    work.add(0.3, now=10.0)
+    assert work.wait_seconds(10.0) == pytest.approx(0.5)
+    assert work.wait_seconds(10.4) == pytest.approx(0.1)
+    work.complete(added_at_first, now=10.5)
+    assert work.wait_seconds(10.5) == pytest.approx(0.3)
+    work.cancel(0.3, now=10.5)
+    assert work.wait_seconds(10.5) == 0
+    work.cancel(5.0, now=10.6)
+    work.add(0.1, now=10.6)
+    assert work.wait_seconds(10.6) == pytest.approx(0.1)
+
+
+@pytest.mark.parametrize(("linear", "quadratic"), [(6e-6, 9e-11), (2e-5, 0.0), (1e-6, 1e-9)])
+def test_the_cost_of_prompts_is_learnt_with_its_quadratic_part(linear, quadratic):
+    cost = PromptCost()
+    for number in range(300):
+        tokens = 2_000 + 37_000 * (number * 7 % 11) // 11
+        cost.record(tokens, linear * tokens + quadratic * tokens**2)
+    for tokens in (3_000, 12_000, 40_000):
+        assert cost.seconds(tokens) == pytest.approx(
+            linear * tokens + quadratic * tokens**2, rel=0.05
+        )
+
+
+@given(st.lists(st.tuples(TOKENS, SECONDS), max_size=60), TOKENS, TOKENS)
+def test_whatever_is_recorded_costs_are_finite_positive_and_grow(samples, tokens, more):
+    speed = ServiceSpeed()
+    for token_count, seconds in samples:
+        speed.prompt_cost.record(token_count, seconds)
+        speed.record_request(seconds)
+    assert 0 < speed.prompt_cost.seconds(tokens) <= MAX_SECONDS_PER_PROMPT
+    assert speed.prompt_cost.seconds(tokens) <= speed.prompt_cost.seconds(tokens + more)
+    assert 0 <= speed.request_seconds <= MAX_SECONDS_PER_PROMPT
+
+
+@given(st.lists(st.floats(1e-9, 1e12), min_size=1))
+def test_the_slowness_of_a_replica_stays_within_its_bounds(ratios):
+    work = WorkQueue()
+    for ratio in ratios:
+        work.record_slowness(ratio)
+    assert MIN_SLOWNESS <= work.slowness <= MAX_SLOWNESS
+
+
+def test_a_part_counts_as_cached_only_behind_parts_that_are():
+    directory = PrefixDirectory()
+    first, second = PromptPart("a", 3000), PromptPart("b", 5000)
+    directory.record("r0", (first,), 10_000)
+    directory.record("r1", (second,), 10_000)
+    assert directory.cached_tokens("r0", (first, second)) == 3000
+    assert directory.cached_tokens("r1", (first, second)) == 0
+    assert directory.cached_tokens("r2", (first,)) == 0
+    directory.forget_all_but({"r1"})
+    assert directory.cached_tokens("r0", (first,)) == 0
+    assert directory.cached_tokens("r1", (second,)) == 5000
+
+
+def test_the_least_recently_used_prefix_is_forgotten_first():
+    directory = PrefixDirectory()
+    parts = [PromptPart(f"p{number}", 4000) for number in range(3)]
+    directory.record("r", parts[:2], 10_000)
+    directory.record("r", parts[:1], 10_000)
+    directory.record("r", parts[2:], 10_000)
+    assert [directory.cached_tokens("r", (part,)) for part in parts] == [4000, 0, 4000]
+
+
+@given(st.lists(st.tuples(st.integers(0, 40), st.integers(0, 9000)), max_size=200))
+def test_the_directory_keeps_its_count_and_its_bound(uses):
+    directory = PrefixDirectory()
+    for number, token_count in uses:
+        directory.record("r", (PromptPart(str(number), token_count),), 20_000)
+    if uses:
+        cache = directory.caches["r"]
+        assert cache.total_tokens == sum(cache.tokens_by_part.values()) <= 20_000
+
+
+def test_a_flood_of_tiny_prefixes_takes_bounded_memory():
+    directory = PrefixDirectory()
+    for number in range(MAX_PARTS_PER_REPLICA * 2):
+        directory.record("r", (PromptPart(str(number), 0),), None)
+    assert len(directory.caches["r"].tokens_by_part) == MAX_PARTS_PER_REPLICA
