Proving: an emulator of replicas and edges, and ablation of placement on it

python -m proving.placement plays the product's load balancer before batch engines (slots, prompts in chunks between tokens, KV cache, crash, slow, burst) on shapes from TOML files; python -m proving.ablation switches each mechanism off, or halves and doubles each constant.

--- /dev/null
+++ b/proving/placement/run.py
@@ -0,0 +1,270 @@
+"""One emulated run of a shape under a policy, and what it measured."""
+
+import math
+import random
+from collections import defaultdict
+from statistics import quantiles
+from typing import NamedTuple
+
+import simpy
+
+from proving.placement.engine import Engine, EngineRequest
+from proving.placement.nodes import EmulatedFleet, EmulatedRequest
+from quillring.forward.load_balancer import LatencyGoals
+from quillring.forward.request import PromptPart
+
+MOST_ATTEMPTS = 2
+HEARTBEAT_SECONDS = 0.5
+RETRY_SECONDS = 0.02
+GAP_GOAL_SECONDS = 0.3
+PREFIX_SKEW = 0.3
+WARM_UP_SECONDS = 2.0
+"""Requests that arrive sooner are not measured."""
+
+
+class Sample(NamedTuple):
+    """One measured request; `first_token` is None if there was none."""
+
+    name: str
+    tokens: int
+    first_token: float | None
+    longest_gap: float
+    goal: float
+    gap_goal: float
+
+    @property
+    def is_in_time(self):
+        """Return whether the first token and all events after it came within the goals."""
+        is_begun = self.first_token is not None and self.first_token <= self.goal
+        return is_begun and self.longest_gap <= self.gap_goal
+
+
+class Served(NamedTuple):
+    """When the first token reached the node, and the longest pause between two events."""
+
+    first_token_at: float
+    longest_gap: float
+
+
+class Result(NamedTuple):
+    """What a run measured."""
+
+    in_time: float
+    worst_group: float
+    by_group: dict
+    p50: dict
+    p99: dict
+    reread_share: float
+    megabytes_between_zones: float
+    turned_away: int
+    messages: int
+    belief_error: float
+
+
+class Run:
+    """One run."""
+
+    def __init__(self, shape, policy, seed):
+        self.shape, self.policy = shape, policy
+        self.random = random.Random(seed)
+        self.env = simpy.Environment()
+        self.fleet = EmulatedFleet(self.env, shape, policy, seed)
+        self.engines, self.zone_of = {}, {}
+        self.samples, self.belief_errors = [], []
+        self.rate_factor = 1.0
+        self.items_by_replica = defaultdict(int)
+        self.bodies = {cls.name: bytes(cls.body_bytes) for cls in shape.classes}
+        self.parts_by_class = {cls.name: self._make_parts(cls) for cls in shape.classes}
+
+    def _make_parts(self, cls):
+        return [
+            PromptPart(f"{cls.name}{n}", cls.shared_tokens.draw(self.random))
+            for n in range(cls.shared_prefixes)
+        ]
+
+    def play(self):
+        """Play the run and return its result."""
+        self._start_replicas()
+        self.env.process(self._beat())
+        edges = [name for name in self.fleet.members if name.startswith("edge")]
+        cores = [name for name in self.fleet.members if name.startswith("core")]
+        for cls in self.shape.classes:
+            if cls.requests_per_second:
+                senders = cores if cls.is_batch else edges
+                self.env.process(self._arrivals(cls, senders))
+        for fault in self.shape.faults:
+            self.env.process(self._fault(fault))
+        self.env.run(until=self.shape.seconds)
+        return self._result()
+
+    def _start_replicas(self):
+        speeds = self.shape.engine.speeds
+        for zone in range(self.shape.zones):
+            for number in range(self.shape.replicas_per_zone):
+                name = f"r{zone}-{number}"
+                engine = Engine(self.env, self.shape.engine, speeds[number % len(speeds)], name)
+                self.engines[name], self.zone_of[name] = engine, f"z{zone}"
+                self.env.process(engine.run())
+                self.fleet.announce(name, f"z{zone}")
+
+    def _beat(self):
+        sequence = 1
+        while True:
+            sequence += 1
+            alive = [name for name, engine in self.engines.items() if not engine.is_down]
+            self.fleet.heartbeat(alive, sequence)
+            yield self.env.timeout(HEARTBEAT_SECONDS)
+
+    def _arrivals(self, cls, senders):
+        while True:
+            rate = cls.requests_per_second * (1.0 if cls.is_batch else self.rate_factor)
+            yield self.env.timeout(self.random.expovariate(rate))
+            sender = self.random.choice(senders)
+            if sender not in self.fleet.lost_names:
+                self.env.process(self._serve(cls, sender))
+
+    def _draw_parts(self, cls):
+        known = self.parts_by_class[cls.name]
+        if not known:
+            return ()
+        return (known[int(len(known) * self.random.random() ** (1 / (1 - PREFIX_SKEW)))],)
+
+    def _serve(self, cls, sender):
+        """Process of one request: attempts until one is served."""
+        parts = self._draw_parts(cls)
+        own = PromptPart(f"own{self.random.getrandbits(40)}", cls.own_tokens.draw(self.random))
+        tokens = own.token_count + sum(part.token_count for part in parts)
+        request = EmulatedRequest((*parts, own), tokens, self.bodies[cls.name])
+        output = cls.output_tokens.draw(self.random)
+        arrived_at, avoided, served = self.env.now, set(), None
+        for _ in range(MOST_ATTEMPTS):
+            replica = self._choose(cls, sender, request, avoided)
+            if replica is None:
+                break
+            served = yield from self._attempt(cls, sender, replica, request, output)
+            if served is not None:
+                break
+            avoided.add(replica.name)
+            yield self.env.timeout(RETRY_SECONDS)
+        if arrived_at >= WARM_UP_SECONDS:
+            seconds = None if served is None else served.first_token_at - arrived_at
+            gap = 0.0 if served is None else served.longest_gap
+            gap_goal = math.inf if cls.is_batch else GAP_GOAL_SECONDS
+            self.samples.append(Sample(cls.name, tokens, seconds, gap, cls.goal_seconds, gap_goal))
+
+    def _choose(self, cls, sender, request, avoided):
+        node = self.fleet.nodes[sender]
+        if not cls.is_batch:
+            return node.find("placement").choose(
+                "s", request, avoided, goals=LatencyGoals(cls.goal_seconds, GAP_GOAL_SECONDS)
+            )
+        near = [
+            r
+            for r in node.find("placement").replicas("s")
+            if r.zone == node.me.zone and not self.engines[r.name].is_down
+        ]
+        return min(near, key=lambda r: self.items_by_replica[r.name], default=None)
+
+    def _attempt(self, cls, sender, replica, request, output):
+        """Send to one replica; return how it was served, or None."""
+        node = self.fleet.nodes[sender]
+        balancer, engine = node.find("placement"), self.engines[replica.name]
+        real = len(engine.running) + len(engine.prefill) + len(engine.waiting)
+        in_flight = balancer.start_request(replica, request, cls.is_batch)
+        self.belief_errors.append(abs(in_flight.estimate.in_flight - real))
+        delay = self.fleet.delay(node.me.zone, replica.zone)
+        if node.me.zone != replica.zone:
+            self.fleet.bytes_between_zones += cls.body_bytes
+        self.items_by_replica[replica.name] += cls.is_batch
+        try:
+            yield self.env.timeout(delay)
+            first, end = self.env.event(), self.env.event()
+            parts = [(part.name, part.token_count) for part in request.prompt_parts[:-1]]
+            work = EngineRequest(
+                parts, request.prompt_tokens, output, first.succeed, _succeed_once(first, end)
+            )
+            if not engine.submit(work):
+                return None
+            yield first | end
+            if not first.triggered:
+                balancer.record_failure(replica, is_certain=True)
+                return None
+            yield self.env.timeout(delay)
+            in_flight.note_response_bytes(0)
+            first_token_at = self.env.now
+            yield end
+            return Served(first_token_at, work.longest_gap)
+        finally:
+            in_flight.finish()
+            self.items_by_replica[replica.name] -= cls.is_batch
+
+    def _fault(self, fault):
+        yield self.env.timeout(fault.at)
+        count = round(len(self.engines) * fault.share)
+        engines = self.random.sample(sorted(self.engines), count)
+        if fault.kind == "burst":
+            self.rate_factor = fault.factor
+        if fault.kind == "edge_loss":
+            edges = sorted(name for name in self.fleet.members if name.startswith("edge"))
+            self.fleet.lost_names |= set(self.random.sample(edges, round(len(edges) * fault.share)))
+        for name in engines:
+            if fault.kind == "crash":
+                self.engines[name].crash()
+            if fault.kind == "slow":
+                self.engines[name].slow_factor = fault.factor
+        yield self.env.timeout(fault.seconds)
+        self.rate_factor = 1.0
+        self.fleet.lost_names = set()
+        for name in engines:
+            self.engines[name].slow_factor, self.engines[name].is_down = 1.0, False
+
+    def _result(self):
+        groups = _size_groups(self.samples)
+        by_group = {
+            name: sum(s.is_in_time for s in rows) / len(rows) for name, rows in groups.items()
+        }
+        times = defaultdict(list)
+        for sample in self.samples:
+            if sample.first_token is not None:
+                times[sample.name].append(sample.first_token * 1000)
+        engines = self.engines.values()
+        shared = sum(e.hit_tokens + e.reread_tokens for e in engines)
+        return Result(
+            in_time=sum(s.is_in_time for s in self.samples) / max(1, len(self.samples)),
+            worst_group=min(by_group.values(), default=1.0),
+            by_group=by_group,
+            p50={name: _percentile(values, 50) for name, values in times.items()},
+            p99={name: _percentile(values, 99) for name, values in times.items()},
+            reread_share=sum(e.reread_tokens for e in engines) / max(1, shared),
+            megabytes_between_zones=self.fleet.bytes_between_zones / 1e6,
+            turned_away=sum(e.turned_away for e in engines),
+            messages=self.fleet.messages,
+            belief_error=sum(self.belief_errors) / max(1, len(self.belief_errors)),
+        )
+
+
+def _percentile(values, percent):
+    return quantiles(values, n=100)[percent - 1] if len(values) > 1 else values[0]
+
+
+def _succeed_once(first, end):
+    def on_end(at, is_whole):
+        if not end.triggered:
+            end.succeed(at)
+
+    return on_end
+
+
+def _size_groups(samples):
+    """Return the samples by class, and for each class its largest tenth and the fifth below it."""
+    by_class = defaultdict(list)
+    for sample in samples:
+        by_class[sample.name].append(sample)
+    groups = dict(by_class)
+    for name, rows in by_class.items():
+        ordered = sorted(rows, key=lambda sample: -sample.tokens)
+        tenth = len(ordered) // 10
+        if tenth >= 5:
+            groups[f"{name}, largest tenth"] = ordered[:tenth]
+            groups[f"{name}, fifth below"] = ordered[tenth : 3 * tenth]
+    return groups
