Placement: a replica that turns a prompt away, or fails, teaches nothing of its speed

Cause (read before the landing): any head counted as the first token, so that a full replica's 503 after 1 ms was taken for a prompt of 13,900 tokens processed in that time: costs fell exactly where replicas were full. Change: a head shows that the replica lives; the first token is the first byte of a success's body.

--- a/quillring/forward/load_balancer.py
+++ b/quillring/forward/load_balancer.py
@@ -112,13 +112,17 @@
         self.added_seconds = health.work.added_seconds
         health.expected_first_tokens[id(self)] = self.started_at + estimate.first_token_seconds
 
-    def note_response_bytes(self, byte_count: int) -> None:
-        """Record response bytes: the replica is healthy, and the prompt is processed."""
-        node = self.load_balancer.node
-        node.traffic.record(REPLICA_RESPONSE, self.replica.zone, byte_count)
-        self.health.last_byte_at = node.now()
+    def note_head(self) -> None:
+        """Record the head of a response: the replica is healthy, be the request run or not."""
+        self.health.last_byte_at = self.load_balancer.node.now()
         self.health.consecutive_failures = 0
         self.health.has_trial_request = False
+
+    def note_body_bytes(self, byte_count: int) -> None:
+        """Record bytes of an answer: the replica is healthy, and the prompt is processed."""
+        node = self.load_balancer.node
+        node.traffic.record(REPLICA_RESPONSE, self.replica.zone, byte_count)
+        self.note_head()
         if self.first_token_at is None:
             self._note_first_token(node.now())
 
--- a/quillring/forward/request_handler.py
+++ b/quillring/forward/request_handler.py
@@ -164,7 +164,7 @@
             route.is_retryable,
             first_byte_timeout(node, route, progress),
         )
-        in_flight_request.note_response_bytes(0)
+        in_flight_request.note_head()
         return (yield from pass_response_on(node, route, progress, handle, in_flight_request))
     except NotSent as error:
         record_failed_attempt(node, progress, replica, error, True)
@@ -197,6 +197,8 @@
         yield from stream_events(node, route, progress, handle, in_flight_request)
         return STREAM_COMPLETE
     response = yield from read_response(node, progress, handle)
+    if handle.status in SUCCESSES:
+        in_flight_request.note_body_bytes(len(response.body))
     if handle.status in SERVER_ERRORS and may_retry(node, route, progress):
         progress.avoided_names.add(in_flight_request.replica.name)
         progress.last_response = response
--- a/quillring/forward/response.py
+++ b/quillring/forward/response.py
@@ -62,7 +62,7 @@
         data = yield from next_part(node, route, progress, handle, in_flight_request)
         if data is None:
             break
-        in_flight_request.note_response_bytes(len(data))
+        in_flight_request.note_body_bytes(len(data))
         events = reader.feed(data)
         if events:
             yield from emit_stream(progress, handle, b"".join(event.raw for event in events))
