--- a/quillring/forward/load_balancer.py
+++ b/quillring/forward/load_balancer.py
@@ -430,8 +430,7 @@
         in_flight_request = InFlightRequest(self, health, replica, estimate, is_batch)
         if parts:
             self.prefixes.record(replica.name, parts, self._cache_tokens(replica.service))
-        is_long = estimate.uncached_tokens >= self.policy.min_prefix_tokens
-        if self.policy.shares_load and (parts or is_long):
+        if self.policy.shares_load and estimate.uncached_tokens >= self.policy.min_reported_tokens:
             start = PromptStart(replica.name, estimate.uncached_tokens, parts)
             self.exchange.note_start(start)
         return in_flight_request
--- a/quillring/forward/load_exchange.py
+++ b/quillring/forward/load_exchange.py
@@ -36,10 +36,10 @@
 
 SENDING_ROLES = ("core", "edge")
 """Roles of nodes that send requests to replicas; the first ones rather represent their zone."""
-REPORT_INTERVAL_SECONDS = 0.05
+REPORT_INTERVAL_SECONDS = 0.2
 MESSAGES_PER_SECOND = 200
 """A representative of many nodes reports less often, to send no more messages than this."""
-ZONE_REPORT_INTERVAL_SECONDS = 0.25
+ZONE_REPORT_INTERVAL_SECONDS = 1.0
 MAX_STARTS = 256
 """Started prompts kept for the next report; beyond it the oldest are dropped."""
 
--- a/quillring/forward/policy.py
+++ b/quillring/forward/policy.py
@@ -38,8 +38,9 @@
     random_cost
         Largest random cost; nodes that know the same then choose different replicas.
     min_prefix_tokens
-        Shared prompt parts of at least so many tokens are tracked, and prompts with at least so
-        many tokens to process are reported at once.
+        Shared prompt parts of at least so many tokens are tracked.
+    min_reported_tokens
+        Prompts with at least so many tokens to process are reported to the zone at once.
     cache_share
         Share of a replica's KV cache that long shared prefixes are expected to fill.
     """
@@ -55,6 +56,7 @@
     occupancy_cost: float = 0.2
     random_cost: float = 0.03
     min_prefix_tokens: int = 2048
+    min_reported_tokens: int = 4096
     cache_share: float = 0.7
 
 
--- a/tests/test_placement_emulator.py
+++ b/tests/test_placement_emulator.py
@@ -133,7 +133,7 @@
         parse_change(change)
     assert set(CONSTANTS) <= set(DEFAULT_POLICY._fields)
     tested = {name.partition("=")[0] for c in MECHANISMS.values() for name in c.split(",")}
-    tested |= {"default", "min_prefix_tokens", "cache_share"}
+    tested |= {"default", "min_prefix_tokens", "min_reported_tokens", "cache_share"}
     assert set(DEFAULT_POLICY._fields) <= tested
 
 
