--- a/review/fleet.py
+++ b/review/fleet.py
@@ -48,6 +48,7 @@
     "quota_excess": 0.1,
 }
 HEARTBEAT_MS = 1200
+EVENTS, EVENT_PAUSE_S = 18, 0.25
 
 
 class CouldNotRun(Exception):
@@ -406,6 +407,35 @@
         self.server.server_close()
 
 
+class StreamReplica(Replica):
+    """A replica whose answers are streams of EVENTS events, EVENT_PAUSE_S apart."""
+
+    def __init__(self, platform: Platform, service: str, zone: str) -> None:
+        super().__init__(platform, service, zone)
+        replica = self
+        handler = self.server.RequestHandlerClass
+
+        def run(request: object) -> None:
+            """Run a request as a stream."""
+            request.rfile.read(int(request.headers.get("Content-Length") or 0))
+            request_id = request.headers.get("Request-Id", "")
+            platform.record.write(f"replica {replica.id} runs {request_id}")
+            request.send_response(200)
+            request.send_header("Request-Id", request_id)
+            request.send_header("Server-Seal", replica.id)
+            request.send_header("Content-Type", "text/event-stream")
+            request.send_header("Transfer-Encoding", "chunked")
+            request.end_headers()
+            for number in range(1, EVENTS + 1):
+                time.sleep(EVENT_PAUSE_S)
+                event = f"id: {number}\ndata: x\n\n".encode()
+                request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                request.wfile.flush()
+            request.wfile.write(b"0\r\n\r\n")
+
+        handler.do_POST = run  # type: ignore[attr-defined]
+
+
 def ask(platform: Platform, edge: Machine, path: str, host: str) -> tuple[str, int]:
     """Send one request of a client to an edge; return its id and the status, 0 for no answer."""
     request_id = f"{random.SystemRandom().getrandbits(64):016x}"
